--- /dev/null
+++ b/Libraries/Http/Message.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+/** HTTP over cxxtools, with the bounds that the library leaves open. */
+namespace lavender::http {
+
+using header_list = std::vector<std::pair<std::string, std::string>>;
+
+struct request
+{
+  std::string mMethod = "GET";
+  std::string mPath = "/";
+  /** Text after the question mark, still encoded. */
+  std::string mQuery;
+  header_list mHeaders;
+  std::string mBody;
+};
+
+struct response
+{
+  int mStatus = 200;
+  std::string mContentType = "application/json";
+  header_list mHeaders;
+  std::string mBody;
+};
+
+/** First header of that name, compared without case; empty when absent. */
+std::string
+HeaderOr(const header_list& aHeaders,
+         const std::string& aName,
+         std::string aFallback);
+
+/** Value of a query parameter, decoded; the fallback when absent. */
+std::string
+QueryOr(const request& aRequest,
+        const std::string& aName,
+        std::string aFallback);
+
+/** Decodes %XX and '+'. */
+std::string
+DecodeUrl(const std::string& aText);
+
+/** Encodes everything but unreserved characters. */
+std::string
+EncodeUrl(const std::string& aText);
+
+} // namespace lavender::http
--- /dev/null
+++ b/Libraries/Json/TestValue.cpp
@@ -0,0 +1,39 @@
+#include "Libraries/Json/Value.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lavender;
+
+BOOST_AUTO_TEST_SUITE(TestJsonValue)
+
+BOOST_AUTO_TEST_CASE(KeepsTextBeyondLatinLetters)
+{
+  const std::string text = "{\"a\":\"r\xc3\xa4kning \xe2\x82\xac\",\"n\":-3,"
+                           "\"d\":1.5,\"l\":[true,null],\"o\":{},\"e\":[]}";
+  auto first = json::Parse(text);
+  BOOST_REQUIRE_MESSAGE(first, first.mLastReason);
+  BOOST_TEST(json::StringAt(*first, "a", "") == "r\xc3\xa4kning \xe2\x82\xac");
+  auto second = json::Parse(json::Write(*first));
+  BOOST_REQUIRE_MESSAGE(second, second.mLastReason);
+  BOOST_TEST(json::Write(*second) == json::Write(*first));
+  BOOST_TEST(json::IntegerAt(*second, "n", 0) == -3);
+  BOOST_TEST(json::NumberAt(*second, "d", 0) == 1.5);
+  BOOST_TEST(second->Find("l")->Elements().size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(RefusesWhatTheLibraryWouldTake)
+{
+  for (const char* text : { "{\"a\":1} x",
+                            "{\"a\":1,\"a\":2}",
+                            "",
+                            "{",
+                            "\"\xff\"",
+                            "{\"a\":99999999999999999999999}" }) {
+    auto parsed = json::Parse(text);
+    BOOST_TEST(!parsed, text);
+    BOOST_TEST(!parsed.mLastReason.empty());
+  }
+  BOOST_TEST(!json::Parse(std::string(1000000, '[')));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Libraries/Wire/WireServer.cpp
@@ -0,0 +1,88 @@
+#include "Libraries/Wire/WireServer.h"
+
+#include <future>
+#include <thread>
+#include <thrift/protocol/TBinaryProtocol.h>
+#include <thrift/server/TThreadedServer.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TServerSocket.h>
+
+namespace lavender::wire {
+namespace {
+
+using apache::thrift::server::TServerEventHandler;
+using apache::thrift::server::TThreadedServer;
+
+/** Tells the constructing thread when the listener is open. */
+class listening_signal : public TServerEventHandler
+{
+public:
+  void preServe() override { mOpened.set_value(); }
+  std::promise<void> mOpened;
+};
+
+} // namespace
+
+struct wire_server::implementation
+{
+  std::shared_ptr<apache::thrift::transport::TServerSocket> mSocket;
+  std::unique_ptr<TThreadedServer> mServer;
+  std::thread mThread;
+};
+
+wire_server::wire_server(const std::string& aAddress,
+                         std::uint16_t aPort,
+                         std::shared_ptr<apache::thrift::TProcessor> aProcessor)
+  : mImplementation(std::make_unique<implementation>())
+{
+  using namespace apache::thrift;
+  auto& self = *mImplementation;
+  self.mSocket = std::make_shared<transport::TServerSocket>(aAddress, aPort);
+  self.mServer = std::make_unique<TThreadedServer>(
+    std::move(aProcessor),
+    self.mSocket,
+    std::make_shared<transport::TFramedTransportFactory>(),
+    std::make_shared<protocol::TBinaryProtocolFactory>());
+  auto signal = std::make_shared<listening_signal>();
+  auto opened = signal->mOpened.get_future();
+  self.mServer->setServerEventHandler(signal);
+  self.mThread = std::thread([&self, signal] {
+    try {
+      self.mServer->serve();
+    } catch (...) {
+      // Only a failure to listen gets here before the signal was given.
+      try {
+        signal->mOpened.set_exception(std::current_exception());
+      } catch (const std::future_error&) {
+      }
+    }
+  });
+  try {
+    opened.get();
+  } catch (...) {
+    self.mThread.join();
+    throw;
+  }
+}
+
+wire_server::~wire_server()
+{
+  Stop();
+}
+
+std::uint16_t
+wire_server::Port() const
+{
+  return static_cast<std::uint16_t>(mImplementation->mSocket->getPort());
+}
+
+void
+wire_server::Stop()
+{
+  if (mImplementation->mThread.joinable()) {
+    mImplementation->mServer->stop();
+    mImplementation->mThread.join();
+  }
+}
+
+} // namespace lavender::wire
--- /dev/null
+++ b/Tests/Runner.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE lavenderstair
+#include <boost/test/unit_test.hpp>
