--- /dev/null
+++ b/StandIns/Platform/Platform.cpp
@@ -0,0 +1,344 @@
+#include "StandIns/Platform/Platform.h"
+
+#include "StandIns/Common/Program.h"
+
+#include <thread>
+
+namespace lavender::standin {
+namespace {
+
+using namespace std::chrono_literals;
+
+http::response
+Failure(int aStatus, const std::string& aReason)
+{
+  json::value body;
+  body.Set("reason", aReason);
+  return JsonResponse(aStatus, body);
+}
+
+std::int64_t
+QueryInteger(const http::request& aRequest,
+             const std::string& aName,
+             std::int64_t aFallback)
+{
+  const auto text = http::QueryOr(aRequest, aName, "");
+  return text.empty() ? aFallback : std::strtoll(text.c_str(), nullptr, 10);
+}
+
+bool
+IsControl(const http::request& aRequest)
+{
+  return aRequest.mPath.rfind("/control/", 0) == 0;
+}
+
+} // namespace
+
+platform::platform()
+{
+  AddObjectRoutes();
+  AddInterfaceRoutes();
+  AddControlRoutes();
+}
+
+http::response
+platform::Serve(const http::request& aRequest)
+{
+  if (!IsControl(aRequest)) {
+    if (auto fault = ApplyFaults(aRequest)) {
+      return *fault;
+    }
+  }
+  return http::Serve(mRouter, aRequest);
+}
+
+std::optional<http::response>
+platform::ApplyFaults(const http::request& aRequest)
+{
+  std::chrono::milliseconds slowness{ 0 };
+  bool isCut = false;
+  {
+    std::lock_guard lock(mMutex);
+    ++mCalls[aRequest.mMethod];
+    if (mFaults.mIsDown) {
+      return Failure(503, "down");
+    }
+    slowness = mFaults.mSlowness;
+    isCut = mFaults.mCutCallers.count(
+              http::HeaderOr(aRequest.mHeaders, "X-Caller", "")) > 0;
+  }
+  if (isCut) {
+    // A cut caller sees silence: nothing is carried out, and the answer
+    // comes after every client's timeout.
+    std::this_thread::sleep_for(6s);
+    return Failure(503, "cut");
+  }
+  std::this_thread::sleep_for(slowness);
+  return std::nullopt;
+}
+
+http::response
+platform::AnswerWrite(const store_outcome& aOutcome,
+                      const std::string& aKind,
+                      const std::string& aName)
+{
+  json::value body;
+  if (!aOutcome.mIsDone) {
+    body.Set("current",
+             aOutcome.mCurrent
+               ? DescribeObject(aKind, aName, *aOutcome.mCurrent)
+               : json::value());
+    return JsonResponse(409, body);
+  }
+  {
+    std::lock_guard lock(mMutex);
+    if (mFaults.mLostAnswers > 0) {
+      --mFaults.mLostAnswers;
+      return Failure(500, "answer_lost");
+    }
+  }
+  body.Set("revision", aOutcome.mRevision);
+  return JsonResponse(200, body);
+}
+
+void
+platform::AddObjectRoutes()
+{
+  mRouter.Add(
+    "GET", "/v1/objects", [this](const http::request& aRequest, const auto&) {
+      auto [revision, items] = mStore.List(http::QueryOr(aRequest, "kind", ""));
+      json::value body;
+      body.Set("revision", revision);
+      body.Set("items", std::move(items));
+      return JsonResponse(200, body);
+    });
+  mRouter.Add("GET",
+              "/v1/objects/*/*",
+              [this](const http::request&, const http::path_parts& aParts) {
+                const auto found = mStore.Read(aParts[0], aParts[1]);
+                return found
+                         ? JsonResponse(
+                             200, DescribeObject(aParts[0], aParts[1], *found))
+                         : Failure(404, "absent");
+              });
+  mRouter.Add(
+    "PUT",
+    "/v1/objects/*/*",
+    [this](const http::request& aRequest, const http::path_parts& aParts) {
+      auto body = json::Parse(aRequest.mBody);
+      if (!body) {
+        return Failure(400, body.mLastReason);
+      }
+      if (aRequest.mBody.size() > (1u << 20)) {
+        return Failure(413, "value_too_large");
+      }
+      return AnswerWrite(
+        mStore.Write(
+          aParts[0], aParts[1], QueryInteger(aRequest, "expected", -1), *body),
+        aParts[0],
+        aParts[1]);
+    });
+  mRouter.Add(
+    "DELETE",
+    "/v1/objects/*/*",
+    [this](const http::request& aRequest, const http::path_parts& aParts) {
+      return AnswerWrite(mStore.Delete(aParts[0],
+                                       aParts[1],
+                                       QueryInteger(aRequest, "expected", -1)),
+                         aParts[0],
+                         aParts[1]);
+    });
+  mRouter.Add(
+    "GET", "/v1/watch", [this](const http::request& aRequest, const auto&) {
+      const auto wait = std::min(
+        std::chrono::milliseconds(QueryInteger(aRequest, "wait_ms", 1000)),
+        std::chrono::milliseconds(30000));
+      const auto batch = mStore.Watch(QueryInteger(aRequest, "from", 0), wait);
+      if (!batch) {
+        return Failure(410, "revision_too_old");
+      }
+      json::value body;
+      body.Set("revision", batch->first);
+      body.Set("events", batch->second);
+      return JsonResponse(200, body);
+    });
+}
+
+void
+platform::AddInterfaceRoutes()
+{
+  mRouter.Add("GET", "/v1/instances", [this](const auto&, const auto&) {
+    return JsonResponse(200, VisibleInstances());
+  });
+  mRouter.Add(
+    "POST",
+    "/v1/zones/*/orders",
+    [this](const http::request& aRequest, const http::path_parts& aParts) {
+      return TakeOrder(aRequest, aParts[0]);
+    });
+  mRouter.Add(
+    "POST",
+    "/v1/usage/*",
+    [this](const http::request& aRequest, const http::path_parts& aParts) {
+      return TakeUsage(aRequest, aParts[0]);
+    });
+  mRouter.Add(
+    "GET",
+    "/v1/weights/*/*",
+    [this](const http::request& aRequest, const http::path_parts& aParts) {
+      json::value body;
+      body.Set("model", aParts[0]);
+      body.Set("version", aParts[1]);
+      Record("weights", aRequest, body);
+      return JsonResponse(200, body);
+    });
+}
+
+http::response
+platform::TakeOrder(const http::request& aRequest, const std::string& aZone)
+{
+  auto body = json::Parse(aRequest.mBody);
+  if (!body) {
+    return Failure(400, body.mLastReason);
+  }
+  const auto fencing = json::IntegerAt(*body, "fencing", 0);
+  bool isLost = false;
+  {
+    std::lock_guard lock(mMutex);
+    auto& highest = mHighestFencing[aZone];
+    if (fencing < highest && !mFaults.mIgnoresFencing) {
+      return Failure(409, "old_fencing_number");
+    }
+    highest = std::max(highest, fencing);
+    if (mFaults.mLostAnswers > 0) {
+      --mFaults.mLostAnswers;
+      isLost = true;
+    }
+  }
+  body->Set("zone", aZone);
+  Record("orders", aRequest, *body);
+  return isLost ? Failure(500, "answer_lost") : JsonResponse(200, *body);
+}
+
+http::response
+platform::TakeUsage(const http::request& aRequest, const std::string& aWindow)
+{
+  auto body = json::Parse(aRequest.mBody);
+  if (!body) {
+    return Failure(400, body.mLastReason);
+  }
+  body->Set("window", aWindow);
+  Record("usage", aRequest, *body);
+  std::lock_guard lock(mMutex);
+  mUsage[aWindow] = *body;
+  if (mFaults.mLostAnswers > 0) {
+    --mFaults.mLostAnswers;
+    return Failure(500, "answer_lost");
+  }
+  return JsonResponse(200, *body);
+}
+
+json::value
+platform::VisibleInstances()
+{
+  std::lock_guard lock(mMutex);
+  const auto visibleBefore =
+    std::chrono::steady_clock::now() - mFaults.mListLag;
+  json::value list;
+  list.Set("instances", json::array{});
+  for (const auto& state : mInstanceLists) {
+    if (state.mAt <= visibleBefore) {
+      list = state.mList;
+    }
+  }
+  return list;
+}
+
+void
+platform::Record(const std::string& aInterface,
+                 const http::request& aRequest,
+                 json::value aDetail)
+{
+  std::lock_guard lock(mMutex);
+  mLog.push_back({ static_cast<std::int64_t>(mLog.size()) + 1,
+                   aInterface,
+                   http::HeaderOr(aRequest.mHeaders, "X-Caller", ""),
+                   std::move(aDetail) });
+}
+
+http::response
+platform::SetFaults(const http::request& aRequest)
+{
+  const auto body = json::Parse(aRequest.mBody);
+  if (!body) {
+    return Failure(400, body.mLastReason);
+  }
+  std::lock_guard lock(mMutex);
+  mFaults.mIsDown = json::BooleanAt(*body, "down", mFaults.mIsDown);
+  mFaults.mSlowness = std::chrono::milliseconds(
+    json::IntegerAt(*body, "slow_ms", mFaults.mSlowness.count()));
+  mFaults.mLostAnswers = static_cast<int>(
+    json::IntegerAt(*body, "lose_answers", mFaults.mLostAnswers));
+  mFaults.mIgnoresFencing =
+    json::BooleanAt(*body, "ignore_fencing", mFaults.mIgnoresFencing);
+  mFaults.mListLag = std::chrono::milliseconds(
+    json::IntegerAt(*body, "list_lag_ms", mFaults.mListLag.count()));
+  if (const auto* cut = body->Find("cut")) {
+    mFaults.mCutCallers.clear();
+    for (const auto& caller : cut->Elements()) {
+      mFaults.mCutCallers.insert(caller.StringOr(""));
+    }
+  }
+  return JsonResponse(200, json::object{});
+}
+
+void
+platform::AddControlRoutes()
+{
+  mRouter.Add("POST",
+              "/control/faults",
+              [this](const http::request& aRequest, const auto&) {
+                return SetFaults(aRequest);
+              });
+  mRouter.Add(
+    "POST",
+    "/control/instances",
+    [this](const http::request& aRequest, const auto&) {
+      auto body = json::Parse(aRequest.mBody);
+      if (!body) {
+        return Failure(400, body.mLastReason);
+      }
+      std::lock_guard lock(mMutex);
+      mInstanceLists.push_back({ std::chrono::steady_clock::now(), *body });
+      return JsonResponse(200, json::object{});
+    });
+  mRouter.Add("POST", "/control/compact", [this](const auto&, const auto&) {
+    mStore.Compact();
+    return JsonResponse(200, json::object{});
+  });
+  mRouter.Add("GET", "/control/log", [this](const auto&, const auto&) {
+    std::lock_guard lock(mMutex);
+    json::array lines;
+    for (const auto& line : mLog) {
+      json::value item;
+      item.Set("sequence", line.mSequence);
+      item.Set("interface", line.mInterface);
+      item.Set("caller", line.mCaller);
+      item.Set("detail", line.mDetail);
+      lines.push_back(std::move(item));
+    }
+    json::value body;
+    body.Set("lines", std::move(lines));
+    return JsonResponse(200, body);
+  });
+  mRouter.Add("GET", "/control/calls", [this](const auto&, const auto&) {
+    std::lock_guard lock(mMutex);
+    json::value body = json::object{};
+    for (const auto& [method, count] : mCalls) {
+      body.Set(method, count);
+    }
+    return JsonResponse(200, body);
+  });
+}
+
+} // namespace lavender::standin
