--- /dev/null
+++ b/Duties/Admission/CustomerLimits.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Duties/Configuration/Snapshot.h"
+#include "Libraries/Core/Clock.h"
+
+#include <map>
+#include <string>
+
+/** Who may enter, and how much at once. */
+namespace lavender::admission {
+
+/** What one entry counts for one customer. */
+struct customer_usage
+{
+  std::int64_t mUnderWay = 0;
+  /** Tokens of the rate bucket. */
+  double mBucket = 0;
+  time_point mFilledAt;
+  bool mIsFirst = true;
+};
+
+struct limit_state
+{
+  std::map<std::string, customer_usage> mCustomers;
+};
+
+/** Decision on one request. */
+struct admission_answer
+{
+  bool mIsAdmitted = false;
+  /** Stable reason code of a refusal. */
+  std::string mReason;
+  milliseconds mRetryAfter{ 0 };
+};
+
+/** Counts a request in, or refuses it.
+ * @param aEntries entries that share the customer's limits without talking:
+ *   each allows its even part */
+admission_answer
+Enter(limit_state& aState,
+      const configuration::customer& aCustomer,
+      std::size_t aEntries,
+      time_point aNow);
+
+/** Counts a request out. */
+void
+Leave(limit_state& aState, const std::string& aCustomer);
+
+} // namespace lavender::admission
--- /dev/null
+++ b/Duties/Configuration/Validation.cpp
@@ -0,0 +1,142 @@
+#include "Duties/Configuration/Validation.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace lavender::configuration {
+namespace {
+
+enum class field_type
+{
+  Text,
+  Integer,
+  Number,
+  Boolean
+};
+
+struct field_rule
+{
+  const char* mName;
+  field_type mType;
+  bool mIsRequired;
+  double mLowest;
+  double mHighest;
+};
+
+const std::vector<field_rule>&
+RulesFor(const std::string& aKind)
+{
+  static const std::vector<field_rule> kNone;
+  static const std::vector<field_rule> kCustomer = {
+    { "weight", field_type::Number, false, 0.01, 1000 },
+    { "max_concurrent", field_type::Integer, false, 0, 1000000 },
+    { "requests_per_second", field_type::Number, false, 0, 1000000 },
+  };
+  static const std::vector<field_rule> kKey = {
+    { "customer", field_type::Text, true, 0, 0 },
+    { "withdrawn", field_type::Boolean, false, 0, 0 },
+    { "hash", field_type::Text, false, 0, 0 },
+  };
+  static const std::vector<field_rule> kModelVersion = {
+    { "model", field_type::Text, true, 0, 0 },
+    { "version", field_type::Integer, true, 1, 1e15 },
+  };
+  static const std::vector<field_rule> kTrainingRun = {
+    { "customer", field_type::Text, true, 0, 0 },
+    { "pool", field_type::Text, true, 0, 0 },
+    { "model", field_type::Text, true, 0, 0 },
+    { "staleness_bound", field_type::Integer, false, 0, 1000 },
+  };
+  static const std::vector<field_rule> kBackendPool = {
+    { "model", field_type::Text, false, 0, 0 },
+    { "service", field_type::Text, false, 0, 0 },
+    { "repeatable", field_type::Boolean, false, 0, 0 },
+  };
+  if (aKind == "Customer") {
+    return kCustomer;
+  }
+  if (aKind == "Key") {
+    return kKey;
+  }
+  if (aKind == "ModelVersion") {
+    return kModelVersion;
+  }
+  if (aKind == "TrainingRun") {
+    return kTrainingRun;
+  }
+  if (aKind == "BackendPool") {
+    return kBackendPool;
+  }
+  return kNone;
+}
+
+std::string
+CheckField(const field_rule& aRule, const json::value& aValue)
+{
+  switch (aRule.mType) {
+    case field_type::Text:
+      if (!aValue.IsString()) {
+        return "must be text";
+      }
+      return aRule.mIsRequired && aValue.StringOr("").empty()
+               ? "must not be empty"
+               : "";
+    case field_type::Boolean:
+      return aValue.IsBoolean() ? "" : "must be true or false";
+    case field_type::Integer:
+      if (!aValue.IsInteger()) {
+        return "must be a whole number";
+      }
+      break;
+    case field_type::Number:
+      if (!aValue.IsNumber()) {
+        return "must be a number";
+      }
+      break;
+  }
+  const double number = aValue.NumberOr(0);
+  return number < aRule.mLowest || number > aRule.mHighest ? "is out of range"
+                                                           : "";
+}
+
+} // namespace
+
+findings
+ValidateSpec(const std::string& aKind,
+             const std::string& aName,
+             const json::value& aSpec)
+{
+  findings found;
+  const std::string place = aKind + "/" + aName;
+  const auto& rules = RulesFor(aKind);
+  if (rules.empty()) {
+    found.Add(place, "unknown kind");
+    return found;
+  }
+  if (!aSpec.IsObject()) {
+    found.Add(place + " spec", "must be an object");
+    return found;
+  }
+  for (const auto& rule : rules) {
+    const auto* field = aSpec.Find(rule.mName);
+    if (!field && rule.mIsRequired) {
+      found.Add(place + " spec." + rule.mName, "is required");
+    } else if (field) {
+      if (auto problem = CheckField(rule, *field); !problem.empty()) {
+        found.Add(place + " spec." + rule.mName, problem);
+      }
+    }
+  }
+  for (const auto& [name, member] : aSpec.Members()) {
+    const bool isKnown =
+      std::any_of(rules.begin(), rules.end(), [&name = name](const auto& r) {
+        return name == r.mName;
+      });
+    if (!isKnown) {
+      found.Add(place + " spec." + name, "unknown field");
+    }
+  }
+  return found;
+}
+
+} // namespace lavender::configuration
--- /dev/null
+++ b/Duties/Dispatch/AgentDispatch.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "Duties/Dispatch/BackendServer.h"
+#include "Duties/Dispatch/Ledger.h"
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace lavender::dispatch {
+
+/** Told after each run that the server answered, for billing. */
+using run_observer =
+  std::function<void(const wire::dispatch_order&, wire::run_result&)>;
+
+/** Runs the ledger with real threads: one for each slot of the server. */
+class agent_dispatch
+{
+public:
+  agent_dispatch(std::string aIncarnation,
+                 ledger_limits aLimits,
+                 backend_server aServer,
+                 run_observer aObserver);
+  ~agent_dispatch();
+  agent_dispatch(const agent_dispatch&) = delete;
+  agent_dispatch& operator=(const agent_dispatch&) = delete;
+
+  /** Takes an order in and waits at most that long for its end. */
+  wire::dispatch_reply Dispatch(const wire::dispatch_order& aOrder,
+                                milliseconds aWait);
+  /** Waits at most that long for a request's end and tells its state. */
+  wire::dispatch_reply Await(const std::string& aId, milliseconds aWait);
+  wire::dispatch_reply Cancel(const std::string& aId);
+
+  /** From now on new orders are refused as "not run". */
+  void StartDrain();
+  bool IsDraining() const;
+  /** Requests queued or running. */
+  std::size_t RequestsLeft() const;
+  wire::load_figures Load() const;
+  /** Ends the threads after the running requests; queued ones become "not
+   * run". */
+  void Stop();
+
+private:
+  void RunSlot();
+  wire::dispatch_reply Describe(const std::string& aId,
+                                const ledger_answer& aAnswer) const;
+  wire::dispatch_reply WaitForEnd(std::unique_lock<std::mutex>& aLock,
+                                  const std::string& aId,
+                                  ledger_answer aAnswer,
+                                  milliseconds aWait);
+
+  const backend_server mServer;
+  const run_observer mObserver;
+  mutable std::mutex mMutex;
+  std::condition_variable mChanged;
+  ledger mLedger;
+  bool mIsStopping = false;
+  std::vector<std::thread> mSlots;
+};
+
+} // namespace lavender::dispatch
--- a/Libraries/Core/Log.cpp
+++ b/Libraries/Core/Log.cpp
@@ -26,6 +26,18 @@
 
 } // namespace
 
+log_level
+ParseLogLevel(const std::string& aName)
+{
+  if (aName == "debug") {
+    return log_level::Debug;
+  }
+  if (aName == "warning") {
+    return log_level::Warning;
+  }
+  return aName == "error" ? log_level::Error : log_level::Info;
+}
+
 void
 StartLog(log_level aLowest)
 {
--- a/Libraries/Core/Log.h
+++ b/Libraries/Core/Log.h
@@ -14,6 +14,10 @@
   Error
 };
 
+/** Level of that name; Info for any other word. */
+log_level
+ParseLogLevel(const std::string& aName);
+
 /** Sends all lines to standard error. Called once, first in main. */
 void
 StartLog(log_level aLowest);
--- /dev/null
+++ b/Services/Agent/AgentHandler.cpp
@@ -0,0 +1,194 @@
+#include "Services/Agent/AgentHandler.h"
+
+#include "Libraries/Core/Log.h"
+
+#include <algorithm>
+
+namespace lavender::agent {
+namespace {
+
+using namespace std::chrono_literals;
+using wire::run_state;
+
+constexpr milliseconds kReadServerEvery = 300ms;
+constexpr milliseconds kLongestWait = 2000ms;
+
+milliseconds
+BoundWait(std::int32_t aWait)
+{
+  return std::clamp(milliseconds(aWait), 0ms, kLongestWait);
+}
+
+} // namespace
+
+agent_handler::agent_handler(identity aIdentity,
+                             dispatch::backend_server aServer,
+                             dispatch::agent_dispatch& aDispatch,
+                             usage::usage_account& aUsage,
+                             metrics::registry& aMetrics)
+  : mIdentity(std::move(aIdentity))
+  , mServer(std::move(aServer))
+  , mDispatch(aDispatch)
+  , mUsage(aUsage)
+  , mMetrics(aMetrics)
+  , mWatcher([this] { WatchServer(); })
+{
+}
+
+agent_handler::~agent_handler()
+{
+  Stop();
+}
+
+void
+agent_handler::Stop()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mIsStopping = true;
+  }
+  mStopped.notify_all();
+  if (mWatcher.joinable()) {
+    mWatcher.join();
+  }
+}
+
+void
+agent_handler::WatchServer()
+{
+  std::unique_lock lock(mMutex);
+  while (!mIsStopping) {
+    lock.unlock();
+    server_state state;
+    state.mLoad = dispatch::ReadLoad(mServer);
+    if (mServer.mKind == dispatch::backend_kind::Engine) {
+      state.mWeights = dispatch::ReadWeights(mServer);
+    }
+    state.mReadAt = boot_clock::now();
+    lock.lock();
+    mState = state;
+    mStopped.wait_for(lock, kReadServerEvery, [this] { return mIsStopping; });
+  }
+}
+
+bool
+agent_handler::RefuseOtherIncarnation(wire::dispatch_reply& aReply,
+                                      const std::string& aId,
+                                      const std::string& aIncarnation)
+{
+  if (aIncarnation == mIdentity.mIncarnation) {
+    return false;
+  }
+  // This process knows nothing of what its predecessor did.
+  aReply.echo = aId;
+  aReply.agent_incarnation = mIdentity.mIncarnation;
+  aReply.state = run_state::UNKNOWN_ID;
+  aReply.reason = "other_incarnation";
+  return true;
+}
+
+void
+agent_handler::Dispatch(wire::dispatch_reply& aReply,
+                        const wire::dispatch_order& aOrder,
+                        const std::int32_t aWait)
+{
+  aReply = mDispatch.Dispatch(aOrder, BoundWait(aWait));
+  if (aReply.state == run_state::NOT_RUN) {
+    mMetrics.Count("lavender_agent_refusals_total",
+                   { { "reason", aReply.reason } });
+  }
+}
+
+void
+agent_handler::Await(wire::dispatch_reply& aReply,
+                     const std::string& aId,
+                     const std::string& aIncarnation,
+                     const std::int32_t aWait)
+{
+  if (!RefuseOtherIncarnation(aReply, aId, aIncarnation)) {
+    aReply = mDispatch.Await(aId, BoundWait(aWait));
+  }
+}
+
+void
+agent_handler::Cancel(wire::dispatch_reply& aReply,
+                      const std::string& aId,
+                      const std::string& aIncarnation)
+{
+  if (!RefuseOtherIncarnation(aReply, aId, aIncarnation)) {
+    aReply = mDispatch.Cancel(aId);
+  }
+}
+
+void
+agent_handler::Report(wire::agent_report& aReport,
+                      const wire::entry_digest& aDigest)
+{
+  const auto now = boot_clock::now();
+  const auto own = mDispatch.Load();
+  std::lock_guard lock(mMutex);
+  const auto freshAt = now - milliseconds(aDigest.fresh_age_ms);
+  if (aDigest.configuration_revision > 0) {
+    mWitness.mRevision =
+      std::max(mWitness.mRevision, aDigest.configuration_revision);
+    mWitness.mFreshAt = std::max(mWitness.mFreshAt, freshAt);
+  }
+  aReport.echo = aDigest.echo;
+  aReport.agent_incarnation = mIdentity.mIncarnation;
+  aReport.server_name = mIdentity.mName;
+  aReport.zone = mIdentity.mAvailabilityZone;
+  aReport.pool = mIdentity.mPool;
+  aReport.load = mState.mLoad.mFigures;
+  aReport.load.queued = own.queued;
+  aReport.load.running = std::max(own.running, mState.mLoad.mFigures.running);
+  aReport.load.slots = own.slots;
+  aReport.load.age_ms =
+    std::chrono::duration_cast<milliseconds>(now - mState.mReadAt).count();
+  aReport.draining = mDispatch.IsDraining();
+  aReport.model = mState.mWeights.mModel;
+  aReport.weight_version = mState.mWeights.mVersion;
+  aReport.witnessed_revision = mWitness.mRevision;
+  aReport.witnessed_fresh_age_ms =
+    std::chrono::duration_cast<milliseconds>(now - mWitness.mFreshAt).count();
+  aReport.server_reachable = mState.mLoad.mIsReachable;
+}
+
+void
+agent_handler::Swap(wire::swap_reply& aReply, const wire::swap_order& aOrder)
+{
+  aReply.echo = aOrder.echo;
+  {
+    std::lock_guard lock(mMutex);
+    if (aOrder.fencing < mHighestFencing) {
+      aReply.reason = "old_fencing_number";
+      return;
+    }
+    mHighestFencing = aOrder.fencing;
+  }
+  aReply.reason = dispatch::OrderWeights(
+    mServer, aOrder.model, aOrder.version, aOrder.fencing);
+  aReply.done = aReply.reason.empty();
+  aReply.holds_version = dispatch::ReadWeights(mServer).mVersion;
+}
+
+void
+agent_handler::CollectUsage(wire::usage_reply& aReply,
+                            const wire::usage_query& aQuery)
+{
+  aReply.echo = aQuery.echo;
+  aReply.incarnation = mIdentity.mIncarnation;
+  mUsage.Settle(aQuery.settled);
+  aReply.buckets = mUsage.Buckets(aQuery.through_window);
+}
+
+void
+agent_handler::Drain(wire::drain_reply& aReply, const wire::drain_order& aOrder)
+{
+  Log(log_level::Info, "agent", "Draining: " + aOrder.reason);
+  mDispatch.StartDrain();
+  aReply.echo = aOrder.echo;
+  aReply.draining = true;
+  aReply.requests_left = static_cast<std::int32_t>(mDispatch.RequestsLeft());
+}
+
+} // namespace lavender::agent
--- /dev/null
+++ b/Services/Agent/AgentHandler.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "Duties/Dispatch/AgentDispatch.h"
+#include "Duties/Usage/UsageAccount.h"
+#include "Libraries/Metrics/Metrics.h"
+#include "Libraries/Wire/Generated/agent_service.h"
+
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace lavender::agent {
+
+struct identity
+{
+  std::string mName;
+  std::string mAvailabilityZone;
+  std::string mPool;
+  std::string mIncarnation;
+};
+
+/** Serves the entries' messages by handing each to its duty. */
+class agent_handler : public wire::agent_serviceIf
+{
+public:
+  agent_handler(identity aIdentity,
+                dispatch::backend_server aServer,
+                dispatch::agent_dispatch& aDispatch,
+                usage::usage_account& aUsage,
+                metrics::registry& aMetrics);
+  ~agent_handler() override;
+
+  void Dispatch(wire::dispatch_reply& aReply,
+                const wire::dispatch_order& aOrder,
+                const std::int32_t aWait) override;
+  void Await(wire::dispatch_reply& aReply,
+             const std::string& aId,
+             const std::string& aIncarnation,
+             const std::int32_t aWait) override;
+  void Cancel(wire::dispatch_reply& aReply,
+              const std::string& aId,
+              const std::string& aIncarnation) override;
+  void Report(wire::agent_report& aReport,
+              const wire::entry_digest& aDigest) override;
+  void Swap(wire::swap_reply& aReply, const wire::swap_order& aOrder) override;
+  void CollectUsage(wire::usage_reply& aReply,
+                    const wire::usage_query& aQuery) override;
+  void Drain(wire::drain_reply& aReply,
+             const wire::drain_order& aOrder) override;
+
+  /** Reads the server's load and weights until stopped. */
+  void Stop();
+
+private:
+  struct server_state
+  {
+    dispatch::server_load mLoad;
+    dispatch::held_weights mWeights;
+    time_point mReadAt;
+  };
+
+  struct witness
+  {
+    std::int64_t mRevision = 0;
+    time_point mFreshAt;
+  };
+
+  void WatchServer();
+  bool RefuseOtherIncarnation(wire::dispatch_reply& aReply,
+                              const std::string& aId,
+                              const std::string& aIncarnation);
+
+  const identity mIdentity;
+  const dispatch::backend_server mServer;
+  dispatch::agent_dispatch& mDispatch;
+  usage::usage_account& mUsage;
+  metrics::registry& mMetrics;
+  std::mutex mMutex;
+  std::condition_variable mStopped;
+  bool mIsStopping = false;
+  server_state mState;
+  witness mWitness;
+  std::int64_t mHighestFencing = 0;
+  std::thread mWatcher;
+};
+
+} // namespace lavender::agent
--- /dev/null
+++ b/Services/Agent/main.cpp
@@ -0,0 +1,151 @@
+#include "Libraries/Core/Identity.h"
+#include "Libraries/Core/Log.h"
+#include "Libraries/Core/TerminationSignal.h"
+#include "Libraries/Http/Router.h"
+#include "Libraries/Http/Server.h"
+#include "Libraries/Wire/WireServer.h"
+#include "Services/Agent/AgentHandler.h"
+#include "Services/Agent/AgentSettings.h"
+
+#include <iostream>
+
+using namespace lavender;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Lets entries see the drain, then waits for the requests to end. False when
+ * the deadline or a second signal cut requests. */
+bool
+Drain(dispatch::agent_dispatch& aDispatch,
+      termination_signal& aTermination,
+      milliseconds aDeadline)
+{
+  // Long enough for every entry's next poll, so that none sends new work.
+  constexpr milliseconds kAnnounceFor = 1500ms;
+  const auto start = boot_clock::now();
+  aDispatch.StartDrain();
+  while (aDispatch.RequestsLeft() > 0 ||
+         boot_clock::now() - start < kAnnounceFor) {
+    if (boot_clock::now() - start > aDeadline || aTermination.WaitFor(50ms)) {
+      Log(log_level::Warning,
+          "agent",
+          "Drain cut short requests_left=" +
+            std::to_string(aDispatch.RequestsLeft()));
+      return false;
+    }
+  }
+  return true;
+}
+
+http::router
+MakeHealthRoutes(const metrics::registry& aMetrics,
+                 const dispatch::agent_dispatch& aDispatch)
+{
+  http::router routes;
+  routes.Add("GET", "/healthz", [](const auto&, const auto&) {
+    return http::response{ 200, "text/plain", {}, "ok\n" };
+  });
+  routes.Add("GET", "/readyz", [&](const auto&, const auto&) {
+    return aDispatch.IsDraining()
+             ? http::response{ 503, "text/plain", {}, "draining\n" }
+             : http::response{ 200, "text/plain", {}, "ready\n" };
+  });
+  routes.Add("GET", "/metrics", [&](const auto&, const auto&) {
+    return http::response{ 200, "text/plain", {}, aMetrics.Write() };
+  });
+  return routes;
+}
+
+int
+Run(const settings::values& aValues, termination_signal& aTermination)
+{
+  const auto server = http::ParseEndpoint(aValues.Text("server"));
+  const auto wireListen = http::ParseEndpoint(aValues.Text("wire-listen"));
+  const auto healthListen = http::ParseEndpoint(aValues.Text("health-listen"));
+  const std::chrono::seconds window(aValues.Integer("usage-window"));
+  const std::string incarnation = MakeRandomName();
+  const dispatch::backend_server backend{ aValues.Text("server-kind") ==
+                                              "engine"
+                                            ? dispatch::backend_kind::Engine
+                                            : dispatch::backend_kind::Service,
+                                          *server };
+  dispatch::ledger_limits limits;
+  limits.mSlots = static_cast<std::size_t>(aValues.Integer("slots"));
+  limits.mMaximumQueued = static_cast<std::size_t>(aValues.Integer("queue"));
+
+  metrics::registry metrics;
+  usage::usage_account account;
+  dispatch::agent_dispatch dispatcher(
+    incarnation,
+    limits,
+    backend,
+    [&](const wire::dispatch_order& aOrder, wire::run_result& aResult) {
+      aResult.usage_window =
+        usage::WindowOf(std::chrono::system_clock::now(), window);
+      account.Count(incarnation,
+                    aOrder.entry_incarnation,
+                    aOrder.customer,
+                    aResult.usage_window,
+                    aResult.prompt_tokens,
+                    aResult.completion_tokens);
+    });
+  auto handler = std::make_shared<agent::agent_handler>(
+    agent::identity{ aValues.Text("name"),
+                     aValues.Text("zone"),
+                     aValues.Text("pool"),
+                     incarnation },
+    backend,
+    dispatcher,
+    account,
+    metrics);
+  wire::wire_server wireServer(
+    wireListen->mAddress,
+    wireListen->mPort,
+    std::make_shared<wire::agent_serviceProcessor>(handler));
+  const auto healthRoutes = MakeHealthRoutes(metrics, dispatcher);
+  http::server_options healthOptions;
+  healthOptions.mAddress = healthListen->mAddress;
+  healthOptions.mPort = healthListen->mPort;
+  healthOptions.mMaximumThreads = 16;
+  http::server health(healthOptions, [&](const http::request& aRequest) {
+    return http::Serve(healthRoutes, aRequest);
+  });
+  std::cout << "ready wire=" << wireServer.Port() << " health=" << health.Port()
+            << std::endl;
+  Log(log_level::Info, "agent", "Serving incarnation=" + incarnation);
+
+  while (!aTermination.WaitFor(1s)) {
+  }
+  Drain(dispatcher, aTermination, aValues.Milliseconds("drain-deadline"));
+  dispatcher.Stop();
+  handler->Stop();
+  wireServer.Stop();
+  health.Stop();
+  Log(log_level::Info, "agent", "Stopped");
+  return 0;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  termination_signal termination;
+  const auto reading = settings::Read(
+    "lavender-agent", agent::DeclareSettings(), aCount, aArguments);
+  if (!reading.mFindings.IsEmpty()) {
+    settings::Report(reading.mFindings);
+    return settings::kBadSettingsStatus;
+  }
+  if (reading.mIsCheckOnly) {
+    return 0;
+  }
+  StartLog(ParseLogLevel(reading.mValues.Text("log-level")));
+  try {
+    return Run(reading.mValues, termination);
+  } catch (const std::exception& error) {
+    Log(log_level::Error, "agent", std::string("Can't go on: ") + error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/Services/Entry/CallerApi.cpp
@@ -0,0 +1,447 @@
+#include "Services/Entry/CallerApi.h"
+
+#include "Duties/Samples/BatchMaker.h"
+#include "Libraries/Core/Identity.h"
+#include "Libraries/Core/Log.h"
+#include "Libraries/Core/ScopeGuard.h"
+
+#include <algorithm>
+
+namespace lavender::entry {
+namespace {
+
+using dispatch::call;
+using dispatch::call_outcome;
+using dispatch::ran;
+using namespace std::chrono_literals;
+
+constexpr std::int64_t kDefaultTokens = 64;
+constexpr std::int64_t kMaximumTokens = 100000;
+constexpr milliseconds kBusyRetryAfter = 1000ms;
+
+std::int64_t
+ToNumber(const std::string& aText, std::int64_t aFallback)
+{
+  const bool isNumber =
+    !aText.empty() && aText.size() < 16 &&
+    aText.find_first_not_of("0123456789") == std::string::npos;
+  return isNumber ? std::stoll(aText) : aFallback;
+}
+
+http::response
+JsonResponse(const json::value& aBody)
+{
+  http::response answer;
+  answer.mBody = json::Write(aBody);
+  return answer;
+}
+
+/** What is wrong with a completion's body; empty when nothing is. */
+std::string
+FindCompletionFault(const json::value& aBody)
+{
+  if (!aBody.IsObject()) {
+    return "$ must be an object";
+  }
+  const auto* prompt = aBody.Find("prompt");
+  if (!prompt || !prompt->IsString()) {
+    return "$.prompt must be text";
+  }
+  const auto* model = aBody.Find("model");
+  if (!model || !model->IsString()) {
+    return "$.model must be text";
+  }
+  if (const auto* tokens = aBody.Find("max_tokens")) {
+    const auto number = tokens->IntegerOr(0);
+    if (number < 1 || number > kMaximumTokens) {
+      return "$.max_tokens must be a whole number from 1 to 100000";
+    }
+  }
+  return {};
+}
+
+json::value
+DescribeVersions(const std::vector<wire::weight_part>& aVersions)
+{
+  json::array versions;
+  for (const auto& part : aVersions) {
+    json::value version;
+    version.Set("version", part.version);
+    version.Set("tokens", part.tokens);
+    versions.push_back(std::move(version));
+  }
+  return versions;
+}
+
+json::value
+DescribeCompletion(const call_outcome& aOutcome,
+                   const std::string& aRequestId,
+                   const std::string& aModel)
+{
+  const auto& result = aOutcome.mResult;
+  const auto answer = json::Parse(result.body);
+  json::value choice;
+  choice.Set("index", 0);
+  choice.Set("text", answer ? json::StringAt(*answer, "text", "") : "");
+  choice.Set("finish_reason", "stop");
+  json::value usage;
+  usage.Set("prompt_tokens", result.prompt_tokens);
+  usage.Set("completion_tokens", result.completion_tokens);
+  usage.Set("total_tokens", result.prompt_tokens + result.completion_tokens);
+  json::value own;
+  own.Set("server", aOutcome.mServerName);
+  own.Set("versions", DescribeVersions(result.versions));
+  own.Set("prompt_digest",
+          answer ? json::IntegerAt(*answer, "prompt_digest", 0) : 0);
+  json::value body;
+  body.Set("id", aRequestId);
+  body.Set("object", "text_completion");
+  body.Set("model", aModel);
+  body.Set("choices", json::array{ std::move(choice) });
+  body.Set("usage", std::move(usage));
+  body.Set("lavender", std::move(own));
+  return body;
+}
+
+} // namespace
+
+caller_api::caller_api(caller_api_options aOptions,
+                       configuration::configuration_store& aConfiguration,
+                       membership::server_directory& aDirectory,
+                       dispatch::entry_dispatch& aDispatch,
+                       usage::usage_account& aUsage,
+                       metrics::registry& aMetrics)
+  : mOptions(std::move(aOptions))
+  , mConfiguration(aConfiguration)
+  , mDirectory(aDirectory)
+  , mDispatch(aDispatch)
+  , mUsage(aUsage)
+  , mMetrics(aMetrics)
+{
+  AddRoute("POST",
+           "/v1/completions",
+           [this](const auto& aRequest, const auto&, const auto& aAdmitted) {
+             return Complete(aRequest, aAdmitted);
+           });
+  for (const char* method : { "GET", "POST", "PUT", "DELETE" }) {
+    AddRoute(
+      method,
+      "/v1/services/*/**",
+      [this](const auto& aRequest, const auto& aParts, const auto& aAdmitted) {
+        return CallService(aRequest, aParts, aAdmitted);
+      });
+  }
+  AddRoute(
+    "POST",
+    "/v1/training-runs/*/steps/*/batch",
+    [this](const auto& aRequest, const auto& aParts, const auto& aAdmitted) {
+      return GiveBatch(aRequest, aParts, aAdmitted);
+    });
+  AddRoute("POST",
+           "/v1/training-runs/*/steps/*/acknowledgement",
+           [this](const auto&, const auto& aParts, const auto& aAdmitted) {
+             return AcknowledgeBatch(aParts, aAdmitted);
+           });
+}
+
+void
+caller_api::AddRoute(const char* aMethod,
+                     const char* aPattern,
+                     admitted_handler aHandler)
+{
+  mRouter.Add(aMethod,
+              aPattern,
+              [this, handler = std::move(aHandler)](
+                const http::request& aRequest, const http::path_parts& aParts) {
+                return Admit(aRequest, aParts, handler);
+              });
+}
+
+http::response
+caller_api::Serve(const http::request& aRequest)
+{
+  return http::Serve(mRouter, aRequest);
+}
+
+http::response
+caller_api::Refuse(refusal aRefusal)
+{
+  mMetrics.Count("lavender_refusals_total", { { "reason", aRefusal.mReason } });
+  Log(log_level::Info,
+      "callers",
+      "Refused reason=" + aRefusal.mReason,
+      aRefusal.mRequestId);
+  return ToResponse(aRefusal);
+}
+
+http::response
+caller_api::RefuseOutcome(const call_outcome& aOutcome,
+                          const std::string& aRequestId)
+{
+  return Refuse({ StatusFor(aOutcome),
+                  aOutcome.mReason,
+                  aOutcome.mRan,
+                  aOutcome.mRetryAfter,
+                  aRequestId,
+                  "" });
+}
+
+http::response
+caller_api::Admit(const http::request& aRequest,
+                  const http::path_parts& aParts,
+                  const admitted_handler& aHandler)
+{
+  const auto start = boot_clock::now();
+  admitted_request admitted;
+  admitted.mRequestId =
+    mOptions.mEntryIncarnation + "-" + std::to_string(mNextRequest++);
+  const auto& id = admitted.mRequestId;
+  admitted.mSnapshot = mConfiguration.Current();
+  auto authorization =
+    keys::Authorize(*admitted.mSnapshot,
+                    http::HeaderOr(aRequest.mHeaders, "Authorization", ""));
+  if (!authorization) {
+    return Refuse({ 401, authorization.mLastReason, ran::NotRun, 0ms, id, "" });
+  }
+  admitted.mAuthorization = *authorization;
+  if (mUnderWay.fetch_add(1) >= mOptions.mMaximumRequests) {
+    --mUnderWay;
+    return Refuse({ 503, "entry_busy", ran::NotRun, kBusyRetryAfter, id, "" });
+  }
+  scope_guard leave([this] { --mUnderWay; });
+  const auto& customer = authorization->mCustomer;
+  admission::admission_answer entered;
+  {
+    std::lock_guard lock(mLimitMutex);
+    entered =
+      admission::Enter(mLimits, customer, mDirectory.Entries().size(), start);
+  }
+  if (!entered.mIsAdmitted) {
+    return Refuse(
+      { 429, entered.mReason, ran::NotRun, entered.mRetryAfter, id, "" });
+  }
+  scope_guard leaveLimits([&] {
+    std::lock_guard lock(mLimitMutex);
+    admission::Leave(mLimits, customer.mName);
+  });
+  const auto patience =
+    ToNumber(http::HeaderOr(aRequest.mHeaders, "X-Deadline-Ms", ""),
+             mOptions.mDefaultDeadline.count());
+  admitted.mDeadline = start + milliseconds(patience);
+  auto answer = aHandler(aRequest, aParts, admitted);
+  mMetrics.Observe("lavender_request_seconds",
+                   { { "customer", customer.mName } },
+                   boot_clock::now() - start);
+  answer.mHeaders.emplace_back("X-Request-Id", id);
+  return answer;
+}
+
+call
+caller_api::MakeCall(const admitted_request& aAdmitted) const
+{
+  call made;
+  made.mRequestId = aAdmitted.mRequestId;
+  made.mCustomer = aAdmitted.mAuthorization.mCustomer.mName;
+  made.mKeyId = aAdmitted.mAuthorization.mKeyId;
+  made.mWeight = aAdmitted.mAuthorization.mCustomer.mWeight;
+  made.mDeadline = aAdmitted.mDeadline;
+  made.mStopReason = [this, hash = aAdmitted.mAuthorization.mKeyHash] {
+    return keys::FindWithdrawal(*mConfiguration.Current(), hash);
+  };
+  return made;
+}
+
+void
+caller_api::CountUsage(const call& aCall, const call_outcome& aOutcome)
+{
+  if (aOutcome.mRan == ran::Ran) {
+    mUsage.Count(aOutcome.mServerIncarnation,
+                 mOptions.mEntryIncarnation,
+                 aCall.mCustomer,
+                 aOutcome.mResult.usage_window,
+                 aOutcome.mResult.prompt_tokens,
+                 aOutcome.mResult.completion_tokens);
+  }
+}
+
+http::response
+caller_api::Complete(const http::request& aRequest,
+                     const admitted_request& aAdmitted)
+{
+  const auto& id = aAdmitted.mRequestId;
+  const auto body = json::Parse(aRequest.mBody);
+  if (!body) {
+    return Refuse({ 400, "bad_json", ran::NotRun, 0ms, id, body.mLastReason });
+  }
+  if (auto fault = FindCompletionFault(*body); !fault.empty()) {
+    return Refuse({ 400, "bad_request", ran::NotRun, 0ms, id, fault });
+  }
+  const std::string model = json::StringAt(*body, "model", "");
+  const auto* pool =
+    configuration::FindPoolForModel(*aAdmitted.mSnapshot, model);
+  if (!pool) {
+    return Refuse({ 404, "unknown_model", ran::NotRun, 0ms, id, "" });
+  }
+  const auto tokens = json::IntegerAt(*body, "max_tokens", kDefaultTokens);
+  const std::string prompt = json::StringAt(*body, "prompt", "");
+  auto call = MakeCall(aAdmitted);
+  call.mPool = pool->mName;
+  call.mOperation = "generate";
+  call.mCostTokens = tokens + static_cast<std::int64_t>(prompt.size()) / 4;
+  json::value payload;
+  payload.Set("prompt", prompt);
+  payload.Set("max_tokens", tokens);
+  payload.Set("request", id);
+  call.mPayload = json::Write(payload);
+  const auto outcome = mDispatch.Run(call);
+  if (outcome.mRan != ran::Ran) {
+    return RefuseOutcome(outcome, id);
+  }
+  CountUsage(call, outcome);
+  if (outcome.mResult.http_status != 200) {
+    return Refuse({ 502, "engine_error", ran::Ran, kBusyRetryAfter, id, "" });
+  }
+  return JsonResponse(DescribeCompletion(outcome, id, model));
+}
+
+call_outcome
+caller_api::RunOnce(const std::string& aIdempotencyKey, const call& aCall)
+{
+  // One conditional create decides which attempt on which server stands for
+  // this key; a second request, at any entry, fetches that attempt's end.
+  const std::string name = HashKey(aCall.mCustomer + "\n" + aIdempotencyKey);
+  const auto server = mDispatch.Pick(aCall.mPool, {});
+  call_outcome refused;
+  refused.mRetryAfter = kBusyRetryAfter;
+  if (!server) {
+    refused.mReason = "no_server";
+    return refused;
+  }
+  const std::string attempt = aCall.mRequestId + ".1";
+  json::value home;
+  home.Set("attempt", attempt);
+  home.Set("server", server->mInstance.mName);
+  home.Set("incarnation", server->mIncarnation);
+  const auto written =
+    platform::Write(mOptions.mPlatform, "Call", name, 0, home);
+  if (written.mState == platform::write_state::Done) {
+    return mDispatch.Attempt(aCall, attempt, *server);
+  }
+  const auto read = platform::Read(mOptions.mPlatform, "Call", name);
+  if (read.mState != platform::read_state::Found) {
+    refused.mReason = "platform_unavailable";
+    return refused;
+  }
+  const auto& kept = read.mObject.mValue;
+  if (json::StringAt(kept, "attempt", "") == attempt) {
+    return mDispatch.Attempt(aCall, attempt, *server);
+  }
+  return mDispatch.Fetch(json::StringAt(kept, "attempt", ""),
+                         json::StringAt(kept, "server", ""),
+                         json::StringAt(kept, "incarnation", ""),
+                         aCall.mDeadline);
+}
+
+http::response
+caller_api::CallService(const http::request& aRequest,
+                        const http::path_parts& aParts,
+                        const admitted_request& aAdmitted)
+{
+  const auto& id = aAdmitted.mRequestId;
+  const auto* pool =
+    configuration::FindPoolForService(*aAdmitted.mSnapshot, aParts[0]);
+  if (!pool) {
+    return Refuse({ 404, "unknown_service", ran::NotRun, 0ms, id, "" });
+  }
+  auto call = MakeCall(aAdmitted);
+  call.mPool = pool->mName;
+  call.mOperation = "service";
+  call.mMethod = aRequest.mMethod;
+  call.mPath = aParts[1].empty() ? "/" : aParts[1];
+  if (!aRequest.mQuery.empty()) {
+    call.mPath += "?" + aRequest.mQuery;
+  }
+  call.mPayload = aRequest.mBody;
+  call.mIsRepeatable = pool->mIsRepeatable;
+  const auto key = http::HeaderOr(aRequest.mHeaders, "Idempotency-Key", "");
+  const auto outcome = key.empty() || call.mIsRepeatable ? mDispatch.Run(call)
+                                                         : RunOnce(key, call);
+  if (outcome.mRan != ran::Ran) {
+    return RefuseOutcome(outcome, id);
+  }
+  CountUsage(call, outcome);
+  http::response answer;
+  answer.mStatus = outcome.mResult.http_status;
+  answer.mContentType = outcome.mResult.content_type;
+  answer.mBody = outcome.mResult.body;
+  return answer;
+}
+
+http::response
+caller_api::GiveBatch(const http::request& aRequest,
+                      const http::path_parts& aParts,
+                      const admitted_request& aAdmitted)
+{
+  const auto& id = aAdmitted.mRequestId;
+  const auto body = json::Parse(aRequest.mBody);
+  if (!body) {
+    return Refuse({ 400, "bad_json", ran::NotRun, 0ms, id, body.mLastReason });
+  }
+  const auto run = aAdmitted.mSnapshot->mRuns.find(aParts[0]);
+  const auto& customer = aAdmitted.mAuthorization.mCustomer;
+  if (run == aAdmitted.mSnapshot->mRuns.end() ||
+      run->second.mCustomer != customer.mName) {
+    return Refuse({ 404, "unknown_run", ran::NotRun, 0ms, id, "" });
+  }
+  samples::batch_request batch;
+  batch.mRun = aParts[0];
+  batch.mStep = ToNumber(aParts[1], -1);
+  if (const auto* prompts = body->Find("prompts")) {
+    for (const auto& prompt : prompts->Elements()) {
+      batch.mPrompts.push_back(prompt.StringOr(""));
+    }
+  }
+  batch.mSamplesPerPrompt =
+    static_cast<int>(json::IntegerAt(*body, "samples_per_prompt", 1));
+  batch.mMaximumTokens = json::IntegerAt(*body, "max_tokens", kDefaultTokens);
+  if (batch.mStep < 0 || batch.mPrompts.empty() ||
+      batch.mSamplesPerPrompt < 1) {
+    return Refuse({ 400, "bad_request", ran::NotRun, 0ms, id, "" });
+  }
+  batch.mCustomer = customer.mName;
+  batch.mKeyId = aAdmitted.mAuthorization.mKeyId;
+  batch.mWeight = customer.mWeight;
+  batch.mDeadline = aAdmitted.mDeadline;
+  const auto made =
+    samples::MakeBatch(batch, run->second, mDispatch, mOptions.mPlatform);
+  if (!made.mIsDone) {
+    return Refuse(
+      { 503, made.mReason, ran::OutcomeUnknown, kBusyRetryAfter, id, "" });
+  }
+  return JsonResponse(made.mBatch);
+}
+
+http::response
+caller_api::AcknowledgeBatch(const http::path_parts& aParts,
+                             const admitted_request& aAdmitted)
+{
+  const auto run = aAdmitted.mSnapshot->mRuns.find(aParts[0]);
+  if (run == aAdmitted.mSnapshot->mRuns.end() ||
+      run->second.mCustomer != aAdmitted.mAuthorization.mCustomer.mName) {
+    return Refuse(
+      { 404, "unknown_run", ran::NotRun, 0ms, aAdmitted.mRequestId, "" });
+  }
+  const auto outcome = samples::AcknowledgeBatch(
+    aParts[0], ToNumber(aParts[1], -1), mOptions.mPlatform);
+  if (!outcome.mIsDone) {
+    return Refuse({ 503,
+                    outcome.mReason,
+                    ran::OutcomeUnknown,
+                    kBusyRetryAfter,
+                    aAdmitted.mRequestId,
+                    "" });
+  }
+  return JsonResponse(json::object{});
+}
+
+} // namespace lavender::entry
--- /dev/null
+++ b/Services/Entry/CallerApi.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Duties/Admission/CustomerLimits.h"
+#include "Duties/Configuration/ConfigurationStore.h"
+#include "Duties/Dispatch/EntryDispatch.h"
+#include "Duties/Keys/Authorize.h"
+#include "Duties/Usage/UsageAccount.h"
+#include "Libraries/Core/Result.h"
+#include "Libraries/Http/Router.h"
+#include "Services/Entry/Refusal.h"
+
+#include <atomic>
+#include <mutex>
+
+namespace lavender::entry {
+
+struct caller_api_options
+{
+  std::string mEntryIncarnation;
+  std::int64_t mMaximumRequests = 512;
+  milliseconds mDefaultDeadline{ 60000 };
+  platform::client mPlatform;
+};
+
+/** What callers and trainers use: completions, plain services, batches. */
+class caller_api
+{
+public:
+  caller_api(caller_api_options aOptions,
+             configuration::configuration_store& aConfiguration,
+             membership::server_directory& aDirectory,
+             dispatch::entry_dispatch& aDispatch,
+             usage::usage_account& aUsage,
+             metrics::registry& aMetrics);
+
+  http::response Serve(const http::request& aRequest);
+
+  /** Requests under way. */
+  std::int64_t RequestsLeft() const { return mUnderWay; }
+
+private:
+  struct admitted_request
+  {
+    std::string mRequestId;
+    keys::authorization mAuthorization;
+    time_point mDeadline;
+    std::shared_ptr<const configuration::snapshot> mSnapshot;
+  };
+  using admitted_handler =
+    std::function<http::response(const http::request&,
+                                 const http::path_parts&,
+                                 const admitted_request&)>;
+
+  void AddRoute(const char* aMethod,
+                const char* aPattern,
+                admitted_handler aHandler);
+  http::response Admit(const http::request& aRequest,
+                       const http::path_parts& aParts,
+                       const admitted_handler& aHandler);
+  http::response Complete(const http::request& aRequest,
+                          const admitted_request& aAdmitted);
+  http::response CallService(const http::request& aRequest,
+                             const http::path_parts& aParts,
+                             const admitted_request& aAdmitted);
+  http::response GiveBatch(const http::request& aRequest,
+                           const http::path_parts& aParts,
+                           const admitted_request& aAdmitted);
+  http::response AcknowledgeBatch(const http::path_parts& aParts,
+                                  const admitted_request& aAdmitted);
+  dispatch::call MakeCall(const admitted_request& aAdmitted) const;
+  dispatch::call_outcome RunOnce(const std::string& aIdempotencyKey,
+                                 const dispatch::call& aCall);
+  void CountUsage(const dispatch::call& aCall,
+                  const dispatch::call_outcome& aOutcome);
+  http::response Refuse(refusal aRefusal);
+  http::response RefuseOutcome(const dispatch::call_outcome& aOutcome,
+                               const std::string& aRequestId);
+
+  const caller_api_options mOptions;
+  configuration::configuration_store& mConfiguration;
+  membership::server_directory& mDirectory;
+  dispatch::entry_dispatch& mDispatch;
+  usage::usage_account& mUsage;
+  metrics::registry& mMetrics;
+  http::router mRouter;
+  std::atomic<std::int64_t> mUnderWay{ 0 };
+  std::atomic<std::uint64_t> mNextRequest{ 1 };
+  std::mutex mLimitMutex;
+  admission::limit_state mLimits;
+};
+
+} // namespace lavender::entry
--- /dev/null
+++ b/Services/Entry/EntrySettings.cpp
@@ -0,0 +1,117 @@
+#include "Services/Entry/EntrySettings.h"
+
+namespace lavender::entry {
+namespace {
+
+using settings::setting;
+using settings::setting_kind;
+
+setting
+Listener(std::string aFlag, std::string aDescription)
+{
+  return { std::move(aFlag),
+           std::move(aDescription),
+           "",
+           "127.0.0.1:0",
+           setting_kind::Endpoint,
+           0,
+           0,
+           {},
+           false };
+}
+
+setting
+Number(std::string aFlag,
+       std::string aDescription,
+       std::string aUnit,
+       std::int64_t aDefault,
+       std::int64_t aLowest,
+       std::int64_t aHighest)
+{
+  return { std::move(aFlag),
+           std::move(aDescription),
+           std::move(aUnit),
+           std::to_string(aDefault),
+           setting_kind::Integer,
+           aLowest,
+           aHighest,
+           {},
+           false };
+}
+
+} // namespace
+
+std::vector<setting>
+DeclareSettings()
+{
+  return {
+    { "name",
+      "Name of this instance in the platform's list.",
+      "",
+      "",
+      setting_kind::Text,
+      0,
+      0,
+      {},
+      true },
+    { "zone",
+      "Availability zone of this instance.",
+      "",
+      "",
+      setting_kind::Text,
+      0,
+      0,
+      {},
+      true },
+    { "platform",
+      "Address of the platform's interfaces.",
+      "",
+      "",
+      setting_kind::Endpoint,
+      0,
+      0,
+      {},
+      true },
+    Listener("caller-listen", "Address for callers and trainers."),
+    Listener("operator-listen", "Address of the operators' resource API."),
+    Listener("health-listen", "Address for health, readiness and metrics."),
+    Listener("wire-listen", "Address for other entries."),
+    Number(
+      "maximum-body", "Longest request body.", "bytes", 1 << 20, 1, 1 << 26),
+    Number("maximum-requests",
+           "Requests under way at once; more are refused.",
+           "requests",
+           512,
+           1,
+           10000),
+    Number("default-deadline",
+           "Deadline of a request that names none.",
+           "ms",
+           60000,
+           1,
+           3600000),
+    Number("drain-deadline",
+           "Longest time that a drain may take.",
+           "ms",
+           30000,
+           0,
+           3600000),
+    Number("usage-window",
+           "Length of a usage window; the same in all processes.",
+           "s",
+           60,
+           1,
+           86400),
+    { "log-level",
+      "Lowest level that is logged.",
+      "",
+      "info",
+      setting_kind::Choice,
+      0,
+      0,
+      { "debug", "info", "warning", "error" },
+      false },
+  };
+}
+
+} // namespace lavender::entry
--- /dev/null
+++ b/Services/Entry/EntrySettings.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "Libraries/Settings/Settings.h"
+
+namespace lavender::entry {
+
+/** All settings of lavender-entry. */
+std::vector<settings::setting>
+DeclareSettings();
+
+} // namespace lavender::entry
--- /dev/null
+++ b/Services/Entry/main.cpp
@@ -0,0 +1,169 @@
+#include "Duties/Configuration/ResourceApi.h"
+#include "Libraries/Core/Identity.h"
+#include "Libraries/Core/Log.h"
+#include "Libraries/Core/TerminationSignal.h"
+#include "Libraries/Http/Server.h"
+#include "Services/Entry/CallerApi.h"
+#include "Services/Entry/EntrySettings.h"
+
+#include <iostream>
+
+using namespace lavender;
+using namespace std::chrono_literals;
+
+namespace {
+
+http::server_options
+ListenerFor(const settings::values& aValues,
+            const char* aFlag,
+            unsigned aThreads)
+{
+  const auto listen = http::ParseEndpoint(aValues.Text(aFlag));
+  http::server_options options;
+  options.mAddress = listen->mAddress;
+  options.mPort = listen->mPort;
+  options.mMaximumThreads = aThreads;
+  options.mMaximumBodyBytes =
+    static_cast<std::size_t>(aValues.Integer("maximum-body"));
+  return options;
+}
+
+http::router
+MakeHealthRoutes(const metrics::registry& aMetrics,
+                 const configuration::configuration_store& aConfiguration,
+                 const std::atomic<bool>& aIsDraining)
+{
+  http::router routes;
+  routes.Add("GET", "/healthz", [](const auto&, const auto&) {
+    return http::response{ 200, "text/plain", {}, "ok\n" };
+  });
+  routes.Add("GET", "/readyz", [&](const auto&, const auto&) {
+    if (aIsDraining || !aConfiguration.IsReady()) {
+      return http::response{ 503, "text/plain", {}, "not ready\n" };
+    }
+    return http::response{ 200, "text/plain", {}, "ready\n" };
+  });
+  routes.Add("GET", "/metrics", [&](const auto&, const auto&) {
+    return http::response{ 200, "text/plain", {}, aMetrics.Write() };
+  });
+  return routes;
+}
+
+/** Goes on serving while the balancer learns that this instance leaves, then
+ * waits for the requests under way. */
+void
+Drain(const entry::caller_api& aCallers,
+      termination_signal& aTermination,
+      milliseconds aDeadline)
+{
+  constexpr milliseconds kAnnounceFor = 500ms;
+  const auto start = boot_clock::now();
+  while (aCallers.RequestsLeft() > 0 ||
+         boot_clock::now() - start < kAnnounceFor) {
+    if (boot_clock::now() - start > aDeadline || aTermination.WaitFor(50ms)) {
+      Log(log_level::Warning,
+          "entry",
+          "Drain cut short requests_left=" +
+            std::to_string(aCallers.RequestsLeft()));
+      return;
+    }
+  }
+}
+
+int
+Run(const settings::values& aValues, termination_signal& aTermination)
+{
+  const std::string incarnation = MakeRandomName();
+  metrics::registry metrics;
+  platform::client platformClient;
+  platformClient.mEndpoint = *http::ParseEndpoint(aValues.Text("platform"));
+  platformClient.mCaller = aValues.Text("name");
+  platformClient.mMetrics = &metrics;
+
+  configuration::configuration_store configuration(platformClient);
+  membership::directory_options directoryOptions;
+  directoryOptions.mPlatform = platformClient;
+  directoryOptions.mEntryIncarnation = incarnation;
+  directoryOptions.mDigest = [&] {
+    return membership::own_digest{ configuration.Current()->mRevision,
+                                   configuration.FreshAge() };
+  };
+  membership::server_directory directory(directoryOptions);
+  dispatch::entry_dispatch_options dispatchOptions;
+  dispatchOptions.mEntryIncarnation = incarnation;
+  dispatchOptions.mOwnZone = aValues.Text("zone");
+  dispatch::entry_dispatch dispatcher(dispatchOptions, directory, metrics);
+  usage::usage_account account;
+  entry::caller_api_options callerOptions;
+  callerOptions.mEntryIncarnation = incarnation;
+  callerOptions.mMaximumRequests = aValues.Integer("maximum-requests");
+  callerOptions.mDefaultDeadline = aValues.Milliseconds("default-deadline");
+  callerOptions.mPlatform = platformClient;
+  entry::caller_api callers(
+    callerOptions, configuration, directory, dispatcher, account, metrics);
+
+  configuration.Start();
+  directory.Start();
+  std::atomic<bool> isDraining{ false };
+  const auto healthRoutes =
+    MakeHealthRoutes(metrics, configuration, isDraining);
+  http::router operatorRoutes;
+  configuration::AddResourceRoutes(
+    operatorRoutes, configuration, platformClient);
+
+  // Threads beyond the admitted requests answer refusals while it is full.
+  const auto callerThreads =
+    static_cast<unsigned>(aValues.Integer("maximum-requests")) + 64;
+  http::server callerServer(
+    ListenerFor(aValues, "caller-listen", callerThreads),
+    [&](const http::request& aRequest) { return callers.Serve(aRequest); });
+  http::server operatorServer(ListenerFor(aValues, "operator-listen", 64),
+                              [&](const http::request& aRequest) {
+                                return http::Serve(operatorRoutes, aRequest);
+                              });
+  http::server healthServer(ListenerFor(aValues, "health-listen", 16),
+                            [&](const http::request& aRequest) {
+                              return http::Serve(healthRoutes, aRequest);
+                            });
+  std::cout << "ready callers=" << callerServer.Port()
+            << " operators=" << operatorServer.Port()
+            << " health=" << healthServer.Port() << std::endl;
+  Log(log_level::Info, "entry", "Serving incarnation=" + incarnation);
+
+  while (!aTermination.WaitFor(1s)) {
+  }
+  isDraining = true;
+  callerServer.AskClientsToClose();
+  Drain(callers, aTermination, aValues.Milliseconds("drain-deadline"));
+  callerServer.Stop();
+  operatorServer.Stop();
+  directory.Stop();
+  configuration.Stop();
+  healthServer.Stop();
+  Log(log_level::Info, "entry", "Stopped");
+  return 0;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  termination_signal termination;
+  const auto reading = settings::Read(
+    "lavender-entry", entry::DeclareSettings(), aCount, aArguments);
+  if (!reading.mFindings.IsEmpty()) {
+    settings::Report(reading.mFindings);
+    return settings::kBadSettingsStatus;
+  }
+  if (reading.mIsCheckOnly) {
+    return 0;
+  }
+  StartLog(ParseLogLevel(reading.mValues.Text("log-level")));
+  try {
+    return Run(reading.mValues, termination);
+  } catch (const std::exception& error) {
+    Log(log_level::Error, "entry", std::string("Can't go on: ") + error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/Tests/Support/ChildProcess.cpp
@@ -0,0 +1,144 @@
+#include "Tests/Support/ChildProcess.h"
+
+#include <csignal>
+#include <poll.h>
+#include <spawn.h>
+#include <sstream>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace lavender::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kReadyLimit = 20s;
+
+} // namespace
+
+child_process::child_process(const std::string& aProgram,
+                             const std::vector<std::string>& aArguments)
+{
+  int ends[2];
+  if (pipe(ends) != 0) {
+    throw std::runtime_error("no pipe");
+  }
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+  posix_spawn_file_actions_addclose(&actions, ends[0]);
+  posix_spawn_file_actions_addclose(&actions, ends[1]);
+  std::vector<char*> arguments;
+  arguments.push_back(const_cast<char*>(aProgram.c_str()));
+  for (const auto& argument : aArguments) {
+    arguments.push_back(const_cast<char*>(argument.c_str()));
+  }
+  arguments.push_back(nullptr);
+  const int failure = posix_spawn(
+    &mId, aProgram.c_str(), &actions, nullptr, arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  close(ends[1]);
+  mOutput = ends[0];
+  if (failure != 0) {
+    close(mOutput);
+    throw std::runtime_error("can't start " + aProgram);
+  }
+}
+
+child_process::child_process(child_process&& aOther) noexcept
+  : mId(aOther.mId)
+  , mOutput(aOther.mOutput)
+  , mPorts(std::move(aOther.mPorts))
+{
+  aOther.mId = -1;
+  aOther.mOutput = -1;
+}
+
+child_process::~child_process()
+{
+  if (mId > 0) {
+    kill(mId, SIGCONT);
+    kill(mId, SIGKILL);
+    waitpid(mId, nullptr, 0);
+  }
+  if (mOutput >= 0) {
+    close(mOutput);
+  }
+}
+
+bool
+child_process::WaitUntilReady()
+{
+  std::string line;
+  const auto end = std::chrono::steady_clock::now() + kReadyLimit;
+  while (line.find('\n') == std::string::npos) {
+    pollfd waiting{ mOutput, POLLIN, 0 };
+    if (std::chrono::steady_clock::now() > end) {
+      return false;
+    }
+    if (poll(&waiting, 1, 100) <= 0) {
+      continue;
+    }
+    char byte = 0;
+    if (read(mOutput, &byte, 1) != 1) {
+      return false;
+    }
+    line.push_back(byte);
+  }
+  std::istringstream words(line);
+  std::string word;
+  words >> word;
+  const bool isReady = word == "ready";
+  while (words >> word) {
+    if (const auto equals = word.find('='); equals != std::string::npos) {
+      mPorts[word.substr(0, equals)] =
+        static_cast<std::uint16_t>(std::stoi(word.substr(equals + 1)));
+    }
+  }
+  return isReady;
+}
+
+std::uint16_t
+child_process::Port(const std::string& aName) const
+{
+  const auto found = mPorts.find(aName);
+  return found == mPorts.end() ? 0 : found->second;
+}
+
+void
+child_process::Signal(int aSignal) const
+{
+  if (mId > 0) {
+    kill(mId, aSignal);
+  }
+}
+
+int
+child_process::WaitForExit(std::chrono::milliseconds aWait)
+{
+  const auto end = std::chrono::steady_clock::now() + aWait;
+  while (mId > 0) {
+    int status = 0;
+    if (waitpid(mId, &status, WNOHANG) == mId) {
+      mId = -1;
+      return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    }
+    if (std::chrono::steady_clock::now() > end) {
+      return -1;
+    }
+    std::this_thread::sleep_for(10ms);
+  }
+  return -1;
+}
+
+bool
+child_process::IsRunning()
+{
+  return mId > 0 && kill(mId, 0) == 0;
+}
+
+} // namespace lavender::test
--- /dev/null
+++ b/Tests/Support/ChildProcess.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace lavender::test {
+
+/** A program of ours started by a test, and ended with it by its id. */
+class child_process
+{
+public:
+  child_process(const std::string& aProgram,
+                const std::vector<std::string>& aArguments);
+  /** Kills the process when it still runs. */
+  ~child_process();
+  child_process(child_process&& aOther) noexcept;
+  child_process(const child_process&) = delete;
+  child_process& operator=(const child_process&) = delete;
+
+  /** Waits for the line "ready NAME=PORT ..." and remembers the ports.
+   * False when the process ended or stayed silent for 20 s. */
+  bool WaitUntilReady();
+  /** Port of that name from the ready line; 0 when there is none. */
+  std::uint16_t Port(const std::string& aName) const;
+  void Signal(int aSignal) const;
+  /** Waits for the end; the exit status, or -1 for a signal or no end. */
+  int WaitForExit(std::chrono::milliseconds aWait);
+  bool IsRunning();
+
+private:
+  pid_t mId = -1;
+  int mOutput = -1;
+  std::map<std::string, std::uint16_t> mPorts;
+};
+
+} // namespace lavender::test
--- /dev/null
+++ b/Tests/Support/Fleet.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "Libraries/Http/Client.h"
+#include "Libraries/Json/Value.h"
+#include "Tests/Support/ChildProcess.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace lavender::test {
+
+using namespace std::chrono_literals;
+
+/** An answer with its parsed body. */
+struct answer
+{
+  http::call_state mState = http::call_state::NotSent;
+  int mStatus = 0;
+  json::value mBody;
+  http::header_list mHeaders;
+};
+
+answer
+Send(std::uint16_t aPort,
+     const std::string& aMethod,
+     const std::string& aPath,
+     const json::value& aBody = {},
+     const http::header_list& aHeaders = {},
+     std::chrono::milliseconds aTimeout = 30s);
+
+/** Waits until the condition holds; false after the limit. */
+bool
+WaitFor(const std::function<bool()>& aCondition,
+        std::chrono::milliseconds aLimit = 20s);
+
+/** One backend server with the agent beside it. */
+struct backend
+{
+  std::string mName;
+  std::string mAvailabilityZone;
+  std::string mPool;
+  std::string mKind;
+  std::unique_ptr<child_process> mServer;
+  std::unique_ptr<child_process> mAgent;
+};
+
+struct entry_instance
+{
+  std::string mName;
+  std::string mAvailabilityZone;
+  std::unique_ptr<child_process> mProcess;
+
+  std::uint16_t Callers() const { return mProcess->Port("callers"); }
+  std::uint16_t Operators() const { return mProcess->Port("operators"); }
+  std::uint16_t Health() const { return mProcess->Port("health"); }
+};
+
+/** The whole path as separate processes on loopback. Programs are found
+ * beside the test through the LAVENDER_BUILD definition. */
+class fleet
+{
+public:
+  fleet();
+
+  child_process& Platform() { return *mPlatform; }
+  std::uint16_t PlatformPort() const { return mPlatform->Port("http"); }
+  std::map<std::string, backend>& Backends() { return mBackends; }
+  std::map<std::string, entry_instance>& Entries() { return mEntries; }
+
+  /** Starts an engine ("engine") or plain service ("service") and its agent.
+   */
+  backend& AddBackend(const std::string& aName,
+                      const std::string& aZone,
+                      const std::string& aPool,
+                      const std::string& aKind,
+                      const std::vector<std::string>& aAgentArguments = {});
+  entry_instance& AddEntry(const std::string& aName,
+                           const std::string& aZone,
+                           const std::vector<std::string>& aArguments = {});
+  /** Starts (or restarts) the agent of a backend. */
+  void StartAgent(backend& aBackend,
+                  const std::vector<std::string>& aArguments = {});
+  void StartEntry(entry_instance& aEntry,
+                  const std::vector<std::string>& aArguments = {});
+  /** Tells the platform which instances live; those named leave. */
+  void PublishInstances(const std::vector<std::string>& aLeaving = {});
+  /** Writes a resource at the first entry and returns the answer. */
+  answer Put(const std::string& aKind,
+             const std::string& aName,
+             const json::value& aSpec);
+  /** Creates a customer with one key; returns the key. */
+  std::string AddCustomer(const std::string& aName,
+                          const json::value& aSpec = json::object{});
+  /** Waits until every entry serves the pool with that many servers alive. */
+  bool WaitUntilServing(const std::string& aKey, const std::string& aModel);
+
+private:
+  std::unique_ptr<child_process> mPlatform;
+  std::map<std::string, backend> mBackends;
+  std::map<std::string, entry_instance> mEntries;
+};
+
+/** Body and call of a completion. */
+answer
+Complete(std::uint16_t aPort,
+         const std::string& aKey,
+         const std::string& aModel,
+         const std::string& aPrompt,
+         std::int64_t aTokens = 16,
+         const http::header_list& aHeaders = {});
+
+} // namespace lavender::test
