--- a/Duties/Configuration/Validation.cpp
+++ b/Duties/Configuration/Validation.cpp
@@ -128,9 +128,9 @@
     }
   }
   for (const auto& [name, member] : aSpec.Members()) {
-    const bool isKnown =
-      std::any_of(rules.begin(), rules.end(), [&name = name](const auto& r) {
-        return name == r.mName;
+    const bool isKnown = std::any_of(
+      rules.begin(), rules.end(), [&name = name](const auto& aRule) {
+        return name == aRule.mName;
       });
     if (!isKnown) {
       found.Add(place + " spec." + name, "unknown field");
