--- /dev/null
+++ b/Duties/Configuration/ConfigurationState.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "Duties/Configuration/Snapshot.h"
+#include "Libraries/Core/Clock.h"
+
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+/** What an entry holds of the configuration, and the only ways in which it
+ * changes. The revision never goes back on any of them. */
+namespace lavender::configuration {
+
+/** One change, kept for operators' watches. */
+struct kept_event
+{
+  bool mIsDeletion = false;
+  std::string mKind;
+  std::string mName;
+  kept_object mObject;
+};
+
+struct configuration_state
+{
+  object_map mObjects;
+  /** Every change of the store up to this revision is known; 0 before the
+   * first state came. */
+  std::int64_t mKnownUpTo = 0;
+  /** Last revision that touched the configuration. Other kinds of objects,
+   * such as leases, move the store's revision without moving this one. */
+  std::int64_t mChanged = 0;
+  /** A time at which mKnownUpTo was certainly the store's newest; none for a
+   * state that was read from the disk. */
+  std::optional<time_point> mProvenAt;
+  std::deque<kept_event> mRecent;
+  /** Watches from before this revision are too old. */
+  std::int64_t mOldestRecent = 0;
+  std::shared_ptr<const snapshot> mSnapshot = std::make_shared<snapshot>();
+};
+
+/** The whole configuration as one process gives it to another, or to its
+ * disk. */
+struct whole_copy
+{
+  std::int64_t mRevision = 0;
+  std::int64_t mChanged = 0;
+  std::optional<time_point> mProvenAt;
+  object_map mObjects;
+};
+
+/** What a peer says of its state without sending it. */
+struct state_digest
+{
+  std::int64_t mKnownUpTo = 0;
+  std::int64_t mChanged = 0;
+  std::optional<time_point> mProvenAt;
+};
+
+enum class take_outcome
+{
+  /** The state is newer than before. */
+  Advanced,
+  /** Only the proof of freshness may be newer. */
+  Confirmed,
+  /** Older than the state held, so nothing of it was taken. */
+  Older,
+  /** The digest shows a change that only a copy can bring. */
+  NeedsCopy
+};
+
+/** Takes a list of the whole store.
+ * @param aAskedAt when the request left: the list is no older than that */
+take_outcome
+TakeList(configuration_state& aState,
+         const platform::object_list& aList,
+         time_point aAskedAt);
+
+/** Takes the answer to a watch. */
+take_outcome
+TakeBatch(configuration_state& aState,
+          const platform::watch_batch& aBatch,
+          time_point aAskedAt);
+
+/** Takes a copy from a peer or from the disk. */
+take_outcome
+TakeCopy(configuration_state& aState, whole_copy aCopy);
+
+/** Takes over a peer's proof when it holds for this state too: both know the
+ * same changes of the configuration. */
+take_outcome
+TakeDigest(configuration_state& aState, const state_digest& aDigest);
+
+state_digest
+DigestOf(const configuration_state& aState);
+whole_copy
+CopyOf(const configuration_state& aState);
+
+/** Changes after a revision, for a resumed watch. */
+struct change_batch
+{
+  std::int64_t mRevision = 0;
+  std::vector<kept_event> mEvents;
+  bool mIsTooOld = false;
+};
+
+change_batch
+ChangesAfter(const configuration_state& aState, std::int64_t aFrom);
+
+} // namespace lavender::configuration
--- a/Duties/Configuration/ConfigurationStore.cpp
+++ b/Duties/Configuration/ConfigurationStore.cpp
@@ -1,6 +1,8 @@
 #include "Duties/Configuration/ConfigurationStore.h"
 
+#include "Libraries/Core/CheckedFile.h"
 #include "Libraries/Core/Log.h"
+#include "Libraries/Wire/Document.h"
 
 namespace lavender::configuration {
 namespace {
@@ -10,14 +12,74 @@
 /** A watch that waits longer would make the proof of freshness older. */
 constexpr milliseconds kWatchWait = 1000ms;
 constexpr milliseconds kRetryEvery = 300ms;
-constexpr std::size_t kMaximumRecent = 5000;
+constexpr const char* kCopyFile = "/configuration";
+
+const char*
+WordFor(take_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case take_outcome::Advanced:
+      return "advanced";
+    case take_outcome::Confirmed:
+      return "confirmed";
+    case take_outcome::Older:
+      return "older";
+    case take_outcome::NeedsCopy:
+      break;
+  }
+  return "needs_copy";
+}
 
 } // namespace
 
-configuration_store::configuration_store(platform::client aPlatform)
-  : mPlatform(std::move(aPlatform))
-  , mCurrent(std::make_shared<snapshot>())
-  , mFreshAt(boot_clock::now())
+milliseconds
+AgeOf(const std::optional<time_point>& aProvenAt, time_point aNow)
+{
+  return aProvenAt ? std::chrono::duration_cast<milliseconds>(aNow - *aProvenAt)
+                   : kNeverProven;
+}
+
+std::optional<time_point>
+ProofAt(milliseconds aAge, time_point aAt)
+{
+  return aAge < kNeverProven ? std::optional(aAt - aAge) : std::nullopt;
+}
+
+wire::configuration_copy
+ToMessage(const whole_copy& aCopy, time_point aNow)
+{
+  wire::configuration_copy message;
+  message.revision = aCopy.mRevision;
+  message.changed_revision = aCopy.mChanged;
+  message.fresh_age_ms = AgeOf(aCopy.mProvenAt, aNow).count();
+  message.objects.reserve(aCopy.mObjects.size());
+  for (const auto& [identity, object] : aCopy.mObjects) {
+    wire::object_record record;
+    record.kind = identity.first;
+    record.name = identity.second;
+    record.revision = object.mRevision;
+    record.value = object.mText;
+    message.objects.push_back(std::move(record));
+  }
+  return message;
+}
+
+whole_copy
+FromMessage(const wire::configuration_copy& aMessage, time_point aAskedAt)
+{
+  whole_copy copy;
+  copy.mRevision = aMessage.revision;
+  copy.mChanged = aMessage.changed_revision;
+  copy.mProvenAt = ProofAt(milliseconds(aMessage.fresh_age_ms), aAskedAt);
+  for (const auto& record : aMessage.objects) {
+    copy.mObjects[{ record.kind, record.name }] = { record.revision,
+                                                    record.value };
+  }
+  return copy;
+}
+
+configuration_store::configuration_store(store_options aOptions)
+  : mOptions(std::move(aOptions))
 {
 }
 
@@ -29,6 +91,7 @@
 void
 configuration_store::Start()
 {
+  Load();
   mThread = std::thread([this] { WatchLoop(); });
 }
 
@@ -45,49 +108,118 @@
   }
 }
 
+void
+configuration_store::Load()
+{
+  if (mOptions.mDataFolder.empty()) {
+    return;
+  }
+  const auto bytes = LoadChecked(mOptions.mDataFolder + kCopyFile);
+  const auto message =
+    bytes ? wire::Decode<wire::configuration_copy>(*bytes) : std::nullopt;
+  if (!message) {
+    Log(log_level::Info,
+        "configuration",
+        "No copy on the disk: " + bytes.mLastReason);
+    return;
+  }
+  // What was proven before the restart says nothing of what happened since.
+  auto copy = FromMessage(*message, boot_clock::now());
+  copy.mProvenAt.reset();
+  mSavedChanged = copy.mChanged;
+  Note("disk", TakeCopy(std::move(copy)));
+}
+
+void
+configuration_store::SaveIfChanged()
+{
+  if (mOptions.mDataFolder.empty()) {
+    return;
+  }
+  const auto copy = Copy();
+  if (copy.mChanged <= mSavedChanged) {
+    return;
+  }
+  const auto bytes = wire::Encode(ToMessage(copy, boot_clock::now()));
+  const auto failure = SaveChecked(mOptions.mDataFolder + kCopyFile, bytes);
+  if (failure.empty()) {
+    mSavedChanged = copy.mChanged;
+  } else {
+    Log(log_level::Warning, "configuration", "Copy not kept: " + failure);
+  }
+}
+
 std::shared_ptr<const snapshot>
 configuration_store::Current() const
 {
   std::lock_guard lock(mMutex);
-  return mCurrent;
+  return mState.mSnapshot;
+}
+
+state_digest
+configuration_store::Digest() const
+{
+  std::lock_guard lock(mMutex);
+  return DigestOf(mState);
 }
 
 milliseconds
 configuration_store::FreshAge() const
 {
-  std::lock_guard lock(mMutex);
-  return std::chrono::duration_cast<milliseconds>(boot_clock::now() - mFreshAt);
+  return AgeOf(Digest().mProvenAt, boot_clock::now());
 }
 
 bool
 configuration_store::IsReady() const
+{
+  return Digest().mKnownUpTo > 0;
+}
+
+take_outcome
+configuration_store::TakeDigest(const state_digest& aDigest)
 {
   std::lock_guard lock(mMutex);
-  return mCurrent->mRevision > 0;
+  return configuration::TakeDigest(mState, aDigest);
 }
 
-std::vector<platform::stored_object>
-configuration_store::Objects(const std::string& aKind) const
+take_outcome
+configuration_store::TakeCopy(whole_copy aCopy)
 {
   std::lock_guard lock(mMutex);
-  std::vector<platform::stored_object> objects;
-  for (const auto& [identity, object] : mObjects) {
-    if (identity.first == aKind) {
-      objects.push_back(object);
-    }
-  }
-  return objects;
+  const auto outcome = configuration::TakeCopy(mState, std::move(aCopy));
+  mChanged.notify_all();
+  return outcome;
 }
 
-std::pair<std::int64_t, std::vector<platform::stored_object>>
-configuration_store::AllObjects() const
+whole_copy
+configuration_store::Copy() const
 {
   std::lock_guard lock(mMutex);
+  return CopyOf(mState);
+}
+
+std::vector<platform::stored_object>
+configuration_store::Objects(const std::string& aKind) const
+{
+  object_map kept;
+  {
+    std::lock_guard lock(mMutex);
+    for (auto item = mState.mObjects.lower_bound({ aKind, "" });
+         item != mState.mObjects.end() && item->first.first == aKind;
+         ++item) {
+      kept.insert(*item);
+    }
+  }
   std::vector<platform::stored_object> objects;
-  for (const auto& [identity, object] : mObjects) {
-    objects.push_back(object);
+  for (const auto& [identity, object] : kept) {
+    if (auto value = json::Parse(object.mText)) {
+      objects.push_back({ identity.first,
+                          identity.second,
+                          object.mRevision,
+                          std::move(*value) });
+    }
   }
-  return { mCurrent->mRevision, std::move(objects) };
+  return objects;
 }
 
 change_batch
@@ -95,17 +227,11 @@
                                     milliseconds aWait) const
 {
   std::unique_lock lock(mMutex);
-  mChanged.wait_for(
-    lock, aWait, [&] { return mIsStopping || mCurrent->mRevision > aFrom; });
-  change_batch batch;
-  batch.mRevision = std::max(aFrom, mCurrent->mRevision);
-  batch.mIsTooOld = aFrom < mOldestRecent;
-  for (const auto& event : mRecent) {
-    if (!batch.mIsTooOld && event.mObject.mRevision > aFrom) {
-      batch.mEvents.push_back(event);
-    }
-  }
-  return batch;
+  mChanged.wait_for(lock, aWait, [&] {
+    return mIsStopping || mState.mChanged > aFrom ||
+           aFrom < mState.mOldestRecent;
+  });
+  return ChangesAfter(mState, aFrom);
 }
 
 bool
@@ -115,33 +241,32 @@
   return mChanged.wait_for(lock, aWait, [this] { return mIsStopping; });
 }
 
+void
+configuration_store::Note(const char* aSource, take_outcome aOutcome)
+{
+  if (auto* metrics = mOptions.mPlatform.mMetrics) {
+    metrics->Count("lavender_configuration_taken_total",
+                   { { "from", aSource }, { "outcome", WordFor(aOutcome) } });
+  }
+}
+
+void
+configuration_store::CountBreak()
+{
+  if (auto* metrics = mOptions.mPlatform.mMetrics) {
+    metrics->Count("lavender_configuration_watch_breaks_total", {});
+  }
+}
+
 void
 configuration_store::WatchLoop()
 {
-  bool isLoaded = false;
+  bool isLoaded = IsReady();
   while (!WaitOrStop(0ms)) {
-    if (!isLoaded) {
-      isLoaded = LoadAll();
-      if (!isLoaded && WaitOrStop(kRetryEvery)) {
-        return;
-      }
-      continue;
-    }
-    const auto askedAt = boot_clock::now();
-    const auto batch =
-      platform::Watch(mPlatform, Current()->mRevision, kWatchWait);
-    if (!batch) {
-      // The snapshot goes on serving; the watch resumes from its revision.
-      Log(log_level::Warning,
-          "configuration",
-          "Watch broke: " + batch.mLastReason);
-      if (WaitOrStop(kRetryEvery)) {
-        return;
-      }
-    } else if (batch->mIsTooOld) {
-      isLoaded = false;
-    } else {
-      Take(*batch, askedAt);
+    isLoaded = isLoaded ? WatchOnce() : LoadAll();
+    SaveIfChanged();
+    if (!isLoaded && WaitOrStop(kRetryEvery)) {
+      return;
     }
   }
 }
@@ -150,7 +275,7 @@
 configuration_store::LoadAll()
 {
   const auto askedAt = boot_clock::now();
-  const auto list = platform::List(mPlatform, "");
+  const auto list = platform::List(mOptions.mPlatform, "");
   if (!list) {
     Log(log_level::Warning,
         "configuration",
@@ -158,58 +283,40 @@
     return false;
   }
   std::lock_guard lock(mMutex);
-  if (list->mRevision < mCurrent->mRevision) {
-    // An older copy of the store must never replace a newer snapshot.
-    return false;
-  }
-  mObjects.clear();
-  for (const auto& object : list->mObjects) {
-    if (IsConfigurationKind(object.mKind)) {
-      mObjects[{ object.mKind, object.mName }] = object;
-    }
-  }
-  mRecent.clear();
-  mOldestRecent = list->mRevision;
-  mCurrent =
-    std::make_shared<const snapshot>(BuildSnapshot(mObjects, list->mRevision));
-  mFreshAt = askedAt;
+  const auto outcome = TakeList(mState, *list, askedAt);
+  Note("list", outcome);
   mChanged.notify_all();
-  return true;
+  return outcome != take_outcome::Older;
 }
 
-void
-configuration_store::Take(const platform::watch_batch& aBatch,
-                          time_point aAskedAt)
+bool
+configuration_store::WatchOnce()
 {
-  std::lock_guard lock(mMutex);
-  if (aBatch.mRevision < mCurrent->mRevision) {
-    return;
-  }
-  mFreshAt = aAskedAt;
-  if (aBatch.mRevision == mCurrent->mRevision) {
-    return;
+  const auto askedAt = boot_clock::now();
+  const auto batch =
+    platform::Watch(mOptions.mPlatform, Digest().mKnownUpTo, kWatchWait);
+  if (!batch) {
+    // The state goes on serving; the watch resumes from its revision.
+    Log(
+      log_level::Warning, "configuration", "Watch broke: " + batch.mLastReason);
+    CountBreak();
+    WaitOrStop(kRetryEvery);
+    return true;
   }
-  for (const auto& event : aBatch.mEvents) {
-    if (!IsConfigurationKind(event.mObject.mKind)) {
-      continue;
-    }
-    const std::pair identity{ event.mObject.mKind, event.mObject.mName };
-    if (event.mIsDeletion) {
-      mObjects.erase(identity);
-    } else {
-      mObjects[identity] = event.mObject;
-    }
-    mRecent.push_back(event);
+  if (batch->mIsTooOld) {
+    return false;
   }
-  if (mRecent.size() > kMaximumRecent) {
-    const auto surplus = mRecent.size() - kMaximumRecent;
-    mOldestRecent = mRecent[surplus - 1].mObject.mRevision;
-    mRecent.erase(mRecent.begin(),
-                  mRecent.begin() + static_cast<std::ptrdiff_t>(surplus));
+  take_outcome outcome = take_outcome::Older;
+  {
+    std::lock_guard lock(mMutex);
+    outcome = TakeBatch(mState, *batch, askedAt);
   }
-  mCurrent =
-    std::make_shared<const snapshot>(BuildSnapshot(mObjects, aBatch.mRevision));
+  Note("watch", outcome);
   mChanged.notify_all();
+  if (outcome == take_outcome::Older) {
+    WaitOrStop(kRetryEvery);
+  }
+  return true;
 }
 
 } // namespace lavender::configuration
--- a/Duties/Configuration/ResourceApi.cpp
+++ b/Duties/Configuration/ResourceApi.cpp
@@ -30,6 +30,13 @@
   return JsonResponse(aStatus, body);
 }
 
+json::value
+ParsedOrNull(const std::string& aText)
+{
+  auto value = json::Parse(aText);
+  return value ? std::move(*value) : json::value();
+}
+
 /** What operators see of an object: a key's hash stays hidden. */
 json::value
 Describe(const platform::stored_object& aObject)
@@ -206,7 +213,10 @@
   }
   json::array events;
   for (const auto& event : batch.mEvents) {
-    auto shown = Describe(event.mObject);
+    auto shown = Describe({ event.mKind,
+                            event.mName,
+                            event.mObject.mRevision,
+                            ParsedOrNull(event.mObject.mText) });
     shown.Set("type", event.mIsDeletion ? "delete" : "put");
     events.push_back(std::move(shown));
   }
--- a/Duties/Configuration/Snapshot.cpp
+++ b/Duties/Configuration/Snapshot.cpp
@@ -10,9 +10,10 @@
 constexpr const char* kModelVersion = "ModelVersion";
 
 json::value
-SpecOf(const platform::stored_object& aObject)
+SpecOf(const std::string& aText)
 {
-  const auto* spec = aObject.mValue.Find("spec");
+  const auto value = json::Parse(aText);
+  const auto* spec = value ? value->Find("spec") : nullptr;
   return spec ? *spec : json::value();
 }
 
@@ -59,40 +60,73 @@
          aKind == kBackendPool || aKind == kModelVersion;
 }
 
-snapshot
-BuildSnapshot(const object_map& aObjects, std::int64_t aRevision)
+void
+ApplyChange(snapshot& aSnapshot, const object_change& aChange)
 {
-  snapshot built;
-  built.mRevision = aRevision;
-  for (const auto& [identity, object] : aObjects) {
-    const auto& [kind, name] = identity;
-    const auto spec = SpecOf(object);
-    if (kind == kCustomer) {
-      built.mCustomers[name] = ToCustomer(name, spec);
-    } else if (kind == kKey) {
-      built.mKeysByHash[json::StringAt(spec, "hash", "")] = {
+  const auto& [kind, name, before, after] = aChange;
+  const bool isDeletion = after.empty();
+  const auto spec = isDeletion ? json::value() : SpecOf(after);
+  if (kind == kKey) {
+    if (!before.empty()) {
+      const auto old =
+        aSnapshot.mKeysByHash.find(json::StringAt(SpecOf(before), "hash", ""));
+      if (old != aSnapshot.mKeysByHash.end() && old->second.mName == name) {
+        aSnapshot.mKeysByHash.erase(old);
+      }
+    }
+    if (!isDeletion) {
+      aSnapshot.mKeysByHash[json::StringAt(spec, "hash", "")] = {
         name,
         json::StringAt(spec, "customer", ""),
         json::BooleanAt(spec, "withdrawn", false)
       };
-    } else if (kind == kTrainingRun) {
-      built.mRuns[name] = ToRun(name, spec);
-    } else if (kind == kBackendPool) {
-      built.mPools[name] = ToPool(name, spec);
     }
-  }
-  for (const auto& [identity, object] : aObjects) {
-    if (identity.first != kModelVersion) {
-      continue;
+  } else if (kind == kCustomer) {
+    aSnapshot.mCustomers.erase(name);
+    if (!isDeletion) {
+      aSnapshot.mCustomers[name] = ToCustomer(name, spec);
+    }
+  } else if (kind == kTrainingRun) {
+    aSnapshot.mRuns.erase(name);
+    if (!isDeletion) {
+      aSnapshot.mRuns[name] = ToRun(name, spec);
     }
-    const auto spec = SpecOf(object);
-    for (auto& [name, run] : built.mRuns) {
+  } else if (kind == kBackendPool) {
+    aSnapshot.mPools.erase(name);
+    if (!isDeletion) {
+      aSnapshot.mPools[name] = ToPool(name, spec);
+    }
+  }
+}
+
+void
+RefreshAcceptedVersions(snapshot& aSnapshot, const object_map& aObjects)
+{
+  for (auto& [name, run] : aSnapshot.mRuns) {
+    run.mAcceptedVersion = 0;
+  }
+  for (auto item = aObjects.lower_bound({ kModelVersion, "" });
+       item != aObjects.end() && item->first.first == kModelVersion;
+       ++item) {
+    const auto spec = SpecOf(item->second.mText);
+    for (auto& [name, run] : aSnapshot.mRuns) {
       if (run.mModel == json::StringAt(spec, "model", "")) {
         run.mAcceptedVersion =
           std::max(run.mAcceptedVersion, json::IntegerAt(spec, "version", 0));
       }
     }
   }
+}
+
+snapshot
+BuildSnapshot(const object_map& aObjects, std::int64_t aRevision)
+{
+  snapshot built;
+  built.mRevision = aRevision;
+  for (const auto& [identity, object] : aObjects) {
+    ApplyChange(built, { identity.first, identity.second, "", object.mText });
+  }
+  RefreshAcceptedVersions(built, aObjects);
   return built;
 }
 
--- a/Duties/Configuration/Snapshot.h
+++ b/Duties/Configuration/Snapshot.h
@@ -65,9 +65,16 @@
   std::map<std::string, backend_pool> mPools;
 };
 
+/** One object as it is held: the value stays JSON text, because a parsed tree
+ * of every key would be the largest part of an entry's memory. */
+struct kept_object
+{
+  std::int64_t mRevision = 0;
+  std::string mText;
+};
+
 /** Objects by kind and name, as the Object API holds them. */
-using object_map =
-  std::map<std::pair<std::string, std::string>, platform::stored_object>;
+using object_map = std::map<std::pair<std::string, std::string>, kept_object>;
 
 /** True for the kinds that make up the configuration. */
 bool
@@ -78,6 +85,24 @@
 snapshot
 BuildSnapshot(const object_map& aObjects, std::int64_t aRevision);
 
+/** One object before and after a change; empty text where there is none. */
+struct object_change
+{
+  std::string mKind;
+  std::string mName;
+  std::string mBefore;
+  std::string mAfter;
+};
+
+/** Carries one change over into a snapshot, which then equals one built anew
+ * once RefreshAcceptedVersions has run too. */
+void
+ApplyChange(snapshot& aSnapshot, const object_change& aChange);
+
+/** Sets each run's accepted version from the declared model versions. */
+void
+RefreshAcceptedVersions(snapshot& aSnapshot, const object_map& aObjects);
+
 /** Pool that serves the model, or the service; null when there is none. */
 const backend_pool*
 FindPoolForModel(const snapshot& aSnapshot, const std::string& aModel);
--- a/Duties/Dispatch/EntryDispatch.cpp
+++ b/Duties/Dispatch/EntryDispatch.cpp
@@ -17,7 +17,7 @@
 using reply_result = wire::wire_result<wire::dispatch_reply>;
 
 /** Silence after which a server gets no new requests. */
-constexpr milliseconds kHeartbeatLimit = 2500ms;
+constexpr membership::heartbeat_limits kHeartbeatLimits;
 constexpr milliseconds kDefaultRetryAfter = 1000ms;
 
 milliseconds
@@ -85,11 +85,9 @@
     const bool isExcluded =
       std::find(aExcluded.begin(), aExcluded.end(), server.mInstance.mName) !=
       aExcluded.end();
-    const bool isAlive =
-      server.mHeardAt && now - *server.mHeardAt < kHeartbeatLimit;
-    if (server.mInstance.mPool != aPool || isExcluded || !isAlive ||
-        server.mIsLeaving || server.mInstance.mIsLeaving ||
-        !server.mIsServerReachable) {
+    const bool isLive = membership::StateOf(server, kHeartbeatLimits, now) ==
+                        membership::server_state::Live;
+    if (server.mInstance.mPool != aPool || isExcluded || !isLive) {
       continue;
     }
     candidates.push_back({ server.mInstance.mName,
@@ -213,6 +211,13 @@
         return Settle(aAttemptId, aServer, reason);
       }
     }
+    const bool isQueued = last.mState == wire_state::Answered &&
+                          last.mReply.state == run_state::QUEUED;
+    if (aCall && aCall->mQueuedStopReason && isQueued) {
+      if (const auto reason = aCall->mQueuedStopReason(); !reason.empty()) {
+        return Settle(aAttemptId, aServer, reason);
+      }
+    }
     if (last.mState == wire_state::NotSent) {
       std::this_thread::sleep_for(50ms);
     }
--- a/Duties/Dispatch/EntryDispatch.h
+++ b/Duties/Dispatch/EntryDispatch.h
@@ -33,6 +33,9 @@
   std::int64_t mOldestWeightVersion = 0;
   /** Asked while the request waits: a reason to stop it, or empty. */
   std::function<std::string()> mStopReason;
+  /** The same, asked only while the request is queued: work that already runs
+   * isn't stopped for it. */
+  std::function<std::string()> mQueuedStopReason;
 };
 
 struct entry_dispatch_options
--- /dev/null
+++ b/Duties/Keys/FreshnessGate.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Libraries/Core/Clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+/** Whether the configuration held is fresh enough to accept keys by. */
+namespace lavender::keys {
+
+/** What this entry knows of its own configuration. */
+struct own_freshness
+{
+  /** Every change up to this revision is known; 0 for no state at all. */
+  std::int64_t mKnownUpTo = 0;
+  /** A time at which that was the newest; none when it never was proven. */
+  std::optional<time_point> mProvenAt;
+};
+
+/** What other processes, peers and agents alike, tell of the configuration. */
+struct witness_summary
+{
+  /** Processes by the last instance list, none before the first list; how
+   * many of them were asked since the start, and how many answered lately. */
+  std::optional<std::size_t> mKnown;
+  std::size_t mAsked = 0;
+  std::size_t mAudible = 0;
+  /** Revision of the last change that any of them has heard of. */
+  std::int64_t mHighestChanged = 0;
+  /** Latest proof that any entry had of being up to date. */
+  std::optional<time_point> mLatestProof;
+};
+
+/** A withdrawn key works at most mOwnProof longer at an entry that is cut
+ * off, and mCatchUp longer where somebody reachable knows of the withdrawal.
+ */
+struct freshness_limits
+{
+  /** Above the longest time between two proofs in health, a watch's wait and
+   * its timeout. */
+  milliseconds mOwnProof{ 6000 };
+  /** Another entry whose proof is younger than this shows that the store
+   * answers. Far enough below mOwnProof that two entries which lose the store
+   * together never take each other's last proof for a living one. */
+  milliseconds mOthersProof{ 3000 };
+  /** Time to fetch a change that somebody else knows. */
+  milliseconds mCatchUp{ 2000 };
+};
+
+/** Remembered between two judgements. */
+struct freshness_state
+{
+  std::optional<time_point> mBehindSince;
+  bool mHasJoined = false;
+};
+
+enum class freshness
+{
+  /** Proven lately: accept keys. */
+  Current,
+  /** The store answers nobody, so that nothing can be withdrawn: go on. */
+  PlatformDown,
+  /** Just started: not yet known whether somebody knows fresher. */
+  Joining,
+  /** Others get answers from the store, this entry doesn't. */
+  CutOff,
+  /** Too few others can be heard to tell a cut from an outage. */
+  Isolated,
+  /** Somebody knows a later change, and it couldn't be fetched in time. */
+  Behind
+};
+
+/** Judges by what is known now. Every refusal ends by itself as soon as its
+ * cause does. */
+freshness
+Judge(freshness_state& aState,
+      const own_freshness& aOwn,
+      const witness_summary& aWitnesses,
+      const freshness_limits& aLimits,
+      time_point aNow);
+
+/** True when keys may be accepted. */
+bool
+IsFreshEnough(freshness aFreshness);
+
+/** Word for logs and metrics. */
+const char*
+WordFor(freshness aFreshness);
+
+} // namespace lavender::keys
--- /dev/null
+++ b/Duties/Membership/DirectoryState.cpp
@@ -0,0 +1,184 @@
+#include "Duties/Membership/DirectoryState.h"
+
+#include <set>
+
+namespace lavender::membership {
+namespace {
+
+void
+TakeListed(server_view& aView,
+           const platform::instance& aInstance,
+           const connection_maker& aMakeConnections)
+{
+  const bool isMoved = http::FormatEndpoint(aView.mInstance.mEndpoint) !=
+                       http::FormatEndpoint(aInstance.mEndpoint);
+  aView.mInstance = aInstance;
+  aView.mGoneSince.reset();
+  if (isMoved || !aView.mConnections) {
+    // Another process answers there: nothing known of the old one holds.
+    aView.mConnections = aMakeConnections(aInstance.mEndpoint);
+    aView.mHeardAt.reset();
+    aView.mFailedAt.reset();
+    aView.mAskedAt.reset();
+    aView.mIncarnation.clear();
+    aView.mIsLeaving = false;
+  }
+  aView.mIsLeaving = aView.mIsLeaving || aInstance.mIsLeaving;
+}
+
+bool
+IsToBeForgotten(const server_view& aView,
+                const directory_limits& aLimits,
+                time_point aNow)
+{
+  const auto gone = aNow - *aView.mGoneSince;
+  if (gone >= aLimits.mForgetAfter) {
+    return true;
+  }
+  return gone >= aLimits.mForgetSilentAfter &&
+         JudgeHeartbeat({ aView.mHeardAt, aView.mFailedAt },
+                        aLimits.mHeartbeat,
+                        aNow) != liveness::Live;
+}
+
+/** Draining never ends within one incarnation. Answers may overtake each
+ * other, so an older one must not make the agent look open again. */
+void
+TakeIncarnation(server_view& aView,
+                const std::string& aIncarnation,
+                bool aIsDraining)
+{
+  const bool isSame = aView.mIncarnation == aIncarnation;
+  aView.mIncarnation = aIncarnation;
+  aView.mIsLeaving =
+    aIsDraining || aView.mInstance.mIsLeaving || (isSame && aView.mIsLeaving);
+}
+
+} // namespace
+
+server_state
+StateOf(const server_view& aView,
+        const heartbeat_limits& aLimits,
+        time_point aNow)
+{
+  const auto live =
+    JudgeHeartbeat({ aView.mHeardAt, aView.mFailedAt }, aLimits, aNow);
+  if (live != liveness::Live) {
+    return live == liveness::Unknown ? server_state::Unknown
+                                     : server_state::Silent;
+  }
+  if (aView.mIsLeaving || aView.mInstance.mIsLeaving) {
+    return server_state::Leaving;
+  }
+  return aView.mIsServerReachable ? server_state::Live
+                                  : server_state::ServerDown;
+}
+
+const char*
+WordFor(server_state aState)
+{
+  switch (aState) {
+    case server_state::Live:
+      return "live";
+    case server_state::Leaving:
+      return "leaving";
+    case server_state::Silent:
+      return "silent";
+    case server_state::ServerDown:
+      return "server_down";
+    case server_state::Unknown:
+      break;
+  }
+  return "unknown";
+}
+
+std::vector<std::string>
+TakeList(directory_state& aState,
+         const std::vector<platform::instance>& aList,
+         const directory_limits& aLimits,
+         const connection_maker& aMakeConnections,
+         time_point aNow)
+{
+  aState.mListedAt = aNow;
+  aState.mEntries.clear();
+  std::set<std::string> listed;
+  for (const auto& instance : aList) {
+    if (instance.mRole == "entry") {
+      aState.mEntries.push_back(instance);
+    } else {
+      listed.insert(instance.mName);
+      TakeListed(aState.mServers[instance.mName], instance, aMakeConnections);
+    }
+  }
+  std::vector<std::string> names;
+  for (auto item = aState.mServers.begin(); item != aState.mServers.end();) {
+    auto& view = item->second;
+    if (listed.count(item->first) == 0 && !view.mGoneSince) {
+      view.mGoneSince = aNow;
+    }
+    if (view.mGoneSince && IsToBeForgotten(view, aLimits, aNow)) {
+      item = aState.mServers.erase(item);
+    } else {
+      names.push_back(item->first);
+      ++item;
+    }
+  }
+  return names;
+}
+
+report_outcome
+TakeReport(directory_state& aState,
+           const std::string& aName,
+           const wire::agent_report& aReport,
+           const std::shared_ptr<agent_pool>& aConnections,
+           time_point aAskedAt,
+           time_point aNow)
+{
+  const auto found = aState.mServers.find(aName);
+  if (found == aState.mServers.end() ||
+      found->second.mConnections != aConnections) {
+    return report_outcome::Outdated;
+  }
+  auto& view = found->second;
+  if (aReport.server_name != aName) {
+    // Work for this instance's pool must not go to whoever answers there now.
+    view.mFailedAt = aAskedAt;
+    view.mHeardAt.reset();
+    view.mAskedAt = aAskedAt;
+    return report_outcome::OtherInstance;
+  }
+  TakeIncarnation(view, aReport.agent_incarnation, aReport.draining);
+  view.mLoad = aReport.load;
+  view.mIsServerReachable = aReport.server_reachable;
+  view.mModel = aReport.model;
+  view.mWeightVersion = aReport.weight_version;
+  view.mWitnessedRevision = aReport.witnessed_revision;
+  view.mWitnessedFreshAge = milliseconds(aReport.witnessed_fresh_age_ms);
+  view.mAskedAt = aAskedAt;
+  view.mHeardAt = aNow;
+  return report_outcome::Taken;
+}
+
+void
+TakeSilence(directory_state& aState,
+            const std::string& aName,
+            time_point aAskedAt)
+{
+  if (const auto found = aState.mServers.find(aName);
+      found != aState.mServers.end()) {
+    found->second.mFailedAt = aAskedAt;
+  }
+}
+
+void
+TakeReply(directory_state& aState,
+          const std::string& aName,
+          const wire::dispatch_reply& aReply)
+{
+  if (const auto found = aState.mServers.find(aName);
+      found != aState.mServers.end()) {
+    TakeIncarnation(found->second, aReply.agent_incarnation, aReply.draining);
+  }
+}
+
+} // namespace lavender::membership
--- a/Duties/Membership/ServerDirectory.cpp
+++ b/Duties/Membership/ServerDirectory.cpp
@@ -1,11 +1,60 @@
 #include "Duties/Membership/ServerDirectory.h"
 
+#include "Libraries/Core/CheckedFile.h"
 #include "Libraries/Core/Log.h"
+#include "Libraries/Wire/Document.h"
+
+#include <map>
 
 namespace lavender::membership {
+namespace {
+
+/** An agent heard within this counts as audible for the freshness of keys. */
+constexpr milliseconds kAudible{ 4000 };
+constexpr const char* kListFile = "/instances";
+
+wire::instance_list
+ToMessage(const std::vector<platform::instance>& aList)
+{
+  wire::instance_list message;
+  for (const auto& instance : aList) {
+    wire::instance_record record;
+    record.name = instance.mName;
+    record.zone = instance.mAvailabilityZone;
+    record.pool = instance.mPool;
+    record.role = instance.mRole;
+    record.address = http::FormatEndpoint(instance.mEndpoint);
+    record.leaving = instance.mIsLeaving;
+    message.instances.push_back(std::move(record));
+  }
+  return message;
+}
+
+std::vector<platform::instance>
+FromMessage(const wire::instance_list& aMessage)
+{
+  std::vector<platform::instance> list;
+  for (const auto& record : aMessage.instances) {
+    if (const auto endpoint = http::ParseEndpoint(record.address)) {
+      list.push_back({ record.name,
+                       record.zone,
+                       record.pool,
+                       record.role,
+                       *endpoint,
+                       record.leaving });
+    }
+  }
+  return list;
+}
+
+} // namespace
 
 server_directory::server_directory(directory_options aOptions)
   : mOptions(std::move(aOptions))
+  , mPolls({ mOptions.mPollEvery,
+             mOptions.mPollThreads,
+             std::max<std::size_t>(mOptions.mPollThreads / 4, 1),
+             [this](const std::string& aName) { return PollOnce(aName); } })
 {
 }
 
@@ -17,6 +66,8 @@
 void
 server_directory::Start()
 {
+  LoadList();
+  mPolls.Start();
   mListThread = std::thread([this] { ListLoop(); });
 }
 
@@ -31,11 +82,7 @@
   if (mListThread.joinable()) {
     mListThread.join();
   }
-  for (auto& [name, thread] : mPollThreads) {
-    if (thread.joinable()) {
-      thread.join();
-    }
-  }
+  mPolls.Stop();
 }
 
 bool
@@ -48,62 +95,91 @@
 void
 server_directory::ListLoop()
 {
+  std::string lastFailure;
   do {
-    if (const auto list = platform::ListInstances(mOptions.mPlatform)) {
-      TakeList(*list);
-    } else {
+    const auto list = platform::ListInstances(mOptions.mPlatform);
+    if (list) {
+      TakeNewList(*list);
+      SaveList(*list);
+    } else if (list.mLastReason != lastFailure) {
       // The last list goes on serving: the platform may be down for long.
       Log(log_level::Warning, "membership", "No list: " + list.mLastReason);
     }
+    lastFailure = list.mLastReason;
   } while (!WaitOrStop(mOptions.mListEvery));
 }
 
 void
-server_directory::TakeList(const std::vector<platform::instance>& aList)
+server_directory::TakeNewList(const std::vector<platform::instance>& aList)
 {
-  std::lock_guard lock(mMutex);
-  if (mIsStopping) {
+  std::vector<std::string> names;
+  {
+    std::lock_guard lock(mMutex);
+    names = TakeList(
+      mState,
+      aList,
+      mOptions.mLimits,
+      [this](const http::endpoint& aEndpoint) {
+        return std::make_shared<agent_pool>(aEndpoint, mOptions.mPollTimeout);
+      },
+      boot_clock::now());
+  }
+  mPolls.SetTargets(names);
+}
+
+void
+server_directory::LoadList()
+{
+  if (mOptions.mDataFolder.empty()) {
     return;
   }
-  std::vector<platform::instance> entries;
-  for (const auto& instance : aList) {
-    if (instance.mRole == "entry") {
-      entries.push_back(instance);
-      continue;
-    }
-    auto& view = mServers[instance.mName];
-    const bool isMoved = http::FormatEndpoint(view.mInstance.mEndpoint) !=
-                         http::FormatEndpoint(instance.mEndpoint);
-    view.mInstance = instance;
-    if (isMoved || !view.mConnections) {
-      view.mConnections =
-        std::make_shared<agent_pool>(instance.mEndpoint, mOptions.mPollTimeout);
-      view.mHeardAt.reset();
-      view.mIncarnation.clear();
-    }
-    if (mPollThreads.count(instance.mName) == 0) {
-      mPollThreads[instance.mName] =
-        std::thread([this, name = instance.mName] { PollLoop(name); });
-    }
+  const auto bytes = LoadChecked(mOptions.mDataFolder + kListFile);
+  const auto message =
+    bytes ? wire::Decode<wire::instance_list>(*bytes) : std::nullopt;
+  if (!message) {
+    Log(log_level::Info, "membership", "No list kept: " + bytes.mLastReason);
+    return;
   }
-  mEntries = std::move(entries);
+  TakeNewList(FromMessage(*message));
 }
 
 void
-server_directory::PollLoop(const std::string& aName)
+server_directory::SaveList(const std::vector<platform::instance>& aList)
 {
-  do {
-    PollOnce(aName);
-  } while (!WaitOrStop(mOptions.mPollEvery));
+  if (mOptions.mDataFolder.empty()) {
+    return;
+  }
+  auto bytes = wire::Encode(ToMessage(aList));
+  if (bytes == mSavedList) {
+    return;
+  }
+  const auto failure = SaveChecked(mOptions.mDataFolder + kListFile, bytes);
+  if (failure.empty()) {
+    mSavedList = std::move(bytes);
+  } else {
+    Log(log_level::Warning, "membership", "List not kept: " + failure);
+  }
 }
 
 void
+server_directory::CountPoll(const char* aResult)
+{
+  if (mOptions.mMetrics) {
+    mOptions.mMetrics->Count("lavender_polls_total", { { "result", aResult } });
+  }
+}
+
+poll_outcome
 server_directory::PollOnce(const std::string& aName)
 {
   std::shared_ptr<agent_pool> connections;
   {
     std::lock_guard lock(mMutex);
-    connections = mServers[aName].mConnections;
+    const auto found = mState.mServers.find(aName);
+    if (found == mState.mServers.end()) {
+      return poll_outcome::Silent;
+    }
+    connections = found->second.mConnections;
   }
   const auto digest = mOptions.mDigest();
   wire::entry_digest message;
@@ -111,6 +187,7 @@
   message.entry_incarnation = mOptions.mEntryIncarnation;
   message.configuration_revision = digest.mRevision;
   message.fresh_age_ms = digest.mFreshAge.count();
+  const auto askedAt = boot_clock::now();
   const auto outcome = connections->Run<wire::agent_report>(
     mOptions.mPollTimeout, aName, [&](auto& aClient, auto& aReply) {
       aClient.Report(aReply, message);
@@ -118,20 +195,65 @@
   if (outcome.mState != wire::wire_state::Answered) {
     // Old connections may be dead while new ones work.
     connections->DropIdle();
-    return;
+    CountPoll("silent");
+    std::lock_guard lock(mMutex);
+    TakeSilence(mState, aName, askedAt);
+    return poll_outcome::Silent;
   }
-  const auto& report = outcome.mReply;
   std::lock_guard lock(mMutex);
-  auto& view = mServers[aName];
-  view.mIncarnation = report.agent_incarnation;
-  view.mLoad = report.load;
-  view.mIsLeaving = report.draining || view.mInstance.mIsLeaving;
-  view.mIsServerReachable = report.server_reachable;
-  view.mModel = report.model;
-  view.mWeightVersion = report.weight_version;
-  view.mWitnessedRevision = report.witnessed_revision;
-  view.mWitnessedFreshAge = milliseconds(report.witnessed_fresh_age_ms);
-  view.mHeardAt = boot_clock::now();
+  const auto taken = TakeReport(
+    mState, aName, outcome.mReply, connections, askedAt, boot_clock::now());
+  CountPoll(taken == report_outcome::OtherInstance ? "other_instance"
+                                                   : "answered");
+  return poll_outcome::Answered;
+}
+
+witness_report
+server_directory::Witnesses() const
+{
+  witness_report report;
+  const auto now = boot_clock::now();
+  std::lock_guard lock(mMutex);
+  if (mState.mListedAt) {
+    report.mKnown = mState.mServers.size();
+  }
+  for (const auto& [name, view] : mState.mServers) {
+    report.mAsked += view.mHeardAt || view.mFailedAt ? 1 : 0;
+    if (!view.mHeardAt) {
+      continue;
+    }
+    report.mAudible += now - *view.mHeardAt <= kAudible ? 1 : 0;
+    report.mHighestChanged =
+      std::max(report.mHighestChanged, view.mWitnessedRevision);
+    // Counted from when the question left, so the proof is no younger than
+    // this.
+    const auto proof = *view.mAskedAt - view.mWitnessedFreshAge;
+    report.mLatestProof = std::max(report.mLatestProof.value_or(proof), proof);
+  }
+  return report;
+}
+
+void
+server_directory::WriteGauges(metrics::registry& aMetrics) const
+{
+  std::map<std::pair<std::string, std::string>, int> counts;
+  const auto now = boot_clock::now();
+  for (const auto& view : Servers()) {
+    for (const auto state : { server_state::Live,
+                              server_state::Leaving,
+                              server_state::Silent,
+                              server_state::ServerDown,
+                              server_state::Unknown }) {
+      // Zeros too, so that a series doesn't stay at its last value.
+      counts[{ view.mInstance.mPool, WordFor(state) }] +=
+        StateOf(view, mOptions.mLimits.mHeartbeat, now) == state ? 1 : 0;
+    }
+  }
+  for (const auto& [series, count] : counts) {
+    aMetrics.SetGauge("lavender_servers",
+                      { { "pool", series.first }, { "state", series.second } },
+                      count);
+  }
 }
 
 std::vector<server_view>
@@ -139,8 +261,8 @@
 {
   std::lock_guard lock(mMutex);
   std::vector<server_view> views;
-  views.reserve(mServers.size());
-  for (const auto& [name, view] : mServers) {
+  views.reserve(mState.mServers.size());
+  for (const auto& [name, view] : mState.mServers) {
     views.push_back(view);
   }
   return views;
@@ -150,15 +272,15 @@
 server_directory::Entries() const
 {
   std::lock_guard lock(mMutex);
-  return mEntries;
+  return mState.mEntries;
 }
 
 std::optional<server_view>
 server_directory::Find(const std::string& aName) const
 {
   std::lock_guard lock(mMutex);
-  const auto found = mServers.find(aName);
-  if (found == mServers.end()) {
+  const auto found = mState.mServers.find(aName);
+  if (found == mState.mServers.end()) {
     return std::nullopt;
   }
   return found->second;
@@ -168,7 +290,8 @@
 server_directory::AddInFlight(const std::string& aName, int aChange)
 {
   std::lock_guard lock(mMutex);
-  if (const auto found = mServers.find(aName); found != mServers.end()) {
+  if (const auto found = mState.mServers.find(aName);
+      found != mState.mServers.end()) {
     found->second.mOwnInFlight += aChange;
   }
 }
@@ -178,11 +301,7 @@
                             const wire::dispatch_reply& aReply)
 {
   std::lock_guard lock(mMutex);
-  if (const auto found = mServers.find(aName); found != mServers.end()) {
-    found->second.mIncarnation = aReply.agent_incarnation;
-    found->second.mIsLeaving =
-      aReply.draining || found->second.mInstance.mIsLeaving;
-  }
+  membership::TakeReply(mState, aName, aReply);
 }
 
 } // namespace lavender::membership
--- a/Duties/Membership/ServerDirectory.h
+++ b/Duties/Membership/ServerDirectory.h
@@ -1,48 +1,24 @@
 #pragma once
 
+#include "Duties/Membership/DirectoryState.h"
+#include "Duties/Membership/PollPool.h"
 #include "Libraries/Core/Clock.h"
-#include "Libraries/Platform/PlatformClient.h"
-#include "Libraries/Wire/ConnectionPool.h"
-#include "Libraries/Wire/Generated/agent_service.h"
+#include "Libraries/Metrics/Metrics.h"
 
 #include <condition_variable>
 #include <functional>
-#include <map>
-#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
-/** Which backend servers exist, and what is known of each. */
 namespace lavender::membership {
 
-using agent_pool = wire::connection_pool<wire::agent_serviceClient>;
-
-/** What an entry knows of one backend server. */
-struct server_view
-{
-  platform::instance mInstance;
-  /** Of the agent that answered last; empty before the first answer. */
-  std::string mIncarnation;
-  wire::load_figures mLoad;
-  /** The agent said so, or the platform's list does. */
-  bool mIsLeaving = false;
-  bool mIsServerReachable = false;
-  std::string mModel;
-  std::int64_t mWeightVersion = 0;
-  std::int64_t mWitnessedRevision = 0;
-  milliseconds mWitnessedFreshAge{ 0 };
-  std::optional<time_point> mHeardAt;
-  /** Requests that this entry sent and has no answer to. */
-  int mOwnInFlight = 0;
-  std::shared_ptr<agent_pool> mConnections;
-};
-
 /** What an entry tells agents of its configuration with each poll. */
 struct own_digest
 {
+  /** Of the last change to the configuration. */
   std::int64_t mRevision = 0;
   milliseconds mFreshAge{ 0 };
 };
@@ -53,13 +29,32 @@
   std::string mEntryIncarnation;
   milliseconds mPollEvery{ 500 };
   milliseconds mListEvery{ 1000 };
+  /** Threads that poll agents; a quarter as many again poll silent ones. */
+  std::size_t mPollThreads = 16;
   /** Longest silence of one poll. */
   milliseconds mPollTimeout{ 1000 };
   std::function<own_digest()> mDigest;
+  directory_limits mLimits;
+  /** Folder that keeps the last list for a start while the platform is down;
+   * empty to keep nothing. */
+  std::string mDataFolder;
+  /** May be null. */
+  metrics::registry* mMetrics = nullptr;
 };
 
-/** Keeps the views fresh with a thread for the platform's list and one for
- * each agent's report. */
+/** How many servers could be asked and heard, and the freshest they know of
+ * the configuration. */
+struct witness_report
+{
+  std::optional<std::size_t> mKnown;
+  std::size_t mAsked = 0;
+  std::size_t mAudible = 0;
+  std::int64_t mHighestChanged = 0;
+  std::optional<time_point> mLatestProof;
+};
+
+/** Keeps the views fresh with a thread for the platform's list and a bounded
+ * number of them for the agents' reports. */
 class server_directory
 {
 public:
@@ -81,21 +76,28 @@
   /** Takes what any reply told of its agent. */
   void TakeReply(const std::string& aName, const wire::dispatch_reply& aReply);
 
+  /** What the agents tell of the configuration. */
+  witness_report Witnesses() const;
+  /** Sets the gauges of servers by pool and state. */
+  void WriteGauges(metrics::registry& aMetrics) const;
+
 private:
   void ListLoop();
-  void PollLoop(const std::string& aName);
-  void TakeList(const std::vector<platform::instance>& aList);
-  void PollOnce(const std::string& aName);
+  void TakeNewList(const std::vector<platform::instance>& aList);
+  void LoadList();
+  void SaveList(const std::vector<platform::instance>& aList);
+  poll_outcome PollOnce(const std::string& aName);
+  void CountPoll(const char* aResult);
   bool WaitOrStop(milliseconds aWait);
 
   const directory_options mOptions;
   mutable std::mutex mMutex;
   std::condition_variable mStopped;
   bool mIsStopping = false;
-  std::map<std::string, server_view> mServers;
-  std::vector<platform::instance> mEntries;
+  directory_state mState;
+  std::string mSavedList;
   std::thread mListThread;
-  std::map<std::string, std::thread> mPollThreads;
+  poll_pool mPolls;
 };
 
 } // namespace lavender::membership
--- a/Libraries/Wire/Generated/lavender_types.cpp
+++ b/Libraries/Wire/Generated/lavender_types.cpp
@@ -2974,6 +2974,14 @@
 void peer_digest::__set_fresh_age_ms(const int64_t val) {
   this->fresh_age_ms = val;
 }
+
+void peer_digest::__set_changed_revision(const int64_t val) {
+  this->changed_revision = val;
+}
+
+void peer_digest::__set_name(const std::string& val) {
+  this->name = val;
+}
 std::ostream& operator<<(std::ostream& out, const peer_digest& obj)
 {
   obj.printTo(out);
@@ -3034,6 +3042,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changed_revision);
+          this->__isset.changed_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3067,6 +3091,14 @@
   xfer += oprot->writeI64(this->fresh_age_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("changed_revision", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->changed_revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3078,6 +3110,8 @@
   swap(a.entry_incarnation, b.entry_incarnation);
   swap(a.configuration_revision, b.configuration_revision);
   swap(a.fresh_age_ms, b.fresh_age_ms);
+  swap(a.changed_revision, b.changed_revision);
+  swap(a.name, b.name);
   swap(a.__isset, b.__isset);
 }
 
@@ -3086,6 +3120,8 @@
   entry_incarnation = other61.entry_incarnation;
   configuration_revision = other61.configuration_revision;
   fresh_age_ms = other61.fresh_age_ms;
+  changed_revision = other61.changed_revision;
+  name = other61.name;
   __isset = other61.__isset;
 }
 peer_digest& peer_digest::operator=(const peer_digest& other62) {
@@ -3093,6 +3129,8 @@
   entry_incarnation = other62.entry_incarnation;
   configuration_revision = other62.configuration_revision;
   fresh_age_ms = other62.fresh_age_ms;
+  changed_revision = other62.changed_revision;
+  name = other62.name;
   __isset = other62.__isset;
   return *this;
 }
@@ -3103,6 +3141,8 @@
   out << ", " << "entry_incarnation=" << to_string(entry_incarnation);
   out << ", " << "configuration_revision=" << to_string(configuration_revision);
   out << ", " << "fresh_age_ms=" << to_string(fresh_age_ms);
+  out << ", " << "changed_revision=" << to_string(changed_revision);
+  out << ", " << "name=" << to_string(name);
   out << ")";
 }
 
@@ -3259,6 +3299,310 @@
 }
 
 
+instance_record::~instance_record() noexcept {
+}
+
+
+void instance_record::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void instance_record::__set_zone(const std::string& val) {
+  this->zone = val;
+}
+
+void instance_record::__set_pool(const std::string& val) {
+  this->pool = val;
+}
+
+void instance_record::__set_role(const std::string& val) {
+  this->role = val;
+}
+
+void instance_record::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void instance_record::__set_leaving(const bool val) {
+  this->leaving = val;
+}
+std::ostream& operator<<(std::ostream& out, const instance_record& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t instance_record::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->zone);
+          this->__isset.zone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pool);
+          this->__isset.pool = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->role);
+          this->__isset.role = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leaving);
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t instance_record::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("instance_record");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("zone", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->zone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pool", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->pool);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("role", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->role);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->leaving);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(instance_record &a, instance_record &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.zone, b.zone);
+  swap(a.pool, b.pool);
+  swap(a.role, b.role);
+  swap(a.address, b.address);
+  swap(a.leaving, b.leaving);
+  swap(a.__isset, b.__isset);
+}
+
+instance_record::instance_record(const instance_record& other65) {
+  name = other65.name;
+  zone = other65.zone;
+  pool = other65.pool;
+  role = other65.role;
+  address = other65.address;
+  leaving = other65.leaving;
+  __isset = other65.__isset;
+}
+instance_record& instance_record::operator=(const instance_record& other66) {
+  name = other66.name;
+  zone = other66.zone;
+  pool = other66.pool;
+  role = other66.role;
+  address = other66.address;
+  leaving = other66.leaving;
+  __isset = other66.__isset;
+  return *this;
+}
+void instance_record::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "instance_record(";
+  out << "name=" << to_string(name);
+  out << ", " << "zone=" << to_string(zone);
+  out << ", " << "pool=" << to_string(pool);
+  out << ", " << "role=" << to_string(role);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ")";
+}
+
+
+instance_list::~instance_list() noexcept {
+}
+
+
+void instance_list::__set_instances(const std::vector<instance_record> & val) {
+  this->instances = val;
+}
+std::ostream& operator<<(std::ostream& out, const instance_list& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t instance_list::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->instances.clear();
+            uint32_t _size67;
+            ::apache::thrift::protocol::TType _etype70;
+            xfer += iprot->readListBegin(_etype70, _size67);
+            this->instances.resize(_size67);
+            uint32_t _i71;
+            for (_i71 = 0; _i71 < _size67; ++_i71)
+            {
+              xfer += this->instances[_i71].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.instances = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t instance_list::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("instance_list");
+
+  xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
+    std::vector<instance_record> ::const_iterator _iter72;
+    for (_iter72 = this->instances.begin(); _iter72 != this->instances.end(); ++_iter72)
+    {
+      xfer += (*_iter72).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(instance_list &a, instance_list &b) {
+  using ::std::swap;
+  swap(a.instances, b.instances);
+  swap(a.__isset, b.__isset);
+}
+
+instance_list::instance_list(const instance_list& other73) {
+  instances = other73.instances;
+  __isset = other73.__isset;
+}
+instance_list& instance_list::operator=(const instance_list& other74) {
+  instances = other74.instances;
+  __isset = other74.__isset;
+  return *this;
+}
+void instance_list::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "instance_list(";
+  out << "instances=" << to_string(instances);
+  out << ")";
+}
+
+
 configuration_copy::~configuration_copy() noexcept {
 }
 
@@ -3278,6 +3622,10 @@
 void configuration_copy::__set_objects(const std::vector<object_record> & val) {
   this->objects = val;
 }
+
+void configuration_copy::__set_changed_revision(const int64_t val) {
+  this->changed_revision = val;
+}
 std::ostream& operator<<(std::ostream& out, const configuration_copy& obj)
 {
   obj.printTo(out);
@@ -3334,14 +3682,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->objects.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->objects.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += this->objects[_i69].read(iprot);
+              xfer += this->objects[_i79].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3350,6 +3698,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->changed_revision);
+          this->__isset.changed_revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3382,15 +3738,19 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<object_record> ::const_iterator _iter70;
-    for (_iter70 = this->objects.begin(); _iter70 != this->objects.end(); ++_iter70)
+    std::vector<object_record> ::const_iterator _iter80;
+    for (_iter80 = this->objects.begin(); _iter80 != this->objects.end(); ++_iter80)
     {
-      xfer += (*_iter70).write(oprot);
+      xfer += (*_iter80).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("changed_revision", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->changed_revision);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3402,22 +3762,25 @@
   swap(a.revision, b.revision);
   swap(a.fresh_age_ms, b.fresh_age_ms);
   swap(a.objects, b.objects);
+  swap(a.changed_revision, b.changed_revision);
   swap(a.__isset, b.__isset);
 }
 
-configuration_copy::configuration_copy(const configuration_copy& other71) {
-  echo = other71.echo;
-  revision = other71.revision;
-  fresh_age_ms = other71.fresh_age_ms;
-  objects = other71.objects;
-  __isset = other71.__isset;
-}
-configuration_copy& configuration_copy::operator=(const configuration_copy& other72) {
-  echo = other72.echo;
-  revision = other72.revision;
-  fresh_age_ms = other72.fresh_age_ms;
-  objects = other72.objects;
-  __isset = other72.__isset;
+configuration_copy::configuration_copy(const configuration_copy& other81) {
+  echo = other81.echo;
+  revision = other81.revision;
+  fresh_age_ms = other81.fresh_age_ms;
+  objects = other81.objects;
+  changed_revision = other81.changed_revision;
+  __isset = other81.__isset;
+}
+configuration_copy& configuration_copy::operator=(const configuration_copy& other82) {
+  echo = other82.echo;
+  revision = other82.revision;
+  fresh_age_ms = other82.fresh_age_ms;
+  objects = other82.objects;
+  changed_revision = other82.changed_revision;
+  __isset = other82.__isset;
   return *this;
 }
 void configuration_copy::printTo(std::ostream& out) const {
@@ -3427,6 +3790,7 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "fresh_age_ms=" << to_string(fresh_age_ms);
   out << ", " << "objects=" << to_string(objects);
+  out << ", " << "changed_revision=" << to_string(changed_revision);
   out << ")";
 }
 
--- a/Libraries/Wire/Generated/lavender_types.h
+++ b/Libraries/Wire/Generated/lavender_types.h
@@ -72,6 +72,10 @@
 
 class object_record;
 
+class instance_record;
+
+class instance_list;
+
 class configuration_copy;
 
 typedef struct _dispatch_order__isset {
@@ -1215,11 +1219,13 @@
 std::ostream& operator<<(std::ostream& out, const drain_reply& obj);
 
 typedef struct _peer_digest__isset {
-  _peer_digest__isset() : echo(false), entry_incarnation(false), configuration_revision(false), fresh_age_ms(false) {}
+  _peer_digest__isset() : echo(false), entry_incarnation(false), configuration_revision(false), fresh_age_ms(false), changed_revision(false), name(false) {}
   bool echo :1;
   bool entry_incarnation :1;
   bool configuration_revision :1;
   bool fresh_age_ms :1;
+  bool changed_revision :1;
+  bool name :1;
 } _peer_digest__isset;
 
 class peer_digest : public virtual ::apache::thrift::TBase {
@@ -1231,7 +1237,9 @@
               : echo(),
                 entry_incarnation(),
                 configuration_revision(0),
-                fresh_age_ms(0) {
+                fresh_age_ms(0),
+                changed_revision(0),
+                name() {
   }
 
   virtual ~peer_digest() noexcept;
@@ -1239,6 +1247,8 @@
   std::string entry_incarnation;
   int64_t configuration_revision;
   int64_t fresh_age_ms;
+  int64_t changed_revision;
+  std::string name;
 
   _peer_digest__isset __isset;
 
@@ -1250,6 +1260,10 @@
 
   void __set_fresh_age_ms(const int64_t val);
 
+  void __set_changed_revision(const int64_t val);
+
+  void __set_name(const std::string& val);
+
   bool operator == (const peer_digest & rhs) const
   {
     if (!(echo == rhs.echo))
@@ -1260,6 +1274,10 @@
       return false;
     if (!(fresh_age_ms == rhs.fresh_age_ms))
       return false;
+    if (!(changed_revision == rhs.changed_revision))
+      return false;
+    if (!(name == rhs.name))
+      return false;
     return true;
   }
   bool operator != (const peer_digest &rhs) const {
@@ -1342,12 +1360,133 @@
 
 std::ostream& operator<<(std::ostream& out, const object_record& obj);
 
+typedef struct _instance_record__isset {
+  _instance_record__isset() : name(false), zone(false), pool(false), role(false), address(false), leaving(false) {}
+  bool name :1;
+  bool zone :1;
+  bool pool :1;
+  bool role :1;
+  bool address :1;
+  bool leaving :1;
+} _instance_record__isset;
+
+class instance_record : public virtual ::apache::thrift::TBase {
+ public:
+
+  instance_record(const instance_record&);
+  instance_record& operator=(const instance_record&);
+  instance_record() noexcept
+                  : name(),
+                    zone(),
+                    pool(),
+                    role(),
+                    address(),
+                    leaving(0) {
+  }
+
+  virtual ~instance_record() noexcept;
+  std::string name;
+  std::string zone;
+  std::string pool;
+  std::string role;
+  std::string address;
+  bool leaving;
+
+  _instance_record__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_zone(const std::string& val);
+
+  void __set_pool(const std::string& val);
+
+  void __set_role(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_leaving(const bool val);
+
+  bool operator == (const instance_record & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(zone == rhs.zone))
+      return false;
+    if (!(pool == rhs.pool))
+      return false;
+    if (!(role == rhs.role))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    return true;
+  }
+  bool operator != (const instance_record &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const instance_record & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(instance_record &a, instance_record &b);
+
+std::ostream& operator<<(std::ostream& out, const instance_record& obj);
+
+typedef struct _instance_list__isset {
+  _instance_list__isset() : instances(false) {}
+  bool instances :1;
+} _instance_list__isset;
+
+class instance_list : public virtual ::apache::thrift::TBase {
+ public:
+
+  instance_list(const instance_list&);
+  instance_list& operator=(const instance_list&);
+  instance_list() noexcept {
+  }
+
+  virtual ~instance_list() noexcept;
+  std::vector<instance_record>  instances;
+
+  _instance_list__isset __isset;
+
+  void __set_instances(const std::vector<instance_record> & val);
+
+  bool operator == (const instance_list & rhs) const
+  {
+    if (!(instances == rhs.instances))
+      return false;
+    return true;
+  }
+  bool operator != (const instance_list &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const instance_list & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(instance_list &a, instance_list &b);
+
+std::ostream& operator<<(std::ostream& out, const instance_list& obj);
+
 typedef struct _configuration_copy__isset {
-  _configuration_copy__isset() : echo(false), revision(false), fresh_age_ms(false), objects(false) {}
+  _configuration_copy__isset() : echo(false), revision(false), fresh_age_ms(false), objects(false), changed_revision(false) {}
   bool echo :1;
   bool revision :1;
   bool fresh_age_ms :1;
   bool objects :1;
+  bool changed_revision :1;
 } _configuration_copy__isset;
 
 class configuration_copy : public virtual ::apache::thrift::TBase {
@@ -1358,7 +1497,8 @@
   configuration_copy() noexcept
                      : echo(),
                        revision(0),
-                       fresh_age_ms(0) {
+                       fresh_age_ms(0),
+                       changed_revision(0) {
   }
 
   virtual ~configuration_copy() noexcept;
@@ -1366,6 +1506,7 @@
   int64_t revision;
   int64_t fresh_age_ms;
   std::vector<object_record>  objects;
+  int64_t changed_revision;
 
   _configuration_copy__isset __isset;
 
@@ -1377,6 +1518,8 @@
 
   void __set_objects(const std::vector<object_record> & val);
 
+  void __set_changed_revision(const int64_t val);
+
   bool operator == (const configuration_copy & rhs) const
   {
     if (!(echo == rhs.echo))
@@ -1387,6 +1530,8 @@
       return false;
     if (!(objects == rhs.objects))
       return false;
+    if (!(changed_revision == rhs.changed_revision))
+      return false;
     return true;
   }
   bool operator != (const configuration_copy &rhs) const {
--- a/Libraries/Wire/lavender.thrift
+++ b/Libraries/Wire/lavender.thrift
@@ -86,8 +86,9 @@
 struct entry_digest {
   1: string echo,
   2: string entry_incarnation,
+  // Of the last change to the configuration that the entry knows.
   3: i64 configuration_revision,
-  // Age of the last proof that the revision was current.
+  // Age of the last proof that the entry's configuration was the newest.
   4: i64 fresh_age_ms
 }
 
@@ -179,8 +180,13 @@
 struct peer_digest {
   1: string echo,
   2: string entry_incarnation,
+  // Revision of the store up to which the sender knows all changes.
   3: i64 configuration_revision,
-  4: i64 fresh_age_ms
+  4: i64 fresh_age_ms,
+  // Revision of the last change that touched the configuration.
+  5: i64 changed_revision,
+  // Instance name, since an address may have been given to another instance.
+  6: string name
 }
 
 struct object_record {
@@ -190,11 +196,26 @@
   4: string value
 }
 
+struct instance_record {
+  1: string name,
+  2: string zone,
+  3: string pool,
+  4: string role,
+  5: string address,
+  6: bool leaving
+}
+
+// The platform's instance list as last seen; kept in the data folder.
+struct instance_list {
+  1: list<instance_record> instances
+}
+
 struct configuration_copy {
   1: string echo,
   2: i64 revision,
   3: i64 fresh_age_ms,
-  4: list<object_record> objects
+  4: list<object_record> objects,
+  5: i64 changed_revision
 }
 
 service entry_service {
--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -18,6 +18,8 @@
 constexpr std::int64_t kDefaultTokens = 64;
 constexpr std::int64_t kMaximumTokens = 100000;
 constexpr milliseconds kBusyRetryAfter = 1000ms;
+/** Another entry, or this one after catching up, can serve by then. */
+constexpr milliseconds kStaleRetryAfter = 2000ms;
 
 std::int64_t
 ToNumber(const std::string& aText, std::int64_t aFallback)
@@ -196,6 +198,11 @@
   admitted.mRequestId =
     mOptions.mEntryIncarnation + "-" + std::to_string(mNextRequest++);
   const auto& id = admitted.mRequestId;
+  if (!keys::IsFreshEnough(mOptions.mKeyGate->Check())) {
+    // Somebody knows, or may know, of withdrawals that this entry doesn't.
+    return Refuse(
+      { 503, "configuration_stale", ran::NotRun, kStaleRetryAfter, id, "" });
+  }
   admitted.mSnapshot = mConfiguration.Current();
   auto authorization =
     keys::Authorize(*admitted.mSnapshot,
@@ -248,6 +255,11 @@
   made.mStopReason = [this, hash = aAdmitted.mAuthorization.mKeyHash] {
     return keys::FindWithdrawal(*mConfiguration.Current(), hash);
   };
+  made.mQueuedStopReason = [this] {
+    return keys::IsFreshEnough(mOptions.mKeyGate->Check())
+             ? std::string()
+             : std::string("configuration_stale");
+  };
   return made;
 }
 
--- a/Services/Entry/CallerApi.h
+++ b/Services/Entry/CallerApi.h
@@ -4,6 +4,7 @@
 #include "Duties/Configuration/ConfigurationStore.h"
 #include "Duties/Dispatch/EntryDispatch.h"
 #include "Duties/Keys/Authorize.h"
+#include "Duties/Keys/KeyGate.h"
 #include "Duties/Usage/UsageAccount.h"
 #include "Libraries/Core/Result.h"
 #include "Libraries/Http/Router.h"
@@ -20,6 +21,8 @@
   std::int64_t mMaximumRequests = 512;
   milliseconds mDefaultDeadline{ 60000 };
   platform::client mPlatform;
+  /** Judges whether keys may be accepted; outlives the API. */
+  keys::key_gate* mKeyGate = nullptr;
 };
 
 /** What callers and trainers use: completions, plain services, batches. */
--- a/Services/Entry/EntryHandler.cpp
+++ b/Services/Entry/EntryHandler.cpp
@@ -2,10 +2,10 @@
 
 namespace lavender::entry {
 
-entry_handler::entry_handler(std::string aIncarnation,
+entry_handler::entry_handler(entry_identity aIdentity,
                              configuration::configuration_store& aConfiguration,
                              usage::usage_account& aUsage)
-  : mIncarnation(std::move(aIncarnation))
+  : mIdentity(std::move(aIdentity))
   , mConfiguration(aConfiguration)
   , mUsage(aUsage)
 {
@@ -15,28 +15,22 @@
 entry_handler::Exchange(wire::peer_digest& aReply,
                         const wire::peer_digest& aDigest)
 {
+  const auto own = mConfiguration.Digest();
   aReply.echo = aDigest.echo;
-  aReply.entry_incarnation = mIncarnation;
-  aReply.configuration_revision = mConfiguration.Current()->mRevision;
-  aReply.fresh_age_ms = mConfiguration.FreshAge().count();
+  aReply.entry_incarnation = mIdentity.mIncarnation;
+  aReply.name = mIdentity.mName;
+  aReply.configuration_revision = own.mKnownUpTo;
+  aReply.changed_revision = own.mChanged;
+  aReply.fresh_age_ms =
+    configuration::AgeOf(own.mProvenAt, boot_clock::now()).count();
 }
 
 void
 entry_handler::FetchConfiguration(wire::configuration_copy& aReply,
                                   const std::string& aEcho)
 {
+  aReply = configuration::ToMessage(mConfiguration.Copy(), boot_clock::now());
   aReply.echo = aEcho;
-  const auto [revision, objects] = mConfiguration.AllObjects();
-  aReply.revision = revision;
-  aReply.fresh_age_ms = mConfiguration.FreshAge().count();
-  for (const auto& object : objects) {
-    wire::object_record record;
-    record.kind = object.mKind;
-    record.name = object.mName;
-    record.revision = object.mRevision;
-    record.value = json::Write(object.mValue);
-    aReply.objects.push_back(std::move(record));
-  }
 }
 
 void
@@ -44,7 +38,7 @@
                             const wire::usage_query& aQuery)
 {
   aReply.echo = aQuery.echo;
-  aReply.incarnation = mIncarnation;
+  aReply.incarnation = mIdentity.mIncarnation;
   mUsage.Settle(aQuery.settled);
   aReply.buckets = mUsage.Buckets(aQuery.through_window);
 }
--- a/Services/Entry/EntryHandler.h
+++ b/Services/Entry/EntryHandler.h
@@ -8,11 +8,17 @@
 
 namespace lavender::entry {
 
+struct entry_identity
+{
+  std::string mName;
+  std::string mIncarnation;
+};
+
 /** Serves other entries' messages by handing each to its duty. */
 class entry_handler : public wire::entry_serviceIf
 {
 public:
-  entry_handler(std::string aIncarnation,
+  entry_handler(entry_identity aIdentity,
                 configuration::configuration_store& aConfiguration,
                 usage::usage_account& aUsage);
 
@@ -24,7 +30,7 @@
                     const wire::usage_query& aQuery) override;
 
 private:
-  const std::string mIncarnation;
+  const entry_identity mIdentity;
   configuration::configuration_store& mConfiguration;
   usage::usage_account& mUsage;
 };
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -1,4 +1,6 @@
+#include "Duties/Configuration/PeerExchange.h"
 #include "Duties/Configuration/ResourceApi.h"
+#include "Duties/Keys/KeyGate.h"
 #include "Libraries/Core/Identity.h"
 #include "Libraries/Core/Log.h"
 #include "Libraries/Core/TerminationSignal.h"
@@ -30,9 +32,52 @@
   return options;
 }
 
+/** What peers and agents together tell of the configuration. */
+keys::witness_summary
+Summarize(const configuration::peer_report& aPeers,
+          const membership::witness_report& aAgents)
+{
+  keys::witness_summary summary;
+  if (aAgents.mKnown) {
+    summary.mKnown = *aAgents.mKnown + aPeers.mKnown;
+  }
+  summary.mAsked = aAgents.mAsked + aPeers.mAsked;
+  summary.mAudible = aAgents.mAudible + aPeers.mAudible;
+  summary.mHighestChanged =
+    std::max(aAgents.mHighestChanged, aPeers.mHighestChanged);
+  summary.mLatestProof = std::max(aAgents.mLatestProof, aPeers.mLatestProof);
+  return summary;
+}
+
+/** Sets the gauges whose values are only known when somebody reads them. */
+void
+WriteGauges(metrics::registry& aMetrics,
+            const configuration::configuration_store& aConfiguration,
+            const configuration::peer_exchange& aPeers,
+            const membership::server_directory& aDirectory)
+{
+  const auto digest = aConfiguration.Digest();
+  const auto peers = aPeers.Report();
+  aMetrics.SetGauge("lavender_configuration_revision",
+                    {},
+                    static_cast<double>(digest.mKnownUpTo));
+  aMetrics.SetGauge("lavender_configuration_changed_revision",
+                    {},
+                    static_cast<double>(digest.mChanged));
+  aMetrics.SetGauge(
+    "lavender_configuration_proof_age_seconds",
+    {},
+    std::chrono::duration<double>(aConfiguration.FreshAge()).count());
+  aMetrics.SetGauge(
+    "lavender_peers", { { "state", "known" } }, double(peers.mKnown));
+  aMetrics.SetGauge(
+    "lavender_peers", { { "state", "audible" } }, double(peers.mAudible));
+  aDirectory.WriteGauges(aMetrics);
+}
+
 http::router
-MakeHealthRoutes(const metrics::registry& aMetrics,
-                 const configuration::configuration_store& aConfiguration,
+MakeHealthRoutes(const std::function<std::string()>& aMetricsText,
+                 keys::key_gate& aKeyGate,
                  const std::atomic<bool>& aIsDraining)
 {
   http::router routes;
@@ -40,13 +85,18 @@
     return http::response{ 200, "text/plain", {}, "ok\n" };
   });
   routes.Add("GET", "/readyz", [&](const auto&, const auto&) {
-    if (aIsDraining || !aConfiguration.IsReady()) {
-      return http::response{ 503, "text/plain", {}, "not ready\n" };
+    const auto freshness = aKeyGate.Check();
+    if (aIsDraining || !keys::IsFreshEnough(freshness)) {
+      return http::response{ 503,
+                             "text/plain",
+                             {},
+                             std::string("not ready ") +
+                               keys::WordFor(freshness) + "\n" };
     }
     return http::response{ 200, "text/plain", {}, "ready\n" };
   });
-  routes.Add("GET", "/metrics", [&](const auto&, const auto&) {
-    return http::response{ 200, "text/plain", {}, aMetrics.Write() };
+  routes.Add("GET", "/metrics", [aMetricsText](const auto&, const auto&) {
+    return http::response{ 200, "text/plain", {}, aMetricsText() };
   });
   return routes;
 }
@@ -82,15 +132,34 @@
   platformClient.mCaller = aValues.Text("name");
   platformClient.mMetrics = &metrics;
 
-  configuration::configuration_store configuration(platformClient);
+  configuration::configuration_store configuration(
+    { platformClient, aValues.Text("data-folder") });
   membership::directory_options directoryOptions;
   directoryOptions.mPlatform = platformClient;
   directoryOptions.mEntryIncarnation = incarnation;
   directoryOptions.mDigest = [&] {
-    return membership::own_digest{ configuration.Current()->mRevision,
+    return membership::own_digest{ configuration.Digest().mChanged,
                                    configuration.FreshAge() };
   };
+  directoryOptions.mDataFolder = aValues.Text("data-folder");
+  directoryOptions.mMetrics = &metrics;
   membership::server_directory directory(directoryOptions);
+  configuration::peer_options peerOptions;
+  peerOptions.mOwnName = aValues.Text("name");
+  peerOptions.mOwnIncarnation = incarnation;
+  peerOptions.mEntries = [&] { return directory.Entries(); };
+  peerOptions.mMetrics = &metrics;
+  configuration::peer_exchange peers(peerOptions, configuration);
+  keys::key_gate_options gateOptions;
+  gateOptions.mOwn = [&] {
+    const auto digest = configuration.Digest();
+    return keys::own_freshness{ digest.mKnownUpTo, digest.mProvenAt };
+  };
+  gateOptions.mWitnesses = [&] {
+    return Summarize(peers.Report(), directory.Witnesses());
+  };
+  gateOptions.mMetrics = &metrics;
+  keys::key_gate keyGate(gateOptions);
   dispatch::entry_dispatch_options dispatchOptions;
   dispatchOptions.mEntryIncarnation = incarnation;
   dispatchOptions.mOwnZone = aValues.Text("zone");
@@ -101,14 +170,21 @@
   callerOptions.mMaximumRequests = aValues.Integer("maximum-requests");
   callerOptions.mDefaultDeadline = aValues.Milliseconds("default-deadline");
   callerOptions.mPlatform = platformClient;
+  callerOptions.mKeyGate = &keyGate;
   entry::caller_api callers(
     callerOptions, configuration, directory, dispatcher, account, metrics);
 
   configuration.Start();
   directory.Start();
+  peers.Start();
   std::atomic<bool> isDraining{ false };
-  const auto healthRoutes =
-    MakeHealthRoutes(metrics, configuration, isDraining);
+  const auto healthRoutes = MakeHealthRoutes(
+    [&] {
+      WriteGauges(metrics, configuration, peers, directory);
+      return metrics.Write();
+    },
+    keyGate,
+    isDraining);
   http::router operatorRoutes;
   configuration::AddResourceRoutes(
     operatorRoutes, configuration, platformClient);
@@ -128,11 +204,14 @@
                               return http::Serve(healthRoutes, aRequest);
                             });
   const auto wireListen = http::ParseEndpoint(aValues.Text("wire-listen"));
-  wire::wire_server wireServer(wireListen->mAddress,
-                               wireListen->mPort,
-                               std::make_shared<wire::entry_serviceProcessor>(
-                                 std::make_shared<entry::entry_handler>(
-                                   incarnation, configuration, account)));
+  wire::wire_server wireServer(
+    wireListen->mAddress,
+    wireListen->mPort,
+    std::make_shared<wire::entry_serviceProcessor>(
+      std::make_shared<entry::entry_handler>(
+        entry::entry_identity{ aValues.Text("name"), incarnation },
+        configuration,
+        account)));
   std::cout << "ready callers=" << callerServer.Port()
             << " operators=" << operatorServer.Port()
             << " health=" << healthServer.Port()
@@ -147,6 +226,7 @@
   callerServer.Stop();
   operatorServer.Stop();
   wireServer.Stop();
+  peers.Stop();
   directory.Stop();
   configuration.Stop();
   healthServer.Stop();
