--- a/Libraries/Settings/Settings.cpp
+++ b/Libraries/Settings/Settings.cpp
@@ -158,7 +158,16 @@
     flags.push_back(std::make_unique<TCLAP::ValueArg<std::string>>(
       "", declared.mFlag, Describe(declared), false, "", "value", line));
   }
-  line.parse(aCount, aArguments);
+  // The library would print the first error and exit; here it is one finding
+  // among the others. Help and version still end the process.
+  line.setExceptionHandling(false);
+  try {
+    line.parse(aCount, aArguments);
+  } catch (const TCLAP::ExitException& exit) {
+    std::exit(exit.getExitStatus());
+  } catch (const TCLAP::ArgException& error) {
+    outcome.mFindings.Add(error.argId(), error.error());
+  }
   outcome.mIsCheckOnly = checkOnly.getValue();
   for (std::size_t i = 0; i < aDeclared.size(); ++i) {
     const auto& declared = aDeclared[i];
--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -21,7 +21,9 @@
 } // namespace
 
 child_process::child_process(const std::string& aProgram,
-                             const std::vector<std::string>& aArguments)
+                             const std::vector<std::string>& aArguments,
+                             const std::vector<std::string>& aEnvironment,
+                             output aOutput)
 {
   int ends[2];
   if (pipe(ends) != 0) {
@@ -29,7 +31,10 @@
   }
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_adddup2(&actions, ends[1], STDOUT_FILENO);
+  posix_spawn_file_actions_adddup2(&actions,
+                                   ends[1],
+                                   aOutput == output::Standard ? STDOUT_FILENO
+                                                               : STDERR_FILENO);
   posix_spawn_file_actions_addclose(&actions, ends[0]);
   posix_spawn_file_actions_addclose(&actions, ends[1]);
   std::vector<char*> arguments;
@@ -38,8 +43,20 @@
     arguments.push_back(const_cast<char*>(argument.c_str()));
   }
   arguments.push_back(nullptr);
-  const int failure = posix_spawn(
-    &mId, aProgram.c_str(), &actions, nullptr, arguments.data(), environ);
+  std::vector<char*> environment;
+  for (const auto& variable : aEnvironment) {
+    environment.push_back(const_cast<char*>(variable.c_str()));
+  }
+  for (char** variable = environ; *variable; ++variable) {
+    environment.push_back(*variable);
+  }
+  environment.push_back(nullptr);
+  const int failure = posix_spawn(&mId,
+                                  aProgram.c_str(),
+                                  &actions,
+                                  nullptr,
+                                  arguments.data(),
+                                  environment.data());
   posix_spawn_file_actions_destroy(&actions);
   close(ends[1]);
   mOutput = ends[0];
@@ -102,6 +119,26 @@
   return isReady;
 }
 
+std::string
+child_process::ReadToEnd(std::chrono::milliseconds aWait)
+{
+  std::string text;
+  const auto end = std::chrono::steady_clock::now() + aWait;
+  while (std::chrono::steady_clock::now() < end) {
+    pollfd waiting{ mOutput, POLLIN, 0 };
+    if (poll(&waiting, 1, 100) <= 0) {
+      continue;
+    }
+    char buffer[4096];
+    const auto size = read(mOutput, buffer, sizeof buffer);
+    if (size <= 0) {
+      break;
+    }
+    text.append(buffer, static_cast<std::size_t>(size));
+  }
+  return text;
+}
+
 std::uint16_t
 child_process::Port(const std::string& aName) const
 {
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -9,12 +9,21 @@
 
 namespace lavender::test {
 
+/** Which of the program's outputs the test reads. */
+enum class output
+{
+  Standard,
+  Errors
+};
+
 /** A program of ours started by a test, and ended with it by its id. */
 class child_process
 {
 public:
   child_process(const std::string& aProgram,
-                const std::vector<std::string>& aArguments);
+                const std::vector<std::string>& aArguments,
+                const std::vector<std::string>& aEnvironment = {},
+                output aOutput = output::Standard);
   /** Kills the process when it still runs. */
   ~child_process();
   child_process(child_process&& aOther) noexcept;
@@ -24,6 +33,9 @@
   /** Waits for the line "ready NAME=PORT ..." and remembers the ports.
    * False when the process ended or stayed silent for 20 s. */
   bool WaitUntilReady();
+  /** Everything that it writes until it closes its output or the wait is
+   * over. */
+  std::string ReadToEnd(std::chrono::milliseconds aWait);
   /** Port of that name from the ready line; 0 when there is none. */
   std::uint16_t Port(const std::string& aName) const;
   void Signal(int aSignal) const;
