A call leaves once when the server closes before its answer

Cause: http::Call connected its client first; on a connection that is already open cxxtools' execute sends the request again when the peer closes before the reply. Now execute opens the connection itself: 1 request. The library throws one type for 'refused' and for 'broke after sending'; the text tells them apart, and an unknown text counts as sent.

--- a/Libraries/Http/Client.cpp
+++ b/Libraries/Http/Client.cpp
@@ -4,8 +4,26 @@
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/reply.h>
 #include <cxxtools/http/request.h>
+#include <cxxtools/net/addrinfo.h>
 
 namespace lavender::http {
+namespace {
+
+/** Whether no connection came about, so that no byte can have left.
+ *
+ * The library throws the same type for a refused connection and for one that
+ * broke after the request was sent; only the text tells them apart. A text
+ * that isn't known counts as sent, which never makes a false "not run". */
+bool
+IsConnectFailure(const std::exception& aError)
+{
+  const bool isUnusableAddress =
+    dynamic_cast<const cxxtools::net::AddrInfoError*>(&aError) != nullptr;
+  return isUnusableAddress ||
+         std::string(aError.what()).rfind("while trying to connect", 0) == 0;
+}
+
+} // namespace
 
 std::optional<endpoint>
 ParseEndpoint(const std::string& aText)
@@ -53,10 +71,10 @@
     }
     request.setHeader("Connection", "close");
     request.body() << aRequest.mBody;
-    client.connect();
-    // From here on bytes may leave, so a failure no longer proves anything.
-    outcome.mState = call_state::Unknown;
+    // The client must not be connected beforehand: execute would send the
+    // request a second time when the server closes before its reply.
     const auto& header = client.execute(request, timeout, timeout);
+    outcome.mState = call_state::Unknown;
     const auto& reply = client.readBody();
     outcome.mResponse.mStatus = static_cast<int>(header.httpReturnCode());
     for (const auto& [name, content] : header) {
@@ -68,6 +86,9 @@
     outcome.mState = call_state::Answered;
   } catch (const std::exception& error) {
     outcome.mLastReason = error.what();
+    if (!IsConnectFailure(error)) {
+      outcome.mState = call_state::Unknown;
+    }
   }
   return outcome;
 }
--- /dev/null
+++ b/Libraries/Http/TestClient.cpp
@@ -0,0 +1,95 @@
+#include "Libraries/Http/Client.h"
+
+#include <arpa/inet.h>
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+using namespace lavender;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Reads each request on a new connection, then closes without an answer. */
+class closing_listener
+{
+public:
+  closing_listener()
+    : mSocket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    listen(mSocket, 8);
+    socklen_t size = sizeof address;
+    getsockname(mSocket, reinterpret_cast<sockaddr*>(&address), &size);
+    mPort = ntohs(address.sin_port);
+    mThread = std::thread([this] { Serve(); });
+  }
+  ~closing_listener()
+  {
+    shutdown(mSocket, SHUT_RDWR);
+    mThread.join();
+    close(mSocket);
+  }
+  closing_listener(const closing_listener&) = delete;
+  closing_listener& operator=(const closing_listener&) = delete;
+
+  std::uint16_t Port() const { return mPort; }
+  int Requests() const { return mRequests; }
+
+private:
+  void Serve()
+  {
+    for (int peer = accept(mSocket, nullptr, nullptr); peer >= 0;
+         peer = accept(mSocket, nullptr, nullptr)) {
+      char bytes[4096];
+      if (read(peer, bytes, sizeof bytes) > 0) {
+        ++mRequests;
+      }
+      close(peer);
+    }
+  }
+
+  const int mSocket;
+  std::uint16_t mPort = 0;
+  std::atomic<int> mRequests{ 0 };
+  std::thread mThread;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestClient)
+
+// A booking is made twice from one call. The server accepts the connection,
+// reads the booking and dies before its answer; a client that repeats on its
+// own sends the same bytes again on a new connection.
+BOOST_AUTO_TEST_CASE(SendsOnceWhenTheServerClosesBeforeItsAnswer)
+{
+  closing_listener server;
+  const auto outcome =
+    http::Call({ "127.0.0.1", server.Port() },
+               { "POST", "/book", "", {}, "{\"receiver\":\"R8\"}" },
+               2000ms);
+  BOOST_TEST(server.Requests() == 1);
+  BOOST_TEST((outcome.mState == http::call_state::Unknown));
+}
+
+// A caller is told "not run" truthfully: nobody listens, so nothing can have
+// left.
+BOOST_AUTO_TEST_CASE(TellsThatNothingWasSentWhenNobodyListens)
+{
+  std::uint16_t port = 0;
+  {
+    closing_listener gone;
+    port = gone.Port();
+  }
+  const auto outcome = http::Call(
+    { "127.0.0.1", port }, { "POST", "/book", "", {}, "{}" }, 2000ms);
+  BOOST_TEST((outcome.mState == http::call_state::NotSent));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
