--- a/Duties/Dispatch/TestHistoryModel.cpp
+++ b/Duties/Dispatch/TestHistoryModel.cpp
@@ -9,7 +9,7 @@
 using wire::wire_state;
 using namespace std::chrono_literals;
 
-constexpr std::size_t kMaximumCalls = 8;
+constexpr std::size_t kMaximumCalls = 12;
 constexpr int kKeys = 2;
 
 std::string
@@ -38,8 +38,8 @@
   auto& limits = made.mLedger.mLimits;
   limits.mMaximumQueued = 2;
   limits.mSlots = 1;
-  limits.mMaximumEnded = 4;
-  limits.mMaximumAnswerBytes = 24;
+  limits.mMaximumEnded = 2;
+  limits.mMaximumAnswerBytes = 16;
   return made;
 }
 
--- a/Duties/Dispatch/TestHistoryModel.h
+++ b/Duties/Dispatch/TestHistoryModel.h
@@ -132,8 +132,6 @@
   std::map<std::string, int> mRunsByAttempt;
   std::map<std::string, int> mRunsByRequest;
   std::map<int, int> mRunsByKey;
-  /** The order of arrival tells a reordering. */
-  int mLastDelivered = 0;
 };
 
 } // namespace lavender::dispatch::model
