TLS for callers, operators, the platform and between processes

Between processes both sides show a certificate of one authority. Found on the way: the library marks a factory as the server's, so a shared one made every client refuse to open ('Invalid arguments'); listeners have their own now. A silent peer under TLS still ends by the timeout (TestSecurity).

--- a/Libraries/Http/Client.cpp
+++ b/Libraries/Http/Client.cpp
@@ -9,6 +9,9 @@
 namespace lavender::http {
 namespace {
 
+/** The library's level that refuses a server without a good certificate. */
+constexpr int kVerifyPeer = 2;
+
 /** Whether no connection came about, so that no byte can have left.
  *
  * The library throws the same type for a refused connection and for one that
@@ -60,7 +63,11 @@
     static_cast<double>(std::max<std::int64_t>(aTimeout.count(), 1)));
   cxxtools::http::Client client;
   try {
-    client.prepareConnect(aEndpoint.mAddress, aEndpoint.mPort);
+    const bool isSecured = !aEndpoint.mAuthority.empty();
+    client.prepareConnect(aEndpoint.mAddress, aEndpoint.mPort, isSecured);
+    if (isSecured) {
+      client.setSslVerify(kVerifyPeer, aEndpoint.mAuthority);
+    }
     // The library sends its own query member only with GET.
     cxxtools::http::Request request(aRequest.mQuery.empty()
                                       ? aRequest.mPath
--- a/Libraries/Settings/Settings.cpp
+++ b/Libraries/Settings/Settings.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <memory>
 #include <tclap/CmdLine.h>
@@ -98,12 +99,26 @@
                        aText) == aSetting.mChoices.end()
                ? "'" + aText + "' is not one of the choices"
                : std::string();
+    case setting_kind::File:
+      return aText.empty() || std::ifstream(aText).good()
+               ? std::string()
+               : "'" + aText + "' can't be read";
   }
   return {};
 }
 
 } // namespace
 
+setting
+OptionalFile(std::string aFlag, std::string aDescription)
+{
+  setting declared;
+  declared.mFlag = std::move(aFlag);
+  declared.mDescription = std::move(aDescription);
+  declared.mKind = setting_kind::File;
+  return declared;
+}
+
 const std::string&
 values::Text(const std::string& aFlag) const
 {
--- a/Libraries/Settings/Settings.h
+++ b/Libraries/Settings/Settings.h
@@ -22,7 +22,9 @@
   /** Comma-separated endpoints; may be empty. */
   Endpoints,
   /** One of the listed choices. */
-  Choice
+  Choice,
+  /** Path of a file that can be read; may be empty. */
+  File
 };
 
 /** Declaration of one setting. The environment variable's name follows from
@@ -41,6 +43,10 @@
   bool mIsRequired = false;
 };
 
+/** Declaration of an optional file. */
+setting
+OptionalFile(std::string aFlag, std::string aDescription);
+
 /** Settings after reading, by flag. */
 struct values
 {
--- a/Libraries/Wire/ConnectionPool.h
+++ b/Libraries/Wire/ConnectionPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Libraries/Http/Client.h"
+#include "Libraries/Wire/Security.h"
 
 #include <chrono>
 #include <memory>
@@ -136,8 +137,7 @@
 
   std::unique_ptr<connection> Open()
   {
-    auto socket = std::make_shared<apache::thrift::transport::TSocket>(
-      mEndpoint.mAddress, mEndpoint.mPort);
+    auto socket = MakeClientSocket(mEndpoint);
     socket->setConnTimeout(static_cast<int>(mConnectTimeout.count()));
     socket->setNoDelay(true);
     socket->open();
--- /dev/null
+++ b/Libraries/Wire/SecuritySettings.cpp
@@ -0,0 +1,42 @@
+#include "Libraries/Wire/SecuritySettings.h"
+
+namespace lavender::wire {
+
+std::vector<settings::setting>
+DeclareSecurity()
+{
+  return {
+    settings::OptionalFile("wire-authority",
+                           "Authority that signs the certificates of the "
+                           "system's own processes, PEM."),
+    settings::OptionalFile("wire-certificate",
+                           "Certificate for other processes, PEM."),
+    settings::OptionalFile("wire-private-key",
+                           "Private key of the wire certificate, PEM."),
+  };
+}
+
+void
+CheckSecurity(const settings::values& aValues, findings& aFindings)
+{
+  const auto files = ReadSecurity(aValues);
+  const bool isComplete = !files.mAuthority.empty() &&
+                          !files.mCertificate.empty() &&
+                          !files.mPrivateKey.empty();
+  const bool isNone = files.mAuthority.empty() && files.mCertificate.empty() &&
+                      files.mPrivateKey.empty();
+  if (!isComplete && !isNone) {
+    aFindings.Add("--wire-authority",
+                  "set all three wire files, or none of them");
+  }
+}
+
+security_files
+ReadSecurity(const settings::values& aValues)
+{
+  return { aValues.Text("wire-authority"),
+           aValues.Text("wire-certificate"),
+           aValues.Text("wire-private-key") };
+}
+
+} // namespace lavender::wire
--- a/Libraries/Wire/WireServer.cpp
+++ b/Libraries/Wire/WireServer.cpp
@@ -1,7 +1,12 @@
 #include "Libraries/Wire/WireServer.h"
 
+#include "Libraries/Core/Log.h"
+#include "Libraries/Wire/Security.h"
+
 #include <future>
+#include <mutex>
 #include <thread>
+#include <thrift/TOutput.h>
 #include <thrift/protocol/TBinaryProtocol.h>
 #include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -21,6 +26,18 @@
   std::promise<void> mOpened;
 };
 
+/** The library writes to standard error on its own; its messages, mostly of
+ * peers that closed, become log lines of this part. */
+void
+LogLibraryMessages()
+{
+  static std::once_flag once;
+  std::call_once(once, [] {
+    apache::thrift::GlobalOutput.setOutputFunction(
+      [](const char* aMessage) { Log(log_level::Debug, "wire", aMessage); });
+  });
+}
+
 } // namespace
 
 struct wire_server::implementation
@@ -36,8 +53,9 @@
   : mImplementation(std::make_unique<implementation>())
 {
   using namespace apache::thrift;
+  LogLibraryMessages();
   auto& self = *mImplementation;
-  self.mSocket = std::make_shared<transport::TServerSocket>(aAddress, aPort);
+  self.mSocket = MakeServerSocket(aAddress, aPort);
   self.mServer = std::make_unique<TThreadedServer>(
     std::move(aProcessor),
     self.mSocket,
--- a/Services/Agent/AgentSettings.cpp
+++ b/Services/Agent/AgentSettings.cpp
@@ -1,5 +1,7 @@
 #include "Services/Agent/AgentSettings.h"
 
+#include "Libraries/Wire/SecuritySettings.h"
+
 namespace lavender::agent {
 
 using settings::setting_kind;
@@ -7,7 +9,7 @@
 std::vector<settings::setting>
 DeclareSettings()
 {
-  return {
+  std::vector<settings::setting> declared = {
     { "name",
       "Name of this instance in the platform's list.",
       "",
@@ -117,6 +119,10 @@
       { "debug", "info", "warning", "error" },
       false },
   };
+  for (auto& setting : wire::DeclareSecurity()) {
+    declared.push_back(std::move(setting));
+  }
+  return declared;
 }
 
 } // namespace lavender::agent
--- a/Services/Agent/main.cpp
+++ b/Services/Agent/main.cpp
@@ -3,6 +3,7 @@
 #include "Libraries/Core/TerminationSignal.h"
 #include "Libraries/Http/Router.h"
 #include "Libraries/Http/Server.h"
+#include "Libraries/Wire/SecuritySettings.h"
 #include "Libraries/Wire/WireServer.h"
 #include "Services/Agent/AgentHandler.h"
 #include "Services/Agent/AgentSettings.h"
@@ -132,8 +133,9 @@
 main(int aCount, char** aArguments)
 {
   termination_signal termination;
-  const auto reading = settings::Read(
+  auto reading = settings::Read(
     "lavender-agent", agent::DeclareSettings(), aCount, aArguments);
+  wire::CheckSecurity(reading.mValues, reading.mFindings);
   if (!reading.mFindings.IsEmpty()) {
     settings::Report(reading.mFindings);
     return settings::kBadSettingsStatus;
@@ -143,6 +145,7 @@
   }
   StartLog(ParseLogLevel(reading.mValues.Text("log-level")));
   try {
+    wire::UseSecurity(wire::ReadSecurity(reading.mValues));
     return Run(reading.mValues, termination);
   } catch (const std::exception& error) {
     Log(log_level::Error, "agent", std::string("Can't go on: ") + error.what());
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -1,5 +1,7 @@
 #include "Services/Entry/EntrySettings.h"
 
+#include "Libraries/Wire/SecuritySettings.h"
+
 namespace lavender::entry {
 namespace {
 
@@ -44,7 +46,7 @@
 std::vector<setting>
 DeclareSettings()
 {
-  return {
+  std::vector<settings::setting> declared = {
     { "name",
       "Name of this instance in the platform's list.",
       "",
@@ -119,6 +121,17 @@
       { "debug", "info", "warning", "error" },
       false },
   };
+  declared.push_back(settings::OptionalFile(
+    "certificate", "Certificate for callers and operators, PEM."));
+  declared.push_back(settings::OptionalFile(
+    "private-key", "Private key of that certificate, PEM."));
+  declared.push_back(settings::OptionalFile(
+    "platform-authority",
+    "Authority of the platform's certificate, PEM; plain HTTP without it."));
+  for (auto& setting : wire::DeclareSecurity()) {
+    declared.push_back(std::move(setting));
+  }
+  return declared;
 }
 
 } // namespace lavender::entry
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -3,6 +3,7 @@
 #include "Libraries/Core/Log.h"
 #include "Libraries/Core/TerminationSignal.h"
 #include "Libraries/Http/Server.h"
+#include "Libraries/Wire/SecuritySettings.h"
 #include "Libraries/Wire/WireServer.h"
 #include "Services/Entry/CallerApi.h"
 #include "Services/Entry/EntryHandler.h"
@@ -27,6 +28,8 @@
   options.mMaximumThreads = aThreads;
   options.mMaximumBodyBytes =
     static_cast<std::size_t>(aValues.Integer("maximum-body"));
+  options.mCertificateFile = aValues.Text("certificate");
+  options.mPrivateKeyFile = aValues.Text("private-key");
   return options;
 }
 
@@ -79,6 +82,7 @@
   metrics::registry metrics;
   platform::client platformClient;
   platformClient.mEndpoint = *http::ParseEndpoint(aValues.Text("platform"));
+  platformClient.mEndpoint.mAuthority = aValues.Text("platform-authority");
   platformClient.mCaller = aValues.Text("name");
   platformClient.mMetrics = &metrics;
 
@@ -162,8 +166,9 @@
 main(int aCount, char** aArguments)
 {
   termination_signal termination;
-  const auto reading = settings::Read(
+  auto reading = settings::Read(
     "lavender-entry", entry::DeclareSettings(), aCount, aArguments);
+  wire::CheckSecurity(reading.mValues, reading.mFindings);
   if (!reading.mFindings.IsEmpty()) {
     settings::Report(reading.mFindings);
     return settings::kBadSettingsStatus;
@@ -173,6 +178,7 @@
   }
   StartLog(ParseLogLevel(reading.mValues.Text("log-level")));
   try {
+    wire::UseSecurity(wire::ReadSecurity(reading.mValues));
     return Run(reading.mValues, termination);
   } catch (const std::exception& error) {
     Log(log_level::Error, "entry", std::string("Can't go on: ") + error.what());
--- a/Tests/Runner.cpp
+++ b/Tests/Runner.cpp
@@ -1,5 +1,6 @@
 #define BOOST_TEST_MODULE lavenderstair
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <cstdlib>
 
 namespace {
@@ -7,14 +8,16 @@
 /** Generated histories come from a fixed seed, so that every run gives the
  * same verdict. A long run sets RC_PARAMS itself, for example
  * RC_PARAMS="seed=7 max_success=1000000". */
-struct fixed_histories
+struct test_process
 {
-  fixed_histories()
+  test_process()
   {
+    // As in the programs: a peer that closes must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
     setenv("RC_PARAMS", "seed=20261203 max_success=10000", 0);
   }
 };
 
 } // namespace
 
-BOOST_TEST_GLOBAL_FIXTURE(fixed_histories);
+BOOST_TEST_GLOBAL_FIXTURE(test_process);
