--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -1,4 +1,5 @@
 #include "Duties/Configuration/ResourceApi.h"
+#include "Duties/Leases/LeaseKeeper.h"
 #include "Libraries/Core/Identity.h"
 #include "Libraries/Core/Log.h"
 #include "Libraries/Core/TerminationSignal.h"
@@ -72,6 +73,33 @@
   }
 }
 
+/** The keeper prefers the entries of the directory's list. */
+leases::keeper_options
+KeeperOptions(const settings::values& aValues,
+              const platform::client& aPlatform,
+              const std::string& aIncarnation,
+              const membership::server_directory& aDirectory,
+              metrics::registry& aMetrics)
+{
+  leases::keeper_options options;
+  options.mPlatform = aPlatform;
+  options.mName = aValues.Text("name");
+  options.mIncarnation = aIncarnation;
+  options.mSettings.mDuration = aValues.Milliseconds("lease-duration");
+  options.mSettings.mLateBytes = aValues.Milliseconds("lease-late-bytes");
+  options.mMetrics = &aMetrics;
+  options.mEntries = [&aDirectory] {
+    std::vector<std::string> names;
+    for (const auto& entry : aDirectory.Entries()) {
+      if (!entry.mIsLeaving) {
+        names.push_back(entry.mName);
+      }
+    }
+    return names;
+  };
+  return options;
+}
+
 int
 Run(const settings::values& aValues, termination_signal& aTermination)
 {
@@ -91,6 +119,8 @@
                                    configuration.FreshAge() };
   };
   membership::server_directory directory(directoryOptions);
+  leases::lease_keeper leaseKeeper(
+    KeeperOptions(aValues, platformClient, incarnation, directory, metrics));
   dispatch::entry_dispatch_options dispatchOptions;
   dispatchOptions.mEntryIncarnation = incarnation;
   dispatchOptions.mOwnZone = aValues.Text("zone");
@@ -147,6 +177,7 @@
   callerServer.Stop();
   operatorServer.Stop();
   wireServer.Stop();
+  leaseKeeper.Stop();
   directory.Stop();
   configuration.Stop();
   healthServer.Stop();
