Leases: generated histories of three candidates; own bytes can't cross a lapse

The histories (10,000) mix pauses, store outages, lost, late and doubled requests, restarts, clocks apart by 1/16 and bytes that arrive late. Oracle: at most one believes, no order with a lower number arrives after one with a higher, the number never falls and grows with each holder; somebody holds within twelve takeover waits after the faults end.

Found: a holder that lapsed renewed at once under a new number, and its own bytes from before the lapse arrived after the new ones ("orders of two holders interleave", after 1299 histories). It now waits the late bytes out as a successor does.

The drift allowance and the nonce in a conflict weren't caught by 10,000 histories when taken out; they stay, unproved.

--- a/Duties/Leases/Lease.cpp
+++ b/Duties/Leases/Lease.cpp
@@ -56,6 +56,13 @@
   aState.mPending.reset();
 }
 
+milliseconds
+LateBytesWait(const lease_settings& aSettings)
+{
+  return aSettings.mLateBytes + aSettings.mLateBytes / aSettings.mDriftPart +
+         1ms;
+}
+
 /** When a lease that another process holds, or nobody, may be taken. */
 time_point
 FreeAt(const lease_state& aState,
@@ -116,8 +123,8 @@
 {
   // The holder's own duration counts: it may run with other settings.
   const auto duration = std::max(aRecord.mDuration, aSettings.mDuration);
-  return duration + duration / aSettings.mDriftPart + aSettings.mLateBytes +
-         1ms;
+  const auto wait = duration + aSettings.mLateBytes;
+  return wait + wait / aSettings.mDriftPart + 1ms;
 }
 
 milliseconds
@@ -150,6 +157,12 @@
     // new one, since work under the old number was broken off.
     const auto held = HeldAt(aState, aNow);
     const bool isSame = held && held->mFencing == record.mFencing;
+    if (!held && aState.mHeld &&
+        aNow < aState.mHeld->mExpiresAt + LateBytesWait(aSettings)) {
+      // Own bytes sent just before the lapse may still arrive, and must not do
+      // so after those sent under the new number.
+      return step;
+    }
     return MakeWrite(aState,
                      aSelf,
                      aSettings,
--- a/Duties/Leases/Lease.h
+++ b/Duties/Leases/Lease.h
@@ -24,8 +24,8 @@
   /** Within this a byte sent before a lease's end has arrived or is lost. A
    * successor waits it out on top of the duration. */
   milliseconds mLateBytes{ 3000 };
-  /** How much slower another process' clock may run: one part in this many.
-   */
+  /** How far the rates of two processes' clocks may differ: one part in this
+   * many. */
   std::int64_t mDriftPart = 64;
   /** How long after a failed call the next one is made. */
   milliseconds mRetryEvery{ 300 };
