--- a/Duties/Dispatch/AgentDispatch.cpp
+++ b/Duties/Dispatch/AgentDispatch.cpp
@@ -8,6 +8,9 @@
 using wire::run_state;
 using namespace std::chrono_literals;
 
+/** Time for threads to write replies that are ready when the process ends. */
+constexpr milliseconds kWriteReplies = 200ms;
+
 bool
 IsOver(run_state::type aState)
 {
@@ -28,6 +31,7 @@
   for (std::size_t i = 0; i < aLimits.mSlots; ++i) {
     mSlots.emplace_back([this] { RunSlot(); });
   }
+  mCanceller = std::thread([this] { CancelLoop(); });
 }
 
 agent_dispatch::~agent_dispatch()
@@ -40,7 +44,9 @@
 {
   std::unique_lock lock(mMutex);
   const auto answer = Admit(mLedger, aOrder, boot_clock::now());
-  mChanged.notify_all();
+  if (answer.mState == run_state::QUEUED) {
+    mWorkCame.notify_one();
+  }
   return WaitForEnd(lock, aOrder.request_id, answer, aWait);
 }
 
@@ -53,22 +59,32 @@
 }
 
 wire::dispatch_reply
-agent_dispatch::Cancel(const std::string& aId)
+agent_dispatch::Cancel(const std::string& aId, time_point aIssuedAt)
 {
-  ledger_answer answer;
-  {
-    std::lock_guard lock(mMutex);
-    answer = dispatch::Cancel(mLedger, aId, boot_clock::now());
-  }
-  mChanged.notify_all();
+  std::lock_guard lock(mMutex);
+  const auto answer =
+    dispatch::Cancel(mLedger, aId, aIssuedAt, boot_clock::now());
   if (answer.mState == run_state::RUNNING &&
       mServer.mKind == backend_kind::Engine) {
-    CancelOnServer(mServer, aId);
+    // A thread of its own tells the server, since a slow server must not hold
+    // back the answer that the entry waits for.
+    std::string id = aId;
+    mToCancel.TryPush(id);
   }
-  std::lock_guard lock(mMutex);
+  mEnded.notify_all();
   return Describe(aId, answer);
 }
 
+void
+agent_dispatch::CancelLoop()
+{
+  while (!mToCancel.IsClosed()) {
+    if (const auto id = mToCancel.Pop(1000ms)) {
+      CancelOnServer(mServer, *id);
+    }
+  }
+}
+
 wire::dispatch_reply
 agent_dispatch::WaitForEnd(std::unique_lock<std::mutex>& aLock,
                            const std::string& aId,
@@ -76,20 +92,19 @@
                            milliseconds aWait)
 {
   const auto end = boot_clock::now() + aWait;
-  while (!IsOver(aAnswer.mState) && !mIsStopping) {
+  while (!IsOver(aAnswer.mState)) {
     const auto now = boot_clock::now();
     if (now >= end) {
       break;
     }
-    mChanged.wait_for(aLock, end - now);
+    mEnded.wait_for(aLock, end - now);
     aAnswer = Ask(mLedger, aId, boot_clock::now());
   }
   return Describe(aId, aAnswer);
 }
 
 wire::dispatch_reply
-agent_dispatch::Describe(const std::string& aId,
-                         const ledger_answer& aAnswer) const
+agent_dispatch::Describe(const std::string& aId, const ledger_answer& aAnswer)
 {
   wire::dispatch_reply reply;
   reply.echo = aId;
@@ -97,8 +112,14 @@
   reply.state = aAnswer.mState;
   reply.reason = aAnswer.mReason;
   reply.draining = mLedger.mIsDraining;
-  if (aAnswer.mState == run_state::FINISHED) {
-    reply.__set_result(mLedger.mRows.at(aId).mResult);
+  if (aAnswer.mState == run_state::NOT_RUN) {
+    reply.retry_after_ms = EstimateQueueDelay(mLedger).count();
+  }
+  if (const auto row = mLedger.mRows.find(aId); row != mLedger.mRows.end()) {
+    if (aAnswer.mState == run_state::FINISHED) {
+      reply.__set_result(row->second.mResult);
+    }
+    row->second.mIsEndTold = IsOver(aAnswer.mState);
   }
   reply.load.queued = static_cast<std::int32_t>(mLedger.mQueue.size());
   reply.load.running = static_cast<std::int32_t>(mLedger.mRunning);
@@ -114,7 +135,7 @@
     const auto order = TakeNext(mLedger, boot_clock::now());
     if (!order) {
       // Wakes now and then so that abandoned and late requests are dropped.
-      mChanged.wait_for(lock, 500ms);
+      mWorkCame.wait_for(lock, 500ms);
       Sweep(mLedger, boot_clock::now());
       continue;
     }
@@ -137,7 +158,7 @@
            run.mReason,
            std::move(run.mResult),
            boot_clock::now());
-    mChanged.notify_all();
+    mEnded.notify_all();
   }
 }
 
@@ -178,15 +199,35 @@
 {
   {
     std::lock_guard lock(mMutex);
+    if (mIsStopping) {
+      return;
+    }
     mIsStopping = true;
     mLedger.mIsDraining = true;
+    RefuseQueued(mLedger, "draining", boot_clock::now());
   }
-  mChanged.notify_all();
+  mWorkCame.notify_all();
+  mEnded.notify_all();
   for (auto& slot : mSlots) {
-    if (slot.joinable()) {
-      slot.join();
-    }
+    slot.join();
+  }
+  mToCancel.Close();
+  mCanceller.join();
+  WaitUntilTold();
+}
+
+void
+agent_dispatch::WaitUntilTold()
+{
+  const auto isAllTold = [this] {
+    std::lock_guard lock(mMutex);
+    return CountUntold(mLedger, boot_clock::now()) == 0;
+  };
+  while (!isAllTold()) {
+    std::this_thread::sleep_for(20ms);
   }
+  // The replies just made are still being written by their threads.
+  std::this_thread::sleep_for(kWriteReplies);
 }
 
 } // namespace lavender::dispatch
--- a/Duties/Dispatch/AgentDispatch.h
+++ b/Duties/Dispatch/AgentDispatch.h
@@ -2,6 +2,7 @@
 
 #include "Duties/Dispatch/BackendServer.h"
 #include "Duties/Dispatch/Ledger.h"
+#include "Libraries/Core/BoundedRing.h"
 
 #include <condition_variable>
 #include <functional>
@@ -33,7 +34,7 @@
                                 milliseconds aWait);
   /** Waits at most that long for a request's end and tells its state. */
   wire::dispatch_reply Await(const std::string& aId, milliseconds aWait);
-  wire::dispatch_reply Cancel(const std::string& aId);
+  wire::dispatch_reply Cancel(const std::string& aId, time_point aIssuedAt);
 
   /** From now on new orders are refused as "not run". */
   void StartDrain();
@@ -41,14 +42,16 @@
   /** Requests queued or running. */
   std::size_t RequestsLeft() const;
   wire::load_figures Load() const;
-  /** Ends the threads after the running requests; queued ones become "not
-   * run". */
+  /** Refuses queued requests as "not run", waits for the running ones and for
+   * the entries that fetch their ends, and ends the threads. */
   void Stop();
 
 private:
   void RunSlot();
+  void CancelLoop();
+  void WaitUntilTold();
   wire::dispatch_reply Describe(const std::string& aId,
-                                const ledger_answer& aAnswer) const;
+                                const ledger_answer& aAnswer);
   wire::dispatch_reply WaitForEnd(std::unique_lock<std::mutex>& aLock,
                                   const std::string& aId,
                                   ledger_answer aAnswer,
@@ -57,10 +60,16 @@
   const backend_server mServer;
   const run_observer mObserver;
   mutable std::mutex mMutex;
-  std::condition_variable mChanged;
+  /** Work for a slot came, or the process ends. */
+  std::condition_variable mWorkCame;
+  /** A request ended. */
+  std::condition_variable mEnded;
   ledger mLedger;
   bool mIsStopping = false;
   std::vector<std::thread> mSlots;
+  /** Running requests that the server is asked to stop. */
+  bounded_ring<std::string> mToCancel{ 256 };
+  std::thread mCanceller;
 };
 
 } // namespace lavender::dispatch
--- a/Duties/Dispatch/BackendServer.cpp
+++ b/Duties/Dispatch/BackendServer.cpp
@@ -27,12 +27,14 @@
 }
 
 /** Reads counts and weight versions from an engine's answer. False when the
- * body isn't a whole document: an answer cut short is no answer. */
+ * body isn't a whole document, or when the engine stopped on a cancel: an
+ * answer cut short is no answer. */
 bool
 ReadEngineAnswer(wire::run_result& aResult)
 {
   const auto body = json::Parse(aResult.body);
-  if (!body || !body->Find("text")) {
+  if (!body || !body->Find("text") ||
+      json::BooleanAt(*body, "cancelled", false)) {
     return false;
   }
   aResult.prompt_tokens = json::IntegerAt(*body, "prompt_tokens", 0);
--- a/Duties/Dispatch/CallOutcome.h
+++ b/Duties/Dispatch/CallOutcome.h
@@ -30,6 +30,15 @@
   return "outcome_unknown";
 }
 
+/** Whose run an answer comes from. */
+enum class answer_source
+{
+  OwnRun,
+  /** Another request with the same Idempotency-Key made the run, and it is
+   * billed there. */
+  SharedRun
+};
+
 /** The end of one request as the entry knows it. */
 struct call_outcome
 {
@@ -42,6 +51,7 @@
   wire::run_result mResult;
   std::string mServerName;
   std::string mServerIncarnation;
+  answer_source mSource = answer_source::OwnRun;
 };
 
 } // namespace lavender::dispatch
--- a/Duties/Dispatch/EntryDispatch.cpp
+++ b/Duties/Dispatch/EntryDispatch.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Dispatch/EntryDispatch.h"
 
+#include "Duties/Dispatch/RetryDecision.h"
 #include "Duties/Routing/Choose.h"
 #include "Libraries/Core/Log.h"
 #include "Libraries/Core/ScopeGuard.h"
@@ -11,10 +12,8 @@
 namespace {
 
 using membership::server_view;
-using wire::run_state;
 using wire::wire_state;
 using namespace std::chrono_literals;
-using reply_result = wire::wire_result<wire::dispatch_reply>;
 
 /** Silence after which a server gets no new requests. */
 constexpr milliseconds kHeartbeatLimit = 2500ms;
@@ -29,13 +28,13 @@
 
 wire::dispatch_order
 ToOrder(const call& aCall,
-        const std::string& aAttemptId,
-        const server_view& aServer,
+        const attempt_ticket& aTicket,
         const std::string& aEntryIncarnation)
 {
   wire::dispatch_order order;
-  order.request_id = aAttemptId;
-  order.agent_incarnation = aServer.mIncarnation;
+  order.request_id = aTicket.mId;
+  order.agent_incarnation = aTicket.mIncarnation;
+  order.issued_at_ms = aTicket.mIssuedAt.count();
   order.entry_incarnation = aEntryIncarnation;
   order.customer = aCall.mCustomer;
   order.key_id = aCall.mKeyId;
@@ -72,6 +71,7 @@
   , mMetrics(aMetrics)
   , mRandom(std::random_device()())
 {
+  mBudget.mLimits = mOptions.mRetryBudget;
 }
 
 std::optional<server_view>
@@ -108,151 +108,136 @@
 entry_dispatch::Run(const call& aCall)
 {
   std::vector<std::string> tried;
-  call_outcome outcome = Refuse(ran::NotRun, "no_server");
-  for (int attempt = 1; attempt <= mOptions.mMaximumAttempts; ++attempt) {
+  call_progress progress;
+  progress.mIsRepeatable = aCall.mIsRepeatable;
+  progress.mMaximumAttempts = mOptions.mMaximumAttempts;
+  auto outcome = Refuse(ran::NotRun, "no_server");
+  CountFirstAttempt();
+  while (true) {
     if (Left(aCall.mDeadline) <= 0ms) {
-      return Refuse(ran::NotRun, "deadline");
+      return Conclude(progress, Refuse(ran::NotRun, kDeadline));
     }
     const auto server = Pick(aCall.mPool, tried);
     if (!server) {
-      return outcome;
-    }
-    outcome =
-      Attempt(aCall, aCall.mRequestId + "." + std::to_string(attempt), *server);
-    if (outcome.mRan != ran::NotRun) {
-      return outcome;
+      return Conclude(progress, std::move(outcome));
     }
-    if (aCall.mStopReason && !aCall.mStopReason().empty()) {
-      return outcome;
+    const auto number = std::to_string(progress.mAttempts + 1);
+    outcome = Attempt(aCall, Issue(aCall.mRequestId + "." + number, *server));
+    const bool mayGoOn = TakeAttempt(progress, outcome);
+    const bool isStopped = aCall.mStopReason && !aCall.mStopReason().empty();
+    if (!mayGoOn || isStopped || !TakeRetry(outcome.mReason)) {
+      return Conclude(progress, std::move(outcome));
     }
-    mMetrics.Count("lavender_retries_total", { { "reason", outcome.mReason } });
     tried.push_back(server->mInstance.mName);
   }
-  return outcome;
 }
 
-call_outcome
-entry_dispatch::Attempt(const call& aCall,
-                        const std::string& aAttemptId,
-                        const server_view& aServer)
+void
+entry_dispatch::CountFirstAttempt()
 {
-  const std::string& name = aServer.mInstance.mName;
-  mDirectory.AddInFlight(name, 1);
-  scope_guard guard([&] { mDirectory.AddInFlight(name, -1); });
-  const auto order =
-    ToOrder(aCall, aAttemptId, aServer, mOptions.mEntryIncarnation);
-  auto first = aServer.mConnections->Run<wire::dispatch_reply>(
-    mOptions.mSilence, aAttemptId, [&](auto& aClient, auto& aReply) {
-      aClient.Dispatch(
-        aReply, order, static_cast<int>(mOptions.mWaitSlice.count()));
-    });
-  return Follow(&aCall, aAttemptId, aServer, aCall.mDeadline, std::move(first));
+  std::lock_guard lock(mBudgetMutex);
+  dispatch::CountFirstAttempt(mBudget, boot_clock::now());
 }
 
-call_outcome
-entry_dispatch::Fetch(const std::string& aRequestId,
-                      const std::string& aServerName,
-                      const std::string& aServerIncarnation,
-                      time_point aDeadline)
+bool
+entry_dispatch::TakeRetry(const std::string& aReason)
 {
-  auto server = mDirectory.Find(aServerName);
-  if (!server || server->mIncarnation != aServerIncarnation) {
-    // The only process that knew the outcome is gone.
-    return Refuse(ran::OutcomeUnknown, "server_restarted");
+  bool isAllowed = false;
+  {
+    std::lock_guard lock(mBudgetMutex);
+    isAllowed = dispatch::TakeRetry(mBudget, boot_clock::now());
   }
-  reply_result first;
-  first.mState = wire_state::Unknown;
-  return Follow(nullptr, aRequestId, *server, aDeadline, std::move(first));
+  mMetrics.Count(isAllowed ? "lavender_retries_total"
+                           : "lavender_retries_refused_total",
+                 { { "reason", aReason } });
+  return isAllowed;
+}
+
+attempt_ticket
+entry_dispatch::Issue(const std::string& aAttemptId,
+                      const server_view& aServer) const
+{
+  // The agent told its clock before the entry heard it, so the sum is never
+  // ahead of the agent's true time.
+  const auto sinceHeard = boot_clock::now() - *aServer.mHeardAt;
+  return { aAttemptId,
+           aServer.mInstance.mName,
+           aServer.mIncarnation,
+           aServer.mAgentClock +
+             std::chrono::duration_cast<milliseconds>(sinceHeard) };
 }
 
 call_outcome
-entry_dispatch::Follow(const call* aCall,
-                       const std::string& aAttemptId,
-                       const server_view& aServer,
-                       time_point aDeadline,
-                       reply_result aFirst)
+entry_dispatch::Attempt(const call& aCall, const attempt_ticket& aTicket)
 {
-  const std::string& name = aServer.mInstance.mName;
-  auto heardAt = boot_clock::now();
-  reply_result last = std::move(aFirst);
-  while (true) {
-    if (last.mState == wire_state::Answered) {
-      heardAt = boot_clock::now();
-      mDirectory.TakeReply(name, last.mReply);
-      if (last.mReply.agent_incarnation != aServer.mIncarnation) {
-        return Refuse(ran::OutcomeUnknown, "server_restarted");
-      }
-      if (last.mReply.state == run_state::FINISHED) {
-        call_outcome outcome;
-        outcome.mRan = ran::Ran;
-        outcome.mResult = std::move(last.mReply.result);
-        outcome.mServerName = name;
-        outcome.mServerIncarnation = aServer.mIncarnation;
-        return outcome;
-      }
-      if (last.mReply.state == run_state::NOT_RUN) {
-        return Refuse(ran::NotRun, last.mReply.reason);
-      }
-      if (last.mReply.state == run_state::OUTCOME_UNKNOWN) {
-        return Refuse(ran::OutcomeUnknown, last.mReply.reason);
-      }
-      if (last.mReply.state == run_state::UNKNOWN_ID) {
-        return Settle(aAttemptId, aServer, "dispatch_lost");
-      }
-    } else {
-      aServer.mConnections->DropIdle();
-      if (boot_clock::now() - heardAt > mOptions.mGiveUpAfter) {
-        return Refuse(ran::OutcomeUnknown, "server_silent");
-      }
-    }
-    if (Left(aDeadline) <= 0ms) {
-      return Settle(aAttemptId, aServer, "deadline");
-    }
-    if (aCall && aCall->mStopReason) {
-      if (const auto reason = aCall->mStopReason(); !reason.empty()) {
-        return Settle(aAttemptId, aServer, reason);
-      }
-    }
-    if (last.mState == wire_state::NotSent) {
-      std::this_thread::sleep_for(50ms);
-    }
-    last = aServer.mConnections->Run<wire::dispatch_reply>(
-      mOptions.mSilence, aAttemptId, [&](auto& aClient, auto& aReply) {
-        aClient.Await(aReply,
-                      aAttemptId,
-                      aServer.mIncarnation,
-                      static_cast<int>(mOptions.mWaitSlice.count()));
-      });
-  }
+  mDirectory.AddInFlight(aTicket.mServerName, 1);
+  scope_guard guard([&] { mDirectory.AddInFlight(aTicket.mServerName, -1); });
+  return Follow(aCall, aTicket, attempt_role::Owner);
 }
 
 call_outcome
-entry_dispatch::Settle(const std::string& aAttemptId,
-                       const server_view& aServer,
-                       const std::string& aReason)
+entry_dispatch::Fetch(const call& aCall, const attempt_ticket& aTicket)
 {
-  const auto last = aServer.mConnections->Run<wire::dispatch_reply>(
-    mOptions.mSilence, aAttemptId, [&](auto& aClient, auto& aReply) {
-      aClient.Cancel(aReply, aAttemptId, aServer.mIncarnation);
-    });
-  const bool isSameAgent =
-    last.mState == wire_state::Answered &&
-    last.mReply.agent_incarnation == aServer.mIncarnation;
-  if (!isSameAgent) {
-    return Refuse(ran::OutcomeUnknown, aReason);
-  }
-  if (last.mReply.state == run_state::NOT_RUN) {
-    return Refuse(ran::NotRun, aReason);
+  auto outcome = Follow(aCall, aTicket, attempt_role::Follower);
+  outcome.mSource = answer_source::SharedRun;
+  return outcome;
+}
+
+call_outcome
+entry_dispatch::Follow(const call& aCall,
+                       const attempt_ticket& aTicket,
+                       attempt_role aRole)
+{
+  attempt_state state;
+  state.mRole = aRole;
+  state.mIncarnation = aTicket.mIncarnation;
+  state.mDeadline = aCall.mDeadline;
+  auto decision = Begin(mOptions.mLimits, state, boot_clock::now());
+  while (decision.mStep != attempt_step::Finish) {
+    std::this_thread::sleep_for(decision.mPause);
+    decision =
+      Decide(mOptions.mLimits, state, TakeStep(aCall, aTicket, decision));
   }
-  if (last.mReply.state == run_state::FINISHED) {
-    call_outcome outcome;
-    outcome.mRan = ran::Ran;
-    outcome.mResult = last.mReply.result;
-    outcome.mServerName = aServer.mInstance.mName;
-    outcome.mServerIncarnation = aServer.mIncarnation;
-    return outcome;
+  auto& outcome = decision.mOutcome;
+  outcome.mServerName = aTicket.mServerName;
+  outcome.mServerIncarnation = aTicket.mIncarnation;
+  return std::move(outcome);
+}
+
+attempt_event
+entry_dispatch::TakeStep(const call& aCall,
+                         const attempt_ticket& aTicket,
+                         const attempt_decision& aDecision)
+{
+  attempt_event event;
+  // Looked up for each step: a restarted agent may listen elsewhere.
+  if (const auto server = mDirectory.Find(aTicket.mServerName)) {
+    const auto wait = static_cast<std::int32_t>(aDecision.mWait.count());
+    auto result = server->mConnections->Run<wire::dispatch_reply>(
+      aDecision.mTimeout, aTicket.mId, [&](auto& aClient, auto& aReply) {
+        if (aDecision.mStep == attempt_step::Dispatch) {
+          aClient.Dispatch(
+            aReply, ToOrder(aCall, aTicket, mOptions.mEntryIncarnation), wait);
+        } else if (aDecision.mStep == attempt_step::Await) {
+          aClient.Await(aReply, aTicket.mId, aTicket.mIncarnation, wait);
+        } else {
+          aClient.Cancel(aReply,
+                         aTicket.mId,
+                         aTicket.mIncarnation,
+                         aTicket.mIssuedAt.count());
+        }
+      });
+    event.mWire = result.mState;
+    event.mReply = std::move(result.mReply);
+    if (event.mWire == wire_state::Answered) {
+      mDirectory.TakeReply(aTicket.mServerName, event.mReply);
+    } else {
+      server->mConnections->DropIdle();
+    }
   }
-  return Refuse(ran::OutcomeUnknown, aReason);
+  event.mNow = boot_clock::now();
+  event.mStopReason = aCall.mStopReason ? aCall.mStopReason() : "";
+  return event;
 }
 
 } // namespace lavender::dispatch
--- a/Duties/Dispatch/EntryDispatch.h
+++ b/Duties/Dispatch/EntryDispatch.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "Duties/Dispatch/AttemptDecision.h"
+#include "Duties/Dispatch/AttemptTicket.h"
 #include "Duties/Dispatch/CallOutcome.h"
+#include "Duties/Dispatch/RetryBudget.h"
 #include "Duties/Membership/ServerDirectory.h"
 #include "Libraries/Metrics/Metrics.h"
 
@@ -24,6 +27,9 @@
   std::string mMethod;
   std::string mPath;
   std::string mPayload;
+  /** Digest of what the caller sent; tells a repeated request from another
+   * one under the same Idempotency-Key. */
+  std::string mFingerprint;
   double mWeight = 1;
   std::int64_t mCostTokens = 1;
   int mPriority = 0;
@@ -39,20 +45,16 @@
 {
   std::string mEntryIncarnation;
   std::string mOwnZone;
-  /** How long one message to an agent waits for the request's end. */
-  milliseconds mWaitSlice{ 500 };
-  /** Silence after which a connection counts as dead. */
-  milliseconds mSilence{ 1500 };
-  /** How long an agent that gives no word is asked before the outcome is
-   * called unknown. */
-  milliseconds mGiveUpAfter{ 5000 };
+  attempt_limits mLimits;
   int mMaximumAttempts = 3;
+  retry_budget_limits mRetryBudget;
 };
 
 /** Brings one request to one server and its answer back.
  *
- * Each attempt has an id of its own. The request goes elsewhere only after
- * the agent's word that the attempt did not run and never will. */
+ * Each attempt has an id of its own. A call that may not be repeated goes
+ * elsewhere only after the agent's word that the attempt did not run and
+ * never will. */
 class entry_dispatch
 {
 public:
@@ -63,38 +65,42 @@
   /** Runs the call to its end. */
   call_outcome Run(const call& aCall);
 
-  /** Fetches the end of a request that another process sent to a server.
-   * Never sends it anew. */
-  call_outcome Fetch(const std::string& aRequestId,
-                     const std::string& aServerName,
-                     const std::string& aServerIncarnation,
-                     time_point aDeadline);
-
   /** Picks a server for the pool; none when no server can take the call. */
   std::optional<membership::server_view> Pick(
     const std::string& aPool,
     const std::vector<std::string>& aExcluded);
 
-  /** One attempt on one server. */
-  call_outcome Attempt(const call& aCall,
-                       const std::string& aAttemptId,
-                       const membership::server_view& aServer);
+  /** Names an attempt on a server as issued now. */
+  attempt_ticket Issue(const std::string& aAttemptId,
+                       const membership::server_view& aServer) const;
+
+  /** Sends the call once under the ticket and follows it to its end. */
+  call_outcome Attempt(const call& aCall, const attempt_ticket& aTicket);
+
+  /** Fetches the end of an attempt that another request made. Never sends it
+   * anew, and takes it back only when its order never arrived. */
+  call_outcome Fetch(const call& aCall, const attempt_ticket& aTicket);
+
+  /** Whether the retry budget lets one more attempt be made. */
+  bool TakeRetry(const std::string& aReason);
+  void CountFirstAttempt();
+  int MaximumAttempts() const { return mOptions.mMaximumAttempts; }
 
 private:
-  call_outcome Follow(const call* aCall,
-                      const std::string& aAttemptId,
-                      const membership::server_view& aServer,
-                      time_point aDeadline,
-                      wire::wire_result<wire::dispatch_reply> aFirst);
-  call_outcome Settle(const std::string& aAttemptId,
-                      const membership::server_view& aServer,
-                      const std::string& aReason);
+  call_outcome Follow(const call& aCall,
+                      const attempt_ticket& aTicket,
+                      attempt_role aRole);
+  attempt_event TakeStep(const call& aCall,
+                         const attempt_ticket& aTicket,
+                         const attempt_decision& aDecision);
 
   const entry_dispatch_options mOptions;
   membership::server_directory& mDirectory;
   metrics::registry& mMetrics;
   std::mutex mRandomMutex;
   std::mt19937_64 mRandom;
+  std::mutex mBudgetMutex;
+  retry_budget mBudget;
 };
 
 } // namespace lavender::dispatch
--- /dev/null
+++ b/Duties/Dispatch/IdempotentDecision.cpp
@@ -0,0 +1,110 @@
+#include "Duties/Dispatch/IdempotentDecision.h"
+
+namespace lavender::dispatch {
+namespace {
+
+using platform::read_state;
+using platform::write_state;
+
+constexpr int kMaximumWrites = 6;
+
+/** The object that the platform showed decides: it is this request's own
+ * record, whose write's answer was lost, or another's. */
+record_step
+TakeRecord(idempotent_state& aState, const platform::stored_object& aObject)
+{
+  const auto record = ReadCallRecord(aObject.mValue);
+  if (!record) {
+    return Stop(aState, ran::OutcomeUnknown, "call_record_unreadable");
+  }
+  if (record->mTicket.mId == aState.mOwn.mTicket.mId) {
+    aState.mExpectedRevision = aObject.mRevision;
+    return record_step::RunOwn;
+  }
+  if (record->mFingerprint != aState.mFingerprint) {
+    return Stop(aState, ran::NotRun, "idempotency_key_reused");
+  }
+  aState.mKept = *record;
+  aState.mKeptRevision = aObject.mRevision;
+  return record_step::FollowKept;
+}
+
+} // namespace
+
+record_step
+Begin(idempotent_state& aState, const std::string& aFingerprint)
+{
+  aState.mFingerprint = aFingerprint;
+  aState.mProgress.mIsRepeatable = false;
+  return record_step::WriteNew;
+}
+
+record_step
+TakeWrite(idempotent_state& aState, const platform::write_result& aWritten)
+{
+  ++aState.mWrites;
+  if (aWritten.mState == write_state::Done) {
+    aState.mExpectedRevision = aWritten.mRevision;
+    return record_step::RunOwn;
+  }
+  if (aWritten.mState == write_state::Conflict && aWritten.mCurrent) {
+    return TakeRecord(aState, *aWritten.mCurrent);
+  }
+  if (aWritten.mState == write_state::Conflict) {
+    // The record to be replaced was removed meanwhile: the key is too old.
+    return Stop(aState, ran::OutcomeUnknown, "call_record_removed");
+  }
+  if (aWritten.mState == write_state::Unknown) {
+    return record_step::ReadBack;
+  }
+  return Stop(aState, ran::NotRun, "platform_unavailable");
+}
+
+record_step
+TakeRead(idempotent_state& aState, const platform::read_result& aRead)
+{
+  if (aRead.mState == read_state::Failed) {
+    // Whether or not the record was written, its attempt is never sent.
+    return Stop(aState, ran::NotRun, "platform_unavailable");
+  }
+  const bool isOldRecord = aRead.mState == read_state::Found &&
+                           aState.mExpectedRevision != 0 &&
+                           aRead.mObject.mRevision == aState.mExpectedRevision;
+  if (aRead.mState == read_state::Found && !isOldRecord) {
+    return TakeRecord(aState, aRead.mObject);
+  }
+  // The write may still take effect later. It names the same attempt, so
+  // writing it again is harmless.
+  return aState.mWrites < kMaximumWrites
+           ? record_step::WriteAgain
+           : Stop(aState, ran::NotRun, "platform_unavailable");
+}
+
+record_step
+TakeOwnEnd(idempotent_state& aState, const call_outcome& aOutcome)
+{
+  aState.mOutcome = aOutcome;
+  const bool mayGoOn = TakeAttempt(aState.mProgress, aOutcome) &&
+                       aOutcome.mRan == ran::NotRun &&
+                       aState.mWrites < kMaximumWrites;
+  return mayGoOn ? record_step::WriteNew : record_step::Finish;
+}
+
+record_step
+TakeKeptEnd(idempotent_state& aState, const call_outcome& aOutcome)
+{
+  aState.mExpectedRevision = aState.mKeptRevision;
+  return TakeOwnEnd(aState, aOutcome);
+}
+
+record_step
+Stop(idempotent_state& aState, ran aRan, const std::string& aReason)
+{
+  aState.mOutcome = {};
+  aState.mOutcome.mRan = aRan;
+  aState.mOutcome.mReason = aReason;
+  aState.mOutcome.mRetryAfter = milliseconds(1000);
+  return record_step::Finish;
+}
+
+} // namespace lavender::dispatch
--- a/Duties/Dispatch/Ledger.cpp
+++ b/Duties/Dispatch/Ledger.cpp
@@ -1,11 +1,20 @@
 #include "Duties/Dispatch/Ledger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lavender::dispatch {
 namespace {
 
 using wire::run_state;
+using namespace std::chrono_literals;
+
+constexpr milliseconds kLeastRetryAfter = 50ms;
+constexpr milliseconds kMostRetryAfter = 30000ms;
+/** Taken as a run's time before one was measured. */
+constexpr milliseconds kAssumedServiceTime = 1000ms;
+/** Entries ask for an end several times in this while. */
+constexpr milliseconds kFetchWithin = 3000ms;
 
 ledger_answer
 Describe(const ledger_row& aRow)
@@ -24,23 +33,87 @@
   aRow.mChangedAt = aNow;
 }
 
-/** Reason why an order can't be taken now; empty when it can. */
-std::string
-FindRefusal(const ledger& aLedger, const wire::dispatch_order& aOrder)
+void
+RefuseRow(ledger& aLedger,
+          const std::string& aId,
+          const std::string& aReason,
+          time_point aNow)
+{
+  auto& row = aLedger.mRows[aId];
+  SetState(row, run_state::NOT_RUN, aReason, aNow);
+  row.mOrder = {};
+  aLedger.mRefused.emplace_back(aNow, aId);
+}
+
+std::size_t
+SizeOf(const ledger_row& aRow)
+{
+  return aRow.mResult.body.size();
+}
+
+void
+Forget(ledger& aLedger, ended_list& aList)
+{
+  const auto row = aLedger.mRows.find(aList.front().second);
+  aLedger.mAnswerBytes -= SizeOf(row->second);
+  aLedger.mRows.erase(row);
+  aList.pop_front();
+}
+
+/** Whether an id without a row may have had one. Such an id must neither be
+ * run nor be called "not run": a caller who asks again after its answer was
+ * forgotten would otherwise get a second run. */
+bool
+IsPerhapsForgotten(const ledger& aLedger, time_point aIssuedAt)
+{
+  return aLedger.mForgottenThrough && aIssuedAt <= *aLedger.mForgottenThrough;
+}
+
+/** Forgets the oldest row, and remembers up to which time rows were. */
+void
+ForgetForGood(ledger& aLedger, ended_list& aList)
+{
+  const auto endedAt = aList.front().first;
+  aLedger.mForgottenThrough =
+    std::max(aLedger.mForgottenThrough.value_or(endedAt), endedAt);
+  Forget(aLedger, aList);
+}
+
+/** Refusal of an order that this process can never take, whenever it comes;
+ * none when it might. Such a refusal needs no row: a second copy of the order
+ * is refused for the same reason. */
+std::optional<ledger_answer>
+FindLastingRefusal(const ledger& aLedger,
+                   const wire::dispatch_order& aOrder,
+                   time_point aNow)
 {
+  const auto refuse = [](const char* aReason) {
+    return ledger_answer{ run_state::NOT_RUN, aReason };
+  };
   if (aOrder.agent_incarnation != aLedger.mIncarnation) {
-    return "other_incarnation";
+    return refuse("other_incarnation");
   }
-  if (aLedger.mIsDraining) {
-    return "draining";
+  if (aOrder.deadline_left_ms <= 0) {
+    return refuse("deadline");
   }
-  if (aLedger.mQueue.size() >= aLedger.mLimits.mMaximumQueued) {
-    return "queue_full";
+  const time_point issuedAt{ milliseconds(aOrder.issued_at_ms) };
+  if (IsPerhapsForgotten(aLedger, issuedAt)) {
+    // An earlier copy of it may have run.
+    return ledger_answer{ run_state::OUTCOME_UNKNOWN, "forgotten" };
   }
-  if (aOrder.deadline_left_ms <= 0) {
-    return "deadline";
+  if (issuedAt > aNow) {
+    return refuse("order_from_future");
+  }
+  // A dispatch can wait for minutes on a connection that went silent, and
+  // arrive after the tombstone of its cancel was forgotten. It would then run
+  // although its caller was told "not run". Its age gives it away.
+  if (aNow - issuedAt > aLedger.mLimits.mMaximumOrderAge) {
+    return refuse("order_too_old");
+  }
+  if (aLedger.mIsDraining) {
+    return refuse("draining");
   }
-  return {};
+  return std::nullopt;
 }
 
 } // namespace
@@ -48,15 +121,20 @@
 ledger_answer
 Admit(ledger& aLedger, const wire::dispatch_order& aOrder, time_point aNow)
 {
-  auto& row = aLedger.mRows[aOrder.request_id];
-  if (row.mState != run_state::UNKNOWN_ID) {
-    row.mAskedAt = aNow;
-    return Describe(row);
+  if (const auto known = aLedger.mRows.find(aOrder.request_id);
+      known != aLedger.mRows.end()) {
+    known->second.mAskedAt = aNow;
+    return Describe(known->second);
   }
-  if (auto refusal = FindRefusal(aLedger, aOrder); !refusal.empty()) {
-    SetState(row, run_state::NOT_RUN, refusal, aNow);
-    return Describe(row);
+  if (auto refusal = FindLastingRefusal(aLedger, aOrder, aNow)) {
+    return std::move(*refusal);
   }
+  if (aLedger.mQueue.size() >= aLedger.mLimits.mMaximumQueued) {
+    RefuseRow(aLedger, aOrder.request_id, "queue_full", aNow);
+    Sweep(aLedger, aNow);
+    return { run_state::NOT_RUN, "queue_full" };
+  }
+  auto& row = aLedger.mRows[aOrder.request_id];
   row.mOrder = aOrder;
   row.mAskedAt = aNow;
   row.mDeadline = aNow + milliseconds(aOrder.deadline_left_ms);
@@ -77,18 +155,26 @@
 }
 
 ledger_answer
-Cancel(ledger& aLedger, const std::string& aId, time_point aNow)
+Cancel(ledger& aLedger,
+       const std::string& aId,
+       time_point aIssuedAt,
+       time_point aNow)
 {
-  auto& row = aLedger.mRows[aId];
-  if (row.mState == run_state::UNKNOWN_ID) {
-    SetState(row, run_state::NOT_RUN, "cancelled_before_arrival", aNow);
-  } else if (row.mState == run_state::QUEUED) {
+  const auto found = aLedger.mRows.find(aId);
+  if (found == aLedger.mRows.end()) {
+    if (IsPerhapsForgotten(aLedger, aIssuedAt)) {
+      return { run_state::OUTCOME_UNKNOWN, "forgotten" };
+    }
+    RefuseRow(aLedger, aId, "cancelled_before_arrival", aNow);
+    Sweep(aLedger, aNow);
+    return { run_state::NOT_RUN, "cancelled_before_arrival" };
+  }
+  if (found->second.mState == run_state::QUEUED) {
     auto& queue = aLedger.mQueue;
     queue.erase(std::remove(queue.begin(), queue.end(), aId), queue.end());
-    SetState(row, run_state::NOT_RUN, "cancelled", aNow);
-    row.mOrder = {};
+    RefuseRow(aLedger, aId, "cancelled", aNow);
   }
-  return Describe(row);
+  return Describe(found->second);
 }
 
 std::optional<wire::dispatch_order>
@@ -99,16 +185,15 @@
     aLedger.mQueue.pop_front();
     auto& row = aLedger.mRows.at(id);
     if (aNow >= row.mDeadline) {
-      SetState(row, run_state::NOT_RUN, "deadline", aNow);
-      row.mOrder = {};
+      RefuseRow(aLedger, id, "deadline", aNow);
       continue;
     }
     if (aNow - row.mAskedAt > aLedger.mLimits.mAbandonAfter) {
-      SetState(row, run_state::NOT_RUN, "abandoned", aNow);
-      row.mOrder = {};
+      RefuseRow(aLedger, id, "abandoned", aNow);
       continue;
     }
     SetState(row, run_state::RUNNING, "", aNow);
+    row.mStartedAt = aNow;
     ++aLedger.mRunning;
     return row.mOrder;
   }
@@ -123,25 +208,80 @@
        wire::run_result aResult,
        time_point aNow)
 {
+  --aLedger.mRunning;
   auto& row = aLedger.mRows.at(aId);
+  if (aState == run_state::NOT_RUN) {
+    RefuseRow(aLedger, aId, aReason, aNow);
+    return;
+  }
   SetState(row, aState, aReason, aNow);
   row.mResult = std::move(aResult);
-  row.mOrder.payload.clear();
-  --aLedger.mRunning;
+  row.mOrder = {};
+  aLedger.mRan.emplace_back(aNow, aId);
+  aLedger.mAnswerBytes += SizeOf(row);
+  const auto took =
+    std::chrono::duration_cast<milliseconds>(aNow - row.mStartedAt);
+  auto& smoothed = aLedger.mServiceTime;
+  smoothed = smoothed == 0ms ? took : (smoothed * 7 + took) / 8;
+  Sweep(aLedger, aNow);
+}
+
+void
+RefuseQueued(ledger& aLedger, const std::string& aReason, time_point aNow)
+{
+  const auto queued = std::exchange(aLedger.mQueue, {});
+  for (const auto& id : queued) {
+    RefuseRow(aLedger, id, aReason, aNow);
+  }
 }
 
 void
 Sweep(ledger& aLedger, time_point aNow)
 {
-  for (auto row = aLedger.mRows.begin(); row != aLedger.mRows.end();) {
-    const bool isOver = row->second.mState != run_state::QUEUED &&
-                        row->second.mState != run_state::RUNNING;
-    if (isOver && aNow - row->second.mChangedAt > aLedger.mLimits.mKeep) {
-      row = aLedger.mRows.erase(row);
-    } else {
-      ++row;
-    }
+  const auto& limits = aLedger.mLimits;
+  auto& refused = aLedger.mRefused;
+  auto& ran = aLedger.mRan;
+  while (!refused.empty() &&
+         aNow - refused.front().first > limits.mKeepRefusal) {
+    Forget(aLedger, refused);
+  }
+  while (!ran.empty() && aNow - ran.front().first > limits.mKeepAnswer) {
+    ForgetForGood(aLedger, ran);
+  }
+  // The newest answer stays, however large: its entry is about to fetch it.
+  while (ran.size() > 1 && aLedger.mAnswerBytes > limits.mMaximumAnswerBytes) {
+    ForgetForGood(aLedger, ran);
   }
+  while (refused.size() + ran.size() > limits.mMaximumEnded) {
+    const bool isRefusalOlder =
+      ran.empty() || (!refused.empty() && refused.front() < ran.front());
+    ForgetForGood(aLedger, isRefusalOlder ? refused : ran);
+  }
+}
+
+milliseconds
+EstimateQueueDelay(const ledger& aLedger)
+{
+  const auto service =
+    aLedger.mServiceTime == 0ms ? kAssumedServiceTime : aLedger.mServiceTime;
+  const auto waiting = static_cast<std::int64_t>(aLedger.mQueue.size()) + 1;
+  const auto slots =
+    static_cast<std::int64_t>(std::max<std::size_t>(aLedger.mLimits.mSlots, 1));
+  return std::clamp(
+    service * waiting / slots, kLeastRetryAfter, kMostRetryAfter);
+}
+
+std::size_t
+CountUntold(const ledger& aLedger, time_point aNow)
+{
+  const auto isUntold = [&](const auto& aItem) {
+    const auto& row = aItem.second;
+    const bool isOver =
+      row.mState != run_state::QUEUED && row.mState != run_state::RUNNING;
+    return isOver && !row.mIsEndTold && aNow - row.mChangedAt < kFetchWithin;
+  };
+  return static_cast<std::size_t>(
+    std::count_if(aLedger.mRows.begin(), aLedger.mRows.end(), isUntold));
 }
 
 } // namespace lavender::dispatch
--- a/Duties/Dispatch/Ledger.h
+++ b/Duties/Dispatch/Ledger.h
@@ -8,7 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <vector>
+#include <utility>
 
 /** The agent's run-once gate: what became of each request id. */
 namespace lavender::dispatch {
@@ -20,11 +20,20 @@
   std::size_t mMaximumQueued = 64;
   /** Requests that may run side by side. */
   std::size_t mSlots = 16;
-  /** How long a finished answer, a refusal or a tombstone is kept. A dispatch
-   * can't arrive later than this: entries give a request up far sooner. */
-  milliseconds mKeep{ 600000 };
+  /** An unknown order issued longer ago is refused. Orders leave as soon as
+   * they are issued, so only delayed ones get this old. */
+  milliseconds mMaximumOrderAge{ 30000 };
+  /** How long a refusal or tombstone is kept; longer than mMaximumOrderAge,
+   * so that no order can arrive after its tombstone was forgotten. */
+  milliseconds mKeepRefusal{ 60000 };
+  /** How long an answer is kept for whoever asks for it. */
+  milliseconds mKeepAnswer{ 600000 };
   /** A queued request whose entry has stopped asking is dropped after this. */
   milliseconds mAbandonAfter{ 10000 };
+  /** Rows of ended requests; beyond it the oldest are forgotten early. */
+  std::size_t mMaximumEnded = 20000;
+  /** Bytes of kept answers; beyond it the oldest are forgotten early. */
+  std::size_t mMaximumAnswerBytes = 8u << 20;
 };
 
 struct ledger_row
@@ -36,8 +45,14 @@
   time_point mDeadline;
   time_point mChangedAt;
   time_point mAskedAt;
+  time_point mStartedAt;
+  /** An entry was told how the request ended. */
+  bool mIsEndTold = false;
 };
 
+/** Ended requests of one sort, oldest first. */
+using ended_list = std::deque<std::pair<time_point, std::string>>;
+
 /** Everything that the gate remembers. Its incarnation is new with each
  * process, so that orders meant for a predecessor are refused. */
 struct ledger
@@ -48,6 +63,16 @@
   std::deque<std::string> mQueue;
   std::size_t mRunning = 0;
   bool mIsDraining = false;
+  /** Rows that say "not run", and rows of requests that ran. */
+  ended_list mRefused;
+  ended_list mRan;
+  std::size_t mAnswerBytes = 0;
+  /** Requests that ran, or early ones of any sort, were forgotten when they
+   * had ended up to here. An unknown id issued later was never seen; one
+   * issued earlier may have run. */
+  std::optional<time_point> mForgottenThrough;
+  /** Smoothed time that a run takes; zero before the first one ended. */
+  milliseconds mServiceTime{ 0 };
 };
 
 /** What the asking entry is told. */
@@ -68,9 +93,14 @@
 
 /** Takes a queued request out. An id not seen gets a tombstone, so that a
  * dispatch which arrives after its cancel is refused; only therefore may the
- * entry say "not run". A running or finished request is left as it is. */
+ * entry say "not run". A running or finished request is left as it is. An id
+ * of which the ledger may have forgotten that it ran is an unknown outcome.
+ * @param aIssuedAt when the request's order was issued */
 ledger_answer
-Cancel(ledger& aLedger, const std::string& aId, time_point aNow);
+Cancel(ledger& aLedger,
+       const std::string& aId,
+       time_point aIssuedAt,
+       time_point aNow);
 
 /** Next request to run, when a slot is free. Requests past their deadline or
  * abandoned by their entry become "not run" on the way. */
@@ -86,8 +116,22 @@
        wire::run_result aResult,
        time_point aNow);
 
-/** Forgets rows older than the limit. */
+/** Refuses all queued requests for good, when the process ends. */
+void
+RefuseQueued(ledger& aLedger, const std::string& aReason, time_point aNow);
+
+/** Forgets rows older than the limits, or the oldest ones over the bounds. */
 void
 Sweep(ledger& aLedger, time_point aNow);
 
+/** When a request that finds the queue as it is now would start, by the
+ * measured service time; told with a refusal. */
+milliseconds
+EstimateQueueDelay(const ledger& aLedger);
+
+/** Requests that ended a short while ago and whose entry wasn't told so yet.
+ * An entry that lives asks within that while. */
+std::size_t
+CountUntold(const ledger& aLedger, time_point aNow);
+
 } // namespace lavender::dispatch
--- /dev/null
+++ b/Duties/Dispatch/RecentCalls.cpp
@@ -0,0 +1,97 @@
+#include "Duties/Dispatch/RecentCalls.h"
+
+#include "Duties/Dispatch/AttemptDecision.h"
+#include "Libraries/Core/ScopeGuard.h"
+
+namespace lavender::dispatch {
+
+recent_calls::recent_calls(recent_calls_limits aLimits)
+  : mLimits(aLimits)
+{
+}
+
+call_outcome
+recent_calls::Run(const std::string& aName,
+                  const std::string& aFingerprint,
+                  time_point aDeadline,
+                  const std::function<call_outcome()>& aRun)
+{
+  std::unique_lock lock(mMutex);
+  ForgetOld(boot_clock::now());
+  if (const auto known = mCalls.find(aName); known != mCalls.end()) {
+    const auto shared = known->second;
+    if (shared->mFingerprint != aFingerprint) {
+      call_outcome refused;
+      refused.mReason = "idempotency_key_reused";
+      return refused;
+    }
+    return WaitFor(lock, shared, aDeadline);
+  }
+  if (mCalls.size() >= mLimits.mMaximumKeys) {
+    lock.unlock();
+    return aRun();
+  }
+  const auto made = std::make_shared<recent_call>();
+  made->mFingerprint = aFingerprint;
+  mCalls[aName] = made;
+  lock.unlock();
+  return RunAndRemember(aName, made, aRun);
+}
+
+call_outcome
+recent_calls::RunAndRemember(const std::string& aName,
+                             const shared_call& aCall,
+                             const std::function<call_outcome()>& aRun)
+{
+  call_outcome outcome;
+  outcome.mRan = ran::OutcomeUnknown;
+  outcome.mReason = "entry_failed";
+  // Also when the run throws: those who wait must not wait for ever.
+  scope_guard end([&] {
+    std::lock_guard lock(mMutex);
+    aCall->mOutcome = outcome;
+    const bool isWorthKeeping =
+      outcome.mRan == ran::Ran &&
+      outcome.mResult.body.size() <= mLimits.mMaximumAnswerBytes;
+    if (isWorthKeeping) {
+      mRemembered.emplace_back(boot_clock::now(), aName);
+    } else {
+      mCalls.erase(aName);
+    }
+    mEnded.notify_all();
+  });
+  outcome = aRun();
+  return outcome;
+}
+
+call_outcome
+recent_calls::WaitFor(std::unique_lock<std::mutex>& aLock,
+                      const shared_call& aCall,
+                      time_point aDeadline)
+{
+  while (!aCall->mOutcome) {
+    const auto now = boot_clock::now();
+    if (now >= aDeadline) {
+      call_outcome late;
+      late.mRan = ran::OutcomeUnknown;
+      late.mReason = kDeadline;
+      return late;
+    }
+    mEnded.wait_for(aLock, aDeadline - now);
+  }
+  auto outcome = *aCall->mOutcome;
+  outcome.mSource = answer_source::SharedRun;
+  return outcome;
+}
+
+void
+recent_calls::ForgetOld(time_point aNow)
+{
+  while (!mRemembered.empty() &&
+         aNow - mRemembered.front().first > mLimits.mKeep) {
+    mCalls.erase(mRemembered.front().second);
+    mRemembered.pop_front();
+  }
+}
+
+} // namespace lavender::dispatch
--- a/Duties/Membership/ServerDirectory.cpp
+++ b/Duties/Membership/ServerDirectory.cpp
@@ -131,6 +131,7 @@
   view.mWeightVersion = report.weight_version;
   view.mWitnessedRevision = report.witnessed_revision;
   view.mWitnessedFreshAge = milliseconds(report.witnessed_fresh_age_ms);
+  view.mAgentClock = milliseconds(report.clock_ms);
   view.mHeardAt = boot_clock::now();
 }
 
@@ -179,7 +180,10 @@
 {
   std::lock_guard lock(mMutex);
   if (const auto found = mServers.find(aName); found != mServers.end()) {
-    found->second.mIncarnation = aReply.agent_incarnation;
+    if (found->second.mIncarnation != aReply.agent_incarnation) {
+      // The new process gets requests once its report has told its clock.
+      found->second.mHeardAt.reset();
+    }
     found->second.mIsLeaving =
       aReply.draining || found->second.mInstance.mIsLeaving;
   }
--- a/Duties/Membership/ServerDirectory.h
+++ b/Duties/Membership/ServerDirectory.h
@@ -35,6 +35,8 @@
   std::int64_t mWitnessedRevision = 0;
   milliseconds mWitnessedFreshAge{ 0 };
   std::optional<time_point> mHeardAt;
+  /** The agent's clock when the entry heard from it at mHeardAt. */
+  milliseconds mAgentClock{ 0 };
   /** Requests that this entry sent and has no answer to. */
   int mOwnInFlight = 0;
   std::shared_ptr<agent_pool> mConnections;
--- a/Libraries/Wire/ConnectionPool.h
+++ b/Libraries/Wire/ConnectionPool.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <memory>
 #include <mutex>
+#include <poll.h>
 #include <string>
 #include <thrift/protocol/TBinaryProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -22,6 +23,9 @@
   Answered,
   /** The connection couldn't be opened: the call can't have arrived. */
   NotSent,
+  /** As NotSent, and nobody listens at the address: the process that did is
+   * gone. A paused one would still be connected to by its kernel. */
+  Refused,
   /** The call left and no answer came: it may have been carried out. */
   Unknown
 };
@@ -81,6 +85,9 @@
       GiveBack(std::move(connection));
     } catch (const std::exception& error) {
       outcome.mLastReason = error.what();
+      if (outcome.mState == wire_state::NotSent && IsRefusal(error)) {
+        outcome.mState = wire_state::Refused;
+      }
     }
     return outcome;
   }
@@ -110,6 +117,23 @@
     ~connection() { mSocket->close(); }
   };
 
+  /** The library tells a refused connection from a silent one only by the
+   * system's text. An unknown text counts as silence. */
+  static bool IsRefusal(const std::exception& aError)
+  {
+    return std::string(aError.what()).find("Connection refused") !=
+           std::string::npos;
+  }
+
+  /** False when the peer has closed the connection, or when bytes lie there
+   * that nobody asked for. A call on such a connection would end with an
+   * unknown outcome although a new connection works. */
+  static bool IsUsable(const connection& aConnection)
+  {
+    pollfd waiting{ aConnection.mSocket->getSocketFD(), POLLIN, 0 };
+    return poll(&waiting, 1, 0) == 0;
+  }
+
   std::unique_ptr<connection> Open()
   {
     auto socket = std::make_shared<apache::thrift::transport::TSocket>(
@@ -123,12 +147,14 @@
   std::unique_ptr<connection> TakeIdle()
   {
     std::lock_guard lock(mMutex);
-    if (mIdle.empty()) {
-      return nullptr;
+    while (!mIdle.empty()) {
+      auto connection = std::move(mIdle.back());
+      mIdle.pop_back();
+      if (IsUsable(*connection)) {
+        return connection;
+      }
     }
-    auto connection = std::move(mIdle.back());
-    mIdle.pop_back();
-    return connection;
+    return nullptr;
   }
 
   void GiveBack(std::unique_ptr<connection> aConnection)
--- a/Libraries/Wire/Generated/agent_service.cpp
+++ b/Libraries/Wire/Generated/agent_service.cpp
@@ -472,6 +472,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->issued_at_ms);
+          this->__isset.issued_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -497,6 +505,10 @@
   xfer += oprot->writeString(this->agent_incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("issued_at_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->issued_at_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -520,6 +532,10 @@
   xfer += oprot->writeString((*(this->agent_incarnation)));
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("issued_at_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64((*(this->issued_at_ms)));
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1500,13 +1516,13 @@
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "Await failed: unknown result");
 }
 
-void agent_serviceClient::Cancel(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation)
+void agent_serviceClient::Cancel(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation, const int64_t issued_at_ms)
 {
-  send_Cancel(request_id, agent_incarnation);
+  send_Cancel(request_id, agent_incarnation, issued_at_ms);
   recv_Cancel(_return);
 }
 
-void agent_serviceClient::send_Cancel(const std::string& request_id, const std::string& agent_incarnation)
+void agent_serviceClient::send_Cancel(const std::string& request_id, const std::string& agent_incarnation, const int64_t issued_at_ms)
 {
   int32_t cseqid = 0;
   oprot_->writeMessageBegin("Cancel", ::apache::thrift::protocol::T_CALL, cseqid);
@@ -1514,6 +1530,7 @@
   agent_service_Cancel_pargs args;
   args.request_id = &request_id;
   args.agent_incarnation = &agent_incarnation;
+  args.issued_at_ms = &issued_at_ms;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
@@ -1941,7 +1958,7 @@
 
   agent_service_Cancel_result result;
   try {
-    iface_->Cancel(result.success, args.request_id, args.agent_incarnation);
+    iface_->Cancel(result.success, args.request_id, args.agent_incarnation, args.issued_at_ms);
     result.__isset.success = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
@@ -2366,13 +2383,13 @@
   } // end while(true)
 }
 
-void agent_serviceConcurrentClient::Cancel(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation)
+void agent_serviceConcurrentClient::Cancel(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation, const int64_t issued_at_ms)
 {
-  int32_t seqid = send_Cancel(request_id, agent_incarnation);
+  int32_t seqid = send_Cancel(request_id, agent_incarnation, issued_at_ms);
   recv_Cancel(_return, seqid);
 }
 
-int32_t agent_serviceConcurrentClient::send_Cancel(const std::string& request_id, const std::string& agent_incarnation)
+int32_t agent_serviceConcurrentClient::send_Cancel(const std::string& request_id, const std::string& agent_incarnation, const int64_t issued_at_ms)
 {
   int32_t cseqid = this->sync_->generateSeqId();
   ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
@@ -2381,6 +2398,7 @@
   agent_service_Cancel_pargs args;
   args.request_id = &request_id;
   args.agent_incarnation = &agent_incarnation;
+  args.issued_at_ms = &issued_at_ms;
   args.write(oprot_);
 
   oprot_->writeMessageEnd();
--- a/Libraries/Wire/Generated/agent_service.h
+++ b/Libraries/Wire/Generated/agent_service.h
@@ -24,7 +24,7 @@
   virtual ~agent_serviceIf() {}
   virtual void Dispatch(dispatch_reply& _return, const dispatch_order& order, const int32_t wait_ms) = 0;
   virtual void Await(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation, const int32_t wait_ms) = 0;
-  virtual void Cancel(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation) = 0;
+  virtual void Cancel(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation, const int64_t issued_at_ms) = 0;
   virtual void Report(agent_report& _return, const entry_digest& digest) = 0;
   virtual void Swap(swap_reply& _return, const swap_order& order) = 0;
   virtual void CollectUsage(usage_reply& _return, const usage_query& query) = 0;
@@ -64,7 +64,7 @@
   void Await(dispatch_reply& /* _return */, const std::string& /* request_id */, const std::string& /* agent_incarnation */, const int32_t /* wait_ms */) override {
     return;
   }
-  void Cancel(dispatch_reply& /* _return */, const std::string& /* request_id */, const std::string& /* agent_incarnation */) override {
+  void Cancel(dispatch_reply& /* _return */, const std::string& /* request_id */, const std::string& /* agent_incarnation */, const int64_t /* issued_at_ms */) override {
     return;
   }
   void Report(agent_report& /* _return */, const entry_digest& /* digest */) override {
@@ -315,9 +315,10 @@
 };
 
 typedef struct _agent_service_Cancel_args__isset {
-  _agent_service_Cancel_args__isset() : request_id(false), agent_incarnation(false) {}
+  _agent_service_Cancel_args__isset() : request_id(false), agent_incarnation(false), issued_at_ms(false) {}
   bool request_id :1;
   bool agent_incarnation :1;
+  bool issued_at_ms :1;
 } _agent_service_Cancel_args__isset;
 
 class agent_service_Cancel_args {
@@ -327,12 +328,14 @@
   agent_service_Cancel_args& operator=(const agent_service_Cancel_args&);
   agent_service_Cancel_args() noexcept
                             : request_id(),
-                              agent_incarnation() {
+                              agent_incarnation(),
+                              issued_at_ms(0) {
   }
 
   virtual ~agent_service_Cancel_args() noexcept;
   std::string request_id;
   std::string agent_incarnation;
+  int64_t issued_at_ms;
 
   _agent_service_Cancel_args__isset __isset;
 
@@ -340,12 +343,16 @@
 
   void __set_agent_incarnation(const std::string& val);
 
+  void __set_issued_at_ms(const int64_t val);
+
   bool operator == (const agent_service_Cancel_args & rhs) const
   {
     if (!(request_id == rhs.request_id))
       return false;
     if (!(agent_incarnation == rhs.agent_incarnation))
       return false;
+    if (!(issued_at_ms == rhs.issued_at_ms))
+      return false;
     return true;
   }
   bool operator != (const agent_service_Cancel_args &rhs) const {
@@ -367,6 +374,7 @@
   virtual ~agent_service_Cancel_pargs() noexcept;
   const std::string* request_id;
   const std::string* agent_incarnation;
+  const int64_t* issued_at_ms;
 
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
 
@@ -874,8 +882,8 @@
   void Await(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation, const int32_t wait_ms) override;
   void send_Await(const std::string& request_id, const std::string& agent_incarnation, const int32_t wait_ms);
   void recv_Await(dispatch_reply& _return);
-  void Cancel(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation) override;
-  void send_Cancel(const std::string& request_id, const std::string& agent_incarnation);
+  void Cancel(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation, const int64_t issued_at_ms) override;
+  void send_Cancel(const std::string& request_id, const std::string& agent_incarnation, const int64_t issued_at_ms);
   void recv_Cancel(dispatch_reply& _return);
   void Report(agent_report& _return, const entry_digest& digest) override;
   void send_Report(const entry_digest& digest);
@@ -969,13 +977,13 @@
     return;
   }
 
-  void Cancel(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation) override {
+  void Cancel(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation, const int64_t issued_at_ms) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
     for (; i < (sz - 1); ++i) {
-      ifaces_[i]->Cancel(_return, request_id, agent_incarnation);
+      ifaces_[i]->Cancel(_return, request_id, agent_incarnation, issued_at_ms);
     }
-    ifaces_[i]->Cancel(_return, request_id, agent_incarnation);
+    ifaces_[i]->Cancel(_return, request_id, agent_incarnation, issued_at_ms);
     return;
   }
 
@@ -1057,8 +1065,8 @@
   void Await(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation, const int32_t wait_ms) override;
   int32_t send_Await(const std::string& request_id, const std::string& agent_incarnation, const int32_t wait_ms);
   void recv_Await(dispatch_reply& _return, const int32_t seqid);
-  void Cancel(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation) override;
-  int32_t send_Cancel(const std::string& request_id, const std::string& agent_incarnation);
+  void Cancel(dispatch_reply& _return, const std::string& request_id, const std::string& agent_incarnation, const int64_t issued_at_ms) override;
+  int32_t send_Cancel(const std::string& request_id, const std::string& agent_incarnation, const int64_t issued_at_ms);
   void recv_Cancel(dispatch_reply& _return, const int32_t seqid);
   void Report(agent_report& _return, const entry_digest& digest) override;
   int32_t send_Report(const entry_digest& digest);
--- a/Libraries/Wire/Generated/lavender_types.cpp
+++ b/Libraries/Wire/Generated/lavender_types.cpp
@@ -114,6 +114,10 @@
 void dispatch_order::__set_path(const std::string& val) {
   this->path = val;
 }
+
+void dispatch_order::__set_issued_at_ms(const int64_t val) {
+  this->issued_at_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const dispatch_order& obj)
 {
   obj.printTo(out);
@@ -262,6 +266,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->issued_at_ms);
+          this->__isset.issued_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -339,6 +351,10 @@
   xfer += oprot->writeString(this->path);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("issued_at_ms", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->issued_at_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -361,6 +377,7 @@
   swap(a.oldest_weight_version, b.oldest_weight_version);
   swap(a.method, b.method);
   swap(a.path, b.path);
+  swap(a.issued_at_ms, b.issued_at_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -380,6 +397,7 @@
   oldest_weight_version = other0.oldest_weight_version;
   method = other0.method;
   path = other0.path;
+  issued_at_ms = other0.issued_at_ms;
   __isset = other0.__isset;
 }
 dispatch_order& dispatch_order::operator=(const dispatch_order& other1) {
@@ -398,6 +416,7 @@
   oldest_weight_version = other1.oldest_weight_version;
   method = other1.method;
   path = other1.path;
+  issued_at_ms = other1.issued_at_ms;
   __isset = other1.__isset;
   return *this;
 }
@@ -419,6 +438,7 @@
   out << ", " << "oldest_weight_version=" << to_string(oldest_weight_version);
   out << ", " << "method=" << to_string(method);
   out << ", " << "path=" << to_string(path);
+  out << ", " << "issued_at_ms=" << to_string(issued_at_ms);
   out << ")";
 }
 
@@ -1462,6 +1482,10 @@
 void agent_report::__set_open_usage_window(const int64_t val) {
   this->open_usage_window = val;
 }
+
+void agent_report::__set_clock_ms(const int64_t val) {
+  this->clock_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const agent_report& obj)
 {
   obj.printTo(out);
@@ -1594,6 +1618,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock_ms);
+          this->__isset.clock_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1663,6 +1695,10 @@
   xfer += oprot->writeI64(this->open_usage_window);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("clock_ms", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->clock_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1683,6 +1719,7 @@
   swap(a.witnessed_fresh_age_ms, b.witnessed_fresh_age_ms);
   swap(a.server_reachable, b.server_reachable);
   swap(a.open_usage_window, b.open_usage_window);
+  swap(a.clock_ms, b.clock_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1700,6 +1737,7 @@
   witnessed_fresh_age_ms = other25.witnessed_fresh_age_ms;
   server_reachable = other25.server_reachable;
   open_usage_window = other25.open_usage_window;
+  clock_ms = other25.clock_ms;
   __isset = other25.__isset;
 }
 agent_report& agent_report::operator=(const agent_report& other26) {
@@ -1716,6 +1754,7 @@
   witnessed_fresh_age_ms = other26.witnessed_fresh_age_ms;
   server_reachable = other26.server_reachable;
   open_usage_window = other26.open_usage_window;
+  clock_ms = other26.clock_ms;
   __isset = other26.__isset;
   return *this;
 }
@@ -1735,6 +1774,7 @@
   out << ", " << "witnessed_fresh_age_ms=" << to_string(witnessed_fresh_age_ms);
   out << ", " << "server_reachable=" << to_string(server_reachable);
   out << ", " << "open_usage_window=" << to_string(open_usage_window);
+  out << ", " << "clock_ms=" << to_string(clock_ms);
   out << ")";
 }
 
--- a/Libraries/Wire/Generated/lavender_types.h
+++ b/Libraries/Wire/Generated/lavender_types.h
@@ -75,7 +75,7 @@
 class configuration_copy;
 
 typedef struct _dispatch_order__isset {
-  _dispatch_order__isset() : request_id(false), agent_incarnation(false), entry_incarnation(false), customer(false), key_id(false), operation(false), payload(false), weight(true), cost_tokens(true), deadline_left_ms(false), repeatable(true), priority(true), oldest_weight_version(true), method(false), path(false) {}
+  _dispatch_order__isset() : request_id(false), agent_incarnation(false), entry_incarnation(false), customer(false), key_id(false), operation(false), payload(false), weight(true), cost_tokens(true), deadline_left_ms(false), repeatable(true), priority(true), oldest_weight_version(true), method(false), path(false), issued_at_ms(true) {}
   bool request_id :1;
   bool agent_incarnation :1;
   bool entry_incarnation :1;
@@ -91,6 +91,7 @@
   bool oldest_weight_version :1;
   bool method :1;
   bool path :1;
+  bool issued_at_ms :1;
 } _dispatch_order__isset;
 
 class dispatch_order : public virtual ::apache::thrift::TBase {
@@ -113,7 +114,8 @@
                    priority(0),
                    oldest_weight_version(0LL),
                    method(),
-                   path() {
+                   path(),
+                   issued_at_ms(0LL) {
   }
 
   virtual ~dispatch_order() noexcept;
@@ -132,6 +134,7 @@
   int64_t oldest_weight_version;
   std::string method;
   std::string path;
+  int64_t issued_at_ms;
 
   _dispatch_order__isset __isset;
 
@@ -165,6 +168,8 @@
 
   void __set_path(const std::string& val);
 
+  void __set_issued_at_ms(const int64_t val);
+
   bool operator == (const dispatch_order & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -197,6 +202,8 @@
       return false;
     if (!(path == rhs.path))
       return false;
+    if (!(issued_at_ms == rhs.issued_at_ms))
+      return false;
     return true;
   }
   bool operator != (const dispatch_order &rhs) const {
@@ -601,7 +608,7 @@
 std::ostream& operator<<(std::ostream& out, const entry_digest& obj);
 
 typedef struct _agent_report__isset {
-  _agent_report__isset() : echo(false), agent_incarnation(false), server_name(false), zone(false), pool(false), load(false), draining(false), model(false), weight_version(false), witnessed_revision(false), witnessed_fresh_age_ms(false), server_reachable(false), open_usage_window(false) {}
+  _agent_report__isset() : echo(false), agent_incarnation(false), server_name(false), zone(false), pool(false), load(false), draining(false), model(false), weight_version(false), witnessed_revision(false), witnessed_fresh_age_ms(false), server_reachable(false), open_usage_window(false), clock_ms(true) {}
   bool echo :1;
   bool agent_incarnation :1;
   bool server_name :1;
@@ -615,6 +622,7 @@
   bool witnessed_fresh_age_ms :1;
   bool server_reachable :1;
   bool open_usage_window :1;
+  bool clock_ms :1;
 } _agent_report__isset;
 
 class agent_report : public virtual ::apache::thrift::TBase {
@@ -634,7 +642,8 @@
                  witnessed_revision(0),
                  witnessed_fresh_age_ms(0),
                  server_reachable(0),
-                 open_usage_window(0) {
+                 open_usage_window(0),
+                 clock_ms(0LL) {
   }
 
   virtual ~agent_report() noexcept;
@@ -651,6 +660,7 @@
   int64_t witnessed_fresh_age_ms;
   bool server_reachable;
   int64_t open_usage_window;
+  int64_t clock_ms;
 
   _agent_report__isset __isset;
 
@@ -680,6 +690,8 @@
 
   void __set_open_usage_window(const int64_t val);
 
+  void __set_clock_ms(const int64_t val);
+
   bool operator == (const agent_report & rhs) const
   {
     if (!(echo == rhs.echo))
@@ -708,6 +720,8 @@
       return false;
     if (!(open_usage_window == rhs.open_usage_window))
       return false;
+    if (!(clock_ms == rhs.clock_ms))
+      return false;
     return true;
   }
   bool operator != (const agent_report &rhs) const {
--- a/Libraries/Wire/lavender.thrift
+++ b/Libraries/Wire/lavender.thrift
@@ -38,7 +38,11 @@
   // For samples: oldest acceptable weight version, 0 for none.
   13: i64 oldest_weight_version = 0,
   14: string method,
-  15: string path
+  15: string path,
+  // When the attempt was made, in milliseconds of the agent's own clock as
+  // the entry reckons it. An order that is too old is refused, so that the
+  // agent may forget tombstones after a bounded time.
+  16: i64 issued_at_ms = 0
 }
 
 struct load_figures {
@@ -105,7 +109,9 @@
   10: i64 witnessed_revision,
   11: i64 witnessed_fresh_age_ms,
   12: bool server_reachable,
-  13: i64 open_usage_window
+  13: i64 open_usage_window,
+  // The agent's clock when it answered.
+  14: i64 clock_ms = 0
 }
 
 struct swap_order {
@@ -169,7 +175,9 @@
   dispatch_reply Dispatch(1: dispatch_order order, 2: i32 wait_ms),
   dispatch_reply Await(1: string request_id, 2: string agent_incarnation,
                        3: i32 wait_ms),
-  dispatch_reply Cancel(1: string request_id, 2: string agent_incarnation),
+  // The order's stamp tells the agent whether it may have forgotten the id.
+  dispatch_reply Cancel(1: string request_id, 2: string agent_incarnation,
+                        3: i64 issued_at_ms),
   agent_report Report(1: entry_digest digest),
   swap_reply Swap(1: swap_order order),
   usage_reply CollectUsage(1: usage_query query),
--- a/Services/Agent/AgentHandler.cpp
+++ b/Services/Agent/AgentHandler.cpp
@@ -113,10 +113,11 @@
 void
 agent_handler::Cancel(wire::dispatch_reply& aReply,
                       const std::string& aId,
-                      const std::string& aIncarnation)
+                      const std::string& aIncarnation,
+                      const std::int64_t aIssuedAt)
 {
   if (!RefuseOtherIncarnation(aReply, aId, aIncarnation)) {
-    aReply = mDispatch.Cancel(aId);
+    aReply = mDispatch.Cancel(aId, time_point(milliseconds(aIssuedAt)));
   }
 }
 
@@ -150,6 +151,8 @@
   aReport.witnessed_revision = mWitness.mRevision;
   aReport.witnessed_fresh_age_ms =
     std::chrono::duration_cast<milliseconds>(now - mWitness.mFreshAt).count();
+  aReport.clock_ms =
+    std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
   aReport.server_reachable = mState.mLoad.mIsReachable;
 }
 
--- a/Services/Agent/AgentHandler.h
+++ b/Services/Agent/AgentHandler.h
@@ -39,7 +39,8 @@
              const std::int32_t aWait) override;
   void Cancel(wire::dispatch_reply& aReply,
               const std::string& aId,
-              const std::string& aIncarnation) override;
+              const std::string& aIncarnation,
+              const std::int64_t aIssuedAt) override;
   void Report(wire::agent_report& aReport,
               const wire::entry_digest& aDigest) override;
   void Swap(wire::swap_reply& aReply, const wire::swap_order& aOrder) override;
--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -18,6 +18,7 @@
 constexpr std::int64_t kDefaultTokens = 64;
 constexpr std::int64_t kMaximumTokens = 100000;
 constexpr milliseconds kBusyRetryAfter = 1000ms;
+constexpr milliseconds kLongestDeadline = 3600000ms;
 
 std::int64_t
 ToNumber(const std::string& aText, std::int64_t aFallback)
@@ -103,6 +104,20 @@
   return body;
 }
 
+/** Sentence for people about a reason that may be misread; else empty. */
+std::string
+ExplainOutcome(const call_outcome& aOutcome)
+{
+  if (aOutcome.mReason == "platform_unavailable") {
+    return "This submission was not run. Whether an earlier one with the same "
+           "Idempotency-Key ran can't be told now; ask again with that key.";
+  }
+  if (aOutcome.mReason == "idempotency_key_reused") {
+    return "The Idempotency-Key was first used with another request.";
+  }
+  return {};
+}
+
 } // namespace
 
 caller_api::caller_api(caller_api_options aOptions,
@@ -117,6 +132,9 @@
   , mDispatch(aDispatch)
   , mUsage(aUsage)
   , mMetrics(aMetrics)
+  , mIdempotentCalls({ mOptions.mPlatform, mOptions.mCallRecordKeep, 20 },
+                     aDispatch,
+                     aMetrics)
 {
   AddRoute("POST",
            "/v1/completions",
@@ -183,7 +201,7 @@
                   aOutcome.mRan,
                   aOutcome.mRetryAfter,
                   aRequestId,
-                  "" });
+                  ExplainOutcome(aOutcome) });
 }
 
 http::response
@@ -225,8 +243,18 @@
     admission::Leave(mLimits, customer.mName);
   });
   const auto patience =
-    ToNumber(http::HeaderOr(aRequest.mHeaders, "X-Deadline-Ms", ""),
-             mOptions.mDefaultDeadline.count());
+    ToNumber(http::HeaderOr(aRequest.mHeaders,
+                            "X-Deadline-Ms",
+                            std::to_string(mOptions.mDefaultDeadline.count())),
+             -1);
+  if (patience < 0 || patience > kLongestDeadline.count()) {
+    return Refuse({ 400,
+                    "bad_deadline",
+                    ran::NotRun,
+                    0ms,
+                    id,
+                    "X-Deadline-Ms must be a whole number up to 3600000" });
+  }
   admitted.mDeadline = start + milliseconds(patience);
   auto answer = aHandler(aRequest, aParts, admitted);
   mMetrics.Observe("lavender_request_seconds",
@@ -237,9 +265,12 @@
 }
 
 call
-caller_api::MakeCall(const admitted_request& aAdmitted) const
+caller_api::MakeCall(const http::request& aRequest,
+                     const admitted_request& aAdmitted) const
 {
   call made;
+  made.mFingerprint = HashKey(aRequest.mMethod + "\n" + aRequest.mPath + "\n" +
+                              aRequest.mQuery + "\n" + aRequest.mBody);
   made.mRequestId = aAdmitted.mRequestId;
   made.mCustomer = aAdmitted.mAuthorization.mCustomer.mName;
   made.mKeyId = aAdmitted.mAuthorization.mKeyId;
@@ -254,7 +285,8 @@
 void
 caller_api::CountUsage(const call& aCall, const call_outcome& aOutcome)
 {
-  if (aOutcome.mRan == ran::Ran) {
+  const bool isOwn = aOutcome.mSource == dispatch::answer_source::OwnRun;
+  if (aOutcome.mRan == ran::Ran && isOwn) {
     mUsage.Count(aOutcome.mServerIncarnation,
                  mOptions.mEntryIncarnation,
                  aCall.mCustomer,
@@ -284,7 +316,7 @@
   }
   const auto tokens = json::IntegerAt(*body, "max_tokens", kDefaultTokens);
   const std::string prompt = json::StringAt(*body, "prompt", "");
-  auto call = MakeCall(aAdmitted);
+  auto call = MakeCall(aRequest, aAdmitted);
   call.mPool = pool->mName;
   call.mOperation = "generate";
   call.mCostTokens = tokens + static_cast<std::int64_t>(prompt.size()) / 4;
@@ -293,7 +325,7 @@
   payload.Set("max_tokens", tokens);
   payload.Set("request", id);
   call.mPayload = json::Write(payload);
-  const auto outcome = mDispatch.Run(call);
+  const auto outcome = RunCall(aRequest, call);
   if (outcome.mRan != ran::Ran) {
     return RefuseOutcome(outcome, id);
   }
@@ -305,41 +337,17 @@
 }
 
 call_outcome
-caller_api::RunOnce(const std::string& aIdempotencyKey, const call& aCall)
+caller_api::RunCall(const http::request& aRequest, const call& aCall)
 {
-  // One conditional create decides which attempt on which server stands for
-  // this key; a second request, at any entry, fetches that attempt's end.
-  const std::string name = HashKey(aCall.mCustomer + "\n" + aIdempotencyKey);
-  const auto server = mDispatch.Pick(aCall.mPool, {});
-  call_outcome refused;
-  refused.mRetryAfter = kBusyRetryAfter;
-  if (!server) {
-    refused.mReason = "no_server";
-    return refused;
-  }
-  const std::string attempt = aCall.mRequestId + ".1";
-  json::value home;
-  home.Set("attempt", attempt);
-  home.Set("server", server->mInstance.mName);
-  home.Set("incarnation", server->mIncarnation);
-  const auto written =
-    platform::Write(mOptions.mPlatform, "Call", name, 0, home);
-  if (written.mState == platform::write_state::Done) {
-    return mDispatch.Attempt(aCall, attempt, *server);
-  }
-  const auto read = platform::Read(mOptions.mPlatform, "Call", name);
-  if (read.mState != platform::read_state::Found) {
-    refused.mReason = "platform_unavailable";
-    return refused;
-  }
-  const auto& kept = read.mObject.mValue;
-  if (json::StringAt(kept, "attempt", "") == attempt) {
-    return mDispatch.Attempt(aCall, attempt, *server);
+  const auto key = http::HeaderOr(aRequest.mHeaders, "Idempotency-Key", "");
+  if (key.empty()) {
+    return mDispatch.Run(aCall);
   }
-  return mDispatch.Fetch(json::StringAt(kept, "attempt", ""),
-                         json::StringAt(kept, "server", ""),
-                         json::StringAt(kept, "incarnation", ""),
-                         aCall.mDeadline);
+  const std::string name = HashKey(aCall.mCustomer + "\n" + key);
+  return mRecentCalls.Run(name, aCall.mFingerprint, aCall.mDeadline, [&] {
+    return aCall.mIsRepeatable ? mDispatch.Run(aCall)
+                               : mIdempotentCalls.Run(name, aCall);
+  });
 }
 
 http::response
@@ -353,7 +361,7 @@
   if (!pool) {
     return Refuse({ 404, "unknown_service", ran::NotRun, 0ms, id, "" });
   }
-  auto call = MakeCall(aAdmitted);
+  auto call = MakeCall(aRequest, aAdmitted);
   call.mPool = pool->mName;
   call.mOperation = "service";
   call.mMethod = aRequest.mMethod;
@@ -363,9 +371,7 @@
   }
   call.mPayload = aRequest.mBody;
   call.mIsRepeatable = pool->mIsRepeatable;
-  const auto key = http::HeaderOr(aRequest.mHeaders, "Idempotency-Key", "");
-  const auto outcome = key.empty() || call.mIsRepeatable ? mDispatch.Run(call)
-                                                         : RunOnce(key, call);
+  const auto outcome = RunCall(aRequest, call);
   if (outcome.mRan != ran::Ran) {
     return RefuseOutcome(outcome, id);
   }
--- a/Services/Entry/CallerApi.h
+++ b/Services/Entry/CallerApi.h
@@ -2,7 +2,8 @@
 
 #include "Duties/Admission/CustomerLimits.h"
 #include "Duties/Configuration/ConfigurationStore.h"
-#include "Duties/Dispatch/EntryDispatch.h"
+#include "Duties/Dispatch/IdempotentCall.h"
+#include "Duties/Dispatch/RecentCalls.h"
 #include "Duties/Keys/Authorize.h"
 #include "Duties/Usage/UsageAccount.h"
 #include "Libraries/Core/Result.h"
@@ -20,6 +21,8 @@
   std::int64_t mMaximumRequests = 512;
   milliseconds mDefaultDeadline{ 60000 };
   platform::client mPlatform;
+  /** How long the key of a call that may not be repeated is remembered. */
+  milliseconds mCallRecordKeep{ 3600000 };
 };
 
 /** What callers and trainers use: completions, plain services, batches. */
@@ -67,8 +70,10 @@
                            const admitted_request& aAdmitted);
   http::response AcknowledgeBatch(const http::path_parts& aParts,
                                   const admitted_request& aAdmitted);
-  dispatch::call MakeCall(const admitted_request& aAdmitted) const;
-  dispatch::call_outcome RunOnce(const std::string& aIdempotencyKey,
+  dispatch::call MakeCall(const http::request& aRequest,
+                          const admitted_request& aAdmitted) const;
+  /** Runs the call, under its Idempotency-Key when it carries one. */
+  dispatch::call_outcome RunCall(const http::request& aRequest,
                                  const dispatch::call& aCall);
   void CountUsage(const dispatch::call& aCall,
                   const dispatch::call_outcome& aOutcome);
@@ -82,6 +87,8 @@
   dispatch::entry_dispatch& mDispatch;
   usage::usage_account& mUsage;
   metrics::registry& mMetrics;
+  dispatch::idempotent_calls mIdempotentCalls;
+  dispatch::recent_calls mRecentCalls;
   http::router mRouter;
   std::atomic<std::int64_t> mUnderWay{ 0 };
   std::atomic<std::uint64_t> mNextRequest{ 1 };
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -96,6 +96,13 @@
            30000,
            0,
            3600000),
+    Number("call-record-keep",
+           "How long the Idempotency-Key of a call that may not be repeated is "
+           "remembered.",
+           "s",
+           3600,
+           1,
+           604800),
     Number("usage-window",
            "Length of a usage window; the same in all processes.",
            "s",
--- a/Services/Entry/Refusal.cpp
+++ b/Services/Entry/Refusal.cpp
@@ -37,6 +37,9 @@
   if (aOutcome.mReason == "deadline") {
     return 504;
   }
+  if (aOutcome.mReason == "idempotency_key_reused") {
+    return 409;
+  }
   if (aOutcome.mReason == "key_withdrawn" ||
       aOutcome.mReason == "key_unknown") {
     return 401;
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -101,6 +101,8 @@
   callerOptions.mMaximumRequests = aValues.Integer("maximum-requests");
   callerOptions.mDefaultDeadline = aValues.Milliseconds("default-deadline");
   callerOptions.mPlatform = platformClient;
+  callerOptions.mCallRecordKeep =
+    std::chrono::seconds(aValues.Integer("call-record-keep"));
   entry::caller_api callers(
     callerOptions, configuration, directory, dispatcher, account, metrics);
 
--- a/StandIns/Engine/Engine.cpp
+++ b/StandIns/Engine/Engine.cpp
@@ -100,6 +100,9 @@
     prompt, static_cast<std::size_t>(json::IntegerAt(*body, "max_tokens", 16)));
   json::value run;
   run.Set("request", id);
+  // Names the attempt; cancels name it too.
+  const auto attempt = http::HeaderOr(aRequest.mHeaders, "X-Request-Id", id);
+  run.Set("attempt", attempt);
   engine_faults faults;
   {
     std::lock_guard lock(mMutex);
@@ -133,7 +136,7 @@
     text += (text.empty() ? "" : " ") + word;
     std::lock_guard lock(mMutex);
     ApplyDueSwap();
-    if (mCancelled.count(id) > 0) {
+    if (mCancelled.count(attempt) > 0) {
       isCancelled = true;
       break;
     }
