The agent names the weight versions that truly produced a sample

Cause: a sample's versions were the engine's own account. An engine that swaps late, fails a swap or crashes names versions that it didn't hold.

Now each sample's run is bracketed by two reads of the server's version, with the agent's swap orders in between (one open at a time). The account counts only where it fits every swap that was read back; otherwise the versions are unknown, with a reason, and the sample isn't used. A server older than the order allows refuses with "not run".

Shown failing first: TestVersionTracker/NaiveLabelsAreConvicted holds both naive ways (believe the account; believe two equal reads) against an oracle that knows which version made each token: both are convicted.

--- a/Duties/Dispatch/AgentDispatch.cpp
+++ b/Duties/Dispatch/AgentDispatch.cpp
@@ -19,9 +19,11 @@
 agent_dispatch::agent_dispatch(std::string aIncarnation,
                                ledger_limits aLimits,
                                backend_server aServer,
-                               run_observer aObserver)
+                               run_observer aObserver,
+                               server_runner aRunner)
   : mServer(std::move(aServer))
   , mObserver(std::move(aObserver))
+  , mRunner(std::move(aRunner))
 {
   mLedger.mIncarnation = std::move(aIncarnation);
   mLedger.mLimits = aLimits;
@@ -121,7 +123,9 @@
     const auto left = std::chrono::duration_cast<milliseconds>(
       mLedger.mRows.at(order->request_id).mDeadline - boot_clock::now());
     lock.unlock();
-    auto run = RunOnServer(mServer, *order, std::max(left, milliseconds(1)));
+    const auto timeout = std::max(left, milliseconds(1));
+    auto run = mRunner ? mRunner(*order, timeout)
+                       : RunOnServer(mServer, *order, timeout);
     if (run.mState == run_state::FINISHED) {
       mObserver(*order, run.mResult);
     } else {
--- a/Duties/Dispatch/AgentDispatch.h
+++ b/Duties/Dispatch/AgentDispatch.h
@@ -16,6 +16,10 @@
 using run_observer =
   std::function<void(const wire::dispatch_order&, wire::run_result&)>;
 
+/** Runs one order on the server and waits for its end. */
+using server_runner =
+  std::function<backend_run(const wire::dispatch_order&, milliseconds)>;
+
 /** Runs the ledger with real threads: one for each slot of the server. */
 class agent_dispatch
 {
@@ -23,7 +27,8 @@
   agent_dispatch(std::string aIncarnation,
                  ledger_limits aLimits,
                  backend_server aServer,
-                 run_observer aObserver);
+                 run_observer aObserver,
+                 server_runner aRunner = {});
   ~agent_dispatch();
   agent_dispatch(const agent_dispatch&) = delete;
   agent_dispatch& operator=(const agent_dispatch&) = delete;
@@ -56,6 +61,7 @@
 
   const backend_server mServer;
   const run_observer mObserver;
+  const server_runner mRunner;
   mutable std::mutex mMutex;
   std::condition_variable mChanged;
   ledger mLedger;
--- /dev/null
+++ b/Duties/Weights/WeightGate.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Duties/Dispatch/BackendServer.h"
+#include "Duties/Weights/VersionTracker.h"
+#include "Libraries/Metrics/Metrics.h"
+
+#include <mutex>
+
+namespace lavender::weights {
+
+/** Operation name of an order that makes a sample. */
+constexpr const char* kSampleOperation = "sample";
+
+/** Stands between the agent and its server: brackets each sample's run with
+ * reads of the version that the server holds, and lets one swap order through
+ * at a time. Safe to use from any thread; no read or run is made under the
+ * lock. */
+class weight_gate
+{
+public:
+  weight_gate(dispatch::backend_server aServer,
+              std::string aIncarnation,
+              tracker_limits aLimits,
+              metrics::registry& aMetrics);
+
+  /** Runs an order on the server. A sample's result names the versions that
+   * truly produced it, or why they aren't known. A server whose weights are
+   * older than the order allows doesn't run it. */
+  dispatch::backend_run Run(const wire::dispatch_order& aOrder,
+                            milliseconds aTimeout);
+
+  wire::swap_reply Swap(const wire::swap_order& aOrder);
+
+  /** Asks the server what it holds. */
+  weight_version Refresh();
+
+private:
+  dispatch::backend_run RunSample(const wire::dispatch_order& aOrder,
+                                  milliseconds aTimeout);
+  weight_version Read(std::uint64_t& aEvents);
+  void TakeLabel(const version_label& aLabel, wire::run_result& aResult);
+
+  const dispatch::backend_server mServer;
+  const std::string mIncarnation;
+  metrics::registry& mMetrics;
+  std::mutex mMutex;
+  version_tracker mTracker;
+  /** Held while an order is under way, so that orders go one by one. */
+  std::mutex mSwapMutex;
+};
+
+} // namespace lavender::weights
--- a/Libraries/Wire/Generated/lavender_types.cpp
+++ b/Libraries/Wire/Generated/lavender_types.cpp
@@ -818,6 +818,14 @@
 void run_result::__set_usage_window(const int64_t val) {
   this->usage_window = val;
 }
+
+void run_result::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void run_result::__set_version_reason(const std::string& val) {
+  this->version_reason = val;
+}
 std::ostream& operator<<(std::ostream& out, const run_result& obj)
 {
   obj.printTo(out);
@@ -914,6 +922,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version_reason);
+          this->__isset.version_reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -967,6 +991,14 @@
   xfer += oprot->writeI64(this->usage_window);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version_reason", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->version_reason);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -981,6 +1013,8 @@
   swap(a.completion_tokens, b.completion_tokens);
   swap(a.versions, b.versions);
   swap(a.usage_window, b.usage_window);
+  swap(a.model, b.model);
+  swap(a.version_reason, b.version_reason);
   swap(a.__isset, b.__isset);
 }
 
@@ -992,6 +1026,8 @@
   completion_tokens = other18.completion_tokens;
   versions = other18.versions;
   usage_window = other18.usage_window;
+  model = other18.model;
+  version_reason = other18.version_reason;
   __isset = other18.__isset;
 }
 run_result& run_result::operator=(const run_result& other19) {
@@ -1002,6 +1038,8 @@
   completion_tokens = other19.completion_tokens;
   versions = other19.versions;
   usage_window = other19.usage_window;
+  model = other19.model;
+  version_reason = other19.version_reason;
   __isset = other19.__isset;
   return *this;
 }
@@ -1015,6 +1053,8 @@
   out << ", " << "completion_tokens=" << to_string(completion_tokens);
   out << ", " << "versions=" << to_string(versions);
   out << ", " << "usage_window=" << to_string(usage_window);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "version_reason=" << to_string(version_reason);
   out << ")";
 }
 
@@ -1762,6 +1802,10 @@
 void swap_order::__set_holder(const std::string& val) {
   this->holder = val;
 }
+
+void swap_order::__set_agent_incarnation(const std::string& val) {
+  this->agent_incarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const swap_order& obj)
 {
   obj.printTo(out);
@@ -1830,6 +1874,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->agent_incarnation);
+          this->__isset.agent_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1867,6 +1919,10 @@
   xfer += oprot->writeString(this->holder);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("agent_incarnation", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->agent_incarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1879,6 +1935,7 @@
   swap(a.version, b.version);
   swap(a.fencing, b.fencing);
   swap(a.holder, b.holder);
+  swap(a.agent_incarnation, b.agent_incarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -1888,6 +1945,7 @@
   version = other27.version;
   fencing = other27.fencing;
   holder = other27.holder;
+  agent_incarnation = other27.agent_incarnation;
   __isset = other27.__isset;
 }
 swap_order& swap_order::operator=(const swap_order& other28) {
@@ -1896,6 +1954,7 @@
   version = other28.version;
   fencing = other28.fencing;
   holder = other28.holder;
+  agent_incarnation = other28.agent_incarnation;
   __isset = other28.__isset;
   return *this;
 }
@@ -1907,6 +1966,7 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "fencing=" << to_string(fencing);
   out << ", " << "holder=" << to_string(holder);
+  out << ", " << "agent_incarnation=" << to_string(agent_incarnation);
   out << ")";
 }
 
--- a/Libraries/Wire/Generated/lavender_types.h
+++ b/Libraries/Wire/Generated/lavender_types.h
@@ -357,7 +357,7 @@
 std::ostream& operator<<(std::ostream& out, const weight_part& obj);
 
 typedef struct _run_result__isset {
-  _run_result__isset() : http_status(false), content_type(false), body(false), prompt_tokens(false), completion_tokens(false), versions(false), usage_window(false) {}
+  _run_result__isset() : http_status(false), content_type(false), body(false), prompt_tokens(false), completion_tokens(false), versions(false), usage_window(false), model(false), version_reason(false) {}
   bool http_status :1;
   bool content_type :1;
   bool body :1;
@@ -365,6 +365,8 @@
   bool completion_tokens :1;
   bool versions :1;
   bool usage_window :1;
+  bool model :1;
+  bool version_reason :1;
 } _run_result__isset;
 
 class run_result : public virtual ::apache::thrift::TBase {
@@ -378,7 +380,9 @@
                body(),
                prompt_tokens(0),
                completion_tokens(0),
-               usage_window(0) {
+               usage_window(0),
+               model(),
+               version_reason() {
   }
 
   virtual ~run_result() noexcept;
@@ -389,6 +393,8 @@
   int64_t completion_tokens;
   std::vector<weight_part>  versions;
   int64_t usage_window;
+  std::string model;
+  std::string version_reason;
 
   _run_result__isset __isset;
 
@@ -406,6 +412,10 @@
 
   void __set_usage_window(const int64_t val);
 
+  void __set_model(const std::string& val);
+
+  void __set_version_reason(const std::string& val);
+
   bool operator == (const run_result & rhs) const
   {
     if (!(http_status == rhs.http_status))
@@ -422,6 +432,10 @@
       return false;
     if (!(usage_window == rhs.usage_window))
       return false;
+    if (!(model == rhs.model))
+      return false;
+    if (!(version_reason == rhs.version_reason))
+      return false;
     return true;
   }
   bool operator != (const run_result &rhs) const {
@@ -727,12 +741,13 @@
 std::ostream& operator<<(std::ostream& out, const agent_report& obj);
 
 typedef struct _swap_order__isset {
-  _swap_order__isset() : echo(false), model(false), version(false), fencing(false), holder(false) {}
+  _swap_order__isset() : echo(false), model(false), version(false), fencing(false), holder(false), agent_incarnation(false) {}
   bool echo :1;
   bool model :1;
   bool version :1;
   bool fencing :1;
   bool holder :1;
+  bool agent_incarnation :1;
 } _swap_order__isset;
 
 class swap_order : public virtual ::apache::thrift::TBase {
@@ -745,7 +760,8 @@
                model(),
                version(0),
                fencing(0),
-               holder() {
+               holder(),
+               agent_incarnation() {
   }
 
   virtual ~swap_order() noexcept;
@@ -754,6 +770,7 @@
   int64_t version;
   int64_t fencing;
   std::string holder;
+  std::string agent_incarnation;
 
   _swap_order__isset __isset;
 
@@ -767,6 +784,8 @@
 
   void __set_holder(const std::string& val);
 
+  void __set_agent_incarnation(const std::string& val);
+
   bool operator == (const swap_order & rhs) const
   {
     if (!(echo == rhs.echo))
@@ -779,6 +798,8 @@
       return false;
     if (!(holder == rhs.holder))
       return false;
+    if (!(agent_incarnation == rhs.agent_incarnation))
+      return false;
     return true;
   }
   bool operator != (const swap_order &rhs) const {
--- a/Libraries/Wire/lavender.thrift
+++ b/Libraries/Wire/lavender.thrift
@@ -68,7 +68,11 @@
   // Weight versions that produced the answer, in order. Empty: not known.
   6: list<weight_part> versions,
   // Usage window that the run is billed in.
-  7: i64 usage_window
+  7: i64 usage_window,
+  // Model that the versions belong to.
+  8: string model,
+  // Why the versions aren't known.
+  9: string version_reason
 }
 
 struct dispatch_reply {
@@ -113,7 +117,10 @@
   2: string model,
   3: i64 version,
   4: i64 fencing,
-  5: string holder
+  5: string holder,
+  // The agent incarnation meant: a successor doesn't know which fencing
+  // numbers its predecessor saw, so it refuses what was meant for that one.
+  6: string agent_incarnation
 }
 
 struct swap_reply {
--- a/Services/Agent/AgentHandler.cpp
+++ b/Services/Agent/AgentHandler.cpp
@@ -24,11 +24,13 @@
 agent_handler::agent_handler(identity aIdentity,
                              dispatch::backend_server aServer,
                              dispatch::agent_dispatch& aDispatch,
+                             weights::weight_gate& aWeights,
                              usage::usage_account& aUsage,
                              metrics::registry& aMetrics)
   : mIdentity(std::move(aIdentity))
   , mServer(std::move(aServer))
   , mDispatch(aDispatch)
+  , mWeights(aWeights)
   , mUsage(aUsage)
   , mMetrics(aMetrics)
   , mWatcher([this] { WatchServer(); })
@@ -62,7 +64,7 @@
     server_state state;
     state.mLoad = dispatch::ReadLoad(mServer);
     if (mServer.mKind == dispatch::backend_kind::Engine) {
-      state.mWeights = dispatch::ReadWeights(mServer);
+      state.mWeights = mWeights.Refresh();
     }
     state.mReadAt = boot_clock::now();
     lock.lock();
@@ -156,19 +158,7 @@
 void
 agent_handler::Swap(wire::swap_reply& aReply, const wire::swap_order& aOrder)
 {
-  aReply.echo = aOrder.echo;
-  {
-    std::lock_guard lock(mMutex);
-    if (aOrder.fencing < mHighestFencing) {
-      aReply.reason = "old_fencing_number";
-      return;
-    }
-    mHighestFencing = aOrder.fencing;
-  }
-  aReply.reason = dispatch::OrderWeights(
-    mServer, aOrder.model, aOrder.version, aOrder.fencing);
-  aReply.done = aReply.reason.empty();
-  aReply.holds_version = dispatch::ReadWeights(mServer).mVersion;
+  aReply = mWeights.Swap(aOrder);
 }
 
 void
--- a/Services/Agent/AgentHandler.h
+++ b/Services/Agent/AgentHandler.h
@@ -2,6 +2,7 @@
 
 #include "Duties/Dispatch/AgentDispatch.h"
 #include "Duties/Usage/UsageAccount.h"
+#include "Duties/Weights/WeightGate.h"
 #include "Libraries/Metrics/Metrics.h"
 #include "Libraries/Wire/Generated/agent_service.h"
 
@@ -26,6 +27,7 @@
   agent_handler(identity aIdentity,
                 dispatch::backend_server aServer,
                 dispatch::agent_dispatch& aDispatch,
+                weights::weight_gate& aWeights,
                 usage::usage_account& aUsage,
                 metrics::registry& aMetrics);
   ~agent_handler() override;
@@ -55,7 +57,7 @@
   struct server_state
   {
     dispatch::server_load mLoad;
-    dispatch::held_weights mWeights;
+    weights::weight_version mWeights;
     time_point mReadAt;
   };
 
@@ -73,6 +75,7 @@
   const identity mIdentity;
   const dispatch::backend_server mServer;
   dispatch::agent_dispatch& mDispatch;
+  weights::weight_gate& mWeights;
   usage::usage_account& mUsage;
   metrics::registry& mMetrics;
   std::mutex mMutex;
@@ -80,7 +83,6 @@
   bool mIsStopping = false;
   server_state mState;
   witness mWitness;
-  std::int64_t mHighestFencing = 0;
   std::thread mWatcher;
 };
 
--- a/Services/Agent/main.cpp
+++ b/Services/Agent/main.cpp
@@ -76,6 +76,9 @@
 
   metrics::registry metrics;
   usage::usage_account account;
+  weights::tracker_limits weightLimits;
+  weightLimits.mSettle = aValues.Milliseconds("weight-settle");
+  weights::weight_gate weightGate(backend, incarnation, weightLimits, metrics);
   dispatch::agent_dispatch dispatcher(
     incarnation,
     limits,
@@ -89,6 +92,9 @@
                     aResult.usage_window,
                     aResult.prompt_tokens,
                     aResult.completion_tokens);
+    },
+    [&](const wire::dispatch_order& aOrder, milliseconds aTimeout) {
+      return weightGate.Run(aOrder, aTimeout);
     });
   auto handler = std::make_shared<agent::agent_handler>(
     agent::identity{ aValues.Text("name"),
@@ -97,6 +103,7 @@
                      incarnation },
     backend,
     dispatcher,
+    weightGate,
     account,
     metrics);
   wire::wire_server wireServer(
--- a/StandIns/Engine/Engine.cpp
+++ b/StandIns/Engine/Engine.cpp
@@ -36,6 +36,31 @@
   return words;
 }
 
+/** Adds a token to the last part, or begins one. */
+void
+AddToken(json::array& aParts, std::int64_t aVersion)
+{
+  if (aParts.empty() ||
+      json::IntegerAt(aParts.back(), "version", 0) != aVersion) {
+    json::value part;
+    part.Set("version", aVersion);
+    part.Set("tokens", 0);
+    aParts.push_back(std::move(part));
+  }
+  auto& last = aParts.back();
+  last.Set("tokens", json::IntegerAt(last, "tokens", 0) + 1);
+}
+
+version_account
+ParseAccount(const std::string& aName)
+{
+  if (aName == "none") {
+    return version_account::None;
+  }
+  return aName == "ordered" ? version_account::Ordered
+                            : version_account::Truthful;
+}
+
 std::int64_t
 CountWords(const std::string& aText)
 {
@@ -78,6 +103,27 @@
   return http::Serve(mRouter, aRequest);
 }
 
+std::int64_t
+engine::AccountedVersion(version_account aAccount) const
+{
+  return aAccount == version_account::Ordered ? mOrderedVersion : mVersion;
+}
+
+/** What a crash and restart look like from outside: answers under way are
+ * cut, and the base version is loaded. */
+http::response
+engine::Crash()
+{
+  std::lock_guard lock(mMutex);
+  ++mLife;
+  mModel = "base";
+  mVersion = 1;
+  mOrderedVersion = 1;
+  mDueVersion = 0;
+  mHighestFencing = 0;
+  return JsonResponse(200, json::object{});
+}
+
 void
 engine::ApplyDueSwap()
 {
@@ -115,38 +161,38 @@
     }
   }
   std::string text;
-  json::array versions;
-  std::int64_t last = 0;
-  std::int64_t lastTokens = 0;
-  const auto endPart = [&] {
-    if (lastTokens > 0) {
-      json::value part;
-      part.Set("version", last);
-      part.Set("tokens", lastTokens);
-      versions.push_back(std::move(part));
-    }
-    lastTokens = 0;
-  };
+  json::array truth;
+  json::array account;
   bool isCancelled = false;
+  int life = -1;
   for (const auto& word : words) {
     std::this_thread::sleep_for(faults.mPerToken);
     text += (text.empty() ? "" : " ") + word;
     std::lock_guard lock(mMutex);
     ApplyDueSwap();
+    life = life < 0 ? mLife : life;
+    if (life != mLife) {
+      --mRunning;
+      http::response cut;
+      cut.mBody = "{\"text\":\"" + text;
+      return cut;
+    }
     if (mCancelled.count(id) > 0) {
       isCancelled = true;
       break;
     }
-    if (mVersion != last) {
-      endPart();
-      last = mVersion;
-    }
-    ++lastTokens;
+    AddToken(truth, mVersion);
+    AddToken(account, AccountedVersion(faults.mAccount));
   }
-  endPart();
   {
     std::lock_guard lock(mMutex);
     --mRunning;
+    json::value ended;
+    ended.Set("request", id);
+    ended.Set("attempt", http::HeaderOr(aRequest.mHeaders, "X-Request-Id", ""));
+    ended.Set("model", mModel);
+    ended.Set("truth", truth);
+    mTruths.push_back(std::move(ended));
     if (mFaults.mCutAnswers > 0) {
       --mFaults.mCutAnswers;
       http::response cut;
@@ -158,7 +204,9 @@
   answer.Set("text", text);
   answer.Set("prompt_tokens", CountWords(prompt));
   answer.Set("completion_tokens", static_cast<std::int64_t>(words.size()));
-  answer.Set("versions", std::move(versions));
+  if (faults.mAccount != version_account::None) {
+    answer.Set("versions", std::move(account));
+  }
   answer.Set("prompt_digest", DigestOf(prompt));
   answer.Set("cancelled", isCancelled);
   return JsonResponse(200, answer);
@@ -180,10 +228,17 @@
   mHighestFencing = std::max(mHighestFencing, fencing);
   if (mFaults.mFailedSwaps > 0) {
     --mFaults.mFailedSwaps;
+    mOrderedVersion = json::IntegerAt(*body, "version", mVersion);
     return Failure(500, "swap_failed");
   }
   mModel = json::StringAt(*body, "model", mModel);
-  mDueVersion = json::IntegerAt(*body, "version", mVersion);
+  mOrderedVersion = json::IntegerAt(*body, "version", mVersion);
+  if (mFaults.mBrokenSwaps > 0) {
+    --mFaults.mBrokenSwaps;
+    mVersion = 0;
+    return Failure(500, "swap_broken");
+  }
+  mDueVersion = mOrderedVersion;
   mDueAt = std::chrono::steady_clock::now() + mFaults.mSwapLateness;
   ApplyDueSwap();
   json::value answer;
@@ -265,6 +320,11 @@
   mFaults.mFailsFast = json::BooleanAt(*body, "fail_fast", mFaults.mFailsFast);
   mFaults.mFailedSwaps = static_cast<int>(
     json::IntegerAt(*body, "fail_swaps", mFaults.mFailedSwaps));
+  mFaults.mBrokenSwaps = static_cast<int>(
+    json::IntegerAt(*body, "break_swaps", mFaults.mBrokenSwaps));
+  if (const auto* account = body->Find("account")) {
+    mFaults.mAccount = ParseAccount(account->StringOr(""));
+  }
   mFaults.mSwapLateness = std::chrono::milliseconds(
     json::IntegerAt(*body, "swap_late_ms", mFaults.mSwapLateness.count()));
   mFaults.mCutAnswers = static_cast<int>(
@@ -284,11 +344,15 @@
               [this](const http::request& aRequest, const auto&) {
                 return SetFaults(aRequest);
               });
+  mRouter.Add("POST", "/control/crash", [this](const auto&, const auto&) {
+    return Crash();
+  });
   mRouter.Add("GET", "/control/log", [this](const auto&, const auto&) {
     std::lock_guard lock(mMutex);
     json::value body;
     body.Set("runs", mRuns);
     body.Set("orders", mOrders);
+    body.Set("truths", mTruths);
     return JsonResponse(200, body);
   });
   mRouter.Add("GET", "/control/received", [this](const auto&, const auto&) {
--- a/StandIns/Engine/Engine.h
+++ b/StandIns/Engine/Engine.h
@@ -13,6 +13,16 @@
 
 namespace lavender::standin {
 
+/** What an engine's answer says of the versions that produced it. */
+enum class version_account
+{
+  Truthful,
+  /** Nothing at all. */
+  None,
+  /** The version last ordered, whatever the engine holds. */
+  Ordered
+};
+
 /** Faults that a test or experiment switches on with POST /control/faults. */
 struct engine_faults
 {
@@ -22,6 +32,9 @@
   bool mFailsFast = false;
   /** That many weight swaps fail and leave the old version. */
   int mFailedSwaps = 0;
+  /** That many weight swaps fail half-way and leave no version loaded. */
+  int mBrokenSwaps = 0;
+  version_account mAccount = version_account::Truthful;
   /** A swap answers at once and takes effect this much later. */
   std::chrono::milliseconds mSwapLateness{ 0 };
   /** That many answers are cut short. */
@@ -53,7 +66,9 @@
   http::response SwapWeights(const http::request& aRequest);
   http::response SetFaults(const http::request& aRequest);
   json::value DescribeLoad();
+  http::response Crash();
   void ApplyDueSwap();
+  std::int64_t AccountedVersion(version_account aAccount) const;
 
   http::router mRouter;
   std::mutex mMutex;
@@ -61,6 +76,9 @@
   std::string mModel = "base";
   std::int64_t mVersion = 1;
   std::int64_t mDueVersion = 0;
+  std::int64_t mOrderedVersion = 1;
+  /** Grows with each simulated crash; runs from before are cut. */
+  int mLife = 0;
   std::chrono::steady_clock::time_point mDueAt;
   std::int64_t mHighestFencing = 0;
   int mRunning = 0;
@@ -69,6 +87,8 @@
   std::set<std::string> mCancelled;
   json::array mRuns;
   json::array mOrders;
+  /** For each run that ended: which version truly produced its tokens. */
+  json::array mTruths;
   /** Every byte received, so that a test can search it for keys. */
   std::string mReceived;
 };
