Waiting requests share a server by weight instead of first come first served

Cause: the agent's line was one FIFO for all customers. A customer that sent ten times its share filled the 64 places, so the others were refused and those taken in waited behind it.

Now each agent runs start-time fair queueing over customers, by expected cost in tokens. A full line gives up the last item of the customer that holds most for its weight; that item becomes a truthful not run. A request whose deadline the measured drain rate can't meet is refused at once; every refusal carries Retry-After from that rate. An agent sees all entries, so no entry has to know another's share.

Ruled out: fixed places per customer (idle places while others wait); tags given at arrival (a cancelled request would still be charged).

--- a/Duties/Dispatch/AgentDispatch.cpp
+++ b/Duties/Dispatch/AgentDispatch.cpp
@@ -22,9 +22,8 @@
                                run_observer aObserver)
   : mServer(std::move(aServer))
   , mObserver(std::move(aObserver))
+  , mLedger(MakeLedger(std::move(aIncarnation), aLimits))
 {
-  mLedger.mIncarnation = std::move(aIncarnation);
-  mLedger.mLimits = aLimits;
   for (std::size_t i = 0; i < aLimits.mSlots; ++i) {
     mSlots.emplace_back([this] { RunSlot(); });
   }
@@ -96,11 +95,12 @@
   reply.agent_incarnation = mLedger.mIncarnation;
   reply.state = aAnswer.mState;
   reply.reason = aAnswer.mReason;
+  reply.retry_after_ms = aAnswer.mRetryAfter.count();
   reply.draining = mLedger.mIsDraining;
   if (aAnswer.mState == run_state::FINISHED) {
     reply.__set_result(mLedger.mRows.at(aId).mResult);
   }
-  reply.load.queued = static_cast<std::int32_t>(mLedger.mQueue.size());
+  reply.load.queued = static_cast<std::int32_t>(mLedger.mQueue.mSize);
   reply.load.running = static_cast<std::int32_t>(mLedger.mRunning);
   reply.load.slots = static_cast<std::int32_t>(mLedger.mLimits.mSlots);
   return reply;
@@ -159,7 +159,7 @@
 agent_dispatch::RequestsLeft() const
 {
   std::lock_guard lock(mMutex);
-  return mLedger.mQueue.size() + mLedger.mRunning;
+  return mLedger.mQueue.mSize + mLedger.mRunning;
 }
 
 wire::load_figures
@@ -167,9 +167,11 @@
 {
   std::lock_guard lock(mMutex);
   wire::load_figures figures;
-  figures.queued = static_cast<std::int32_t>(mLedger.mQueue.size());
+  figures.queued = static_cast<std::int32_t>(mLedger.mQueue.mSize);
   figures.running = static_cast<std::int32_t>(mLedger.mRunning);
   figures.slots = static_cast<std::int32_t>(mLedger.mLimits.mSlots);
+  figures.queue_delay_ms = static_cast<double>(
+    admission::QueueDelay(mLedger.mQueue, mLedger.mRunningCost).count());
   return figures;
 }
 
--- a/Duties/Dispatch/EntryDispatch.cpp
+++ b/Duties/Dispatch/EntryDispatch.cpp
@@ -191,7 +191,11 @@
         return outcome;
       }
       if (last.mReply.state == run_state::NOT_RUN) {
-        return Refuse(ran::NotRun, last.mReply.reason);
+        auto refused = Refuse(ran::NotRun, last.mReply.reason);
+        if (last.mReply.retry_after_ms > 0) {
+          refused.mRetryAfter = milliseconds(last.mReply.retry_after_ms);
+        }
+        return refused;
       }
       if (last.mReply.state == run_state::OUTCOME_UNKNOWN) {
         return Refuse(ran::OutcomeUnknown, last.mReply.reason);
--- a/Duties/Dispatch/Ledger.cpp
+++ b/Duties/Dispatch/Ledger.cpp
@@ -10,7 +10,7 @@
 ledger_answer
 Describe(const ledger_row& aRow)
 {
-  return { aRow.mState, aRow.mReason };
+  return { aRow.mState, aRow.mReason, aRow.mRetryAfter };
 }
 
 void
@@ -34,17 +34,39 @@
   if (aLedger.mIsDraining) {
     return "draining";
   }
-  if (aLedger.mQueue.size() >= aLedger.mLimits.mMaximumQueued) {
-    return "queue_full";
-  }
   if (aOrder.deadline_left_ms <= 0) {
     return "deadline";
   }
   return {};
 }
 
+admission::queue_item
+ToItem(const wire::dispatch_order& aOrder, time_point aDeadline)
+{
+  return { aOrder.request_id,  aOrder.customer, aOrder.weight,
+           aOrder.cost_tokens, aOrder.priority, aDeadline };
+}
+
+std::int64_t
+CostOf(const wire::dispatch_order& aOrder)
+{
+  return std::max<std::int64_t>(aOrder.cost_tokens, 1);
+}
+
 } // namespace
 
+ledger
+MakeLedger(std::string aIncarnation, const ledger_limits& aLimits)
+{
+  ledger made;
+  made.mIncarnation = std::move(aIncarnation);
+  made.mLimits = aLimits;
+  made.mQueue.mLimits = { aLimits.mPolicy,
+                          aLimits.mMaximumQueued,
+                          aLimits.mSlots };
+  return made;
+}
+
 ledger_answer
 Admit(ledger& aLedger, const wire::dispatch_order& aOrder, time_point aNow)
 {
@@ -57,11 +79,24 @@
     SetState(row, run_state::NOT_RUN, refusal, aNow);
     return Describe(row);
   }
+  const auto deadline = aNow + milliseconds(aOrder.deadline_left_ms);
+  const auto pushed = admission::Push(
+    aLedger.mQueue, ToItem(aOrder, deadline), aLedger.mRunningCost, aNow);
+  if (const auto& displaced = pushed.mDisplaced) {
+    auto& other = aLedger.mRows.at(displaced->mId);
+    SetState(other, run_state::NOT_RUN, "displaced", aNow);
+    other.mRetryAfter = pushed.mRetryAfter;
+    other.mOrder = {};
+  }
+  if (!pushed.mIsQueued) {
+    SetState(row, run_state::NOT_RUN, pushed.mReason, aNow);
+    row.mRetryAfter = pushed.mRetryAfter;
+    return Describe(row);
+  }
   row.mOrder = aOrder;
   row.mAskedAt = aNow;
-  row.mDeadline = aNow + milliseconds(aOrder.deadline_left_ms);
+  row.mDeadline = deadline;
   SetState(row, run_state::QUEUED, "", aNow);
-  aLedger.mQueue.push_back(aOrder.request_id);
   return Describe(row);
 }
 
@@ -83,8 +118,7 @@
   if (row.mState == run_state::UNKNOWN_ID) {
     SetState(row, run_state::NOT_RUN, "cancelled_before_arrival", aNow);
   } else if (row.mState == run_state::QUEUED) {
-    auto& queue = aLedger.mQueue;
-    queue.erase(std::remove(queue.begin(), queue.end(), aId), queue.end());
+    admission::Remove(aLedger.mQueue, row.mOrder.customer, aId);
     SetState(row, run_state::NOT_RUN, "cancelled", aNow);
     row.mOrder = {};
   }
@@ -94,10 +128,12 @@
 std::optional<wire::dispatch_order>
 TakeNext(ledger& aLedger, time_point aNow)
 {
-  while (aLedger.mRunning < aLedger.mLimits.mSlots && !aLedger.mQueue.empty()) {
-    const std::string id = aLedger.mQueue.front();
-    aLedger.mQueue.pop_front();
-    auto& row = aLedger.mRows.at(id);
+  while (aLedger.mRunning < aLedger.mLimits.mSlots) {
+    const auto item = admission::Pop(aLedger.mQueue);
+    if (!item) {
+      break;
+    }
+    auto& row = aLedger.mRows.at(item->mId);
     if (aNow >= row.mDeadline) {
       SetState(row, run_state::NOT_RUN, "deadline", aNow);
       row.mOrder = {};
@@ -109,7 +145,9 @@
       continue;
     }
     SetState(row, run_state::RUNNING, "", aNow);
+    row.mStartedAt = aNow;
     ++aLedger.mRunning;
+    aLedger.mRunningCost += CostOf(row.mOrder);
     return row.mOrder;
   }
   return std::nullopt;
@@ -128,6 +166,12 @@
   row.mResult = std::move(aResult);
   row.mOrder.payload.clear();
   --aLedger.mRunning;
+  aLedger.mRunningCost -= CostOf(row.mOrder);
+  if (aState == run_state::FINISHED && row.mResult.http_status < 500) {
+    // A server that fails at once must not look like one that drains fast.
+    admission::RecordRun(
+      aLedger.mQueue, CostOf(row.mOrder), aNow - row.mStartedAt);
+  }
 }
 
 void
--- a/Duties/Dispatch/Ledger.h
+++ b/Duties/Dispatch/Ledger.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "Duties/Admission/FairQueue.h"
 #include "Libraries/Core/Clock.h"
 #include "Libraries/Wire/Generated/lavender_types.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -25,17 +25,21 @@
   milliseconds mKeep{ 600000 };
   /** A queued request whose entry has stopped asking is dropped after this. */
   milliseconds mAbandonAfter{ 10000 };
+  admission::queue_policy mPolicy = admission::queue_policy::Fair;
 };
 
 struct ledger_row
 {
   wire::run_state::type mState = wire::run_state::UNKNOWN_ID;
   std::string mReason;
+  /** Told with a refusal: when the drain rate says to come back. */
+  milliseconds mRetryAfter{ 0 };
   wire::dispatch_order mOrder;
   wire::run_result mResult;
   time_point mDeadline;
   time_point mChangedAt;
   time_point mAskedAt;
+  time_point mStartedAt;
 };
 
 /** Everything that the gate remembers. Its incarnation is new with each
@@ -45,8 +49,10 @@
   std::string mIncarnation;
   ledger_limits mLimits;
   std::map<std::string, ledger_row> mRows;
-  std::deque<std::string> mQueue;
+  admission::fair_queue mQueue;
   std::size_t mRunning = 0;
+  /** Expected tokens of the requests that run. */
+  std::int64_t mRunningCost = 0;
   bool mIsDraining = false;
 };
 
@@ -55,8 +61,13 @@
 {
   wire::run_state::type mState = wire::run_state::UNKNOWN_ID;
   std::string mReason;
+  milliseconds mRetryAfter{ 0 };
 };
 
+/** Empty ledger of a process with that incarnation. */
+ledger
+MakeLedger(std::string aIncarnation, const ledger_limits& aLimits);
+
 /** Takes an order in, or refuses it. An id that is already known is never
  * queued again, whatever became of it: its present state is told instead. */
 ledger_answer
--- a/Services/Agent/AgentHandler.cpp
+++ b/Services/Agent/AgentHandler.cpp
@@ -142,6 +142,7 @@
   aReport.load.queued = own.queued;
   aReport.load.running = std::max(own.running, mState.mLoad.mFigures.running);
   aReport.load.slots = own.slots;
+  aReport.load.queue_delay_ms = own.queue_delay_ms;
   aReport.load.age_ms =
     std::chrono::duration_cast<milliseconds>(now - mState.mReadAt).count();
   aReport.draining = mDispatch.IsDraining();
