Routing decides on a prepared table, counts its own requests once and shuns failing servers

Cause: Pick copied all views for each request, added all own requests in flight to a report that already shows most of them, and a server that answers every request with an error at once was the idlest of all.

Now a report changes one row of the pool's table and a decision draws two rows. Own requests count when they left after the report was made, and are taken off when they ended but it still shows them. Load is relative to the drain rate that the agent measures. Breakers open by decayed evidence, probe with one request, and are ignored when more than half are open. A server that holds the prompt's prefix is taken while its load is within 1.25 of the mean or half its slots are free; cache events confirm, their absence proves nothing.

The agent reports its ledger's own count: the maximum with the server's lagging figure showed a burst long after its end.

Ruled out: opening breakers alone, since shares below a half would still attract work; the failure share also scales load.

--- a/Duties/Admission/FairQueue.cpp
+++ b/Duties/Admission/FairQueue.cpp
@@ -29,18 +29,6 @@
                                                       : kOnlyLine;
 }
 
-/** Tokens a second over all slots; zero while too little was measured. */
-double
-DrainRate(const fair_queue& aQueue)
-{
-  const auto& drain = aQueue.mDrain;
-  if (drain.mCost < kEnoughCost || drain.mTime <= 0s) {
-    return 0;
-  }
-  return drain.mCost / drain.mTime.count() *
-         static_cast<double>(aQueue.mLimits.mSlots);
-}
-
 milliseconds
 TimeFor(const fair_queue& aQueue, double aCost)
 {
@@ -181,6 +169,17 @@
 
 } // namespace
 
+double
+DrainRate(const fair_queue& aQueue)
+{
+  const auto& drain = aQueue.mDrain;
+  if (drain.mCost < kEnoughCost || drain.mTime <= 0s) {
+    return 0;
+  }
+  return drain.mCost / drain.mTime.count() *
+         static_cast<double>(aQueue.mLimits.mSlots);
+}
+
 push_answer
 Push(fair_queue& aQueue,
      queue_item aItem,
--- a/Duties/Dispatch/EntryDispatch.cpp
+++ b/Duties/Dispatch/EntryDispatch.cpp
@@ -1,6 +1,5 @@
 #include "Duties/Dispatch/EntryDispatch.h"
 
-#include "Duties/Routing/Choose.h"
 #include "Libraries/Core/Log.h"
 #include "Libraries/Core/ScopeGuard.h"
 
@@ -62,6 +61,36 @@
   return outcome;
 }
 
+bool
+IsUsable(const server_view& aServer, time_point aNow)
+{
+  return aServer.mHeardAt && aNow - *aServer.mHeardAt < kHeartbeatLimit &&
+         !aServer.mIsLeaving && !aServer.mInstance.mIsLeaving &&
+         aServer.mIsServerReachable;
+}
+
+/** What an attempt's end says about its server. */
+routing::evidence
+EvidenceOf(const call_outcome& aOutcome)
+{
+  constexpr int kServerError = 500;
+  if (aOutcome.mRan == ran::Ran) {
+    return aOutcome.mResult.http_status >= kServerError
+             ? routing::evidence::Failure
+             : routing::evidence::Success;
+  }
+  if (aOutcome.mRan == ran::NotRun) {
+    return aOutcome.mReason == "server_unreachable"
+             ? routing::evidence::Failure
+             : routing::evidence::Neutral;
+  }
+  // Given up by the caller's deadline or a withdrawn key: not its fault.
+  return aOutcome.mReason == "server_silent" ||
+             aOutcome.mReason == "answer_cut_short"
+           ? routing::evidence::Failure
+           : routing::evidence::Neutral;
+}
+
 } // namespace
 
 entry_dispatch::entry_dispatch(entry_dispatch_options aOptions,
@@ -72,36 +101,71 @@
   , mMetrics(aMetrics)
   , mRandom(std::random_device()())
 {
+  mDirectory.OnReport(
+    [this](const server_view& aServer) { TakeReport(aServer); });
+}
+
+void
+entry_dispatch::TakeReport(const server_view& aServer)
+{
+  routing::server_report report;
+  report.mName = aServer.mInstance.mName;
+  report.mAvailabilityZone = aServer.mInstance.mAvailabilityZone;
+  report.mSlots = aServer.mLoad.slots;
+  report.mRequests = aServer.mLoad.queued + aServer.mLoad.running;
+  report.mDrainRate = aServer.mLoad.tokens_per_second;
+  report.mTakesWork = IsUsable(aServer, boot_clock::now());
+  report.mMadeAt = aServer.mReportedAt;
+  report.mCachedPrefixes = aServer.mLoad.cached_prefixes;
+  std::lock_guard lock(mRoutesMutex);
+  auto [table, isNew] = mRoutes.try_emplace(aServer.mInstance.mPool);
+  if (isNew) {
+    table->second.mLimits = mOptions.mRouting;
+  }
+  routing::TakeReport(table->second, report, boot_clock::now());
 }
 
 std::optional<server_view>
 entry_dispatch::Pick(const std::string& aPool,
-                     const std::vector<std::string>& aExcluded)
+                     const std::vector<std::string>& aExcluded,
+                     std::int64_t aPrefix)
 {
-  std::vector<server_view> usable;
-  std::vector<routing::candidate> candidates;
-  const auto now = boot_clock::now();
-  for (auto& server : mDirectory.Servers()) {
-    const bool isExcluded =
-      std::find(aExcluded.begin(), aExcluded.end(), server.mInstance.mName) !=
-      aExcluded.end();
-    const bool isAlive =
-      server.mHeardAt && now - *server.mHeardAt < kHeartbeatLimit;
-    if (server.mInstance.mPool != aPool || isExcluded || !isAlive ||
-        server.mIsLeaving || server.mInstance.mIsLeaving ||
-        !server.mIsServerReachable) {
-      continue;
+  const routing::route_request request{ aPrefix, mOptions.mOwnZone, aExcluded };
+  while (true) {
+    std::optional<std::string> chosen;
+    {
+      std::lock_guard lock(mRoutesMutex);
+      const auto table = mRoutes.find(aPool);
+      if (table != mRoutes.end()) {
+        chosen =
+          routing::Choose(table->second, request, mRandom, boot_clock::now());
+      }
+    }
+    if (!chosen) {
+      return std::nullopt;
     }
-    candidates.push_back({ server.mInstance.mName,
-                           server.mInstance.mAvailabilityZone,
-                           server.mLoad.slots,
-                           server.mLoad.queued + server.mLoad.running,
-                           server.mOwnInFlight });
-    usable.push_back(std::move(server));
+    auto server = mDirectory.Find(*chosen);
+    if (server && server->mInstance.mPool == aPool &&
+        IsUsable(*server, boot_clock::now())) {
+      return server;
+    }
+    // It left or fell silent since its report; one row fewer each time.
+    std::lock_guard lock(mRoutesMutex);
+    routing::TakeOut(mRoutes.at(aPool), *chosen);
+  }
+}
+
+void
+entry_dispatch::TakeEvidence(const call& aCall,
+                             const std::string& aServer,
+                             time_point aSentAt,
+                             const call_outcome& aOutcome)
+{
+  std::lock_guard lock(mRoutesMutex);
+  if (const auto table = mRoutes.find(aCall.mPool); table != mRoutes.end()) {
+    routing::NoteEnded(
+      table->second, aServer, aSentAt, EvidenceOf(aOutcome), boot_clock::now());
   }
-  std::lock_guard lock(mRandomMutex);
-  const auto chosen = routing::Choose(candidates, mOptions.mOwnZone, mRandom);
-  return chosen ? std::optional(usable[*chosen]) : std::nullopt;
 }
 
 call_outcome
@@ -113,7 +177,7 @@
     if (Left(aCall.mDeadline) <= 0ms) {
       return Refuse(ran::NotRun, "deadline");
     }
-    const auto server = Pick(aCall.mPool, tried);
+    const auto server = Pick(aCall.mPool, tried, aCall.mPrefix);
     if (!server) {
       return outcome;
     }
@@ -137,8 +201,13 @@
                         const server_view& aServer)
 {
   const std::string& name = aServer.mInstance.mName;
-  mDirectory.AddInFlight(name, 1);
-  scope_guard guard([&] { mDirectory.AddInFlight(name, -1); });
+  const auto sentAt = boot_clock::now();
+  {
+    std::lock_guard lock(mRoutesMutex);
+    routing::NoteSent(mRoutes[aCall.mPool], name, aCall.mPrefix, sentAt);
+  }
+  call_outcome outcome;
+  scope_guard guard([&] { TakeEvidence(aCall, name, sentAt, outcome); });
   const auto order =
     ToOrder(aCall, aAttemptId, aServer, mOptions.mEntryIncarnation);
   auto first = aServer.mConnections->Run<wire::dispatch_reply>(
@@ -146,7 +215,9 @@
       aClient.Dispatch(
         aReply, order, static_cast<int>(mOptions.mWaitSlice.count()));
     });
-  return Follow(&aCall, aAttemptId, aServer, aCall.mDeadline, std::move(first));
+  outcome =
+    Follow(&aCall, aAttemptId, aServer, aCall.mDeadline, std::move(first));
+  return outcome;
 }
 
 call_outcome
--- a/Duties/Dispatch/EntryDispatch.h
+++ b/Duties/Dispatch/EntryDispatch.h
@@ -2,9 +2,11 @@
 
 #include "Duties/Dispatch/CallOutcome.h"
 #include "Duties/Membership/ServerDirectory.h"
+#include "Duties/Routing/PoolTable.h"
 #include "Libraries/Metrics/Metrics.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -28,6 +30,8 @@
   std::int64_t mCostTokens = 1;
   int mPriority = 0;
   time_point mDeadline;
+  /** Of the prompt, for affinity to a server that cached it; 0 for none. */
+  std::int64_t mPrefix = 0;
   bool mIsRepeatable = true;
   /** For samples: oldest acceptable weight version, 0 for none. */
   std::int64_t mOldestWeightVersion = 0;
@@ -47,6 +51,7 @@
    * called unknown. */
   milliseconds mGiveUpAfter{ 5000 };
   int mMaximumAttempts = 3;
+  routing::table_limits mRouting;
 };
 
 /** Brings one request to one server and its answer back.
@@ -73,7 +78,8 @@
   /** Picks a server for the pool; none when no server can take the call. */
   std::optional<membership::server_view> Pick(
     const std::string& aPool,
-    const std::vector<std::string>& aExcluded);
+    const std::vector<std::string>& aExcluded,
+    std::int64_t aPrefix = 0);
 
   /** One attempt on one server. */
   call_outcome Attempt(const call& aCall,
@@ -81,6 +87,11 @@
                        const membership::server_view& aServer);
 
 private:
+  void TakeReport(const membership::server_view& aServer);
+  void TakeEvidence(const call& aCall,
+                    const std::string& aServer,
+                    time_point aSentAt,
+                    const call_outcome& aOutcome);
   call_outcome Follow(const call* aCall,
                       const std::string& aAttemptId,
                       const membership::server_view& aServer,
@@ -93,8 +104,9 @@
   const entry_dispatch_options mOptions;
   membership::server_directory& mDirectory;
   metrics::registry& mMetrics;
-  std::mutex mRandomMutex;
+  std::mutex mRoutesMutex;
   std::mt19937_64 mRandom;
+  std::map<std::string, routing::pool_table> mRoutes;
 };
 
 } // namespace lavender::dispatch
--- a/Duties/Membership/ServerDirectory.cpp
+++ b/Duties/Membership/ServerDirectory.cpp
@@ -111,6 +111,7 @@
   message.entry_incarnation = mOptions.mEntryIncarnation;
   message.configuration_revision = digest.mRevision;
   message.fresh_age_ms = digest.mFreshAge.count();
+  const auto askedAt = boot_clock::now();
   const auto outcome = connections->Run<wire::agent_report>(
     mOptions.mPollTimeout, aName, [&](auto& aClient, auto& aReply) {
       aClient.Report(aReply, message);
@@ -121,8 +122,9 @@
     return;
   }
   const auto& report = outcome.mReply;
-  std::lock_guard lock(mMutex);
+  std::unique_lock lock(mMutex);
   auto& view = mServers[aName];
+  view.mReportedAt = askedAt;
   view.mIncarnation = report.agent_incarnation;
   view.mLoad = report.load;
   view.mIsLeaving = report.draining || view.mInstance.mIsLeaving;
@@ -132,6 +134,17 @@
   view.mWitnessedRevision = report.witnessed_revision;
   view.mWitnessedFreshAge = milliseconds(report.witnessed_fresh_age_ms);
   view.mHeardAt = boot_clock::now();
+  const auto changed = view;
+  lock.unlock();
+  if (mObserver) {
+    mObserver(changed);
+  }
+}
+
+void
+server_directory::OnReport(std::function<void(const server_view&)> aObserver)
+{
+  mObserver = std::move(aObserver);
 }
 
 std::vector<server_view>
--- a/Duties/Membership/ServerDirectory.h
+++ b/Duties/Membership/ServerDirectory.h
@@ -35,6 +35,8 @@
   std::int64_t mWitnessedRevision = 0;
   milliseconds mWitnessedFreshAge{ 0 };
   std::optional<time_point> mHeardAt;
+  /** When the last answered poll left: its report is no older. */
+  time_point mReportedAt;
   /** Requests that this entry sent and has no answer to. */
   int mOwnInFlight = 0;
   std::shared_ptr<agent_pool> mConnections;
@@ -78,6 +80,9 @@
   std::optional<server_view> Find(const std::string& aName) const;
   /** Counts a request sent to, or answered by, a server. */
   void AddInFlight(const std::string& aName, int aChange);
+  /** Called with a copy of each view that a report has changed, from the
+   * polling threads. Set before Start. */
+  void OnReport(std::function<void(const server_view&)> aObserver);
   /** Takes what any reply told of its agent. */
   void TakeReply(const std::string& aName, const wire::dispatch_reply& aReply);
 
@@ -94,6 +99,7 @@
   bool mIsStopping = false;
   std::map<std::string, server_view> mServers;
   std::vector<platform::instance> mEntries;
+  std::function<void(const server_view&)> mObserver;
   std::thread mListThread;
   std::map<std::string, std::thread> mPollThreads;
 };
--- /dev/null
+++ b/Duties/Routing/TestPoolTable.cpp
@@ -0,0 +1,287 @@
+#include "Duties/Routing/PoolTable.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <functional>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace lavender;
+using namespace lavender::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point kStart(1h);
+
+server_report
+MakeReport(const std::string& aName, int aRequests, time_point aMadeAt)
+{
+  server_report report;
+  report.mName = aName;
+  report.mAvailabilityZone = "bogota";
+  report.mSlots = 16;
+  report.mRequests = aRequests;
+  report.mTakesWork = true;
+  report.mMadeAt = aMadeAt;
+  return report;
+}
+
+pool_table
+MakeTable(int aServers, time_point aNow)
+{
+  pool_table table;
+  for (int i = 0; i < aServers; ++i) {
+    TakeReport(table, MakeReport("s" + std::to_string(i), 0, aNow), aNow);
+  }
+  return table;
+}
+
+bool
+IsNear(double aLeft, double aRight)
+{
+  return std::abs(aLeft - aRight) < 1e-6;
+}
+
+/** What the table keeps by each change, worked out anew. */
+void
+CheckSums(const pool_table& aTable)
+{
+  double loads = 0;
+  double rates = 0;
+  std::size_t measured = 0;
+  std::size_t open = 0;
+  for (const auto& row : aTable.mRows) {
+    loads += row.mLoad;
+    rates += row.mReport.mDrainRate / row.mReport.mSlots;
+    measured += row.mReport.mDrainRate > 0 ? 1 : 0;
+    open += row.mBreaker.mState != breaker_state::Closed ? 1 : 0;
+    RC_ASSERT(row.mLoad > 0);
+    RC_ASSERT(aTable.mIndex.at(row.mReport.mName) < aTable.mRows.size());
+  }
+  RC_ASSERT(IsNear(aTable.mLoadSum, loads));
+  RC_ASSERT(IsNear(aTable.mRatePerSlotSum, rates));
+  RC_ASSERT(aTable.mMeasured == measured);
+  RC_ASSERT(aTable.mOpenBreakers == open);
+  RC_ASSERT(aTable.mIndex.size() == aTable.mRows.size());
+}
+
+struct sent_request
+{
+  std::string mServer;
+  time_point mAt;
+};
+
+/** A history of reports, silence, requests and their ends on one table. */
+struct history
+{
+  pool_table mTable;
+  std::mt19937_64 mRandom{ 1 };
+  std::vector<sent_request> mInFlight;
+  time_point mNow = kStart;
+
+  void Report()
+  {
+    auto report = MakeReport("s" + std::to_string(*rc::gen::inRange(0, 6)),
+                             *rc::gen::inRange(0, 40),
+                             mNow - milliseconds(*rc::gen::inRange(0, 5000)));
+    report.mDrainRate = *rc::gen::element(0.0, 100.0, 1000.0, 20000.0);
+    report.mTakesWork = *rc::gen::inRange(0, 5) > 0;
+    report.mCachedPrefixes = { *rc::gen::inRange<std::int64_t>(1, 4) };
+    TakeReport(mTable, report, mNow);
+  }
+
+  void Send()
+  {
+    route_request request;
+    request.mPrefix = *rc::gen::inRange<std::int64_t>(0, 4);
+    request.mExcluded = { "s0" };
+    mTable.mLimits.mPolicy = *rc::gen::element(routing_policy::TwoChoices,
+                                               routing_policy::Random,
+                                               routing_policy::RoundRobin);
+    const bool ignoresBreakers = mTable.mOpenBreakers * 2 > mTable.mRows.size();
+    std::set<std::string> usable;
+    for (const auto& row : mTable.mRows) {
+      if (row.mReport.mTakesWork && row.mReport.mName != "s0" &&
+          mNow - row.mReport.mMadeAt < mTable.mLimits.mHeartbeat &&
+          (ignoresBreakers || AllowsRequest(row.mBreaker, mNow))) {
+        usable.insert(row.mReport.mName);
+      }
+    }
+    const auto chosen = Choose(mTable, request, mRandom, mNow);
+    RC_ASSERT(chosen.has_value() == !usable.empty());
+    if (chosen) {
+      RC_ASSERT(usable.count(*chosen) == 1u);
+      NoteSent(mTable, *chosen, request.mPrefix, mNow);
+      mInFlight.push_back({ *chosen, mNow });
+    }
+  }
+
+  void End()
+  {
+    if (mInFlight.empty()) {
+      return;
+    }
+    const auto ending = *rc::gen::element(
+      evidence::Success, evidence::Failure, evidence::Neutral);
+    const auto request = mInFlight.front();
+    mInFlight.erase(mInFlight.begin());
+    NoteEnded(mTable, request.mServer, request.mAt, ending, mNow);
+  }
+};
+
+using chooser = std::function<std::string(pool_table&, time_point)>;
+
+/** Requests that reach a server which answers each with an error at once, of
+ * 2000 that nine servers get. Nothing ever waits at that server. */
+int
+CountFailed(const chooser& aChoose)
+{
+  auto table = MakeTable(9, kStart);
+  std::vector<sent_request> running;
+  int failed = 0;
+  time_point now = kStart;
+  for (int i = 0; i < 2000; ++i) {
+    now += 10ms;
+    for (int server = 0; server < 9; ++server) {
+      const auto name = "s" + std::to_string(server);
+      const auto held =
+        std::count_if(running.begin(), running.end(), [&](const auto& aOne) {
+          return aOne.mServer == name;
+        });
+      TakeReport(table, MakeReport(name, static_cast<int>(held), now), now);
+    }
+    const auto chosen = aChoose(table, now);
+    NoteSent(table, chosen, 0, now);
+    if (chosen == "s0") {
+      ++failed;
+      NoteEnded(table, chosen, now, evidence::Failure, now);
+      continue;
+    }
+    running.push_back({ chosen, now });
+    if (running.size() > 40) {
+      NoteEnded(
+        table, running[0].mServer, running[0].mAt, evidence::Success, now);
+      running.erase(running.begin());
+    }
+  }
+  return failed;
+}
+
+/** Two random choices by reported requests alone. */
+std::string
+ChooseByReport(const pool_table& aTable, std::mt19937_64& aRandom)
+{
+  std::uniform_int_distribution<std::size_t> pick(0, aTable.mRows.size() - 1);
+  const auto& first = aTable.mRows[pick(aRandom)].mReport;
+  const auto& second = aTable.mRows[pick(aRandom)].mReport;
+  return first.mRequests <= second.mRequests ? first.mName : second.mName;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestPoolTable)
+
+BOOST_AUTO_TEST_CASE(ChoosesAUsableServerWheneverThereIsOne)
+{
+  BOOST_TEST(rc::check("table against a full search", [] {
+    history run;
+    const int steps = *rc::gen::inRange(1, 80);
+    for (int step = 0; step < steps; ++step) {
+      run.mNow += milliseconds(*rc::gen::inRange(1, 500));
+      const int kind = *rc::gen::inRange(0, 10);
+      if (kind < 4) {
+        run.Report();
+      } else if (kind < 7) {
+        run.Send();
+      } else if (kind < 9) {
+        run.End();
+      } else {
+        TakeOut(run.mTable, "s1");
+      }
+      CheckSums(run.mTable);
+    }
+    // Servers that nobody hears of are forgotten with their requests over.
+    while (!run.mInFlight.empty()) {
+      run.End();
+    }
+    run.mNow += run.mTable.mLimits.mForgetAfter + 10s;
+    TakeReport(run.mTable, MakeReport("new", 0, run.mNow), run.mNow);
+    RC_ASSERT(run.mTable.mRows.size() == 1u);
+    CheckSums(run.mTable);
+  }));
+}
+
+// Callers get errors from most of their requests though eight of nine servers
+// are well: the one that fails at once is always the idlest.
+BOOST_AUTO_TEST_CASE(AServerThatFailsFastAttractsNoWork)
+{
+  std::mt19937_64 random(7);
+  const int without = CountFailed(
+    [&](auto& aTable, auto) { return ChooseByReport(aTable, random); });
+  const int with = CountFailed(
+    [&](auto& aTable, auto aNow) { return *Choose(aTable, {}, random, aNow); });
+  BOOST_TEST_MESSAGE("failed " << without << " by reported load, " << with
+                               << " with evidence");
+  BOOST_TEST(without > 2000 / 9);
+  BOOST_TEST(with < 20);
+}
+
+// A long document is asked about again and again. Every request goes to the
+// server that has read it, which gets a line while the others idle.
+BOOST_AUTO_TEST_CASE(AHotPrefixSpreadsWhenItsServerIsBusy)
+{
+  BOOST_TEST(rc::check("affinity keeps within its bound", [] {
+    const int servers = *rc::gen::inRange(2, 12);
+    auto table = MakeTable(servers, kStart);
+    std::mt19937_64 random(*rc::gen::arbitrary<std::uint64_t>());
+    const int requests = *rc::gen::inRange(1, servers * 30);
+    for (int i = 0; i < requests; ++i) {
+      route_request request;
+      request.mPrefix = 42;
+      const auto homes = FindHomes(table.mPrefixes, 42, kStart);
+      const auto chosen = Choose(table, request, random, kStart);
+      const auto& row = table.mRows[table.mIndex.at(*chosen)];
+      const bool isHome =
+        std::any_of(homes.begin(), homes.end(), [&](const auto& aHome) {
+          return aHome.mServer == *chosen;
+        });
+      const double mean = table.mLoadSum / servers;
+      RC_ASSERT(!isHome || row.mLoad <= std::max(0.5, 1.25 * mean) ||
+                row.mLoad <= mean + 1);
+      NoteSent(table, *chosen, 42, kStart + std::chrono::nanoseconds(i + 1));
+    }
+    // Nobody holds more than the bound and one request over it.
+    for (const auto& row : table.mRows) {
+      RC_ASSERT(row.mLoad <= std::max(0.5, 1.25 * table.mLoadSum / servers) +
+                               2.0 / 16 + 0.25);
+    }
+  }));
+}
+
+// A server five times slower holds as many requests as the others when only
+// they are counted, and each of them takes five times longer.
+BOOST_AUTO_TEST_CASE(ASlowServerGetsLess)
+{
+  auto table = MakeTable(2, kStart);
+  auto fast = MakeReport("s0", 0, kStart + 1ms);
+  fast.mDrainRate = 5000;
+  auto slow = MakeReport("s1", 0, kStart + 1ms);
+  slow.mDrainRate = 1000;
+  TakeReport(table, fast, kStart);
+  TakeReport(table, slow, kStart);
+  TakeReport(table, fast, kStart);
+  std::mt19937_64 random(3);
+  std::map<std::string, int> sent;
+  for (int i = 0; i < 60; ++i) {
+    const auto now = kStart + milliseconds(2 + i);
+    const auto chosen = Choose(table, {}, random, now);
+    NoteSent(table, *chosen, 0, now);
+    ++sent[*chosen];
+  }
+  BOOST_TEST(sent["s0"] >= 3 * sent["s1"]);
+  // It is still tried, so that its speed is measured again.
+  BOOST_TEST(sent["s1"] > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Services/Agent/AgentHandler.cpp
+++ b/Services/Agent/AgentHandler.cpp
@@ -140,7 +140,12 @@
   aReport.pool = mIdentity.mPool;
   aReport.load = mState.mLoad.mFigures;
   aReport.load.queued = own.queued;
-  aReport.load.running = std::max(own.running, mState.mLoad.mFigures.running);
+  // All requests pass the ledger, so its count is exact; the server's own
+  // figure lags and would show a burst long after its end.
+  aReport.load.running = own.running;
+  if (own.tokens_per_second > 0) {
+    aReport.load.tokens_per_second = own.tokens_per_second;
+  }
   aReport.load.slots = own.slots;
   aReport.load.queue_delay_ms = own.queue_delay_ms;
   aReport.load.age_ms =
--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -288,6 +288,7 @@
   call.mPool = pool->mName;
   call.mOperation = "generate";
   call.mCostTokens = tokens + static_cast<std::int64_t>(prompt.size()) / 4;
+  call.mPrefix = routing::PrefixDigest(prompt);
   json::value payload;
   payload.Set("prompt", prompt);
   payload.Set("max_tokens", tokens);
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -51,6 +51,19 @@
   return routes;
 }
 
+routing::table_limits
+RoutingLimits(const settings::values& aValues)
+{
+  routing::table_limits limits;
+  const auto& policy = aValues.Text("routing-policy");
+  if (policy == "random") {
+    limits.mPolicy = routing::routing_policy::Random;
+  } else if (policy == "round-robin") {
+    limits.mPolicy = routing::routing_policy::RoundRobin;
+  }
+  return limits;
+}
+
 /** Goes on serving while the balancer learns that this instance leaves, then
  * waits for the requests under way. */
 void
@@ -86,6 +99,7 @@
   membership::directory_options directoryOptions;
   directoryOptions.mPlatform = platformClient;
   directoryOptions.mEntryIncarnation = incarnation;
+  directoryOptions.mPollEvery = aValues.Milliseconds("load-poll");
   directoryOptions.mDigest = [&] {
     return membership::own_digest{ configuration.Current()->mRevision,
                                    configuration.FreshAge() };
@@ -94,6 +108,7 @@
   dispatch::entry_dispatch_options dispatchOptions;
   dispatchOptions.mEntryIncarnation = incarnation;
   dispatchOptions.mOwnZone = aValues.Text("zone");
+  dispatchOptions.mRouting = RoutingLimits(aValues);
   dispatch::entry_dispatch dispatcher(dispatchOptions, directory, metrics);
   usage::usage_account account;
   entry::caller_api_options callerOptions;
