An overload is refused at the entry in the share in which agents refuse it

Cause: at twice the capacity every refused request cost its entry and up to three agents a message each, in the time of the work that could be done.

An entry now keeps, by pool and customer, how many of the requests it sent were taken, and refuses the rest before dispatch with the agents' own Retry-After. Agents refuse by fair share, so one customer's overload refuses nobody else.

Command: build/Duties/Admission/test_admission.

--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -60,6 +60,17 @@
   return {};
 }
 
+/** Outcomes after which customers without requests are forgotten. */
+constexpr std::uint64_t kForgetEvery = 4096;
+
+/** True for an agent's refusal that says its server can't take more now. */
+bool
+IsForWantOfRoom(const std::string& aReason)
+{
+  return aReason == "queue_full" || aReason == "displaced" ||
+         aReason == "deadline_unreachable";
+}
+
 json::value
 DescribeVersions(const std::vector<wire::weight_part>& aVersions)
 {
@@ -294,7 +305,7 @@
   payload.Set("max_tokens", tokens);
   payload.Set("request", id);
   call.mPayload = json::Write(payload);
-  const auto outcome = mDispatch.Run(call);
+  const auto outcome = RunUnlessPressed(call);
   if (outcome.mRan != ran::Ran) {
     return RefuseOutcome(outcome, id);
   }
@@ -305,6 +316,44 @@
   return JsonResponse(DescribeCompletion(outcome, id, model));
 }
 
+call_outcome
+caller_api::RunUnlessPressed(const call& aCall)
+{
+  std::optional<milliseconds> refused;
+  {
+    std::lock_guard lock(mPressureMutex);
+    std::uniform_real_distribution<double> draw(0, 1);
+    refused = admission::CheckPressure(mPressures,
+                                       aCall.mPool,
+                                       aCall.mCustomer,
+                                       {},
+                                       draw(mRandom),
+                                       boot_clock::now());
+  }
+  if (refused) {
+    call_outcome outcome;
+    outcome.mReason = "overloaded";
+    outcome.mRetryAfter = *refused;
+    return outcome;
+  }
+  auto outcome = mDispatch.Run(aCall);
+  const bool hasRoom =
+    outcome.mRan != ran::NotRun || !IsForWantOfRoom(outcome.mReason);
+  std::lock_guard lock(mPressureMutex);
+  const auto now = boot_clock::now();
+  admission::NoteOutcome(mPressures,
+                         aCall.mPool,
+                         aCall.mCustomer,
+                         hasRoom ? std::nullopt
+                                 : std::optional(outcome.mRetryAfter),
+                         {},
+                         now);
+  if (++mOutcomes % kForgetEvery == 0) {
+    admission::ForgetIdle(mPressures, now);
+  }
+  return outcome;
+}
+
 call_outcome
 caller_api::RunOnce(const std::string& aIdempotencyKey, const call& aCall)
 {
@@ -365,8 +414,9 @@
   call.mPayload = aRequest.mBody;
   call.mIsRepeatable = pool->mIsRepeatable;
   const auto key = http::HeaderOr(aRequest.mHeaders, "Idempotency-Key", "");
-  const auto outcome = key.empty() || call.mIsRepeatable ? mDispatch.Run(call)
-                                                         : RunOnce(key, call);
+  const auto outcome = key.empty() || call.mIsRepeatable
+                         ? RunUnlessPressed(call)
+                         : RunOnce(key, call);
   if (outcome.mRan != ran::Ran) {
     return RefuseOutcome(outcome, id);
   }
--- a/Services/Entry/CallerApi.h
+++ b/Services/Entry/CallerApi.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/Admission/BackPressure.h"
 #include "Duties/Admission/CustomerLimits.h"
 #include "Duties/Configuration/ConfigurationStore.h"
 #include "Duties/Dispatch/EntryDispatch.h"
@@ -11,6 +12,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <random>
 
 namespace lavender::entry {
 
@@ -68,6 +70,7 @@
   http::response AcknowledgeBatch(const http::path_parts& aParts,
                                   const admitted_request& aAdmitted);
   dispatch::call MakeCall(const admitted_request& aAdmitted) const;
+  dispatch::call_outcome RunUnlessPressed(const dispatch::call& aCall);
   dispatch::call_outcome RunOnce(const std::string& aIdempotencyKey,
                                  const dispatch::call& aCall);
   void CountUsage(const dispatch::call& aCall,
@@ -87,6 +90,10 @@
   std::atomic<std::uint64_t> mNextRequest{ 1 };
   std::mutex mLimitMutex;
   admission::limit_state mLimits;
+  std::mutex mPressureMutex;
+  admission::pressure_map mPressures;
+  std::mt19937_64 mRandom{ std::random_device()() };
+  std::uint64_t mOutcomes = 0;
 };
 
 } // namespace lavender::entry
