--- a/Duties/Dispatch/TestLedgerQueue.cpp
+++ b/Duties/Dispatch/TestLedgerQueue.cpp
@@ -33,7 +33,9 @@
   ledger_limits limits;
   limits.mMaximumQueued = 3;
   limits.mSlots = 1;
-  auto ledger = MakeLedger("agent", limits);
+  ledger ledger;
+  ledger.mIncarnation = "agent";
+  ledger.mLimits = limits;
   const time_point now(0s);
   for (const char* id : { "a1", "a2", "a3" }) {
     BOOST_TEST(
@@ -63,11 +65,12 @@
 // "not run" was promised, so neither may start.
 BOOST_AUTO_TEST_CASE(CancelledRequestsNeverStart)
 {
-  auto ledger = MakeLedger("agent", {});
+  ledger ledger;
+  ledger.mIncarnation = "agent";
   const time_point now(0s);
   Admit(ledger, MakeOrder("a1", "large"), now);
-  BOOST_TEST((Cancel(ledger, "a1", now).mState == run_state::NOT_RUN));
-  BOOST_TEST((Cancel(ledger, "a2", now).mState == run_state::NOT_RUN));
+  BOOST_TEST((Cancel(ledger, "a1", now, now).mState == run_state::NOT_RUN));
+  BOOST_TEST((Cancel(ledger, "a2", now, now).mState == run_state::NOT_RUN));
   BOOST_TEST((Admit(ledger, MakeOrder("a2", "large"), now).mState ==
               run_state::NOT_RUN));
   BOOST_TEST(!TakeNext(ledger, now).has_value());
--- a/Duties/Membership/ServerDirectory.h
+++ b/Duties/Membership/ServerDirectory.h
@@ -37,6 +37,8 @@
   std::optional<time_point> mHeardAt;
   /** When the last answered poll left: its report is no older. */
   time_point mReportedAt;
+  /** The agent's clock when the entry heard from it at mHeardAt. */
+  milliseconds mAgentClock{ 0 };
   /** Requests that this entry sent and has no answer to. */
   int mOwnInFlight = 0;
   std::shared_ptr<agent_pool> mConnections;
