--- a/Duties/Dispatch/AgentDispatch.cpp
+++ b/Duties/Dispatch/AgentDispatch.cpp
@@ -45,10 +45,15 @@
 agent_dispatch::Dispatch(const wire::dispatch_order& aOrder, milliseconds aWait)
 {
   std::unique_lock lock(mMutex);
+  const auto refused = mLedger.mRefused.size();
   const auto answer = Admit(mLedger, aOrder, boot_clock::now());
   if (answer.mState == run_state::QUEUED) {
     mWorkCame.notify_one();
   }
+  if (mLedger.mRefused.size() != refused) {
+    // Another request may have made room; its entry hears so at once.
+    mEnded.notify_all();
+  }
   return WaitForEnd(lock, aOrder.request_id, answer, aWait);
 }
 
@@ -115,7 +120,8 @@
   reply.reason = aAnswer.mReason;
   reply.draining = mLedger.mIsDraining;
   if (aAnswer.mState == run_state::NOT_RUN) {
-    reply.retry_after_ms = EstimateQueueDelay(mLedger).count();
+    reply.retry_after_ms =
+      std::max(aAnswer.mRetryAfter, EstimateQueueDelay(mLedger)).count();
   }
   if (const auto row = mLedger.mRows.find(aId); row != mLedger.mRows.end()) {
     if (aAnswer.mState == run_state::FINISHED) {
@@ -123,7 +129,7 @@
     }
     row->second.mIsEndTold = IsOver(aAnswer.mState);
   }
-  reply.load.queued = static_cast<std::int32_t>(mLedger.mQueue.size());
+  reply.load.queued = static_cast<std::int32_t>(mLedger.mQueue.mSize);
   reply.load.running = static_cast<std::int32_t>(mLedger.mRunning);
   reply.load.slots = static_cast<std::int32_t>(mLedger.mLimits.mSlots);
   return reply;
@@ -184,7 +190,7 @@
 agent_dispatch::RequestsLeft() const
 {
   std::lock_guard lock(mMutex);
-  return mLedger.mQueue.size() + mLedger.mRunning;
+  return mLedger.mQueue.mSize + mLedger.mRunning;
 }
 
 wire::load_figures
@@ -192,9 +198,12 @@
 {
   std::lock_guard lock(mMutex);
   wire::load_figures figures;
-  figures.queued = static_cast<std::int32_t>(mLedger.mQueue.size());
+  figures.queued = static_cast<std::int32_t>(mLedger.mQueue.mSize);
   figures.running = static_cast<std::int32_t>(mLedger.mRunning);
   figures.slots = static_cast<std::int32_t>(mLedger.mLimits.mSlots);
+  figures.tokens_per_second = admission::DrainRate(mLedger.mQueue);
+  figures.queue_delay_ms = static_cast<double>(
+    admission::QueueDelay(mLedger.mQueue, mLedger.mRunningCost).count());
   return figures;
 }
 
