--- a/Duties/Dispatch/AgentDispatch.cpp
+++ b/Duties/Dispatch/AgentDispatch.cpp
@@ -8,6 +8,9 @@
 using wire::run_state;
 using namespace std::chrono_literals;
 
+/** Time for threads to write replies that are ready when the process ends. */
+constexpr milliseconds kWriteReplies = 200ms;
+
 bool
 IsOver(run_state::type aState)
 {
@@ -19,15 +22,18 @@
 agent_dispatch::agent_dispatch(std::string aIncarnation,
                                ledger_limits aLimits,
                                backend_server aServer,
-                               run_observer aObserver)
+                               run_observer aObserver,
+                               server_runner aRunner)
   : mServer(std::move(aServer))
   , mObserver(std::move(aObserver))
+  , mRunner(std::move(aRunner))
 {
   mLedger.mIncarnation = std::move(aIncarnation);
   mLedger.mLimits = aLimits;
   for (std::size_t i = 0; i < aLimits.mSlots; ++i) {
     mSlots.emplace_back([this] { RunSlot(); });
   }
+  mCanceller = std::thread([this] { CancelLoop(); });
 }
 
 agent_dispatch::~agent_dispatch()
@@ -39,8 +45,15 @@
 agent_dispatch::Dispatch(const wire::dispatch_order& aOrder, milliseconds aWait)
 {
   std::unique_lock lock(mMutex);
+  const auto refused = mLedger.mRefused.size();
   const auto answer = Admit(mLedger, aOrder, boot_clock::now());
-  mChanged.notify_all();
+  if (answer.mState == run_state::QUEUED) {
+    mWorkCame.notify_one();
+  }
+  if (mLedger.mRefused.size() != refused) {
+    // Another request may have made room; its entry hears so at once.
+    mEnded.notify_all();
+  }
   return WaitForEnd(lock, aOrder.request_id, answer, aWait);
 }
 
@@ -53,22 +66,32 @@
 }
 
 wire::dispatch_reply
-agent_dispatch::Cancel(const std::string& aId)
+agent_dispatch::Cancel(const std::string& aId, time_point aIssuedAt)
 {
-  ledger_answer answer;
-  {
-    std::lock_guard lock(mMutex);
-    answer = dispatch::Cancel(mLedger, aId, boot_clock::now());
-  }
-  mChanged.notify_all();
+  std::lock_guard lock(mMutex);
+  const auto answer =
+    dispatch::Cancel(mLedger, aId, aIssuedAt, boot_clock::now());
   if (answer.mState == run_state::RUNNING &&
       mServer.mKind == backend_kind::Engine) {
-    CancelOnServer(mServer, aId);
+    // A thread of its own tells the server, since a slow server must not hold
+    // back the answer that the entry waits for.
+    std::string id = aId;
+    mToCancel.TryPush(id);
   }
-  std::lock_guard lock(mMutex);
+  mEnded.notify_all();
   return Describe(aId, answer);
 }
 
+void
+agent_dispatch::CancelLoop()
+{
+  while (!mToCancel.IsClosed()) {
+    if (const auto id = mToCancel.Pop(1000ms)) {
+      CancelOnServer(mServer, *id);
+    }
+  }
+}
+
 wire::dispatch_reply
 agent_dispatch::WaitForEnd(std::unique_lock<std::mutex>& aLock,
                            const std::string& aId,
@@ -76,20 +99,19 @@
                            milliseconds aWait)
 {
   const auto end = boot_clock::now() + aWait;
-  while (!IsOver(aAnswer.mState) && !mIsStopping) {
+  while (!IsOver(aAnswer.mState)) {
     const auto now = boot_clock::now();
     if (now >= end) {
       break;
     }
-    mChanged.wait_for(aLock, end - now);
+    mEnded.wait_for(aLock, end - now);
     aAnswer = Ask(mLedger, aId, boot_clock::now());
   }
   return Describe(aId, aAnswer);
 }
 
 wire::dispatch_reply
-agent_dispatch::Describe(const std::string& aId,
-                         const ledger_answer& aAnswer) const
+agent_dispatch::Describe(const std::string& aId, const ledger_answer& aAnswer)
 {
   wire::dispatch_reply reply;
   reply.echo = aId;
@@ -97,10 +119,17 @@
   reply.state = aAnswer.mState;
   reply.reason = aAnswer.mReason;
   reply.draining = mLedger.mIsDraining;
-  if (aAnswer.mState == run_state::FINISHED) {
-    reply.__set_result(mLedger.mRows.at(aId).mResult);
+  if (aAnswer.mState == run_state::NOT_RUN) {
+    reply.retry_after_ms =
+      std::max(aAnswer.mRetryAfter, EstimateQueueDelay(mLedger)).count();
+  }
+  if (const auto row = mLedger.mRows.find(aId); row != mLedger.mRows.end()) {
+    if (aAnswer.mState == run_state::FINISHED) {
+      reply.__set_result(row->second.mResult);
+    }
+    row->second.mIsEndTold = IsOver(aAnswer.mState);
   }
-  reply.load.queued = static_cast<std::int32_t>(mLedger.mQueue.size());
+  reply.load.queued = static_cast<std::int32_t>(mLedger.mQueue.mSize);
   reply.load.running = static_cast<std::int32_t>(mLedger.mRunning);
   reply.load.slots = static_cast<std::int32_t>(mLedger.mLimits.mSlots);
   return reply;
@@ -114,14 +143,16 @@
     const auto order = TakeNext(mLedger, boot_clock::now());
     if (!order) {
       // Wakes now and then so that abandoned and late requests are dropped.
-      mChanged.wait_for(lock, 500ms);
+      mWorkCame.wait_for(lock, 500ms);
       Sweep(mLedger, boot_clock::now());
       continue;
     }
     const auto left = std::chrono::duration_cast<milliseconds>(
       mLedger.mRows.at(order->request_id).mDeadline - boot_clock::now());
     lock.unlock();
-    auto run = RunOnServer(mServer, *order, std::max(left, milliseconds(1)));
+    const auto timeout = std::max(left, milliseconds(1));
+    auto run = mRunner ? mRunner(*order, timeout)
+                       : RunOnServer(mServer, *order, timeout);
     if (run.mState == run_state::FINISHED) {
       mObserver(*order, run.mResult);
     } else {
@@ -137,7 +168,7 @@
            run.mReason,
            std::move(run.mResult),
            boot_clock::now());
-    mChanged.notify_all();
+    mEnded.notify_all();
   }
 }
 
@@ -159,7 +190,7 @@
 agent_dispatch::RequestsLeft() const
 {
   std::lock_guard lock(mMutex);
-  return mLedger.mQueue.size() + mLedger.mRunning;
+  return mLedger.mQueue.mSize + mLedger.mRunning;
 }
 
 wire::load_figures
@@ -167,9 +198,12 @@
 {
   std::lock_guard lock(mMutex);
   wire::load_figures figures;
-  figures.queued = static_cast<std::int32_t>(mLedger.mQueue.size());
+  figures.queued = static_cast<std::int32_t>(mLedger.mQueue.mSize);
   figures.running = static_cast<std::int32_t>(mLedger.mRunning);
   figures.slots = static_cast<std::int32_t>(mLedger.mLimits.mSlots);
+  figures.tokens_per_second = admission::DrainRate(mLedger.mQueue);
+  figures.queue_delay_ms = static_cast<double>(
+    admission::QueueDelay(mLedger.mQueue, mLedger.mRunningCost).count());
   return figures;
 }
 
@@ -178,15 +212,35 @@
 {
   {
     std::lock_guard lock(mMutex);
+    if (mIsStopping) {
+      return;
+    }
     mIsStopping = true;
     mLedger.mIsDraining = true;
+    RefuseQueued(mLedger, "draining", boot_clock::now());
   }
-  mChanged.notify_all();
+  mWorkCame.notify_all();
+  mEnded.notify_all();
   for (auto& slot : mSlots) {
-    if (slot.joinable()) {
-      slot.join();
-    }
+    slot.join();
+  }
+  mToCancel.Close();
+  mCanceller.join();
+  WaitUntilTold();
+}
+
+void
+agent_dispatch::WaitUntilTold()
+{
+  const auto isAllTold = [this] {
+    std::lock_guard lock(mMutex);
+    return CountUntold(mLedger, boot_clock::now()) == 0;
+  };
+  while (!isAllTold()) {
+    std::this_thread::sleep_for(20ms);
   }
+  // The replies just made are still being written by their threads.
+  std::this_thread::sleep_for(kWriteReplies);
 }
 
 } // namespace lavender::dispatch
--- a/Duties/Dispatch/EntryDispatch.cpp
+++ b/Duties/Dispatch/EntryDispatch.cpp
@@ -1,6 +1,6 @@
 #include "Duties/Dispatch/EntryDispatch.h"
 
-#include "Duties/Routing/Choose.h"
+#include "Duties/Dispatch/RetryDecision.h"
 #include "Libraries/Core/Log.h"
 #include "Libraries/Core/ScopeGuard.h"
 
@@ -11,10 +11,8 @@
 namespace {
 
 using membership::server_view;
-using wire::run_state;
 using wire::wire_state;
 using namespace std::chrono_literals;
-using reply_result = wire::wire_result<wire::dispatch_reply>;
 
 /** Silence after which a server gets no new requests. */
 constexpr membership::heartbeat_limits kHeartbeatLimits;
@@ -29,13 +27,13 @@
 
 wire::dispatch_order
 ToOrder(const call& aCall,
-        const std::string& aAttemptId,
-        const server_view& aServer,
+        const attempt_ticket& aTicket,
         const std::string& aEntryIncarnation)
 {
   wire::dispatch_order order;
-  order.request_id = aAttemptId;
-  order.agent_incarnation = aServer.mIncarnation;
+  order.request_id = aTicket.mId;
+  order.agent_incarnation = aTicket.mIncarnation;
+  order.issued_at_ms = aTicket.mIssuedAt.count();
   order.entry_incarnation = aEntryIncarnation;
   order.customer = aCall.mCustomer;
   order.key_id = aCall.mKeyId;
@@ -62,6 +60,35 @@
   return outcome;
 }
 
+bool
+IsUsable(const server_view& aServer, time_point aNow)
+{
+  return membership::StateOf(aServer, kHeartbeatLimits, aNow) ==
+         membership::server_state::Live;
+}
+
+/** What an attempt's end says about its server. */
+routing::evidence
+EvidenceOf(const call_outcome& aOutcome)
+{
+  constexpr int kServerError = 500;
+  if (aOutcome.mRan == ran::Ran) {
+    return aOutcome.mResult.http_status >= kServerError
+             ? routing::evidence::Failure
+             : routing::evidence::Success;
+  }
+  if (aOutcome.mRan == ran::NotRun) {
+    return aOutcome.mReason == "server_unreachable"
+             ? routing::evidence::Failure
+             : routing::evidence::Neutral;
+  }
+  // Given up by the caller's deadline or a withdrawn key: not its fault.
+  return aOutcome.mReason == "server_silent" ||
+             aOutcome.mReason == "answer_cut_short"
+           ? routing::evidence::Failure
+           : routing::evidence::Neutral;
+}
+
 } // namespace
 
 entry_dispatch::entry_dispatch(entry_dispatch_options aOptions,
@@ -72,192 +99,220 @@
   , mMetrics(aMetrics)
   , mRandom(std::random_device()())
 {
+  mBudget.mLimits = mOptions.mRetryBudget;
+  mDirectory.OnReport(
+    [this](const server_view& aServer) { TakeReport(aServer); });
+}
+
+void
+entry_dispatch::TakeReport(const server_view& aServer)
+{
+  routing::server_report report;
+  report.mName = aServer.mInstance.mName;
+  report.mAvailabilityZone = aServer.mInstance.mAvailabilityZone;
+  report.mSlots = aServer.mLoad.slots;
+  report.mRequests = aServer.mLoad.queued + aServer.mLoad.running;
+  report.mDrainRate = aServer.mLoad.tokens_per_second;
+  report.mTakesWork = IsUsable(aServer, boot_clock::now());
+  report.mMadeAt = aServer.mReportedAt;
+  report.mCachedPrefixes = aServer.mLoad.cached_prefixes;
+  std::lock_guard lock(mRoutesMutex);
+  auto [table, isNew] = mRoutes.try_emplace(aServer.mInstance.mPool);
+  if (isNew) {
+    table->second.mLimits = mOptions.mRouting;
+  }
+  routing::TakeReport(table->second, report, boot_clock::now());
 }
 
 std::optional<server_view>
 entry_dispatch::Pick(const std::string& aPool,
-                     const std::vector<std::string>& aExcluded)
+                     const std::vector<std::string>& aExcluded,
+                     std::int64_t aPrefix)
 {
-  std::vector<server_view> usable;
-  std::vector<routing::candidate> candidates;
-  const auto now = boot_clock::now();
-  for (auto& server : mDirectory.Servers()) {
-    const bool isExcluded =
-      std::find(aExcluded.begin(), aExcluded.end(), server.mInstance.mName) !=
-      aExcluded.end();
-    const bool isLive = membership::StateOf(server, kHeartbeatLimits, now) ==
-                        membership::server_state::Live;
-    if (server.mInstance.mPool != aPool || isExcluded || !isLive) {
-      continue;
+  const routing::route_request request{ aPrefix, mOptions.mOwnZone, aExcluded };
+  while (true) {
+    std::optional<std::string> chosen;
+    {
+      std::lock_guard lock(mRoutesMutex);
+      const auto table = mRoutes.find(aPool);
+      if (table != mRoutes.end()) {
+        chosen =
+          routing::Choose(table->second, request, mRandom, boot_clock::now());
+      }
+    }
+    if (!chosen) {
+      return std::nullopt;
     }
-    candidates.push_back({ server.mInstance.mName,
-                           server.mInstance.mAvailabilityZone,
-                           server.mLoad.slots,
-                           server.mLoad.queued + server.mLoad.running,
-                           server.mOwnInFlight });
-    usable.push_back(std::move(server));
+    auto server = mDirectory.Find(*chosen);
+    if (server && server->mInstance.mPool == aPool &&
+        IsUsable(*server, boot_clock::now())) {
+      return server;
+    }
+    // It left or fell silent since its report; one row fewer each time.
+    std::lock_guard lock(mRoutesMutex);
+    routing::TakeOut(mRoutes.at(aPool), *chosen);
+  }
+}
+
+void
+entry_dispatch::TakeEvidence(const call& aCall,
+                             const std::string& aServer,
+                             time_point aSentAt,
+                             const call_outcome& aOutcome)
+{
+  std::lock_guard lock(mRoutesMutex);
+  if (const auto table = mRoutes.find(aCall.mPool); table != mRoutes.end()) {
+    routing::NoteEnded(
+      table->second, aServer, aSentAt, EvidenceOf(aOutcome), boot_clock::now());
   }
-  std::lock_guard lock(mRandomMutex);
-  const auto chosen = routing::Choose(candidates, mOptions.mOwnZone, mRandom);
-  return chosen ? std::optional(usable[*chosen]) : std::nullopt;
 }
 
 call_outcome
 entry_dispatch::Run(const call& aCall)
 {
   std::vector<std::string> tried;
-  call_outcome outcome = Refuse(ran::NotRun, "no_server");
-  for (int attempt = 1; attempt <= mOptions.mMaximumAttempts; ++attempt) {
+  call_progress progress;
+  progress.mIsRepeatable = aCall.mIsRepeatable;
+  progress.mMaximumAttempts = mOptions.mMaximumAttempts;
+  auto outcome = Refuse(ran::NotRun, "no_server");
+  CountFirstAttempt();
+  while (true) {
     if (Left(aCall.mDeadline) <= 0ms) {
-      return Refuse(ran::NotRun, "deadline");
+      return Conclude(progress, Refuse(ran::NotRun, kDeadline));
     }
-    const auto server = Pick(aCall.mPool, tried);
+    const auto server = Pick(aCall.mPool, tried, aCall.mPrefix);
     if (!server) {
-      return outcome;
-    }
-    outcome =
-      Attempt(aCall, aCall.mRequestId + "." + std::to_string(attempt), *server);
-    if (outcome.mRan != ran::NotRun) {
-      return outcome;
+      return Conclude(progress, std::move(outcome));
     }
-    if (aCall.mStopReason && !aCall.mStopReason().empty()) {
-      return outcome;
+    const auto number = std::to_string(progress.mAttempts + 1);
+    outcome = Attempt(aCall, Issue(aCall.mRequestId + "." + number, *server));
+    const bool mayGoOn = TakeAttempt(progress, outcome);
+    const bool isStopped = aCall.mStopReason && !aCall.mStopReason().empty();
+    if (!mayGoOn || isStopped || !TakeRetry(outcome.mReason)) {
+      return Conclude(progress, std::move(outcome));
     }
-    mMetrics.Count("lavender_retries_total", { { "reason", outcome.mReason } });
     tried.push_back(server->mInstance.mName);
   }
-  return outcome;
 }
 
-call_outcome
-entry_dispatch::Attempt(const call& aCall,
-                        const std::string& aAttemptId,
-                        const server_view& aServer)
+void
+entry_dispatch::CountFirstAttempt()
 {
-  const std::string& name = aServer.mInstance.mName;
-  mDirectory.AddInFlight(name, 1);
-  scope_guard guard([&] { mDirectory.AddInFlight(name, -1); });
-  const auto order =
-    ToOrder(aCall, aAttemptId, aServer, mOptions.mEntryIncarnation);
-  auto first = aServer.mConnections->Run<wire::dispatch_reply>(
-    mOptions.mSilence, aAttemptId, [&](auto& aClient, auto& aReply) {
-      aClient.Dispatch(
-        aReply, order, static_cast<int>(mOptions.mWaitSlice.count()));
-    });
-  return Follow(&aCall, aAttemptId, aServer, aCall.mDeadline, std::move(first));
+  std::lock_guard lock(mBudgetMutex);
+  dispatch::CountFirstAttempt(mBudget, boot_clock::now());
 }
 
-call_outcome
-entry_dispatch::Fetch(const std::string& aRequestId,
-                      const std::string& aServerName,
-                      const std::string& aServerIncarnation,
-                      time_point aDeadline)
+bool
+entry_dispatch::TakeRetry(const std::string& aReason)
 {
-  auto server = mDirectory.Find(aServerName);
-  if (!server || server->mIncarnation != aServerIncarnation) {
-    // The only process that knew the outcome is gone.
-    return Refuse(ran::OutcomeUnknown, "server_restarted");
+  bool isAllowed = false;
+  {
+    std::lock_guard lock(mBudgetMutex);
+    isAllowed = dispatch::TakeRetry(mBudget, boot_clock::now());
   }
-  reply_result first;
-  first.mState = wire_state::Unknown;
-  return Follow(nullptr, aRequestId, *server, aDeadline, std::move(first));
+  mMetrics.Count(isAllowed ? "lavender_retries_total"
+                           : "lavender_retries_refused_total",
+                 { { "reason", aReason } });
+  return isAllowed;
+}
+
+attempt_ticket
+entry_dispatch::Issue(const std::string& aAttemptId,
+                      const server_view& aServer) const
+{
+  // The agent told its clock before the entry heard it, so the sum is never
+  // ahead of the agent's true time.
+  const auto sinceHeard = boot_clock::now() - *aServer.mHeardAt;
+  return { aAttemptId,
+           aServer.mInstance.mName,
+           aServer.mIncarnation,
+           aServer.mAgentClock +
+             std::chrono::duration_cast<milliseconds>(sinceHeard) };
 }
 
 call_outcome
-entry_dispatch::Follow(const call* aCall,
-                       const std::string& aAttemptId,
-                       const server_view& aServer,
-                       time_point aDeadline,
-                       reply_result aFirst)
+entry_dispatch::Attempt(const call& aCall, const attempt_ticket& aTicket)
 {
-  const std::string& name = aServer.mInstance.mName;
-  auto heardAt = boot_clock::now();
-  reply_result last = std::move(aFirst);
-  while (true) {
-    if (last.mState == wire_state::Answered) {
-      heardAt = boot_clock::now();
-      mDirectory.TakeReply(name, last.mReply);
-      if (last.mReply.agent_incarnation != aServer.mIncarnation) {
-        return Refuse(ran::OutcomeUnknown, "server_restarted");
-      }
-      if (last.mReply.state == run_state::FINISHED) {
-        call_outcome outcome;
-        outcome.mRan = ran::Ran;
-        outcome.mResult = std::move(last.mReply.result);
-        outcome.mServerName = name;
-        outcome.mServerIncarnation = aServer.mIncarnation;
-        return outcome;
-      }
-      if (last.mReply.state == run_state::NOT_RUN) {
-        return Refuse(ran::NotRun, last.mReply.reason);
-      }
-      if (last.mReply.state == run_state::OUTCOME_UNKNOWN) {
-        return Refuse(ran::OutcomeUnknown, last.mReply.reason);
-      }
-      if (last.mReply.state == run_state::UNKNOWN_ID) {
-        return Settle(aAttemptId, aServer, "dispatch_lost");
-      }
-    } else {
-      aServer.mConnections->DropIdle();
-      if (boot_clock::now() - heardAt > mOptions.mGiveUpAfter) {
-        return Refuse(ran::OutcomeUnknown, "server_silent");
-      }
-    }
-    if (Left(aDeadline) <= 0ms) {
-      return Settle(aAttemptId, aServer, "deadline");
-    }
-    if (aCall && aCall->mStopReason) {
-      if (const auto reason = aCall->mStopReason(); !reason.empty()) {
-        return Settle(aAttemptId, aServer, reason);
-      }
-    }
-    const bool isQueued = last.mState == wire_state::Answered &&
-                          last.mReply.state == run_state::QUEUED;
-    if (aCall && aCall->mQueuedStopReason && isQueued) {
-      if (const auto reason = aCall->mQueuedStopReason(); !reason.empty()) {
-        return Settle(aAttemptId, aServer, reason);
-      }
-    }
-    if (last.mState == wire_state::NotSent) {
-      std::this_thread::sleep_for(50ms);
-    }
-    last = aServer.mConnections->Run<wire::dispatch_reply>(
-      mOptions.mSilence, aAttemptId, [&](auto& aClient, auto& aReply) {
-        aClient.Await(aReply,
-                      aAttemptId,
-                      aServer.mIncarnation,
-                      static_cast<int>(mOptions.mWaitSlice.count()));
-      });
+  const auto& name = aTicket.mServerName;
+  const auto sentAt = boot_clock::now();
+  {
+    std::lock_guard lock(mRoutesMutex);
+    routing::NoteSent(mRoutes[aCall.mPool], name, aCall.mPrefix, sentAt);
   }
+  call_outcome outcome;
+  scope_guard guard([&] { TakeEvidence(aCall, name, sentAt, outcome); });
+  outcome = Follow(aCall, aTicket, attempt_role::Owner);
+  return outcome;
+}
+
+call_outcome
+entry_dispatch::Fetch(const call& aCall, const attempt_ticket& aTicket)
+{
+  auto outcome = Follow(aCall, aTicket, attempt_role::Follower);
+  outcome.mSource = answer_source::SharedRun;
+  return outcome;
 }
 
 call_outcome
-entry_dispatch::Settle(const std::string& aAttemptId,
-                       const server_view& aServer,
-                       const std::string& aReason)
+entry_dispatch::Follow(const call& aCall,
+                       const attempt_ticket& aTicket,
+                       attempt_role aRole)
 {
-  const auto last = aServer.mConnections->Run<wire::dispatch_reply>(
-    mOptions.mSilence, aAttemptId, [&](auto& aClient, auto& aReply) {
-      aClient.Cancel(aReply, aAttemptId, aServer.mIncarnation);
-    });
-  const bool isSameAgent =
-    last.mState == wire_state::Answered &&
-    last.mReply.agent_incarnation == aServer.mIncarnation;
-  if (!isSameAgent) {
-    return Refuse(ran::OutcomeUnknown, aReason);
+  attempt_state state;
+  state.mRole = aRole;
+  state.mIncarnation = aTicket.mIncarnation;
+  state.mDeadline = aCall.mDeadline;
+  auto decision = Begin(mOptions.mLimits, state, boot_clock::now());
+  while (decision.mStep != attempt_step::Finish) {
+    std::this_thread::sleep_for(decision.mPause);
+    decision =
+      Decide(mOptions.mLimits, state, TakeStep(aCall, aTicket, decision));
   }
-  if (last.mReply.state == run_state::NOT_RUN) {
-    return Refuse(ran::NotRun, aReason);
+  auto& outcome = decision.mOutcome;
+  outcome.mServerName = aTicket.mServerName;
+  outcome.mServerIncarnation = aTicket.mIncarnation;
+  return std::move(outcome);
+}
+
+attempt_event
+entry_dispatch::TakeStep(const call& aCall,
+                         const attempt_ticket& aTicket,
+                         const attempt_decision& aDecision)
+{
+  attempt_event event;
+  // Looked up for each step: a restarted agent may listen elsewhere.
+  if (const auto server = mDirectory.Find(aTicket.mServerName)) {
+    const auto wait = static_cast<std::int32_t>(aDecision.mWait.count());
+    auto result = server->mConnections->Run<wire::dispatch_reply>(
+      aDecision.mTimeout, aTicket.mId, [&](auto& aClient, auto& aReply) {
+        if (aDecision.mStep == attempt_step::Dispatch) {
+          aClient.Dispatch(
+            aReply, ToOrder(aCall, aTicket, mOptions.mEntryIncarnation), wait);
+        } else if (aDecision.mStep == attempt_step::Await) {
+          aClient.Await(aReply, aTicket.mId, aTicket.mIncarnation, wait);
+        } else {
+          aClient.Cancel(aReply,
+                         aTicket.mId,
+                         aTicket.mIncarnation,
+                         aTicket.mIssuedAt.count());
+        }
+      });
+    event.mWire = result.mState;
+    event.mReply = std::move(result.mReply);
+    if (event.mWire == wire_state::Answered) {
+      mDirectory.TakeReply(aTicket.mServerName, event.mReply);
+    } else {
+      server->mConnections->DropIdle();
+    }
   }
-  if (last.mReply.state == run_state::FINISHED) {
-    call_outcome outcome;
-    outcome.mRan = ran::Ran;
-    outcome.mResult = last.mReply.result;
-    outcome.mServerName = aServer.mInstance.mName;
-    outcome.mServerIncarnation = aServer.mIncarnation;
-    return outcome;
+  event.mNow = boot_clock::now();
+  event.mStopReason = aCall.mStopReason ? aCall.mStopReason() : "";
+  const bool isQueued = event.mWire == wire_state::Answered &&
+                        event.mReply.state == wire::run_state::QUEUED;
+  if (isQueued && event.mStopReason.empty() && aCall.mQueuedStopReason) {
+    event.mStopReason = aCall.mQueuedStopReason();
   }
-  return Refuse(ran::OutcomeUnknown, aReason);
+  return event;
 }
 
 } // namespace lavender::dispatch
--- a/Duties/Membership/DirectoryState.cpp
+++ b/Duties/Membership/DirectoryState.cpp
@@ -19,7 +19,6 @@
     aView.mConnections = aMakeConnections(aInstance.mEndpoint);
     aView.mHeardAt.reset();
     aView.mFailedAt.reset();
-    aView.mAskedAt.reset();
     aView.mIncarnation.clear();
     aView.mIsLeaving = false;
   }
@@ -43,15 +42,13 @@
 
 /** Draining never ends within one incarnation. Answers may overtake each
  * other, so an older one must not make the agent look open again. */
-void
-TakeIncarnation(server_view& aView,
-                const std::string& aIncarnation,
-                bool aIsDraining)
+bool
+IsLeavingNow(const server_view& aView,
+             const std::string& aIncarnation,
+             bool aIsDraining)
 {
-  const bool isSame = aView.mIncarnation == aIncarnation;
-  aView.mIncarnation = aIncarnation;
-  aView.mIsLeaving =
-    aIsDraining || aView.mInstance.mIsLeaving || (isSame && aView.mIsLeaving);
+  return aIsDraining || aView.mInstance.mIsLeaving ||
+         (aView.mIncarnation == aIncarnation && aView.mIsLeaving);
 }
 
 } // namespace
@@ -144,17 +141,19 @@
     // Work for this instance's pool must not go to whoever answers there now.
     view.mFailedAt = aAskedAt;
     view.mHeardAt.reset();
-    view.mAskedAt = aAskedAt;
     return report_outcome::OtherInstance;
   }
-  TakeIncarnation(view, aReport.agent_incarnation, aReport.draining);
+  view.mIsLeaving =
+    IsLeavingNow(view, aReport.agent_incarnation, aReport.draining);
+  view.mIncarnation = aReport.agent_incarnation;
   view.mLoad = aReport.load;
   view.mIsServerReachable = aReport.server_reachable;
   view.mModel = aReport.model;
   view.mWeightVersion = aReport.weight_version;
   view.mWitnessedRevision = aReport.witnessed_revision;
   view.mWitnessedFreshAge = milliseconds(aReport.witnessed_fresh_age_ms);
-  view.mAskedAt = aAskedAt;
+  view.mAgentClock = milliseconds(aReport.clock_ms);
+  view.mReportedAt = aAskedAt;
   view.mHeardAt = aNow;
   return report_outcome::Taken;
 }
@@ -175,10 +174,17 @@
           const std::string& aName,
           const wire::dispatch_reply& aReply)
 {
-  if (const auto found = aState.mServers.find(aName);
-      found != aState.mServers.end()) {
-    TakeIncarnation(found->second, aReply.agent_incarnation, aReply.draining);
+  const auto found = aState.mServers.find(aName);
+  if (found == aState.mServers.end()) {
+    return;
+  }
+  auto& view = found->second;
+  if (view.mIncarnation != aReply.agent_incarnation) {
+    // The new process gets requests once its report has told its clock.
+    view.mHeardAt.reset();
   }
+  view.mIsLeaving =
+    IsLeavingNow(view, aReply.agent_incarnation, aReply.draining);
 }
 
 } // namespace lavender::membership
--- a/Duties/Membership/DirectoryState.h
+++ b/Duties/Membership/DirectoryState.h
@@ -34,8 +34,10 @@
   std::optional<time_point> mHeardAt;
   /** Start of the last poll that got no answer. */
   std::optional<time_point> mFailedAt;
-  /** Start of the poll whose answer mWitnessedFreshAge came with. */
-  std::optional<time_point> mAskedAt;
+  /** When the last answered poll left: its report is no older. */
+  time_point mReportedAt;
+  /** The agent's clock when the entry heard from it at mHeardAt. */
+  milliseconds mAgentClock{ 0 };
   /** Last list that didn't name the instance any more, from its first on. */
   std::optional<time_point> mGoneSince;
   /** Requests that this entry sent and has no answer to. */
--- a/Duties/Membership/ServerDirectory.cpp
+++ b/Duties/Membership/ServerDirectory.cpp
@@ -200,14 +200,25 @@
     TakeSilence(mState, aName, askedAt);
     return poll_outcome::Silent;
   }
-  std::lock_guard lock(mMutex);
+  std::unique_lock lock(mMutex);
   const auto taken = TakeReport(
     mState, aName, outcome.mReply, connections, askedAt, boot_clock::now());
   CountPoll(taken == report_outcome::OtherInstance ? "other_instance"
                                                    : "answered");
+  if (taken == report_outcome::Taken && mObserver) {
+    const auto changed = mState.mServers.at(aName);
+    lock.unlock();
+    mObserver(changed);
+  }
   return poll_outcome::Answered;
 }
 
+void
+server_directory::OnReport(std::function<void(const server_view&)> aObserver)
+{
+  mObserver = std::move(aObserver);
+}
+
 witness_report
 server_directory::Witnesses() const
 {
@@ -227,7 +238,7 @@
       std::max(report.mHighestChanged, view.mWitnessedRevision);
     // Counted from when the question left, so the proof is no younger than
     // this.
-    const auto proof = *view.mAskedAt - view.mWitnessedFreshAge;
+    const auto proof = view.mReportedAt - view.mWitnessedFreshAge;
     report.mLatestProof = std::max(report.mLatestProof.value_or(proof), proof);
   }
   return report;
--- a/Duties/Membership/ServerDirectory.h
+++ b/Duties/Membership/ServerDirectory.h
@@ -73,6 +73,9 @@
   std::optional<server_view> Find(const std::string& aName) const;
   /** Counts a request sent to, or answered by, a server. */
   void AddInFlight(const std::string& aName, int aChange);
+  /** Called with a copy of each view that a report has changed, from the
+   * polling threads. Set before Start. */
+  void OnReport(std::function<void(const server_view&)> aObserver);
   /** Takes what any reply told of its agent. */
   void TakeReply(const std::string& aName, const wire::dispatch_reply& aReply);
 
@@ -96,6 +99,7 @@
   bool mIsStopping = false;
   directory_state mState;
   std::string mSavedList;
+  std::function<void(const server_view&)> mObserver;
   std::thread mListThread;
   poll_pool mPolls;
 };
--- a/Libraries/Settings/Settings.cpp
+++ b/Libraries/Settings/Settings.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <memory>
 #include <tclap/CmdLine.h>
@@ -98,12 +99,26 @@
                        aText) == aSetting.mChoices.end()
                ? "'" + aText + "' is not one of the choices"
                : std::string();
+    case setting_kind::File:
+      return aText.empty() || std::ifstream(aText).good()
+               ? std::string()
+               : "'" + aText + "' can't be read";
   }
   return {};
 }
 
 } // namespace
 
+setting
+OptionalFile(std::string aFlag, std::string aDescription)
+{
+  setting declared;
+  declared.mFlag = std::move(aFlag);
+  declared.mDescription = std::move(aDescription);
+  declared.mKind = setting_kind::File;
+  return declared;
+}
+
 const std::string&
 values::Text(const std::string& aFlag) const
 {
@@ -158,7 +173,16 @@
     flags.push_back(std::make_unique<TCLAP::ValueArg<std::string>>(
       "", declared.mFlag, Describe(declared), false, "", "value", line));
   }
-  line.parse(aCount, aArguments);
+  // The library would print the first error and exit; here it is one finding
+  // among the others. Help and version still end the process.
+  line.setExceptionHandling(false);
+  try {
+    line.parse(aCount, aArguments);
+  } catch (const TCLAP::ExitException& exit) {
+    std::exit(exit.getExitStatus());
+  } catch (const TCLAP::ArgException& error) {
+    outcome.mFindings.Add(error.argId(), error.error());
+  }
   outcome.mIsCheckOnly = checkOnly.getValue();
   for (std::size_t i = 0; i < aDeclared.size(); ++i) {
     const auto& declared = aDeclared[i];
--- a/Libraries/Wire/Generated/lavender_types.cpp
+++ b/Libraries/Wire/Generated/lavender_types.cpp
@@ -114,6 +114,10 @@
 void dispatch_order::__set_path(const std::string& val) {
   this->path = val;
 }
+
+void dispatch_order::__set_issued_at_ms(const int64_t val) {
+  this->issued_at_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const dispatch_order& obj)
 {
   obj.printTo(out);
@@ -262,6 +266,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->issued_at_ms);
+          this->__isset.issued_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -339,6 +351,10 @@
   xfer += oprot->writeString(this->path);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("issued_at_ms", ::apache::thrift::protocol::T_I64, 16);
+  xfer += oprot->writeI64(this->issued_at_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -361,6 +377,7 @@
   swap(a.oldest_weight_version, b.oldest_weight_version);
   swap(a.method, b.method);
   swap(a.path, b.path);
+  swap(a.issued_at_ms, b.issued_at_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -380,6 +397,7 @@
   oldest_weight_version = other0.oldest_weight_version;
   method = other0.method;
   path = other0.path;
+  issued_at_ms = other0.issued_at_ms;
   __isset = other0.__isset;
 }
 dispatch_order& dispatch_order::operator=(const dispatch_order& other1) {
@@ -398,6 +416,7 @@
   oldest_weight_version = other1.oldest_weight_version;
   method = other1.method;
   path = other1.path;
+  issued_at_ms = other1.issued_at_ms;
   __isset = other1.__isset;
   return *this;
 }
@@ -419,6 +438,7 @@
   out << ", " << "oldest_weight_version=" << to_string(oldest_weight_version);
   out << ", " << "method=" << to_string(method);
   out << ", " << "path=" << to_string(path);
+  out << ", " << "issued_at_ms=" << to_string(issued_at_ms);
   out << ")";
 }
 
@@ -818,6 +838,14 @@
 void run_result::__set_usage_window(const int64_t val) {
   this->usage_window = val;
 }
+
+void run_result::__set_model(const std::string& val) {
+  this->model = val;
+}
+
+void run_result::__set_version_reason(const std::string& val) {
+  this->version_reason = val;
+}
 std::ostream& operator<<(std::ostream& out, const run_result& obj)
 {
   obj.printTo(out);
@@ -914,6 +942,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->model);
+          this->__isset.model = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->version_reason);
+          this->__isset.version_reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -967,6 +1011,14 @@
   xfer += oprot->writeI64(this->usage_window);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("model", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->model);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("version_reason", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->version_reason);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -981,6 +1033,8 @@
   swap(a.completion_tokens, b.completion_tokens);
   swap(a.versions, b.versions);
   swap(a.usage_window, b.usage_window);
+  swap(a.model, b.model);
+  swap(a.version_reason, b.version_reason);
   swap(a.__isset, b.__isset);
 }
 
@@ -992,6 +1046,8 @@
   completion_tokens = other18.completion_tokens;
   versions = other18.versions;
   usage_window = other18.usage_window;
+  model = other18.model;
+  version_reason = other18.version_reason;
   __isset = other18.__isset;
 }
 run_result& run_result::operator=(const run_result& other19) {
@@ -1002,6 +1058,8 @@
   completion_tokens = other19.completion_tokens;
   versions = other19.versions;
   usage_window = other19.usage_window;
+  model = other19.model;
+  version_reason = other19.version_reason;
   __isset = other19.__isset;
   return *this;
 }
@@ -1015,6 +1073,8 @@
   out << ", " << "completion_tokens=" << to_string(completion_tokens);
   out << ", " << "versions=" << to_string(versions);
   out << ", " << "usage_window=" << to_string(usage_window);
+  out << ", " << "model=" << to_string(model);
+  out << ", " << "version_reason=" << to_string(version_reason);
   out << ")";
 }
 
@@ -1462,6 +1522,10 @@
 void agent_report::__set_open_usage_window(const int64_t val) {
   this->open_usage_window = val;
 }
+
+void agent_report::__set_clock_ms(const int64_t val) {
+  this->clock_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const agent_report& obj)
 {
   obj.printTo(out);
@@ -1594,6 +1658,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clock_ms);
+          this->__isset.clock_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1663,6 +1735,10 @@
   xfer += oprot->writeI64(this->open_usage_window);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("clock_ms", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->clock_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1683,6 +1759,7 @@
   swap(a.witnessed_fresh_age_ms, b.witnessed_fresh_age_ms);
   swap(a.server_reachable, b.server_reachable);
   swap(a.open_usage_window, b.open_usage_window);
+  swap(a.clock_ms, b.clock_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -1700,6 +1777,7 @@
   witnessed_fresh_age_ms = other25.witnessed_fresh_age_ms;
   server_reachable = other25.server_reachable;
   open_usage_window = other25.open_usage_window;
+  clock_ms = other25.clock_ms;
   __isset = other25.__isset;
 }
 agent_report& agent_report::operator=(const agent_report& other26) {
@@ -1716,6 +1794,7 @@
   witnessed_fresh_age_ms = other26.witnessed_fresh_age_ms;
   server_reachable = other26.server_reachable;
   open_usage_window = other26.open_usage_window;
+  clock_ms = other26.clock_ms;
   __isset = other26.__isset;
   return *this;
 }
@@ -1735,6 +1814,7 @@
   out << ", " << "witnessed_fresh_age_ms=" << to_string(witnessed_fresh_age_ms);
   out << ", " << "server_reachable=" << to_string(server_reachable);
   out << ", " << "open_usage_window=" << to_string(open_usage_window);
+  out << ", " << "clock_ms=" << to_string(clock_ms);
   out << ")";
 }
 
@@ -1762,6 +1842,10 @@
 void swap_order::__set_holder(const std::string& val) {
   this->holder = val;
 }
+
+void swap_order::__set_agent_incarnation(const std::string& val) {
+  this->agent_incarnation = val;
+}
 std::ostream& operator<<(std::ostream& out, const swap_order& obj)
 {
   obj.printTo(out);
@@ -1830,6 +1914,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->agent_incarnation);
+          this->__isset.agent_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1867,6 +1959,10 @@
   xfer += oprot->writeString(this->holder);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("agent_incarnation", ::apache::thrift::protocol::T_STRING, 6);
+  xfer += oprot->writeString(this->agent_incarnation);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1879,6 +1975,7 @@
   swap(a.version, b.version);
   swap(a.fencing, b.fencing);
   swap(a.holder, b.holder);
+  swap(a.agent_incarnation, b.agent_incarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -1888,6 +1985,7 @@
   version = other27.version;
   fencing = other27.fencing;
   holder = other27.holder;
+  agent_incarnation = other27.agent_incarnation;
   __isset = other27.__isset;
 }
 swap_order& swap_order::operator=(const swap_order& other28) {
@@ -1896,6 +1994,7 @@
   version = other28.version;
   fencing = other28.fencing;
   holder = other28.holder;
+  agent_incarnation = other28.agent_incarnation;
   __isset = other28.__isset;
   return *this;
 }
@@ -1907,6 +2006,7 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "fencing=" << to_string(fencing);
   out << ", " << "holder=" << to_string(holder);
+  out << ", " << "agent_incarnation=" << to_string(agent_incarnation);
   out << ")";
 }
 
--- a/Libraries/Wire/Generated/lavender_types.h
+++ b/Libraries/Wire/Generated/lavender_types.h
@@ -79,7 +79,7 @@
 class configuration_copy;
 
 typedef struct _dispatch_order__isset {
-  _dispatch_order__isset() : request_id(false), agent_incarnation(false), entry_incarnation(false), customer(false), key_id(false), operation(false), payload(false), weight(true), cost_tokens(true), deadline_left_ms(false), repeatable(true), priority(true), oldest_weight_version(true), method(false), path(false) {}
+  _dispatch_order__isset() : request_id(false), agent_incarnation(false), entry_incarnation(false), customer(false), key_id(false), operation(false), payload(false), weight(true), cost_tokens(true), deadline_left_ms(false), repeatable(true), priority(true), oldest_weight_version(true), method(false), path(false), issued_at_ms(true) {}
   bool request_id :1;
   bool agent_incarnation :1;
   bool entry_incarnation :1;
@@ -95,6 +95,7 @@
   bool oldest_weight_version :1;
   bool method :1;
   bool path :1;
+  bool issued_at_ms :1;
 } _dispatch_order__isset;
 
 class dispatch_order : public virtual ::apache::thrift::TBase {
@@ -117,7 +118,8 @@
                    priority(0),
                    oldest_weight_version(0LL),
                    method(),
-                   path() {
+                   path(),
+                   issued_at_ms(0LL) {
   }
 
   virtual ~dispatch_order() noexcept;
@@ -136,6 +138,7 @@
   int64_t oldest_weight_version;
   std::string method;
   std::string path;
+  int64_t issued_at_ms;
 
   _dispatch_order__isset __isset;
 
@@ -169,6 +172,8 @@
 
   void __set_path(const std::string& val);
 
+  void __set_issued_at_ms(const int64_t val);
+
   bool operator == (const dispatch_order & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -201,6 +206,8 @@
       return false;
     if (!(path == rhs.path))
       return false;
+    if (!(issued_at_ms == rhs.issued_at_ms))
+      return false;
     return true;
   }
   bool operator != (const dispatch_order &rhs) const {
@@ -361,7 +368,7 @@
 std::ostream& operator<<(std::ostream& out, const weight_part& obj);
 
 typedef struct _run_result__isset {
-  _run_result__isset() : http_status(false), content_type(false), body(false), prompt_tokens(false), completion_tokens(false), versions(false), usage_window(false) {}
+  _run_result__isset() : http_status(false), content_type(false), body(false), prompt_tokens(false), completion_tokens(false), versions(false), usage_window(false), model(false), version_reason(false) {}
   bool http_status :1;
   bool content_type :1;
   bool body :1;
@@ -369,6 +376,8 @@
   bool completion_tokens :1;
   bool versions :1;
   bool usage_window :1;
+  bool model :1;
+  bool version_reason :1;
 } _run_result__isset;
 
 class run_result : public virtual ::apache::thrift::TBase {
@@ -382,7 +391,9 @@
                body(),
                prompt_tokens(0),
                completion_tokens(0),
-               usage_window(0) {
+               usage_window(0),
+               model(),
+               version_reason() {
   }
 
   virtual ~run_result() noexcept;
@@ -393,6 +404,8 @@
   int64_t completion_tokens;
   std::vector<weight_part>  versions;
   int64_t usage_window;
+  std::string model;
+  std::string version_reason;
 
   _run_result__isset __isset;
 
@@ -410,6 +423,10 @@
 
   void __set_usage_window(const int64_t val);
 
+  void __set_model(const std::string& val);
+
+  void __set_version_reason(const std::string& val);
+
   bool operator == (const run_result & rhs) const
   {
     if (!(http_status == rhs.http_status))
@@ -426,6 +443,10 @@
       return false;
     if (!(usage_window == rhs.usage_window))
       return false;
+    if (!(model == rhs.model))
+      return false;
+    if (!(version_reason == rhs.version_reason))
+      return false;
     return true;
   }
   bool operator != (const run_result &rhs) const {
@@ -605,7 +626,7 @@
 std::ostream& operator<<(std::ostream& out, const entry_digest& obj);
 
 typedef struct _agent_report__isset {
-  _agent_report__isset() : echo(false), agent_incarnation(false), server_name(false), zone(false), pool(false), load(false), draining(false), model(false), weight_version(false), witnessed_revision(false), witnessed_fresh_age_ms(false), server_reachable(false), open_usage_window(false) {}
+  _agent_report__isset() : echo(false), agent_incarnation(false), server_name(false), zone(false), pool(false), load(false), draining(false), model(false), weight_version(false), witnessed_revision(false), witnessed_fresh_age_ms(false), server_reachable(false), open_usage_window(false), clock_ms(true) {}
   bool echo :1;
   bool agent_incarnation :1;
   bool server_name :1;
@@ -619,6 +640,7 @@
   bool witnessed_fresh_age_ms :1;
   bool server_reachable :1;
   bool open_usage_window :1;
+  bool clock_ms :1;
 } _agent_report__isset;
 
 class agent_report : public virtual ::apache::thrift::TBase {
@@ -638,7 +660,8 @@
                  witnessed_revision(0),
                  witnessed_fresh_age_ms(0),
                  server_reachable(0),
-                 open_usage_window(0) {
+                 open_usage_window(0),
+                 clock_ms(0LL) {
   }
 
   virtual ~agent_report() noexcept;
@@ -655,6 +678,7 @@
   int64_t witnessed_fresh_age_ms;
   bool server_reachable;
   int64_t open_usage_window;
+  int64_t clock_ms;
 
   _agent_report__isset __isset;
 
@@ -684,6 +708,8 @@
 
   void __set_open_usage_window(const int64_t val);
 
+  void __set_clock_ms(const int64_t val);
+
   bool operator == (const agent_report & rhs) const
   {
     if (!(echo == rhs.echo))
@@ -712,6 +738,8 @@
       return false;
     if (!(open_usage_window == rhs.open_usage_window))
       return false;
+    if (!(clock_ms == rhs.clock_ms))
+      return false;
     return true;
   }
   bool operator != (const agent_report &rhs) const {
@@ -731,12 +759,13 @@
 std::ostream& operator<<(std::ostream& out, const agent_report& obj);
 
 typedef struct _swap_order__isset {
-  _swap_order__isset() : echo(false), model(false), version(false), fencing(false), holder(false) {}
+  _swap_order__isset() : echo(false), model(false), version(false), fencing(false), holder(false), agent_incarnation(false) {}
   bool echo :1;
   bool model :1;
   bool version :1;
   bool fencing :1;
   bool holder :1;
+  bool agent_incarnation :1;
 } _swap_order__isset;
 
 class swap_order : public virtual ::apache::thrift::TBase {
@@ -749,7 +778,8 @@
                model(),
                version(0),
                fencing(0),
-               holder() {
+               holder(),
+               agent_incarnation() {
   }
 
   virtual ~swap_order() noexcept;
@@ -758,6 +788,7 @@
   int64_t version;
   int64_t fencing;
   std::string holder;
+  std::string agent_incarnation;
 
   _swap_order__isset __isset;
 
@@ -771,6 +802,8 @@
 
   void __set_holder(const std::string& val);
 
+  void __set_agent_incarnation(const std::string& val);
+
   bool operator == (const swap_order & rhs) const
   {
     if (!(echo == rhs.echo))
@@ -783,6 +816,8 @@
       return false;
     if (!(holder == rhs.holder))
       return false;
+    if (!(agent_incarnation == rhs.agent_incarnation))
+      return false;
     return true;
   }
   bool operator != (const swap_order &rhs) const {
--- a/Services/Entry/CallerApi.h
+++ b/Services/Entry/CallerApi.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "Duties/Admission/BackPressure.h"
 #include "Duties/Admission/CustomerLimits.h"
 #include "Duties/Configuration/ConfigurationStore.h"
-#include "Duties/Dispatch/EntryDispatch.h"
+#include "Duties/Dispatch/IdempotentCall.h"
+#include "Duties/Dispatch/RecentCalls.h"
 #include "Duties/Keys/Authorize.h"
 #include "Duties/Keys/KeyGate.h"
 #include "Duties/Usage/UsageAccount.h"
@@ -12,6 +14,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <random>
 
 namespace lavender::entry {
 
@@ -23,6 +26,8 @@
   platform::client mPlatform;
   /** Judges whether keys may be accepted; outlives the API. */
   keys::key_gate* mKeyGate = nullptr;
+  /** How long the key of a call that may not be repeated is remembered. */
+  milliseconds mCallRecordKeep{ 3600000 };
 };
 
 /** What callers and trainers use: completions, plain services, batches. */
@@ -70,8 +75,11 @@
                            const admitted_request& aAdmitted);
   http::response AcknowledgeBatch(const http::path_parts& aParts,
                                   const admitted_request& aAdmitted);
-  dispatch::call MakeCall(const admitted_request& aAdmitted) const;
-  dispatch::call_outcome RunOnce(const std::string& aIdempotencyKey,
+  dispatch::call MakeCall(const http::request& aRequest,
+                          const admitted_request& aAdmitted) const;
+  /** Runs the call, under its Idempotency-Key when it carries one. */
+  dispatch::call_outcome RunUnlessPressed(const dispatch::call& aCall);
+  dispatch::call_outcome RunCall(const http::request& aRequest,
                                  const dispatch::call& aCall);
   void CountUsage(const dispatch::call& aCall,
                   const dispatch::call_outcome& aOutcome);
@@ -85,11 +93,17 @@
   dispatch::entry_dispatch& mDispatch;
   usage::usage_account& mUsage;
   metrics::registry& mMetrics;
+  dispatch::idempotent_calls mIdempotentCalls;
+  dispatch::recent_calls mRecentCalls;
   http::router mRouter;
   std::atomic<std::int64_t> mUnderWay{ 0 };
   std::atomic<std::uint64_t> mNextRequest{ 1 };
   std::mutex mLimitMutex;
   admission::limit_state mLimits;
+  std::mutex mPressureMutex;
+  admission::pressure_map mPressures;
+  std::mt19937_64 mRandom{ std::random_device()() };
+  std::uint64_t mOutcomes = 0;
 };
 
 } // namespace lavender::entry
--- a/StandIns/Platform/Platform.h
+++ b/StandIns/Platform/Platform.h
@@ -22,6 +22,9 @@
   int mLostAnswers = 0;
   /** Callers that get no answer. */
   std::set<std::string> mCutCallers;
+  /** Callers whose lists and watches show the state at the time of the order.
+   */
+  std::set<std::string> mOldCopyCallers;
   /** Zone orders with old fencing numbers are carried out. */
   bool mIgnoresFencing = false;
   /** The instance list shows changes that much later. */
@@ -57,6 +60,8 @@
   void AddInterfaceRoutes();
   void AddControlRoutes();
   std::optional<http::response> ApplyFaults(const http::request& aRequest);
+  std::optional<http::response> AnswerFromOldCopy(
+    const http::request& aRequest);
   http::response AnswerWrite(const store_outcome& aOutcome,
                              const std::string& aKind,
                              const std::string& aName);
