Withdrawn keys, cuts, outages and restarts proved on the real binaries

Cause: the gate was proved only on plain structs. Ruled out: a fixed age for others' proofs (accepts in the gaps when the platform answers rarely). Now the others' proof must be 3 s later than the own one, and for 2 s.

TestConfigurationFaults: kept-alive connections, queued work, a cut entry with and without peers, one just started from an old copy of the store, platform down for 12 s, start from the disk.

An outage now logs one line for each cause, not one for each try.

--- a/Duties/Configuration/ConfigurationStore.cpp
+++ b/Duties/Configuration/ConfigurationStore.cpp
@@ -250,6 +250,16 @@
   }
 }
 
+void
+configuration_store::NoteFailure(const std::string& aSentence)
+{
+  // An outage may be long: one line for each cause, not for each try.
+  if (aSentence != mLastFailure) {
+    Log(log_level::Warning, "configuration", aSentence);
+    mLastFailure = aSentence;
+  }
+}
+
 void
 configuration_store::CountBreak()
 {
@@ -277,9 +287,7 @@
   const auto askedAt = boot_clock::now();
   const auto list = platform::List(mOptions.mPlatform, "");
   if (!list) {
-    Log(log_level::Warning,
-        "configuration",
-        "No configuration: " + list.mLastReason);
+    NoteFailure("No configuration: " + list.mLastReason);
     return false;
   }
   std::lock_guard lock(mMutex);
@@ -297,12 +305,12 @@
     platform::Watch(mOptions.mPlatform, Digest().mKnownUpTo, kWatchWait);
   if (!batch) {
     // The state goes on serving; the watch resumes from its revision.
-    Log(
-      log_level::Warning, "configuration", "Watch broke: " + batch.mLastReason);
+    NoteFailure("Watch broke: " + batch.mLastReason);
     CountBreak();
     WaitOrStop(kRetryEvery);
     return true;
   }
+  mLastFailure.clear();
   if (batch->mIsTooOld) {
     return false;
   }
--- a/Duties/Configuration/ConfigurationStore.h
+++ b/Duties/Configuration/ConfigurationStore.h
@@ -66,6 +66,7 @@
   bool LoadAll();
   bool WatchOnce();
   void Note(const char* aSource, take_outcome aOutcome);
+  void NoteFailure(const std::string& aSentence);
   void CountBreak();
   bool WaitOrStop(milliseconds aWait);
 
@@ -76,6 +77,8 @@
   configuration_state mState;
   /** Revision of the last change that is on the disk. */
   std::int64_t mSavedChanged = 0;
+  /** Last failure that was logged; used by the watching thread alone. */
+  std::string mLastFailure;
   std::thread mThread;
 };
 
--- a/Duties/Keys/FreshnessGate.cpp
+++ b/Duties/Keys/FreshnessGate.cpp
@@ -21,22 +21,34 @@
   return aWitnesses.mAudible * 2 >= aWitnesses.mKnown.value_or(0);
 }
 
-/** Longer than the catch-up time behind what others know. */
+/** True once a condition has held for as long as the limit. */
 bool
-IsBehindForLong(freshness_state& aState,
-                const own_freshness& aOwn,
-                const witness_summary& aWitnesses,
-                const freshness_limits& aLimits,
-                time_point aNow)
+HasLasted(std::optional<time_point>& aSince,
+          bool aHolds,
+          milliseconds aLimit,
+          time_point aNow)
 {
-  if (aOwn.mKnownUpTo >= aWitnesses.mHighestChanged) {
-    aState.mBehindSince.reset();
+  if (!aHolds) {
+    aSince.reset();
     return false;
   }
-  if (!aState.mBehindSince) {
-    aState.mBehindSince = aNow;
+  if (!aSince) {
+    aSince = aNow;
   }
-  return aNow - *aState.mBehindSince >= aLimits.mCatchUp;
+  return aNow - *aSince >= aLimit;
+}
+
+/** The store has answered somebody lately, well after it last answered this
+ * entry. */
+bool
+AreOthersFresher(const own_freshness& aOwn,
+                 const witness_summary& aWitnesses,
+                 const freshness_limits& aLimits,
+                 time_point aNow)
+{
+  return IsYounger(aWitnesses.mLatestProof, aLimits.mOwnProof, aNow) &&
+         (!aOwn.mProvenAt ||
+          *aWitnesses.mLatestProof - *aOwn.mProvenAt >= aLimits.mMargin);
 }
 
 /** An entry that has just started joins only when everybody known has been
@@ -66,8 +78,15 @@
       const freshness_limits& aLimits,
       time_point aNow)
 {
-  const bool isBehind =
-    IsBehindForLong(aState, aOwn, aWitnesses, aLimits, aNow);
+  const bool isBehind = HasLasted(aState.mBehindSince,
+                                  aOwn.mKnownUpTo < aWitnesses.mHighestChanged,
+                                  aLimits.mCatchUp,
+                                  aNow);
+  const bool isCutOff =
+    HasLasted(aState.mCutOffSince,
+              AreOthersFresher(aOwn, aWitnesses, aLimits, aNow),
+              aLimits.mCatchUp,
+              aNow);
   if (!aState.mHasJoined) {
     if (!MayJoin(aOwn, aWitnesses, aLimits, aNow)) {
       return freshness::Joining;
@@ -80,7 +99,7 @@
   if (IsYounger(aOwn.mProvenAt, aLimits.mOwnProof, aNow)) {
     return freshness::Current;
   }
-  if (IsYounger(aWitnesses.mLatestProof, aLimits.mOthersProof, aNow)) {
+  if (isCutOff) {
     return freshness::CutOff;
   }
   return HearsMost(aWitnesses) ? freshness::PlatformDown : freshness::Isolated;
--- a/Duties/Keys/FreshnessGate.h
+++ b/Duties/Keys/FreshnessGate.h
@@ -41,11 +41,13 @@
   /** Above the longest time between two proofs in health, a watch's wait and
    * its timeout. */
   milliseconds mOwnProof{ 6000 };
-  /** Another entry whose proof is younger than this shows that the store
-   * answers. Far enough below mOwnProof that two entries which lose the store
-   * together never take each other's last proof for a living one. */
-  milliseconds mOthersProof{ 3000 };
-  /** Time to fetch a change that somebody else knows. */
+  /** By how much another entry's proof must be later than the own one to show
+   * that the store answers others. Two entries that lose the store together
+   * have proofs that differ by less, or each would take the other's last proof
+   * for a living one and refuse. */
+  milliseconds mMargin{ 3000 };
+  /** Time to fetch a change that somebody else knows, and for the own watch to
+   * come back after an outage that ended for others a moment earlier. */
   milliseconds mCatchUp{ 2000 };
 };
 
@@ -53,6 +55,7 @@
 struct freshness_state
 {
   std::optional<time_point> mBehindSince;
+  std::optional<time_point> mCutOffSince;
   bool mHasJoined = false;
 };
 
--- a/Duties/Keys/TestFreshnessGate.cpp
+++ b/Duties/Keys/TestFreshnessGate.cpp
@@ -47,6 +47,40 @@
   }));
 }
 
+// Story: an outage ends, and for a moment half of the callers with good keys
+// get 503. The store answered one entry first; the other one heard of it
+// through an agent before its own watch was back.
+BOOST_AUTO_TEST_CASE(TheEndOfAnOutageIsNoReasonToRefuse)
+{
+  auto state = Joined();
+  const freshness_limits limits;
+  const auto own = kStart;
+  const auto back = kStart + 60s;
+  const auto judge = [&](time_point aNow) {
+    const auto others = aNow < back ? own : aNow;
+    return Judge(state, { 7, own }, AllAudible(7, others), limits, aNow);
+  };
+  BOOST_TEST((judge(back - 1ms) == freshness::PlatformDown));
+  BOOST_TEST(IsFreshEnough(judge(back)));
+  BOOST_TEST(IsFreshEnough(judge(back + limits.mCatchUp - 1ms)));
+  BOOST_TEST((judge(back + limits.mCatchUp) == freshness::CutOff));
+}
+
+// Story: the platform is so slow that it answers now and then. An entry that
+// is cut off must not accept keys in the gaps between the others' proofs.
+BOOST_AUTO_TEST_CASE(ProofsFarApartStillShowACut)
+{
+  auto state = Joined();
+  for (auto now = kStart + 9s; now < kStart + 60s; now += 100ms) {
+    const auto gap = (now - kStart) % 4500ms;
+    const auto judged =
+      Judge(state, { 7, kStart }, AllAudible(7, now - gap), {}, now);
+    if (now >= kStart + 11s) {
+      BOOST_TEST((judged == freshness::CutOff));
+    }
+  }
+}
+
 // Story: an entry hears from agents that a later change exists. Its own watch
 // brings the change a moment later; refusing at once would turn each change
 // of the configuration into a burst of refusals.
--- a/Tests/TestConfigurationFaults.cpp
+++ b/Tests/TestConfigurationFaults.cpp
@@ -96,6 +96,8 @@
     SetFaults(json::object{ { "cut", json::array{ "entry-2" } } });
     const auto before = Calls("cut");
     BOOST_REQUIRE(WaitFor([&] { return Calls("cut") > before; }));
+    // A watch that was waiting already would still bring the next change.
+    std::this_thread::sleep_for(1200ms);
   }
   void Withdraw(const std::string& aCustomer)
   {
@@ -194,11 +196,15 @@
        "POST",
        "/control/faults",
        json::object{ { "per_token_us", 100000 } });
+  std::string longPrompt;
+  for (int i = 0; i < 40; ++i) {
+    longPrompt += "word ";
+  }
   answer running;
   answer queued;
   std::thread busy([&] {
-    running =
-      Complete(Entry("entry-1").Callers(), mOtherKey, "protokoll", "a b c", 60);
+    running = Complete(
+      Entry("entry-1").Callers(), mOtherKey, "protokoll", longPrompt, 40);
   });
   std::this_thread::sleep_for(300ms);
   std::thread waiting([&] {
