Start and stop orders per zone, from one process at a time

A zone's orders go one at a time on a connection of their own, under the zone's lease. The intent is written to kind ZoneOrder before the order leaves, so a successor finishes it under the same id; its first write makes a predecessor's later ones fail. A stop drains first, and a stuck drain defers it. DecideScale is a function of plain figures, with a gap between its two limits.

Tried and of no use: delaying both entries' bytes alike (the successor's come late too), and delays under 400 ms (the successor's own reads and writes take longer).

TestScale: 10,000 histories each.

A lease isn't released at shutdown while an order under it is unanswered.

--- a/Duties/Configuration/Snapshot.cpp
+++ b/Duties/Configuration/Snapshot.cpp
@@ -47,6 +47,8 @@
   pool.mModel = json::StringAt(aSpec, "model", "");
   pool.mService = json::StringAt(aSpec, "service", "");
   pool.mIsRepeatable = json::BooleanAt(aSpec, "repeatable", true);
+  pool.mMinimumPerZone = json::IntegerAt(aSpec, "minimum_per_zone", 0);
+  pool.mMaximumPerZone = json::IntegerAt(aSpec, "maximum_per_zone", 0);
   return pool;
 }
 
--- a/Duties/Configuration/Snapshot.h
+++ b/Duties/Configuration/Snapshot.h
@@ -52,6 +52,10 @@
   /** Service name under /v1/services, or empty. */
   std::string mService;
   bool mIsRepeatable = true;
+  /** Bounds of the servers that the system keeps in each zone. */
+  std::int64_t mMinimumPerZone = 0;
+  /** The system orders no start or stop while this is 0. */
+  std::int64_t mMaximumPerZone = 0;
 };
 
 /** All of the configuration at one revision of the Object API. Immutable once
--- a/Duties/Configuration/Validation.cpp
+++ b/Duties/Configuration/Validation.cpp
@@ -51,6 +51,8 @@
     { "model", field_type::Text, false, 0, 0 },
     { "service", field_type::Text, false, 0, 0 },
     { "repeatable", field_type::Boolean, false, 0, 0 },
+    { "minimum_per_zone", field_type::Integer, false, 0, 10000 },
+    { "maximum_per_zone", field_type::Integer, false, 0, 10000 },
   };
   if (aKind == "Customer") {
     return kCustomer;
--- a/Duties/Leases/LeaseKeeper.cpp
+++ b/Duties/Leases/LeaseKeeper.cpp
@@ -59,6 +59,15 @@
   }
 }
 
+void
+lease_keeper::LetExpire(const std::string& aName)
+{
+  std::lock_guard lock(mMutex);
+  if (const auto found = mLeases.find(aName); found != mLeases.end()) {
+    found->second->mMayRelease = false;
+  }
+}
+
 std::optional<held_lease>
 lease_keeper::Held(const std::string& aName) const
 {
@@ -174,6 +183,10 @@
 void
 lease_keeper::GiveUp(kept_lease& aLease, std::unique_lock<std::mutex>& aLock)
 {
+  if (!aLease.mMayRelease) {
+    aLease.mState.mHeld.reset();
+    return;
+  }
   if (const auto step =
         Release(aLease.mState, MakeRandomName(), boot_clock::now())) {
     WriteOut(aLease, *step, aLock);
--- a/Duties/Leases/LeaseKeeper.h
+++ b/Duties/Leases/LeaseKeeper.h
@@ -40,6 +40,9 @@
   void Want(const std::string& aName);
   /** Gives the lease up, when held, and no longer tries. */
   void Unwant(const std::string& aName);
+  /** At Stop, doesn't release that lease: something sent under it may still be
+   * on its way, which a successor has to wait out. */
+  void LetExpire(const std::string& aName);
   /** The lease, while this process holds it. Never waits for the store. */
   std::optional<held_lease> Held(const std::string& aName) const;
   /** The same for duties that take a lease_source: asks on first use. */
@@ -53,6 +56,7 @@
   {
     lease_state mState;
     bool mIsWanted = true;
+    bool mMayRelease = true;
     std::thread mThread;
   };
 
--- /dev/null
+++ b/Duties/Orders/ZoneKeeper.cpp
@@ -0,0 +1,242 @@
+#include "Duties/Orders/ZoneKeeper.h"
+
+#include "Libraries/Core/Identity.h"
+#include "Libraries/Core/Log.h"
+
+#include <algorithm>
+#include <set>
+
+namespace lavender::orders {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** A report older than this says nothing about the load now. */
+constexpr milliseconds kOldestReport = 5000ms;
+constexpr milliseconds kDrainTimeout = 1000ms;
+/** An empty server's last answers are still fetched within this. */
+constexpr milliseconds kFetchTime = 2500ms;
+
+} // namespace
+
+zone_keeper::zone_keeper(zone_keeper_options aOptions,
+                         configuration::configuration_store& aConfiguration,
+                         membership::server_directory& aDirectory)
+  : mOptions(std::move(aOptions))
+  , mConfiguration(aConfiguration)
+  , mDirectory(aDirectory)
+{
+}
+
+zone_keeper::~zone_keeper()
+{
+  Stop();
+}
+
+void
+zone_keeper::Start()
+{
+  mThread = std::thread([this] { Run(); });
+}
+
+void
+zone_keeper::Stop()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mIsStopping = true;
+  }
+  mStopped.notify_all();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+  for (const auto& [name, zone] : mZones) {
+    const auto unanswered = zone.mChannel.UnansweredAt();
+    if (mOptions.mLetExpire && unanswered &&
+        boot_clock::now() - *unanswered < mOptions.mLateBytes) {
+      mOptions.mLetExpire(LeaseName(name));
+    }
+  }
+}
+
+void
+zone_keeper::Run()
+{
+  std::unique_lock lock(mMutex);
+  while (!mIsStopping) {
+    lock.unlock();
+    LookAtAll();
+    lock.lock();
+    mStopped.wait_for(
+      lock, mOptions.mLookEvery, [this] { return mIsStopping; });
+  }
+}
+
+void
+zone_keeper::LookAtAll()
+{
+  const auto snapshot = mConfiguration.Current();
+  const bool isScaling = std::any_of(
+    snapshot->mPools.begin(), snapshot->mPools.end(), [](const auto& aPool) {
+      return aPool.second.mMaximumPerZone > 0;
+    });
+  if (!isScaling) {
+    return;
+  }
+  std::set<std::string> names;
+  for (const auto& server : mDirectory.Servers()) {
+    names.insert(server.mInstance.mAvailabilityZone);
+  }
+  for (const auto& entry : mDirectory.Entries()) {
+    names.insert(entry.mAvailabilityZone);
+  }
+  for (const auto& name : names) {
+    if (const auto lease = mOptions.mLeases(LeaseName(name))) {
+      auto& zone =
+        mZones.try_emplace(name, order_channel(name, mOptions.mPlatform))
+          .first->second;
+      LookAt(zone, name, *lease);
+    }
+  }
+}
+
+void
+zone_keeper::LookAt(zone& aZone,
+                    const std::string& aName,
+                    const leases::held_lease& aLease)
+{
+  if (!aZone.mChannel.TakeOver(aLease)) {
+    return;
+  }
+  if (aZone.mFencing != aLease.mFencing) {
+    // What a predecessor started may be on its way, so each pool waits as
+    // after a change of its own; a pool below its minimum too.
+    aZone.mFencing = aLease.mFencing;
+    aZone.mScale.clear();
+    for (const auto& [pool, spec] : mConfiguration.Current()->mPools) {
+      aZone.mScale[pool].mChangedAt = boot_clock::now();
+    }
+    aZone.mEmptySince.reset();
+    aZone.mDrainingSince.reset();
+  }
+  if (aZone.mChannel.Current().mStage == order_stage::Settled) {
+    Decide(aZone, aName, aLease);
+  }
+  if (aZone.mChannel.Current().mStage != order_stage::Settled) {
+    GoOn(aZone, aLease);
+  }
+}
+
+void
+zone_keeper::Decide(zone& aZone,
+                    const std::string& aName,
+                    const leases::held_lease& aLease)
+{
+  for (const auto& [name, pool] : mConfiguration.Current()->mPools) {
+    auto policy = mOptions.mPolicy;
+    policy.mMinimum = pool.mMinimumPerZone;
+    policy.mMaximum = pool.mMaximumPerZone;
+    const auto decision = DecideScale(
+      aZone.mScale[name], policy, Loads(aName, name), boot_clock::now());
+    if (decision.mAction == scale_action::None) {
+      continue;
+    }
+    const bool isStart = decision.mAction == scale_action::Start;
+    order_record record;
+    record.mId = MakeRandomName();
+    record.mAction = isStart ? "start" : "stop";
+    record.mPool = name;
+    record.mServer = decision.mServer;
+    record.mStage = isStart ? order_stage::Sent : order_stage::Draining;
+    Log(log_level::Info,
+        "orders",
+        "Decided action=" + record.mAction + " zone=" + aName + " pool=" +
+          name + " server=" + record.mServer + " reason=" + decision.mReason);
+    aZone.mChannel.Begin(std::move(record), aLease);
+    return;
+  }
+}
+
+void
+zone_keeper::GoOn(zone& aZone, const leases::held_lease& aLease)
+{
+  const auto& order = aZone.mChannel.Current();
+  if (order.mStage == order_stage::Draining && !IsDrained(aZone, aLease)) {
+    return;
+  }
+  aZone.mChannel.Send(aLease);
+  aZone.mEmptySince.reset();
+  aZone.mDrainingSince.reset();
+  aZone.mIsStuckTold = false;
+}
+
+bool
+zone_keeper::IsDrained(zone& aZone, const leases::held_lease& aLease)
+{
+  const auto& order = aZone.mChannel.Current();
+  const auto server = mDirectory.Find(order.mServer);
+  if (!server) {
+    return false;
+  }
+  const auto now = boot_clock::now();
+  if (!aZone.mDrainingSince) {
+    aZone.mDrainingSince = now;
+  }
+  wire::drain_order message;
+  message.echo = order.mId;
+  message.fencing = aLease.mFencing;
+  message.reason = "planned stop";
+  const auto answer = server->mConnections->Run<wire::drain_reply>(
+    kDrainTimeout, order.mId, [&](auto& aClient, auto& aReply) {
+      aClient.Drain(aReply, message);
+    });
+  const bool isEmpty = answer.mState == wire::wire_state::Answered &&
+                       answer.mReply.draining &&
+                       answer.mReply.requests_left == 0;
+  if (!isEmpty) {
+    aZone.mEmptySince.reset();
+    if (now - *aZone.mDrainingSince > mOptions.mDrainDeadline &&
+        !aZone.mIsStuckTold) {
+      aZone.mIsStuckTold = true;
+      Log(log_level::Warning,
+          "orders",
+          "Stop deferred server=" + order.mServer +
+            " requests_left=" + std::to_string(answer.mReply.requests_left));
+      if (mOptions.mMetrics) {
+        mOptions.mMetrics->Count("lavender_stops_deferred_total", {});
+      }
+    }
+    return false;
+  }
+  if (!aZone.mEmptySince) {
+    aZone.mEmptySince = now;
+  }
+  return now - *aZone.mEmptySince >= kFetchTime;
+}
+
+std::vector<server_load>
+zone_keeper::Loads(const std::string& aZone, const std::string& aPool) const
+{
+  const auto now = boot_clock::now();
+  std::vector<server_load> loads;
+  for (const auto& view : mDirectory.Servers()) {
+    if (view.mInstance.mAvailabilityZone != aZone ||
+        view.mInstance.mPool != aPool) {
+      continue;
+    }
+    server_load load;
+    load.mName = view.mInstance.mName;
+    load.mQueued = view.mLoad.queued;
+    load.mRunning = view.mLoad.running;
+    load.mSlots = view.mLoad.slots;
+    load.mQueueDelay =
+      milliseconds(static_cast<std::int64_t>(view.mLoad.queue_delay_ms));
+    load.mIsLeaving = view.mIsLeaving;
+    load.mIsHeard = view.mIsServerReachable && view.mHeardAt &&
+                    now - *view.mHeardAt < kOldestReport;
+    loads.push_back(std::move(load));
+  }
+  return loads;
+}
+
+} // namespace lavender::orders
--- a/Services/Agent/AgentHandler.cpp
+++ b/Services/Agent/AgentHandler.cpp
@@ -187,9 +187,21 @@
 void
 agent_handler::Drain(wire::drain_reply& aReply, const wire::drain_order& aOrder)
 {
-  Log(log_level::Info, "agent", "Draining: " + aOrder.reason);
-  mDispatch.StartDrain();
   aReply.echo = aOrder.echo;
+  {
+    std::lock_guard lock(mMutex);
+    if (aOrder.fencing < mHighestDrainFencing) {
+      // A holder that lapsed must not stop what its successor wants to keep.
+      mMetrics.Count("lavender_agent_refusals_total",
+                     { { "reason", "old_fencing_number" } });
+      return;
+    }
+    mHighestDrainFencing = aOrder.fencing;
+  }
+  if (!mDispatch.IsDraining()) {
+    Log(log_level::Info, "agent", "Draining: " + aOrder.reason);
+  }
+  mDispatch.StartDrain();
   aReply.draining = true;
   aReply.requests_left = static_cast<std::int32_t>(mDispatch.RequestsLeft());
 }
--- a/Services/Agent/AgentHandler.h
+++ b/Services/Agent/AgentHandler.h
@@ -82,6 +82,8 @@
   server_state mState;
   witness mWitness;
   std::int64_t mHighestFencing = 0;
+  /** Drains are ordered under another lease than weights. */
+  std::int64_t mHighestDrainFencing = 0;
   std::thread mWatcher;
 };
 
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Configuration/ResourceApi.h"
 #include "Duties/Leases/LeaseKeeper.h"
+#include "Duties/Orders/ZoneKeeper.h"
 #include "Libraries/Core/Identity.h"
 #include "Libraries/Core/Log.h"
 #include "Libraries/Core/TerminationSignal.h"
@@ -86,6 +87,7 @@
   options.mName = aValues.Text("name");
   options.mIncarnation = aIncarnation;
   options.mSettings.mDuration = aValues.Milliseconds("lease-duration");
+  options.mSettings.mHandicap = options.mSettings.mDuration / 6;
   options.mSettings.mLateBytes = aValues.Milliseconds("lease-late-bytes");
   options.mMetrics = &aMetrics;
   options.mEntries = [&aDirectory] {
@@ -121,6 +123,19 @@
   membership::server_directory directory(directoryOptions);
   leases::lease_keeper leaseKeeper(
     KeeperOptions(aValues, platformClient, incarnation, directory, metrics));
+  orders::zone_keeper_options zoneOptions;
+  zoneOptions.mPlatform = platformClient;
+  zoneOptions.mLeases = leaseKeeper.Source();
+  zoneOptions.mLetExpire = [&leaseKeeper](const std::string& aName) {
+    leaseKeeper.LetExpire(aName);
+  };
+  zoneOptions.mLateBytes = aValues.Milliseconds("lease-late-bytes");
+  zoneOptions.mPolicy.mStartTime = aValues.Milliseconds("server-start-time");
+  zoneOptions.mPolicy.mIdleFor = aValues.Milliseconds("server-idle-time");
+  zoneOptions.mLookEvery =
+    std::min(zoneOptions.mLookEvery, zoneOptions.mPolicy.mStartTime);
+  zoneOptions.mMetrics = &metrics;
+  orders::zone_keeper zoneKeeper(zoneOptions, configuration, directory);
   dispatch::entry_dispatch_options dispatchOptions;
   dispatchOptions.mEntryIncarnation = incarnation;
   dispatchOptions.mOwnZone = aValues.Text("zone");
@@ -138,6 +153,7 @@
 
   configuration.Start();
   directory.Start();
+  zoneKeeper.Start();
   std::atomic<bool> isDraining{ false };
   const auto healthRoutes =
     MakeHealthRoutes(metrics, configuration, isDraining);
@@ -179,6 +195,7 @@
   callerServer.Stop();
   operatorServer.Stop();
   wireServer.Stop();
+  zoneKeeper.Stop();
   leaseKeeper.Stop();
   directory.Stop();
   configuration.Stop();
--- a/StandIns/Platform/Platform.cpp
+++ b/StandIns/Platform/Platform.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/Platform/Platform.h"
 
+#include "Libraries/Core/Clock.h"
 #include "StandIns/Common/Program.h"
 
 #include <thread>
@@ -194,6 +195,24 @@
     });
 }
 
+json::value
+platform::LeaseOf(const std::string& aName) const
+{
+  const auto found = mStore.Read("Lease", aName);
+  return found ? found->mValue : json::value();
+}
+
+void
+platform::WaitAsSlowOrder()
+{
+  std::chrono::milliseconds slowness{ 0 };
+  {
+    std::lock_guard lock(mMutex);
+    slowness = mFaults.mOrderSlowness;
+  }
+  std::this_thread::sleep_for(slowness);
+}
+
 http::response
 platform::TakeOrder(const http::request& aRequest, const std::string& aZone)
 {
@@ -201,8 +220,11 @@
   if (!body) {
     return Failure(400, body.mLastReason);
   }
+  WaitAsSlowOrder();
   const auto fencing = json::IntegerAt(*body, "fencing", 0);
+  const auto lease = LeaseOf("zone-" + aZone);
   bool isLost = false;
+  bool isRepeated = false;
   {
     std::lock_guard lock(mMutex);
     auto& highest = mHighestFencing[aZone];
@@ -210,12 +232,16 @@
       return Failure(409, "old_fencing_number");
     }
     highest = std::max(highest, fencing);
+    const auto id = json::StringAt(*body, "id", "");
+    isRepeated = !id.empty() && !mOrderIds.insert(id).second;
     if (mFaults.mLostAnswers > 0) {
       --mFaults.mLostAnswers;
       isLost = true;
     }
   }
   body->Set("zone", aZone);
+  body->Set("repeated", isRepeated);
+  body->Set("lease", lease);
   Record("orders", aRequest, *body);
   return isLost ? Failure(500, "answer_lost") : JsonResponse(200, *body);
 }
@@ -227,7 +253,9 @@
   if (!body) {
     return Failure(400, body.mLastReason);
   }
+  WaitAsSlowOrder();
   body->Set("window", aWindow);
+  body->Set("lease", LeaseOf("usage"));
   Record("usage", aRequest, *body);
   std::lock_guard lock(mMutex);
   mUsage[aWindow] = *body;
@@ -263,7 +291,9 @@
   mLog.push_back({ static_cast<std::int64_t>(mLog.size()) + 1,
                    aInterface,
                    http::HeaderOr(aRequest.mHeaders, "X-Caller", ""),
-                   std::move(aDetail) });
+                   std::move(aDetail),
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                     boot_clock::now().time_since_epoch()) });
 }
 
 http::response
@@ -277,6 +307,8 @@
   mFaults.mIsDown = json::BooleanAt(*body, "down", mFaults.mIsDown);
   mFaults.mSlowness = std::chrono::milliseconds(
     json::IntegerAt(*body, "slow_ms", mFaults.mSlowness.count()));
+  mFaults.mOrderSlowness = std::chrono::milliseconds(
+    json::IntegerAt(*body, "slow_orders_ms", mFaults.mOrderSlowness.count()));
   mFaults.mLostAnswers = static_cast<int>(
     json::IntegerAt(*body, "lose_answers", mFaults.mLostAnswers));
   mFaults.mIgnoresFencing =
@@ -325,6 +357,8 @@
       item.Set("interface", line.mInterface);
       item.Set("caller", line.mCaller);
       item.Set("detail", line.mDetail);
+      item.Set("arrived_ms",
+               static_cast<std::int64_t>(line.mArrivedAt.count()));
       lines.push_back(std::move(item));
     }
     json::value body;
--- a/StandIns/Platform/Platform.h
+++ b/StandIns/Platform/Platform.h
@@ -22,6 +22,9 @@
   int mLostAnswers = 0;
   /** Callers that get no answer. */
   std::set<std::string> mCutCallers;
+  /** Zone orders and usage reports are taken up this much after their bytes
+   * came. */
+  std::chrono::milliseconds mOrderSlowness{ 0 };
   /** Zone orders with old fencing numbers are carried out. */
   bool mIgnoresFencing = false;
   /** The instance list shows changes that much later. */
@@ -35,6 +38,8 @@
   std::string mInterface;
   std::string mCaller;
   json::value mDetail;
+  /** CLOCK_BOOTTIME. */
+  std::chrono::milliseconds mArrivedAt{ 0 };
 };
 
 /** The whole platform: objects, instance list, zone orders, usage intake and
@@ -62,6 +67,9 @@
                              const std::string& aName);
   http::response TakeOrder(const http::request& aRequest,
                            const std::string& aZone);
+  /** Lease that the store holds for the orders of a zone. */
+  json::value LeaseOf(const std::string& aName) const;
+  void WaitAsSlowOrder();
   http::response TakeUsage(const http::request& aRequest,
                            const std::string& aWindow);
   http::response SetFaults(const http::request& aRequest);
@@ -77,6 +85,7 @@
   std::vector<platform_log_line> mLog;
   std::deque<instance_list_state> mInstanceLists;
   std::map<std::string, std::int64_t> mHighestFencing;
+  std::set<std::string> mOrderIds;
   std::map<std::string, json::value> mUsage;
   std::map<std::string, std::int64_t> mCalls;
 };
--- a/Tests/Support/Fleet.cpp
+++ b/Tests/Support/Fleet.cpp
@@ -150,11 +150,13 @@
                   const std::vector<std::string>& aArguments)
 {
   std::vector<std::string> arguments = {
-    "--name",      aEntry.mName,
-    "--zone",      aEntry.mAvailabilityZone,
-    "--platform",  Loopback(PlatformPort()),
+    "--name",      aEntry.mName, "--zone", aEntry.mAvailabilityZone,
     "--log-level", "warning"
   };
+  if (!Contains(aArguments, "--platform")) {
+    arguments.insert(arguments.end(),
+                     { "--platform", Loopback(PlatformPort()) });
+  }
   arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
   aEntry.mProcess = Start("Services/Entry/lavender-entry", arguments);
 }
--- /dev/null
+++ b/Tests/Support/Relay.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace lavender::test {
+
+/** A TCP relay on loopback that stands for the network between two processes:
+ * it delays, stalls or cuts what passes. Bytes it has taken in are "on the
+ * wire": their sender's kernel counts them as received. */
+class relay
+{
+public:
+  /** Passes connections on to that port. */
+  explicit relay(std::uint16_t aTarget);
+  ~relay();
+  relay(const relay&) = delete;
+  relay& operator=(const relay&) = delete;
+
+  std::uint16_t Port() const { return mPort; }
+  /** From now on bytes of connections whose first bytes are so pass that much
+   * later; an empty start means all. */
+  void Delay(const std::string& aStart, std::chrono::milliseconds aDelay);
+  /** Keeps connections open but passes nothing. */
+  void Stall(bool aIsStalled) { mIsStalled = aIsStalled; }
+  /** Closes all connections; new ones work. */
+  void Cut() { ++mCuts; }
+  /** How many chunks of bytes were delayed. */
+  std::int64_t Delayed() const { return mDelayed; }
+
+private:
+  struct connection
+  {
+    int mClient = -1;
+    int mServer = -1;
+    std::thread mThread;
+  };
+
+  void Accept();
+  void Pass(connection& aConnection);
+  bool Forward(int aFrom, int aTo, std::string& aStart);
+  std::chrono::milliseconds DelayFor(const std::string& aStart);
+
+  const std::uint16_t mTarget;
+  int mListener = -1;
+  std::uint16_t mPort = 0;
+  std::atomic<bool> mIsStopping{ false };
+  std::atomic<bool> mIsStalled{ false };
+  std::atomic<std::int64_t> mCuts{ 0 };
+  std::atomic<std::int64_t> mDelayed{ 0 };
+  std::mutex mMutex;
+  std::string mDelayStart;
+  std::chrono::milliseconds mDelay{ 0 };
+  std::list<connection> mConnections;
+  std::thread mThread;
+};
+
+} // namespace lavender::test
