--- a/Duties/Dispatch/EntryDispatch.h
+++ b/Duties/Dispatch/EntryDispatch.h
@@ -5,9 +5,11 @@
 #include "Duties/Dispatch/CallOutcome.h"
 #include "Duties/Dispatch/RetryBudget.h"
 #include "Duties/Membership/ServerDirectory.h"
+#include "Duties/Routing/PoolTable.h"
 #include "Libraries/Metrics/Metrics.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -34,6 +36,8 @@
   std::int64_t mCostTokens = 1;
   int mPriority = 0;
   time_point mDeadline;
+  /** Of the prompt, for affinity to a server that cached it; 0 for none. */
+  std::int64_t mPrefix = 0;
   bool mIsRepeatable = true;
   /** For samples: oldest acceptable weight version, 0 for none. */
   std::int64_t mOldestWeightVersion = 0;
@@ -48,6 +52,7 @@
   attempt_limits mLimits;
   int mMaximumAttempts = 3;
   retry_budget_limits mRetryBudget;
+  routing::table_limits mRouting;
 };
 
 /** Brings one request to one server and its answer back.
@@ -68,7 +73,8 @@
   /** Picks a server for the pool; none when no server can take the call. */
   std::optional<membership::server_view> Pick(
     const std::string& aPool,
-    const std::vector<std::string>& aExcluded);
+    const std::vector<std::string>& aExcluded,
+    std::int64_t aPrefix = 0);
 
   /** Names an attempt on a server as issued now. */
   attempt_ticket Issue(const std::string& aAttemptId,
@@ -87,6 +93,11 @@
   int MaximumAttempts() const { return mOptions.mMaximumAttempts; }
 
 private:
+  void TakeReport(const membership::server_view& aServer);
+  void TakeEvidence(const call& aCall,
+                    const std::string& aServer,
+                    time_point aSentAt,
+                    const call_outcome& aOutcome);
   call_outcome Follow(const call& aCall,
                       const attempt_ticket& aTicket,
                       attempt_role aRole);
@@ -97,8 +108,9 @@
   const entry_dispatch_options mOptions;
   membership::server_directory& mDirectory;
   metrics::registry& mMetrics;
-  std::mutex mRandomMutex;
+  std::mutex mRoutesMutex;
   std::mt19937_64 mRandom;
+  std::map<std::string, routing::pool_table> mRoutes;
   std::mutex mBudgetMutex;
   retry_budget mBudget;
 };
--- a/Duties/Dispatch/Ledger.cpp
+++ b/Duties/Dispatch/Ledger.cpp
@@ -19,7 +19,7 @@
 ledger_answer
 Describe(const ledger_row& aRow)
 {
-  return { aRow.mState, aRow.mReason };
+  return { aRow.mState, aRow.mReason, aRow.mRetryAfter };
 }
 
 void
@@ -79,35 +79,74 @@
   Forget(aLedger, aList);
 }
 
-/** Reason why an order can never be taken by this process, whenever it comes;
- * empty when it might. Such a refusal needs no row: a second copy of the
- * order is refused for the same reason. */
-std::string
+/** Refusal of an order that this process can never take, whenever it comes;
+ * none when it might. Such a refusal needs no row: a second copy of the order
+ * is refused for the same reason. */
+std::optional<ledger_answer>
 FindLastingRefusal(const ledger& aLedger,
                    const wire::dispatch_order& aOrder,
                    time_point aNow)
 {
+  const auto refuse = [](const char* aReason) {
+    return ledger_answer{ run_state::NOT_RUN, aReason };
+  };
   if (aOrder.agent_incarnation != aLedger.mIncarnation) {
-    return "other_incarnation";
-  }
-  if (aLedger.mIsDraining) {
-    return "draining";
+    return refuse("other_incarnation");
   }
   if (aOrder.deadline_left_ms <= 0) {
-    return "deadline";
+    return refuse("deadline");
+  }
+  const time_point issuedAt{ milliseconds(aOrder.issued_at_ms) };
+  if (IsPerhapsForgotten(aLedger, issuedAt)) {
+    // An earlier copy of it may have run.
+    return ledger_answer{ run_state::OUTCOME_UNKNOWN, "forgotten" };
+  }
+  if (issuedAt > aNow) {
+    return refuse("order_from_future");
   }
   // A dispatch can wait for minutes on a connection that went silent, and
   // arrive after the tombstone of its cancel was forgotten. It would then run
   // although its caller was told "not run". Its age gives it away.
-  const time_point issuedAt{ milliseconds(aOrder.issued_at_ms) };
-  if (issuedAt > aNow) {
-    return "order_from_future";
+  if (aNow - issuedAt > aLedger.mLimits.mMaximumOrderAge) {
+    return refuse("order_too_old");
+  }
+  if (aLedger.mIsDraining) {
+    return refuse("draining");
   }
-  if (aNow - issuedAt > aLedger.mLimits.mMaximumOrderAge ||
-      IsPerhapsForgotten(aLedger, issuedAt)) {
-    return "order_too_old";
+  return std::nullopt;
+}
+
+std::int64_t
+CostOf(const wire::dispatch_order& aOrder)
+{
+  return std::max<std::int64_t>(aOrder.cost_tokens, 1);
+}
+
+/** Puts the order in line, or gives the reason and the time for a refusal. */
+admission::push_answer
+Enqueue(ledger& aLedger,
+        const wire::dispatch_order& aOrder,
+        time_point aDeadline,
+        time_point aNow)
+{
+  const auto& limits = aLedger.mLimits;
+  aLedger.mQueue.mLimits = { limits.mPolicy,
+                             limits.mMaximumQueued,
+                             limits.mSlots };
+  auto pushed = admission::Push(aLedger.mQueue,
+                                { aOrder.request_id,
+                                  aOrder.customer,
+                                  aOrder.weight,
+                                  CostOf(aOrder),
+                                  aOrder.priority,
+                                  aDeadline },
+                                aLedger.mRunningCost,
+                                aNow);
+  if (const auto& displaced = pushed.mDisplaced) {
+    RefuseRow(aLedger, displaced->mId, "displaced", aNow);
+    aLedger.mRows.at(displaced->mId).mRetryAfter = pushed.mRetryAfter;
   }
-  return {};
+  return pushed;
 }
 
 } // namespace
@@ -120,21 +159,23 @@
     known->second.mAskedAt = aNow;
     return Describe(known->second);
   }
-  if (auto refusal = FindLastingRefusal(aLedger, aOrder, aNow);
-      !refusal.empty()) {
-    return { run_state::NOT_RUN, std::move(refusal) };
+  if (auto refusal = FindLastingRefusal(aLedger, aOrder, aNow)) {
+    return std::move(*refusal);
   }
-  if (aLedger.mQueue.size() >= aLedger.mLimits.mMaximumQueued) {
-    RefuseRow(aLedger, aOrder.request_id, "queue_full", aNow);
+  const auto deadline = aNow + milliseconds(aOrder.deadline_left_ms);
+  if (const auto pushed = Enqueue(aLedger, aOrder, deadline, aNow);
+      !pushed.mIsQueued) {
+    RefuseRow(aLedger, aOrder.request_id, pushed.mReason, aNow);
+    aLedger.mRows.at(aOrder.request_id).mRetryAfter = pushed.mRetryAfter;
     Sweep(aLedger, aNow);
-    return { run_state::NOT_RUN, "queue_full" };
+    return { run_state::NOT_RUN, pushed.mReason, pushed.mRetryAfter };
   }
   auto& row = aLedger.mRows[aOrder.request_id];
   row.mOrder = aOrder;
   row.mAskedAt = aNow;
-  row.mDeadline = aNow + milliseconds(aOrder.deadline_left_ms);
+  row.mDeadline = deadline;
   SetState(row, run_state::QUEUED, "", aNow);
-  aLedger.mQueue.push_back(aOrder.request_id);
+  Sweep(aLedger, aNow);
   return Describe(row);
 }
 
@@ -165,8 +206,7 @@
     return { run_state::NOT_RUN, "cancelled_before_arrival" };
   }
   if (found->second.mState == run_state::QUEUED) {
-    auto& queue = aLedger.mQueue;
-    queue.erase(std::remove(queue.begin(), queue.end(), aId), queue.end());
+    admission::Remove(aLedger.mQueue, found->second.mOrder.customer, aId);
     RefuseRow(aLedger, aId, "cancelled", aNow);
   }
   return Describe(found->second);
@@ -175,9 +215,12 @@
 std::optional<wire::dispatch_order>
 TakeNext(ledger& aLedger, time_point aNow)
 {
-  while (aLedger.mRunning < aLedger.mLimits.mSlots && !aLedger.mQueue.empty()) {
-    const std::string id = aLedger.mQueue.front();
-    aLedger.mQueue.pop_front();
+  while (aLedger.mRunning < aLedger.mLimits.mSlots) {
+    const auto item = admission::Pop(aLedger.mQueue);
+    if (!item) {
+      break;
+    }
+    const auto& id = item->mId;
     auto& row = aLedger.mRows.at(id);
     if (aNow >= row.mDeadline) {
       RefuseRow(aLedger, id, "deadline", aNow);
@@ -190,6 +233,7 @@
     SetState(row, run_state::RUNNING, "", aNow);
     row.mStartedAt = aNow;
     ++aLedger.mRunning;
+    aLedger.mRunningCost += CostOf(row.mOrder);
     return row.mOrder;
   }
   return std::nullopt;
@@ -205,6 +249,8 @@
 {
   --aLedger.mRunning;
   auto& row = aLedger.mRows.at(aId);
+  const auto cost = CostOf(row.mOrder);
+  aLedger.mRunningCost -= cost;
   if (aState == run_state::NOT_RUN) {
     RefuseRow(aLedger, aId, aReason, aNow);
     return;
@@ -216,6 +262,11 @@
   aLedger.mAnswerBytes += SizeOf(row);
   const auto took =
     std::chrono::duration_cast<milliseconds>(aNow - row.mStartedAt);
+  constexpr int kServerError = 500;
+  if (aState == run_state::FINISHED && row.mResult.http_status < kServerError) {
+    // A server that fails at once must not look like one that drains fast.
+    admission::RecordRun(aLedger.mQueue, cost, aNow - row.mStartedAt);
+  }
   auto& smoothed = aLedger.mServiceTime;
   smoothed = smoothed == 0ms ? took : (smoothed * 7 + took) / 8;
   Sweep(aLedger, aNow);
@@ -224,9 +275,8 @@
 void
 RefuseQueued(ledger& aLedger, const std::string& aReason, time_point aNow)
 {
-  const auto queued = std::exchange(aLedger.mQueue, {});
-  for (const auto& id : queued) {
-    RefuseRow(aLedger, id, aReason, aNow);
+  while (const auto item = admission::Pop(aLedger.mQueue)) {
+    RefuseRow(aLedger, item->mId, aReason, aNow);
   }
 }
 
@@ -259,7 +309,7 @@
 {
   const auto service =
     aLedger.mServiceTime == 0ms ? kAssumedServiceTime : aLedger.mServiceTime;
-  const auto waiting = static_cast<std::int64_t>(aLedger.mQueue.size()) + 1;
+  const auto waiting = static_cast<std::int64_t>(aLedger.mQueue.mSize) + 1;
   const auto slots =
     static_cast<std::int64_t>(std::max<std::size_t>(aLedger.mLimits.mSlots, 1));
   return std::clamp(
--- a/Duties/Dispatch/Ledger.h
+++ b/Duties/Dispatch/Ledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/Admission/FairQueue.h"
 #include "Libraries/Core/Clock.h"
 #include "Libraries/Wire/Generated/lavender_types.h"
 
@@ -30,6 +31,7 @@
   milliseconds mKeepAnswer{ 600000 };
   /** A queued request whose entry has stopped asking is dropped after this. */
   milliseconds mAbandonAfter{ 10000 };
+  admission::queue_policy mPolicy = admission::queue_policy::Fair;
   /** Rows of ended requests; beyond it the oldest are forgotten early. */
   std::size_t mMaximumEnded = 20000;
   /** Bytes of kept answers; beyond it the oldest are forgotten early. */
@@ -40,6 +42,8 @@
 {
   wire::run_state::type mState = wire::run_state::UNKNOWN_ID;
   std::string mReason;
+  /** Told with a refusal for want of room: when to come back. */
+  milliseconds mRetryAfter{ 0 };
   wire::dispatch_order mOrder;
   wire::run_result mResult;
   time_point mDeadline;
@@ -60,8 +64,10 @@
   std::string mIncarnation;
   ledger_limits mLimits;
   std::map<std::string, ledger_row> mRows;
-  std::deque<std::string> mQueue;
+  admission::fair_queue mQueue;
   std::size_t mRunning = 0;
+  /** Expected tokens of the requests that run. */
+  std::int64_t mRunningCost = 0;
   bool mIsDraining = false;
   /** Rows that say "not run", and rows of requests that ran. */
   ended_list mRefused;
@@ -80,6 +86,7 @@
 {
   wire::run_state::type mState = wire::run_state::UNKNOWN_ID;
   std::string mReason;
+  milliseconds mRetryAfter{ 0 };
 };
 
 /** Takes an order in, or refuses it. An id that is already known is never
--- a/Services/Entry/CallerApi.h
+++ b/Services/Entry/CallerApi.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/Admission/BackPressure.h"
 #include "Duties/Admission/CustomerLimits.h"
 #include "Duties/Configuration/ConfigurationStore.h"
 #include "Duties/Dispatch/IdempotentCall.h"
@@ -12,6 +13,7 @@
 
 #include <atomic>
 #include <mutex>
+#include <random>
 
 namespace lavender::entry {
 
@@ -73,6 +75,7 @@
   dispatch::call MakeCall(const http::request& aRequest,
                           const admitted_request& aAdmitted) const;
   /** Runs the call, under its Idempotency-Key when it carries one. */
+  dispatch::call_outcome RunUnlessPressed(const dispatch::call& aCall);
   dispatch::call_outcome RunCall(const http::request& aRequest,
                                  const dispatch::call& aCall);
   void CountUsage(const dispatch::call& aCall,
@@ -94,6 +97,10 @@
   std::atomic<std::uint64_t> mNextRequest{ 1 };
   std::mutex mLimitMutex;
   admission::limit_state mLimits;
+  std::mutex mPressureMutex;
+  admission::pressure_map mPressures;
+  std::mt19937_64 mRandom{ std::random_device()() };
+  std::uint64_t mOutcomes = 0;
 };
 
 } // namespace lavender::entry
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -1,5 +1,7 @@
 #include "Services/Entry/EntrySettings.h"
 
+#include "Libraries/Wire/SecuritySettings.h"
+
 namespace lavender::entry {
 namespace {
 
@@ -44,7 +46,7 @@
 std::vector<setting>
 DeclareSettings()
 {
-  return {
+  std::vector<settings::setting> declared = {
     { "name",
       "Name of this instance in the platform's list.",
       "",
@@ -133,6 +135,22 @@
            3000,
            100,
            600000),
+    Number("load-poll",
+           "How often each agent is asked for its load.",
+           "ms",
+           500,
+           50,
+           1000),
+    { "routing-policy",
+      "How a server is chosen. All but \"two-choices\" are only for "
+      "comparing.",
+      "",
+      "two-choices",
+      setting_kind::Choice,
+      0,
+      0,
+      { "two-choices", "random", "round-robin" },
+      false },
     { "log-level",
       "Lowest level that is logged.",
       "",
@@ -143,6 +161,17 @@
       { "debug", "info", "warning", "error" },
       false },
   };
+  declared.push_back(settings::OptionalFile(
+    "certificate", "Certificate for callers and operators, PEM."));
+  declared.push_back(settings::OptionalFile(
+    "private-key", "Private key of that certificate, PEM."));
+  declared.push_back(settings::OptionalFile(
+    "platform-authority",
+    "Authority of the platform's certificate, PEM; plain HTTP without it."));
+  for (auto& setting : wire::DeclareSecurity()) {
+    declared.push_back(std::move(setting));
+  }
+  return declared;
 }
 
 } // namespace lavender::entry
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -5,6 +5,7 @@
 #include "Libraries/Core/Log.h"
 #include "Libraries/Core/TerminationSignal.h"
 #include "Libraries/Http/Server.h"
+#include "Libraries/Wire/SecuritySettings.h"
 #include "Libraries/Wire/WireServer.h"
 #include "Services/Entry/CallerApi.h"
 #include "Services/Entry/EntryHandler.h"
@@ -29,6 +30,8 @@
   options.mMaximumThreads = aThreads;
   options.mMaximumBodyBytes =
     static_cast<std::size_t>(aValues.Integer("maximum-body"));
+  options.mCertificateFile = aValues.Text("certificate");
+  options.mPrivateKeyFile = aValues.Text("private-key");
   return options;
 }
 
@@ -53,6 +56,19 @@
   return routes;
 }
 
+routing::table_limits
+RoutingLimits(const settings::values& aValues)
+{
+  routing::table_limits limits;
+  const auto& policy = aValues.Text("routing-policy");
+  if (policy == "random") {
+    limits.mPolicy = routing::routing_policy::Random;
+  } else if (policy == "round-robin") {
+    limits.mPolicy = routing::routing_policy::RoundRobin;
+  }
+  return limits;
+}
+
 /** Goes on serving while the balancer learns that this instance leaves, then
  * waits for the requests under way. */
 void
@@ -109,6 +125,7 @@
   metrics::registry metrics;
   platform::client platformClient;
   platformClient.mEndpoint = *http::ParseEndpoint(aValues.Text("platform"));
+  platformClient.mEndpoint.mAuthority = aValues.Text("platform-authority");
   platformClient.mCaller = aValues.Text("name");
   platformClient.mMetrics = &metrics;
 
@@ -116,6 +133,7 @@
   membership::directory_options directoryOptions;
   directoryOptions.mPlatform = platformClient;
   directoryOptions.mEntryIncarnation = incarnation;
+  directoryOptions.mPollEvery = aValues.Milliseconds("load-poll");
   directoryOptions.mDigest = [&] {
     return membership::own_digest{ configuration.Current()->mRevision,
                                    configuration.FreshAge() };
@@ -139,6 +157,7 @@
   dispatch::entry_dispatch_options dispatchOptions;
   dispatchOptions.mEntryIncarnation = incarnation;
   dispatchOptions.mOwnZone = aValues.Text("zone");
+  dispatchOptions.mRouting = RoutingLimits(aValues);
   dispatch::entry_dispatch dispatcher(dispatchOptions, directory, metrics);
   usage::usage_account account;
   entry::caller_api_options callerOptions;
@@ -210,8 +229,9 @@
 main(int aCount, char** aArguments)
 {
   termination_signal termination;
-  const auto reading = settings::Read(
+  auto reading = settings::Read(
     "lavender-entry", entry::DeclareSettings(), aCount, aArguments);
+  wire::CheckSecurity(reading.mValues, reading.mFindings);
   if (!reading.mFindings.IsEmpty()) {
     settings::Report(reading.mFindings);
     return settings::kBadSettingsStatus;
@@ -221,6 +241,7 @@
   }
   StartLog(ParseLogLevel(reading.mValues.Text("log-level")));
   try {
+    wire::UseSecurity(wire::ReadSecurity(reading.mValues));
     return Run(reading.mValues, termination);
   } catch (const std::exception& error) {
     Log(log_level::Error, "entry", std::string("Can't go on: ") + error.what());
