Run-once faults are provoked on the real binaries

Thirteen cases before two desks that count each run by its body: agent killed before, during and after the run, entry killed mid-request and between record and arrival, one key at both entries at once, answer cut short, dispatch after its cancel, agent restarted between dispatch and arrival, queue full, key used again with another body, platform answers lost and platform down, old records removed. A small TCP relay makes open connections silent while new ones pass. Each case counts that its fault happened. Thrift's own lines on standard error are dropped, since the pools return each failure with its reason.

--- a/Libraries/Wire/WireServer.cpp
+++ b/Libraries/Wire/WireServer.cpp
@@ -2,6 +2,7 @@
 
 #include <future>
 #include <thread>
+#include <thrift/TOutput.h>
 #include <thrift/protocol/TBinaryProtocol.h>
 #include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -36,6 +37,9 @@
   : mImplementation(std::make_unique<implementation>())
 {
   using namespace apache::thrift;
+  // The library writes each failed connection to standard error. The pools
+  // return every failure with its reason, and their callers log it.
+  GlobalOutput.setOutputFunction([](const char*) {});
   auto& self = *mImplementation;
   self.mSocket = std::make_shared<transport::TServerSocket>(aAddress, aPort);
   self.mServer = std::make_unique<TThreadedServer>(
--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -380,6 +380,7 @@
   answer.mStatus = outcome.mResult.http_status;
   answer.mContentType = outcome.mResult.content_type;
   answer.mBody = outcome.mResult.body;
+  answer.mHeaders.emplace_back("X-Lavender-Server", outcome.mServerName);
   return answer;
 }
 
--- a/StandIns/PlainService/PlainService.cpp
+++ b/StandIns/PlainService/PlainService.cpp
@@ -22,6 +22,12 @@
     json::value body;
     body.Set("bookings", mBookings);
     body.Set("runs", std::move(runs));
+    json::value byBody = json::object{};
+    for (const auto& [sent, count] : mRunsByBody) {
+      byBody.Set(sent, count);
+    }
+    body.Set("runs_by_body", std::move(byBody));
+    body.Set("ended", mEnded);
     return JsonResponse(200, body);
   }
   if (aRequest.mPath == "/control/received") {
@@ -52,11 +58,16 @@
       mReceived += name + content;
     }
     ++mRunsById[http::HeaderOr(aRequest.mHeaders, "X-Request-Id", "")];
+    ++mRunsByBody[aRequest.mBody];
     booking = ++mBookings;
     slowness = mSlowness;
     isFailing = mFails;
   }
   std::this_thread::sleep_for(slowness);
+  {
+    std::lock_guard lock(mMutex);
+    ++mEnded;
+  }
   json::value body;
   body.Set("booking", booking);
   body.Set("path", aRequest.mPath);
--- a/StandIns/PlainService/PlainService.h
+++ b/StandIns/PlainService/PlainService.h
@@ -25,7 +25,10 @@
   std::chrono::milliseconds mSlowness{ 0 };
   bool mFails = false;
   std::int64_t mBookings = 0;
+  std::int64_t mEnded = 0;
   std::map<std::string, std::int64_t> mRunsById;
+  /** Runs for each body; a test that sends each body once sees repeats. */
+  std::map<std::string, std::int64_t> mRunsByBody;
   std::string mReceived;
 };
 
--- a/Tests/Support/Fleet.cpp
+++ b/Tests/Support/Fleet.cpp
@@ -122,12 +122,19 @@
 fleet::StartAgent(backend& aBackend, const std::vector<std::string>& aArguments)
 {
   std::vector<std::string> arguments = {
-    "--name",        aBackend.mName,
-    "--zone",        aBackend.mAvailabilityZone,
-    "--pool",        aBackend.mPool,
-    "--server-kind", aBackend.mKind,
-    "--server",      Loopback(aBackend.mServer->Port("http")),
-    "--log-level",   "warning"
+    "--name",
+    aBackend.mName,
+    "--zone",
+    aBackend.mAvailabilityZone,
+    "--pool",
+    aBackend.mPool,
+    "--server-kind",
+    aBackend.mKind,
+    "--server",
+    Loopback(aBackend.mServerRelay != 0 ? aBackend.mServerRelay
+                                        : aBackend.mServer->Port("http")),
+    "--log-level",
+    "warning"
   };
   arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
   aBackend.mAgent = Start("Services/Agent/lavender-agent", arguments);
@@ -168,7 +175,9 @@
                                      backend.mAvailabilityZone,
                                      backend.mPool,
                                      "backend",
-                                     backend.mAgent->Port("wire"),
+                                     backend.mAgentRelay != 0
+                                       ? backend.mAgentRelay
+                                       : backend.mAgent->Port("wire"),
                                      Contains(aLeaving, name)));
   }
   for (const auto& [name, entry] : mEntries) {
--- a/Tests/Support/Fleet.h
+++ b/Tests/Support/Fleet.h
@@ -46,6 +46,10 @@
   std::string mKind;
   std::unique_ptr<child_process> mServer;
   std::unique_ptr<child_process> mAgent;
+  /** Port of a relay that entries reach the agent by; 0 without one. */
+  std::uint16_t mAgentRelay = 0;
+  /** Port of a relay that the agent reaches the server by; 0 without one. */
+  std::uint16_t mServerRelay = 0;
 };
 
 struct entry_instance
--- /dev/null
+++ b/Tests/Support/Relay.cpp
@@ -0,0 +1,257 @@
+#include "Tests/Support/Relay.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <vector>
+
+namespace lavender::test {
+namespace {
+
+constexpr int kTickMilliseconds = 5;
+
+sockaddr_in
+Loopback(std::uint16_t aPort)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(aPort);
+  return address;
+}
+
+int
+Connect(std::uint16_t aPort)
+{
+  const int made = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const auto address = Loopback(aPort);
+  if (connect(
+        made, reinterpret_cast<const sockaddr*>(&address), sizeof address)) {
+    close(made);
+    return -1;
+  }
+  return made;
+}
+
+bool
+IsReadable(int aSocket)
+{
+  pollfd waiting{ aSocket, POLLIN, 0 };
+  return poll(&waiting, 1, 0) > 0;
+}
+
+bool
+WriteAll(int aSocket, const char* aBytes, std::size_t aCount)
+{
+  while (aCount > 0) {
+    const auto written = send(aSocket, aBytes, aCount, MSG_NOSIGNAL);
+    if (written <= 0) {
+      return false;
+    }
+    aBytes += written;
+    aCount -= static_cast<std::size_t>(written);
+  }
+  return true;
+}
+
+} // namespace
+
+/** One client's connection with the one that the relay opened for it. */
+struct relay::link
+{
+  int mClient = -1;
+  int mServer = -1;
+  std::atomic<bool> mIsSilent{ false };
+  std::atomic<bool> mIsClosed{ false };
+  std::atomic<bool> mIsOver{ false };
+  /** Requests read while silent, and not yet passed on. */
+  std::string mHeld;
+  bool mHasClientEnded = false;
+  std::size_t mAnswered = 0;
+  std::thread mThread;
+};
+
+relay::relay(std::uint16_t aTarget)
+  : mTarget(aTarget)
+{
+  mListener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  auto address = Loopback(0);
+  socklen_t size = sizeof address;
+  if (bind(mListener, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+      listen(mListener, 128) != 0 ||
+      getsockname(mListener, reinterpret_cast<sockaddr*>(&address), &size)) {
+    close(mListener);
+    throw std::runtime_error("relay can't listen");
+  }
+  mPort = ntohs(address.sin_port);
+  mAcceptor = std::thread([this] { Accept(); });
+}
+
+relay::~relay()
+{
+  mIsStopping = true;
+  mAcceptor.join();
+  for (auto& link : mLinks) {
+    link.mThread.join();
+  }
+  close(mListener);
+}
+
+void
+relay::Accept()
+{
+  while (!mIsStopping) {
+    pollfd waiting{ mListener, POLLIN, 0 };
+    if (poll(&waiting, 1, kTickMilliseconds) <= 0) {
+      continue;
+    }
+    const int client = accept(mListener, nullptr, nullptr);
+    if (client < 0) {
+      continue;
+    }
+    std::lock_guard lock(mMutex);
+    auto& made = mLinks.emplace_back();
+    made.mClient = client;
+    made.mIsSilent = mIsHoldingNew.load();
+    made.mThread = std::thread([this, &made] { Carry(made); });
+  }
+}
+
+void
+relay::Carry(link& aLink)
+{
+  while (!mIsStopping && !aLink.mIsClosed) {
+    pollfd waiting[] = { { aLink.mClient, POLLIN, 0 },
+                         { aLink.mServer, POLLIN, 0 } };
+    if (aLink.mIsSilent) {
+      // The peers' kernels go on taking bytes, so poll would return at once.
+      std::this_thread::sleep_for(std::chrono::milliseconds(kTickMilliseconds));
+    } else {
+      poll(waiting, 2, kTickMilliseconds);
+    }
+    if (!CarryRequests(aLink) || !CarryAnswers(aLink)) {
+      break;
+    }
+  }
+  close(aLink.mClient);
+  if (aLink.mServer >= 0) {
+    close(aLink.mServer);
+  }
+  aLink.mIsOver = true;
+}
+
+bool
+relay::CarryRequests(link& aLink)
+{
+  std::string held;
+  {
+    std::lock_guard lock(mMutex);
+    if (!aLink.mHasClientEnded && IsReadable(aLink.mClient)) {
+      char bytes[16384];
+      const auto count = read(aLink.mClient, bytes, sizeof bytes);
+      aLink.mHasClientEnded = count <= 0;
+      aLink.mHeld.append(bytes,
+                         static_cast<std::size_t>(count > 0 ? count : 0));
+    }
+    if (aLink.mIsSilent) {
+      return true;
+    }
+    held.swap(aLink.mHeld);
+  }
+  if (aLink.mServer < 0 && !held.empty()) {
+    aLink.mServer = Connect(mTarget);
+  }
+  if (!held.empty() && !WriteAll(aLink.mServer, held.data(), held.size())) {
+    return false;
+  }
+  return !aLink.mHasClientEnded;
+}
+
+bool
+relay::CarryAnswers(link& aLink)
+{
+  if (aLink.mIsSilent || aLink.mServer < 0 || !IsReadable(aLink.mServer)) {
+    return true;
+  }
+  char bytes[16384];
+  const auto count = read(aLink.mServer, bytes, sizeof bytes);
+  if (count <= 0) {
+    return false;
+  }
+  const auto size = static_cast<std::size_t>(count);
+  const std::size_t limit = mCutAfter;
+  if (limit > 0 && aLink.mAnswered + size > limit) {
+    ++mCuts;
+    if (limit > aLink.mAnswered) {
+      WriteAll(aLink.mClient, bytes, limit - aLink.mAnswered);
+    }
+    return false;
+  }
+  aLink.mAnswered += size;
+  mCarried += size;
+  return WriteAll(aLink.mClient, bytes, size);
+}
+
+void
+relay::FreezeOpen()
+{
+  std::lock_guard lock(mMutex);
+  for (auto& link : mLinks) {
+    link.mIsSilent = true;
+  }
+}
+
+void
+relay::ThawAll()
+{
+  mIsHoldingNew = false;
+  std::lock_guard lock(mMutex);
+  for (auto& link : mLinks) {
+    link.mIsSilent = false;
+  }
+}
+
+void
+relay::CloseOpen()
+{
+  std::vector<link*> open;
+  {
+    std::lock_guard lock(mMutex);
+    for (auto& link : mLinks) {
+      link.mIsClosed = true;
+      open.push_back(&link);
+    }
+  }
+  for (const auto* link : open) {
+    while (!link->mIsOver) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(kTickMilliseconds));
+    }
+  }
+}
+
+std::size_t
+relay::HeldBytes() const
+{
+  std::lock_guard lock(mMutex);
+  std::size_t count = 0;
+  for (const auto& link : mLinks) {
+    count += link.mHeld.size();
+  }
+  return count;
+}
+
+bool
+relay::IsHolding(const std::string& aText) const
+{
+  std::lock_guard lock(mMutex);
+  for (const auto& link : mLinks) {
+    if (link.mHeld.find(aText) != std::string::npos) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace lavender::test
--- /dev/null
+++ b/Tests/TestRunOnce.cpp
@@ -0,0 +1,349 @@
+#include "Tests/Support/DeskSite.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace lavender;
+using namespace lavender::test;
+
+namespace {
+
+/** Each answer is held against the runs that the desks counted. */
+void
+HoldAgainstRuns(desk_site& aSite,
+                const answer& aAnswer,
+                const std::string& aBody)
+{
+  const auto runs = aSite.RunsOf(aBody);
+  BOOST_TEST_CONTEXT(aBody << " status=" << aAnswer.mStatus << " reason="
+                           << ReasonOf(aAnswer) << " ran=" << RanOf(aAnswer))
+  {
+    BOOST_TEST(runs <= 1);
+    if (aAnswer.mStatus == 200) {
+      BOOST_TEST(runs == 1);
+    }
+    if (RanOf(aAnswer) == "not_run") {
+      BOOST_TEST(runs == 0);
+    }
+  }
+}
+
+bool
+WaitForRun(desk_site& aSite, const std::string& aBody)
+{
+  return WaitFor([&] { return aSite.RunsOf(aBody) == 1; });
+}
+
+/** Dispatches that agents refused since their cancel had come before. */
+std::int64_t
+CountLateDispatches(desk_site& aSite)
+{
+  std::int64_t count = 0;
+  for (const char* desk : { "desk-1", "desk-2" }) {
+    count += CounterOf(aSite.Desk(desk).mAgent->Port("health"),
+                       "lavender_agent_refusals_total",
+                       "cancelled_before_arrival");
+  }
+  return count;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestRunOnce)
+
+// A booking is made, or refused as "not run" and not made. One agent has died
+// before the dispatch, and the entries still believe in it.
+BOOST_AUTO_TEST_CASE(AgentKilledBeforeTheRun)
+{
+  desk_site site;
+  site.Desk("desk-1").mAgent->Signal(SIGKILL);
+  int refused = 0;
+  for (int i = 0; i < 12; ++i) {
+    const auto body = "before " + std::to_string(i);
+    HoldAgainstRuns(site, site.Book("entry-1", body), body);
+  }
+  refused = static_cast<int>(CounterOf(site.Entry("entry-1").Health(),
+                                       "lavender_retries_total",
+                                       "server_unreachable"));
+  BOOST_TEST(refused > 0, "no dispatch met the dead agent");
+}
+
+// A booking's run begins and its agent dies. The caller must hear "outcome
+// unknown", at this entry and at the other, and never get a second run.
+BOOST_AUTO_TEST_CASE(AgentKilledDuringTheRun)
+{
+  desk_site site;
+  site.SetSlowness(1500ms);
+  auto booking = site.BookAside("entry-1", "during", "key-during");
+  BOOST_REQUIRE(WaitForRun(site, "during"));
+  site.Desk("desk-1").mAgent->Signal(SIGKILL);
+  site.Desk("desk-2").mAgent->Signal(SIGKILL);
+  const auto first = booking.get();
+  BOOST_TEST(RanOf(first) == "outcome_unknown");
+  site.RestartAgent("desk-1");
+  site.RestartAgent("desk-2");
+  site.SetSlowness(0ms);
+  BOOST_REQUIRE(site.WaitUntilServing());
+  for (const char* entry : { "entry-1", "entry-2" }) {
+    const auto again = site.Book(entry, "during", "key-during");
+    BOOST_TEST(RanOf(again) == "outcome_unknown");
+  }
+  BOOST_TEST(site.RunsOf("during") == 1);
+}
+
+// A booking has run, and its agent dies before the answer has left: the relay
+// before it holds the answer back. Nobody can fetch it any more.
+BOOST_AUTO_TEST_CASE(AgentKilledAfterTheRun)
+{
+  desk_site site;
+  auto relays = site.PutRelaysBeforeAgents();
+  site.SetSlowness(400ms);
+  auto booking = site.BookAside("entry-1", "after", "key-after");
+  BOOST_REQUIRE(WaitForRun(site, "after"));
+  const auto ended = site.RunsEnded();
+  for (auto& [name, relay] : relays) {
+    relay->HoldNew(true);
+    relay->FreezeOpen();
+  }
+  BOOST_REQUIRE(WaitFor([&] { return site.RunsEnded() > ended; }));
+  site.Desk("desk-1").mAgent->Signal(SIGKILL);
+  site.Desk("desk-2").mAgent->Signal(SIGKILL);
+  const auto first = booking.get();
+  BOOST_TEST(RanOf(first) == "outcome_unknown");
+  BOOST_TEST(site.RunsOf("after") == 1);
+}
+
+// An entry dies while a booking runs; the caller asks the other entry with the
+// same key and gets the answer of the one run.
+BOOST_AUTO_TEST_CASE(EntryKilledMidRequest)
+{
+  desk_site site;
+  site.SetSlowness(800ms);
+  auto booking = site.BookAside("entry-1", "entry dies", "key-entry");
+  BOOST_REQUIRE(WaitForRun(site, "entry dies"));
+  site.Entry("entry-1").mProcess->Signal(SIGKILL);
+  BOOST_TEST(booking.get().mStatus != 200);
+  const auto again = site.Book("entry-2", "entry dies", "key-entry");
+  BOOST_TEST(again.mStatus == 200);
+  BOOST_TEST(site.RunsOf("entry dies") == 1);
+}
+
+// A caller's client sends each booking to both entries at once. One run, and
+// both get its answer.
+BOOST_AUTO_TEST_CASE(DoubledAtBothEntriesAtOnce)
+{
+  desk_site site;
+  site.SetSlowness(50ms);
+  for (int i = 0; i < 25; ++i) {
+    const auto body = "both " + std::to_string(i);
+    auto one = site.BookAside("entry-1", body, body);
+    auto two = site.BookAside("entry-2", body, body);
+    const auto first = one.get();
+    const auto second = two.get();
+    BOOST_TEST(first.mStatus == 200);
+    BOOST_TEST(second.mStatus == 200);
+    BOOST_TEST(json::IntegerAt(first.mBody, "booking", -1) ==
+               json::IntegerAt(second.mBody, "booking", -2));
+    BOOST_TEST(site.RunsOf(body) == 1);
+  }
+  const auto shared =
+    CounterOf(
+      site.Entry("entry-1").Health(), "lavender_shared_calls_total", "") +
+    CounterOf(
+      site.Entry("entry-2").Health(), "lavender_shared_calls_total", "");
+  BOOST_TEST(shared > 0, "no request met another one's record");
+}
+
+// A desk's answer breaks off in the middle. It is no answer, and the booking
+// isn't made again, whoever asks.
+BOOST_AUTO_TEST_CASE(AnswerCutShortByTheServer)
+{
+  desk_site site;
+  auto relays = site.PutRelaysBeforeDesks();
+  for (auto& [name, relay] : relays) {
+    relay->CutAnswersAfter(120);
+  }
+  const auto first = site.Book("entry-1", "cut", "key-cut");
+  BOOST_TEST(RanOf(first) == "outcome_unknown");
+  const auto again = site.Book("entry-2", "cut", "key-cut");
+  BOOST_TEST(RanOf(again) == "outcome_unknown");
+  BOOST_TEST(site.RunsOf("cut") == 1);
+  int cuts = 0;
+  for (auto& [name, relay] : relays) {
+    cuts += relay->Cuts();
+  }
+  BOOST_TEST(cuts > 0, "no answer was cut");
+}
+
+// A dispatch hangs on a connection that went silent. The entry takes it back
+// on a new one and books elsewhere; then the old connection wakes up.
+BOOST_AUTO_TEST_CASE(DispatchArrivesAfterItsCancel)
+{
+  desk_site site;
+  auto relays = site.PutRelaysBeforeAgents();
+  for (auto& [name, relay] : relays) {
+    relay->FreezeOpen();
+  }
+  const auto booked = site.Book("entry-1", "late dispatch", "key-late");
+  HoldAgainstRuns(site, booked, "late dispatch");
+  BOOST_TEST(booked.mStatus == 200);
+  for (auto& [name, relay] : relays) {
+    relay->ThawAll();
+  }
+  BOOST_TEST(WaitFor([&] { return CountLateDispatches(site) > 0; }),
+             "the late dispatch never arrived");
+  BOOST_TEST(site.RunsOf("late dispatch") == 1);
+}
+
+// An entry records a booking and dies before the dispatch reaches the agent.
+// The other entry finds out that it never ran, runs it, and the dispatch that
+// arrives at last is refused.
+BOOST_AUTO_TEST_CASE(EntryKilledBetweenRecordAndArrival)
+{
+  desk_site site;
+  auto relays = site.PutRelaysBeforeAgents();
+  for (auto& [name, relay] : relays) {
+    relay->FreezeOpen();
+  }
+  auto booking = site.BookAside("entry-1", "recorded", "key-recorded");
+  const auto isHeld = [&] {
+    bool isFound = false;
+    for (auto& [name, relay] : relays) {
+      isFound = isFound || relay->IsHolding("recorded");
+    }
+    return isFound;
+  };
+  BOOST_REQUIRE(WaitFor(isHeld));
+  site.Entry("entry-1").mProcess->Signal(SIGKILL);
+  booking.get();
+  const auto again = site.Book("entry-2", "recorded", "key-recorded");
+  BOOST_TEST(again.mStatus == 200);
+  for (auto& [name, relay] : relays) {
+    relay->ThawAll();
+  }
+  BOOST_TEST(WaitFor([&] { return CountLateDispatches(site) > 0; }),
+             "the late dispatch never arrived");
+  HoldAgainstRuns(site, again, "recorded");
+}
+
+// An agent restarts while a dispatch for its predecessor is on the way. The
+// new process refuses it, and the booking is made elsewhere or not at all.
+BOOST_AUTO_TEST_CASE(AgentRestartedBetweenDispatchAndArrival)
+{
+  desk_site site({}, { "desk-1" });
+  auto relays = site.PutRelaysBeforeAgents();
+  auto& relay = *relays.at("desk-1");
+  relay.HoldNew(true);
+  relay.CloseOpen();
+  auto booking = site.BookAside("entry-1", "restarted");
+  BOOST_REQUIRE(WaitFor([&] { return relay.IsHolding("restarted"); }));
+  site.RestartAgent("desk-1");
+  relay.SetTarget(site.Desk("desk-1").mAgent->Port("wire"));
+  relay.ThawAll();
+  const auto answer = booking.get();
+  HoldAgainstRuns(site, answer, "restarted");
+  BOOST_TEST(RanOf(answer) == "not_run");
+  BOOST_TEST(CounterOf(site.Desk("desk-1").mAgent->Port("health"),
+                       "lavender_agent_refusals_total",
+                       "other_incarnation") > 0);
+}
+
+// More bookings come than the one desk takes. Those refused are told so at
+// once and truthfully, with a time to come back; the others are made once.
+BOOST_AUTO_TEST_CASE(QueueFull)
+{
+  desk_site site({ "--slots", "1", "--queue", "1" }, { "desk-1" });
+  site.SetSlowness(300ms);
+  std::vector<std::pair<std::string, std::future<answer>>> bookings;
+  for (int i = 0; i < 8; ++i) {
+    const auto body = "full " + std::to_string(i);
+    bookings.emplace_back(body, site.BookAside("entry-1", body));
+  }
+  int refused = 0;
+  for (auto& [body, booking] : bookings) {
+    const auto answer = booking.get();
+    HoldAgainstRuns(site, answer, body);
+    if (ReasonOf(answer) == "queue_full") {
+      ++refused;
+      BOOST_TEST(!http::HeaderOr(answer.mHeaders, "Retry-After", "").empty());
+    }
+  }
+  BOOST_TEST(refused > 0, "the queue was never full");
+}
+
+// A client uses a key again for another booking by mistake.
+BOOST_AUTO_TEST_CASE(KeyUsedAgainWithAnotherBody)
+{
+  desk_site site;
+  BOOST_TEST(site.Book("entry-1", "first body", "key-reused").mStatus == 200);
+  for (const char* entry : { "entry-1", "entry-2" }) {
+    const auto other = site.Book(entry, "second body", "key-reused");
+    BOOST_TEST(other.mStatus == 409);
+    BOOST_TEST(ReasonOf(other) == "idempotency_key_reused");
+  }
+  BOOST_TEST(site.RunsOf("second body") == 0);
+}
+
+// The platform's store loses answers after the write, goes down, and comes
+// back. A booking is made once, or refused at once and not made.
+BOOST_AUTO_TEST_CASE(PlatformLosesAnswersAndGoesDown)
+{
+  desk_site site;
+  const auto setFaults = [&](const json::value& aFaults) {
+    Send(site.Fleet().PlatformPort(), "POST", "/control/faults", aFaults);
+  };
+  const auto& entry = site.Entry("entry-1");
+  for (int i = 0; i < 20; ++i) {
+    json::value lost;
+    lost.Set("lose_answers", 1);
+    setFaults(lost);
+    const auto body = "lost " + std::to_string(i);
+    const auto booked = site.Book("entry-1", body, body);
+    BOOST_TEST(booked.mStatus == 200);
+    BOOST_TEST(site.RunsOf(body) == 1);
+  }
+  BOOST_TEST(CounterOf(entry.Health(),
+                       "lavender_platform_calls_total",
+                       "call=\"write\",result=\"500\"") > 0,
+             "no answer was lost");
+  json::value down;
+  down.Set("down", true);
+  down.Set("lose_answers", 0);
+  setFaults(down);
+  const auto refused = site.Book("entry-1", "down", "key-down");
+  BOOST_TEST(refused.mStatus == 503);
+  BOOST_TEST(ReasonOf(refused) == "platform_unavailable");
+  HoldAgainstRuns(site, refused, "down");
+  BOOST_TEST(site.RunsOf("down") == 0);
+  // Calls without a key need no store.
+  BOOST_TEST(site.Book("entry-1", "down, no key").mStatus == 200);
+  down.Set("down", false);
+  setFaults(down);
+  BOOST_TEST(WaitFor(
+    [&] { return site.Book("entry-1", "down", "key-down").mStatus == 200; }));
+  BOOST_TEST(site.RunsOf("down") == 1);
+}
+
+// A key is remembered for a stated time; its record doesn't stay for ever.
+BOOST_AUTO_TEST_CASE(OldRecordsAreRemoved)
+{
+  desk_site site;
+  auto& entry = site.Entry("entry-1");
+  entry.mProcess.reset();
+  site.Fleet().StartEntry(entry, { "--call-record-keep", "1" });
+  site.Fleet().PublishInstances();
+  BOOST_REQUIRE(site.WaitUntilServing());
+  BOOST_TEST(site.Book("entry-1", "old", "key-old").mStatus == 200);
+  const auto records = [&] {
+    const auto list =
+      Send(site.Fleet().PlatformPort(), "GET", "/v1/objects?kind=Call");
+    const auto* items = list.mBody.Find("items");
+    return items ? items->Elements().size() : 0u;
+  };
+  BOOST_TEST(WaitFor([&] { return records() == 0; }));
+  BOOST_TEST(CounterOf(entry.Health(),
+                       "lavender_call_records_removed_total",
+                       "done") > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
