--- /dev/null
+++ b/Libraries/Wire/TestConnectionPool.cpp
@@ -0,0 +1,105 @@
+#include "Libraries/Wire/ConnectionPool.h"
+#include "Libraries/Wire/Generated/agent_service.h"
+#include "Libraries/Wire/WireServer.h"
+
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace lavender;
+using namespace std::chrono_literals;
+
+namespace {
+
+using pool = wire::connection_pool<wire::agent_serviceClient>;
+using reply_result = wire::wire_result<wire::dispatch_reply>;
+
+/** Answers a question named "slow" late, and one named "crossed" with the
+ * answer to another. */
+class slow_service : public wire::agent_serviceNull
+{
+public:
+  void Await(wire::dispatch_reply& aReply,
+             const std::string& aId,
+             const std::string&,
+             const std::int32_t) override
+  {
+    ++mCalls;
+    if (aId == "slow") {
+      std::this_thread::sleep_for(300ms);
+    }
+    aReply.echo = aId == "crossed" ? "another" : aId;
+    aReply.reason = "answer to " + aReply.echo;
+  }
+  std::atomic<int> mCalls{ 0 };
+};
+
+struct served
+{
+  std::shared_ptr<slow_service> mService = std::make_shared<slow_service>();
+  std::unique_ptr<wire::wire_server> mServer;
+  std::unique_ptr<pool> mPool;
+
+  served() { Start(0); }
+
+  void Start(std::uint16_t aPort)
+  {
+    mServer = std::make_unique<wire::wire_server>(
+      "127.0.0.1",
+      aPort,
+      std::make_shared<wire::agent_serviceProcessor>(mService));
+    if (!mPool) {
+      mPool = std::make_unique<pool>(
+        http::endpoint{ "127.0.0.1", mServer->Port() }, 1000ms);
+    }
+  }
+
+  reply_result Ask(const std::string& aId, std::chrono::milliseconds aTimeout)
+  {
+    return mPool->Run<wire::dispatch_reply>(
+      aTimeout, aId, [&](auto& aClient, auto& aReply) {
+        aClient.Await(aReply, aId, "", 0);
+      });
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestConnectionPool)
+
+// A caller gets the answer to an earlier call. That call timed out, its
+// connection was used again, and its late answer lay there first.
+BOOST_FIXTURE_TEST_CASE(LateAnswerIsNotTheNextCalls, served)
+{
+  BOOST_TEST((Ask("slow", 50ms).mState == wire::wire_state::Unknown));
+  for (int i = 0; i < 10; ++i) {
+    const auto id = "next " + std::to_string(i);
+    const auto next = Ask(id, 2000ms);
+    BOOST_TEST((next.mState == wire::wire_state::Answered));
+    BOOST_TEST(next.mReply.reason == "answer to " + id);
+    std::this_thread::sleep_for(50ms);
+  }
+  BOOST_TEST(mService->mCalls == 11);
+}
+
+// An answer that names another request is no answer at all.
+BOOST_FIXTURE_TEST_CASE(CrossedAnswerIsNoAnswer, served)
+{
+  BOOST_TEST((Ask("crossed", 2000ms).mState == wire::wire_state::Unknown));
+  BOOST_TEST((Ask("next", 2000ms).mState == wire::wire_state::Answered));
+}
+
+// A process restarts, and the connections to it are closed. The next call
+// must neither fail on one of them nor be taken for one that may have arrived.
+BOOST_FIXTURE_TEST_CASE(ClosedConnectionIsNotUsedAgain, served)
+{
+  BOOST_TEST((Ask("first", 2000ms).mState == wire::wire_state::Answered));
+  const auto port = mServer->Port();
+  mServer.reset();
+  BOOST_TEST((Ask("down", 2000ms).mState == wire::wire_state::Refused));
+  Start(port);
+  BOOST_TEST((Ask("again", 2000ms).mState == wire::wire_state::Answered));
+  BOOST_TEST(mService->mCalls == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/TestSilentConnection.cpp
@@ -0,0 +1,146 @@
+#include "Libraries/Core/Identity.h"
+#include "Tests/Support/DeskSite.h"
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+using namespace lavender;
+using namespace lavender::test;
+
+namespace {
+
+using stopwatch = std::chrono::steady_clock;
+
+std::int64_t
+MillisecondsSince(stopwatch::time_point aStart)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           stopwatch::now() - aStart)
+    .count();
+}
+
+/** Whether an answer is the one to this body and no other's. */
+bool
+IsAnswerTo(const answer& aAnswer, const std::string& aBody)
+{
+  return aAnswer.mStatus == 200 &&
+         json::StringAt(aAnswer.mBody, "body_digest", "") ==
+           HashKey(json::Write(aBody));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestSilentConnection)
+
+// A booking hangs. Something between entry and agent has lost track of the
+// connections that are open: they carry nothing any more and never close,
+// while new ones work. The entry has to notice by the silence alone.
+BOOST_AUTO_TEST_CASE(OpenConnectionsGoSilentWhileNewOnesWork)
+{
+  desk_site site({}, { "desk-1" });
+  auto relays = site.PutRelaysBeforeAgents();
+  auto& relay = *relays.at("desk-1");
+  std::int64_t longest = 0;
+  for (int i = 0; i < 5; ++i) {
+    const auto body = "silent " + std::to_string(i);
+    relay.FreezeOpen();
+    const auto start = stopwatch::now();
+    const auto booked = site.Book("entry-1", body);
+    longest = std::max(longest, MillisecondsSince(start));
+    const bool isRefusedTruly =
+      RanOf(booked) == "not_run" && site.RunsOf(body) == 0;
+    BOOST_TEST((IsAnswerTo(booked, body) || isRefusedTruly));
+    BOOST_TEST(site.RunsOf(body) <= 1);
+    BOOST_TEST(relay.HeldBytes() > 0u, "nothing met the silence");
+    BOOST_TEST(site.Book("entry-1", body + " next").mStatus == 200);
+  }
+  BOOST_TEST_MESSAGE("longest answer with a silent connection: "
+                     << longest << " ms; stated bound 2600 ms");
+}
+
+// An agent is paused while it runs a booking. The caller hears "outcome
+// unknown" in bounded time; when the agent goes on, the same key brings the
+// answer of the one run.
+BOOST_AUTO_TEST_CASE(AgentPausedMidRun)
+{
+  desk_site site({}, { "desk-1" });
+  site.SetSlowness(500ms);
+  auto booking = site.BookAside("entry-1", "paused", "key-paused", 30s);
+  BOOST_REQUIRE(WaitFor([&] { return site.RunsOf("paused") == 1; }));
+  site.Desk("desk-1").mAgent->Signal(SIGSTOP);
+  const auto start = stopwatch::now();
+  const auto first = booking.get();
+  BOOST_TEST_MESSAGE("answer with a paused agent after "
+                     << MillisecondsSince(start)
+                     << " ms; stated bound 6600 ms");
+  BOOST_TEST(RanOf(first) == "outcome_unknown");
+  BOOST_TEST(ReasonOf(first) == "server_silent");
+  site.Desk("desk-1").mAgent->Signal(SIGCONT);
+  answer again;
+  BOOST_TEST(WaitFor([&] {
+    again = site.Book("entry-2", "paused", "key-paused");
+    return again.mStatus == 200;
+  }));
+  BOOST_TEST(IsAnswerTo(again, "paused"));
+  BOOST_TEST(site.RunsOf("paused") == 1);
+}
+
+// A caller gets another's answer. Agents pause for longer than entries wait
+// on a connection and then send all the late answers at once; whoever used
+// such a connection again would read the answer to an earlier call.
+BOOST_AUTO_TEST_CASE(LateAnswersAreNeverTakenForAnothers)
+{
+  desk_site site;
+  site.SetSlowness(200ms);
+  for (int round = 0; round < 2; ++round) {
+    std::vector<std::pair<std::string, std::future<answer>>> bookings;
+    for (int i = 0; i < 16; ++i) {
+      const auto body =
+        "late " + std::to_string(round) + "/" + std::to_string(i);
+      bookings.emplace_back(
+        body, site.BookAside(i % 2 == 0 ? "entry-1" : "entry-2", body));
+    }
+    BOOST_REQUIRE(WaitFor([&] {
+      return site.RunsOf(bookings.front().first) +
+               site.RunsOf(bookings.back().first) >
+             0;
+    }));
+    for (const char* desk : { "desk-1", "desk-2" }) {
+      site.Desk(desk).mAgent->Signal(SIGSTOP);
+    }
+    // Longer than the silence after which entries drop a connection.
+    std::this_thread::sleep_for(2s);
+    for (const char* desk : { "desk-1", "desk-2" }) {
+      site.Desk(desk).mAgent->Signal(SIGCONT);
+    }
+    for (auto& [body, booking] : bookings) {
+      const auto answer = booking.get();
+      BOOST_TEST_CONTEXT(body << " " << ReasonOf(answer))
+      {
+        BOOST_TEST(IsAnswerTo(answer, body));
+        BOOST_TEST(site.RunsOf(body) == 1);
+      }
+    }
+  }
+}
+
+// A caller gives two seconds for an answer, and the agent is silent. The
+// refusal comes at the deadline, not when the entry gives the agent up.
+BOOST_AUTO_TEST_CASE(DeadlineHoldsWhileTheAgentIsSilent)
+{
+  desk_site site({}, { "desk-1" });
+  site.Desk("desk-1").mAgent->Signal(SIGSTOP);
+  const auto start = stopwatch::now();
+  const auto late = site.Book("entry-1", "deadline", "", 2000ms);
+  BOOST_TEST_MESSAGE("refusal of a 2000 ms request after "
+                     << MillisecondsSince(start)
+                     << " ms; stated bound 2700 ms");
+  BOOST_TEST(late.mStatus == 504);
+  BOOST_TEST(RanOf(late) == "outcome_unknown");
+  site.Desk("desk-1").mAgent->Signal(SIGCONT);
+  BOOST_TEST(WaitFor(
+    [&] { return site.Book("entry-1", "after the pause").mStatus == 200; }));
+  BOOST_TEST(site.RunsOf("deadline") <= 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
