--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -18,6 +18,8 @@
 constexpr std::int64_t kDefaultTokens = 64;
 constexpr std::int64_t kMaximumTokens = 100000;
 constexpr milliseconds kBusyRetryAfter = 1000ms;
+/** Another entry, or this one after catching up, can serve by then. */
+constexpr milliseconds kStaleRetryAfter = 2000ms;
 constexpr milliseconds kLongestDeadline = 3600000ms;
 
 std::int64_t
@@ -225,6 +227,11 @@
   admitted.mRequestId =
     mOptions.mEntryIncarnation + "-" + std::to_string(mNextRequest++);
   const auto& id = admitted.mRequestId;
+  if (!keys::IsFreshEnough(mOptions.mKeyGate->Check())) {
+    // Somebody knows, or may know, of withdrawals that this entry doesn't.
+    return Refuse(
+      { 503, "configuration_stale", ran::NotRun, kStaleRetryAfter, id, "" });
+  }
   admitted.mSnapshot = mConfiguration.Current();
   auto authorization =
     keys::Authorize(*admitted.mSnapshot,
@@ -290,6 +297,11 @@
   made.mStopReason = [this, hash = aAdmitted.mAuthorization.mKeyHash] {
     return keys::FindWithdrawal(*mConfiguration.Current(), hash);
   };
+  made.mQueuedStopReason = [this] {
+    return keys::IsFreshEnough(mOptions.mKeyGate->Check())
+             ? std::string()
+             : std::string("configuration_stale");
+  };
   return made;
 }
 
--- a/Services/Entry/CallerApi.h
+++ b/Services/Entry/CallerApi.h
@@ -6,6 +6,7 @@
 #include "Duties/Dispatch/IdempotentCall.h"
 #include "Duties/Dispatch/RecentCalls.h"
 #include "Duties/Keys/Authorize.h"
+#include "Duties/Keys/KeyGate.h"
 #include "Duties/Usage/UsageAccount.h"
 #include "Libraries/Core/Result.h"
 #include "Libraries/Http/Router.h"
@@ -23,6 +24,8 @@
   std::int64_t mMaximumRequests = 512;
   milliseconds mDefaultDeadline{ 60000 };
   platform::client mPlatform;
+  /** Judges whether keys may be accepted; outlives the API. */
+  keys::key_gate* mKeyGate = nullptr;
   /** How long the key of a call that may not be repeated is remembered. */
   milliseconds mCallRecordKeep{ 3600000 };
 };
