--- a/Tests/Support/Fleet.cpp
+++ b/Tests/Support/Fleet.cpp
@@ -134,7 +134,9 @@
     Loopback(aBackend.mServerRelay != 0 ? aBackend.mServerRelay
                                         : aBackend.mServer->Port("http")),
     "--log-level",
-    "warning"
+    "warning",
+    "--weight-settle",
+    "1000"
   };
   arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
   aBackend.mAgent = Start("Services/Agent/lavender-agent", arguments);
