--- a/StandIns/Engine/Engine.cpp
+++ b/StandIns/Engine/Engine.cpp
@@ -87,6 +87,27 @@
   }
 }
 
+/** Time that reading the prompt takes; the prefix is cached from then on, and
+ * the one that wasn't used for longest goes. */
+std::chrono::milliseconds
+engine::ReadPrefix(const std::string& aPrompt)
+{
+  const auto prefix = DigestOf(aPrompt.substr(0, kPrefixLength));
+  const auto known =
+    std::find(mCachedPrefixes.begin(), mCachedPrefixes.end(), prefix);
+  const bool isHit = known != mCachedPrefixes.end();
+  if (isHit) {
+    mCachedPrefixes.erase(known);
+  }
+  mCachedPrefixes.push_back(prefix);
+  if (mCachedPrefixes.size() > kMaximumPrefixes) {
+    mCachedPrefixes.pop_front();
+  }
+  mPrefixHits += isHit ? 1 : 0;
+  mPrefixMisses += isHit ? 0 : 1;
+  return isHit ? std::chrono::milliseconds(0) : mFaults.mPrefill;
+}
+
 http::response
 engine::Generate(const http::request& aRequest)
 {
@@ -104,6 +125,7 @@
   const auto attempt = http::HeaderOr(aRequest.mHeaders, "X-Request-Id", id);
   run.Set("attempt", attempt);
   engine_faults faults;
+  std::chrono::milliseconds prefill{ 0 };
   {
     std::lock_guard lock(mMutex);
     mRuns.push_back(run);
@@ -112,11 +134,9 @@
     }
     faults = mFaults;
     ++mRunning;
-    mCachedPrefixes.push_back(DigestOf(prompt.substr(0, kPrefixLength)));
-    if (mCachedPrefixes.size() > kMaximumPrefixes) {
-      mCachedPrefixes.pop_front();
-    }
+    prefill = ReadPrefix(prompt);
   }
+  std::this_thread::sleep_for(prefill);
   std::string text;
   json::array versions;
   std::int64_t last = 0;
@@ -214,10 +234,15 @@
              static_cast<double>(
                std::max<std::int64_t>(mFaults.mPerToken.count(), 1)));
   json::array prefixes;
+  std::int64_t event = 0;
   for (const auto prefix : mCachedPrefixes) {
-    prefixes.emplace_back(prefix);
+    if (mFaults.mCacheEventGap == 0 || ++event % mFaults.mCacheEventGap != 0) {
+      prefixes.emplace_back(prefix);
+    }
   }
   body.Set("cached_prefixes", std::move(prefixes));
+  body.Set("prefix_hits", mPrefixHits);
+  body.Set("prefix_misses", mPrefixMisses);
   return body;
 }
 
@@ -274,6 +299,10 @@
     json::IntegerAt(*body, "cut_answers", mFaults.mCutAnswers));
   mFaults.mLoadLag = std::chrono::milliseconds(
     json::IntegerAt(*body, "load_lag_ms", mFaults.mLoadLag.count()));
+  mFaults.mPrefill = std::chrono::milliseconds(
+    json::IntegerAt(*body, "prefill_ms", mFaults.mPrefill.count()));
+  mFaults.mCacheEventGap =
+    json::IntegerAt(*body, "cache_event_gap", mFaults.mCacheEventGap);
   mFaults.mIgnoresFencing =
     json::BooleanAt(*body, "ignore_fencing", mFaults.mIgnoresFencing);
   return JsonResponse(200, json::object{});
--- a/StandIns/Engine/Engine.h
+++ b/StandIns/Engine/Engine.h
@@ -28,6 +28,10 @@
   int mCutAnswers = 0;
   /** The load report shows what was true this long ago. */
   std::chrono::milliseconds mLoadLag{ 0 };
+  /** Reading a prompt whose prefix isn't cached takes this long. */
+  std::chrono::milliseconds mPrefill{ 0 };
+  /** Every that many cache events one is lost; 0 for none. */
+  std::int64_t mCacheEventGap = 0;
   /** Orders with old fencing numbers are carried out. */
   bool mIgnoresFencing = false;
 };
@@ -53,6 +57,7 @@
   http::response SwapWeights(const http::request& aRequest);
   http::response SetFaults(const http::request& aRequest);
   json::value DescribeLoad();
+  std::chrono::milliseconds ReadPrefix(const std::string& aPrompt);
   void ApplyDueSwap();
 
   http::router mRouter;
@@ -66,6 +71,8 @@
   int mRunning = 0;
   std::deque<load_state> mLoadHistory;
   std::deque<std::int64_t> mCachedPrefixes;
+  std::int64_t mPrefixHits = 0;
+  std::int64_t mPrefixMisses = 0;
   std::set<std::string> mCancelled;
   json::array mRuns;
   json::array mOrders;
--- a/Tests/Support/ChildProcess.h
+++ b/Tests/Support/ChildProcess.h
@@ -42,6 +42,7 @@
   /** Waits for the end; the exit status, or -1 for a signal or no end. */
   int WaitForExit(std::chrono::milliseconds aWait);
   bool IsRunning();
+  pid_t Id() const { return mId; }
 
 private:
   pid_t mId = -1;
--- a/Tests/Support/Fleet.h
+++ b/Tests/Support/Fleet.h
@@ -44,7 +44,8 @@
   std::string mAvailabilityZone;
   std::string mPool;
   std::string mKind;
-  std::unique_ptr<child_process> mServer;
+  /** Shared when several agents stand before one server. */
+  std::shared_ptr<child_process> mServer;
   std::unique_ptr<child_process> mAgent;
 };
 
