--- a/Duties/Routing/PoolTable.cpp
+++ b/Duties/Routing/PoolTable.cpp
@@ -144,12 +144,12 @@
 }
 
 const server_row*
-ChooseOfTwo(const pool_table& aTable,
+ChooseOfTwo(pool_table& aTable,
             const route_request& aRequest,
             std::mt19937_64& aRandom,
             time_point aNow)
 {
-  const auto* first = DrawRow(aTable, aRequest, aRandom, aNow);
+  const auto* first = NextRow(aTable, aRequest, aNow);
   if (!first) {
     return nullptr;
   }
@@ -157,9 +157,10 @@
   if (first->mLoad != second->mLoad) {
     return first->mLoad < second->mLoad ? first : second;
   }
-  const bool isSecondNear =
-    second->mReport.mAvailabilityZone == aRequest.mOwnZone;
-  return isSecondNear ? second : first;
+  const auto isNear = [&](const server_row* aRow) {
+    return aRow->mReport.mAvailabilityZone == aRequest.mOwnZone;
+  };
+  return isNear(second) && !isNear(first) ? second : first;
 }
 
 /** Drops servers that nobody has heard of for long, so that replaced ones
--- a/Duties/Routing/PoolTable.h
+++ b/Duties/Routing/PoolTable.h
@@ -15,7 +15,8 @@
 
 enum class routing_policy
 {
-  /** The less loaded of two random servers, after prefix affinity. */
+  /** The less loaded of the next server in turn and a random one, after prefix
+   * affinity. */
   TwoChoices,
   /** Baselines of the experiments. */
   Random,
@@ -98,8 +99,8 @@
 /** Chooses a server; none when no server can take the request.
  *
  * A server that holds the prompt's prefix is taken while its load is within a
- * bound of the mean; then the less loaded of two random ones, the own
- * availability zone on a tie. Both are drawn from all servers, so that one
+ * bound of the mean; then the less loaded of the next one in turn and a random
+ * one, the own availability zone on a tie. Both may be the same, so that one
  * shunned for a slow past is tried now and then. When more than half of the
  * breakers are open, the cause is hardly the servers, and breakers are
  * ignored. */
