--- a/Duties/Dispatch/EntryDispatch.h
+++ b/Duties/Dispatch/EntryDispatch.h
@@ -94,6 +94,9 @@
 
 private:
   void TakeReport(const membership::server_view& aServer);
+  void TakeCount(const std::string& aPool,
+                 const std::string& aServer,
+                 const wire::load_figures& aLoad);
   void TakeEvidence(const call& aCall,
                     const std::string& aServer,
                     time_point aSentAt,
--- a/Duties/Routing/PoolTable.cpp
+++ b/Duties/Routing/PoolTable.cpp
@@ -219,6 +219,22 @@
   UpdateLoad(aTable, row);
 }
 
+void
+TakeCount(pool_table& aTable,
+          const std::string& aServer,
+          int aRequests,
+          time_point aMadeAt)
+{
+  auto* row = FindRow(aTable, aServer);
+  if (!row || aMadeAt <= row->mReport.mMadeAt) {
+    return;
+  }
+  row->mReport.mRequests = aRequests;
+  row->mReport.mMadeAt = aMadeAt;
+  TakeReportTime(row->mOwn, aMadeAt);
+  UpdateLoad(aTable, *row);
+}
+
 void
 TakeOut(pool_table& aTable, const std::string& aServer)
 {
--- a/Duties/Routing/PoolTable.h
+++ b/Duties/Routing/PoolTable.h
@@ -92,6 +92,15 @@
 void
 TakeReport(pool_table& aTable, const server_report& aReport, time_point aNow);
 
+/** Takes the count of requests that came with an answer: fresher than the next
+ * report, and free.
+ * @param aMadeAt when the answer was made, or earlier */
+void
+TakeCount(pool_table& aTable,
+          const std::string& aServer,
+          int aRequests,
+          time_point aMadeAt);
+
 /** A server that left or fell silent gets no work until its next report. */
 void
 TakeOut(pool_table& aTable, const std::string& aServer);
--- a/Duties/Routing/TestPoolTable.cpp
+++ b/Duties/Routing/TestPoolTable.cpp
@@ -194,8 +194,10 @@
         run.Report();
       } else if (kind < 7) {
         run.Send();
-      } else if (kind < 9) {
+      } else if (kind < 8) {
         run.End();
+      } else if (kind < 9) {
+        TakeCount(run.mTable, "s2", *rc::gen::inRange(0, 40), run.mNow - 1ms);
       } else {
         TakeOut(run.mTable, "s1");
       }
