--- a/Libraries/Wire/WireServer.cpp
+++ b/Libraries/Wire/WireServer.cpp
@@ -1,6 +1,10 @@
 #include "Libraries/Wire/WireServer.h"
 
+#include "Libraries/Core/Log.h"
+#include "Libraries/Wire/Security.h"
+
 #include <future>
+#include <mutex>
 #include <thread>
 #include <thrift/TOutput.h>
 #include <thrift/protocol/TBinaryProtocol.h>
@@ -22,6 +26,18 @@
   std::promise<void> mOpened;
 };
 
+/** The library writes to standard error on its own; its messages, mostly of
+ * peers that closed, become log lines of this part. */
+void
+LogLibraryMessages()
+{
+  static std::once_flag once;
+  std::call_once(once, [] {
+    apache::thrift::GlobalOutput.setOutputFunction(
+      [](const char* aMessage) { Log(log_level::Debug, "wire", aMessage); });
+  });
+}
+
 } // namespace
 
 struct wire_server::implementation
@@ -37,11 +53,9 @@
   : mImplementation(std::make_unique<implementation>())
 {
   using namespace apache::thrift;
-  // The library writes each failed connection to standard error. The pools
-  // return every failure with its reason, and their callers log it.
-  GlobalOutput.setOutputFunction([](const char*) {});
+  LogLibraryMessages();
   auto& self = *mImplementation;
-  self.mSocket = std::make_shared<transport::TServerSocket>(aAddress, aPort);
+  self.mSocket = MakeServerSocket(aAddress, aPort);
   self.mServer = std::make_unique<TThreadedServer>(
     std::move(aProcessor),
     self.mSocket,
--- a/Services/Agent/AgentHandler.cpp
+++ b/Services/Agent/AgentHandler.cpp
@@ -24,11 +24,13 @@
 agent_handler::agent_handler(identity aIdentity,
                              dispatch::backend_server aServer,
                              dispatch::agent_dispatch& aDispatch,
+                             weights::weight_gate& aWeights,
                              usage::usage_account& aUsage,
                              metrics::registry& aMetrics)
   : mIdentity(std::move(aIdentity))
   , mServer(std::move(aServer))
   , mDispatch(aDispatch)
+  , mWeights(aWeights)
   , mUsage(aUsage)
   , mMetrics(aMetrics)
   , mWatcher([this] { WatchServer(); })
@@ -62,7 +64,7 @@
     server_state state;
     state.mLoad = dispatch::ReadLoad(mServer);
     if (mServer.mKind == dispatch::backend_kind::Engine) {
-      state.mWeights = dispatch::ReadWeights(mServer);
+      state.mWeights = mWeights.Refresh();
     }
     state.mReadAt = boot_clock::now();
     lock.lock();
@@ -141,8 +143,14 @@
   aReport.pool = mIdentity.mPool;
   aReport.load = mState.mLoad.mFigures;
   aReport.load.queued = own.queued;
-  aReport.load.running = std::max(own.running, mState.mLoad.mFigures.running);
+  // All requests pass the ledger, so its count is exact; the server's own
+  // figure lags and would show a burst long after its end.
+  aReport.load.running = own.running;
+  if (own.tokens_per_second > 0) {
+    aReport.load.tokens_per_second = own.tokens_per_second;
+  }
   aReport.load.slots = own.slots;
+  aReport.load.queue_delay_ms = own.queue_delay_ms;
   aReport.load.age_ms =
     std::chrono::duration_cast<milliseconds>(now - mState.mReadAt).count();
   aReport.draining = mDispatch.IsDraining();
@@ -159,19 +167,7 @@
 void
 agent_handler::Swap(wire::swap_reply& aReply, const wire::swap_order& aOrder)
 {
-  aReply.echo = aOrder.echo;
-  {
-    std::lock_guard lock(mMutex);
-    if (aOrder.fencing < mHighestFencing) {
-      aReply.reason = "old_fencing_number";
-      return;
-    }
-    mHighestFencing = aOrder.fencing;
-  }
-  aReply.reason = dispatch::OrderWeights(
-    mServer, aOrder.model, aOrder.version, aOrder.fencing);
-  aReply.done = aReply.reason.empty();
-  aReply.holds_version = dispatch::ReadWeights(mServer).mVersion;
+  aReply = mWeights.Swap(aOrder);
 }
 
 void
--- a/Services/Agent/AgentSettings.cpp
+++ b/Services/Agent/AgentSettings.cpp
@@ -1,5 +1,7 @@
 #include "Services/Agent/AgentSettings.h"
 
+#include "Libraries/Wire/SecuritySettings.h"
+
 namespace lavender::agent {
 
 using settings::setting_kind;
@@ -7,7 +9,7 @@
 std::vector<settings::setting>
 DeclareSettings()
 {
-  return {
+  std::vector<settings::setting> declared = {
     { "name",
       "Name of this instance in the platform's list.",
       "",
@@ -89,6 +91,16 @@
       100000,
       {},
       false },
+    { "queue-policy",
+      "Order of waiting requests. \"fair\" shares the server between "
+      "customers by weight; \"first-come\" is only for comparing.",
+      "",
+      "fair",
+      setting_kind::Choice,
+      0,
+      0,
+      { "fair", "first-come" },
+      false },
     { "usage-window",
       "Length of a usage window; the same in all processes.",
       "s",
@@ -98,6 +110,16 @@
       86400,
       {},
       false },
+    { "weight-settle",
+      "Time after which a weight order that wasn't carried out is dropped by "
+      "the server.",
+      "ms",
+      "10000",
+      setting_kind::Integer,
+      1,
+      600000,
+      {},
+      false },
     { "drain-deadline",
       "Longest time that a drain may take.",
       "ms",
@@ -117,6 +139,10 @@
       { "debug", "info", "warning", "error" },
       false },
   };
+  for (auto& setting : wire::DeclareSecurity()) {
+    declared.push_back(std::move(setting));
+  }
+  return declared;
 }
 
 } // namespace lavender::agent
--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -61,6 +61,17 @@
   return {};
 }
 
+/** Outcomes after which customers without requests are forgotten. */
+constexpr std::uint64_t kForgetEvery = 4096;
+
+/** True for an agent's refusal that says its server can't take more now. */
+bool
+IsForWantOfRoom(const std::string& aReason)
+{
+  return aReason == "queue_full" || aReason == "displaced" ||
+         aReason == "deadline_unreachable";
+}
+
 json::value
 DescribeVersions(const std::vector<wire::weight_part>& aVersions)
 {
@@ -320,6 +331,7 @@
   call.mPool = pool->mName;
   call.mOperation = "generate";
   call.mCostTokens = tokens + static_cast<std::int64_t>(prompt.size()) / 4;
+  call.mPrefix = routing::PrefixDigest(prompt);
   json::value payload;
   payload.Set("prompt", prompt);
   payload.Set("max_tokens", tokens);
@@ -336,16 +348,54 @@
   return JsonResponse(DescribeCompletion(outcome, id, model));
 }
 
+call_outcome
+caller_api::RunUnlessPressed(const call& aCall)
+{
+  std::optional<milliseconds> refused;
+  {
+    std::lock_guard lock(mPressureMutex);
+    std::uniform_real_distribution<double> draw(0, 1);
+    refused = admission::CheckPressure(mPressures,
+                                       aCall.mPool,
+                                       aCall.mCustomer,
+                                       {},
+                                       draw(mRandom),
+                                       boot_clock::now());
+  }
+  if (refused) {
+    call_outcome outcome;
+    outcome.mReason = "overloaded";
+    outcome.mRetryAfter = *refused;
+    return outcome;
+  }
+  auto outcome = mDispatch.Run(aCall);
+  const bool hasRoom =
+    outcome.mRan != ran::NotRun || !IsForWantOfRoom(outcome.mReason);
+  std::lock_guard lock(mPressureMutex);
+  const auto now = boot_clock::now();
+  admission::NoteOutcome(mPressures,
+                         aCall.mPool,
+                         aCall.mCustomer,
+                         hasRoom ? std::nullopt
+                                 : std::optional(outcome.mRetryAfter),
+                         {},
+                         now);
+  if (++mOutcomes % kForgetEvery == 0) {
+    admission::ForgetIdle(mPressures, now);
+  }
+  return outcome;
+}
+
 call_outcome
 caller_api::RunCall(const http::request& aRequest, const call& aCall)
 {
   const auto key = http::HeaderOr(aRequest.mHeaders, "Idempotency-Key", "");
   if (key.empty()) {
-    return mDispatch.Run(aCall);
+    return RunUnlessPressed(aCall);
   }
   const std::string name = HashKey(aCall.mCustomer + "\n" + key);
   return mRecentCalls.Run(name, aCall.mFingerprint, aCall.mDeadline, [&] {
-    return aCall.mIsRepeatable ? mDispatch.Run(aCall)
+    return aCall.mIsRepeatable ? RunUnlessPressed(aCall)
                                : mIdempotentCalls.Run(name, aCall);
   });
 }
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -1,8 +1,10 @@
 #include "Duties/Configuration/ResourceApi.h"
+#include "Duties/Leases/LeaseKeeper.h"
 #include "Libraries/Core/Identity.h"
 #include "Libraries/Core/Log.h"
 #include "Libraries/Core/TerminationSignal.h"
 #include "Libraries/Http/Server.h"
+#include "Libraries/Wire/SecuritySettings.h"
 #include "Libraries/Wire/WireServer.h"
 #include "Services/Entry/CallerApi.h"
 #include "Services/Entry/EntryHandler.h"
@@ -27,6 +29,8 @@
   options.mMaximumThreads = aThreads;
   options.mMaximumBodyBytes =
     static_cast<std::size_t>(aValues.Integer("maximum-body"));
+  options.mCertificateFile = aValues.Text("certificate");
+  options.mPrivateKeyFile = aValues.Text("private-key");
   return options;
 }
 
@@ -51,6 +55,19 @@
   return routes;
 }
 
+routing::table_limits
+RoutingLimits(const settings::values& aValues)
+{
+  routing::table_limits limits;
+  const auto& policy = aValues.Text("routing-policy");
+  if (policy == "random") {
+    limits.mPolicy = routing::routing_policy::Random;
+  } else if (policy == "round-robin") {
+    limits.mPolicy = routing::routing_policy::RoundRobin;
+  }
+  return limits;
+}
+
 /** Goes on serving while the balancer learns that this instance leaves, then
  * waits for the requests under way. */
 void
@@ -72,6 +89,33 @@
   }
 }
 
+/** The keeper prefers the entries of the directory's list. */
+leases::keeper_options
+KeeperOptions(const settings::values& aValues,
+              const platform::client& aPlatform,
+              const std::string& aIncarnation,
+              const membership::server_directory& aDirectory,
+              metrics::registry& aMetrics)
+{
+  leases::keeper_options options;
+  options.mPlatform = aPlatform;
+  options.mName = aValues.Text("name");
+  options.mIncarnation = aIncarnation;
+  options.mSettings.mDuration = aValues.Milliseconds("lease-duration");
+  options.mSettings.mLateBytes = aValues.Milliseconds("lease-late-bytes");
+  options.mMetrics = &aMetrics;
+  options.mEntries = [&aDirectory] {
+    std::vector<std::string> names;
+    for (const auto& entry : aDirectory.Entries()) {
+      if (!entry.mIsLeaving) {
+        names.push_back(entry.mName);
+      }
+    }
+    return names;
+  };
+  return options;
+}
+
 int
 Run(const settings::values& aValues, termination_signal& aTermination)
 {
@@ -79,6 +123,7 @@
   metrics::registry metrics;
   platform::client platformClient;
   platformClient.mEndpoint = *http::ParseEndpoint(aValues.Text("platform"));
+  platformClient.mEndpoint.mAuthority = aValues.Text("platform-authority");
   platformClient.mCaller = aValues.Text("name");
   platformClient.mMetrics = &metrics;
 
@@ -86,14 +131,18 @@
   membership::directory_options directoryOptions;
   directoryOptions.mPlatform = platformClient;
   directoryOptions.mEntryIncarnation = incarnation;
+  directoryOptions.mPollEvery = aValues.Milliseconds("load-poll");
   directoryOptions.mDigest = [&] {
     return membership::own_digest{ configuration.Current()->mRevision,
                                    configuration.FreshAge() };
   };
   membership::server_directory directory(directoryOptions);
+  leases::lease_keeper leaseKeeper(
+    KeeperOptions(aValues, platformClient, incarnation, directory, metrics));
   dispatch::entry_dispatch_options dispatchOptions;
   dispatchOptions.mEntryIncarnation = incarnation;
   dispatchOptions.mOwnZone = aValues.Text("zone");
+  dispatchOptions.mRouting = RoutingLimits(aValues);
   dispatch::entry_dispatch dispatcher(dispatchOptions, directory, metrics);
   usage::usage_account account;
   entry::caller_api_options callerOptions;
@@ -149,6 +198,7 @@
   callerServer.Stop();
   operatorServer.Stop();
   wireServer.Stop();
+  leaseKeeper.Stop();
   directory.Stop();
   configuration.Stop();
   healthServer.Stop();
@@ -162,8 +212,9 @@
 main(int aCount, char** aArguments)
 {
   termination_signal termination;
-  const auto reading = settings::Read(
+  auto reading = settings::Read(
     "lavender-entry", entry::DeclareSettings(), aCount, aArguments);
+  wire::CheckSecurity(reading.mValues, reading.mFindings);
   if (!reading.mFindings.IsEmpty()) {
     settings::Report(reading.mFindings);
     return settings::kBadSettingsStatus;
@@ -173,6 +224,7 @@
   }
   StartLog(ParseLogLevel(reading.mValues.Text("log-level")));
   try {
+    wire::UseSecurity(wire::ReadSecurity(reading.mValues));
     return Run(reading.mValues, termination);
   } catch (const std::exception& error) {
     Log(log_level::Error, "entry", std::string("Can't go on: ") + error.what());
