--- a/Tests/TestRunOnce.cpp
+++ b/Tests/TestRunOnce.cpp
@@ -271,6 +271,42 @@
   BOOST_TEST(refused > 0, "the queue was never full");
 }
 
+// An agent is stopped in a planned way while bookings run and wait, and its
+// drain deadline is too short for all. Those that run are answered whole, and
+// those that wait are told truthfully that they weren't made.
+BOOST_AUTO_TEST_CASE(AgentStoppedWhileBookingsWait)
+{
+  desk_site site({ "--slots", "2", "--queue", "16", "--drain-deadline", "100" },
+                 { "desk-1" });
+  site.SetSlowness(700ms);
+  std::vector<std::pair<std::string, std::future<answer>>> bookings;
+  for (int i = 0; i < 8; ++i) {
+    const auto body = "stop " + std::to_string(i);
+    bookings.emplace_back(body, site.BookAside("entry-1", body));
+  }
+  const auto countRuns = [&] {
+    std::int64_t runs = 0;
+    for (const auto& [body, booking] : bookings) {
+      runs += site.RunsOf(body);
+    }
+    return runs;
+  };
+  BOOST_REQUIRE(WaitFor([&] { return countRuns() == 2; }));
+  site.Desk("desk-1").mAgent->Signal(SIGTERM);
+  int made = 0;
+  int refused = 0;
+  for (auto& [body, booking] : bookings) {
+    const auto answer = booking.get();
+    HoldAgainstRuns(site, answer, body);
+    BOOST_TEST((answer.mStatus == 200 || RanOf(answer) == "not_run"));
+    made += answer.mStatus == 200 ? 1 : 0;
+    refused += ReasonOf(answer) == "draining" ? 1 : 0;
+  }
+  BOOST_TEST(made >= 2);
+  BOOST_TEST(refused > 0, "no booking waited when the agent stopped");
+  BOOST_TEST(site.Desk("desk-1").mAgent->WaitForExit(20s) == 0);
+}
+
 // A client uses a key again for another booking by mistake.
 BOOST_AUTO_TEST_CASE(KeyUsedAgainWithAnotherBody)
 {
