A stopping agent stays until a silent connection can't hide an answer

Cause: an answer counted as told once it was written, and the agent then ended. On a connection that had gone silent it never arrived, and a run that ended well became an unknown outcome on a planned stop. Now the agent stays for 2.5 s after the last request ended, longer than the 1.5 s of silence after which an entry asks again on a new connection. Weighed: acknowledgements of each answer, which cost a message or a longer poll for the rare stop.

--- a/Duties/Dispatch/AgentDispatch.cpp
+++ b/Duties/Dispatch/AgentDispatch.cpp
@@ -8,9 +8,6 @@
 using wire::run_state;
 using namespace std::chrono_literals;
 
-/** Time for threads to write replies that are ready when the process ends. */
-constexpr milliseconds kWriteReplies = 200ms;
-
 bool
 IsOver(run_state::type aState)
 {
@@ -127,7 +124,6 @@
     if (aAnswer.mState == run_state::FINISHED) {
       reply.__set_result(row->second.mResult);
     }
-    row->second.mIsEndTold = IsOver(aAnswer.mState);
   }
   reply.load.queued = static_cast<std::int32_t>(mLedger.mQueue.mSize);
   reply.load.running = static_cast<std::int32_t>(mLedger.mRunning);
@@ -226,21 +222,19 @@
   }
   mToCancel.Close();
   mCanceller.join();
-  WaitUntilTold();
+  WaitUntilFetched();
 }
 
 void
-agent_dispatch::WaitUntilTold()
+agent_dispatch::WaitUntilFetched()
 {
-  const auto isAllTold = [this] {
+  const auto mayBeAsked = [this] {
     std::lock_guard lock(mMutex);
-    return CountUntold(mLedger, boot_clock::now()) == 0;
+    return MayBeAskedForEnd(mLedger, boot_clock::now());
   };
-  while (!isAllTold()) {
+  while (mayBeAsked()) {
     std::this_thread::sleep_for(20ms);
   }
-  // The replies just made are still being written by their threads.
-  std::this_thread::sleep_for(kWriteReplies);
 }
 
 } // namespace lavender::dispatch
--- a/Duties/Dispatch/AgentDispatch.h
+++ b/Duties/Dispatch/AgentDispatch.h
@@ -54,7 +54,7 @@
 private:
   void RunSlot();
   void CancelLoop();
-  void WaitUntilTold();
+  void WaitUntilFetched();
   wire::dispatch_reply Describe(const std::string& aId,
                                 const ledger_answer& aAnswer);
   wire::dispatch_reply WaitForEnd(std::unique_lock<std::mutex>& aLock,
--- a/Duties/Dispatch/Ledger.cpp
+++ b/Duties/Dispatch/Ledger.cpp
@@ -13,8 +13,9 @@
 constexpr milliseconds kMostRetryAfter = 30000ms;
 /** Taken as a run's time before one was measured. */
 constexpr milliseconds kAssumedServiceTime = 1000ms;
-/** Entries ask for an end several times in this while. */
-constexpr milliseconds kFetchWithin = 3000ms;
+/** An entry that lives asks for an end within this while: longer than the
+ * silence after which it drops a connection. */
+constexpr milliseconds kFetchWithin = 2500ms;
 
 ledger_answer
 Describe(const ledger_row& aRow)
@@ -316,17 +317,13 @@
     service * waiting / slots, kLeastRetryAfter, kMostRetryAfter);
 }
 
-std::size_t
-CountUntold(const ledger& aLedger, time_point aNow)
+bool
+MayBeAskedForEnd(const ledger& aLedger, time_point aNow)
 {
-  const auto isUntold = [&](const auto& aItem) {
-    const auto& row = aItem.second;
-    const bool isOver =
-      row.mState != run_state::QUEUED && row.mState != run_state::RUNNING;
-    return isOver && !row.mIsEndTold && aNow - row.mChangedAt < kFetchWithin;
+  const auto isRecent = [&](const ended_list& aList) {
+    return !aList.empty() && aNow - aList.back().first < kFetchWithin;
   };
-  return static_cast<std::size_t>(
-    std::count_if(aLedger.mRows.begin(), aLedger.mRows.end(), isUntold));
+  return isRecent(aLedger.mRefused) || isRecent(aLedger.mRan);
 }
 
 } // namespace lavender::dispatch
--- a/Duties/Dispatch/Ledger.h
+++ b/Duties/Dispatch/Ledger.h
@@ -50,8 +50,6 @@
   time_point mChangedAt;
   time_point mAskedAt;
   time_point mStartedAt;
-  /** An entry was told how the request ended. */
-  bool mIsEndTold = false;
 };
 
 /** Ended requests of one sort, oldest first. */
@@ -136,9 +134,10 @@
 milliseconds
 EstimateQueueDelay(const ledger& aLedger);
 
-/** Requests that ended a short while ago and whose entry wasn't told so yet.
- * An entry that lives asks within that while. */
-std::size_t
-CountUntold(const ledger& aLedger, time_point aNow);
+/** Whether an entry may still be about to ask how a request ended. A reply
+ * that was written may never arrive, because its connection went silent; the
+ * entry finds that out by the silence and asks again on a new one. */
+bool
+MayBeAskedForEnd(const ledger& aLedger, time_point aNow);
 
 } // namespace lavender::dispatch
--- a/Tests/TestSilentConnection.cpp
+++ b/Tests/TestSilentConnection.cpp
@@ -124,6 +124,29 @@
   }
 }
 
+// An agent is stopped in a planned way while a booking runs, and just then the
+// connections to it go silent: the answer is written and never arrives. The
+// agent has to stay until the entry has found that out and asked again.
+BOOST_AUTO_TEST_CASE(PlannedStopMeetsASilentConnection)
+{
+  desk_site site({}, { "desk-1" });
+  auto relays = site.PutRelaysBeforeAgents();
+  auto& relay = *relays.at("desk-1");
+  site.SetSlowness(600ms);
+  auto booking = site.BookAside("entry-1", "stopped");
+  BOOST_REQUIRE(WaitFor([&] { return site.RunsOf("stopped") == 1; }));
+  relay.FreezeOpen();
+  auto& agent = *site.Desk("desk-1").mAgent;
+  agent.Signal(SIGTERM);
+  const auto answer = booking.get();
+  BOOST_TEST_CONTEXT(ReasonOf(answer))
+  {
+    BOOST_TEST(IsAnswerTo(answer, "stopped"));
+  }
+  BOOST_TEST(relay.HeldBytes() > 0u, "nothing met the silence");
+  BOOST_TEST(agent.WaitForExit(20s) == 0);
+}
+
 // A caller gives two seconds for an answer, and the agent is silent. The
 // refusal comes at the deadline, not when the entry gives the agent up.
 BOOST_AUTO_TEST_CASE(DeadlineHoldsWhileTheAgentIsSilent)
