--- a/Tests/TestSilentConnection.cpp
+++ b/Tests/TestSilentConnection.cpp
@@ -132,12 +132,18 @@
   desk_site site({}, { "desk-1" });
   auto relays = site.PutRelaysBeforeAgents();
   auto& relay = *relays.at("desk-1");
-  site.SetSlowness(600ms);
+  site.SetSlowness(2000ms);
   auto booking = site.BookAside("entry-1", "stopped");
   BOOST_REQUIRE(WaitFor([&] { return site.RunsOf("stopped") == 1; }));
+  const auto ended = site.RunsEnded();
+  // The entry's next connection goes silent too, so that it waits on one when
+  // the run ends; later ones pass.
+  relay.HoldNew(true);
   relay.FreezeOpen();
   auto& agent = *site.Desk("desk-1").mAgent;
   agent.Signal(SIGTERM);
+  BOOST_REQUIRE(WaitFor([&] { return site.RunsEnded() > ended; }));
+  relay.HoldNew(false);
   const auto answer = booking.get();
   BOOST_TEST_CONTEXT(ReasonOf(answer))
   {
