--- a/Duties/Dispatch/EntryDispatch.cpp
+++ b/Duties/Dispatch/EntryDispatch.cpp
@@ -15,7 +15,7 @@
 using namespace std::chrono_literals;
 
 /** Silence after which a server gets no new requests. */
-constexpr milliseconds kHeartbeatLimit = 2500ms;
+constexpr membership::heartbeat_limits kHeartbeatLimits;
 constexpr milliseconds kDefaultRetryAfter = 1000ms;
 
 milliseconds
@@ -63,9 +63,8 @@
 bool
 IsUsable(const server_view& aServer, time_point aNow)
 {
-  return aServer.mHeardAt && aNow - *aServer.mHeardAt < kHeartbeatLimit &&
-         !aServer.mIsLeaving && !aServer.mInstance.mIsLeaving &&
-         aServer.mIsServerReachable;
+  return membership::StateOf(aServer, kHeartbeatLimits, aNow) ==
+         membership::server_state::Live;
 }
 
 /** What an attempt's end says about its server. */
@@ -155,6 +154,22 @@
   }
 }
 
+void
+entry_dispatch::TakeCount(const std::string& aPool,
+                          const std::string& aServer,
+                          const wire::load_figures& aLoad)
+{
+  // A request sent in this while before may not have reached the agent when it
+  // answered; it then counts as not shown.
+  constexpr milliseconds kOnItsWay = 1ms;
+  const auto madeAt = boot_clock::now() - kOnItsWay;
+  std::lock_guard lock(mRoutesMutex);
+  if (const auto table = mRoutes.find(aPool); table != mRoutes.end()) {
+    routing::TakeCount(
+      table->second, aServer, aLoad.queued + aLoad.running, madeAt);
+  }
+}
+
 void
 entry_dispatch::TakeEvidence(const call& aCall,
                              const std::string& aServer,
@@ -302,12 +317,18 @@
     event.mReply = std::move(result.mReply);
     if (event.mWire == wire_state::Answered) {
       mDirectory.TakeReply(aTicket.mServerName, event.mReply);
+      TakeCount(aCall.mPool, aTicket.mServerName, event.mReply.load);
     } else {
       server->mConnections->DropIdle();
     }
   }
   event.mNow = boot_clock::now();
   event.mStopReason = aCall.mStopReason ? aCall.mStopReason() : "";
+  const bool isQueued = event.mWire == wire_state::Answered &&
+                        event.mReply.state == wire::run_state::QUEUED;
+  if (isQueued && event.mStopReason.empty() && aCall.mQueuedStopReason) {
+    event.mStopReason = aCall.mQueuedStopReason();
+  }
   return event;
 }
 
--- a/StandIns/Platform/ObjectStore.cpp
+++ b/StandIns/Platform/ObjectStore.cpp
@@ -109,6 +109,21 @@
   mOldestKept = mRevision;
 }
 
+void
+object_store::KeepOldCopy()
+{
+  auto list = List("");
+  std::lock_guard lock(mMutex);
+  mOldCopy = std::move(list);
+}
+
+std::pair<std::int64_t, json::array>
+object_store::ListOldCopy() const
+{
+  std::lock_guard lock(mMutex);
+  return mOldCopy;
+}
+
 void
 object_store::Append(kept_event aEvent)
 {
--- a/Tests/Support/Fleet.cpp
+++ b/Tests/Support/Fleet.cpp
@@ -134,7 +134,9 @@
     Loopback(aBackend.mServerRelay != 0 ? aBackend.mServerRelay
                                         : aBackend.mServer->Port("http")),
     "--log-level",
-    "warning"
+    "warning",
+    "--weight-settle",
+    "1000"
   };
   arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
   aBackend.mAgent = Start("Services/Agent/lavender-agent", arguments);
@@ -157,11 +159,13 @@
                   const std::vector<std::string>& aArguments)
 {
   std::vector<std::string> arguments = {
-    "--name",      aEntry.mName,
-    "--zone",      aEntry.mAvailabilityZone,
-    "--platform",  Loopback(PlatformPort()),
+    "--name",      aEntry.mName, "--zone", aEntry.mAvailabilityZone,
     "--log-level", "warning"
   };
+  if (!Contains(aArguments, "--platform")) {
+    arguments.insert(arguments.end(),
+                     { "--platform", Loopback(PlatformPort()) });
+  }
   arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
   aEntry.mProcess = Start("Services/Entry/lavender-entry", arguments);
 }
