--- a/Duties/Samples/Sample.cpp
+++ b/Duties/Samples/Sample.cpp
@@ -35,10 +35,12 @@
 std::int64_t
 OldestVersion(const sample& aSample)
 {
-  const auto oldest = std::min_element(
-    aSample.mVersions.begin(),
-    aSample.mVersions.end(),
-    [](const auto& a, const auto& b) { return a.version < b.version; });
+  const auto oldest =
+    std::min_element(aSample.mVersions.begin(),
+                     aSample.mVersions.end(),
+                     [](const auto& aOne, const auto& aOther) {
+                       return aOne.version < aOther.version;
+                     });
   return oldest == aSample.mVersions.end() ? 0 : oldest->version;
 }
 
--- a/Duties/Weights/RollOut.cpp
+++ b/Duties/Weights/RollOut.cpp
@@ -47,15 +47,16 @@
   }
   // First those that weren't tried: a server whose swaps fail must not take
   // the place of one whose swap would succeed.
-  std::stable_sort(due.begin(), due.end(), [&](const auto& a, const auto& b) {
-    const auto triedAt = [&](const auto& aServer) {
-      const auto given = aState.mGiven.find(aServer.mName);
-      const bool isTried =
-        given != aState.mGiven.end() && given->second.mTarget == aTarget;
-      return isTried ? given->second.mGivenAt : time_point();
-    };
-    return triedAt(a) < triedAt(b);
-  });
+  std::stable_sort(
+    due.begin(), due.end(), [&](const auto& aOne, const auto& aOther) {
+      const auto triedAt = [&](const auto& aServer) {
+        const auto given = aState.mGiven.find(aServer.mName);
+        const bool isTried =
+          given != aState.mGiven.end() && given->second.mTarget == aTarget;
+        return isTried ? given->second.mGivenAt : time_point();
+      };
+      return triedAt(aOne) < triedAt(aOther);
+    });
   const auto limit = aState.mLimits.mSideBySide;
   if (limit > 0) {
     due.resize(std::min(due.size(), limit - std::min(limit, swapping)));
--- a/Duties/Weights/WeightGate.cpp
+++ b/Duties/Weights/WeightGate.cpp
@@ -38,6 +38,31 @@
 {
   mTracker.mLimits = aLimits;
   mTracker.mStartedAt = boot_clock::now();
+  mSwapper = std::thread([this] { SwapLoop(); });
+}
+
+weight_gate::~weight_gate()
+{
+  Stop();
+}
+
+void
+weight_gate::Stop()
+{
+  mOrders.Close();
+  if (mSwapper.joinable()) {
+    mSwapper.join();
+  }
+}
+
+void
+weight_gate::SwapLoop()
+{
+  while (!mOrders.IsClosed()) {
+    if (const auto order = mOrders.Pop(std::chrono::seconds(1))) {
+      Swap(*order);
+    }
+  }
 }
 
 weight_version
@@ -140,6 +165,42 @@
   }
 }
 
+/** What keeps an order from being taken; the order itself isn't opened. */
+std::string
+weight_gate::FindRefusal(const wire::swap_order& aOrder)
+{
+  if (!aOrder.agent_incarnation.empty() &&
+      aOrder.agent_incarnation != mIncarnation) {
+    return "other_incarnation";
+  }
+  std::lock_guard lock(mMutex);
+  return aOrder.fencing < mTracker.mHighestFencing ? "old_fencing_number" : "";
+}
+
+wire::swap_reply
+weight_gate::Order(const wire::swap_order& aOrder)
+{
+  wire::swap_reply reply;
+  reply.echo = aOrder.echo;
+  reply.reason = FindRefusal(aOrder);
+  {
+    std::lock_guard lock(mMutex);
+    reply.holds_version = mTracker.mHeld.mVersion;
+    reply.done =
+      reply.reason.empty() && !mTracker.mOpen &&
+      mTracker.mHeld == weight_version{ aOrder.model, aOrder.version };
+  }
+  auto queued = aOrder;
+  if (reply.reason.empty() && !reply.done && !mOrders.TryPush(queued)) {
+    reply.reason = "swap_under_way";
+  }
+  if (!reply.reason.empty()) {
+    mMetrics.Count("lavender_agent_swaps_refused_total",
+                   { { "reason", reply.reason } });
+  }
+  return reply;
+}
+
 wire::swap_reply
 weight_gate::Swap(const wire::swap_order& aOrder)
 {
--- a/Duties/Weights/WeightGate.h
+++ b/Duties/Weights/WeightGate.h
@@ -2,10 +2,12 @@
 
 #include "Duties/Dispatch/BackendServer.h"
 #include "Duties/Weights/VersionTracker.h"
+#include "Libraries/Core/BoundedRing.h"
 #include "Libraries/Metrics/Metrics.h"
 
 #include <atomic>
 #include <mutex>
+#include <thread>
 
 namespace lavender::weights {
 
@@ -23,6 +25,9 @@
               std::string aIncarnation,
               tracker_limits aLimits,
               metrics::registry& aMetrics);
+  ~weight_gate();
+  weight_gate(const weight_gate&) = delete;
+  weight_gate& operator=(const weight_gate&) = delete;
 
   /** Runs an order on the server. A sample's result names the versions that
    * truly produced it, or why they aren't known. A server whose weights are
@@ -30,12 +35,21 @@
   dispatch::backend_run Run(const wire::dispatch_order& aOrder,
                             milliseconds aTimeout);
 
+  /** Takes a swap order, or refuses it, at once. A thread of the gate carries
+   * it out, so that whoever gives 1,200 orders waits for none of the loads;
+   * what became of it shows in the agent's report. */
+  wire::swap_reply Order(const wire::swap_order& aOrder);
+  /** Carries an order out and says what the server truly holds then. */
   wire::swap_reply Swap(const wire::swap_order& aOrder);
+  /** Ends the thread after the order under way. */
+  void Stop();
 
   /** Asks the server what it holds. */
   weight_version Refresh();
 
 private:
+  void SwapLoop();
+  std::string FindRefusal(const wire::swap_order& aOrder);
   dispatch::backend_run RunSample(const wire::dispatch_order& aOrder,
                                   milliseconds aTimeout);
   weight_version Read(std::uint64_t& aEvents);
@@ -50,6 +64,8 @@
   version_tracker mTracker;
   /** Held while an order is under way, so that orders go one by one. */
   std::mutex mSwapMutex;
+  bounded_ring<wire::swap_order> mOrders{ 1 };
+  std::thread mSwapper;
 };
 
 } // namespace lavender::weights
--- a/Services/Agent/AgentHandler.cpp
+++ b/Services/Agent/AgentHandler.cpp
@@ -167,7 +167,7 @@
 void
 agent_handler::Swap(wire::swap_reply& aReply, const wire::swap_order& aOrder)
 {
-  aReply = mWeights.Swap(aOrder);
+  aReply = mWeights.Order(aOrder);
 }
 
 void
--- a/Services/Agent/main.cpp
+++ b/Services/Agent/main.cpp
@@ -132,6 +132,7 @@
   Drain(dispatcher, aTermination, aValues.Milliseconds("drain-deadline"));
   dispatcher.Stop();
   handler->Stop();
+  weightGate.Stop();
   wireServer.Stop();
   health.Stop();
   Log(log_level::Info, "agent", "Stopped");
--- /dev/null
+++ b/Tests/TestSamplesPlatformDown.cpp
@@ -0,0 +1,113 @@
+#include "Tests/Support/TrainingSite.h"
+
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace lavender;
+using namespace lavender::test;
+
+namespace {
+
+using steady = std::chrono::steady_clock;
+
+/** Every answer that the trainer gets during an outage is final at once and
+ * says when to come back. Returns how many it got. */
+int
+AskThroughOutage(training_site& aSite,
+                 const std::string& aEntry,
+                 int aStep,
+                 std::chrono::milliseconds aLength)
+{
+  int refused = 0;
+  const auto end = steady::now() + aLength;
+  while (steady::now() < end) {
+    const auto got = aSite.Ask(aEntry, aStep);
+    BOOST_TEST(got.mStatus == 503);
+    BOOST_TEST(!http::HeaderOr(got.mHeaders, "Retry-After", "").empty());
+    ++refused;
+    std::this_thread::sleep_for(200ms);
+  }
+  return refused;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestSamplesPlatformDown)
+
+// The store goes down while a step's samples are made. The engines go on, the
+// samples wait in the entry's memory, the trainer is told at once to come
+// back, and gets its batch as soon as the store has it.
+BOOST_FIXTURE_TEST_CASE(StepUnderWayIsFixedWhenTheStoreIsBack, training_site)
+{
+  for (const char* engine : { "engine-1", "engine-2" }) {
+    SetFault(engine, { { "per_token_us", 20000 } });
+  }
+  BOOST_TEST(Ask("entry-1", 1).mStatus == 503);
+  std::this_thread::sleep_for(300ms);
+  SetPlatformFault({ { "down", true } });
+  BOOST_TEST(AskThroughOutage(*this, "entry-1", 1, 6s) > 10);
+  SetPlatformFault({ { "down", false } });
+  const auto back = steady::now();
+  const auto batch = WaitForBatch("entry-1", 1);
+  const auto idle = steady::now() - back;
+  BOOST_TEST_MESSAGE(
+    "trainer idle after the store was back, ms: "
+    << std::chrono::duration_cast<std::chrono::milliseconds>(idle).count());
+  CheckTruth(batch.mBody);
+}
+
+// The store is down already when the trainer asks. Nothing can be claimed, so
+// the samples are made without a claim; the claim, the parts and the end are
+// written once the store is back.
+BOOST_FIXTURE_TEST_CASE(StepBegunInAnOutageIsMadeMeanwhile, training_site)
+{
+  SetPlatformFault({ { "down", true } });
+  BOOST_TEST(AskThroughOutage(*this, "entry-1", 1, 4s) > 5);
+  int runs = 0;
+  for (const char* engine : { "engine-1", "engine-2" }) {
+    const auto log = Send(Engine(engine), "GET", "/control/log").mBody;
+    for (const auto& run : log.Find("truths")->Elements()) {
+      runs += json::StringAt(run, "request", "").rfind("minutes.1.", 0) == 0;
+    }
+  }
+  BOOST_TEST(runs >= kPrompts * kPerPrompt);
+  SetPlatformFault({ { "down", false } });
+  const auto back = steady::now();
+  const auto batch = WaitForBatch("entry-1", 1);
+  const auto idle = steady::now() - back;
+  BOOST_TEST_MESSAGE(
+    "trainer idle after the store was back, ms: "
+    << std::chrono::duration_cast<std::chrono::milliseconds>(idle).count());
+  CheckTruth(batch.mBody);
+}
+
+// The store carries out a write and its answer gets lost, at the claim, the
+// parts, the end and the first delivery. Taken for failures, they would make
+// the step twice or deliver two batches.
+BOOST_FIXTURE_TEST_CASE(LostAnswersMakeNoSecondBatch, training_site)
+{
+  for (int step = 1; step <= 4; ++step) {
+    SetPlatformFault({ { "lose_answers", step } });
+    const auto first = WaitForBatch("entry-1", step);
+    SetPlatformFault({ { "lose_answers", 1 } });
+    BOOST_TEST(
+      WaitFor([&] { return Acknowledge("entry-1", step).mStatus == 200; }));
+    BOOST_TEST(Ask("entry-2", step).mStatus == 410);
+    CheckTruth(first.mBody);
+  }
+  const auto records =
+    Send(mFleet.PlatformPort(), "GET", "/v1/objects?kind=Batch").mBody;
+  BOOST_TEST(records.Find("items")->Elements().size() == 4u);
+}
+
+// The store answers each call 400 ms late: no ask waits for samples, and the
+// batch still comes.
+BOOST_FIXTURE_TEST_CASE(SlowStoreDelaysOnlyTheFixing, training_site)
+{
+  SetPlatformFault({ { "slow_ms", 400 } });
+  const auto batch = WaitForBatch("entry-1", 1);
+  CheckTruth(batch.mBody);
+  SetPlatformFault({ { "slow_ms", 0 } });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
