--- a/Services/Agent/AgentHandler.h
+++ b/Services/Agent/AgentHandler.h
@@ -84,6 +84,8 @@
   bool mIsStopping = false;
   server_state mState;
   witness mWitness;
+  /** Drains are ordered under another lease than weights. */
+  std::int64_t mHighestDrainFencing = 0;
   std::thread mWatcher;
 };
 
--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -17,6 +17,8 @@
 constexpr std::int64_t kDefaultTokens = 64;
 constexpr std::int64_t kMaximumTokens = 100000;
 constexpr milliseconds kBusyRetryAfter = 1000ms;
+/** Another entry, or this one after catching up, can serve by then. */
+constexpr milliseconds kStaleRetryAfter = 2000ms;
 constexpr milliseconds kLongestDeadline = 3600000ms;
 
 std::int64_t
@@ -226,6 +228,11 @@
   admitted.mRequestId =
     mOptions.mEntryIncarnation + "-" + std::to_string(mNextRequest++);
   const auto& id = admitted.mRequestId;
+  if (!keys::IsFreshEnough(mOptions.mKeyGate->Check())) {
+    // Somebody knows, or may know, of withdrawals that this entry doesn't.
+    return Refuse(
+      { 503, "configuration_stale", ran::NotRun, kStaleRetryAfter, id, "" });
+  }
   admitted.mSnapshot = mConfiguration.Current();
   auto authorization =
     keys::Authorize(*admitted.mSnapshot,
@@ -291,6 +298,11 @@
   made.mStopReason = [this, hash = aAdmitted.mAuthorization.mKeyHash] {
     return keys::FindWithdrawal(*mConfiguration.Current(), hash);
   };
+  made.mQueuedStopReason = [this] {
+    return keys::IsFreshEnough(mOptions.mKeyGate->Check())
+             ? std::string()
+             : std::string("configuration_stale");
+  };
   return made;
 }
 
@@ -431,6 +443,7 @@
   answer.mStatus = outcome.mResult.http_status;
   answer.mContentType = outcome.mResult.content_type;
   answer.mBody = outcome.mResult.body;
+  answer.mHeaders.emplace_back("X-Lavender-Server", outcome.mServerName);
   return answer;
 }
 
--- a/StandIns/Platform/Platform.cpp
+++ b/StandIns/Platform/Platform.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/Platform/Platform.h"
 
+#include "Libraries/Core/Clock.h"
 #include "StandIns/Common/Program.h"
 
 #include <thread>
@@ -26,6 +27,19 @@
   return text.empty() ? aFallback : std::strtoll(text.c_str(), nullptr, 10);
 }
 
+void
+TakeNames(const json::value& aBody,
+          const std::string& aMember,
+          std::set<std::string>& aNames)
+{
+  if (const auto* names = aBody.Find(aMember)) {
+    aNames.clear();
+    for (const auto& name : names->Elements()) {
+      aNames.insert(name.StringOr(""));
+    }
+  }
+}
+
 bool
 IsControl(const http::request& aRequest)
 {
@@ -48,6 +62,9 @@
     if (auto fault = ApplyFaults(aRequest)) {
       return *fault;
     }
+    if (auto old = AnswerFromOldCopy(aRequest)) {
+      return *old;
+    }
   }
   return http::Serve(mRouter, aRequest);
 }
@@ -68,6 +85,10 @@
               http::HeaderOr(aRequest.mHeaders, "X-Caller", "")) > 0;
   }
   if (isCut) {
+    {
+      std::lock_guard lock(mMutex);
+      ++mCalls["cut"];
+    }
     // A cut caller sees silence: nothing is carried out, and the answer
     // comes after every client's timeout.
     std::this_thread::sleep_for(6s);
@@ -77,6 +98,31 @@
   return std::nullopt;
 }
 
+std::optional<http::response>
+platform::AnswerFromOldCopy(const http::request& aRequest)
+{
+  const bool isList = aRequest.mPath == "/v1/objects";
+  const bool isWatch = aRequest.mPath == "/v1/watch";
+  {
+    std::lock_guard lock(mMutex);
+    const auto caller = http::HeaderOr(aRequest.mHeaders, "X-Caller", "");
+    if ((!isList && !isWatch) || mFaults.mOldCopyCallers.count(caller) == 0) {
+      return std::nullopt;
+    }
+    ++mCalls["old_copy"];
+  }
+  auto [revision, items] = mStore.ListOldCopy();
+  json::value body;
+  body.Set("revision", revision);
+  if (isList) {
+    body.Set("items", std::move(items));
+  } else {
+    std::this_thread::sleep_for(500ms);
+    body.Set("events", json::array{});
+  }
+  return JsonResponse(200, body);
+}
+
 http::response
 platform::AnswerWrite(const store_outcome& aOutcome,
                       const std::string& aKind,
@@ -194,6 +240,24 @@
     });
 }
 
+json::value
+platform::LeaseOf(const std::string& aName) const
+{
+  const auto found = mStore.Read("Lease", aName);
+  return found ? found->mValue : json::value();
+}
+
+void
+platform::WaitAsSlowOrder()
+{
+  std::chrono::milliseconds slowness{ 0 };
+  {
+    std::lock_guard lock(mMutex);
+    slowness = mFaults.mOrderSlowness;
+  }
+  std::this_thread::sleep_for(slowness);
+}
+
 http::response
 platform::TakeOrder(const http::request& aRequest, const std::string& aZone)
 {
@@ -201,8 +265,11 @@
   if (!body) {
     return Failure(400, body.mLastReason);
   }
+  WaitAsSlowOrder();
   const auto fencing = json::IntegerAt(*body, "fencing", 0);
+  const auto lease = LeaseOf("zone-" + aZone);
   bool isLost = false;
+  bool isRepeated = false;
   {
     std::lock_guard lock(mMutex);
     auto& highest = mHighestFencing[aZone];
@@ -210,12 +277,16 @@
       return Failure(409, "old_fencing_number");
     }
     highest = std::max(highest, fencing);
+    const auto id = json::StringAt(*body, "id", "");
+    isRepeated = !id.empty() && !mOrderIds.insert(id).second;
     if (mFaults.mLostAnswers > 0) {
       --mFaults.mLostAnswers;
       isLost = true;
     }
   }
   body->Set("zone", aZone);
+  body->Set("repeated", isRepeated);
+  body->Set("lease", lease);
   Record("orders", aRequest, *body);
   return isLost ? Failure(500, "answer_lost") : JsonResponse(200, *body);
 }
@@ -227,7 +298,9 @@
   if (!body) {
     return Failure(400, body.mLastReason);
   }
+  WaitAsSlowOrder();
   body->Set("window", aWindow);
+  body->Set("lease", LeaseOf("usage"));
   Record("usage", aRequest, *body);
   std::lock_guard lock(mMutex);
   mUsage[aWindow] = *body;
@@ -263,7 +336,9 @@
   mLog.push_back({ static_cast<std::int64_t>(mLog.size()) + 1,
                    aInterface,
                    http::HeaderOr(aRequest.mHeaders, "X-Caller", ""),
-                   std::move(aDetail) });
+                   std::move(aDetail),
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                     boot_clock::now().time_since_epoch()) });
 }
 
 http::response
@@ -277,17 +352,18 @@
   mFaults.mIsDown = json::BooleanAt(*body, "down", mFaults.mIsDown);
   mFaults.mSlowness = std::chrono::milliseconds(
     json::IntegerAt(*body, "slow_ms", mFaults.mSlowness.count()));
+  mFaults.mOrderSlowness = std::chrono::milliseconds(
+    json::IntegerAt(*body, "slow_orders_ms", mFaults.mOrderSlowness.count()));
   mFaults.mLostAnswers = static_cast<int>(
     json::IntegerAt(*body, "lose_answers", mFaults.mLostAnswers));
   mFaults.mIgnoresFencing =
     json::BooleanAt(*body, "ignore_fencing", mFaults.mIgnoresFencing);
   mFaults.mListLag = std::chrono::milliseconds(
     json::IntegerAt(*body, "list_lag_ms", mFaults.mListLag.count()));
-  if (const auto* cut = body->Find("cut")) {
-    mFaults.mCutCallers.clear();
-    for (const auto& caller : cut->Elements()) {
-      mFaults.mCutCallers.insert(caller.StringOr(""));
-    }
+  TakeNames(*body, "cut", mFaults.mCutCallers);
+  if (body->Find("old_copy_for")) {
+    mStore.KeepOldCopy();
+    TakeNames(*body, "old_copy_for", mFaults.mOldCopyCallers);
   }
   return JsonResponse(200, json::object{});
 }
@@ -325,6 +401,8 @@
       item.Set("interface", line.mInterface);
       item.Set("caller", line.mCaller);
       item.Set("detail", line.mDetail);
+      item.Set("arrived_ms",
+               static_cast<std::int64_t>(line.mArrivedAt.count()));
       lines.push_back(std::move(item));
     }
     json::value body;
