--- a/Tests/TestSilentConnection.cpp
+++ b/Tests/TestSilentConnection.cpp
@@ -124,6 +124,35 @@
   }
 }
 
+// An agent is stopped in a planned way while a booking runs, and just then the
+// connections to it go silent: the answer is written and never arrives. The
+// agent has to stay until the entry has found that out and asked again.
+BOOST_AUTO_TEST_CASE(PlannedStopMeetsASilentConnection)
+{
+  desk_site site({}, { "desk-1" });
+  auto relays = site.PutRelaysBeforeAgents();
+  auto& relay = *relays.at("desk-1");
+  site.SetSlowness(2000ms);
+  auto booking = site.BookAside("entry-1", "stopped");
+  BOOST_REQUIRE(WaitFor([&] { return site.RunsOf("stopped") == 1; }));
+  const auto ended = site.RunsEnded();
+  // The entry's next connection goes silent too, so that it waits on one when
+  // the run ends; later ones pass.
+  relay.HoldNew(true);
+  relay.FreezeOpen();
+  auto& agent = *site.Desk("desk-1").mAgent;
+  agent.Signal(SIGTERM);
+  BOOST_REQUIRE(WaitFor([&] { return site.RunsEnded() > ended; }));
+  relay.HoldNew(false);
+  const auto answer = booking.get();
+  BOOST_TEST_CONTEXT(ReasonOf(answer))
+  {
+    BOOST_TEST(IsAnswerTo(answer, "stopped"));
+  }
+  BOOST_TEST(relay.HeldBytes() > 0u, "nothing met the silence");
+  BOOST_TEST(agent.WaitForExit(20s) == 0);
+}
+
 // A caller gives two seconds for an answer, and the agent is silent. The
 // refusal comes at the deadline, not when the entry gives the agent up.
 BOOST_AUTO_TEST_CASE(DeadlineHoldsWhileTheAgentIsSilent)
