The agent's line is as long as a second drains

Cause: 64 places held 4 s of work on four slots. At twice the capacity all who were served waited 8 to 10 s, refusals of displaced requests took 1.2 s at p99, and the line was still there 8 s after the overload.

--- a/Bench/Load.cpp
+++ b/Bench/Load.cpp
@@ -94,6 +94,7 @@
       result.mAt = arrival.mAt;
       result.mLateness = sentAt - start - arrival.mAt;
       result.mCustomer = arrival.mCustomer;
+      result.mTokens = arrival.mTokens;
       results[index] = std::move(result);
     }
   });
--- a/Bench/Load.h
+++ b/Bench/Load.h
@@ -35,6 +35,7 @@
   /** How late the generator itself was. */
   std::chrono::nanoseconds mLateness{ 0 };
   std::size_t mCustomer = 0;
+  int mTokens = 0;
   /** 0 without an answer. */
   int mStatus = 0;
   std::string mReason;
--- a/Bench/Overload.cpp
+++ b/Bench/Overload.cpp
@@ -34,28 +34,41 @@
   return arrivals;
 }
 
-/** Requests a second with all slots kept busy, of the same mix. */
-double
+struct capacity
+{
+  double mRequests = 0;
+  double mTokens = 0;
+};
+
+/** What is served in a second with all slots kept busy, of the same mix. */
+capacity
 MeasureCapacity(site& aSite, std::uint64_t aSeed)
 {
   const auto requests = MakePhase(50, 0ms, 20s, aSeed);
   constexpr std::chrono::milliseconds kMeasured = 8s;
   const auto results =
     RunClosedLoop(72, kMeasured, {}, [&](std::size_t aIndex, const arrival&) {
-      return aSite.Send(aIndex, requests[aIndex % requests.size()]);
-    });
-  const auto served =
-    std::count_if(results.begin(), results.end(), [&](const auto& aOne) {
-      return aOne.mStatus == 200 && aOne.mAt + aOne.mLatency < kMeasured;
+      const auto& request = requests[aIndex % requests.size()];
+      auto result = aSite.Send(aIndex, request);
+      result.mTokens = request.mTokens;
+      return result;
     });
-  return static_cast<double>(served) /
-         std::chrono::duration<double>(kMeasured).count();
+  capacity sum;
+  for (const auto& one : results) {
+    if (one.mStatus == 200 && one.mAt + one.mLatency < kMeasured) {
+      sum.mRequests += 1;
+      sum.mTokens += one.mTokens;
+    }
+  }
+  const double seconds = std::chrono::duration<double>(kMeasured).count();
+  return { sum.mRequests / seconds, sum.mTokens / seconds };
 }
 
 struct second_account
 {
   int mSent = 0;
   int mGood = 0;
+  int mGoodTokens = 0;
   int mRefused = 0;
   int mFailed = 0;
   int mWithoutRetryAfter = 0;
@@ -81,6 +94,7 @@
     auto& ended = at(one.mAt + one.mLatency);
     if (one.mStatus == 200) {
       ++ended.mGood;
+      ended.mGoodTokens += one.mTokens;
       ended.mLatencies.push_back(one.mLatency);
     } else if (one.mStatus == 503 || one.mStatus == 429) {
       ++ended.mRefused;
@@ -108,14 +122,17 @@
                   "p99_ms",
                   "refusal_p99_ms" });
   site site({});
-  const double capacity = MeasureCapacity(site, aOptions.mSeed);
+  const auto capacity = MeasureCapacity(site, aOptions.mSeed);
   std::vector<arrival> arrivals;
   const std::chrono::milliseconds over = aOptions.mFor;
   for (const auto& phase :
-       { MakePhase(capacity * kCalmShare, 0ms, kCalm, aOptions.mSeed),
-         MakePhase(capacity * kOverload, kCalm, over, aOptions.mSeed + 1),
+       { MakePhase(capacity.mRequests * kCalmShare, 0ms, kCalm, aOptions.mSeed),
          MakePhase(
-           capacity * kCalmShare, kCalm + over, kCalm, aOptions.mSeed + 2) }) {
+           capacity.mRequests * kOverload, kCalm, over, aOptions.mSeed + 1),
+         MakePhase(capacity.mRequests * kCalmShare,
+                   kCalm + over,
+                   kCalm,
+                   aOptions.mSeed + 2) }) {
     arrivals.insert(arrivals.end(), phase.begin(), phase.end());
   }
   const auto results = RunOpenLoop(
@@ -136,28 +153,32 @@
                Text(Percentile(one.mRefusals, 0.99)) });
   }
   int good = 0;
+  int goodTokens = 0;
   std::vector<std::chrono::nanoseconds> refusals;
   std::vector<std::chrono::nanoseconds> lateness;
   for (auto i = kCalm.count() + 1; i < kCalm.count() + aOptions.mFor.count();
        ++i) {
     const auto& one = seconds[static_cast<std::size_t>(i)];
     good += one.mGood;
+    goodTokens += one.mGoodTokens;
     refusals.insert(refusals.end(), one.mRefusals.begin(), one.mRefusals.end());
   }
   for (const auto& one : results) {
     lateness.push_back(one.mLateness);
   }
-  const double goodput = good / static_cast<double>(aOptions.mFor.count() - 1);
+  const auto measured = static_cast<double>(aOptions.mFor.count() - 1);
   csv_file summary(aOptions.mFolder + "/overload-summary.csv",
                    { "capacity_per_second",
                      "goodput_per_second",
                      "goodput_share",
+                     "goodput_share_in_tokens",
                      "refusal_p50_ms",
                      "refusal_p99_ms",
                      "generator_late_p99_ms" });
-  summary.Row({ Text(capacity),
-                Text(goodput),
-                Text(goodput / capacity),
+  summary.Row({ Text(capacity.mRequests),
+                Text(good / measured),
+                Text(good / measured / capacity.mRequests),
+                Text(goodTokens / measured / capacity.mTokens),
                 Text(Percentile(refusals, 0.5)),
                 Text(Percentile(refusals, 0.99)),
                 Text(Percentile(lateness, 0.99)) });
--- a/Duties/Admission/FairQueue.cpp
+++ b/Duties/Admission/FairQueue.cpp
@@ -19,6 +19,9 @@
 /** Under this many tokens a measured rate says too little for a refusal. */
 constexpr double kEnoughCost = 100;
 
+/** How much more a line has to hold to make room for another customer. */
+constexpr double kDisplaceMargin = 1.5;
+
 constexpr double kLowestWeight = 1e-6;
 
 const std::string&
@@ -120,6 +123,20 @@
   }
 }
 
+bool
+IsFull(const fair_queue& aQueue, const queue_item& aItem, double aRunning)
+{
+  const auto& limits = aQueue.mLimits;
+  if (aQueue.mSize >= limits.mMaximumQueued) {
+    return true;
+  }
+  const double cost =
+    static_cast<double>(aQueue.mCost + aItem.mCost) + aRunning / 2;
+  return limits.mPolicy == queue_policy::Fair &&
+         aQueue.mSize >= limits.mSlots &&
+         TimeFor(aQueue, cost) > limits.mMaximumDelay;
+}
+
 /** Makes room for the item in a full queue; none when the item's own customer
  * is the one that holds most. */
 std::optional<queue_item>
@@ -137,7 +154,9 @@
     (ownCost + static_cast<double>(aItem.mCost)) / aItem.mWeight;
   const double most = static_cast<double>(longest->second.mCost) /
                       longest->second.mItems.front().mWeight;
-  if (longest->first == name || with >= most) {
+  // Without the margin, customers that ask for equal shares displace each
+  // other in turn, and requests are refused after they have waited.
+  if (longest->first == name || with * kDisplaceMargin > most) {
     return std::nullopt;
   }
   auto item = std::move(longest->second.mItems.back());
@@ -203,7 +222,7 @@
       return answer;
     }
   }
-  if (aQueue.mSize >= aQueue.mLimits.mMaximumQueued) {
+  if (IsFull(aQueue, aItem, running)) {
     if (isFair) {
       answer.mDisplaced = Displace(aQueue, aItem);
     }
--- a/Duties/Admission/FairQueue.h
+++ b/Duties/Admission/FairQueue.h
@@ -41,6 +41,11 @@
   std::size_t mMaximumQueued = 64;
   /** Requests that run side by side; the drain rate counts all of them. */
   std::size_t mSlots = 16;
+  /** Time in which the measured rate should drain what waits. A line that is
+   * longer counts as full, though as many requests as there are slots may
+   * always wait. A long line serves nobody sooner, and after an overload all
+   * who come wait until it is gone. */
+  milliseconds mMaximumDelay{ 1000 };
 };
 
 /** The waiting requests of one customer. */
@@ -86,7 +91,7 @@
 
 /** Takes a request in, or refuses it.
  *
- * A full queue makes room for a customer below its share by giving up the
+ * A full queue makes room for a customer well below its share by giving up the
  * last item of the customer whose line holds most cost for its weight: a
  * flood by one customer then costs only its own requests. A request whose
  * deadline the measured drain rate can't meet is refused at once, so that it
--- a/Duties/Admission/TestFairQueue.cpp
+++ b/Duties/Admission/TestFairQueue.cpp
@@ -255,6 +255,39 @@
   BOOST_TEST(after.mLargeRefused > 0);
 }
 
+// After an overload, callers wait seconds for nothing but the line that it
+// left behind: the queue was bounded by a count, whatever a request takes.
+BOOST_AUTO_TEST_CASE(TheLineIsAsLongAsASecondDrains)
+{
+  BOOST_TEST(rc::check("cost in line against the measured rate", [] {
+    fair_queue queue;
+    queue.mLimits.mSlots = *rc::gen::inRange<std::size_t>(1, 8);
+    const auto perToken = milliseconds(*rc::gen::inRange(1, 50));
+    RecordRun(queue, 1000, perToken * 1000);
+    const int steps = *rc::gen::inRange(1, 150);
+    for (int step = 0; step < steps; ++step) {
+      const auto item =
+        MakeItem(step,
+                 *rc::gen::inRange<std::size_t>(0, kCustomers),
+                 *rc::gen::inRange<std::int64_t>(1, kMaximumCost),
+                 0);
+      const auto delay = perToken * (queue.mCost + item.mCost) /
+                         static_cast<int>(queue.mLimits.mSlots);
+      const bool hasRoom =
+        queue.mSize < queue.mLimits.mMaximumQueued &&
+        (queue.mSize < queue.mLimits.mSlots || delay <= 999ms);
+      const auto size = queue.mSize;
+      const auto answer = Push(queue, item, 0, time_point(0s));
+      RC_ASSERT(answer.mIsQueued || !hasRoom);
+      RC_ASSERT(!answer.mDisplaced || !hasRoom);
+      RC_ASSERT(queue.mSize <= size || hasRoom || delay <= 1001ms);
+      if (*rc::gen::inRange(0, 4) == 0) {
+        Pop(queue);
+      }
+    }
+  }));
+}
+
 // A request is taken in, waits past its deadline and is dropped: the caller
 // lost the time in which it could have asked elsewhere.
 BOOST_AUTO_TEST_CASE(RefusesAtOnceWhatCantMeetItsDeadline)
--- a/Duties/Dispatch/Ledger.cpp
+++ b/Duties/Dispatch/Ledger.cpp
@@ -124,9 +124,9 @@
         time_point aNow)
 {
   const auto& limits = aLedger.mLimits;
-  aLedger.mQueue.mLimits = { limits.mPolicy,
-                             limits.mMaximumQueued,
-                             limits.mSlots };
+  aLedger.mQueue.mLimits = {
+    limits.mPolicy, limits.mMaximumQueued, limits.mSlots, limits.mMaximumDelay
+  };
   auto pushed = admission::Push(aLedger.mQueue,
                                 { aOrder.request_id,
                                   aOrder.customer,
--- a/Duties/Dispatch/Ledger.h
+++ b/Duties/Dispatch/Ledger.h
@@ -31,6 +31,8 @@
   milliseconds mKeepAnswer{ 600000 };
   /** A queued request whose entry has stopped asking is dropped after this. */
   milliseconds mAbandonAfter{ 10000 };
+  /** Time in which what waits should be drained. */
+  milliseconds mMaximumDelay{ 1000 };
   admission::queue_policy mPolicy = admission::queue_policy::Fair;
   /** Rows of ended requests; beyond it the oldest are forgotten early. */
   std::size_t mMaximumEnded = 20000;
--- a/Services/Agent/AgentSettings.cpp
+++ b/Services/Agent/AgentSettings.cpp
@@ -89,6 +89,16 @@
       100000,
       {},
       false },
+    { "queue-delay",
+      "Time in which the server should drain what waits; more is refused, but "
+      "never fewer than the slots may wait.",
+      "ms",
+      "1000",
+      setting_kind::Integer,
+      1,
+      3600000,
+      {},
+      false },
     { "queue-policy",
       "Order of waiting requests. \"fair\" shares the server between "
       "customers by weight; \"first-come\" is only for comparing.",
--- a/Services/Agent/main.cpp
+++ b/Services/Agent/main.cpp
@@ -74,6 +74,7 @@
   limits.mSlots = static_cast<std::size_t>(aValues.Integer("slots"));
   limits.mMaximumQueued = static_cast<std::size_t>(aValues.Integer("queue"));
 
+  limits.mMaximumDelay = aValues.Milliseconds("queue-delay");
   limits.mPolicy = aValues.Text("queue-policy") == "fair"
                      ? admission::queue_policy::Fair
                      : admission::queue_policy::FirstComeFirstServed;
