--- a/Duties/Dispatch/EntryDispatch.cpp
+++ b/Duties/Dispatch/EntryDispatch.cpp
@@ -15,7 +15,7 @@
 using namespace std::chrono_literals;
 
 /** Silence after which a server gets no new requests. */
-constexpr milliseconds kHeartbeatLimit = 2500ms;
+constexpr membership::heartbeat_limits kHeartbeatLimits;
 constexpr milliseconds kDefaultRetryAfter = 1000ms;
 
 milliseconds
@@ -63,9 +63,8 @@
 bool
 IsUsable(const server_view& aServer, time_point aNow)
 {
-  return aServer.mHeardAt && aNow - *aServer.mHeardAt < kHeartbeatLimit &&
-         !aServer.mIsLeaving && !aServer.mInstance.mIsLeaving &&
-         aServer.mIsServerReachable;
+  return membership::StateOf(aServer, kHeartbeatLimits, aNow) ==
+         membership::server_state::Live;
 }
 
 /** What an attempt's end says about its server. */
@@ -325,6 +324,11 @@
   }
   event.mNow = boot_clock::now();
   event.mStopReason = aCall.mStopReason ? aCall.mStopReason() : "";
+  const bool isQueued = event.mWire == wire_state::Answered &&
+                        event.mReply.state == wire::run_state::QUEUED;
+  if (isQueued && event.mStopReason.empty() && aCall.mQueuedStopReason) {
+    event.mStopReason = aCall.mQueuedStopReason();
+  }
   return event;
 }
 
--- a/Duties/Dispatch/Ledger.cpp
+++ b/Duties/Dispatch/Ledger.cpp
@@ -79,35 +79,41 @@
   Forget(aLedger, aList);
 }
 
-/** Reason why an order can never be taken by this process, whenever it comes;
- * empty when it might. Such a refusal needs no row: a second copy of the
- * order is refused for the same reason. */
-std::string
+/** Refusal of an order that this process can never take, whenever it comes;
+ * none when it might. Such a refusal needs no row: a second copy of the order
+ * is refused for the same reason. */
+std::optional<ledger_answer>
 FindLastingRefusal(const ledger& aLedger,
                    const wire::dispatch_order& aOrder,
                    time_point aNow)
 {
+  const auto refuse = [](const char* aReason) {
+    return ledger_answer{ run_state::NOT_RUN, aReason };
+  };
   if (aOrder.agent_incarnation != aLedger.mIncarnation) {
-    return "other_incarnation";
-  }
-  if (aLedger.mIsDraining) {
-    return "draining";
+    return refuse("other_incarnation");
   }
   if (aOrder.deadline_left_ms <= 0) {
-    return "deadline";
+    return refuse("deadline");
+  }
+  const time_point issuedAt{ milliseconds(aOrder.issued_at_ms) };
+  if (IsPerhapsForgotten(aLedger, issuedAt)) {
+    // An earlier copy of it may have run.
+    return ledger_answer{ run_state::OUTCOME_UNKNOWN, "forgotten" };
+  }
+  if (issuedAt > aNow) {
+    return refuse("order_from_future");
   }
   // A dispatch can wait for minutes on a connection that went silent, and
   // arrive after the tombstone of its cancel was forgotten. It would then run
   // although its caller was told "not run". Its age gives it away.
-  const time_point issuedAt{ milliseconds(aOrder.issued_at_ms) };
-  if (issuedAt > aNow) {
-    return "order_from_future";
+  if (aNow - issuedAt > aLedger.mLimits.mMaximumOrderAge) {
+    return refuse("order_too_old");
   }
-  if (aNow - issuedAt > aLedger.mLimits.mMaximumOrderAge ||
-      IsPerhapsForgotten(aLedger, issuedAt)) {
-    return "order_too_old";
+  if (aLedger.mIsDraining) {
+    return refuse("draining");
   }
-  return {};
+  return std::nullopt;
 }
 
 std::int64_t
@@ -153,9 +159,8 @@
     known->second.mAskedAt = aNow;
     return Describe(known->second);
   }
-  if (auto refusal = FindLastingRefusal(aLedger, aOrder, aNow);
-      !refusal.empty()) {
-    return { run_state::NOT_RUN, std::move(refusal) };
+  if (auto refusal = FindLastingRefusal(aLedger, aOrder, aNow)) {
+    return std::move(*refusal);
   }
   const auto deadline = aNow + milliseconds(aOrder.deadline_left_ms);
   if (const auto pushed = Enqueue(aLedger, aOrder, deadline, aNow);
--- a/Libraries/Wire/lavender.thrift
+++ b/Libraries/Wire/lavender.thrift
@@ -72,7 +72,11 @@
   // Weight versions that produced the answer, in order. Empty: not known.
   6: list<weight_part> versions,
   // Usage window that the run is billed in.
-  7: i64 usage_window
+  7: i64 usage_window,
+  // Model that the versions belong to.
+  8: string model,
+  // Why the versions aren't known.
+  9: string version_reason
 }
 
 struct dispatch_reply {
@@ -90,8 +94,9 @@
 struct entry_digest {
   1: string echo,
   2: string entry_incarnation,
+  // Of the last change to the configuration that the entry knows.
   3: i64 configuration_revision,
-  // Age of the last proof that the revision was current.
+  // Age of the last proof that the entry's configuration was the newest.
   4: i64 fresh_age_ms
 }
 
@@ -119,7 +124,10 @@
   2: string model,
   3: i64 version,
   4: i64 fencing,
-  5: string holder
+  5: string holder,
+  // The agent incarnation meant: a successor doesn't know which fencing
+  // numbers its predecessor saw, so it refuses what was meant for that one.
+  6: string agent_incarnation
 }
 
 struct swap_reply {
@@ -187,8 +195,13 @@
 struct peer_digest {
   1: string echo,
   2: string entry_incarnation,
+  // Revision of the store up to which the sender knows all changes.
   3: i64 configuration_revision,
-  4: i64 fresh_age_ms
+  4: i64 fresh_age_ms,
+  // Revision of the last change that touched the configuration.
+  5: i64 changed_revision,
+  // Instance name, since an address may have been given to another instance.
+  6: string name
 }
 
 struct object_record {
@@ -198,11 +211,26 @@
   4: string value
 }
 
+struct instance_record {
+  1: string name,
+  2: string zone,
+  3: string pool,
+  4: string role,
+  5: string address,
+  6: bool leaving
+}
+
+// The platform's instance list as last seen; kept in the data folder.
+struct instance_list {
+  1: list<instance_record> instances
+}
+
 struct configuration_copy {
   1: string echo,
   2: i64 revision,
   3: i64 fresh_age_ms,
-  4: list<object_record> objects
+  4: list<object_record> objects,
+  5: i64 changed_revision
 }
 
 service entry_service {
--- a/Services/Agent/main.cpp
+++ b/Services/Agent/main.cpp
@@ -3,6 +3,7 @@
 #include "Libraries/Core/TerminationSignal.h"
 #include "Libraries/Http/Router.h"
 #include "Libraries/Http/Server.h"
+#include "Libraries/Wire/SecuritySettings.h"
 #include "Libraries/Wire/WireServer.h"
 #include "Services/Agent/AgentHandler.h"
 #include "Services/Agent/AgentSettings.h"
@@ -81,6 +82,9 @@
 
   metrics::registry metrics;
   usage::usage_account account;
+  weights::tracker_limits weightLimits;
+  weightLimits.mSettle = aValues.Milliseconds("weight-settle");
+  weights::weight_gate weightGate(backend, incarnation, weightLimits, metrics);
   dispatch::agent_dispatch dispatcher(
     incarnation,
     limits,
@@ -94,6 +98,9 @@
                     aResult.usage_window,
                     aResult.prompt_tokens,
                     aResult.completion_tokens);
+    },
+    [&](const wire::dispatch_order& aOrder, milliseconds aTimeout) {
+      return weightGate.Run(aOrder, aTimeout);
     });
   auto handler = std::make_shared<agent::agent_handler>(
     agent::identity{ aValues.Text("name"),
@@ -102,6 +109,7 @@
                      incarnation },
     backend,
     dispatcher,
+    weightGate,
     account,
     metrics);
   wire::wire_server wireServer(
@@ -137,8 +145,9 @@
 main(int aCount, char** aArguments)
 {
   termination_signal termination;
-  const auto reading = settings::Read(
+  auto reading = settings::Read(
     "lavender-agent", agent::DeclareSettings(), aCount, aArguments);
+  wire::CheckSecurity(reading.mValues, reading.mFindings);
   if (!reading.mFindings.IsEmpty()) {
     settings::Report(reading.mFindings);
     return settings::kBadSettingsStatus;
@@ -148,6 +157,7 @@
   }
   StartLog(ParseLogLevel(reading.mValues.Text("log-level")));
   try {
+    wire::UseSecurity(wire::ReadSecurity(reading.mValues));
     return Run(reading.mValues, termination);
   } catch (const std::exception& error) {
     Log(log_level::Error, "agent", std::string("Can't go on: ") + error.what());
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -1,5 +1,7 @@
 #include "Services/Entry/EntrySettings.h"
 
+#include "Libraries/Wire/SecuritySettings.h"
+
 namespace lavender::entry {
 namespace {
 
@@ -44,7 +46,7 @@
 std::vector<setting>
 DeclareSettings()
 {
-  return {
+  std::vector<settings::setting> declared = {
     { "name",
       "Name of this instance in the platform's list.",
       "",
@@ -72,6 +74,16 @@
       0,
       {},
       true },
+    { "data-folder",
+      "Folder on a disk that keeps the last configuration, for a start while "
+      "the platform is down. Without it nothing is kept.",
+      "",
+      "",
+      setting_kind::Text,
+      0,
+      0,
+      {},
+      false },
     Listener("caller-listen", "Address for callers and trainers."),
     Listener("operator-listen", "Address of the operators' resource API."),
     Listener("health-listen", "Address for health, readiness and metrics."),
@@ -103,12 +115,54 @@
            3600,
            1,
            604800),
+    Number("samples-side-by-side",
+           "Samples that this entry has under way.",
+           "samples",
+           64,
+           1,
+           1024),
+    Number("swaps-side-by-side",
+           "Servers of a pool that change weights at once; 0 for all.",
+           "servers",
+           0,
+           0,
+           100000),
+    Number("batch-take-over",
+           "Silence after which another entry's work on a batch is taken over.",
+           "ms",
+           10000,
+           1500,
+           3600000),
     Number("usage-window",
            "Length of a usage window; the same in all processes.",
            "s",
            60,
            1,
            86400),
+    Number("server-start-time",
+           "From a start order to the server's first request.",
+           "ms",
+           60000,
+           50,
+           3600000),
+    Number("server-idle-time",
+           "How long a zone must be idle before a server is stopped.",
+           "ms",
+           60000,
+           50,
+           3600000),
+    Number("lease-duration",
+           "How long a lease lasts; the same in all processes.",
+           "ms",
+           9000,
+           500,
+           600000),
+    Number("lease-late-bytes",
+           "Longest time in which bytes sent to the platform still arrive.",
+           "ms",
+           3000,
+           100,
+           600000),
     Number("load-poll",
            "How often each agent is asked for its load.",
            "ms",
@@ -135,6 +189,17 @@
       { "debug", "info", "warning", "error" },
       false },
   };
+  declared.push_back(settings::OptionalFile(
+    "certificate", "Certificate for callers and operators, PEM."));
+  declared.push_back(settings::OptionalFile(
+    "private-key", "Private key of that certificate, PEM."));
+  declared.push_back(settings::OptionalFile(
+    "platform-authority",
+    "Authority of the platform's certificate, PEM; plain HTTP without it."));
+  for (auto& setting : wire::DeclareSecurity()) {
+    declared.push_back(std::move(setting));
+  }
+  return declared;
 }
 
 } // namespace lavender::entry
--- a/StandIns/Platform/ObjectStore.h
+++ b/StandIns/Platform/ObjectStore.h
@@ -62,6 +62,10 @@
     std::chrono::milliseconds aWait);
   /** Forgets old events, so that watches from before fail. */
   void Compact();
+  /** Keeps the present state as the old copy. */
+  void KeepOldCopy();
+  /** The old copy as a list shows it. */
+  std::pair<std::int64_t, json::array> ListOldCopy() const;
 
 private:
   void Append(kept_event aEvent);
@@ -70,6 +74,7 @@
   std::condition_variable mChanged;
   std::map<std::pair<std::string, std::string>, kept_object> mObjects;
   std::deque<kept_event> mEvents;
+  std::pair<std::int64_t, json::array> mOldCopy;
   std::int64_t mRevision = 1;
   std::int64_t mOldestKept = 1;
 };
--- a/Tests/Support/Fleet.cpp
+++ b/Tests/Support/Fleet.cpp
@@ -122,12 +122,21 @@
 fleet::StartAgent(backend& aBackend, const std::vector<std::string>& aArguments)
 {
   std::vector<std::string> arguments = {
-    "--name",        aBackend.mName,
-    "--zone",        aBackend.mAvailabilityZone,
-    "--pool",        aBackend.mPool,
-    "--server-kind", aBackend.mKind,
-    "--server",      Loopback(aBackend.mServer->Port("http")),
-    "--log-level",   "warning"
+    "--name",
+    aBackend.mName,
+    "--zone",
+    aBackend.mAvailabilityZone,
+    "--pool",
+    aBackend.mPool,
+    "--server-kind",
+    aBackend.mKind,
+    "--server",
+    Loopback(aBackend.mServerRelay != 0 ? aBackend.mServerRelay
+                                        : aBackend.mServer->Port("http")),
+    "--log-level",
+    "warning",
+    "--weight-settle",
+    "1000"
   };
   arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
   aBackend.mAgent = Start("Services/Agent/lavender-agent", arguments);
@@ -150,11 +159,13 @@
                   const std::vector<std::string>& aArguments)
 {
   std::vector<std::string> arguments = {
-    "--name",      aEntry.mName,
-    "--zone",      aEntry.mAvailabilityZone,
-    "--platform",  Loopback(PlatformPort()),
+    "--name",      aEntry.mName, "--zone", aEntry.mAvailabilityZone,
     "--log-level", "warning"
   };
+  if (!Contains(aArguments, "--platform")) {
+    arguments.insert(arguments.end(),
+                     { "--platform", Loopback(PlatformPort()) });
+  }
   arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
   aEntry.mProcess = Start("Services/Entry/lavender-entry", arguments);
 }
@@ -168,7 +179,9 @@
                                      backend.mAvailabilityZone,
                                      backend.mPool,
                                      "backend",
-                                     backend.mAgent->Port("wire"),
+                                     backend.mAgentRelay != 0
+                                       ? backend.mAgentRelay
+                                       : backend.mAgent->Port("wire"),
                                      Contains(aLeaving, name)));
   }
   for (const auto& [name, entry] : mEntries) {
