Records left by dead entries are removed, and stamps allow for clock drift

An entry removed only records that it wrote itself, or found when it started; those of an entry that died later stayed. Each entry now lists once in the time that keys are kept and takes those half as old again, which no living entry removes. A stamp is 10 ms behind the reckoned clock, so that drift between two reports can't put it ahead of the agent's time. Refusals after a proven 'not run' name a time to come back. TestRunOnce/OldRecordsAreRemoved kills the entry that wrote one of the two records.

--- a/Duties/Dispatch/AttemptDecision.cpp
+++ b/Duties/Dispatch/AttemptDecision.cpp
@@ -73,7 +73,7 @@
   // Any later question may reach a successor of a process that ran it.
   if (aState.mLastStep == attempt_step::Dispatch &&
       aReply.state == run_state::NOT_RUN) {
-    return Finish(ran::NotRun, kServerRestarted, 0ms);
+    return Finish(ran::NotRun, kServerRestarted);
   }
   return Finish(ran::OutcomeUnknown, kServerRestarted);
 }
@@ -113,7 +113,7 @@
   const bool isRefused = aEvent.mWire == wire_state::Refused;
   const bool hasLeft = !isRefused && aEvent.mWire != wire_state::NotSent;
   if (aState.mLastStep == attempt_step::Dispatch && !hasLeft) {
-    return Finish(ran::NotRun, "server_unreachable", 0ms);
+    return Finish(ran::NotRun, "server_unreachable");
   }
   if (isRefused) {
     // The only process that knew the outcome is gone; asking on is no use.
--- a/Duties/Dispatch/EntryDispatch.cpp
+++ b/Duties/Dispatch/EntryDispatch.cpp
@@ -17,6 +17,8 @@
 /** Silence after which a server gets no new requests. */
 constexpr membership::heartbeat_limits kHeartbeatLimits;
 constexpr milliseconds kDefaultRetryAfter = 1000ms;
+/** Two clocks drift less than this apart between two reports of an agent. */
+constexpr milliseconds kClockMargin = 10ms;
 
 milliseconds
 Left(time_point aDeadline)
@@ -236,14 +238,15 @@
 entry_dispatch::Issue(const std::string& aAttemptId,
                       const server_view& aServer) const
 {
-  // The agent told its clock before the entry heard it, so the sum is never
-  // ahead of the agent's true time.
-  const auto sinceHeard = boot_clock::now() - *aServer.mHeardAt;
+  // The agent told its clock before the entry heard it, and the margin covers
+  // what the two clocks drift apart until the next report, so that the sum is
+  // never ahead of the agent's true time.
+  const auto sinceHeard = std::chrono::duration_cast<milliseconds>(
+    boot_clock::now() - *aServer.mHeardAt);
   return { aAttemptId,
            aServer.mInstance.mName,
            aServer.mIncarnation,
-           aServer.mAgentClock +
-             std::chrono::duration_cast<milliseconds>(sinceHeard) };
+           aServer.mAgentClock + sinceHeard - kClockMargin };
 }
 
 call_outcome
--- a/Duties/Dispatch/IdempotentCall.cpp
+++ b/Duties/Dispatch/IdempotentCall.cpp
@@ -197,10 +197,14 @@
 void
 idempotent_calls::RemoveLoop()
 {
-  AdoptLeftRecords();
+  auto adoptAt = boot_clock::now();
   std::unique_lock lock(mMutex);
   while (!mIsStopping) {
     lock.unlock();
+    if (boot_clock::now() >= adoptAt) {
+      AdoptLeftRecords();
+      adoptAt = boot_clock::now() + mOptions.mKeep;
+    }
     RemoveOldRecords();
     lock.lock();
     mStopped.wait_for(lock, 1000ms, [this] { return mIsStopping; });
@@ -217,16 +221,17 @@
         "Old call records weren't listed: " + left.mLastReason);
     return;
   }
+  // A living entry removes its own records in time, so that those well over
+  // it have none.
+  const auto leftBefore = system_clock::now() - mOptions.mKeep * 3 / 2;
   std::lock_guard lock(mMutex);
   for (const auto& object : left->mObjects) {
-    if (const auto record = ReadCallRecord(object.mValue)) {
-      mRecords.push_back(
+    const auto record = ReadCallRecord(object.mValue);
+    if (record && record->mCreatedAt < leftBefore) {
+      mRecords.push_front(
         { object.mName, object.mRevision, record->mCreatedAt });
     }
   }
-  std::sort(mRecords.begin(), mRecords.end(), [](auto& aLeft, auto& aRight) {
-    return aLeft.mCreatedAt < aRight.mCreatedAt;
-  });
 }
 
 void
--- a/Duties/Dispatch/IdempotentCall.h
+++ b/Duties/Dispatch/IdempotentCall.h
@@ -67,6 +67,7 @@
   bool IsPlatformSilent();
   void NotePlatform(bool aIsAnswering);
   void RemoveLoop();
+  /** Takes over the records that dead entries should have removed. */
   void AdoptLeftRecords();
   void RemoveOldRecords();
 
--- a/Tests/TestRunOnce.cpp
+++ b/Tests/TestRunOnce.cpp
@@ -360,7 +360,8 @@
   BOOST_TEST(site.RunsOf("down") == 1);
 }
 
-// A key is remembered for a stated time; its record doesn't stay for ever.
+// A key is remembered for a stated time; its record doesn't stay for ever in
+// the store, nor when the entry that wrote it has died.
 BOOST_AUTO_TEST_CASE(OldRecordsAreRemoved)
 {
   desk_site site;
@@ -368,6 +369,9 @@
   entry.mProcess.reset();
   site.Fleet().StartEntry(entry, { "--call-record-keep", "1" });
   site.Fleet().PublishInstances();
+  BOOST_TEST(site.Book("entry-2", "left", "key-left").mStatus == 200);
+  site.Entry("entry-2").mProcess->Signal(SIGKILL);
+  site.Fleet().Entries().erase("entry-2");
   BOOST_REQUIRE(site.WaitUntilServing());
   BOOST_TEST(site.Book("entry-1", "old", "key-old").mStatus == 200);
   const auto records = [&] {
@@ -379,7 +383,7 @@
   BOOST_TEST(WaitFor([&] { return records() == 0; }));
   BOOST_TEST(CounterOf(entry.Health(),
                        "lavender_call_records_removed_total",
-                       "done") > 0);
+                       "done") >= 2);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
