A generation stops at its deadline, and the refusal says deadline

Seen first: TestRunOnce/GenerationStopsAtTheDeadline, 502 server_silent instead of 504, and the engine generating on. Cause: the agent waits for the server until the request's deadline and then called the server silent; the entry's cancel came after that end and went nowhere. Ruled out: the cancel's id (it names the attempt, as the engine does). Now the agent tells the engine to stop whenever a run ends without an answer, and calls it by the deadline.

--- a/Duties/Dispatch/AgentDispatch.cpp
+++ b/Duties/Dispatch/AgentDispatch.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Dispatch/AgentDispatch.h"
 
+#include "Duties/Dispatch/AttemptDecision.h"
 #include "Libraries/Core/Log.h"
 
 namespace lavender::dispatch {
@@ -8,6 +9,9 @@
 using wire::run_state;
 using namespace std::chrono_literals;
 
+/** By how much a wait may end before its time. */
+constexpr milliseconds kTimerSlack = 5ms;
+
 bool
 IsOver(run_state::type aState)
 {
@@ -68,15 +72,22 @@
   std::lock_guard lock(mMutex);
   const auto answer =
     dispatch::Cancel(mLedger, aId, aIssuedAt, boot_clock::now());
-  if (answer.mState == run_state::RUNNING &&
-      mServer.mKind == backend_kind::Engine) {
+  if (answer.mState == run_state::RUNNING) {
+    StopOnServer(aId);
+  }
+  mEnded.notify_all();
+  return Describe(aId, answer);
+}
+
+void
+agent_dispatch::StopOnServer(const std::string& aId)
+{
+  if (mServer.mKind == backend_kind::Engine) {
     // A thread of its own tells the server, since a slow server must not hold
     // back the answer that the entry waits for.
     std::string id = aId;
     mToCancel.TryPush(id);
   }
-  mEnded.notify_all();
-  return Describe(aId, answer);
 }
 
 void
@@ -143,8 +154,9 @@
       Sweep(mLedger, boot_clock::now());
       continue;
     }
-    const auto left = std::chrono::duration_cast<milliseconds>(
-      mLedger.mRows.at(order->request_id).mDeadline - boot_clock::now());
+    const auto deadline = mLedger.mRows.at(order->request_id).mDeadline;
+    const auto left =
+      std::chrono::duration_cast<milliseconds>(deadline - boot_clock::now());
     lock.unlock();
     const auto timeout = std::max(left, milliseconds(1));
     auto run = mRunner ? mRunner(*order, timeout)
@@ -152,6 +164,12 @@
     if (run.mState == run_state::FINISHED) {
       mObserver(*order, run.mResult);
     } else {
+      if (run.mState == run_state::OUTCOME_UNKNOWN) {
+        // The server doesn't notice that nobody waits any more.
+        StopOnServer(order->request_id);
+        const bool isLate = boot_clock::now() + kTimerSlack >= deadline;
+        run.mReason = isLate ? kDeadline : run.mReason;
+      }
       Log(log_level::Warning,
           "dispatch",
           "Run ended without an answer: " + run.mReason,
--- a/Duties/Dispatch/AgentDispatch.h
+++ b/Duties/Dispatch/AgentDispatch.h
@@ -53,6 +53,8 @@
 
 private:
   void RunSlot();
+  /** Has the server told to stop working on a request. */
+  void StopOnServer(const std::string& aId);
   void CancelLoop();
   void WaitUntilFetched();
   wire::dispatch_reply Describe(const std::string& aId,
--- a/Tests/TestRunOnce.cpp
+++ b/Tests/TestRunOnce.cpp
@@ -307,6 +307,44 @@
   BOOST_TEST(site.Desk("desk-1").mAgent->WaitForExit(20s) == 0);
 }
 
+// A caller gives half a second for a generation of ten. The engine must not
+// go on working for nobody, and the part that it made is no answer.
+BOOST_AUTO_TEST_CASE(GenerationStopsAtTheDeadline)
+{
+  fleet fleet;
+  auto& engine = fleet.AddBackend("engine-1", "bogota", "pool", "engine");
+  auto& entry = fleet.AddEntry("entry-1", "bogota");
+  fleet.PublishInstances();
+  json::value pool;
+  pool.Set("model", "reports");
+  fleet.Put("BackendPool", "pool", pool);
+  const auto key = fleet.AddCustomer("geoandina");
+  BOOST_REQUIRE(fleet.WaitUntilServing(key, "reports"));
+  const auto port = engine.mServer->Port("http");
+  json::value slow;
+  slow.Set("per_token_us", 100000);
+  Send(port, "POST", "/control/faults", slow);
+  std::string prompt;
+  for (int i = 0; i < 100; ++i) {
+    prompt += "word ";
+  }
+  const auto late = Complete(entry.Callers(),
+                             key,
+                             "reports",
+                             prompt,
+                             100,
+                             { { "X-Deadline-Ms", "500" } });
+  BOOST_TEST(late.mStatus == 504);
+  BOOST_TEST(RanOf(late) == "outcome_unknown");
+  const auto countRunning = [&] {
+    return json::IntegerAt(Send(port, "GET", "/load").mBody, "running", -1);
+  };
+  BOOST_TEST(WaitFor([&] { return countRunning() == 0; }, 5s),
+             "the engine still generates");
+  const auto log = Send(port, "GET", "/control/log");
+  BOOST_TEST(log.mBody.Find("runs")->Elements().size() == 2u);
+}
+
 // A client uses a key again for another booking by mistake.
 BOOST_AUTO_TEST_CASE(KeyUsedAgainWithAnotherBody)
 {
