The ledger's bounds are tested; 8,000 ended rows instead of 20,000

Measured (trial program over Admit/Finish): a row takes 632 bytes; with the bound at 8,000, 300,000 refused orders leave 8,064 rows and 7.3 MB resident, answers of 4 KB stop at 8.4 MB and 10.0 MB resident. 20,000 rows would have taken more than half of the agent's 32 MB. TestLedgerBounds floods the table and then sends late copies: none is queued.

--- a/Duties/Dispatch/Ledger.h
+++ b/Duties/Dispatch/Ledger.h
@@ -35,7 +35,7 @@
   milliseconds mMaximumDelay{ 1000 };
   admission::queue_policy mPolicy = admission::queue_policy::Fair;
   /** Rows of ended requests; beyond it the oldest are forgotten early. */
-  std::size_t mMaximumEnded = 20000;
+  std::size_t mMaximumEnded = 8000;
   /** Bytes of kept answers; beyond it the oldest are forgotten early. */
   std::size_t mMaximumAnswerBytes = 8u << 20;
 };
