HTTP calls end by their timeout; TLS stays between processes

TLS over the library's HTTP was tried and reverted: the handshake heeds no timeout (a silent listener held a call beyond 10 s with 500 ms), and its server hung on bodies of 9,000, 16,000 and 900,000 bytes while 8,000, 17,000 and 200,000 passed, since decrypted bytes wait without a wake-up. The platform's balancer ends callers' TLS.

--- a/Libraries/Http/Client.h
+++ b/Libraries/Http/Client.h
@@ -14,9 +14,6 @@
 {
   std::string mAddress;
   std::uint16_t mPort = 0;
-  /** PEM file of the authority that must have signed the server's
-   * certificate; plain HTTP when empty. */
-  std::string mAuthority = {};
 };
 
 /** Reads "ADDRESS:PORT"; none when it isn't one. */
--- a/Libraries/Http/Server.cpp
+++ b/Libraries/Http/Server.cpp
@@ -264,12 +264,8 @@
     // the listening sockets before and after are compared.
     std::lock_guard lock(gListenMutex);
     const auto before = ListeningSockets();
-    self.mServer =
-      std::make_unique<cxxtools::http::Server>(self.mLoop,
-                                               options.mAddress,
-                                               options.mPort,
-                                               options.mCertificateFile,
-                                               options.mPrivateKeyFile);
+    self.mServer = std::make_unique<cxxtools::http::Server>(
+      self.mLoop, options.mAddress, options.mPort);
     for (const int socket : ListeningSockets()) {
       if (before.count(socket) == 0) {
         self.mPort = PortOf(socket);
--- a/Libraries/Http/Server.h
+++ b/Libraries/Http/Server.h
@@ -22,9 +22,6 @@
   unsigned mMaximumThreads = 256;
   std::chrono::milliseconds mReadTimeout{ 10000 };
   std::chrono::milliseconds mKeepAlive{ 30000 };
-  /** PEM files; plain HTTP when empty. */
-  std::string mCertificateFile;
-  std::string mPrivateKeyFile;
 };
 
 /** An HTTP listener with a thread of its own for the event loop.
--- a/Libraries/Http/TestClient.cpp
+++ b/Libraries/Http/TestClient.cpp
@@ -1,4 +1,5 @@
 #include "Libraries/Http/Client.h"
+#include "Libraries/Http/Server.h"
 
 #include <arpa/inet.h>
 #include <atomic>
@@ -60,6 +61,60 @@
   std::thread mThread;
 };
 
+/** Answers one request with a byte every 50 ms. */
+class dripping_listener
+{
+public:
+  static constexpr int kAllBytes = 200;
+
+  dripping_listener()
+    : mSocket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    listen(mSocket, 1);
+    socklen_t size = sizeof address;
+    getsockname(mSocket, reinterpret_cast<sockaddr*>(&address), &size);
+    mPort = ntohs(address.sin_port);
+    mThread = std::thread([this] { Drip(); });
+  }
+  ~dripping_listener()
+  {
+    mIsStopping = true;
+    mThread.join();
+    close(mSocket);
+  }
+  dripping_listener(const dripping_listener&) = delete;
+  dripping_listener& operator=(const dripping_listener&) = delete;
+
+  std::uint16_t Port() const { return mPort; }
+  int BytesSent() const { return mSent; }
+
+private:
+  void Drip()
+  {
+    const int peer = accept(mSocket, nullptr, nullptr);
+    std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 150\r\n\r\n";
+    answer.resize(kAllBytes, 'x');
+    for (const char byte : answer) {
+      if (mIsStopping || send(peer, &byte, 1, MSG_NOSIGNAL) != 1) {
+        break;
+      }
+      ++mSent;
+      std::this_thread::sleep_for(50ms);
+    }
+    close(peer);
+  }
+
+  const int mSocket;
+  std::uint16_t mPort = 0;
+  std::atomic<int> mSent{ 0 };
+  std::atomic<bool> mIsStopping{ false };
+  std::thread mThread;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(TestClient)
@@ -92,4 +147,30 @@
   BOOST_TEST((outcome.mState == http::call_state::NotSent));
 }
 
+// A server drips its answer byte by byte. Each byte restarts a timeout that
+// counts from byte to byte, so the calling thread is held for as long as the
+// server likes.
+BOOST_AUTO_TEST_CASE(ADrippingAnswerEndsByTheTimeout)
+{
+  dripping_listener server;
+  const auto outcome = http::Call({ "127.0.0.1", server.Port() }, {}, 600ms);
+  BOOST_TEST(server.BytesSent() > 2);
+  BOOST_TEST((outcome.mState == http::call_state::Unknown));
+  BOOST_TEST(server.BytesSent() < dripping_listener::kAllBytes);
+}
+
+BOOST_AUTO_TEST_CASE(ALongAnswerComesWhole)
+{
+  std::string body(3 << 20, 'a');
+  for (std::size_t i = 0; i < body.size(); i += 7) {
+    body[i] = static_cast<char>('a' + i % 26);
+  }
+  http::server server({}, [&](const http::request&) {
+    return http::response{ 200, "text/plain", {}, body };
+  });
+  const auto outcome = http::Call({ "127.0.0.1", server.Port() }, {}, 10s);
+  BOOST_REQUIRE((outcome.mState == http::call_state::Answered));
+  BOOST_TEST((outcome.mResponse.mBody == body));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -189,13 +189,6 @@
       { "debug", "info", "warning", "error" },
       false },
   };
-  declared.push_back(settings::OptionalFile(
-    "certificate", "Certificate for callers and operators, PEM."));
-  declared.push_back(settings::OptionalFile(
-    "private-key", "Private key of that certificate, PEM."));
-  declared.push_back(settings::OptionalFile(
-    "platform-authority",
-    "Authority of the platform's certificate, PEM; plain HTTP without it."));
   for (auto& setting : wire::DeclareSecurity()) {
     declared.push_back(std::move(setting));
   }
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -33,8 +33,6 @@
   options.mMaximumThreads = aThreads;
   options.mMaximumBodyBytes =
     static_cast<std::size_t>(aValues.Integer("maximum-body"));
-  options.mCertificateFile = aValues.Text("certificate");
-  options.mPrivateKeyFile = aValues.Text("private-key");
   return options;
 }
 
@@ -207,7 +205,6 @@
   metrics::registry metrics;
   platform::client platformClient;
   platformClient.mEndpoint = *http::ParseEndpoint(aValues.Text("platform"));
-  platformClient.mEndpoint.mAuthority = aValues.Text("platform-authority");
   platformClient.mCaller = aValues.Text("name");
   platformClient.mMetrics = &metrics;
 
