A key's record outlives its request's deadline; histories remove records

The record now names the time until which it stays, past the request's own deadline. The histories remove records after an hour and hold the key's runs on. A silent store is provoked on the real binaries (TestSilentConnection/SilentPlatform- HoldsNoBooking).

--- a/Duties/Dispatch/CallRecord.h
+++ b/Duties/Dispatch/CallRecord.h
@@ -19,7 +19,9 @@
   attempt_ticket mTicket;
   /** Digest of the request that the key was first used with. */
   std::string mFingerprint;
-  std::chrono::system_clock::time_point mCreatedAt;
+  /** Until then the record stays; later than the request's own deadline, so
+   * that no run outlives the memory of its key. */
+  std::chrono::system_clock::time_point mKeepUntil;
 };
 
 json::value
--- a/Duties/Dispatch/IdempotentCall.cpp
+++ b/Duties/Dispatch/IdempotentCall.cpp
@@ -20,6 +20,16 @@
 constexpr milliseconds kSilencePause = 1000ms;
 constexpr std::size_t kMaximumRecords = 200000;
 
+/** How long a record outlives the deadline of its request at least. */
+constexpr milliseconds kKeepAfterDeadline = 1000ms;
+
+milliseconds
+Left(const call& aCall)
+{
+  return std::chrono::duration_cast<milliseconds>(aCall.mDeadline -
+                                                  boot_clock::now());
+}
+
 bool
 IsAnswered(const platform::write_result& aWritten)
 {
@@ -125,7 +135,9 @@
   aState.mOwn.mTicket = mDispatch.Issue(
     aCall.mRequestId + "." + std::to_string(attempts + 1), *server);
   aState.mOwn.mFingerprint = aCall.mFingerprint;
-  aState.mOwn.mCreatedAt = system_clock::now();
+  aState.mOwn.mKeepUntil =
+    system_clock::now() +
+    std::max<milliseconds>(mOptions.mKeep, Left(aCall) + kKeepAfterDeadline);
   return WriteOwn(aState, aName, aCall);
 }
 
@@ -144,8 +156,8 @@
   if (next == record_step::RunOwn) {
     std::lock_guard lock(mMutex);
     if (mRecords.size() < kMaximumRecords) {
-      mRecords.push_back(
-        { aName, aState.mExpectedRevision, aState.mOwn.mCreatedAt });
+      mRecords.emplace(aState.mOwn.mKeepUntil,
+                       old_record{ aName, aState.mExpectedRevision });
     }
   }
   return next;
@@ -223,13 +235,13 @@
   }
   // A living entry removes its own records in time, so that those well over
   // it have none.
-  const auto leftBefore = system_clock::now() - mOptions.mKeep * 3 / 2;
+  const auto leftBefore = system_clock::now() - mOptions.mKeep / 2;
   std::lock_guard lock(mMutex);
   for (const auto& object : left->mObjects) {
     const auto record = ReadCallRecord(object.mValue);
-    if (record && record->mCreatedAt < leftBefore) {
-      mRecords.push_front(
-        { object.mName, object.mRevision, record->mCreatedAt });
+    if (record && record->mKeepUntil < leftBefore) {
+      mRecords.emplace(record->mKeepUntil,
+                       old_record{ object.mName, object.mRevision });
     }
   }
 }
@@ -241,12 +253,13 @@
     old_record oldest;
     {
       std::lock_guard lock(mMutex);
-      if (mIsStopping || mRecords.empty() ||
-          system_clock::now() - mRecords.front().mCreatedAt < mOptions.mKeep) {
+      const auto first = mRecords.begin();
+      if (mIsStopping || first == mRecords.end() ||
+          system_clock::now() < first->first) {
         return;
       }
-      oldest = std::move(mRecords.front());
-      mRecords.pop_front();
+      oldest = std::move(first->second);
+      mRecords.erase(first);
     }
     // Conditional: a record that another request took over stays.
     const auto removed = platform::Delete(
--- a/Duties/Dispatch/IdempotentCall.h
+++ b/Duties/Dispatch/IdempotentCall.h
@@ -5,7 +5,7 @@
 #include "Libraries/Core/BoundedRing.h"
 
 #include <condition_variable>
-#include <deque>
+#include <map>
 #include <mutex>
 #include <thread>
 
@@ -47,7 +47,6 @@
   {
     std::string mName;
     std::int64_t mRevision = 0;
-    std::chrono::system_clock::time_point mCreatedAt;
   };
 
   record_step TakeStep(record_step aStep,
@@ -77,7 +76,8 @@
   std::mutex mMutex;
   /** Until then requests are refused without asking the platform. */
   time_point mPlatformSilentUntil;
-  std::deque<old_record> mRecords;
+  /** Records to remove, by the time until which they stay. */
+  std::multimap<std::chrono::system_clock::time_point, old_record> mRecords;
   bool mIsStopping = false;
   std::condition_variable mStopped;
   std::thread mRemover;
--- a/Duties/Dispatch/TestHistoryModel.cpp
+++ b/Duties/Dispatch/TestHistoryModel.cpp
@@ -11,6 +11,8 @@
 
 constexpr std::size_t kMaximumCalls = 12;
 constexpr int kKeys = 2;
+/** Longer than any deadline in the model, as in the binaries. */
+constexpr milliseconds kKeepRecords = 3600000ms;
 
 std::string
 IncarnationOf(std::size_t aServer, int aProcess)
@@ -336,7 +338,9 @@
   if (present != aCall.mIdempotent.mExpectedRevision) {
     if (!isLost) {
       written.mState = platform::write_state::Conflict;
-      written.mCurrent = found->second;
+      if (found != mStore.end()) {
+        written.mCurrent = found->second;
+      }
     }
     return;
   }
@@ -441,12 +445,29 @@
 void
 world::Advance(std::uint32_t aChoice)
 {
-  static constexpr milliseconds kSpans[] = { 10ms,    600ms,   6000ms,
-                                             40000ms, 70000ms, 700000ms };
-  mNow += kSpans[aChoice % 6];
+  static constexpr milliseconds kSpans[] = { 10ms,     600ms,   6000ms,
+                                             40000ms,  70000ms, 700000ms,
+                                             3700000ms };
+  constexpr std::uint32_t kCount = sizeof kSpans / sizeof *kSpans;
+  const auto span = kSpans[aChoice % kCount];
+  mNow += span;
   for (auto& agent : mAgents) {
     Sweep(agent.mLedger, mNow);
   }
+  if (span > kKeepRecords && !mStore.empty()) {
+    RemoveRecords();
+  }
+}
+
+void
+world::RemoveRecords()
+{
+  ++mFaults["records_removed"];
+  mStore.clear();
+  mRunsByKey.clear();
+  for (auto& call : mCalls) {
+    call.mIsKeyForgotten = true;
+  }
 }
 
 void
@@ -527,7 +548,9 @@
   } else if (aOutcome.mRan == ran::Ran) {
     ++mFaults["told_answer"];
     const auto& body = aOutcome.mResult.body;
-    if (aCall.mKey) {
+    if (aCall.mKey && aCall.mIsKeyForgotten) {
+      Claim(body.rfind("answer to r", 0) == 0, "no answer: " + aCall.mId);
+    } else if (aCall.mKey) {
       Claim(mRunsByKey[*aCall.mKey] == 1 && body.rfind("answer to r", 0) == 0,
             "answer without a run for the key: " + aCall.mId);
     } else {
--- a/Duties/Dispatch/TestHistoryModel.h
+++ b/Duties/Dispatch/TestHistoryModel.h
@@ -58,7 +58,8 @@
   /** Requests with the same Idempotency-Key; none without one. */
   std::optional<int> mKey;
   bool mIsRepeatable = false;
-  bool mIsAbandonedByEntry = false;
+  /** The record of its key was removed after its time. */
+  bool mIsKeyForgotten = false;
   time_point mDeadline;
   std::string mStopReason;
   call_phase mPhase = call_phase::Over;
@@ -92,6 +93,7 @@
 private:
   void StartCall(std::uint32_t aChoice);
   void Advance(std::uint32_t aChoice);
+  void RemoveRecords();
   void Restart(std::uint32_t aChoice);
   void RunServer(std::uint32_t aChoice);
   void EndRun(std::uint32_t aChoice);
--- a/Duties/Dispatch/TestLedgerHistories.cpp
+++ b/Duties/Dispatch/TestLedgerHistories.cpp
@@ -63,6 +63,7 @@
                              "retried",
                              "record_replaced",
                              "followed_another",
+                             "records_removed",
                              "platform_gave_no_answer",
                              "answer_lost_after_the_write",
                              "told_answer",
--- a/Tests/TestSilentConnection.cpp
+++ b/Tests/TestSilentConnection.cpp
@@ -153,6 +153,30 @@
   BOOST_TEST(agent.WaitForExit(20s) == 0);
 }
 
+// The platform's store accepts connections and never answers. A booking with a
+// key is refused in bounded time, the next ones at once, and none is made;
+// bookings without a key don't wait for it.
+BOOST_AUTO_TEST_CASE(SilentPlatformHoldsNoBooking)
+{
+  desk_site site;
+  site.Fleet().Platform().Signal(SIGSTOP);
+  for (int i = 0; i < 3; ++i) {
+    const auto body = "no store " + std::to_string(i);
+    const auto start = stopwatch::now();
+    const auto refused = site.Book("entry-1", body, body);
+    BOOST_TEST_MESSAGE("refusal " << i << " with a silent platform after "
+                                  << MillisecondsSince(start) << " ms");
+    BOOST_TEST(ReasonOf(refused) == "platform_unavailable");
+    BOOST_TEST(RanOf(refused) == "not_run");
+    BOOST_TEST(site.RunsOf(body) == 0);
+    BOOST_TEST(site.Book("entry-1", body + " no key").mStatus == 200);
+  }
+  site.Fleet().Platform().Signal(SIGCONT);
+  BOOST_TEST(WaitFor(
+    [&] { return site.Book("entry-1", "store", "key-store").mStatus == 200; }));
+  BOOST_TEST(site.RunsOf("store") == 1);
+}
+
 // A caller gives two seconds for an answer, and the agent is silent. The
 // refusal comes at the deadline, not when the entry gives the agent up.
 BOOST_AUTO_TEST_CASE(DeadlineHoldsWhileTheAgentIsSilent)
