The HTTP client keeps its request until the call has ended

Cause: the library's event-driven client keeps a pointer to the request; a temporary was gone by the time it was written, and servers answered 500 'invalid http header'.

--- a/Libraries/Http/Client.cpp
+++ b/Libraries/Http/Client.cpp
@@ -140,12 +140,14 @@
 {
   call_result outcome;
   const auto end = std::chrono::steady_clock::now() + aTimeout;
+  // The library keeps a pointer to the request until the call has ended.
+  const auto request = ToLibraryRequest(aRequest);
   cxxtools::Selector selector;
   cxxtools::http::Client client;
   reception reception;
   try {
     Prepare(client, selector, aEndpoint, reception);
-    client.beginExecute(ToLibraryRequest(aRequest));
+    client.beginExecute(request);
     while (!reception.mHasFinished) {
       const auto left = end - std::chrono::steady_clock::now();
       if (left <= std::chrono::nanoseconds(0)) {
