The dead agent's test gives its relays time to freeze

Cause: TestRunOnce/AgentKilledAfterTheRun failed once in a loaded run: the run took 400 ms and its answer had left before the relays were frozen, so the fault didn't happen. The run takes 2 s now; what is checked stays.

--- a/Tests/TestRunOnce.cpp
+++ b/Tests/TestRunOnce.cpp
@@ -97,7 +97,9 @@
 {
   desk_site site;
   auto relays = site.PutRelaysBeforeAgents();
-  site.SetSlowness(400ms);
+  // Long enough for the relays to freeze before the run ends, on a loaded
+  // machine too.
+  site.SetSlowness(2000ms);
   auto booking = site.BookAside("entry-1", "after", "key-after");
   BOOST_REQUIRE(WaitForRun(site, "after"));
   const auto ended = site.RunsEnded();
