Usage windows: fixed once, reported unchanged, every request billed once

One reporter, under the lease "usage", collects from all agents and entries, fixes a window's figures by a conditional create of kind UsageWindow, reports them on a guarded connection and only then lets the witnesses forget them. The newest window carries marks of all that is included, one per agent, so a bucket is in exactly one report. An agent closes a window before it tells of it. An entry that leaves writes its counts to kind UsageRemainder; a drained agent hands over its open window. Operators read kind UsageWindow.

--- a/Duties/Configuration/ResourceApi.cpp
+++ b/Duties/Configuration/ResourceApi.cpp
@@ -8,6 +8,9 @@
 namespace lavender::configuration {
 namespace {
 
+/** Written by the system only; operators may read it. */
+constexpr char kUsageWindow[] = "UsageWindow";
+
 http::response
 JsonResponse(int aStatus, const json::value& aBody)
 {
@@ -235,20 +238,20 @@
                 body.Set("items", std::move(items));
                 return JsonResponse(200, body);
               });
-  aRouter.Add("GET",
-              "/v1/resources/*/*",
-              [aPlatform](const auto&, const http::path_parts& aParts) {
-                const auto read =
-                  platform::Read(aPlatform, aParts[0], aParts[1]);
-                if (read.mState == platform::read_state::Failed) {
-                  return Refuse(503, "platform_unavailable", read.mLastReason);
-                }
-                if (read.mState == platform::read_state::Absent ||
-                    !IsConfigurationKind(aParts[0])) {
-                  return Refuse(404, "unknown_resource");
-                }
-                return JsonResponse(200, Describe(read.mObject));
-              });
+  aRouter.Add(
+    "GET",
+    "/v1/resources/*/*",
+    [aPlatform](const auto&, const http::path_parts& aParts) {
+      const auto read = platform::Read(aPlatform, aParts[0], aParts[1]);
+      if (read.mState == platform::read_state::Failed) {
+        return Refuse(503, "platform_unavailable", read.mLastReason);
+      }
+      if (read.mState == platform::read_state::Absent ||
+          !(IsConfigurationKind(aParts[0]) || aParts[0] == kUsageWindow)) {
+        return Refuse(404, "unknown_resource");
+      }
+      return JsonResponse(200, Describe(read.mObject));
+    });
   aRouter.Add(
     "PUT",
     "/v1/resources/*/*",
--- /dev/null
+++ b/Duties/Reports/UsageReporter.cpp
@@ -0,0 +1,381 @@
+#include "Duties/Reports/UsageReporter.h"
+
+#include "Duties/Leases/GuardedPost.h"
+#include "Libraries/Core/Log.h"
+
+#include <algorithm>
+
+namespace lavender::reports {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr char kLease[] = "usage";
+constexpr char kRemainderKind[] = "UsageRemainder";
+constexpr milliseconds kCallTimeout = 1000ms;
+/** After a window's end, for witnesses whose clocks are behind. */
+constexpr milliseconds kLongestCloseLag = 5000ms;
+/** A replaced agent's last answers reach their entries within this. */
+constexpr milliseconds kReplacedFor = 5000ms;
+/** An agent that may be cut off and come back is waited for longer. */
+constexpr milliseconds kSilentFor = 30000ms;
+constexpr milliseconds kRetryRemainderEvery = 200ms;
+
+using usage::usage_account;
+
+void
+TakeAll(std::vector<wire::usage_bucket>& aAll,
+        std::vector<wire::usage_bucket> aBuckets)
+{
+  std::move(aBuckets.begin(), aBuckets.end(), std::back_inserter(aAll));
+}
+
+/** The keys alone: what a witness needs to forget them. */
+std::vector<wire::usage_bucket>
+IncludedOf(const usage::usage_marks& aMarks,
+           const std::vector<wire::usage_bucket>& aBuckets)
+{
+  std::vector<wire::usage_bucket> included;
+  for (auto bucket : aBuckets) {
+    if (usage::IsIncluded(aMarks, bucket)) {
+      bucket.rows.clear();
+      included.push_back(std::move(bucket));
+    }
+  }
+  return included;
+}
+
+template<typename Pool>
+wire::wire_result<wire::usage_reply>
+Ask(Pool& aPool,
+    std::int64_t aThrough,
+    const std::vector<wire::usage_bucket>& aSettled = {})
+{
+  wire::usage_query query;
+  query.echo = "usage" + std::to_string(aThrough);
+  query.through_window = aThrough;
+  query.settled = aSettled;
+  return aPool.template Run<wire::usage_reply>(
+    kCallTimeout, query.echo, [&](auto& aClient, auto& aReply) {
+      aClient.CollectUsage(aReply, query);
+    });
+}
+
+usage::agent_offer
+ToOffer(const wire::usage_reply& aReply)
+{
+  return { aReply.incarnation, aReply.closed_through, aReply.buckets };
+}
+
+} // namespace
+
+usage_reporter::usage_reporter(reporter_options aOptions,
+                               membership::server_directory& aDirectory,
+                               usage_account& aOwnAccount)
+  : mOptions(std::move(aOptions))
+  , mDirectory(aDirectory)
+  , mOwnAccount(aOwnAccount)
+  , mStore(mOptions.mPlatform)
+{
+}
+
+usage_reporter::~usage_reporter()
+{
+  Stop();
+}
+
+void
+usage_reporter::Start()
+{
+  mThread = std::thread([this] { Run(); });
+}
+
+void
+usage_reporter::Stop()
+{
+  {
+    std::lock_guard lock(mMutex);
+    mIsStopping = true;
+  }
+  mStopped.notify_all();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+  if (mOptions.mLetExpire && mUnansweredAt &&
+      boot_clock::now() - *mUnansweredAt < mOptions.mLateBytes) {
+    mOptions.mLetExpire(kLease);
+  }
+}
+
+void
+usage_reporter::Run()
+{
+  std::unique_lock lock(mMutex);
+  while (!mIsStopping) {
+    lock.unlock();
+    if (const auto lease = mOptions.mLeases(kLease)) {
+      Look(*lease);
+    }
+    lock.lock();
+    mStopped.wait_for(
+      lock, mOptions.mLookEvery, [this] { return mIsStopping; });
+  }
+}
+
+bool
+usage_reporter::IsStopping()
+{
+  std::lock_guard lock(mMutex);
+  return mIsStopping;
+}
+
+void
+usage_reporter::Look(const leases::held_lease& aLease)
+{
+  const auto now = std::chrono::system_clock::now();
+  if (mFencing != aLease.mFencing) {
+    if (!mStore.Load(usage::WindowOf(now, mOptions.mWindow) - 1)) {
+      return;
+    }
+    mFencing = aLease.mFencing;
+    mMissingSince.clear();
+  }
+  CollectDrained();
+  const milliseconds window = mOptions.mWindow;
+  const auto lag = std::min(window / 4, kLongestCloseLag);
+  const auto closed = usage::WindowOf(now - lag, mOptions.mWindow) - 1;
+  // Windows that were missed, as in an outage, follow one by one.
+  while (!IsStopping()) {
+    const auto lease = mOptions.mLeases(kLease);
+    if (!lease || lease->mFencing != mFencing) {
+      return;
+    }
+    if (!mStore.Newest().mIsReported && !Report(*lease)) {
+      return;
+    }
+    if (mStore.Newest().mWindow >= closed) {
+      return;
+    }
+    FixNext(mStore.Newest().mWindow + 1);
+    if (!mStore.Newest().mIsReported) {
+      continue;
+    }
+    // Not fixed: another look tells more.
+    mFencing = 0;
+    return;
+  }
+}
+
+void
+usage_reporter::FixNext(std::int64_t aWindow)
+{
+  const auto all = Collect(aWindow);
+  const auto report = usage::MakeReport(
+    aWindow,
+    all.mAgents,
+    all.mFromEntries,
+    [this](const std::string& aAgent) { return IsGone(aAgent); },
+    mStore.Newest().mMarks);
+  if (mStore.Fix(report)) {
+    Settle();
+  }
+}
+
+bool
+usage_reporter::Report(const leases::held_lease& aLease)
+{
+  const auto& report = mStore.Newest();
+  auto body = usage::DescribeFigures(report);
+  body.Set("window_seconds",
+           static_cast<std::int64_t>(mOptions.mWindow.count()));
+  body.Set("fencing", aLease.mFencing);
+  body.Set("holder", mOptions.mPlatform.mCaller);
+  const auto answer =
+    leases::PostUnderLease(mOptions.mPlatform,
+                           "/v1/usage/" + std::to_string(report.mWindow),
+                           body,
+                           aLease);
+  const bool isTaken = answer.mState == http::call_state::Answered &&
+                       answer.mResponse.mStatus == 200;
+  if (mOptions.mMetrics) {
+    mOptions.mMetrics->Count("lavender_usage_reports_total",
+                             { { "result", isTaken ? "done" : "unknown" } });
+  }
+  if (!isTaken) {
+    mUnansweredAt = boot_clock::now();
+    return false;
+  }
+  Log(log_level::Info,
+      "usage",
+      "Reported window=" + std::to_string(report.mWindow));
+  return mStore.NoteReported();
+}
+
+usage_reporter::collection
+usage_reporter::Collect(std::int64_t aThrough)
+{
+  collection all;
+  // Entries first: what an entry has counted by now, its agent has too.
+  CollectEntries(aThrough, all);
+  CollectRemainders(all);
+  CollectAgents(aThrough, all);
+  for (const auto& offer : all.mAgents) {
+    mMissingSince.erase(offer.mIncarnation);
+  }
+  for (const auto& [incarnation, offer] : mDrained) {
+    all.mAgents.push_back(offer);
+  }
+  return all;
+}
+
+void
+usage_reporter::CollectAgents(std::int64_t aThrough, collection& aAll)
+{
+  for (const auto& server : mDirectory.Servers()) {
+    const auto answer = Ask(*server.mConnections, aThrough);
+    if (answer.mState == wire::wire_state::Answered) {
+      aAll.mAgents.push_back(ToOffer(answer.mReply));
+    }
+  }
+}
+
+void
+usage_reporter::CollectDrained()
+{
+  const auto& marks = mStore.Newest().mMarks;
+  for (auto each = mDrained.begin(); each != mDrained.end();) {
+    const auto mark = marks.mAgents.find(each->first);
+    const bool isFixed = mark != marks.mAgents.end() &&
+                         mark->second >= each->second.mClosedThrough;
+    each = isFixed ? mDrained.erase(each) : ++each;
+  }
+  for (const auto& server : mDirectory.Servers()) {
+    if (!server.mIsLeaving) {
+      continue;
+    }
+    const auto answer = Ask(*server.mConnections, mStore.Newest().mWindow);
+    if (answer.mState == wire::wire_state::Answered &&
+        !answer.mReply.buckets.empty()) {
+      mDrained[answer.mReply.incarnation] = ToOffer(answer.mReply);
+    }
+  }
+}
+
+void
+usage_reporter::CollectEntries(std::int64_t aThrough, collection& aAll)
+{
+  TakeAll(aAll.mFromEntries, mOwnAccount.Buckets(aThrough));
+  for (const auto& entry : mDirectory.Entries()) {
+    if (entry.mName == mOptions.mEntryName) {
+      continue;
+    }
+    auto answer = Ask(PoolFor(entry), aThrough);
+    if (answer.mState == wire::wire_state::Answered) {
+      TakeAll(aAll.mFromEntries, std::move(answer.mReply.buckets));
+    }
+  }
+}
+
+void
+usage_reporter::CollectRemainders(collection& aAll)
+{
+  if (const auto list = platform::List(mOptions.mPlatform, kRemainderKind)) {
+    for (const auto& object : list->mObjects) {
+      TakeAll(aAll.mFromEntries, usage::ParseBuckets(object.mValue));
+    }
+  }
+}
+
+void
+usage_reporter::Settle()
+{
+  const auto& report = mStore.Newest();
+  const auto settle = [&](auto& aPool) {
+    // Asked again, since an answer taken before the fix may be older.
+    const auto answer = Ask(aPool, report.mWindow);
+    if (answer.mState != wire::wire_state::Answered) {
+      return;
+    }
+    const auto included = IncludedOf(report.mMarks, answer.mReply.buckets);
+    if (!included.empty()) {
+      Ask(aPool, report.mWindow, included);
+    }
+  };
+  for (const auto& server : mDirectory.Servers()) {
+    settle(*server.mConnections);
+  }
+  for (const auto& entry : mDirectory.Entries()) {
+    if (entry.mName != mOptions.mEntryName) {
+      settle(PoolFor(entry));
+    }
+  }
+  mOwnAccount.Settle(
+    IncludedOf(report.mMarks, mOwnAccount.Buckets(report.mWindow)));
+  const auto list = platform::List(mOptions.mPlatform, kRemainderKind);
+  if (!list) {
+    return;
+  }
+  for (const auto& object : list->mObjects) {
+    const auto buckets = usage::ParseBuckets(object.mValue);
+    if (IncludedOf(report.mMarks, buckets).size() == buckets.size()) {
+      platform::Delete(
+        mOptions.mPlatform, kRemainderKind, object.mName, object.mRevision);
+    }
+  }
+}
+
+bool
+usage_reporter::IsGone(const std::string& aAgentIncarnation)
+{
+  const auto now = boot_clock::now();
+  const auto since = mMissingSince.try_emplace(aAgentIncarnation, now);
+  const auto servers = mDirectory.Servers();
+  const bool mayComeBack =
+    std::any_of(servers.begin(), servers.end(), [&](const auto& aServer) {
+      return aServer.mIncarnation == aAgentIncarnation;
+    });
+  const auto wait = mayComeBack
+                      ? std::max<milliseconds>(kSilentFor, 3 * mOptions.mWindow)
+                      : kReplacedFor;
+  return now - since.first->second >= wait;
+}
+
+usage_reporter::entry_pool&
+usage_reporter::PoolFor(const platform::instance& aEntry)
+{
+  auto& pool = mPools[http::FormatEndpoint(aEntry.mEndpoint)];
+  if (!pool) {
+    pool = std::make_unique<entry_pool>(aEntry.mEndpoint, kCallTimeout);
+  }
+  return *pool;
+}
+
+bool
+WriteRemainder(const platform::client& aPlatform,
+               const std::string& aEntryIncarnation,
+               const usage_account& aAccount,
+               time_point aDeadline)
+{
+  const auto buckets =
+    aAccount.Buckets(std::numeric_limits<std::int64_t>::max());
+  if (buckets.empty()) {
+    return true;
+  }
+  const auto described = usage::Describe(buckets);
+  do {
+    const auto written = platform::Write(
+      aPlatform, kRemainderKind, aEntryIncarnation, 0, described);
+    // A conflict can only be with an own write whose answer was lost.
+    if (written.mState == platform::write_state::Done ||
+        written.mState == platform::write_state::Conflict) {
+      return true;
+    }
+    std::this_thread::sleep_for(kRetryRemainderEvery);
+  } while (boot_clock::now() < aDeadline);
+  Log(log_level::Error,
+      "usage",
+      "Counts not handed over buckets=" + std::to_string(buckets.size()));
+  return false;
+}
+
+} // namespace lavender::reports
--- a/Duties/Usage/UsageAccount.cpp
+++ b/Duties/Usage/UsageAccount.cpp
@@ -1,5 +1,7 @@
 #include "Duties/Usage/UsageAccount.h"
 
+#include <algorithm>
+
 namespace lavender::usage {
 
 void
@@ -11,8 +13,44 @@
                      std::int64_t aCompletionTokens)
 {
   std::lock_guard lock(mMutex);
-  auto& row =
-    mBuckets[{ aAgentIncarnation, aEntryIncarnation, aWindow }][aCustomer];
+  Add({ aAgentIncarnation, aEntryIncarnation, aWindow },
+      aCustomer,
+      aPromptTokens,
+      aCompletionTokens);
+}
+
+std::int64_t
+usage_account::CountRun(const std::string& aAgentIncarnation,
+                        const std::string& aEntryIncarnation,
+                        const std::string& aCustomer,
+                        std::int64_t aWindow,
+                        std::int64_t aPromptTokens,
+                        std::int64_t aCompletionTokens)
+{
+  std::lock_guard lock(mMutex);
+  const auto window = std::max(aWindow, mClosedThrough + 1);
+  Add({ aAgentIncarnation, aEntryIncarnation, window },
+      aCustomer,
+      aPromptTokens,
+      aCompletionTokens);
+  return window;
+}
+
+std::int64_t
+usage_account::Close(std::int64_t aThroughWindow)
+{
+  std::lock_guard lock(mMutex);
+  mClosedThrough = std::max(mClosedThrough, aThroughWindow);
+  return mClosedThrough;
+}
+
+void
+usage_account::Add(const bucket_key& aKey,
+                   const std::string& aCustomer,
+                   std::int64_t aPromptTokens,
+                   std::int64_t aCompletionTokens)
+{
+  auto& row = mBuckets[aKey][aCustomer];
   row.customer = aCustomer;
   ++row.requests;
   row.prompt_tokens += aPromptTokens;
--- a/Duties/Usage/UsageAccount.h
+++ b/Duties/Usage/UsageAccount.h
@@ -29,6 +29,21 @@
              std::int64_t aPromptTokens,
              std::int64_t aCompletionTokens);
 
+  /** Counts one run at the agent, in its window or, when that is closed, in the
+   * first one that isn't.
+   * @return window that it was counted in */
+  std::int64_t CountRun(const std::string& aAgentIncarnation,
+                        const std::string& aEntryIncarnation,
+                        const std::string& aCustomer,
+                        std::int64_t aWindow,
+                        std::int64_t aPromptTokens,
+                        std::int64_t aCompletionTokens);
+
+  /** Closes the windows up to that one: whoever is told of their buckets can
+   * rely on getting them whole. Closed windows stay closed.
+   * @return newest closed window */
+  std::int64_t Close(std::int64_t aThroughWindow);
+
   /** Buckets of windows up to that one that aren't settled. */
   std::vector<wire::usage_bucket> Buckets(std::int64_t aThroughWindow) const;
 
@@ -38,7 +53,13 @@
 private:
   using bucket_key = std::tuple<std::string, std::string, std::int64_t>;
 
+  void Add(const bucket_key& aKey,
+           const std::string& aCustomer,
+           std::int64_t aPromptTokens,
+           std::int64_t aCompletionTokens);
+
   mutable std::mutex mMutex;
+  std::int64_t mClosedThrough = -1;
   std::map<bucket_key, std::map<std::string, wire::usage_row>> mBuckets;
 };
 
--- a/Libraries/Wire/Generated/lavender_types.cpp
+++ b/Libraries/Wire/Generated/lavender_types.cpp
@@ -2654,6 +2654,10 @@
 void usage_reply::__set_buckets(const std::vector<usage_bucket> & val) {
   this->buckets = val;
 }
+
+void usage_reply::__set_closed_through(const int64_t val) {
+  this->closed_through = val;
+}
 std::ostream& operator<<(std::ostream& out, const usage_reply& obj)
 {
   obj.printTo(out);
@@ -2718,6 +2722,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->closed_through);
+          this->__isset.closed_through = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2755,6 +2767,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("closed_through", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->closed_through);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2765,6 +2781,7 @@
   swap(a.echo, b.echo);
   swap(a.incarnation, b.incarnation);
   swap(a.buckets, b.buckets);
+  swap(a.closed_through, b.closed_through);
   swap(a.__isset, b.__isset);
 }
 
@@ -2772,12 +2789,14 @@
   echo = other55.echo;
   incarnation = other55.incarnation;
   buckets = other55.buckets;
+  closed_through = other55.closed_through;
   __isset = other55.__isset;
 }
 usage_reply& usage_reply::operator=(const usage_reply& other56) {
   echo = other56.echo;
   incarnation = other56.incarnation;
   buckets = other56.buckets;
+  closed_through = other56.closed_through;
   __isset = other56.__isset;
   return *this;
 }
@@ -2787,6 +2806,7 @@
   out << "echo=" << to_string(echo);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "buckets=" << to_string(buckets);
+  out << ", " << "closed_through=" << to_string(closed_through);
   out << ")";
 }
 
--- a/Libraries/Wire/Generated/lavender_types.h
+++ b/Libraries/Wire/Generated/lavender_types.h
@@ -1080,10 +1080,11 @@
 std::ostream& operator<<(std::ostream& out, const usage_query& obj);
 
 typedef struct _usage_reply__isset {
-  _usage_reply__isset() : echo(false), incarnation(false), buckets(false) {}
+  _usage_reply__isset() : echo(false), incarnation(false), buckets(false), closed_through(false) {}
   bool echo :1;
   bool incarnation :1;
   bool buckets :1;
+  bool closed_through :1;
 } _usage_reply__isset;
 
 class usage_reply : public virtual ::apache::thrift::TBase {
@@ -1093,13 +1094,15 @@
   usage_reply& operator=(const usage_reply&);
   usage_reply() noexcept
               : echo(),
-                incarnation() {
+                incarnation(),
+                closed_through(0) {
   }
 
   virtual ~usage_reply() noexcept;
   std::string echo;
   std::string incarnation;
   std::vector<usage_bucket>  buckets;
+  int64_t closed_through;
 
   _usage_reply__isset __isset;
 
@@ -1109,6 +1112,8 @@
 
   void __set_buckets(const std::vector<usage_bucket> & val);
 
+  void __set_closed_through(const int64_t val);
+
   bool operator == (const usage_reply & rhs) const
   {
     if (!(echo == rhs.echo))
@@ -1117,6 +1122,8 @@
       return false;
     if (!(buckets == rhs.buckets))
       return false;
+    if (!(closed_through == rhs.closed_through))
+      return false;
     return true;
   }
   bool operator != (const usage_reply &rhs) const {
--- a/Libraries/Wire/lavender.thrift
+++ b/Libraries/Wire/lavender.thrift
@@ -163,7 +163,9 @@
 struct usage_reply {
   1: string echo,
   2: string incarnation,
-  3: list<usage_bucket> buckets
+  3: list<usage_bucket> buckets,
+  // An agent adds nothing more to windows up to this one.
+  4: i64 closed_through
 }
 
 struct drain_order {
--- a/Services/Agent/AgentHandler.cpp
+++ b/Services/Agent/AgentHandler.cpp
@@ -177,7 +177,14 @@
   aReply.echo = aQuery.echo;
   aReply.incarnation = mIdentity.mIncarnation;
   mUsage.Settle(aQuery.settled);
-  aReply.buckets = mUsage.Buckets(aQuery.through_window);
+  // A drained agent counts nothing more, so it hands over the open window too.
+  const bool isDrained =
+    mDispatch.IsDraining() && mDispatch.RequestsLeft() == 0;
+  const auto open =
+    usage::WindowOf(std::chrono::system_clock::now(), mIdentity.mUsageWindow);
+  aReply.closed_through =
+    mUsage.Close(isDrained ? open : std::min(aQuery.through_window, open - 1));
+  aReply.buckets = mUsage.Buckets(isDrained ? open : aQuery.through_window);
 }
 
 void
--- a/Services/Agent/AgentHandler.h
+++ b/Services/Agent/AgentHandler.h
@@ -18,6 +18,7 @@
   std::string mAvailabilityZone;
   std::string mPool;
   std::string mIncarnation;
+  std::chrono::seconds mUsageWindow{ 60 };
 };
 
 /** Serves the entries' messages by handing each to its duty. */
--- a/Services/Agent/main.cpp
+++ b/Services/Agent/main.cpp
@@ -89,14 +89,13 @@
     limits,
     backend,
     [&](const wire::dispatch_order& aOrder, wire::run_result& aResult) {
-      aResult.usage_window =
-        usage::WindowOf(std::chrono::system_clock::now(), window);
-      account.Count(incarnation,
-                    aOrder.entry_incarnation,
-                    aOrder.customer,
-                    aResult.usage_window,
-                    aResult.prompt_tokens,
-                    aResult.completion_tokens);
+      aResult.usage_window = account.CountRun(
+        incarnation,
+        aOrder.entry_incarnation,
+        aOrder.customer,
+        usage::WindowOf(std::chrono::system_clock::now(), window),
+        aResult.prompt_tokens,
+        aResult.completion_tokens);
     },
     [&](const wire::dispatch_order& aOrder, milliseconds aTimeout) {
       return weightGate.Run(aOrder, aTimeout);
@@ -105,7 +104,8 @@
     agent::identity{ aValues.Text("name"),
                      aValues.Text("zone"),
                      aValues.Text("pool"),
-                     incarnation },
+                     incarnation,
+                     window },
     backend,
     dispatcher,
     weightGate,
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Configuration/ResourceApi.h"
 #include "Duties/Leases/LeaseKeeper.h"
 #include "Duties/Orders/ZoneKeeper.h"
+#include "Duties/Reports/UsageReporter.h"
 #include "Libraries/Core/Identity.h"
 #include "Libraries/Core/Log.h"
 #include "Libraries/Core/TerminationSignal.h"
@@ -118,6 +119,25 @@
   return options;
 }
 
+reports::reporter_options
+ReporterOptions(const settings::values& aValues,
+                const platform::client& aPlatform,
+                leases::lease_keeper& aLeases,
+                metrics::registry& aMetrics)
+{
+  reports::reporter_options options;
+  options.mPlatform = aPlatform;
+  options.mLeases = aLeases.Source();
+  options.mLetExpire = [&aLeases](const std::string& aName) {
+    aLeases.LetExpire(aName);
+  };
+  options.mLateBytes = aValues.Milliseconds("lease-late-bytes");
+  options.mEntryName = aValues.Text("name");
+  options.mWindow = std::chrono::seconds(aValues.Integer("usage-window"));
+  options.mMetrics = &aMetrics;
+  return options;
+}
+
 int
 Run(const settings::values& aValues, termination_signal& aTermination)
 {
@@ -160,6 +180,10 @@
   dispatchOptions.mRouting = RoutingLimits(aValues);
   dispatch::entry_dispatch dispatcher(dispatchOptions, directory, metrics);
   usage::usage_account account;
+  reports::usage_reporter usageReporter(
+    ReporterOptions(aValues, platformClient, leaseKeeper, metrics),
+    directory,
+    account);
   entry::caller_api_options callerOptions;
   callerOptions.mEntryIncarnation = incarnation;
   callerOptions.mMaximumRequests = aValues.Integer("maximum-requests");
@@ -173,6 +197,7 @@
   configuration.Start();
   directory.Start();
   zoneKeeper.Start();
+  usageReporter.Start();
   std::atomic<bool> isDraining{ false };
   const auto healthRoutes =
     MakeHealthRoutes(metrics, configuration, isDraining);
@@ -215,6 +240,12 @@
   operatorServer.Stop();
   wireServer.Stop();
   zoneKeeper.Stop();
+  usageReporter.Stop();
+  reports::WriteRemainder(platformClient,
+                          incarnation,
+                          account,
+                          boot_clock::now() +
+                            aValues.Milliseconds("drain-deadline") / 4);
   leaseKeeper.Stop();
   directory.Stop();
   configuration.Stop();
