--- /dev/null
+++ b/Duties/Keys/FreshnessGate.cpp
@@ -0,0 +1,135 @@
+#include "Duties/Keys/FreshnessGate.h"
+
+namespace lavender::keys {
+namespace {
+
+bool
+IsYounger(const std::optional<time_point>& aAt,
+          milliseconds aLimit,
+          time_point aNow)
+{
+  return aAt && aNow - *aAt <= aLimit;
+}
+
+/** Half of the others or more can be heard. In an availability zone that is
+ * cut off from the platform and from all other zones, every process that can
+ * still be heard is as stale as this one; only the silence of the rest tells
+ * this from an outage for all. */
+bool
+HearsMost(const witness_summary& aWitnesses)
+{
+  return aWitnesses.mAudible * 2 >= aWitnesses.mKnown.value_or(0);
+}
+
+/** True once a condition has held for as long as the limit. */
+bool
+HasLasted(std::optional<time_point>& aSince,
+          bool aHolds,
+          milliseconds aLimit,
+          time_point aNow)
+{
+  if (!aHolds) {
+    aSince.reset();
+    return false;
+  }
+  if (!aSince) {
+    aSince = aNow;
+  }
+  return aNow - *aSince >= aLimit;
+}
+
+/** The store has answered somebody lately, well after it last answered this
+ * entry. */
+bool
+AreOthersFresher(const own_freshness& aOwn,
+                 const witness_summary& aWitnesses,
+                 const freshness_limits& aLimits,
+                 time_point aNow)
+{
+  return IsYounger(aWitnesses.mLatestProof, aLimits.mOwnProof, aNow) &&
+         (!aOwn.mProvenAt ||
+          *aWitnesses.mLatestProof - *aOwn.mProvenAt >= aLimits.mMargin);
+}
+
+/** An entry that has just started joins only when everybody known has been
+ * asked once and none of them knows a later change. Otherwise one that starts
+ * from an old disk, or hears an old copy of the store, would let withdrawn
+ * keys in. */
+bool
+MayJoin(const own_freshness& aOwn,
+        const witness_summary& aWitnesses,
+        const freshness_limits& aLimits,
+        time_point aNow)
+{
+  if (aOwn.mKnownUpTo == 0 || aOwn.mKnownUpTo < aWitnesses.mHighestChanged ||
+      !aWitnesses.mKnown || aWitnesses.mAsked < *aWitnesses.mKnown) {
+    return false;
+  }
+  return IsYounger(aOwn.mProvenAt, aLimits.mOwnProof, aNow) ||
+         (*aWitnesses.mKnown > 0 && HearsMost(aWitnesses));
+}
+
+} // namespace
+
+freshness
+Judge(freshness_state& aState,
+      const own_freshness& aOwn,
+      const witness_summary& aWitnesses,
+      const freshness_limits& aLimits,
+      time_point aNow)
+{
+  const bool isBehind = HasLasted(aState.mBehindSince,
+                                  aOwn.mKnownUpTo < aWitnesses.mHighestChanged,
+                                  aLimits.mCatchUp,
+                                  aNow);
+  const bool isCutOff =
+    HasLasted(aState.mCutOffSince,
+              AreOthersFresher(aOwn, aWitnesses, aLimits, aNow),
+              aLimits.mCatchUp,
+              aNow);
+  if (!aState.mHasJoined) {
+    if (!MayJoin(aOwn, aWitnesses, aLimits, aNow)) {
+      return freshness::Joining;
+    }
+    aState.mHasJoined = true;
+  }
+  if (isBehind) {
+    return freshness::Behind;
+  }
+  if (IsYounger(aOwn.mProvenAt, aLimits.mOwnProof, aNow)) {
+    return freshness::Current;
+  }
+  if (isCutOff) {
+    return freshness::CutOff;
+  }
+  return HearsMost(aWitnesses) ? freshness::PlatformDown : freshness::Isolated;
+}
+
+bool
+IsFreshEnough(freshness aFreshness)
+{
+  return aFreshness == freshness::Current ||
+         aFreshness == freshness::PlatformDown;
+}
+
+const char*
+WordFor(freshness aFreshness)
+{
+  switch (aFreshness) {
+    case freshness::Current:
+      return "current";
+    case freshness::PlatformDown:
+      return "platform_down";
+    case freshness::Joining:
+      return "joining";
+    case freshness::CutOff:
+      return "cut_off";
+    case freshness::Isolated:
+      return "isolated";
+    case freshness::Behind:
+      break;
+  }
+  return "behind";
+}
+
+} // namespace lavender::keys
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -1,7 +1,10 @@
+#include "Duties/Configuration/PeerExchange.h"
 #include "Duties/Configuration/ResourceApi.h"
+#include "Duties/Keys/KeyGate.h"
 #include "Duties/Leases/LeaseKeeper.h"
 #include "Duties/Orders/ZoneKeeper.h"
 #include "Duties/Reports/UsageReporter.h"
+#include "Duties/Weights/RollOutDuty.h"
 #include "Libraries/Core/Identity.h"
 #include "Libraries/Core/Log.h"
 #include "Libraries/Core/TerminationSignal.h"
@@ -36,9 +39,52 @@
   return options;
 }
 
+/** What peers and agents together tell of the configuration. */
+keys::witness_summary
+Summarize(const configuration::peer_report& aPeers,
+          const membership::witness_report& aAgents)
+{
+  keys::witness_summary summary;
+  if (aAgents.mKnown) {
+    summary.mKnown = *aAgents.mKnown + aPeers.mKnown;
+  }
+  summary.mAsked = aAgents.mAsked + aPeers.mAsked;
+  summary.mAudible = aAgents.mAudible + aPeers.mAudible;
+  summary.mHighestChanged =
+    std::max(aAgents.mHighestChanged, aPeers.mHighestChanged);
+  summary.mLatestProof = std::max(aAgents.mLatestProof, aPeers.mLatestProof);
+  return summary;
+}
+
+/** Sets the gauges whose values are only known when somebody reads them. */
+void
+WriteGauges(metrics::registry& aMetrics,
+            const configuration::configuration_store& aConfiguration,
+            const configuration::peer_exchange& aPeers,
+            const membership::server_directory& aDirectory)
+{
+  const auto digest = aConfiguration.Digest();
+  const auto peers = aPeers.Report();
+  aMetrics.SetGauge("lavender_configuration_revision",
+                    {},
+                    static_cast<double>(digest.mKnownUpTo));
+  aMetrics.SetGauge("lavender_configuration_changed_revision",
+                    {},
+                    static_cast<double>(digest.mChanged));
+  aMetrics.SetGauge(
+    "lavender_configuration_proof_age_seconds",
+    {},
+    std::chrono::duration<double>(aConfiguration.FreshAge()).count());
+  aMetrics.SetGauge(
+    "lavender_peers", { { "state", "known" } }, double(peers.mKnown));
+  aMetrics.SetGauge(
+    "lavender_peers", { { "state", "audible" } }, double(peers.mAudible));
+  aDirectory.WriteGauges(aMetrics);
+}
+
 http::router
-MakeHealthRoutes(const metrics::registry& aMetrics,
-                 const configuration::configuration_store& aConfiguration,
+MakeHealthRoutes(const std::function<std::string()>& aMetricsText,
+                 keys::key_gate& aKeyGate,
                  const std::atomic<bool>& aIsDraining)
 {
   http::router routes;
@@ -46,13 +92,18 @@
     return http::response{ 200, "text/plain", {}, "ok\n" };
   });
   routes.Add("GET", "/readyz", [&](const auto&, const auto&) {
-    if (aIsDraining || !aConfiguration.IsReady()) {
-      return http::response{ 503, "text/plain", {}, "not ready\n" };
+    const auto freshness = aKeyGate.Check();
+    if (aIsDraining || !keys::IsFreshEnough(freshness)) {
+      return http::response{ 503,
+                             "text/plain",
+                             {},
+                             std::string("not ready ") +
+                               keys::WordFor(freshness) + "\n" };
     }
     return http::response{ 200, "text/plain", {}, "ready\n" };
   });
-  routes.Add("GET", "/metrics", [&](const auto&, const auto&) {
-    return http::response{ 200, "text/plain", {}, aMetrics.Write() };
+  routes.Add("GET", "/metrics", [aMetricsText](const auto&, const auto&) {
+    return http::response{ 200, "text/plain", {}, aMetricsText() };
   });
   return routes;
 }
@@ -70,6 +121,37 @@
   return limits;
 }
 
+/** What each pool with a training run is to hold: the accepted version. */
+std::vector<weights::pool_target>
+FindTargets(const configuration::configuration_store& aConfiguration)
+{
+  const auto current = aConfiguration.Current();
+  std::map<std::string, weights::pool_target> targets;
+  for (const auto& [name, run] : current->mRuns) {
+    if (run.mAcceptedVersion > 0) {
+      // Of several runs on one pool the first by name decides the model.
+      targets.try_emplace(run.mPool,
+                          weights::pool_target{
+                            run.mPool, { run.mModel, run.mAcceptedVersion } });
+    }
+  }
+  std::vector<weights::pool_target> listed;
+  for (const auto& [pool, target] : targets) {
+    listed.push_back(target);
+  }
+  return listed;
+}
+
+std::optional<configuration::training_run>
+FindRun(const configuration::configuration_store& aConfiguration,
+        const std::string& aRun)
+{
+  const auto current = aConfiguration.Current();
+  const auto found = current->mRuns.find(aRun);
+  return found == current->mRuns.end() ? std::nullopt
+                                       : std::optional(found->second);
+}
+
 /** Goes on serving while the balancer learns that this instance leaves, then
  * waits for the requests under way. */
 void
@@ -149,16 +231,35 @@
   platformClient.mCaller = aValues.Text("name");
   platformClient.mMetrics = &metrics;
 
-  configuration::configuration_store configuration(platformClient);
+  configuration::configuration_store configuration(
+    { platformClient, aValues.Text("data-folder") });
   membership::directory_options directoryOptions;
   directoryOptions.mPlatform = platformClient;
   directoryOptions.mEntryIncarnation = incarnation;
   directoryOptions.mPollEvery = aValues.Milliseconds("load-poll");
   directoryOptions.mDigest = [&] {
-    return membership::own_digest{ configuration.Current()->mRevision,
+    return membership::own_digest{ configuration.Digest().mChanged,
                                    configuration.FreshAge() };
   };
+  directoryOptions.mDataFolder = aValues.Text("data-folder");
+  directoryOptions.mMetrics = &metrics;
   membership::server_directory directory(directoryOptions);
+  configuration::peer_options peerOptions;
+  peerOptions.mOwnName = aValues.Text("name");
+  peerOptions.mOwnIncarnation = incarnation;
+  peerOptions.mEntries = [&] { return directory.Entries(); };
+  peerOptions.mMetrics = &metrics;
+  configuration::peer_exchange peers(peerOptions, configuration);
+  keys::key_gate_options gateOptions;
+  gateOptions.mOwn = [&] {
+    const auto digest = configuration.Digest();
+    return keys::own_freshness{ digest.mKnownUpTo, digest.mProvenAt };
+  };
+  gateOptions.mWitnesses = [&] {
+    return Summarize(peers.Report(), directory.Witnesses());
+  };
+  gateOptions.mMetrics = &metrics;
+  keys::key_gate keyGate(gateOptions);
   leases::lease_keeper leaseKeeper(
     KeeperOptions(aValues, platformClient, incarnation, directory, metrics));
   orders::zone_keeper_options zoneOptions;
@@ -184,23 +285,74 @@
     ReporterOptions(aValues, platformClient, leaseKeeper, metrics),
     directory,
     account);
+  samples::sample_duty_options sampleOptions;
+  sampleOptions.mPlatform = platformClient;
+  sampleOptions.mSideBySide =
+    static_cast<int>(aValues.Integer("samples-side-by-side"));
+  sampleOptions.mTakeOverAfter = aValues.Milliseconds("batch-take-over");
+  samples::sample_duty sampleDuty(
+    sampleOptions,
+    [&](const dispatch::call& aCall) { return dispatcher.Run(aCall); },
+    [&](const std::string& aRun) { return FindRun(configuration, aRun); },
+    [&](const dispatch::call& aCall, const dispatch::call_outcome& aOutcome) {
+      account.Count(aOutcome.mServerIncarnation,
+                    incarnation,
+                    aCall.mCustomer,
+                    aOutcome.mResult.usage_window,
+                    aOutcome.mResult.prompt_tokens,
+                    aOutcome.mResult.completion_tokens);
+    },
+    metrics);
+  weights::roll_out_options rollOutOptions;
+  rollOutOptions.mHolder = aValues.Text("name");
+  rollOutOptions.mLimits.mSideBySide =
+    static_cast<std::size_t>(aValues.Integer("swaps-side-by-side"));
+  weights::roll_out_duty rollOut(
+    rollOutOptions,
+    directory,
+    [&] { return FindTargets(configuration); },
+    leaseKeeper.Source(),
+    [&](const weights::roll_out_progress& aProgress) {
+      const metrics::labels pool{ { "pool", aProgress.mTarget.mPool } };
+      metrics.SetGauge("lavender_weights_servers_holding",
+                       pool,
+                       static_cast<double>(aProgress.mHolding));
+      metrics.SetGauge("lavender_weights_servers",
+                       pool,
+                       static_cast<double>(aProgress.mServers));
+    },
+    metrics);
   entry::caller_api_options callerOptions;
   callerOptions.mEntryIncarnation = incarnation;
   callerOptions.mMaximumRequests = aValues.Integer("maximum-requests");
   callerOptions.mDefaultDeadline = aValues.Milliseconds("default-deadline");
   callerOptions.mPlatform = platformClient;
+  callerOptions.mKeyGate = &keyGate;
   callerOptions.mCallRecordKeep =
     std::chrono::seconds(aValues.Integer("call-record-keep"));
-  entry::caller_api callers(
-    callerOptions, configuration, directory, dispatcher, account, metrics);
+  entry::caller_api callers(callerOptions,
+                            configuration,
+                            directory,
+                            dispatcher,
+                            sampleDuty,
+                            account,
+                            metrics);
 
   configuration.Start();
   directory.Start();
   zoneKeeper.Start();
   usageReporter.Start();
+  peers.Start();
+  sampleDuty.Start();
+  rollOut.Start();
   std::atomic<bool> isDraining{ false };
-  const auto healthRoutes =
-    MakeHealthRoutes(metrics, configuration, isDraining);
+  const auto healthRoutes = MakeHealthRoutes(
+    [&] {
+      WriteGauges(metrics, configuration, peers, directory);
+      return metrics.Write();
+    },
+    keyGate,
+    isDraining);
   http::router operatorRoutes;
   configuration::AddResourceRoutes(
     operatorRoutes, configuration, platformClient);
@@ -220,11 +372,14 @@
                               return http::Serve(healthRoutes, aRequest);
                             });
   const auto wireListen = http::ParseEndpoint(aValues.Text("wire-listen"));
-  wire::wire_server wireServer(wireListen->mAddress,
-                               wireListen->mPort,
-                               std::make_shared<wire::entry_serviceProcessor>(
-                                 std::make_shared<entry::entry_handler>(
-                                   incarnation, configuration, account)));
+  wire::wire_server wireServer(
+    wireListen->mAddress,
+    wireListen->mPort,
+    std::make_shared<wire::entry_serviceProcessor>(
+      std::make_shared<entry::entry_handler>(
+        entry::entry_identity{ aValues.Text("name"), incarnation },
+        configuration,
+        account)));
   std::cout << "ready callers=" << callerServer.Port()
             << " operators=" << operatorServer.Port()
             << " health=" << healthServer.Port()
@@ -237,6 +392,8 @@
   callerServer.AskClientsToClose();
   Drain(callers, aTermination, aValues.Milliseconds("drain-deadline"));
   callerServer.Stop();
+  sampleDuty.Stop();
+  rollOut.Stop();
   operatorServer.Stop();
   wireServer.Stop();
   zoneKeeper.Stop();
@@ -246,6 +403,7 @@
                           account,
                           boot_clock::now() +
                             aValues.Milliseconds("drain-deadline") / 4);
+  peers.Stop();
   leaseKeeper.Stop();
   directory.Stop();
   configuration.Stop();
--- a/StandIns/Platform/Platform.cpp
+++ b/StandIns/Platform/Platform.cpp
@@ -27,6 +27,19 @@
   return text.empty() ? aFallback : std::strtoll(text.c_str(), nullptr, 10);
 }
 
+void
+TakeNames(const json::value& aBody,
+          const std::string& aMember,
+          std::set<std::string>& aNames)
+{
+  if (const auto* names = aBody.Find(aMember)) {
+    aNames.clear();
+    for (const auto& name : names->Elements()) {
+      aNames.insert(name.StringOr(""));
+    }
+  }
+}
+
 bool
 IsControl(const http::request& aRequest)
 {
@@ -49,6 +62,9 @@
     if (auto fault = ApplyFaults(aRequest)) {
       return *fault;
     }
+    if (auto old = AnswerFromOldCopy(aRequest)) {
+      return *old;
+    }
   }
   return http::Serve(mRouter, aRequest);
 }
@@ -69,6 +85,10 @@
               http::HeaderOr(aRequest.mHeaders, "X-Caller", "")) > 0;
   }
   if (isCut) {
+    {
+      std::lock_guard lock(mMutex);
+      ++mCalls["cut"];
+    }
     // A cut caller sees silence: nothing is carried out, and the answer
     // comes after every client's timeout.
     std::this_thread::sleep_for(6s);
@@ -78,6 +98,31 @@
   return std::nullopt;
 }
 
+std::optional<http::response>
+platform::AnswerFromOldCopy(const http::request& aRequest)
+{
+  const bool isList = aRequest.mPath == "/v1/objects";
+  const bool isWatch = aRequest.mPath == "/v1/watch";
+  {
+    std::lock_guard lock(mMutex);
+    const auto caller = http::HeaderOr(aRequest.mHeaders, "X-Caller", "");
+    if ((!isList && !isWatch) || mFaults.mOldCopyCallers.count(caller) == 0) {
+      return std::nullopt;
+    }
+    ++mCalls["old_copy"];
+  }
+  auto [revision, items] = mStore.ListOldCopy();
+  json::value body;
+  body.Set("revision", revision);
+  if (isList) {
+    body.Set("items", std::move(items));
+  } else {
+    std::this_thread::sleep_for(500ms);
+    body.Set("events", json::array{});
+  }
+  return JsonResponse(200, body);
+}
+
 http::response
 platform::AnswerWrite(const store_outcome& aOutcome,
                       const std::string& aKind,
@@ -315,11 +360,10 @@
     json::BooleanAt(*body, "ignore_fencing", mFaults.mIgnoresFencing);
   mFaults.mListLag = std::chrono::milliseconds(
     json::IntegerAt(*body, "list_lag_ms", mFaults.mListLag.count()));
-  if (const auto* cut = body->Find("cut")) {
-    mFaults.mCutCallers.clear();
-    for (const auto& caller : cut->Elements()) {
-      mFaults.mCutCallers.insert(caller.StringOr(""));
-    }
+  TakeNames(*body, "cut", mFaults.mCutCallers);
+  if (body->Find("old_copy_for")) {
+    mStore.KeepOldCopy();
+    TakeNames(*body, "old_copy_for", mFaults.mOldCopyCallers);
   }
   return JsonResponse(200, json::object{});
 }
--- a/StandIns/Platform/Platform.h
+++ b/StandIns/Platform/Platform.h
@@ -25,6 +25,9 @@
   /** Zone orders and usage reports are taken up this much after their bytes
    * came. */
   std::chrono::milliseconds mOrderSlowness{ 0 };
+  /** Callers whose lists and watches show the state at the time of the order.
+   */
+  std::set<std::string> mOldCopyCallers;
   /** Zone orders with old fencing numbers are carried out. */
   bool mIgnoresFencing = false;
   /** The instance list shows changes that much later. */
@@ -62,6 +65,8 @@
   void AddInterfaceRoutes();
   void AddControlRoutes();
   std::optional<http::response> ApplyFaults(const http::request& aRequest);
+  std::optional<http::response> AnswerFromOldCopy(
+    const http::request& aRequest);
   http::response AnswerWrite(const store_outcome& aOutcome,
                              const std::string& aKind,
                              const std::string& aName);
--- a/Tests/TestOneInCharge.cpp
+++ b/Tests/TestOneInCharge.cpp
@@ -1,5 +1,5 @@
+#include "Tests/Support/DelayingRelay.h"
 #include "Tests/Support/Fleet.h"
-#include "Tests/Support/Relay.h"
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -36,7 +36,7 @@
 {
   const std::string mLateBytes;
   fleet mFleet;
-  std::map<std::string, std::unique_ptr<relay>> mRelays;
+  std::map<std::string, std::unique_ptr<delaying_relay>> mRelays;
   std::mt19937 mRandom{ kSeed };
   /** Times that a pause or kill met an order under way. */
   int mMetMidOrder = 0;
@@ -45,7 +45,7 @@
     : mLateBytes(std::move(aLateBytes))
   {
     for (const std::string name : { "entry-1", "entry-2" }) {
-      mRelays[name] = std::make_unique<relay>(mFleet.PlatformPort());
+      mRelays[name] = std::make_unique<delaying_relay>(mFleet.PlatformPort());
       mFleet.AddEntry(name, kZones[0], Arguments(name));
     }
     // The list names the zones; nothing answers for these two.
