--- /dev/null
+++ b/Bench/Lag.cpp
@@ -0,0 +1,306 @@
+#include "Bench/Experiments.h"
+#include "Bench/Load.h"
+#include "Bench/Results.h"
+#include "Duties/Admission/FairQueue.h"
+#include "Duties/Routing/PoolTable.h"
+
+#include <functional>
+#include <queue>
+#include <tuple>
+
+namespace lavender::bench {
+namespace {
+
+using namespace routing;
+using namespace std::chrono_literals;
+
+constexpr int kServers = 9;
+constexpr int kEntries = 3;
+constexpr int kSlots = 4;
+constexpr auto kPerToken = 10ms;
+constexpr auto kFailsAfter = 2ms;
+constexpr auto kReportEvery = 100ms;
+constexpr double kLoad = 0.7;
+constexpr double kMeanTokens = 24;
+constexpr int kSlow = 5;
+const time_point kStart(1h);
+
+enum class policy
+{
+  Random,
+  RoundRobin,
+  /** Two choices by the last report alone. */
+  ReportOnly,
+  /** Two choices by the report and all own requests in flight. */
+  ReportAndInFlight,
+  Chosen
+};
+
+enum class fault
+{
+  None,
+  OneSlow,
+  OneFails
+};
+
+struct request
+{
+  std::size_t mArrival = 0;
+  std::size_t mEntry = 0;
+  time_point mSentAt;
+  time_point mStartedAt;
+};
+
+struct server
+{
+  std::chrono::nanoseconds mPerToken = kPerToken;
+  bool mFails = false;
+  int mRunning = 0;
+  std::deque<request> mLine;
+  /** Measures the drain rate as an agent does. */
+  admission::fair_queue mMeasure;
+};
+
+struct outcome
+{
+  std::vector<std::chrono::nanoseconds> mLatencies;
+  int mErrors = 0;
+};
+
+/** Servers, entries with their tables, and events in order of time. */
+class event_loop
+{
+public:
+  event_loop(policy aPolicy,
+             fault aFault,
+             std::chrono::milliseconds aLag,
+             std::vector<arrival> aArrivals,
+             std::uint64_t aSeed)
+    : mPolicy(aPolicy)
+    , mLag(aLag)
+    , mArrivals(std::move(aArrivals))
+    , mRandom(aSeed)
+    , mServers(kServers)
+    , mTables(kEntries)
+  {
+    for (auto& server : mServers) {
+      server.mMeasure.mLimits.mSlots = kSlots;
+    }
+    mServers[0].mPerToken *= aFault == fault::OneSlow ? kSlow : 1;
+    mServers[0].mFails = aFault == fault::OneFails;
+    for (auto& table : mTables) {
+      table.mLimits.mHeartbeat = 30s;
+      table.mLimits.mPolicy = aPolicy == policy::Random ? routing_policy::Random
+                              : aPolicy == policy::RoundRobin
+                                ? routing_policy::RoundRobin
+                                : routing_policy::TwoChoices;
+    }
+  }
+
+  outcome Run()
+  {
+    for (int i = 0; i < kServers; ++i) {
+      Deliver(i, kStart);
+    }
+    const auto end = kStart + mArrivals.back().mAt;
+    for (auto at = kStart + 1ms; at < end; at += kReportEvery) {
+      At(at, [this, at] { Report(at); });
+    }
+    for (std::size_t i = 0; i < mArrivals.size(); ++i) {
+      At(kStart + mArrivals[i].mAt, [this, i] { Arrive(i); });
+    }
+    while (!mEvents.empty()) {
+      const auto event = mEvents.top();
+      mEvents.pop();
+      mNow = event.mAt;
+      event.mAction();
+    }
+    return std::move(mOutcome);
+  }
+
+private:
+  struct event
+  {
+    time_point mAt;
+    std::uint64_t mNumber = 0;
+    std::function<void()> mAction;
+
+    bool operator<(const event& aOther) const
+    {
+      return std::tie(aOther.mAt, aOther.mNumber) < std::tie(mAt, mNumber);
+    }
+  };
+
+  void At(time_point aAt, std::function<void()> aAction)
+  {
+    mEvents.push({ aAt, mNextEvent++, std::move(aAction) });
+  }
+
+  server_report Describe(int aServer, time_point aMadeAt) const
+  {
+    const auto& server = mServers[static_cast<std::size_t>(aServer)];
+    server_report report;
+    report.mName = std::to_string(aServer);
+    report.mSlots = kSlots;
+    report.mRequests = server.mRunning + static_cast<int>(server.mLine.size());
+    report.mDrainRate = admission::DrainRate(server.mMeasure);
+    report.mTakesWork = true;
+    report.mMadeAt = aMadeAt;
+    return report;
+  }
+
+  void Deliver(int aServer, time_point aMadeAt)
+  {
+    const auto report = Describe(aServer, aMadeAt);
+    for (auto& table : mTables) {
+      TakeReport(table, report, aMadeAt);
+    }
+  }
+
+  void Report(time_point aMadeAt)
+  {
+    for (int i = 0; i < kServers; ++i) {
+      const auto report = Describe(i, aMadeAt);
+      At(aMadeAt + mLag, [this, report] {
+        for (auto& table : mTables) {
+          TakeReport(table, report, mNow);
+        }
+      });
+    }
+  }
+
+  std::string Pick(pool_table& aTable)
+  {
+    if (mPolicy != policy::ReportOnly && mPolicy != policy::ReportAndInFlight) {
+      return *Choose(aTable, {}, mRandom, mNow);
+    }
+    std::uniform_int_distribution<std::size_t> pick(0, kServers - 1);
+    const auto load = [&](const server_row& aRow) {
+      return aRow.mReport.mRequests +
+             (mPolicy == policy::ReportAndInFlight
+                ? static_cast<int>(aRow.mOwn.mInFlight.size())
+                : 0);
+    };
+    const auto& first = aTable.mRows[pick(mRandom)];
+    const auto& second = aTable.mRows[pick(mRandom)];
+    return load(first) <= load(second) ? first.mReport.mName
+                                       : second.mReport.mName;
+  }
+
+  void Arrive(std::size_t aArrival)
+  {
+    request request;
+    request.mArrival = aArrival;
+    request.mEntry = aArrival % kEntries;
+    request.mSentAt = mNow;
+    auto& table = mTables[request.mEntry];
+    const auto name = Pick(table);
+    NoteSent(table, name, 0, mNow);
+    const auto index = static_cast<std::size_t>(std::stoi(name));
+    if (mServers[index].mFails) {
+      At(mNow + kFailsAfter, [this, request, name] {
+        ++mOutcome.mErrors;
+        NoteEnded(mTables[request.mEntry],
+                  name,
+                  request.mSentAt,
+                  evidence::Failure,
+                  mNow);
+      });
+      return;
+    }
+    mServers[index].mLine.push_back(request);
+    StartNext(index);
+  }
+
+  void StartNext(std::size_t aServer)
+  {
+    auto& server = mServers[aServer];
+    if (server.mRunning >= kSlots || server.mLine.empty()) {
+      return;
+    }
+    auto request = server.mLine.front();
+    server.mLine.pop_front();
+    request.mStartedAt = mNow;
+    ++server.mRunning;
+    const auto tokens = mArrivals[request.mArrival].mTokens;
+    At(mNow + server.mPerToken * tokens,
+       [this, request, aServer, tokens] { End(request, aServer, tokens); });
+  }
+
+  void End(const request& aRequest, std::size_t aServer, int aTokens)
+  {
+    auto& server = mServers[aServer];
+    --server.mRunning;
+    admission::RecordRun(server.mMeasure, aTokens, mNow - aRequest.mStartedAt);
+    mOutcome.mLatencies.push_back(mNow - aRequest.mSentAt);
+    NoteEnded(mTables[aRequest.mEntry],
+              std::to_string(aServer),
+              aRequest.mSentAt,
+              evidence::Success,
+              mNow);
+    StartNext(aServer);
+  }
+
+  const policy mPolicy;
+  const std::chrono::milliseconds mLag;
+  const std::vector<arrival> mArrivals;
+  std::mt19937_64 mRandom;
+  std::vector<server> mServers;
+  std::vector<pool_table> mTables;
+  std::priority_queue<event> mEvents;
+  std::uint64_t mNextEvent = 0;
+  time_point mNow = kStart;
+  outcome mOutcome;
+};
+
+} // namespace
+
+void
+RunLag(const experiment_options& aOptions)
+{
+  csv_file file(aOptions.mFolder + "/lag.csv",
+                { "scenario",
+                  "lag_ms",
+                  "policy",
+                  "served",
+                  "error_share",
+                  "p50_ms",
+                  "p99_ms" });
+  const std::pair<fault, const char*> faults[] = {
+    { fault::None, "all well" },
+    { fault::OneSlow, "one five times slower" },
+    { fault::OneFails, "one fails at once" }
+  };
+  const std::pair<policy, const char*> policies[] = {
+    { policy::Random, "random" },
+    { policy::RoundRobin, "round-robin" },
+    { policy::ReportOnly, "report only" },
+    { policy::ReportAndInFlight, "report and all in flight" },
+    { policy::Chosen, "two-choices" }
+  };
+  for (const auto& [fault, scenario] : faults) {
+    const double whole = fault == fault::None      ? kServers
+                         : fault == fault::OneSlow ? kServers - 1 + 1.0 / kSlow
+                                                   : kServers - 1;
+    const double perSecond =
+      kLoad * whole * kSlots /
+      (kMeanTokens * std::chrono::duration<double>(kPerToken).count());
+    const auto arrivals =
+      MakeArrivals({ { "all", perSecond, 20, 1 } }, 10min, aOptions.mSeed);
+    for (const auto lag : { 100ms, 1000ms, 5000ms }) {
+      for (const auto& [policy, name] : policies) {
+        event_loop loop(policy, fault, lag, arrivals, aOptions.mSeed);
+        const auto result = loop.Run();
+        file.Row({ scenario,
+                   std::to_string(lag.count()),
+                   name,
+                   std::to_string(result.mLatencies.size()),
+                   Text(result.mErrors / static_cast<double>(arrivals.size())),
+                   Text(Percentile(result.mLatencies, 0.5)),
+                   Text(Percentile(result.mLatencies, 0.99)) });
+      }
+    }
+  }
+}
+
+} // namespace lavender::bench
--- /dev/null
+++ b/Bench/Leases.cpp
@@ -0,0 +1,133 @@
+#include "Bench/Experiments.h"
+#include "Bench/Results.h"
+#include "Duties/Leases/LeaseKeeper.h"
+#include "Duties/Usage/WindowReport.h"
+#include "Libraries/Core/Identity.h"
+#include "Libraries/Http/Server.h"
+#include "StandIns/Platform/Platform.h"
+
+#include <iostream>
+#include <memory>
+#include <thread>
+
+namespace lavender::bench {
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Calls that the Object API counted so far. */
+struct call_count
+{
+  double mReads = 0;
+  double mWrites = 0;
+};
+
+call_count
+Count(standin::platform& aPlatform)
+{
+  http::request request;
+  request.mPath = "/control/calls";
+  const auto body = json::Parse(aPlatform.Serve(request).mBody);
+  return { static_cast<double>(json::IntegerAt(*body, "GET", 0)),
+           static_cast<double>(json::IntegerAt(*body, "PUT", 0)) };
+}
+
+/** That many entries that all want that many leases, in this process. */
+void
+MeasureLeases(csv_file& aFile,
+              int aEntries,
+              int aLeases,
+              std::chrono::seconds aFor)
+{
+  standin::platform platform;
+  http::server_options listen;
+  listen.mAddress = "127.0.0.1";
+  listen.mMaximumThreads = 128;
+  http::server server(listen, [&](const http::request& aRequest) {
+    return platform.Serve(aRequest);
+  });
+  std::vector<std::string> names;
+  for (int i = 0; i < aEntries; ++i) {
+    names.push_back("entry-" + std::to_string(i));
+  }
+  std::vector<std::unique_ptr<leases::lease_keeper>> keepers;
+  for (const auto& name : names) {
+    leases::keeper_options options;
+    options.mPlatform.mEndpoint = { "127.0.0.1", server.Port() };
+    options.mPlatform.mCaller = name;
+    options.mName = name;
+    options.mIncarnation = MakeRandomName();
+    options.mEntries = [names] { return names; };
+    keepers.push_back(std::make_unique<leases::lease_keeper>(options));
+    for (int lease = 0; lease < aLeases; ++lease) {
+      keepers.back()->Want("lease-" + std::to_string(lease));
+    }
+  }
+  // Until the preferred ones hold and the rest has settled into its pace.
+  std::this_thread::sleep_for(6s);
+  const auto before = Count(platform);
+  std::this_thread::sleep_for(aFor);
+  const auto after = Count(platform);
+  int most = 0;
+  for (const auto& keeper : keepers) {
+    int held = 0;
+    for (int lease = 0; lease < aLeases; ++lease) {
+      held += keeper->Held("lease-" + std::to_string(lease)).has_value();
+    }
+    most = std::max(most, held);
+  }
+  const auto seconds = static_cast<double>(aFor.count());
+  aFile.Row({ std::to_string(aEntries),
+              std::to_string(aLeases),
+              Text((after.mReads - before.mReads) / seconds / aLeases),
+              Text((after.mWrites - before.mWrites) / seconds / aLeases),
+              std::to_string(most) });
+}
+
+/** Bytes that the Object API holds for one window. */
+void
+MeasureWindow(csv_file& aFile, int aCustomers, int aAgents)
+{
+  usage::window_report report;
+  report.mWindow = 29000000;
+  for (int i = 0; i < aCustomers; ++i) {
+    auto& row = report.mRows["customer-" + std::to_string(i)];
+    row.customer = "customer-" + std::to_string(i);
+    row.requests = 246;
+    row.prompt_tokens = 250000;
+    row.completion_tokens = 108000;
+  }
+  for (int i = 0; i < aAgents; ++i) {
+    report.mMarks.mAgents[MakeRandomName()] = report.mWindow;
+  }
+  aFile.Row({ std::to_string(aCustomers),
+              std::to_string(aAgents),
+              std::to_string(json::Write(usage::Describe(report)).size()) });
+}
+
+} // namespace
+
+void
+RunLeases(const experiment_options& aOptions)
+{
+  csv_file calls(aOptions.mFolder + "/lease-calls.csv",
+                 { "entries",
+                   "leases",
+                   "reads_per_second_per_lease",
+                   "writes_per_second_per_lease",
+                   "most_held_by_one" });
+  for (const auto& [entries, leases] :
+       { std::pair{ 2, 6 }, { 8, 6 }, { 40, 6 }, { 8, 34 } }) {
+    MeasureLeases(calls, entries, leases, aOptions.mFor);
+  }
+  csv_file windows(aOptions.mFolder + "/usage-windows.csv",
+                   { "customers", "agents", "bytes" });
+  for (const auto& [customers, agents] : { std::pair{ 8, 9 },
+                                           { 100, 300 },
+                                           { 1000, 1200 },
+                                           { 1000, 1200 + 7 * 310 } }) {
+    MeasureWindow(windows, customers, agents);
+  }
+}
+
+} // namespace lavender::bench
--- /dev/null
+++ b/Bench/Overload.cpp
@@ -0,0 +1,166 @@
+#include "Bench/Experiments.h"
+#include "Bench/Results.h"
+#include "Bench/Site.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace lavender::bench {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::size_t kThreads = 1024;
+constexpr int kCustomers = 8;
+constexpr auto kCalm = 8s;
+constexpr double kCalmShare = 0.7;
+constexpr double kOverload = 2;
+
+std::vector<arrival>
+MakePhase(double aPerSecond,
+          std::chrono::milliseconds aFrom,
+          std::chrono::milliseconds aFor,
+          std::uint64_t aSeed)
+{
+  std::vector<customer_traffic> traffic;
+  for (int i = 0; i < kCustomers; ++i) {
+    traffic.push_back(
+      { "customer-" + std::to_string(i), aPerSecond / kCustomers, 20, 8 });
+  }
+  auto arrivals = MakeArrivals(traffic, aFor, aSeed);
+  for (auto& one : arrivals) {
+    one.mAt += aFrom;
+  }
+  return arrivals;
+}
+
+/** Requests a second with all slots kept busy, of the same mix. */
+double
+MeasureCapacity(site& aSite, std::uint64_t aSeed)
+{
+  const auto requests = MakePhase(50, 0ms, 20s, aSeed);
+  constexpr std::chrono::milliseconds kMeasured = 8s;
+  const auto results =
+    RunClosedLoop(72, kMeasured, {}, [&](std::size_t aIndex, const arrival&) {
+      return aSite.Send(aIndex, requests[aIndex % requests.size()]);
+    });
+  const auto served =
+    std::count_if(results.begin(), results.end(), [&](const auto& aOne) {
+      return aOne.mStatus == 200 && aOne.mAt + aOne.mLatency < kMeasured;
+    });
+  return static_cast<double>(served) /
+         std::chrono::duration<double>(kMeasured).count();
+}
+
+struct second_account
+{
+  int mSent = 0;
+  int mGood = 0;
+  int mRefused = 0;
+  int mFailed = 0;
+  int mWithoutRetryAfter = 0;
+  std::vector<std::chrono::nanoseconds> mLatencies;
+  std::vector<std::chrono::nanoseconds> mRefusals;
+};
+
+/** Requests by the second in which they came, answers by that in which they
+ * were given. */
+std::vector<second_account>
+AddUp(const std::vector<served>& aResults, std::chrono::seconds aFor)
+{
+  std::vector<second_account> seconds(static_cast<std::size_t>(aFor.count()) +
+                                      1);
+  const auto at = [&](std::chrono::nanoseconds aTime) -> second_account& {
+    const auto index =
+      std::chrono::duration_cast<std::chrono::seconds>(aTime).count();
+    return seconds[std::min(static_cast<std::size_t>(index),
+                            seconds.size() - 1)];
+  };
+  for (const auto& one : aResults) {
+    ++at(one.mAt).mSent;
+    auto& ended = at(one.mAt + one.mLatency);
+    if (one.mStatus == 200) {
+      ++ended.mGood;
+      ended.mLatencies.push_back(one.mLatency);
+    } else if (one.mStatus == 503 || one.mStatus == 429) {
+      ++ended.mRefused;
+      ended.mRefusals.push_back(one.mLatency);
+      ended.mWithoutRetryAfter += one.mRetryAfter == 0 ? 1 : 0;
+    } else {
+      ++ended.mFailed;
+    }
+  }
+  return seconds;
+}
+
+} // namespace
+
+void
+RunOverload(const experiment_options& aOptions)
+{
+  csv_file file(aOptions.mFolder + "/overload.csv",
+                { "second",
+                  "sent",
+                  "good",
+                  "refused",
+                  "failed",
+                  "refusals_without_retry_after",
+                  "p99_ms",
+                  "refusal_p99_ms" });
+  site site({});
+  const double capacity = MeasureCapacity(site, aOptions.mSeed);
+  std::vector<arrival> arrivals;
+  const std::chrono::milliseconds over = aOptions.mFor;
+  for (const auto& phase :
+       { MakePhase(capacity * kCalmShare, 0ms, kCalm, aOptions.mSeed),
+         MakePhase(capacity * kOverload, kCalm, over, aOptions.mSeed + 1),
+         MakePhase(
+           capacity * kCalmShare, kCalm + over, kCalm, aOptions.mSeed + 2) }) {
+    arrivals.insert(arrivals.end(), phase.begin(), phase.end());
+  }
+  const auto results = RunOpenLoop(
+    arrivals, kThreads, [&](std::size_t aIndex, const arrival& aArrival) {
+      return site.Send(aIndex, aArrival);
+    });
+  const auto total = aOptions.mFor + 2 * kCalm;
+  const auto seconds = AddUp(results, total);
+  for (std::size_t i = 0; i < seconds.size(); ++i) {
+    const auto& one = seconds[i];
+    file.Row({ std::to_string(i),
+               std::to_string(one.mSent),
+               std::to_string(one.mGood),
+               std::to_string(one.mRefused),
+               std::to_string(one.mFailed),
+               std::to_string(one.mWithoutRetryAfter),
+               Text(Percentile(one.mLatencies, 0.99)),
+               Text(Percentile(one.mRefusals, 0.99)) });
+  }
+  int good = 0;
+  std::vector<std::chrono::nanoseconds> refusals;
+  std::vector<std::chrono::nanoseconds> lateness;
+  for (auto i = kCalm.count() + 1; i < kCalm.count() + aOptions.mFor.count();
+       ++i) {
+    const auto& one = seconds[static_cast<std::size_t>(i)];
+    good += one.mGood;
+    refusals.insert(refusals.end(), one.mRefusals.begin(), one.mRefusals.end());
+  }
+  for (const auto& one : results) {
+    lateness.push_back(one.mLateness);
+  }
+  const double goodput = good / static_cast<double>(aOptions.mFor.count() - 1);
+  csv_file summary(aOptions.mFolder + "/overload-summary.csv",
+                   { "capacity_per_second",
+                     "goodput_per_second",
+                     "goodput_share",
+                     "refusal_p50_ms",
+                     "refusal_p99_ms",
+                     "generator_late_p99_ms" });
+  summary.Row({ Text(capacity),
+                Text(goodput),
+                Text(goodput / capacity),
+                Text(Percentile(refusals, 0.5)),
+                Text(Percentile(refusals, 0.99)),
+                Text(Percentile(lateness, 0.99)) });
+}
+
+} // namespace lavender::bench
--- a/Duties/Leases/Lease.cpp
+++ b/Duties/Leases/Lease.cpp
@@ -7,10 +7,9 @@
 
 using namespace std::chrono_literals;
 
-/** Candidates beyond these read rarely: with hundreds of entries the reads of
- * all would exceed the Object API's rate. */
+/** Candidates beyond these read the more rarely the further they are: with
+ * hundreds of entries the reads of all would exceed the Object API's rate. */
 constexpr std::size_t kCloseCandidates = 3;
-constexpr milliseconds kDistantReadEvery = 30000ms;
 /** A lease is renewed after this part of its duration. */
 constexpr int kRenewPart = 3;
 
@@ -24,6 +23,7 @@
   if (aState.mRevision && aRevision != 0 && aRevision < *aState.mRevision) {
     return;
   }
+  aState.mCheckedAt = aNow;
   if (!aState.mRevision || *aState.mRevision != aRevision) {
     aState.mRevision = aRevision;
     aState.mRecord = aRecord;
@@ -130,9 +130,9 @@
 milliseconds
 ReadEvery(std::size_t aRank, const lease_settings& aSettings)
 {
-  return aRank >= kCloseCandidates
-           ? std::max(kDistantReadEvery, aSettings.mDuration)
-           : aSettings.mDuration / 6 * static_cast<int>(aRank + 1);
+  const auto ordinal = static_cast<int>(aRank + 1);
+  return aRank >= kCloseCandidates ? aSettings.mDuration * ordinal
+                                   : aSettings.mDuration / 6 * ordinal;
 }
 
 lease_step
@@ -169,7 +169,10 @@
                      aNonce,
                      isSame ? record.mFencing : record.mFencing + 1);
   }
-  if (aNow >= FreeAt(aState, aSelf, aSettings)) {
+  const auto freeAt = FreeAt(aState, aSelf, aSettings);
+  // Only what an answer still showed after that moment is worth a write: a
+  // candidate that reads rarely would otherwise write in vain each time.
+  if (aNow >= freeAt && aState.mCheckedAt >= freeAt) {
     return MakeWrite(aState, aSelf, aSettings, aNonce, record.mFencing + 1);
   }
   step.mAction = lease_action::Read;
@@ -249,9 +252,11 @@
   Observe(aState, revision, record, aSelf, aNow);
   aState.mNextAt = aNow;
   if (record.mHolder != aSelf.mIncarnation || record.mIsReleased) {
-    aState.mNextAt = std::max(aNow,
-                              std::min(aNow + ReadEvery(aSelf.mRank, aSettings),
-                                       FreeAt(aState, aSelf, aSettings)));
+    const auto freeAt = FreeAt(aState, aSelf, aSettings);
+    aState.mNextAt = aNow + ReadEvery(aSelf.mRank, aSettings);
+    if (aSelf.mRank < kCloseCandidates || freeAt <= aNow) {
+      aState.mNextAt = std::clamp(freeAt, aNow, aState.mNextAt);
+    }
   }
 }
 
--- a/Duties/Leases/Lease.h
+++ b/Duties/Leases/Lease.h
@@ -66,6 +66,8 @@
   lease_record mRecord;
   /** When an answer first showed that revision. */
   time_point mSeenAt;
+  /** When an answer last showed it. */
+  time_point mCheckedAt;
   std::optional<pending_write> mPending;
   std::optional<held_lease> mHeld;
   time_point mNextAt;
--- a/Duties/Leases/TestLease.cpp
+++ b/Duties/Leases/TestLease.cpp
@@ -86,7 +86,8 @@
     for (std::size_t i = 0; i < mHolders.size(); ++i) {
       mHolders[i].mSelf = { "holder" + std::to_string(mNames++), i };
       mHolders[i].mClockOffset = std::chrono::hours(i * 1000);
-      mHolders[i].mRate = static_cast<int>(i) - 1;
+      // The most preferred one, which waits least, has the fastest clock.
+      mHolders[i].mRate = 1 - static_cast<int>(i);
     }
   }
 
@@ -507,6 +508,7 @@
   lease_state state;
   state.mRevision = 0;
   const auto start = time_point(1000s);
+  state.mCheckedAt = start;
   const auto step = Decide(state, self, settings, "n1", start);
   BOOST_REQUIRE((step.mAction == lease_action::Write));
   BeginWrite(state, step.mRecord, start);
@@ -533,6 +535,7 @@
   lease_state state;
   state.mRevision = 0;
   const auto start = time_point(1000s);
+  state.mCheckedAt = start;
   BeginWrite(state, Decide(state, self, settings, "n1", start).mRecord, start);
   platform::write_result done;
   done.mState = platform::write_state::Done;
--- a/Duties/Reports/UsageReporter.cpp
+++ b/Duties/Reports/UsageReporter.cpp
@@ -4,6 +4,7 @@
 #include "Libraries/Core/Log.h"
 
 #include <algorithm>
+#include <atomic>
 
 namespace lavender::reports {
 namespace {
@@ -21,8 +22,32 @@
 constexpr milliseconds kSilentFor = 30000ms;
 constexpr milliseconds kRetryRemainderEvery = 200ms;
 
+/** Witnesses asked at the same time: asked one after another, those of a zone
+ * that fell silent would make a window as late as their timeouts add up to. */
+constexpr std::size_t kSideBySide = 16;
+
 using usage::usage_account;
 
+/** Does something for each item, several at a time; the action gets the item's
+ * place. */
+template<typename Action>
+void
+SideBySide(std::size_t aItems, const Action& aAction)
+{
+  std::atomic<std::size_t> next{ 0 };
+  std::vector<std::thread> workers;
+  for (std::size_t i = 0; i < std::min(aItems, kSideBySide); ++i) {
+    workers.emplace_back([&] {
+      for (auto place = next++; place < aItems; place = next++) {
+        aAction(place);
+      }
+    });
+  }
+  for (auto& worker : workers) {
+    worker.join();
+  }
+}
+
 void
 TakeAll(std::vector<wire::usage_bucket>& aAll,
         std::vector<wire::usage_bucket> aBuckets)
@@ -231,10 +256,17 @@
 void
 usage_reporter::CollectAgents(std::int64_t aThrough, collection& aAll)
 {
-  for (const auto& server : mDirectory.Servers()) {
-    const auto answer = Ask(*server.mConnections, aThrough);
+  const auto servers = mDirectory.Servers();
+  std::vector<std::optional<usage::agent_offer>> offers(servers.size());
+  SideBySide(servers.size(), [&](std::size_t aPlace) {
+    const auto answer = Ask(*servers[aPlace].mConnections, aThrough);
     if (answer.mState == wire::wire_state::Answered) {
-      aAll.mAgents.push_back(ToOffer(answer.mReply));
+      offers[aPlace] = ToOffer(answer.mReply);
+    }
+  });
+  for (auto& offer : offers) {
+    if (offer) {
+      aAll.mAgents.push_back(std::move(*offer));
     }
   }
 }
@@ -265,14 +297,16 @@
 usage_reporter::CollectEntries(std::int64_t aThrough, collection& aAll)
 {
   TakeAll(aAll.mFromEntries, mOwnAccount.Buckets(aThrough));
-  for (const auto& entry : mDirectory.Entries()) {
-    if (entry.mName == mOptions.mEntryName) {
-      continue;
-    }
-    auto answer = Ask(PoolFor(entry), aThrough);
+  const auto pools = OtherEntries();
+  std::vector<std::vector<wire::usage_bucket>> told(pools.size());
+  SideBySide(pools.size(), [&](std::size_t aPlace) {
+    auto answer = Ask(*pools[aPlace], aThrough);
     if (answer.mState == wire::wire_state::Answered) {
-      TakeAll(aAll.mFromEntries, std::move(answer.mReply.buckets));
+      told[aPlace] = std::move(answer.mReply.buckets);
     }
+  });
+  for (auto& buckets : told) {
+    TakeAll(aAll.mFromEntries, std::move(buckets));
   }
 }
 
@@ -301,14 +335,12 @@
       Ask(aPool, report.mWindow, included);
     }
   };
-  for (const auto& server : mDirectory.Servers()) {
-    settle(*server.mConnections);
-  }
-  for (const auto& entry : mDirectory.Entries()) {
-    if (entry.mName != mOptions.mEntryName) {
-      settle(PoolFor(entry));
-    }
-  }
+  const auto servers = mDirectory.Servers();
+  SideBySide(servers.size(), [&](std::size_t aPlace) {
+    settle(*servers[aPlace].mConnections);
+  });
+  const auto pools = OtherEntries();
+  SideBySide(pools.size(), [&](std::size_t aPlace) { settle(*pools[aPlace]); });
   mOwnAccount.Settle(
     IncludedOf(report.mMarks, mOwnAccount.Buckets(report.mWindow)));
   const auto list = platform::List(mOptions.mPlatform, kRemainderKind);
@@ -340,14 +372,21 @@
   return now - since.first->second >= wait;
 }
 
-usage_reporter::entry_pool&
-usage_reporter::PoolFor(const platform::instance& aEntry)
+std::vector<usage_reporter::entry_pool*>
+usage_reporter::OtherEntries()
 {
-  auto& pool = mPools[http::FormatEndpoint(aEntry.mEndpoint)];
-  if (!pool) {
-    pool = std::make_unique<entry_pool>(aEntry.mEndpoint, kCallTimeout);
+  std::vector<entry_pool*> pools;
+  for (const auto& entry : mDirectory.Entries()) {
+    if (entry.mName == mOptions.mEntryName) {
+      continue;
+    }
+    auto& pool = mPools[http::FormatEndpoint(entry.mEndpoint)];
+    if (!pool) {
+      pool = std::make_unique<entry_pool>(entry.mEndpoint, kCallTimeout);
+    }
+    pools.push_back(pool.get());
   }
-  return *pool;
+  return pools;
 }
 
 bool
--- a/Duties/Reports/UsageReporter.h
+++ b/Duties/Reports/UsageReporter.h
@@ -71,7 +71,8 @@
   void CollectRemainders(collection& aAll);
   void Settle();
   bool IsGone(const std::string& aAgentIncarnation);
-  entry_pool& PoolFor(const platform::instance& aEntry);
+  /** Connections to all entries but this one. */
+  std::vector<entry_pool*> OtherEntries();
   bool IsStopping();
 
   const reporter_options mOptions;
