--- a/Bench/main.cpp
+++ b/Bench/main.cpp
@@ -23,6 +23,7 @@
     { "lag", RunLag },
     { "decision", RunDecision },
     { "slopes", RunSlopes },
+    { "leases", RunLeases },
   };
   return kExperiments;
 }
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -3,6 +3,7 @@
 #include "Duties/Keys/KeyGate.h"
 #include "Duties/Leases/LeaseKeeper.h"
 #include "Duties/Orders/ZoneKeeper.h"
+#include "Duties/Reports/UsageReporter.h"
 #include "Duties/Weights/RollOutDuty.h"
 #include "Libraries/Core/Identity.h"
 #include "Libraries/Core/Log.h"
@@ -198,6 +199,25 @@
   return options;
 }
 
+reports::reporter_options
+ReporterOptions(const settings::values& aValues,
+                const platform::client& aPlatform,
+                leases::lease_keeper& aLeases,
+                metrics::registry& aMetrics)
+{
+  reports::reporter_options options;
+  options.mPlatform = aPlatform;
+  options.mLeases = aLeases.Source();
+  options.mLetExpire = [&aLeases](const std::string& aName) {
+    aLeases.LetExpire(aName);
+  };
+  options.mLateBytes = aValues.Milliseconds("lease-late-bytes");
+  options.mEntryName = aValues.Text("name");
+  options.mWindow = std::chrono::seconds(aValues.Integer("usage-window"));
+  options.mMetrics = &aMetrics;
+  return options;
+}
+
 int
 Run(const settings::values& aValues, termination_signal& aTermination)
 {
@@ -258,6 +278,10 @@
   dispatchOptions.mRouting = RoutingLimits(aValues);
   dispatch::entry_dispatch dispatcher(dispatchOptions, directory, metrics);
   usage::usage_account account;
+  reports::usage_reporter usageReporter(
+    ReporterOptions(aValues, platformClient, leaseKeeper, metrics),
+    directory,
+    account);
   samples::sample_duty_options sampleOptions;
   sampleOptions.mPlatform = platformClient;
   sampleOptions.mSideBySide =
@@ -314,6 +338,7 @@
   configuration.Start();
   directory.Start();
   zoneKeeper.Start();
+  usageReporter.Start();
   peers.Start();
   sampleDuty.Start();
   rollOut.Start();
@@ -369,6 +394,12 @@
   operatorServer.Stop();
   wireServer.Stop();
   zoneKeeper.Stop();
+  usageReporter.Stop();
+  reports::WriteRemainder(platformClient,
+                          incarnation,
+                          account,
+                          boot_clock::now() +
+                            aValues.Milliseconds("drain-deadline") / 4);
   peers.Stop();
   leaseKeeper.Stop();
   directory.Stop();
