--- a/Duties/Configuration/PeerExchange.cpp
+++ b/Duties/Configuration/PeerExchange.cpp
@@ -182,15 +182,23 @@
   const auto now = boot_clock::now();
   std::lock_guard lock(mMutex);
   // Counted from the list itself: a peer that isn't polled yet is known too.
+  bool isListed = false;
   for (const auto& instance : mOptions.mEntries()) {
-    report.mKnown += instance.mName == mOptions.mOwnName ? 0 : 1;
+    const bool isOwn = instance.mName == mOptions.mOwnName;
+    isListed = isListed || isOwn;
+    report.mKnown += isOwn ? 0 : 1;
   }
+  auto lowest = mStore.Digest().mKnownUpTo;
   for (const auto& [name, peer] : mPeers) {
     report.mAsked += peer.mAskedAt ? 1 : 0;
     if (!peer.mHeardAt) {
       continue;
     }
-    report.mAudible += now - *peer.mHeardAt <= kAudible ? 1 : 0;
+    if (now - *peer.mHeardAt <= kAudible) {
+      ++report.mAudible;
+      report.mNames.push_back(name);
+      lowest = std::min(lowest, peer.mDigest.mKnownUpTo);
+    }
     report.mHighestChanged =
       std::max(report.mHighestChanged, peer.mDigest.mChanged);
     if (const auto proof = peer.mDigest.mProvenAt) {
@@ -198,6 +206,9 @@
         std::max(report.mLatestProof.value_or(*proof), *proof);
     }
   }
+  // A list that doesn't name this entry yet may lack others too.
+  const bool areAllHeard = isListed && report.mAudible == report.mKnown;
+  report.mLowestKnown = areAllHeard ? lowest : 0;
   return report;
 }
 
--- a/Duties/Configuration/PeerExchange.h
+++ b/Duties/Configuration/PeerExchange.h
@@ -39,6 +39,10 @@
   std::size_t mAudible = 0;
   std::int64_t mHighestChanged = 0;
   std::optional<time_point> mLatestProof;
+  /** Every peer knows all changes up to here; 0 while one can't be heard. */
+  std::int64_t mLowestKnown = 0;
+  /** Names of the peers that can be heard. */
+  std::vector<std::string> mNames;
 };
 
 /** Compares this entry's configuration with its peers' and fetches it from
--- a/Duties/Configuration/Validation.cpp
+++ b/Duties/Configuration/Validation.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Configuration/Validation.h"
 
 #include <algorithm>
+#include <cctype>
 #include <vector>
 
 namespace lavender::configuration {
@@ -35,7 +36,6 @@
   static const std::vector<field_rule> kKey = {
     { "customer", field_type::Text, true, 0, 0 },
     { "withdrawn", field_type::Boolean, false, 0, 0 },
-    { "hash", field_type::Text, false, 0, 0 },
   };
   static const std::vector<field_rule> kModelVersion = {
     { "model", field_type::Text, true, 0, 0 },
@@ -101,8 +101,59 @@
                                                            : "";
 }
 
+/** Names go into paths, labels and logs. */
+std::string
+FindNameFault(const std::string& aName)
+{
+  constexpr std::size_t kLongestName = 128;
+  if (aName.size() > kLongestName) {
+    return "name is longer than 128 bytes";
+  }
+  const bool isPlain = std::all_of(aName.begin(), aName.end(), [](char aByte) {
+    return std::isalnum(static_cast<unsigned char>(aByte)) || aByte == '-' ||
+           aByte == '_' || aByte == '.';
+  });
+  return isPlain && !aName.empty()
+           ? std::string()
+           : "name may hold letters, digits, '-', '_' and '.' only";
+}
+
 } // namespace
 
+std::vector<reference>
+ReferencesOf(const std::string& aKind, const json::value& aSpec)
+{
+  std::vector<reference> references;
+  const auto add = [&](const char* aField, const char* aReferredKind) {
+    if (auto name = json::StringAt(aSpec, aField, ""); !name.empty()) {
+      references.push_back({ aField, aReferredKind, std::move(name) });
+    }
+  };
+  if (aKind == "Key" || aKind == "TrainingRun") {
+    add("customer", "Customer");
+  }
+  if (aKind == "TrainingRun") {
+    add("pool", "BackendPool");
+  }
+  return references;
+}
+
+findings
+ValidateReferences(const std::string& aKind,
+                   const std::string& aName,
+                   const json::value& aSpec,
+                   const existence& aExists)
+{
+  findings found;
+  for (const auto& [field, kind, name] : ReferencesOf(aKind, aSpec)) {
+    if (!aExists(kind, name)) {
+      found.Add(aKind + "/" + aName + " spec." + field,
+                "there is no " + kind + "/" + name);
+    }
+  }
+  return found;
+}
+
 findings
 ValidateSpec(const std::string& aKind,
              const std::string& aName,
@@ -115,6 +166,9 @@
     found.Add(place, "unknown kind");
     return found;
   }
+  if (auto fault = FindNameFault(aName); !fault.empty()) {
+    found.Add(place, fault);
+  }
   if (!aSpec.IsObject()) {
     found.Add(place + " spec", "must be an object");
     return found;
@@ -129,6 +183,14 @@
       }
     }
   }
+  if (aKind == "BackendPool") {
+    const auto lowest = json::IntegerAt(aSpec, "minimum_per_zone", 0);
+    const auto highest = json::IntegerAt(aSpec, "maximum_per_zone", lowest);
+    if (lowest > highest) {
+      found.Add(place + " spec.maximum_per_zone",
+                "must not be below minimum_per_zone");
+    }
+  }
   for (const auto& [name, member] : aSpec.Members()) {
     const bool isKnown = std::any_of(
       rules.begin(), rules.end(), [&name = name](const auto& aRule) {
--- a/Libraries/Platform/PlatformClient.cpp
+++ b/Libraries/Platform/PlatformClient.cpp
@@ -3,6 +3,27 @@
 namespace lavender::platform {
 namespace {
 
+void
+CountCall(const client& aClient,
+          const std::string& aCall,
+          const std::string& aResult)
+{
+  if (aClient.mMetrics) {
+    aClient.mMetrics->Count("lavender_platform_calls_total",
+                            { { "call", aCall }, { "result", aResult } });
+  }
+}
+
+bool
+IsOverBudget(const client& aClient, const http::request& aRequest)
+{
+  if (!aClient.mBudget) {
+    return false;
+  }
+  return aRequest.mMethod == "GET" ? !aClient.mBudget->TakeRead()
+                                   : !aClient.mBudget->TakeWrite();
+}
+
 http::call_result
 Send(const client& aClient,
      const std::string& aCounted,
@@ -10,16 +31,19 @@
      std::chrono::milliseconds aTimeout)
 {
   aRequest.mHeaders.emplace_back("X-Caller", aClient.mCaller);
-  auto outcome = http::Call(aClient.mEndpoint, aRequest, aTimeout);
-  if (aClient.mMetrics) {
-    const bool isAnswered = outcome.mState == http::call_state::Answered;
-    aClient.mMetrics->Count(
-      "lavender_platform_calls_total",
-      { { "call", aCounted },
-        { "result",
-          isAnswered ? std::to_string(outcome.mResponse.mStatus)
-                     : "no_answer" } });
+  http::call_result outcome;
+  if (IsOverBudget(aClient, aRequest)) {
+    // Nothing was sent, so a write is certainly not carried out.
+    outcome.mLastReason = "platform budget is used up";
+    CountCall(aClient, aCounted, "over_budget");
+    return outcome;
   }
+  outcome = http::Call(aClient.mEndpoint, aRequest, aTimeout);
+  const bool isAnswered = outcome.mState == http::call_state::Answered;
+  CountCall(aClient,
+            aCounted,
+            isAnswered ? std::to_string(outcome.mResponse.mStatus)
+                       : "no_answer");
   return outcome;
 }
 
--- a/Libraries/Platform/PlatformClient.h
+++ b/Libraries/Platform/PlatformClient.h
@@ -4,9 +4,11 @@
 #include "Libraries/Http/Client.h"
 #include "Libraries/Json/Value.h"
 #include "Libraries/Metrics/Metrics.h"
+#include "Libraries/Platform/CallBudget.h"
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -101,6 +103,8 @@
   std::chrono::milliseconds mTimeout{ 2000 };
   /** Counts each call by its kind; may be null. */
   metrics::registry* mMetrics = nullptr;
+  /** Refuses calls over this process's rate at once; null for no limit. */
+  std::shared_ptr<call_budget> mBudget = nullptr;
 };
 
 read_result
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -74,6 +74,30 @@
       0,
       {},
       true },
+    { "operator-key-hash",
+      "SHA-256 of the operators' bearer key in hexadecimal. Without it the "
+      "operators' listener must be on loopback.",
+      "",
+      "",
+      setting_kind::Text,
+      0,
+      0,
+      {},
+      false },
+    Number("platform-reads",
+           "Reads and watches that this process may send to the platform; "
+           "more are refused at once.",
+           "calls/s",
+           600,
+           1,
+           100000),
+    Number("platform-writes",
+           "Writes that this process may send to the platform; more are "
+           "refused at once.",
+           "calls/s",
+           300,
+           1,
+           100000),
     { "data-folder",
       "Folder on a disk that keeps the last configuration, for a start while "
       "the platform is down. Without it nothing is kept.",
@@ -202,4 +226,23 @@
   return declared;
 }
 
+void
+CheckSettings(const settings::values& aValues, findings& aFindings)
+{
+  constexpr std::size_t kHashLength = 64;
+  const auto& hash = aValues.Text("operator-key-hash");
+  const bool isHash =
+    hash.size() == kHashLength &&
+    hash.find_first_not_of("0123456789abcdef") == std::string::npos;
+  if (!hash.empty() && !isHash) {
+    aFindings.Add("--operator-key-hash",
+                  "must be 64 digits in lower-case hexadecimal");
+  }
+  const auto& listen = aValues.Text("operator-listen");
+  if (hash.empty() && listen.rfind("127.", 0) != 0) {
+    aFindings.Add("--operator-listen",
+                  "must be on loopback while --operator-key-hash is empty");
+  }
+}
+
 } // namespace lavender::entry
--- a/Services/Entry/EntrySettings.h
+++ b/Services/Entry/EntrySettings.h
@@ -8,4 +8,8 @@
 std::vector<settings::setting>
 DeclareSettings();
 
+/** Adds what is wrong with settings that depend on each other. */
+void
+CheckSettings(const settings::values& aValues, findings& aFindings);
+
 } // namespace lavender::entry
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Configuration/PeerExchange.h"
 #include "Duties/Configuration/ResourceApi.h"
+#include "Duties/Configuration/StatusDuty.h"
 #include "Duties/Keys/KeyGate.h"
 #include "Duties/Leases/LeaseKeeper.h"
 #include "Duties/Orders/ZoneKeeper.h"
@@ -55,6 +56,46 @@
   return summary;
 }
 
+/** What the status of resources is made from. */
+configuration::status_facts
+GatherFacts(const configuration::peer_report& aPeers,
+            const std::vector<membership::server_view>& aServers)
+{
+  configuration::status_facts facts;
+  facts.mEverywhere = aPeers.mLowestKnown;
+  facts.mEntries = static_cast<std::int64_t>(aPeers.mKnown) + 1;
+  const auto now = boot_clock::now();
+  for (const auto& server : aServers) {
+    auto& pool = facts.mPools[server.mInstance.mPool];
+    const auto state = membership::StateOf(server, {}, now);
+    ++pool.mServers[membership::WordFor(state)];
+    if (state == membership::server_state::Live) {
+      ++pool.mHolding[server.mWeightVersion];
+    }
+  }
+  return facts;
+}
+
+configuration::status_options
+StatusOptions(const settings::values& aValues,
+              const platform::client& aPlatform,
+              const configuration::peer_exchange& aPeers,
+              const membership::server_directory& aDirectory)
+{
+  configuration::status_options options;
+  options.mPlatform = aPlatform;
+  options.mOwnName = aValues.Text("name");
+  options.mEntries = [&, name = options.mOwnName] {
+    auto entries = aPeers.Report().mNames;
+    entries.push_back(name);
+    return entries;
+  };
+  options.mFacts = [&] {
+    return GatherFacts(aPeers.Report(), aDirectory.Servers());
+  };
+  return options;
+}
+
 /** Sets the gauges whose values are only known when somebody reads them. */
 void
 WriteGauges(metrics::registry& aMetrics,
@@ -210,6 +251,9 @@
   platformClient.mEndpoint.mAuthority = aValues.Text("platform-authority");
   platformClient.mCaller = aValues.Text("name");
   platformClient.mMetrics = &metrics;
+  platformClient.mBudget = std::make_shared<platform::call_budget>(
+    static_cast<double>(aValues.Integer("platform-reads")),
+    static_cast<double>(aValues.Integer("platform-writes")));
 
   configuration::configuration_store configuration(
     { platformClient, aValues.Text("data-folder") });
@@ -230,6 +274,8 @@
   peerOptions.mEntries = [&] { return directory.Entries(); };
   peerOptions.mMetrics = &metrics;
   configuration::peer_exchange peers(peerOptions, configuration);
+  configuration::status_duty statusDuty(
+    StatusOptions(aValues, platformClient, peers, directory), configuration);
   keys::key_gate_options gateOptions;
   gateOptions.mOwn = [&] {
     const auto digest = configuration.Digest();
@@ -318,6 +364,7 @@
   directory.Start();
   zoneKeeper.Start();
   peers.Start();
+  statusDuty.Start();
   sampleDuty.Start();
   rollOut.Start();
   std::atomic<bool> isDraining{ false };
@@ -338,10 +385,12 @@
   http::server callerServer(
     ListenerFor(aValues, "caller-listen", callerThreads),
     [&](const http::request& aRequest) { return callers.Serve(aRequest); });
-  http::server operatorServer(ListenerFor(aValues, "operator-listen", 64),
-                              [&](const http::request& aRequest) {
-                                return http::Serve(operatorRoutes, aRequest);
-                              });
+  http::server operatorServer(
+    ListenerFor(aValues, "operator-listen", 64),
+    [&](const http::request& aRequest) {
+      return configuration::ServeOperators(
+        operatorRoutes, aValues.Text("operator-key-hash"), aRequest);
+    });
   http::server healthServer(ListenerFor(aValues, "health-listen", 16),
                             [&](const http::request& aRequest) {
                               return http::Serve(healthRoutes, aRequest);
@@ -372,6 +421,7 @@
   operatorServer.Stop();
   wireServer.Stop();
   zoneKeeper.Stop();
+  statusDuty.Stop();
   peers.Stop();
   leaseKeeper.Stop();
   directory.Stop();
@@ -390,6 +440,7 @@
   auto reading = settings::Read(
     "lavender-entry", entry::DeclareSettings(), aCount, aArguments);
   wire::CheckSecurity(reading.mValues, reading.mFindings);
+  entry::CheckSettings(reading.mValues, reading.mFindings);
   if (!reading.mFindings.IsEmpty()) {
     settings::Report(reading.mFindings);
     return settings::kBadSettingsStatus;
--- a/StandIns/Platform/Platform.cpp
+++ b/StandIns/Platform/Platform.cpp
@@ -59,6 +59,7 @@
 platform::Serve(const http::request& aRequest)
 {
   if (!IsControl(aRequest)) {
+    Keep(aRequest);
     if (auto fault = ApplyFaults(aRequest)) {
       return *fault;
     }
@@ -69,6 +70,21 @@
   return http::Serve(mRouter, aRequest);
 }
 
+void
+platform::Keep(const http::request& aRequest)
+{
+  constexpr std::size_t kMostBytes = 8 << 20;
+  std::lock_guard lock(mMutex);
+  if (mReceived.size() > kMostBytes) {
+    return;
+  }
+  mReceived += aRequest.mPath + "?" + aRequest.mQuery + "\n";
+  for (const auto& [name, content] : aRequest.mHeaders) {
+    mReceived += name + ": " + content + "\n";
+  }
+  mReceived += aRequest.mBody + "\n";
+}
+
 std::optional<http::response>
 platform::ApplyFaults(const http::request& aRequest)
 {
@@ -409,6 +425,10 @@
     body.Set("lines", std::move(lines));
     return JsonResponse(200, body);
   });
+  mRouter.Add("GET", "/control/received", [this](const auto&, const auto&) {
+    std::lock_guard lock(mMutex);
+    return http::response{ 200, "application/octet-stream", {}, mReceived };
+  });
   mRouter.Add("GET", "/control/calls", [this](const auto&, const auto&) {
     std::lock_guard lock(mMutex);
     json::value body = json::object{};
--- a/StandIns/Platform/Platform.h
+++ b/StandIns/Platform/Platform.h
@@ -64,6 +64,7 @@
   void AddObjectRoutes();
   void AddInterfaceRoutes();
   void AddControlRoutes();
+  void Keep(const http::request& aRequest);
   std::optional<http::response> ApplyFaults(const http::request& aRequest);
   std::optional<http::response> AnswerFromOldCopy(
     const http::request& aRequest);
@@ -93,6 +94,8 @@
   std::set<std::string> mOrderIds;
   std::map<std::string, json::value> mUsage;
   std::map<std::string, std::int64_t> mCalls;
+  /** Bytes of all requests but control ones, up to a limit. */
+  std::string mReceived;
 };
 
 } // namespace lavender::standin
--- a/Tests/Support/DelayingRelay.cpp
+++ b/Tests/Support/DelayingRelay.cpp
@@ -114,6 +114,13 @@
   close(aConnection.mServer);
 }
 
+std::string
+delaying_relay::Passed()
+{
+  std::lock_guard lock(mMutex);
+  return mPassed;
+}
+
 bool
 delaying_relay::Forward(int aFrom, int aTo, std::string& aStart)
 {
@@ -122,6 +129,10 @@
   if (got <= 0) {
     return false;
   }
+  {
+    std::lock_guard lock(mMutex);
+    mPassed.append(buffer, static_cast<std::size_t>(got));
+  }
   if (aStart.empty()) {
     aStart.assign(buffer, std::min<std::size_t>(64, got));
   }
--- a/Tests/Support/DelayingRelay.h
+++ b/Tests/Support/DelayingRelay.h
@@ -31,6 +31,8 @@
   void Stall(bool aIsStalled) { mIsStalled = aIsStalled; }
   /** Closes all connections; new ones work. */
   void Cut() { ++mCuts; }
+  /** All bytes that passed so far, in both directions. */
+  std::string Passed();
   /** How many chunks of bytes were delayed. */
   std::int64_t Delayed() const { return mDelayed; }
 
@@ -55,6 +57,7 @@
   std::atomic<std::int64_t> mCuts{ 0 };
   std::atomic<std::int64_t> mDelayed{ 0 };
   std::mutex mMutex;
+  std::string mPassed;
   std::string mDelayStart;
   std::chrono::milliseconds mDelay{ 0 };
   std::list<connection> mConnections;
--- a/Tests/Support/Fleet.cpp
+++ b/Tests/Support/Fleet.cpp
@@ -133,11 +133,12 @@
     "--server",
     Loopback(aBackend.mServerRelay != 0 ? aBackend.mServerRelay
                                         : aBackend.mServer->Port("http")),
-    "--log-level",
-    "warning",
     "--weight-settle",
     "1000"
   };
+  if (!Contains(aArguments, "--log-level")) {
+    arguments.insert(arguments.end(), { "--log-level", "warning" });
+  }
   arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
   aBackend.mAgent = Start("Services/Agent/lavender-agent", arguments);
 }
@@ -159,9 +160,11 @@
                   const std::vector<std::string>& aArguments)
 {
   std::vector<std::string> arguments = {
-    "--name",      aEntry.mName, "--zone", aEntry.mAvailabilityZone,
-    "--log-level", "warning"
+    "--name", aEntry.mName, "--zone", aEntry.mAvailabilityZone
   };
+  if (!Contains(aArguments, "--log-level")) {
+    arguments.insert(arguments.end(), { "--log-level", "warning" });
+  }
   if (!Contains(aArguments, "--platform")) {
     arguments.insert(arguments.end(),
                      { "--platform", Loopback(PlatformPort()) });
