--- a/Duties/Dispatch/Ledger.h
+++ b/Duties/Dispatch/Ledger.h
@@ -31,6 +31,8 @@
   milliseconds mKeepAnswer{ 600000 };
   /** A queued request whose entry has stopped asking is dropped after this. */
   milliseconds mAbandonAfter{ 10000 };
+  /** Time in which what waits should be drained. */
+  milliseconds mMaximumDelay{ 1000 };
   admission::queue_policy mPolicy = admission::queue_policy::Fair;
   /** Rows of ended requests; beyond it the oldest are forgotten early. */
   std::size_t mMaximumEnded = 20000;
@@ -50,8 +52,6 @@
   time_point mChangedAt;
   time_point mAskedAt;
   time_point mStartedAt;
-  /** An entry was told how the request ended. */
-  bool mIsEndTold = false;
 };
 
 /** Ended requests of one sort, oldest first. */
@@ -136,9 +136,10 @@
 milliseconds
 EstimateQueueDelay(const ledger& aLedger);
 
-/** Requests that ended a short while ago and whose entry wasn't told so yet.
- * An entry that lives asks within that while. */
-std::size_t
-CountUntold(const ledger& aLedger, time_point aNow);
+/** Whether an entry may still be about to ask how a request ended. A reply
+ * that was written may never arrive, because its connection went silent; the
+ * entry finds that out by the silence and asks again on a new one. */
+bool
+MayBeAskedForEnd(const ledger& aLedger, time_point aNow);
 
 } // namespace lavender::dispatch
