Leaving, replaced and strange servers, by histories and under load

Cause: a report that was overtaken, or a predecessor's late answer, could make a draining agent look open again, or a new one look as if it left for good; and StopsForQueuedWork looked for a member that the engine's log doesn't have, so that its last check proved nothing. It looks for the request's id now.

Ruled out: threads for each server (1,200 servers, 1,200 threads); one ring for all polls (with 400 of 1,200 silent, 129 of 800 live ones were polled again in the time in which 800 should have been).

--- a/Duties/Membership/DirectoryState.cpp
+++ b/Duties/Membership/DirectoryState.cpp
@@ -19,6 +19,7 @@
     aView.mConnections = aMakeConnections(aInstance.mEndpoint);
     aView.mHeardAt.reset();
     aView.mFailedAt.reset();
+    aView.mReportedAt = {};
     aView.mIncarnation.clear();
     aView.mIsLeaving = false;
   }
@@ -133,7 +134,9 @@
 {
   const auto found = aState.mServers.find(aName);
   if (found == aState.mServers.end() ||
-      found->second.mConnections != aConnections) {
+      found->second.mConnections != aConnections ||
+      aAskedAt < found->second.mReportedAt) {
+    // A report that was overtaken may be a predecessor's at this address.
     return report_outcome::Outdated;
   }
   auto& view = found->second;
@@ -180,8 +183,10 @@
   }
   auto& view = found->second;
   if (view.mIncarnation != aReply.agent_incarnation) {
-    // The new process gets requests once its report has told its clock.
+    // A restarted process, or a late word of its predecessor. Which of them
+    // serves now, and whether it drains, is for the next report to tell.
     view.mHeardAt.reset();
+    return;
   }
   view.mIsLeaving =
     IsLeavingNow(view, aReply.agent_incarnation, aReply.draining);
--- a/Tests/TestConfigurationFaults.cpp
+++ b/Tests/TestConfigurationFaults.cpp
@@ -219,11 +219,15 @@
   BOOST_TEST(queued.mStatus == 401);
   BOOST_TEST(ReasonOf(queued) == "key_withdrawn");
   BOOST_TEST(RanOf(queued) == "not_run");
+  const auto* error = queued.mBody.Find("error");
+  BOOST_REQUIRE(error);
+  const auto id = json::StringAt(*error, "request_id", "");
+  BOOST_TEST(id != "");
   const auto log = Send(engine, "GET", "/control/log");
   const auto& runs = log.mBody.Find("runs")->Elements();
   BOOST_TEST(runs.size() > 0u);
-  BOOST_TEST(std::none_of(runs.begin(), runs.end(), [](const auto& aRun) {
-    return json::StringAt(aRun, "prompt", "") == "queued minutes";
+  BOOST_TEST(std::none_of(runs.begin(), runs.end(), [&](const auto& aRun) {
+    return json::StringAt(aRun, "request", "") == id;
   }));
 }
 
