--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -34,8 +34,6 @@
   options.mMaximumThreads = aThreads;
   options.mMaximumBodyBytes =
     static_cast<std::size_t>(aValues.Integer("maximum-body"));
-  options.mCertificateFile = aValues.Text("certificate");
-  options.mPrivateKeyFile = aValues.Text("private-key");
   return options;
 }
 
@@ -248,7 +246,6 @@
   metrics::registry metrics;
   platform::client platformClient;
   platformClient.mEndpoint = *http::ParseEndpoint(aValues.Text("platform"));
-  platformClient.mEndpoint.mAuthority = aValues.Text("platform-authority");
   platformClient.mCaller = aValues.Text("name");
   platformClient.mMetrics = &metrics;
   platformClient.mBudget = std::make_shared<platform::call_budget>(
