Samples of a slow or hanging server are started again, blind to their length

Chosen: start again by the server's pace, or when even the longest answer would be over; both are blind to an answer's length.

--- a/Duties/Dispatch/EntryDispatch.cpp
+++ b/Duties/Dispatch/EntryDispatch.cpp
@@ -249,6 +249,9 @@
 call_outcome
 entry_dispatch::Attempt(const call& aCall, const attempt_ticket& aTicket)
 {
+  if (aCall.mOnAttempt) {
+    aCall.mOnAttempt(aTicket.mServerName);
+  }
   const auto& name = aTicket.mServerName;
   const auto sentAt = boot_clock::now();
   {
--- a/Duties/Dispatch/EntryDispatch.h
+++ b/Duties/Dispatch/EntryDispatch.h
@@ -46,6 +46,8 @@
   /** The same, asked only while the request is queued: work that already runs
    * isn't stopped for it. */
   std::function<std::string()> mQueuedStopReason;
+  /** Told the server's name before each attempt; may be empty. */
+  std::function<void(const std::string&)> mOnAttempt;
 };
 
 struct entry_dispatch_options
--- a/Duties/Samples/SampleDuty.cpp
+++ b/Duties/Samples/SampleDuty.cpp
@@ -162,8 +162,38 @@
   return isTooOld ? "weights_too_old" : "";
 }
 
+std::string
+sample_duty::FindStopReason(working_step& aStep,
+                            const sample_place& aPlace,
+                            const attempt_sight& aSight)
+{
+  if (mIsStopping) {
+    // A planned stop cuts no caller's request; a sample that has to be made
+    // again elsewhere is cheaper than an entry that can't leave.
+    return "entry_stopping";
+  }
+  if (aStep.mRequest.mStopReason) {
+    if (auto reason = aStep.mRequest.mStopReason(); !reason.empty()) {
+      return reason;
+    }
+  }
+  std::lock_guard lock(mMutex);
+  const std::pair place{ aPlace.mGroup, aPlace.mIndex };
+  const running_sample running{ aSight.mServer,
+                                std::chrono::duration_cast<milliseconds>(
+                                  boot_clock::now() - aSight.mStartedAt),
+                                aStep.mRequest.mShape.mMaximumTokens,
+                                !HasNext(aStep.mJob),
+                                aStep.mMoved.count(place) > 0 };
+  auto reason = FindReasonToMove(mPaces, mOptions.mPace, running);
+  if (!reason.empty()) {
+    aStep.mMoved.insert(place);
+  }
+  return reason;
+}
+
 std::optional<sample>
-sample_duty::MakeSample(const working_step& aStep, const sample_place& aPlace)
+sample_duty::MakeSample(working_step& aStep, const sample_place& aPlace)
 {
   const auto& request = aStep.mRequest;
   const auto& shape = request.mShape;
@@ -193,16 +223,20 @@
   call.mCostTokens = shape.mMaximumTokens;
   call.mOldestWeightVersion = OldestFor(run);
   call.mDeadline = boot_clock::now() + mOptions.mSampleDeadline;
-  call.mStopReason = [&] {
-    // A planned stop cuts no caller's request; a sample that has to be made
-    // again elsewhere is cheaper than an entry that can't leave.
-    return mIsStopping           ? std::string("entry_stopping")
-           : request.mStopReason ? request.mStopReason()
-                                 : std::string();
+  attempt_sight sight;
+  call.mOnAttempt = [&](const std::string& aServer) {
+    sight = { aServer, boot_clock::now() };
   };
+  call.mStopReason = [&] { return FindStopReason(aStep, aPlace, sight); };
   const auto outcome = mRunner(call);
   if (outcome.mRan == dispatch::ran::Ran) {
     mObserver(call, outcome);
+    std::lock_guard lock(mMutex);
+    NotePace(mPaces,
+             outcome.mServerName,
+             std::chrono::duration_cast<milliseconds>(boot_clock::now() -
+                                                      sight.mStartedAt),
+             outcome.mResult.completion_tokens);
   }
   // The bound moves while a sample is made: it's checked against the version
   // accepted now.
--- a/Duties/Samples/SampleDuty.h
+++ b/Duties/Samples/SampleDuty.h
@@ -2,6 +2,7 @@
 
 #include "Duties/Configuration/Snapshot.h"
 #include "Duties/Dispatch/EntryDispatch.h"
+#include "Duties/Samples/Pace.h"
 #include "Duties/Samples/StepJob.h"
 #include "Libraries/Metrics/Metrics.h"
 
@@ -10,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace lavender::samples {
@@ -39,6 +41,7 @@
   milliseconds mSampleDeadline{ 120000 };
   /** Pause of a step after a sample that couldn't be made. */
   milliseconds mRetryAfter{ 200 };
+  pace_limits mPace;
   /** Work that no trainer has asked for is dropped after this. */
   milliseconds mAbandonAfter{ 600000 };
 };
@@ -90,6 +93,8 @@
     step_job mJob;
     time_point mAskedAt;
     time_point mPausedUntil;
+    /** Places whose sample was stopped for its server's pace. */
+    std::set<std::pair<std::size_t, std::size_t>> mMoved;
     bool mIsStoreDown = false;
   };
   using step_pointer = std::shared_ptr<working_step>;
@@ -106,12 +111,22 @@
     sample_place mPlace;
   };
 
+  /** Where a sample under way runs. Touched by its worker's thread only. */
+  struct attempt_sight
+  {
+    std::string mServer;
+    time_point mStartedAt;
+  };
+
   void WorkLoop();
   void SaveLoop();
   void SaveStep(const step_pointer& aStep);
   std::optional<assignment> NextAssignment(time_point aNow);
-  std::optional<sample> MakeSample(const working_step& aStep,
+  std::optional<sample> MakeSample(working_step& aStep,
                                    const sample_place& aPlace);
+  std::string FindStopReason(working_step& aStep,
+                             const sample_place& aPlace,
+                             const attempt_sight& aSight);
   std::string FindFault(const dispatch::call_outcome& aOutcome,
                         const configuration::training_run& aRun) const;
   void Retry(const std::string& aReason);
@@ -134,6 +149,7 @@
   std::atomic<bool> mIsWorkOver{ false };
   std::map<std::string, step_pointer> mSteps;
   std::map<std::string, claim_sight> mSights;
+  pace_table mPaces;
   std::vector<std::thread> mWorkers;
   std::thread mSaver;
 };
--- a/Tests/TestSamples.cpp
+++ b/Tests/TestSamples.cpp
@@ -130,6 +130,25 @@
   }
 }
 
+// One engine makes tokens twenty times slower than the other, and each step
+// would wait for the samples that landed there. Once its pace is known, the
+// last samples of a step are started again; each group stays whole.
+BOOST_FIXTURE_TEST_CASE(StartsSamplesOfASlowServerAgain, training_site)
+{
+  SetFault("engine-1", { { "per_token_us", 5000 } });
+  SetFault("engine-2", { { "per_token_us", 100000 } });
+  int steps = 0;
+  BOOST_TEST(WaitFor(
+    [&] {
+      ++steps;
+      CheckTruth(WaitForBatch("entry-1", steps).mBody);
+      return Metrics("entry-1").find("reason=\"server_slow\"") !=
+             std::string::npos;
+    },
+    60s));
+  BOOST_TEST_MESSAGE("steps until a sample was started again: " << steps);
+}
+
 // The entry that makes a batch is killed half-way. The trainer asks another,
 // which goes on from the groups that were saved, and the trainer sees one
 // whole batch.
