--- /dev/null
+++ b/Bench/Cost.cpp
@@ -0,0 +1,339 @@
+#include "Bench/Experiments.h"
+#include "Bench/Results.h"
+#include "Duties/Admission/FairQueue.h"
+#include "Duties/Orders/Scale.h"
+#include "Duties/Routing/PoolTable.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace lavender::bench {
+namespace {
+
+using namespace std::chrono_literals;
+using seconds = std::chrono::duration<double>;
+
+constexpr auto kTick = 10ms;
+constexpr auto kDay = 4h;
+constexpr auto kReportEvery = 500ms;
+constexpr auto kLookEvery = 1000ms;
+constexpr auto kPerToken = 10ms;
+constexpr int kSlots = 16;
+constexpr int kZones = 3;
+constexpr int kCustomers = 8;
+constexpr int kTokens = 20;
+constexpr int kTailTokens = 100;
+/** Requests a second that one server does: 16 slots, 24 tokens of 10 ms. */
+constexpr double kServerRate = kSlots / (24 * 0.01);
+/** Servers' worth of requests at night and at noon. */
+constexpr double kNight = 1.5;
+constexpr double kNoon = 8;
+const time_point kStart(1h);
+
+struct run
+{
+  std::string mId;
+  int mCustomer = 0;
+  int mTokens = 0;
+  time_point mCameAt;
+  time_point mEndsAt;
+};
+
+struct server
+{
+  int mZone = 0;
+  time_point mOrderedAt;
+  time_point mReadyAt;
+  bool mIsLeaving = false;
+  std::vector<run> mRunning;
+  std::int64_t mRunningCost = 0;
+  admission::fair_queue mQueue;
+  /** Requests queued and running, smoothed over the looks. */
+  double mSmoothed = 0;
+};
+
+struct outcome
+{
+  std::vector<std::vector<std::chrono::nanoseconds>> mLatencies;
+  std::size_t mServed = 0;
+  std::size_t mRefused = 0;
+  double mServerSeconds = 0;
+  int mStarts = 0;
+  int mStops = 0;
+  std::size_t mFewest = 1000;
+  std::size_t mMost = 0;
+};
+
+/** A day of load on a pool whose servers come and go by the scale decision. */
+class day
+{
+public:
+  day(const orders::scale_policy& aPolicy,
+      double aSmoothing,
+      int aServers,
+      std::uint64_t aSeed)
+    : mPolicy(aPolicy)
+    , mSmoothing(aSmoothing)
+    , mRandom(aSeed)
+    , mStates(kZones)
+  {
+    mOutcome.mLatencies.resize(kCustomers);
+    for (int i = 0; i < aServers; ++i) {
+      Start(i % kZones, 0ms);
+    }
+    mOutcome.mStarts = 0;
+  }
+
+  outcome Run()
+  {
+    while (mNow < kStart + kDay) {
+      mNow += kTick;
+      Arrive();
+      for (auto& [name, server] : mServers) {
+        Work(server);
+      }
+      if ((mNow - kStart) % kReportEvery == 0ns) {
+        Report();
+      }
+      if ((mNow - kStart) % kLookEvery == 0ns) {
+        Look();
+      }
+    }
+    return std::move(mOutcome);
+  }
+
+private:
+  void Start(int aZone, milliseconds aTime)
+  {
+    auto& made = mServers["server-" + std::to_string(mNumber++)];
+    made.mZone = aZone;
+    made.mOrderedAt = mNow;
+    made.mReadyAt = mNow + aTime;
+    made.mQueue.mLimits.mSlots = kSlots;
+    ++mOutcome.mStarts;
+  }
+
+  double RateNow() const
+  {
+    const double hours = seconds(mNow - kStart) / seconds(kDay);
+    const double noon = 0.5 - 0.5 * std::cos(2 * 3.14159265 * hours);
+    return kServerRate * (kNight + (kNoon - kNight) * noon);
+  }
+
+  void Arrive()
+  {
+    std::poisson_distribution<int> count(RateNow() * seconds(kTick).count());
+    std::uniform_int_distribution<int> draw(0, 99);
+    for (int left = count(mRandom); left > 0; --left) {
+      run request;
+      request.mId = std::to_string(mNextRequest++);
+      // One customer sends half of everything.
+      const int customer = draw(mRandom);
+      request.mCustomer = customer < 50 ? 0 : 1 + customer % (kCustomers - 1);
+      request.mTokens = draw(mRandom) < 5 ? kTailTokens : kTokens;
+      request.mCameAt = mNow;
+      Send(request);
+    }
+  }
+
+  void Send(const run& aRequest)
+  {
+    const auto chosen = routing::Choose(mTable, {}, mRandom, mNow);
+    const auto found = chosen ? mServers.find(*chosen) : mServers.end();
+    if (found == mServers.end()) {
+      ++mOutcome.mRefused;
+      return;
+    }
+    admission::queue_item item;
+    item.mId = aRequest.mId;
+    item.mCustomer = std::to_string(aRequest.mCustomer);
+    item.mCost = aRequest.mTokens;
+    item.mDeadline = mNow + 60s;
+    const auto pushed = admission::Push(
+      found->second.mQueue, item, found->second.mRunningCost, mNow);
+    if (pushed.mDisplaced) {
+      ++mOutcome.mRefused;
+      mWaiting.erase(pushed.mDisplaced->mId);
+    }
+    if (!pushed.mIsQueued) {
+      ++mOutcome.mRefused;
+      return;
+    }
+    mWaiting[aRequest.mId] = aRequest;
+    routing::NoteSent(mTable, *chosen, 0, mNow);
+    routing::NoteEnded(mTable, *chosen, mNow, routing::evidence::Neutral, mNow);
+  }
+
+  void Work(server& aServer)
+  {
+    auto& running = aServer.mRunning;
+    for (auto one = running.begin(); one != running.end();) {
+      if (one->mEndsAt > mNow) {
+        ++one;
+        continue;
+      }
+      admission::RecordRun(
+        aServer.mQueue, one->mTokens, kPerToken * one->mTokens);
+      aServer.mRunningCost -= one->mTokens;
+      ++mOutcome.mServed;
+      mOutcome.mLatencies[static_cast<std::size_t>(one->mCustomer)].push_back(
+        mNow - one->mCameAt);
+      one = running.erase(one);
+    }
+    while (running.size() < kSlots) {
+      const auto item = admission::Pop(aServer.mQueue);
+      if (!item) {
+        return;
+      }
+      auto request = mWaiting.at(item->mId);
+      mWaiting.erase(item->mId);
+      request.mEndsAt = mNow + kPerToken * request.mTokens;
+      aServer.mRunningCost += request.mTokens;
+      running.push_back(std::move(request));
+    }
+  }
+
+  void Report()
+  {
+    for (auto one = mServers.begin(); one != mServers.end();) {
+      auto& [name, server] = *one;
+      routing::server_report report;
+      report.mName = name;
+      report.mSlots = kSlots;
+      report.mRequests =
+        static_cast<int>(server.mRunning.size() + server.mQueue.mSize);
+      report.mDrainRate = admission::DrainRate(server.mQueue);
+      report.mTakesWork = !server.mIsLeaving && mNow >= server.mReadyAt;
+      report.mMadeAt = mNow;
+      routing::TakeReport(mTable, report, mNow);
+      const bool isGone = server.mIsLeaving && server.mRunning.empty() &&
+                          server.mQueue.mSize == 0;
+      if (isGone) {
+        mOutcome.mServerSeconds += seconds(mNow - server.mOrderedAt).count();
+        routing::TakeOut(mTable, name);
+      }
+      one = isGone ? mServers.erase(one) : std::next(one);
+    }
+  }
+
+  void Look()
+  {
+    for (int zone = 0; zone < kZones; ++zone) {
+      std::vector<orders::server_load> loads;
+      for (auto& [name, server] : mServers) {
+        if (server.mZone == zone && mNow >= server.mReadyAt) {
+          const auto count =
+            static_cast<double>(server.mQueue.mSize + server.mRunning.size());
+          server.mSmoothed += mSmoothing * (count - server.mSmoothed);
+          loads.push_back(
+            { name,
+              0,
+              static_cast<int>(std::lround(server.mSmoothed)),
+              kSlots,
+              admission::QueueDelay(server.mQueue, server.mRunningCost),
+              server.mIsLeaving,
+              true });
+        }
+      }
+      auto& state = mStates[static_cast<std::size_t>(zone)];
+      const auto decision = orders::DecideScale(state, mPolicy, loads, mNow);
+      if (decision.mAction == orders::scale_action::Start) {
+        Start(zone, mPolicy.mStartTime);
+      } else if (decision.mAction == orders::scale_action::Stop) {
+        mServers.at(decision.mServer).mIsLeaving = true;
+        ++mOutcome.mStops;
+      }
+    }
+    mOutcome.mFewest = std::min(mOutcome.mFewest, mServers.size());
+    mOutcome.mMost = std::max(mOutcome.mMost, mServers.size());
+    if (mNow + kLookEvery > kStart + kDay) {
+      for (const auto& [name, server] : mServers) {
+        mOutcome.mServerSeconds += seconds(mNow - server.mOrderedAt).count();
+      }
+    }
+  }
+
+  const orders::scale_policy mPolicy;
+  /** Share of the newest look in a server's smoothed count; 1 for none. */
+  const double mSmoothing;
+  std::mt19937_64 mRandom;
+  time_point mNow = kStart;
+  std::map<std::string, server> mServers;
+  std::vector<orders::scale_state> mStates;
+  routing::pool_table mTable;
+  std::map<std::string, run> mWaiting;
+  std::uint64_t mNextRequest = 0;
+  int mNumber = 0;
+  outcome mOutcome;
+};
+
+void
+Measure(csv_file& aFile,
+        const std::string& aName,
+        const orders::scale_policy& aPolicy,
+        double aSmoothing,
+        int aServers,
+        std::uint64_t aSeed)
+{
+  const auto result = day(aPolicy, aSmoothing, aServers, aSeed).Run();
+  std::vector<std::chrono::nanoseconds> all;
+  std::chrono::nanoseconds worst{ 0 };
+  for (const auto& latencies : result.mLatencies) {
+    all.insert(all.end(), latencies.begin(), latencies.end());
+    worst = std::max(worst, Percentile(latencies, 0.99));
+  }
+  const auto served = static_cast<double>(result.mServed);
+  const auto refused = static_cast<double>(result.mRefused);
+  aFile.Row({ aName,
+              Text(result.mServerSeconds / served * 1000),
+              Text(Percentile(all, 0.99)),
+              Text(worst),
+              Text(refused / (served + refused)),
+              std::to_string(result.mStarts),
+              std::to_string(result.mStops),
+              std::to_string(result.mFewest),
+              std::to_string(result.mMost) });
+}
+
+} // namespace
+
+void
+RunCost(const experiment_options& aOptions)
+{
+  csv_file file(aOptions.mFolder + "/cost.csv",
+                { "fleet",
+                  "server_ms_per_request",
+                  "p99_ms",
+                  "worst_customer_p99_ms",
+                  "refused_share",
+                  "starts",
+                  "stops",
+                  "fewest",
+                  "most" });
+  orders::scale_policy policy;
+  policy.mMinimum = 1;
+  policy.mMaximum = 4;
+  for (const double smoothing : { 1.0, 0.05 }) {
+    for (const double lowUse : { 0.5, 0.7 }) {
+      policy.mLowUse = lowUse;
+      Measure(file,
+              "scaled; low use " + Text(lowUse) + "; newest look " +
+                Text(smoothing),
+              policy,
+              smoothing,
+              3,
+              aOptions.mSeed);
+    }
+  }
+  for (const int servers : { 6, 9, 12 }) {
+    Measure(file,
+            "fixed " + std::to_string(servers),
+            orders::scale_policy(),
+            1,
+            servers,
+            aOptions.mSeed);
+  }
+}
+
+} // namespace lavender::bench
--- a/Bench/Experiments.h
+++ b/Bench/Experiments.h
@@ -43,6 +43,11 @@
 void
 RunDecision(const experiment_options& aOptions);
 
+/** Servers started and stopped by the scale decision against fixed fleets, on
+ * a day of load in an event loop. */
+void
+RunCost(const experiment_options& aOptions);
+
 /** What an entry and an agent cost at rest, by number of agents and of
  * entries. */
 void
--- a/Bench/main.cpp
+++ b/Bench/main.cpp
@@ -23,6 +23,7 @@
     { "lag", RunLag },
     { "decision", RunDecision },
     { "slopes", RunSlopes },
+    { "cost", RunCost },
   };
   return kExperiments;
 }
