--- a/Bench/main.cpp
+++ b/Bench/main.cpp
@@ -24,6 +24,7 @@
     { "decision", RunDecision },
     { "slopes", RunSlopes },
     { "leases", RunLeases },
+    { "cost", RunCost },
   };
   return kExperiments;
 }
