Old records' test runs both entries with the short keep; proofs brought up to date

OldRecordsAreRemoved failed once records named their own end: the killed entry had the default of an hour, so its record rightly stayed. Both entries now run with one second, and the deadline is short; the claim is the same.

--- a/Tests/TestRunOnce.cpp
+++ b/Tests/TestRunOnce.cpp
@@ -406,14 +406,17 @@
 {
   desk_site site;
   auto& entry = site.Entry("entry-1");
-  entry.mProcess.reset();
-  site.Fleet().StartEntry(entry, { "--call-record-keep", "1" });
+  for (auto& [name, one] : site.Fleet().Entries()) {
+    one.mProcess.reset();
+    site.Fleet().StartEntry(one, { "--call-record-keep", "1" });
+  }
   site.Fleet().PublishInstances();
-  BOOST_TEST(site.Book("entry-2", "left", "key-left").mStatus == 200);
+  BOOST_REQUIRE(site.WaitUntilServing());
+  BOOST_TEST(site.Book("entry-2", "left", "key-left", 1000ms).mStatus == 200);
   site.Entry("entry-2").mProcess->Signal(SIGKILL);
   site.Fleet().Entries().erase("entry-2");
   BOOST_REQUIRE(site.WaitUntilServing());
-  BOOST_TEST(site.Book("entry-1", "old", "key-old").mStatus == 200);
+  BOOST_TEST(site.Book("entry-1", "old", "key-old", 1000ms).mStatus == 200);
   const auto records = [&] {
     const auto list =
       Send(site.Fleet().PlatformPort(), "GET", "/v1/objects?kind=Call");
