--- a/Bench/WeightRollOut.cpp
+++ b/Bench/WeightRollOut.cpp
@@ -146,9 +146,7 @@
   site site(aCount, aLoad);
   metrics::registry metrics;
   membership::directory_options directoryOptions;
-  directoryOptions.mPlatform.mEndpoint = { "127.0.0.1",
-                                           site.mListener.Port(),
-                                           "" };
+  directoryOptions.mPlatform.mEndpoint = { "127.0.0.1", site.mListener.Port() };
   directoryOptions.mEntryIncarnation = "e";
   directoryOptions.mDigest = [] { return membership::own_digest{}; };
   membership::server_directory directory(directoryOptions);
@@ -161,9 +159,8 @@
     options,
     directory,
     [&] {
-      return std::vector<weights::pool_target>{
-        { kPool, { "protokoll", version } }
-      };
+      return std::vector<weights::pool_target>{ { kPool,
+                                                  { "protokoll", version } } };
     },
     [](const std::string& aName) {
       return leases::held_lease{ aName, 1, boot_clock::now() + 1h };
@@ -191,9 +188,8 @@
     round_times times;
     const auto start = boot_clock::now();
     ++version;
-    const bool isOrdered = WaitForAll(site, [&](const auto& aAgent) {
-      return aAgent->Ordered() == version;
-    });
+    const bool isOrdered = WaitForAll(
+      site, [&](const auto& aAgent) { return aAgent->Ordered() == version; });
     times.mOrderedMs = Since(start);
     const bool isSeen = WaitForAll(site, allSeen);
     times.mSeenMs = Since(start);
--- a/StandIns/Platform/Platform.cpp
+++ b/StandIns/Platform/Platform.cpp
@@ -320,6 +320,10 @@
   Record("usage", aRequest, *body);
   std::lock_guard lock(mMutex);
   mUsage[aWindow] = *body;
+  if (mFaults.mLostUsageAnswers > 0) {
+    --mFaults.mLostUsageAnswers;
+    return Failure(500, "answer_lost");
+  }
   if (mFaults.mLostAnswers > 0) {
     --mFaults.mLostAnswers;
     return Failure(500, "answer_lost");
@@ -372,6 +376,8 @@
     json::IntegerAt(*body, "slow_orders_ms", mFaults.mOrderSlowness.count()));
   mFaults.mLostAnswers = static_cast<int>(
     json::IntegerAt(*body, "lose_answers", mFaults.mLostAnswers));
+  mFaults.mLostUsageAnswers = static_cast<int>(
+    json::IntegerAt(*body, "lose_usage_answers", mFaults.mLostUsageAnswers));
   mFaults.mIgnoresFencing =
     json::BooleanAt(*body, "ignore_fencing", mFaults.mIgnoresFencing);
   mFaults.mListLag = std::chrono::milliseconds(
--- a/StandIns/Platform/Platform.h
+++ b/StandIns/Platform/Platform.h
@@ -20,6 +20,9 @@
   std::chrono::milliseconds mSlowness{ 0 };
   /** That many writes take effect and answer 500. */
   int mLostAnswers = 0;
+  /** That many usage reports are taken and answered 500; kept apart, so that
+   * other writes don't use them up. */
+  int mLostUsageAnswers = 0;
   /** Callers that get no answer. */
   std::set<std::string> mCutCallers;
   /** Zone orders and usage reports are taken up this much after their bytes
--- a/Tests/TestUsageReports.cpp
+++ b/Tests/TestUsageReports.cpp
@@ -174,7 +174,7 @@
 {
   Serve("entry-1", 5);
   const auto killed = Reporter();
-  SetFaults({ { "lose_answers", 4 } });
+  SetFaults({ { "lose_answers", 4 }, { "lose_usage_answers", 2 } });
   Serve("entry-2", 5);
   mFleet.Entries().at(killed).mProcess->Signal(SIGKILL);
   mFleet.Entries().at(killed).mProcess->WaitForExit(5s);
