--- a/Bench/Experiments.h
+++ b/Bench/Experiments.h
@@ -48,4 +48,9 @@
 void
 RunSlopes(const experiment_options& aOptions);
 
+/** Resident memory of an entry's state, its configuration and its view of the
+ * servers, at the two-year size; CSV on standard output. */
+void
+RunStateMemory(const experiment_options& aOptions);
+
 } // namespace lavender::bench
--- a/Bench/main.cpp
+++ b/Bench/main.cpp
@@ -23,6 +23,7 @@
     { "lag", RunLag },
     { "decision", RunDecision },
     { "slopes", RunSlopes },
+    { "state-memory", RunStateMemory },
   };
   return kExperiments;
 }
