--- a/Bench/main.cpp
+++ b/Bench/main.cpp
@@ -24,6 +24,8 @@
     { "decision", RunDecision },
     { "slopes", RunSlopes },
     { "state-memory", RunStateMemory },
+    { "leases", RunLeases },
+    { "cost", RunCost },
   };
   return kExperiments;
 }
