--- a/Bench/Experiments.h
+++ b/Bench/Experiments.h
@@ -53,6 +53,11 @@
 void
 RunSlopes(const experiment_options& aOptions);
 
+/** Resident memory of an entry's state, its configuration and its view of the
+ * servers, at the two-year size; CSV on standard output. */
+void
+RunStateMemory(const experiment_options& aOptions);
+
 /** Calls to the Object API for leases, by entries and leases, and the bytes of
  * a usage window, by customers and agents. */
 void
