--- a/Bench/WeightRollOut.cpp
+++ b/Bench/WeightRollOut.cpp
@@ -146,9 +146,9 @@
   site site(aCount, aLoad);
   metrics::registry metrics;
   membership::directory_options directoryOptions;
-  directoryOptions.mPlatform.mEndpoint = { "127.0.0.1",
-                                           site.mListener.Port(),
-                                           "" };
+  auto& platform = directoryOptions.mPlatform.mEndpoint;
+  platform.mAddress = "127.0.0.1";
+  platform.mPort = site.mListener.Port();
   directoryOptions.mEntryIncarnation = "e";
   directoryOptions.mDigest = [] { return membership::own_digest{}; };
   membership::server_directory directory(directoryOptions);
