--- a/Bench/main.cpp
+++ b/Bench/main.cpp
@@ -23,6 +23,8 @@
     { "lag", RunLag },
     { "decision", RunDecision },
     { "slopes", RunSlopes },
+    { "leases", RunLeases },
+    { "cost", RunCost },
   };
   return kExperiments;
 }
