A customer's limits follow its demand over the entries

Cause: each entry allowed an even part of a customer's limits. A customer whose callers all reach one of two entries was refused with half its limit unused.

Agents see all entries: each report now lists, by customer, the requests that the agent holds and those of them from the asking entry. An entry's share is one more than its own over all plus the number of entries; the shares add up to one. Ruled out: handing out what is unused (entries that see the same gap take it together), asking other entries (all to all at 360).

Commands: build/Tests/TestOverload -l message, build/Duties/Admission/test_admission.

--- a/Duties/Admission/CustomerLimits.cpp
+++ b/Duties/Admission/CustomerLimits.cpp
@@ -33,20 +33,20 @@
 admission_answer
 Enter(limit_state& aState,
       const configuration::customer& aCustomer,
-      std::size_t aEntries,
+      double aShare,
       time_point aNow)
 {
   auto& usage = aState.mCustomers[aCustomer.mName];
-  const double parts = static_cast<double>(std::max<std::size_t>(aEntries, 1));
   if (aCustomer.mMaximumConcurrent > 0) {
-    const double part =
-      std::ceil(static_cast<double>(aCustomer.mMaximumConcurrent) / parts);
+    const double part = std::max(
+      std::floor(static_cast<double>(aCustomer.mMaximumConcurrent) * aShare),
+      1.0);
     if (static_cast<double>(usage.mUnderWay) >= part) {
       return { false, "customer_concurrency", kConcurrencyRetryAfter };
     }
   }
   if (aCustomer.mRequestsPerSecond > 0) {
-    const double rate = aCustomer.mRequestsPerSecond / parts;
+    const double rate = aCustomer.mRequestsPerSecond * aShare;
     FillBucket(usage, rate, aNow);
     if (usage.mBucket < 1) {
       const double wait = (1 - usage.mBucket) / rate;
--- a/Duties/Admission/CustomerLimits.h
+++ b/Duties/Admission/CustomerLimits.h
@@ -34,12 +34,11 @@
 };
 
 /** Counts a request in, or refuses it.
- * @param aEntries entries that share the customer's limits without talking:
- *   each allows its even part */
+ * @param aShare of the customer's limits that this entry may use */
 admission_answer
 Enter(limit_state& aState,
       const configuration::customer& aCustomer,
-      std::size_t aEntries,
+      double aShare,
       time_point aNow);
 
 /** Counts a request out. */
--- a/Duties/Dispatch/AgentDispatch.cpp
+++ b/Duties/Dispatch/AgentDispatch.cpp
@@ -189,6 +189,13 @@
   return mLedger.mQueue.mSize + mLedger.mRunning;
 }
 
+std::vector<wire::customer_load>
+agent_dispatch::CustomerLoads(const std::string& aEntry) const
+{
+  std::lock_guard lock(mMutex);
+  return dispatch::CustomerLoads(mLedger, aEntry);
+}
+
 wire::load_figures
 agent_dispatch::Load() const
 {
--- a/Duties/Dispatch/AgentDispatch.h
+++ b/Duties/Dispatch/AgentDispatch.h
@@ -47,6 +47,9 @@
   /** Requests queued or running. */
   std::size_t RequestsLeft() const;
   wire::load_figures Load() const;
+  /** Customers with requests here, as the entry of that incarnation is told. */
+  std::vector<wire::customer_load> CustomerLoads(
+    const std::string& aEntry) const;
   /** Refuses queued requests as "not run", waits for the running ones and for
    * the entries that fetch their ends, and ends the threads. */
   void Stop();
--- a/Duties/Dispatch/EntryDispatch.cpp
+++ b/Duties/Dispatch/EntryDispatch.cpp
@@ -104,6 +104,25 @@
     [this](const server_view& aServer) { TakeReport(aServer); });
 }
 
+void
+entry_dispatch::TakeDemand(const server_view& aServer)
+{
+  std::vector<admission::customer_load> rows;
+  for (const auto& load : aServer.mCustomers) {
+    rows.push_back({ load.customer, load.in_flight, load.own });
+  }
+  std::lock_guard lock(mDemandMutex);
+  admission::TakeRows(
+    mDemand, aServer.mInstance.mName, std::move(rows), boot_clock::now());
+}
+
+admission::demand
+entry_dispatch::DemandOf(const std::string& aCustomer) const
+{
+  std::lock_guard lock(mDemandMutex);
+  return admission::DemandOf(mDemand, aCustomer);
+}
+
 void
 entry_dispatch::TakeReport(const server_view& aServer)
 {
@@ -116,6 +135,7 @@
   report.mTakesWork = IsUsable(aServer, boot_clock::now());
   report.mMadeAt = aServer.mReportedAt;
   report.mCachedPrefixes = aServer.mLoad.cached_prefixes;
+  TakeDemand(aServer);
   std::lock_guard lock(mRoutesMutex);
   auto [table, isNew] = mRoutes.try_emplace(aServer.mInstance.mPool);
   if (isNew) {
--- a/Duties/Dispatch/EntryDispatch.h
+++ b/Duties/Dispatch/EntryDispatch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/Admission/SharedDemand.h"
 #include "Duties/Dispatch/AttemptDecision.h"
 #include "Duties/Dispatch/AttemptTicket.h"
 #include "Duties/Dispatch/CallOutcome.h"
@@ -90,6 +91,10 @@
    * anew, and takes it back only when its order never arrived. */
   call_outcome Fetch(const call& aCall, const attempt_ticket& aTicket);
 
+  /** A customer's requests in flight over all entries, by the agents' reports.
+   */
+  admission::demand DemandOf(const std::string& aCustomer) const;
+
   /** Whether the retry budget lets one more attempt be made. */
   bool TakeRetry(const std::string& aReason);
   void CountFirstAttempt();
@@ -97,6 +102,7 @@
 
 private:
   void TakeReport(const membership::server_view& aServer);
+  void TakeDemand(const membership::server_view& aServer);
   void TakeCount(const std::string& aPool,
                  const std::string& aServer,
                  const wire::load_figures& aLoad);
@@ -114,6 +120,8 @@
   const entry_dispatch_options mOptions;
   membership::server_directory& mDirectory;
   metrics::registry& mMetrics;
+  mutable std::mutex mDemandMutex;
+  admission::shared_demand mDemand;
   std::mutex mRoutesMutex;
   std::mt19937_64 mRandom;
   std::map<std::string, routing::pool_table> mRoutes;
--- a/Duties/Dispatch/Ledger.cpp
+++ b/Duties/Dispatch/Ledger.cpp
@@ -34,6 +34,21 @@
   aRow.mChangedAt = aNow;
 }
 
+/** Counts a request that comes or goes with its customer and its entry. */
+void
+CountHeld(ledger& aLedger, const wire::dispatch_order& aOrder, int aChange)
+{
+  auto& entries = aLedger.mHeld[aOrder.customer];
+  auto& count = entries[aOrder.entry_incarnation];
+  count += aChange;
+  if (count == 0) {
+    entries.erase(aOrder.entry_incarnation);
+  }
+  if (entries.empty()) {
+    aLedger.mHeld.erase(aOrder.customer);
+  }
+}
+
 void
 RefuseRow(ledger& aLedger,
           const std::string& aId,
@@ -41,6 +56,9 @@
           time_point aNow)
 {
   auto& row = aLedger.mRows[aId];
+  if (row.mState == run_state::QUEUED || row.mState == run_state::RUNNING) {
+    CountHeld(aLedger, row.mOrder, -1);
+  }
   SetState(row, run_state::NOT_RUN, aReason, aNow);
   row.mOrder = {};
   aLedger.mRefused.emplace_back(aNow, aId);
@@ -176,6 +194,7 @@
   row.mAskedAt = aNow;
   row.mDeadline = deadline;
   SetState(row, run_state::QUEUED, "", aNow);
+  CountHeld(aLedger, aOrder, 1);
   Sweep(aLedger, aNow);
   return Describe(row);
 }
@@ -256,6 +275,7 @@
     RefuseRow(aLedger, aId, aReason, aNow);
     return;
   }
+  CountHeld(aLedger, row.mOrder, -1);
   SetState(row, aState, aReason, aNow);
   row.mResult = std::move(aResult);
   row.mOrder = {};
@@ -305,6 +325,28 @@
   }
 }
 
+std::vector<wire::customer_load>
+CustomerLoads(const ledger& aLedger, const std::string& aEntry)
+{
+  constexpr std::size_t kMost = 64;
+  std::vector<wire::customer_load> loads;
+  for (const auto& [customer, entries] : aLedger.mHeld) {
+    wire::customer_load load;
+    load.customer = customer;
+    for (const auto& [entry, count] : entries) {
+      load.in_flight += count;
+      load.own += entry == aEntry ? count : 0;
+    }
+    loads.push_back(std::move(load));
+  }
+  const auto isBusier = [](const auto& aLeft, const auto& aRight) {
+    return aLeft.in_flight > aRight.in_flight;
+  };
+  std::sort(loads.begin(), loads.end(), isBusier);
+  loads.resize(std::min(loads.size(), kMost));
+  return loads;
+}
+
 milliseconds
 EstimateQueueDelay(const ledger& aLedger)
 {
--- a/Duties/Dispatch/Ledger.h
+++ b/Duties/Dispatch/Ledger.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 /** The agent's run-once gate: what became of each request id. */
 namespace lavender::dispatch {
@@ -68,6 +69,9 @@
   std::size_t mRunning = 0;
   /** Expected tokens of the requests that run. */
   std::int64_t mRunningCost = 0;
+  /** Requests queued or running, by customer and by the entry that sent them.
+   */
+  std::map<std::string, std::map<std::string, int>> mHeld;
   bool mIsDraining = false;
   /** Rows that say "not run", and rows of requests that ran. */
   ended_list mRefused;
@@ -131,6 +135,11 @@
 void
 Sweep(ledger& aLedger, time_point aNow);
 
+/** Customers with requests here, the busiest first; at most 64.
+ * @param aEntry incarnation of the entry whose own requests are told apart */
+std::vector<wire::customer_load>
+CustomerLoads(const ledger& aLedger, const std::string& aEntry);
+
 /** When a request that finds the queue as it is now would start, by the
  * measured service time; told with a refusal. */
 milliseconds
--- a/Duties/Membership/DirectoryState.cpp
+++ b/Duties/Membership/DirectoryState.cpp
@@ -147,6 +147,7 @@
     IsLeavingNow(view, aReport.agent_incarnation, aReport.draining);
   view.mIncarnation = aReport.agent_incarnation;
   view.mLoad = aReport.load;
+  view.mCustomers = aReport.customers;
   view.mIsServerReachable = aReport.server_reachable;
   view.mModel = aReport.model;
   view.mWeightVersion = aReport.weight_version;
--- a/Duties/Membership/DirectoryState.h
+++ b/Duties/Membership/DirectoryState.h
@@ -24,6 +24,8 @@
   /** Of the agent that answered last; empty before the first answer. */
   std::string mIncarnation;
   wire::load_figures mLoad;
+  /** Customers with requests on the server, over all entries. */
+  std::vector<wire::customer_load> mCustomers;
   /** The agent said so, or the platform's list does. */
   bool mIsLeaving = false;
   bool mIsServerReachable = false;
--- a/Libraries/Wire/Generated/lavender_types.cpp
+++ b/Libraries/Wire/Generated/lavender_types.cpp
@@ -1467,6 +1467,138 @@
 }
 
 
+customer_load::~customer_load() noexcept {
+}
+
+
+void customer_load::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void customer_load::__set_in_flight(const int32_t val) {
+  this->in_flight = val;
+}
+
+void customer_load::__set_own(const int32_t val) {
+  this->own = val;
+}
+std::ostream& operator<<(std::ostream& out, const customer_load& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t customer_load::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->in_flight);
+          this->__isset.in_flight = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->own);
+          this->__isset.own = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t customer_load::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("customer_load");
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("in_flight", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->in_flight);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("own", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->own);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(customer_load &a, customer_load &b) {
+  using ::std::swap;
+  swap(a.customer, b.customer);
+  swap(a.in_flight, b.in_flight);
+  swap(a.own, b.own);
+  swap(a.__isset, b.__isset);
+}
+
+customer_load::customer_load(const customer_load& other25) {
+  customer = other25.customer;
+  in_flight = other25.in_flight;
+  own = other25.own;
+  __isset = other25.__isset;
+}
+customer_load& customer_load::operator=(const customer_load& other26) {
+  customer = other26.customer;
+  in_flight = other26.in_flight;
+  own = other26.own;
+  __isset = other26.__isset;
+  return *this;
+}
+void customer_load::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "customer_load(";
+  out << "customer=" << to_string(customer);
+  out << ", " << "in_flight=" << to_string(in_flight);
+  out << ", " << "own=" << to_string(own);
+  out << ")";
+}
+
+
 agent_report::~agent_report() noexcept {
 }
 
@@ -1526,6 +1658,10 @@
 void agent_report::__set_clock_ms(const int64_t val) {
   this->clock_ms = val;
 }
+
+void agent_report::__set_customers(const std::vector<customer_load> & val) {
+  this->customers = val;
+}
 std::ostream& operator<<(std::ostream& out, const agent_report& obj)
 {
   obj.printTo(out);
@@ -1666,6 +1802,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->customers.clear();
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->customers.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
+            {
+              xfer += this->customers[_i31].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.customers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1739,6 +1895,18 @@
   xfer += oprot->writeI64(this->clock_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("customers", ::apache::thrift::protocol::T_LIST, 15);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->customers.size()));
+    std::vector<customer_load> ::const_iterator _iter32;
+    for (_iter32 = this->customers.begin(); _iter32 != this->customers.end(); ++_iter32)
+    {
+      xfer += (*_iter32).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1760,42 +1928,45 @@
   swap(a.server_reachable, b.server_reachable);
   swap(a.open_usage_window, b.open_usage_window);
   swap(a.clock_ms, b.clock_ms);
+  swap(a.customers, b.customers);
   swap(a.__isset, b.__isset);
 }
 
-agent_report::agent_report(const agent_report& other25) {
-  echo = other25.echo;
-  agent_incarnation = other25.agent_incarnation;
-  server_name = other25.server_name;
-  zone = other25.zone;
-  pool = other25.pool;
-  load = other25.load;
-  draining = other25.draining;
-  model = other25.model;
-  weight_version = other25.weight_version;
-  witnessed_revision = other25.witnessed_revision;
-  witnessed_fresh_age_ms = other25.witnessed_fresh_age_ms;
-  server_reachable = other25.server_reachable;
-  open_usage_window = other25.open_usage_window;
-  clock_ms = other25.clock_ms;
-  __isset = other25.__isset;
-}
-agent_report& agent_report::operator=(const agent_report& other26) {
-  echo = other26.echo;
-  agent_incarnation = other26.agent_incarnation;
-  server_name = other26.server_name;
-  zone = other26.zone;
-  pool = other26.pool;
-  load = other26.load;
-  draining = other26.draining;
-  model = other26.model;
-  weight_version = other26.weight_version;
-  witnessed_revision = other26.witnessed_revision;
-  witnessed_fresh_age_ms = other26.witnessed_fresh_age_ms;
-  server_reachable = other26.server_reachable;
-  open_usage_window = other26.open_usage_window;
-  clock_ms = other26.clock_ms;
-  __isset = other26.__isset;
+agent_report::agent_report(const agent_report& other33) {
+  echo = other33.echo;
+  agent_incarnation = other33.agent_incarnation;
+  server_name = other33.server_name;
+  zone = other33.zone;
+  pool = other33.pool;
+  load = other33.load;
+  draining = other33.draining;
+  model = other33.model;
+  weight_version = other33.weight_version;
+  witnessed_revision = other33.witnessed_revision;
+  witnessed_fresh_age_ms = other33.witnessed_fresh_age_ms;
+  server_reachable = other33.server_reachable;
+  open_usage_window = other33.open_usage_window;
+  clock_ms = other33.clock_ms;
+  customers = other33.customers;
+  __isset = other33.__isset;
+}
+agent_report& agent_report::operator=(const agent_report& other34) {
+  echo = other34.echo;
+  agent_incarnation = other34.agent_incarnation;
+  server_name = other34.server_name;
+  zone = other34.zone;
+  pool = other34.pool;
+  load = other34.load;
+  draining = other34.draining;
+  model = other34.model;
+  weight_version = other34.weight_version;
+  witnessed_revision = other34.witnessed_revision;
+  witnessed_fresh_age_ms = other34.witnessed_fresh_age_ms;
+  server_reachable = other34.server_reachable;
+  open_usage_window = other34.open_usage_window;
+  clock_ms = other34.clock_ms;
+  customers = other34.customers;
+  __isset = other34.__isset;
   return *this;
 }
 void agent_report::printTo(std::ostream& out) const {
@@ -1815,6 +1986,7 @@
   out << ", " << "server_reachable=" << to_string(server_reachable);
   out << ", " << "open_usage_window=" << to_string(open_usage_window);
   out << ", " << "clock_ms=" << to_string(clock_ms);
+  out << ", " << "customers=" << to_string(customers);
   out << ")";
 }
 
@@ -1979,23 +2151,23 @@
   swap(a.__isset, b.__isset);
 }
 
-swap_order::swap_order(const swap_order& other27) {
-  echo = other27.echo;
-  model = other27.model;
-  version = other27.version;
-  fencing = other27.fencing;
-  holder = other27.holder;
-  agent_incarnation = other27.agent_incarnation;
-  __isset = other27.__isset;
-}
-swap_order& swap_order::operator=(const swap_order& other28) {
-  echo = other28.echo;
-  model = other28.model;
-  version = other28.version;
-  fencing = other28.fencing;
-  holder = other28.holder;
-  agent_incarnation = other28.agent_incarnation;
-  __isset = other28.__isset;
+swap_order::swap_order(const swap_order& other35) {
+  echo = other35.echo;
+  model = other35.model;
+  version = other35.version;
+  fencing = other35.fencing;
+  holder = other35.holder;
+  agent_incarnation = other35.agent_incarnation;
+  __isset = other35.__isset;
+}
+swap_order& swap_order::operator=(const swap_order& other36) {
+  echo = other36.echo;
+  model = other36.model;
+  version = other36.version;
+  fencing = other36.fencing;
+  holder = other36.holder;
+  agent_incarnation = other36.agent_incarnation;
+  __isset = other36.__isset;
   return *this;
 }
 void swap_order::printTo(std::ostream& out) const {
@@ -2137,19 +2309,19 @@
   swap(a.__isset, b.__isset);
 }
 
-swap_reply::swap_reply(const swap_reply& other29) {
-  echo = other29.echo;
-  done = other29.done;
-  reason = other29.reason;
-  holds_version = other29.holds_version;
-  __isset = other29.__isset;
+swap_reply::swap_reply(const swap_reply& other37) {
+  echo = other37.echo;
+  done = other37.done;
+  reason = other37.reason;
+  holds_version = other37.holds_version;
+  __isset = other37.__isset;
 }
-swap_reply& swap_reply::operator=(const swap_reply& other30) {
-  echo = other30.echo;
-  done = other30.done;
-  reason = other30.reason;
-  holds_version = other30.holds_version;
-  __isset = other30.__isset;
+swap_reply& swap_reply::operator=(const swap_reply& other38) {
+  echo = other38.echo;
+  done = other38.done;
+  reason = other38.reason;
+  holds_version = other38.holds_version;
+  __isset = other38.__isset;
   return *this;
 }
 void swap_reply::printTo(std::ostream& out) const {
@@ -2289,19 +2461,19 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_row::usage_row(const usage_row& other31) {
-  customer = other31.customer;
-  requests = other31.requests;
-  prompt_tokens = other31.prompt_tokens;
-  completion_tokens = other31.completion_tokens;
-  __isset = other31.__isset;
+usage_row::usage_row(const usage_row& other39) {
+  customer = other39.customer;
+  requests = other39.requests;
+  prompt_tokens = other39.prompt_tokens;
+  completion_tokens = other39.completion_tokens;
+  __isset = other39.__isset;
 }
-usage_row& usage_row::operator=(const usage_row& other32) {
-  customer = other32.customer;
-  requests = other32.requests;
-  prompt_tokens = other32.prompt_tokens;
-  completion_tokens = other32.completion_tokens;
-  __isset = other32.__isset;
+usage_row& usage_row::operator=(const usage_row& other40) {
+  customer = other40.customer;
+  requests = other40.requests;
+  prompt_tokens = other40.prompt_tokens;
+  completion_tokens = other40.completion_tokens;
+  __isset = other40.__isset;
   return *this;
 }
 void usage_row::printTo(std::ostream& out) const {
@@ -2390,14 +2562,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rows.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->rows.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->rows.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->rows[_i37].read(iprot);
+              xfer += this->rows[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2438,10 +2610,10 @@
   xfer += oprot->writeFieldBegin("rows", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rows.size()));
-    std::vector<usage_row> ::const_iterator _iter38;
-    for (_iter38 = this->rows.begin(); _iter38 != this->rows.end(); ++_iter38)
+    std::vector<usage_row> ::const_iterator _iter46;
+    for (_iter46 = this->rows.begin(); _iter46 != this->rows.end(); ++_iter46)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2461,19 +2633,19 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_bucket::usage_bucket(const usage_bucket& other39) {
-  agent_incarnation = other39.agent_incarnation;
-  entry_incarnation = other39.entry_incarnation;
-  window = other39.window;
-  rows = other39.rows;
-  __isset = other39.__isset;
+usage_bucket::usage_bucket(const usage_bucket& other47) {
+  agent_incarnation = other47.agent_incarnation;
+  entry_incarnation = other47.entry_incarnation;
+  window = other47.window;
+  rows = other47.rows;
+  __isset = other47.__isset;
 }
-usage_bucket& usage_bucket::operator=(const usage_bucket& other40) {
-  agent_incarnation = other40.agent_incarnation;
-  entry_incarnation = other40.entry_incarnation;
-  window = other40.window;
-  rows = other40.rows;
-  __isset = other40.__isset;
+usage_bucket& usage_bucket::operator=(const usage_bucket& other48) {
+  agent_incarnation = other48.agent_incarnation;
+  entry_incarnation = other48.entry_incarnation;
+  window = other48.window;
+  rows = other48.rows;
+  __isset = other48.__isset;
   return *this;
 }
 void usage_bucket::printTo(std::ostream& out) const {
@@ -2550,14 +2722,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->settled.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->settled.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->settled.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
             {
-              xfer += this->settled[_i45].read(iprot);
+              xfer += this->settled[_i53].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2594,10 +2766,10 @@
   xfer += oprot->writeFieldBegin("settled", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->settled.size()));
-    std::vector<usage_bucket> ::const_iterator _iter46;
-    for (_iter46 = this->settled.begin(); _iter46 != this->settled.end(); ++_iter46)
+    std::vector<usage_bucket> ::const_iterator _iter54;
+    for (_iter54 = this->settled.begin(); _iter54 != this->settled.end(); ++_iter54)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter54).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2616,17 +2788,17 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_query::usage_query(const usage_query& other47) {
-  echo = other47.echo;
-  through_window = other47.through_window;
-  settled = other47.settled;
-  __isset = other47.__isset;
+usage_query::usage_query(const usage_query& other55) {
+  echo = other55.echo;
+  through_window = other55.through_window;
+  settled = other55.settled;
+  __isset = other55.__isset;
 }
-usage_query& usage_query::operator=(const usage_query& other48) {
-  echo = other48.echo;
-  through_window = other48.through_window;
-  settled = other48.settled;
-  __isset = other48.__isset;
+usage_query& usage_query::operator=(const usage_query& other56) {
+  echo = other56.echo;
+  through_window = other56.through_window;
+  settled = other56.settled;
+  __isset = other56.__isset;
   return *this;
 }
 void usage_query::printTo(std::ostream& out) const {
@@ -2702,14 +2874,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->buckets.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->buckets.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->buckets.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
             {
-              xfer += this->buckets[_i53].read(iprot);
+              xfer += this->buckets[_i61].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2746,10 +2918,10 @@
   xfer += oprot->writeFieldBegin("buckets", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->buckets.size()));
-    std::vector<usage_bucket> ::const_iterator _iter54;
-    for (_iter54 = this->buckets.begin(); _iter54 != this->buckets.end(); ++_iter54)
+    std::vector<usage_bucket> ::const_iterator _iter62;
+    for (_iter62 = this->buckets.begin(); _iter62 != this->buckets.end(); ++_iter62)
     {
-      xfer += (*_iter54).write(oprot);
+      xfer += (*_iter62).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2768,17 +2940,17 @@
   swap(a.__isset, b.__isset);
 }
 
-usage_reply::usage_reply(const usage_reply& other55) {
-  echo = other55.echo;
-  incarnation = other55.incarnation;
-  buckets = other55.buckets;
-  __isset = other55.__isset;
+usage_reply::usage_reply(const usage_reply& other63) {
+  echo = other63.echo;
+  incarnation = other63.incarnation;
+  buckets = other63.buckets;
+  __isset = other63.__isset;
 }
-usage_reply& usage_reply::operator=(const usage_reply& other56) {
-  echo = other56.echo;
-  incarnation = other56.incarnation;
-  buckets = other56.buckets;
-  __isset = other56.__isset;
+usage_reply& usage_reply::operator=(const usage_reply& other64) {
+  echo = other64.echo;
+  incarnation = other64.incarnation;
+  buckets = other64.buckets;
+  __isset = other64.__isset;
   return *this;
 }
 void usage_reply::printTo(std::ostream& out) const {
@@ -2900,17 +3072,17 @@
   swap(a.__isset, b.__isset);
 }
 
-drain_order::drain_order(const drain_order& other57) {
-  echo = other57.echo;
-  fencing = other57.fencing;
-  reason = other57.reason;
-  __isset = other57.__isset;
+drain_order::drain_order(const drain_order& other65) {
+  echo = other65.echo;
+  fencing = other65.fencing;
+  reason = other65.reason;
+  __isset = other65.__isset;
 }
-drain_order& drain_order::operator=(const drain_order& other58) {
-  echo = other58.echo;
-  fencing = other58.fencing;
-  reason = other58.reason;
-  __isset = other58.__isset;
+drain_order& drain_order::operator=(const drain_order& other66) {
+  echo = other66.echo;
+  fencing = other66.fencing;
+  reason = other66.reason;
+  __isset = other66.__isset;
   return *this;
 }
 void drain_order::printTo(std::ostream& out) const {
@@ -3032,17 +3204,17 @@
   swap(a.__isset, b.__isset);
 }
 
-drain_reply::drain_reply(const drain_reply& other59) {
-  echo = other59.echo;
-  draining = other59.draining;
-  requests_left = other59.requests_left;
-  __isset = other59.__isset;
+drain_reply::drain_reply(const drain_reply& other67) {
+  echo = other67.echo;
+  draining = other67.draining;
+  requests_left = other67.requests_left;
+  __isset = other67.__isset;
 }
-drain_reply& drain_reply::operator=(const drain_reply& other60) {
-  echo = other60.echo;
-  draining = other60.draining;
-  requests_left = other60.requests_left;
-  __isset = other60.__isset;
+drain_reply& drain_reply::operator=(const drain_reply& other68) {
+  echo = other68.echo;
+  draining = other68.draining;
+  requests_left = other68.requests_left;
+  __isset = other68.__isset;
   return *this;
 }
 void drain_reply::printTo(std::ostream& out) const {
@@ -3215,23 +3387,23 @@
   swap(a.__isset, b.__isset);
 }
 
-peer_digest::peer_digest(const peer_digest& other61) {
-  echo = other61.echo;
-  entry_incarnation = other61.entry_incarnation;
-  configuration_revision = other61.configuration_revision;
-  fresh_age_ms = other61.fresh_age_ms;
-  changed_revision = other61.changed_revision;
-  name = other61.name;
-  __isset = other61.__isset;
-}
-peer_digest& peer_digest::operator=(const peer_digest& other62) {
-  echo = other62.echo;
-  entry_incarnation = other62.entry_incarnation;
-  configuration_revision = other62.configuration_revision;
-  fresh_age_ms = other62.fresh_age_ms;
-  changed_revision = other62.changed_revision;
-  name = other62.name;
-  __isset = other62.__isset;
+peer_digest::peer_digest(const peer_digest& other69) {
+  echo = other69.echo;
+  entry_incarnation = other69.entry_incarnation;
+  configuration_revision = other69.configuration_revision;
+  fresh_age_ms = other69.fresh_age_ms;
+  changed_revision = other69.changed_revision;
+  name = other69.name;
+  __isset = other69.__isset;
+}
+peer_digest& peer_digest::operator=(const peer_digest& other70) {
+  echo = other70.echo;
+  entry_incarnation = other70.entry_incarnation;
+  configuration_revision = other70.configuration_revision;
+  fresh_age_ms = other70.fresh_age_ms;
+  changed_revision = other70.changed_revision;
+  name = other70.name;
+  __isset = other70.__isset;
   return *this;
 }
 void peer_digest::printTo(std::ostream& out) const {
@@ -3373,19 +3545,19 @@
   swap(a.__isset, b.__isset);
 }
 
-object_record::object_record(const object_record& other63) {
-  kind = other63.kind;
-  name = other63.name;
-  revision = other63.revision;
-  value = other63.value;
-  __isset = other63.__isset;
+object_record::object_record(const object_record& other71) {
+  kind = other71.kind;
+  name = other71.name;
+  revision = other71.revision;
+  value = other71.value;
+  __isset = other71.__isset;
 }
-object_record& object_record::operator=(const object_record& other64) {
-  kind = other64.kind;
-  name = other64.name;
-  revision = other64.revision;
-  value = other64.value;
-  __isset = other64.__isset;
+object_record& object_record::operator=(const object_record& other72) {
+  kind = other72.kind;
+  name = other72.name;
+  revision = other72.revision;
+  value = other72.value;
+  __isset = other72.__isset;
   return *this;
 }
 void object_record::printTo(std::ostream& out) const {
@@ -3559,23 +3731,23 @@
   swap(a.__isset, b.__isset);
 }
 
-instance_record::instance_record(const instance_record& other65) {
-  name = other65.name;
-  zone = other65.zone;
-  pool = other65.pool;
-  role = other65.role;
-  address = other65.address;
-  leaving = other65.leaving;
-  __isset = other65.__isset;
+instance_record::instance_record(const instance_record& other73) {
+  name = other73.name;
+  zone = other73.zone;
+  pool = other73.pool;
+  role = other73.role;
+  address = other73.address;
+  leaving = other73.leaving;
+  __isset = other73.__isset;
 }
-instance_record& instance_record::operator=(const instance_record& other66) {
-  name = other66.name;
-  zone = other66.zone;
-  pool = other66.pool;
-  role = other66.role;
-  address = other66.address;
-  leaving = other66.leaving;
-  __isset = other66.__isset;
+instance_record& instance_record::operator=(const instance_record& other74) {
+  name = other74.name;
+  zone = other74.zone;
+  pool = other74.pool;
+  role = other74.role;
+  address = other74.address;
+  leaving = other74.leaving;
+  __isset = other74.__isset;
   return *this;
 }
 void instance_record::printTo(std::ostream& out) const {
@@ -3630,14 +3802,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->instances.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->instances.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->instances.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += this->instances[_i71].read(iprot);
+              xfer += this->instances[_i79].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3666,10 +3838,10 @@
   xfer += oprot->writeFieldBegin("instances", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->instances.size()));
-    std::vector<instance_record> ::const_iterator _iter72;
-    for (_iter72 = this->instances.begin(); _iter72 != this->instances.end(); ++_iter72)
+    std::vector<instance_record> ::const_iterator _iter80;
+    for (_iter80 = this->instances.begin(); _iter80 != this->instances.end(); ++_iter80)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter80).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3686,13 +3858,13 @@
   swap(a.__isset, b.__isset);
 }
 
-instance_list::instance_list(const instance_list& other73) {
-  instances = other73.instances;
-  __isset = other73.__isset;
+instance_list::instance_list(const instance_list& other81) {
+  instances = other81.instances;
+  __isset = other81.__isset;
 }
-instance_list& instance_list::operator=(const instance_list& other74) {
-  instances = other74.instances;
-  __isset = other74.__isset;
+instance_list& instance_list::operator=(const instance_list& other82) {
+  instances = other82.instances;
+  __isset = other82.__isset;
   return *this;
 }
 void instance_list::printTo(std::ostream& out) const {
@@ -3782,14 +3954,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size75;
-            ::apache::thrift::protocol::TType _etype78;
-            xfer += iprot->readListBegin(_etype78, _size75);
-            this->objects.resize(_size75);
-            uint32_t _i79;
-            for (_i79 = 0; _i79 < _size75; ++_i79)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->objects.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->objects[_i79].read(iprot);
+              xfer += this->objects[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3838,10 +4010,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<object_record> ::const_iterator _iter80;
-    for (_iter80 = this->objects.begin(); _iter80 != this->objects.end(); ++_iter80)
+    std::vector<object_record> ::const_iterator _iter88;
+    for (_iter88 = this->objects.begin(); _iter88 != this->objects.end(); ++_iter88)
     {
-      xfer += (*_iter80).write(oprot);
+      xfer += (*_iter88).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3866,21 +4038,21 @@
   swap(a.__isset, b.__isset);
 }
 
-configuration_copy::configuration_copy(const configuration_copy& other81) {
-  echo = other81.echo;
-  revision = other81.revision;
-  fresh_age_ms = other81.fresh_age_ms;
-  objects = other81.objects;
-  changed_revision = other81.changed_revision;
-  __isset = other81.__isset;
-}
-configuration_copy& configuration_copy::operator=(const configuration_copy& other82) {
-  echo = other82.echo;
-  revision = other82.revision;
-  fresh_age_ms = other82.fresh_age_ms;
-  objects = other82.objects;
-  changed_revision = other82.changed_revision;
-  __isset = other82.__isset;
+configuration_copy::configuration_copy(const configuration_copy& other89) {
+  echo = other89.echo;
+  revision = other89.revision;
+  fresh_age_ms = other89.fresh_age_ms;
+  objects = other89.objects;
+  changed_revision = other89.changed_revision;
+  __isset = other89.__isset;
+}
+configuration_copy& configuration_copy::operator=(const configuration_copy& other90) {
+  echo = other90.echo;
+  revision = other90.revision;
+  fresh_age_ms = other90.fresh_age_ms;
+  objects = other90.objects;
+  changed_revision = other90.changed_revision;
+  __isset = other90.__isset;
   return *this;
 }
 void configuration_copy::printTo(std::ostream& out) const {
--- a/Libraries/Wire/Generated/lavender_types.h
+++ b/Libraries/Wire/Generated/lavender_types.h
@@ -50,6 +50,8 @@
 
 class entry_digest;
 
+class customer_load;
+
 class agent_report;
 
 class swap_order;
@@ -625,8 +627,65 @@
 
 std::ostream& operator<<(std::ostream& out, const entry_digest& obj);
 
+typedef struct _customer_load__isset {
+  _customer_load__isset() : customer(false), in_flight(false), own(false) {}
+  bool customer :1;
+  bool in_flight :1;
+  bool own :1;
+} _customer_load__isset;
+
+class customer_load : public virtual ::apache::thrift::TBase {
+ public:
+
+  customer_load(const customer_load&);
+  customer_load& operator=(const customer_load&);
+  customer_load() noexcept
+                : customer(),
+                  in_flight(0),
+                  own(0) {
+  }
+
+  virtual ~customer_load() noexcept;
+  std::string customer;
+  int32_t in_flight;
+  int32_t own;
+
+  _customer_load__isset __isset;
+
+  void __set_customer(const std::string& val);
+
+  void __set_in_flight(const int32_t val);
+
+  void __set_own(const int32_t val);
+
+  bool operator == (const customer_load & rhs) const
+  {
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(in_flight == rhs.in_flight))
+      return false;
+    if (!(own == rhs.own))
+      return false;
+    return true;
+  }
+  bool operator != (const customer_load &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const customer_load & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(customer_load &a, customer_load &b);
+
+std::ostream& operator<<(std::ostream& out, const customer_load& obj);
+
 typedef struct _agent_report__isset {
-  _agent_report__isset() : echo(false), agent_incarnation(false), server_name(false), zone(false), pool(false), load(false), draining(false), model(false), weight_version(false), witnessed_revision(false), witnessed_fresh_age_ms(false), server_reachable(false), open_usage_window(false), clock_ms(true) {}
+  _agent_report__isset() : echo(false), agent_incarnation(false), server_name(false), zone(false), pool(false), load(false), draining(false), model(false), weight_version(false), witnessed_revision(false), witnessed_fresh_age_ms(false), server_reachable(false), open_usage_window(false), clock_ms(true), customers(false) {}
   bool echo :1;
   bool agent_incarnation :1;
   bool server_name :1;
@@ -641,6 +700,7 @@
   bool server_reachable :1;
   bool open_usage_window :1;
   bool clock_ms :1;
+  bool customers :1;
 } _agent_report__isset;
 
 class agent_report : public virtual ::apache::thrift::TBase {
@@ -679,6 +739,7 @@
   bool server_reachable;
   int64_t open_usage_window;
   int64_t clock_ms;
+  std::vector<customer_load>  customers;
 
   _agent_report__isset __isset;
 
@@ -710,6 +771,8 @@
 
   void __set_clock_ms(const int64_t val);
 
+  void __set_customers(const std::vector<customer_load> & val);
+
   bool operator == (const agent_report & rhs) const
   {
     if (!(echo == rhs.echo))
@@ -740,6 +803,8 @@
       return false;
     if (!(clock_ms == rhs.clock_ms))
       return false;
+    if (!(customers == rhs.customers))
+      return false;
     return true;
   }
   bool operator != (const agent_report &rhs) const {
--- a/Libraries/Wire/lavender.thrift
+++ b/Libraries/Wire/lavender.thrift
@@ -100,6 +100,14 @@
   4: i64 fresh_age_ms
 }
 
+// Requests of one customer that an agent holds, queued or running, and those
+// of them that the asking entry sent.
+struct customer_load {
+  1: string customer,
+  2: i32 in_flight,
+  3: i32 own
+}
+
 struct agent_report {
   1: string echo,
   2: string agent_incarnation,
@@ -116,7 +124,9 @@
   12: bool server_reachable,
   13: i64 open_usage_window,
   // The agent's clock when it answered.
-  14: i64 clock_ms = 0
+  14: i64 clock_ms = 0,
+  // Customers with requests here, the busiest first, at most 64.
+  15: list<customer_load> customers
 }
 
 struct swap_order {
--- a/Services/Agent/AgentHandler.cpp
+++ b/Services/Agent/AgentHandler.cpp
@@ -129,6 +129,7 @@
 {
   const auto now = boot_clock::now();
   const auto own = mDispatch.Load();
+  aReport.customers = mDispatch.CustomerLoads(aDigest.entry_incarnation);
   std::lock_guard lock(mMutex);
   const auto freshAt = now - milliseconds(aDigest.fresh_age_ms);
   if (aDigest.configuration_revision > 0) {
--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -249,9 +249,10 @@
   const auto& customer = authorization->mCustomer;
   admission::admission_answer entered;
   {
+    const double share = admission::ShareOf(mDispatch.DemandOf(customer.mName),
+                                            mDirectory.Entries().size());
     std::lock_guard lock(mLimitMutex);
-    entered =
-      admission::Enter(mLimits, customer, mDirectory.Entries().size(), start);
+    entered = admission::Enter(mLimits, customer, share, start);
   }
   if (!entered.mIsAdmitted) {
     return Refuse(
