--- a/Bench/WeightRollOut.cpp
+++ b/Bench/WeightRollOut.cpp
@@ -161,9 +161,8 @@
     options,
     directory,
     [&] {
-      return std::vector<weights::pool_target>{
-        { kPool, { "protokoll", version } }
-      };
+      return std::vector<weights::pool_target>{ { kPool,
+                                                  { "protokoll", version } } };
     },
     [](const std::string& aName) {
       return leases::held_lease{ aName, 1, boot_clock::now() + 1h };
@@ -191,9 +190,8 @@
     round_times times;
     const auto start = boot_clock::now();
     ++version;
-    const bool isOrdered = WaitForAll(site, [&](const auto& aAgent) {
-      return aAgent->Ordered() == version;
-    });
+    const bool isOrdered = WaitForAll(
+      site, [&](const auto& aAgent) { return aAgent->Ordered() == version; });
     times.mOrderedMs = Since(start);
     const bool isSeen = WaitForAll(site, allSeen);
     times.mSeenMs = Since(start);
