--- a/Tests/TestSamples.cpp
+++ b/Tests/TestSamples.cpp
@@ -149,6 +149,38 @@
   BOOST_TEST_MESSAGE("steps until a sample was started again: " << steps);
 }
 
+// A whole step of the size to design for, with long prompts, goes through one
+// entry: it needs more samples than may be under way, and more than one part.
+BOOST_FIXTURE_TEST_CASE(DeliversAStepOf1024Samples, training_site)
+{
+  std::string word(1200, 'x');
+  json::array prompts;
+  for (int i = 0; i < 128; ++i) {
+    prompts.emplace_back(word + std::to_string(i) + " ends");
+  }
+  json::value ask;
+  ask.Set("prompts", std::move(prompts));
+  ask.Set("samples_per_prompt", 8);
+  ask.Set("max_tokens", 2);
+  answer got;
+  BOOST_TEST(WaitFor(
+    [&] {
+      got = Send(Entry("entry-1"),
+                 "POST",
+                 "/v1/training-runs/minutes/steps/1/batch",
+                 ask,
+                 { { "Authorization", "Bearer " + mKey } });
+      return got.mStatus == 200;
+    },
+    60s));
+  BOOST_REQUIRE(got.mBody.Find("samples"));
+  BOOST_TEST(got.mBody.Find("samples")->Elements().size() == 1024u);
+  BOOST_TEST(json::Write(got.mBody).size() > (1u << 20));
+  const auto parts =
+    Send(mFleet.PlatformPort(), "GET", "/v1/objects?kind=BatchPart");
+  BOOST_TEST(parts.mBody.Find("items")->Elements().size() > 1u);
+}
+
 // The entry that makes a batch is killed half-way. The trainer asks another,
 // which goes on from the groups that were saved, and the trainer sees one
 // whole batch.
