--- a/Bench/Experiments.h
+++ b/Bench/Experiments.h
@@ -53,4 +53,9 @@
 void
 RunSlopes(const experiment_options& aOptions);
 
+/** Calls to the Object API for leases, by entries and leases, and the bytes of
+ * a usage window, by customers and agents. */
+void
+RunLeases(const experiment_options& aOptions);
+
 } // namespace lavender::bench
--- a/Bench/main.cpp
+++ b/Bench/main.cpp
@@ -23,6 +23,7 @@
     { "lag", RunLag },
     { "decision", RunDecision },
     { "slopes", RunSlopes },
+    { "leases", RunLeases },
     { "cost", RunCost },
   };
   return kExperiments;
--- a/Libraries/Wire/Generated/lavender_types.cpp
+++ b/Libraries/Wire/Generated/lavender_types.cpp
@@ -2826,6 +2826,10 @@
 void usage_reply::__set_buckets(const std::vector<usage_bucket> & val) {
   this->buckets = val;
 }
+
+void usage_reply::__set_closed_through(const int64_t val) {
+  this->closed_through = val;
+}
 std::ostream& operator<<(std::ostream& out, const usage_reply& obj)
 {
   obj.printTo(out);
@@ -2890,6 +2894,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->closed_through);
+          this->__isset.closed_through = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2927,6 +2939,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("closed_through", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->closed_through);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2937,6 +2953,7 @@
   swap(a.echo, b.echo);
   swap(a.incarnation, b.incarnation);
   swap(a.buckets, b.buckets);
+  swap(a.closed_through, b.closed_through);
   swap(a.__isset, b.__isset);
 }
 
@@ -2944,12 +2961,14 @@
   echo = other63.echo;
   incarnation = other63.incarnation;
   buckets = other63.buckets;
+  closed_through = other63.closed_through;
   __isset = other63.__isset;
 }
 usage_reply& usage_reply::operator=(const usage_reply& other64) {
   echo = other64.echo;
   incarnation = other64.incarnation;
   buckets = other64.buckets;
+  closed_through = other64.closed_through;
   __isset = other64.__isset;
   return *this;
 }
@@ -2959,6 +2978,7 @@
   out << "echo=" << to_string(echo);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "buckets=" << to_string(buckets);
+  out << ", " << "closed_through=" << to_string(closed_through);
   out << ")";
 }
 
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -1,8 +1,10 @@
 #include "Duties/Configuration/PeerExchange.h"
 #include "Duties/Configuration/ResourceApi.h"
+#include "Duties/Configuration/StatusDuty.h"
 #include "Duties/Keys/KeyGate.h"
 #include "Duties/Leases/LeaseKeeper.h"
 #include "Duties/Orders/ZoneKeeper.h"
+#include "Duties/Reports/UsageReporter.h"
 #include "Duties/Weights/RollOutDuty.h"
 #include "Libraries/Core/Identity.h"
 #include "Libraries/Core/Log.h"
@@ -33,8 +35,6 @@
   options.mMaximumThreads = aThreads;
   options.mMaximumBodyBytes =
     static_cast<std::size_t>(aValues.Integer("maximum-body"));
-  options.mCertificateFile = aValues.Text("certificate");
-  options.mPrivateKeyFile = aValues.Text("private-key");
   return options;
 }
 
@@ -55,6 +55,46 @@
   return summary;
 }
 
+/** What the status of resources is made from. */
+configuration::status_facts
+GatherFacts(const configuration::peer_report& aPeers,
+            const std::vector<membership::server_view>& aServers)
+{
+  configuration::status_facts facts;
+  facts.mEverywhere = aPeers.mLowestKnown;
+  facts.mEntries = static_cast<std::int64_t>(aPeers.mKnown) + 1;
+  const auto now = boot_clock::now();
+  for (const auto& server : aServers) {
+    auto& pool = facts.mPools[server.mInstance.mPool];
+    const auto state = membership::StateOf(server, {}, now);
+    ++pool.mServers[membership::WordFor(state)];
+    if (state == membership::server_state::Live) {
+      ++pool.mHolding[server.mWeightVersion];
+    }
+  }
+  return facts;
+}
+
+configuration::status_options
+StatusOptions(const settings::values& aValues,
+              const platform::client& aPlatform,
+              const configuration::peer_exchange& aPeers,
+              const membership::server_directory& aDirectory)
+{
+  configuration::status_options options;
+  options.mPlatform = aPlatform;
+  options.mOwnName = aValues.Text("name");
+  options.mEntries = [&, name = options.mOwnName] {
+    auto entries = aPeers.Report().mNames;
+    entries.push_back(name);
+    return entries;
+  };
+  options.mFacts = [&] {
+    return GatherFacts(aPeers.Report(), aDirectory.Servers());
+  };
+  return options;
+}
+
 /** Sets the gauges whose values are only known when somebody reads them. */
 void
 WriteGauges(metrics::registry& aMetrics,
@@ -200,6 +240,25 @@
   return options;
 }
 
+reports::reporter_options
+ReporterOptions(const settings::values& aValues,
+                const platform::client& aPlatform,
+                leases::lease_keeper& aLeases,
+                metrics::registry& aMetrics)
+{
+  reports::reporter_options options;
+  options.mPlatform = aPlatform;
+  options.mLeases = aLeases.Source();
+  options.mLetExpire = [&aLeases](const std::string& aName) {
+    aLeases.LetExpire(aName);
+  };
+  options.mLateBytes = aValues.Milliseconds("lease-late-bytes");
+  options.mEntryName = aValues.Text("name");
+  options.mWindow = std::chrono::seconds(aValues.Integer("usage-window"));
+  options.mMetrics = &aMetrics;
+  return options;
+}
+
 int
 Run(const settings::values& aValues, termination_signal& aTermination)
 {
@@ -207,9 +266,11 @@
   metrics::registry metrics;
   platform::client platformClient;
   platformClient.mEndpoint = *http::ParseEndpoint(aValues.Text("platform"));
-  platformClient.mEndpoint.mAuthority = aValues.Text("platform-authority");
   platformClient.mCaller = aValues.Text("name");
   platformClient.mMetrics = &metrics;
+  platformClient.mBudget = std::make_shared<platform::call_budget>(
+    static_cast<double>(aValues.Integer("platform-reads")),
+    static_cast<double>(aValues.Integer("platform-writes")));
 
   configuration::configuration_store configuration(
     { platformClient, aValues.Text("data-folder") });
@@ -230,6 +291,8 @@
   peerOptions.mEntries = [&] { return directory.Entries(); };
   peerOptions.mMetrics = &metrics;
   configuration::peer_exchange peers(peerOptions, configuration);
+  configuration::status_duty statusDuty(
+    StatusOptions(aValues, platformClient, peers, directory), configuration);
   keys::key_gate_options gateOptions;
   gateOptions.mOwn = [&] {
     const auto digest = configuration.Digest();
@@ -261,6 +324,10 @@
   dispatchOptions.mRouting = RoutingLimits(aValues);
   dispatch::entry_dispatch dispatcher(dispatchOptions, directory, metrics);
   usage::usage_account account;
+  reports::usage_reporter usageReporter(
+    ReporterOptions(aValues, platformClient, leaseKeeper, metrics),
+    directory,
+    account);
   samples::sample_duty_options sampleOptions;
   sampleOptions.mPlatform = platformClient;
   sampleOptions.mSideBySide =
@@ -317,7 +384,9 @@
   configuration.Start();
   directory.Start();
   zoneKeeper.Start();
+  usageReporter.Start();
   peers.Start();
+  statusDuty.Start();
   sampleDuty.Start();
   rollOut.Start();
   std::atomic<bool> isDraining{ false };
@@ -338,10 +407,12 @@
   http::server callerServer(
     ListenerFor(aValues, "caller-listen", callerThreads),
     [&](const http::request& aRequest) { return callers.Serve(aRequest); });
-  http::server operatorServer(ListenerFor(aValues, "operator-listen", 64),
-                              [&](const http::request& aRequest) {
-                                return http::Serve(operatorRoutes, aRequest);
-                              });
+  http::server operatorServer(
+    ListenerFor(aValues, "operator-listen", 64),
+    [&](const http::request& aRequest) {
+      return configuration::ServeOperators(
+        operatorRoutes, aValues.Text("operator-key-hash"), aRequest);
+    });
   http::server healthServer(ListenerFor(aValues, "health-listen", 16),
                             [&](const http::request& aRequest) {
                               return http::Serve(healthRoutes, aRequest);
@@ -372,6 +443,13 @@
   operatorServer.Stop();
   wireServer.Stop();
   zoneKeeper.Stop();
+  usageReporter.Stop();
+  reports::WriteRemainder(platformClient,
+                          incarnation,
+                          account,
+                          boot_clock::now() +
+                            aValues.Milliseconds("drain-deadline") / 4);
+  statusDuty.Stop();
   peers.Stop();
   leaseKeeper.Stop();
   directory.Stop();
@@ -390,6 +468,7 @@
   auto reading = settings::Read(
     "lavender-entry", entry::DeclareSettings(), aCount, aArguments);
   wire::CheckSecurity(reading.mValues, reading.mFindings);
+  entry::CheckSettings(reading.mValues, reading.mFindings);
   if (!reading.mFindings.IsEmpty()) {
     settings::Report(reading.mFindings);
     return settings::kBadSettingsStatus;
--- a/Tests/TestRunOnce.cpp
+++ b/Tests/TestRunOnce.cpp
@@ -97,7 +97,9 @@
 {
   desk_site site;
   auto relays = site.PutRelaysBeforeAgents();
-  site.SetSlowness(400ms);
+  // Long enough for the relays to freeze before the run ends, on a loaded
+  // machine too.
+  site.SetSlowness(2000ms);
   auto booking = site.BookAside("entry-1", "after", "key-after");
   BOOST_REQUIRE(WaitForRun(site, "after"));
   const auto ended = site.RunsEnded();
@@ -307,6 +309,44 @@
   BOOST_TEST(site.Desk("desk-1").mAgent->WaitForExit(20s) == 0);
 }
 
+// A caller gives half a second for a generation of ten. The engine must not
+// go on working for nobody, and the part that it made is no answer.
+BOOST_AUTO_TEST_CASE(GenerationStopsAtTheDeadline)
+{
+  fleet fleet;
+  auto& engine = fleet.AddBackend("engine-1", "bogota", "pool", "engine");
+  auto& entry = fleet.AddEntry("entry-1", "bogota");
+  fleet.PublishInstances();
+  json::value pool;
+  pool.Set("model", "reports");
+  fleet.Put("BackendPool", "pool", pool);
+  const auto key = fleet.AddCustomer("geoandina");
+  BOOST_REQUIRE(fleet.WaitUntilServing(key, "reports"));
+  const auto port = engine.mServer->Port("http");
+  json::value slow;
+  slow.Set("per_token_us", 100000);
+  Send(port, "POST", "/control/faults", slow);
+  std::string prompt;
+  for (int i = 0; i < 100; ++i) {
+    prompt += "word ";
+  }
+  const auto late = Complete(entry.Callers(),
+                             key,
+                             "reports",
+                             prompt,
+                             100,
+                             { { "X-Deadline-Ms", "500" } });
+  BOOST_TEST(late.mStatus == 504);
+  BOOST_TEST(RanOf(late) == "outcome_unknown");
+  const auto countRunning = [&] {
+    return json::IntegerAt(Send(port, "GET", "/load").mBody, "running", -1);
+  };
+  BOOST_TEST(WaitFor([&] { return countRunning() == 0; }, 5s),
+             "the engine still generates");
+  const auto log = Send(port, "GET", "/control/log");
+  BOOST_TEST(log.mBody.Find("runs")->Elements().size() == 2u);
+}
+
 // A client uses a key again for another booking by mistake.
 BOOST_AUTO_TEST_CASE(KeyUsedAgainWithAnotherBody)
 {
@@ -360,7 +400,8 @@
   BOOST_TEST(site.RunsOf("down") == 1);
 }
 
-// A key is remembered for a stated time; its record doesn't stay for ever.
+// A key is remembered for a stated time; its record doesn't stay for ever in
+// the store, nor when the entry that wrote it has died.
 BOOST_AUTO_TEST_CASE(OldRecordsAreRemoved)
 {
   desk_site site;
@@ -368,6 +409,9 @@
   entry.mProcess.reset();
   site.Fleet().StartEntry(entry, { "--call-record-keep", "1" });
   site.Fleet().PublishInstances();
+  BOOST_TEST(site.Book("entry-2", "left", "key-left").mStatus == 200);
+  site.Entry("entry-2").mProcess->Signal(SIGKILL);
+  site.Fleet().Entries().erase("entry-2");
   BOOST_REQUIRE(site.WaitUntilServing());
   BOOST_TEST(site.Book("entry-1", "old", "key-old").mStatus == 200);
   const auto records = [&] {
@@ -379,7 +423,7 @@
   BOOST_TEST(WaitFor([&] { return records() == 0; }));
   BOOST_TEST(CounterOf(entry.Health(),
                        "lavender_call_records_removed_total",
-                       "done") > 0);
+                       "done") >= 2);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
