A keyed call that can't read its record has an unknown outcome

Cause: with the platform down, a second call with a key was told 'not run' though the first had run at an entry that died; its caller would book elsewhere. Shown failing: TestRunOnce/AskedAgainWhileThePlatformIsDown, not_run told with one run. TestSilentConnection/SilentPlatformHoldsNoBooking asked for 'not run' and asks for the stricter word now.

--- a/Duties/Dispatch/IdempotentCall.cpp
+++ b/Duties/Dispatch/IdempotentCall.cpp
@@ -117,7 +117,7 @@
     }
   }
   if (IsPlatformSilent()) {
-    return dispatch::Stop(aState, ran::NotRun, "platform_unavailable");
+    return StopWithoutRecord(aState);
   }
   std::vector<std::string> tried;
   if (attempts > 0) {
@@ -128,7 +128,7 @@
     server = mDispatch.Pick(aCall.mPool, {});
   }
   if (!server) {
-    return dispatch::Stop(aState, ran::NotRun, "no_server");
+    return dispatch::Stop(aState, ran::OutcomeUnknown, "no_server");
   }
   // Issued before anybody can learn of the attempt: whoever takes it back
   // does so after the stamp, and the tombstone outlives an order of that age.
--- a/Duties/Dispatch/IdempotentDecision.cpp
+++ b/Duties/Dispatch/IdempotentDecision.cpp
@@ -57,7 +57,7 @@
   if (aWritten.mState == write_state::Unknown) {
     return record_step::ReadBack;
   }
-  return Stop(aState, ran::NotRun, "platform_unavailable");
+  return StopWithoutRecord(aState);
 }
 
 record_step
@@ -65,7 +65,7 @@
 {
   if (aRead.mState == read_state::Failed) {
     // Whether or not the record was written, its attempt is never sent.
-    return Stop(aState, ran::NotRun, "platform_unavailable");
+    return StopWithoutRecord(aState);
   }
   const bool isOldRecord = aRead.mState == read_state::Found &&
                            aState.mExpectedRevision != 0 &&
@@ -75,9 +75,8 @@
   }
   // The write may still take effect later. It names the same attempt, so
   // writing it again is harmless.
-  return aState.mWrites < kMaximumWrites
-           ? record_step::WriteAgain
-           : Stop(aState, ran::NotRun, "platform_unavailable");
+  return aState.mWrites < kMaximumWrites ? record_step::WriteAgain
+                                         : StopWithoutRecord(aState);
 }
 
 record_step
@@ -97,6 +96,12 @@
   return TakeOwnEnd(aState, aOutcome);
 }
 
+record_step
+StopWithoutRecord(idempotent_state& aState)
+{
+  return Stop(aState, ran::OutcomeUnknown, "platform_unavailable");
+}
+
 record_step
 Stop(idempotent_state& aState, ran aRan, const std::string& aReason)
 {
--- a/Duties/Dispatch/IdempotentDecision.h
+++ b/Duties/Dispatch/IdempotentDecision.h
@@ -70,4 +70,10 @@
 record_step
 Stop(idempotent_state& aState, ran aRan, const std::string& aReason);
 
+/** Ends a request whose record can't be read. This submission isn't sent, but
+ * an earlier one with the same key may have run, and "not run" would make the
+ * caller look elsewhere: the outcome is unknown until the store is back. */
+record_step
+StopWithoutRecord(idempotent_state& aState);
+
 } // namespace lavender::dispatch
--- a/Services/Entry/CallerApi.cpp
+++ b/Services/Entry/CallerApi.cpp
@@ -121,8 +121,9 @@
 ExplainOutcome(const call_outcome& aOutcome)
 {
   if (aOutcome.mReason == "platform_unavailable") {
-    return "This submission was not run. Whether an earlier one with the same "
-           "Idempotency-Key ran can't be told now; ask again with that key.";
+    return "Whether a call with this Idempotency-Key has run can't be told "
+           "now; "
+           "ask again with the same key.";
   }
   if (aOutcome.mReason == "idempotency_key_reused") {
     return "The Idempotency-Key was first used with another request.";
--- a/Services/Entry/Refusal.cpp
+++ b/Services/Entry/Refusal.cpp
@@ -37,6 +37,9 @@
   if (aOutcome.mReason == "deadline") {
     return 504;
   }
+  if (aOutcome.mReason == "platform_unavailable") {
+    return 503;
+  }
   if (aOutcome.mReason == "idempotency_key_reused") {
     return 409;
   }
--- a/Tests/TestRunOnce.cpp
+++ b/Tests/TestRunOnce.cpp
@@ -400,6 +400,33 @@
   BOOST_TEST(site.RunsOf("down") == 1);
 }
 
+// A booking runs, and its entry dies before the caller has the answer. The
+// caller asks the other entry with the same key while the platform is down:
+// "not run" there would make it book elsewhere, and the receiver is booked
+// twice. Nobody but the record can tell, so the outcome is unknown.
+BOOST_AUTO_TEST_CASE(AskedAgainWhileThePlatformIsDown)
+{
+  desk_site site;
+  site.SetSlowness(800ms);
+  auto booking = site.BookAside("entry-1", "in between", "key-between");
+  BOOST_REQUIRE(WaitForRun(site, "in between"));
+  site.Entry("entry-1").mProcess->Signal(SIGKILL);
+  BOOST_TEST(booking.get().mStatus != 200);
+  json::value down;
+  down.Set("down", true);
+  Send(site.Fleet().PlatformPort(), "POST", "/control/faults", down);
+  const auto again = site.Book("entry-2", "in between", "key-between");
+  BOOST_TEST(ReasonOf(again) == "platform_unavailable");
+  BOOST_TEST(RanOf(again) == "outcome_unknown");
+  BOOST_TEST(site.RunsOf("in between") == 1);
+  down.Set("down", false);
+  Send(site.Fleet().PlatformPort(), "POST", "/control/faults", down);
+  BOOST_TEST(WaitFor([&] {
+    return site.Book("entry-2", "in between", "key-between").mStatus == 200;
+  }));
+  BOOST_TEST(site.RunsOf("in between") == 1);
+}
+
 // A key is remembered for a stated time; its record doesn't stay for ever in
 // the store, nor when the entry that wrote it has died.
 BOOST_AUTO_TEST_CASE(OldRecordsAreRemoved)
--- a/Tests/TestSilentConnection.cpp
+++ b/Tests/TestSilentConnection.cpp
@@ -167,7 +167,7 @@
     BOOST_TEST_MESSAGE("refusal " << i << " with a silent platform after "
                                   << MillisecondsSince(start) << " ms");
     BOOST_TEST(ReasonOf(refused) == "platform_unavailable");
-    BOOST_TEST(RanOf(refused) == "not_run");
+    BOOST_TEST(RanOf(refused) == "outcome_unknown");
     BOOST_TEST(site.RunsOf(body) == 0);
     BOOST_TEST(site.Book("entry-1", body + " no key").mStatus == 200);
   }
