--- a/Duties/Reports/UsageReporter.cpp
+++ b/Duties/Reports/UsageReporter.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Reports/UsageReporter.h"
 
 #include "Duties/Leases/GuardedPost.h"
+#include "Duties/Reports/Remainder.h"
 #include "Libraries/Core/Log.h"
 
 #include <algorithm>
@@ -12,7 +13,6 @@
 using namespace std::chrono_literals;
 
 constexpr char kLease[] = "usage";
-constexpr char kRemainderKind[] = "UsageRemainder";
 constexpr milliseconds kCallTimeout = 1000ms;
 /** After a window's end, for witnesses whose clocks are behind. */
 constexpr milliseconds kLongestCloseLag = 5000ms;
@@ -20,7 +20,6 @@
 constexpr milliseconds kReplacedFor = 5000ms;
 /** An agent that may be cut off and come back is waited for longer. */
 constexpr milliseconds kSilentFor = 30000ms;
-constexpr milliseconds kRetryRemainderEvery = 200ms;
 
 /** Witnesses asked at the same time: asked one after another, those of a zone
  * that fell silent would make a window as late as their timeouts add up to. */
@@ -55,21 +54,6 @@
   std::move(aBuckets.begin(), aBuckets.end(), std::back_inserter(aAll));
 }
 
-/** The keys alone: what a witness needs to forget them. */
-std::vector<wire::usage_bucket>
-IncludedOf(const usage::usage_marks& aMarks,
-           const std::vector<wire::usage_bucket>& aBuckets)
-{
-  std::vector<wire::usage_bucket> included;
-  for (auto bucket : aBuckets) {
-    if (usage::IsIncluded(aMarks, bucket)) {
-      bucket.rows.clear();
-      included.push_back(std::move(bucket));
-    }
-  }
-  return included;
-}
-
 template<typename Pool>
 wire::wire_result<wire::usage_reply>
 Ask(Pool& aPool,
@@ -313,11 +297,7 @@
 void
 usage_reporter::CollectRemainders(collection& aAll)
 {
-  if (const auto list = platform::List(mOptions.mPlatform, kRemainderKind)) {
-    for (const auto& object : list->mObjects) {
-      TakeAll(aAll.mFromEntries, usage::ParseBuckets(object.mValue));
-    }
-  }
+  TakeAll(aAll.mFromEntries, ReadRemainders(mOptions.mPlatform));
 }
 
 void
@@ -330,7 +310,8 @@
     if (answer.mState != wire::wire_state::Answered) {
       return;
     }
-    const auto included = IncludedOf(report.mMarks, answer.mReply.buckets);
+    const auto included =
+      usage::IncludedOf(report.mMarks, answer.mReply.buckets);
     if (!included.empty()) {
       Ask(aPool, report.mWindow, included);
     }
@@ -342,18 +323,8 @@
   const auto pools = OtherEntries();
   SideBySide(pools.size(), [&](std::size_t aPlace) { settle(*pools[aPlace]); });
   mOwnAccount.Settle(
-    IncludedOf(report.mMarks, mOwnAccount.Buckets(report.mWindow)));
-  const auto list = platform::List(mOptions.mPlatform, kRemainderKind);
-  if (!list) {
-    return;
-  }
-  for (const auto& object : list->mObjects) {
-    const auto buckets = usage::ParseBuckets(object.mValue);
-    if (IncludedOf(report.mMarks, buckets).size() == buckets.size()) {
-      platform::Delete(
-        mOptions.mPlatform, kRemainderKind, object.mName, object.mRevision);
-    }
-  }
+    usage::IncludedOf(report.mMarks, mOwnAccount.Buckets(report.mWindow)));
+  DropRemainders(mOptions.mPlatform, report.mMarks);
 }
 
 bool
@@ -389,32 +360,4 @@
   return pools;
 }
 
-bool
-WriteRemainder(const platform::client& aPlatform,
-               const std::string& aEntryIncarnation,
-               const usage_account& aAccount,
-               time_point aDeadline)
-{
-  const auto buckets =
-    aAccount.Buckets(std::numeric_limits<std::int64_t>::max());
-  if (buckets.empty()) {
-    return true;
-  }
-  const auto described = usage::Describe(buckets);
-  do {
-    const auto written = platform::Write(
-      aPlatform, kRemainderKind, aEntryIncarnation, 0, described);
-    // A conflict can only be with an own write whose answer was lost.
-    if (written.mState == platform::write_state::Done ||
-        written.mState == platform::write_state::Conflict) {
-      return true;
-    }
-    std::this_thread::sleep_for(kRetryRemainderEvery);
-  } while (boot_clock::now() < aDeadline);
-  Log(log_level::Error,
-      "usage",
-      "Counts not handed over buckets=" + std::to_string(buckets.size()));
-  return false;
-}
-
 } // namespace lavender::reports
--- a/Duties/Reports/UsageReporter.h
+++ b/Duties/Reports/UsageReporter.h
@@ -92,13 +92,4 @@
   std::thread mThread;
 };
 
-/** Hands what an entry still counts over to the Object API when it leaves; a
- * reporter takes it from there. False when the platform didn't take it until
- * the deadline; then the agents are the only witnesses. */
-bool
-WriteRemainder(const platform::client& aPlatform,
-               const std::string& aEntryIncarnation,
-               const usage::usage_account& aAccount,
-               time_point aDeadline);
-
 } // namespace lavender::reports
--- a/Duties/Usage/WindowReport.cpp
+++ b/Duties/Usage/WindowReport.cpp
@@ -130,6 +130,20 @@
          aMarks.mBuckets.count(KeyOf(aBucket)) > 0;
 }
 
+std::vector<wire::usage_bucket>
+IncludedOf(const usage_marks& aMarks,
+           const std::vector<wire::usage_bucket>& aBuckets)
+{
+  std::vector<wire::usage_bucket> included;
+  for (auto bucket : aBuckets) {
+    if (IsIncluded(aMarks, bucket)) {
+      bucket.rows.clear();
+      included.push_back(std::move(bucket));
+    }
+  }
+  return included;
+}
+
 window_report
 MakeReport(std::int64_t aWindow,
            const std::vector<agent_offer>& aAgents,
--- a/Duties/Usage/WindowReport.h
+++ b/Duties/Usage/WindowReport.h
@@ -35,6 +35,12 @@
 bool
 IsIncluded(const usage_marks& aMarks, const wire::usage_bucket& aBucket);
 
+/** Those that are included, by their keys alone: what a witness needs to forget
+ * them. */
+std::vector<wire::usage_bucket>
+IncludedOf(const usage_marks& aMarks,
+           const std::vector<wire::usage_bucket>& aBuckets);
+
 /** What an agent told. */
 struct agent_offer
 {
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -4,6 +4,7 @@
 #include "Duties/Keys/KeyGate.h"
 #include "Duties/Leases/LeaseKeeper.h"
 #include "Duties/Orders/ZoneKeeper.h"
+#include "Duties/Reports/Remainder.h"
 #include "Duties/Reports/UsageReporter.h"
 #include "Duties/Weights/RollOutDuty.h"
 #include "Libraries/Core/Identity.h"
--- a/Tests/TestOneInCharge.cpp
+++ b/Tests/TestOneInCharge.cpp
@@ -226,7 +226,7 @@
 BOOST_FIXTURE_TEST_CASE(PausedHolderOrdersNothing, site)
 {
   SetFaults({ { "ignore_fencing", true }, { "slow_ms", 30 } });
-  PauseInTurn(12);
+  PauseInTurn(10);
   BOOST_TEST(mMetMidOrder >= 3);
   CheckOrders(50);
 }
