--- a/Tests/TestUsageReports.cpp
+++ b/Tests/TestUsageReports.cpp
@@ -1,5 +1,7 @@
 #include "Tests/Support/Fleet.h"
+#include "Tests/Support/Relay.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <map>
@@ -242,4 +244,65 @@
   BOOST_TEST(Intake().mLate >= 1);
 }
 
+// A customer is billed for two requests and made one. The agent that runs it
+// can't be reached any more, so the entry runs it again on the other server
+// and answers; then the first agent is in reach again and has counted it too.
+BOOST_FIXTURE_TEST_CASE(RepeatedElsewhereIsBilledOnce, site)
+{
+  std::map<std::string, std::unique_ptr<relay>> relays;
+  for (auto& [name, backend] : mFleet.Backends()) {
+    relays[name] = std::make_unique<relay>(backend.mAgent->Port("wire"));
+    backend.mAgentRelay = relays[name]->Port();
+    Send(backend.mServer->Port("http"),
+         "POST",
+         "/control/faults",
+         json::object{ { "per_token_us", 300000 } });
+  }
+  mFleet.PublishInstances();
+  BOOST_REQUIRE(WaitFor([&] {
+    return std::all_of(relays.begin(), relays.end(), [](const auto& aRelay) {
+      return aRelay.second->CarriedBytes() > 0;
+    });
+  }));
+  BOOST_REQUIRE(mFleet.WaitUntilServing(mWarmKey, "reports"));
+  answer served;
+  std::thread caller([&] {
+    served = Complete(mFleet.Entries().at("entry-1").Callers(),
+                      mKey,
+                      "reports",
+                      "one two three four five six seven eight nine ten",
+                      10);
+  });
+  backend* first = nullptr;
+  const bool hasStarted = WaitFor([&] {
+    for (auto& [name, backend] : mFleet.Backends()) {
+      const auto load = Send(backend.mServer->Port("http"), "GET", "/load");
+      if (json::IntegerAt(load.mBody, "running", 0) > 0) {
+        first = &backend;
+      }
+    }
+    return first != nullptr;
+  });
+  if (hasStarted) {
+    relays[first->mName].reset();
+  }
+  caller.join();
+  BOOST_REQUIRE(hasStarted);
+  BOOST_REQUIRE(served.mStatus == 200);
+  const auto* own = served.mBody.Find("lavender");
+  BOOST_REQUIRE((own && json::StringAt(*own, "server", "") != first->mName));
+  relays[first->mName] = std::make_unique<relay>(first->mAgent->Port("wire"));
+  first->mAgentRelay = relays[first->mName]->Port();
+  mFleet.PublishInstances();
+  BOOST_REQUIRE(WaitFor([&] {
+    return relays[first->mName]->CarriedBytes() > 0 &&
+           Intake().mRequests["medellin-crew"] > 0;
+  }));
+  // Long enough for the windows that the first agent's count falls in.
+  const auto before = Intake().mFigures.rbegin()->first;
+  BOOST_TEST(
+    WaitFor([&] { return Intake().mFigures.rbegin()->first >= before + 4; }));
+  BOOST_TEST(Intake().mRequests["medellin-crew"] == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
