One function tells whether a condition has lasted

Cause: the freshness gate and the scale decision each had it, alike to the letter but for names. It stands in Core now; behaviour is unchanged.

--- a/Duties/Keys/FreshnessGate.cpp
+++ b/Duties/Keys/FreshnessGate.cpp
@@ -1,5 +1,7 @@
 #include "Duties/Keys/FreshnessGate.h"
 
+#include "Libraries/Core/HasLasted.h"
+
 namespace lavender::keys {
 namespace {
 
@@ -21,23 +23,6 @@
   return aWitnesses.mAudible * 2 >= aWitnesses.mKnown.value_or(0);
 }
 
-/** True once a condition has held for as long as the limit. */
-bool
-HasLasted(std::optional<time_point>& aSince,
-          bool aHolds,
-          milliseconds aLimit,
-          time_point aNow)
-{
-  if (!aHolds) {
-    aSince.reset();
-    return false;
-  }
-  if (!aSince) {
-    aSince = aNow;
-  }
-  return aNow - *aSince >= aLimit;
-}
-
 /** The store has answered somebody lately, well after it last answered this
  * entry. */
 bool
--- a/Duties/Orders/Scale.cpp
+++ b/Duties/Orders/Scale.cpp
@@ -1,5 +1,7 @@
 #include "Duties/Orders/Scale.h"
 
+#include "Libraries/Core/HasLasted.h"
+
 #include <algorithm>
 
 namespace lavender::orders {
@@ -56,23 +58,6 @@
          aLoad.mWork < aPolicy.mLowUse * (aLoad.mSlots - aLoad.mIdlest->mSlots);
 }
 
-/** Notes since when something holds without a break; true once long enough. */
-bool
-HoldsFor(std::optional<time_point>& aSince,
-         bool aHolds,
-         milliseconds aLength,
-         time_point aNow)
-{
-  if (!aHolds) {
-    aSince.reset();
-    return false;
-  }
-  if (!aSince) {
-    aSince = aNow;
-  }
-  return aNow - *aSince >= aLength;
-}
-
 scale_decision
 Change(scale_state& aState,
        time_point aNow,
@@ -99,9 +84,9 @@
   }
   const auto load = Sum(aServers);
   const bool isBusyLong =
-    HoldsFor(aState.mBusySince, IsBusy(load, aPolicy), aPolicy.mBusyFor, aNow);
+    HasLasted(aState.mBusySince, IsBusy(load, aPolicy), aPolicy.mBusyFor, aNow);
   const bool isIdleLong =
-    HoldsFor(aState.mIdleSince, IsIdle(load, aPolicy), aPolicy.mIdleFor, aNow);
+    HasLasted(aState.mIdleSince, IsIdle(load, aPolicy), aPolicy.mIdleFor, aNow);
   if (aState.mChangedAt && aNow - *aState.mChangedAt < aPolicy.mStartTime) {
     return {};
   }
