--- /dev/null
+++ b/Duties/Batches/Batch.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "Libraries/Core/Clock.h"
+#include "Libraries/Edge/Message.h"
+#include "Libraries/ObjectStore/ObjectStore.h"
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <vector>
+
+/** Batches of requests that a trainer submits at once and reads the results
+ * of. What was accepted and what was listed rests on objects in the platform's
+ * store alone; an entry's memory only saves reads. */
+namespace lavender::batches {
+
+struct batch_item
+{
+  std::string mId;
+  std::string mPath;
+  edge::header_list mHeaders;
+  /** As submitted: decoded only when it is sent. */
+  std::string mBodyBase64;
+  /** Items of a group share their prompt, and are of use together. */
+  std::string mGroup;
+  /** Guess of the output tokens. */
+  std::int64_t mExpectedTokens = 0;
+};
+
+/** What a trainer submits for one step. */
+struct submission
+{
+  std::string mId;
+  std::string mModel;
+  /** Oldest version of the weights that may make its tokens. */
+  std::int64_t mMinimumVersion = 0;
+  /** Groups that the trainer waits for. */
+  int mTargetGroups = 0;
+  std::vector<batch_item> mItems;
+};
+
+/** The small object that says that a batch was accepted and who runs it. */
+struct batch_head
+{
+  std::string mId;
+  std::string mCustomer;
+  std::string mHost;
+  std::string mPath;
+  std::string mModel;
+  std::int64_t mMinimumVersion = 0;
+  int mTargetGroups = 0;
+  int mTotal = 0;
+  /** Objects that hold the items. */
+  int mParts = 0;
+  /** By the wall clock of the entry that accepted it. */
+  std::chrono::system_clock::time_point mSubmittedAt;
+  /** Entry that runs it. */
+  std::string mOwner;
+  bool mIsEnded = false;
+  objects::revision_number mRevision = 0;
+};
+
+/** The end of one item. */
+struct item_result
+{
+  std::string mItemId;
+  /** False when the item was given up. */
+  bool mIsCompleted = false;
+  std::string mText;
+  /** Versions that made an event of the text, oldest first. */
+  std::vector<std::int64_t> mVersions;
+};
+
+/** Kinds of the product's own objects. */
+constexpr char kHeadKind[] = "batches";
+constexpr char kItemsKind[] = "batchitems";
+constexpr char kResultsKind[] = "batchresults";
+
+/** Identifiers become names of objects and parts of paths. */
+bool
+IsUsableId(const std::string& aId);
+
+} // namespace lavender::batches
--- /dev/null
+++ b/Duties/Batches/BatchRunner.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "Duties/Batches/Batch.h"
+#include "Duties/Batches/EventStream.h"
+#include "Duties/Batches/Schedule.h"
+#include "Duties/Site/ServerProtocol.h"
+#include "Duties/Site/SiteConfiguration.h"
+#include "Libraries/Edge/Caller.h"
+#include "Libraries/Metrics/Metrics.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+namespace lavender::batches {
+
+enum class item_phase
+{
+  Waiting,
+  Running,
+  Ended
+};
+
+/** One item on its way, with what its runs have made so far. */
+struct item_progress
+{
+  const batch_item* mItem = nullptr;
+  item_phase mPhase = item_phase::Waiting;
+  /** Data of the whole events so far. */
+  std::string mText;
+  bool mHasText = false;
+  std::optional<std::int64_t> mLastEvent;
+  std::vector<std::int64_t> mVersions;
+  /** Answers with a server's own error. */
+  int mErrors = 0;
+  /** Server of the present or last run. */
+  std::string mServer;
+  std::string mAvoided;
+  edge::call_handle mCall;
+  /** Tells a run's late words from those of the next. */
+  std::uint64_t mRun = 0;
+};
+
+/** A batch that this entry runs. */
+struct running_batch
+{
+  batch_head mHead;
+  std::shared_ptr<const submission> mSubmission;
+  std::vector<item_progress> mItems;
+};
+
+struct runner_parts
+{
+  boost::asio::io_context& mLoop;
+  edge::client_pool& mClients;
+  const site::exchange_protocol& mProtocol;
+  const site::server_directory& mDirectory;
+  const site::configuration_ptr& mConfiguration;
+  metrics::registry& mMetrics;
+  std::function<void(const std::string& aBatchId, item_result)> mOnResult;
+};
+
+/** Runs the items of the batches that this entry owns. */
+class batch_runner
+{
+public:
+  explicit batch_runner(runner_parts aParts);
+
+  /** Starts the items for which the predicate has no result. */
+  void Add(const batch_head& aHead,
+           std::shared_ptr<const submission> aSubmission,
+           const std::function<bool(const std::string&)>& aHasResult);
+  /** Cuts all runs of a batch that ended or that another entry runs now. */
+  void Remove(const std::string& aBatchId);
+  /** Results that another entry has listed need no run. */
+  void TakeListed(const std::string& aBatchId,
+                  const std::vector<std::string>& aItemIds);
+  /** Servers or configuration have changed. */
+  void Dispatch();
+
+private:
+  struct place
+  {
+    std::string mBatchId;
+    std::size_t mIndex = 0;
+    std::uint64_t mRun = 0;
+  };
+  struct run_state;
+
+  item_progress* Find(const place& aPlace);
+  std::shared_ptr<const site::route> RouteOf(const running_batch& aBatch,
+                                             const batch_item& aItem) const;
+  std::vector<engine_view> Engines() const;
+  void DispatchNow();
+  void GiveUpLate(running_batch& aBatch, time_point aNow);
+  void StartRun(running_batch& aBatch,
+                std::size_t aIndex,
+                const engine_view& aEngine,
+                const site::route& aRoute);
+  void TakeEvent(const place& aPlace,
+                 const std::shared_ptr<run_state>& aRun,
+                 stream_event&& aEvent);
+  void TakeRunEnd(const place& aPlace,
+                  const std::shared_ptr<run_state>& aRun,
+                  edge::call_end aEnd);
+  void StopRun(item_progress& aItem);
+  void FinishItem(running_batch& aBatch, item_progress& aItem, bool aIsDone);
+  void Block(const std::string& aServer, milliseconds aPause);
+  void LogRunEnd(const item_progress& aItem,
+                 const running_batch& aBatch,
+                 const char* aOutcome,
+                 edge::call_end aEnd,
+                 unsigned aStatus);
+
+  runner_parts mParts;
+  std::map<std::string, running_batch> mBatches;
+  std::map<std::string, int> mRunsByServer;
+  std::map<std::string, time_point> mBlocked;
+  /** Versions seen in answers: fresher than the servers' own entries. */
+  std::map<std::string, std::map<std::string, std::int64_t>> mSeenVersions;
+  group_homes mHomes;
+  boost::asio::steady_timer mTimer;
+  std::uint64_t mRuns = 0;
+  bool mIsDispatchPosted = false;
+};
+
+} // namespace lavender::batches
--- /dev/null
+++ b/Duties/Batches/BatchService.cpp
@@ -0,0 +1,801 @@
+#include "Duties/Batches/BatchService.h"
+
+#include "Duties/Batches/PeerCall.h"
+#include "Libraries/Core/Base64.h"
+#include "Libraries/EventLog/EventLog.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace lavender::batches {
+
+using namespace std::chrono_literals;
+using objects::store_outcome;
+
+namespace {
+
+/** A page of results is 1 MB at most, with room for its frame. */
+constexpr std::size_t kPageBytes = 900 << 10;
+/** A block of results stays below the store's limit on objects. */
+constexpr std::size_t kBlockBytes = 900 << 10;
+/** Results gather this long before they are written as one block: each write
+ * is a priced call, and trainers read about twice a second. */
+constexpr milliseconds kGatherResults = 200ms;
+constexpr milliseconds kRetryPause = 250ms;
+/** Longest time that a trainer's reading call is held. */
+constexpr milliseconds kLongestWait = 1000ms;
+/** How long the owner may take beyond the wait before another entry takes its
+ * batch over. */
+constexpr milliseconds kOwnerSilence = 600ms;
+/** A batch changes its owner at most once in this time, so that two entries
+ * which don't reach each other don't take turns. */
+constexpr milliseconds kClaimPause = 1500ms;
+/** Tries to settle a write whose answer was lost. */
+constexpr int kTries = 3;
+
+} // namespace
+
+/** A batch on its way to being accepted. */
+struct batch_service::admission
+{
+  edge::exchange_ptr mExchange;
+  batch_head mHead;
+  std::shared_ptr<submission> mSubmission;
+  std::vector<std::string> mItems;
+  int mTriesLeft = kTries;
+  /** The head may exist, or may yet come to. */
+  bool mIsUnsettled = false;
+};
+
+batch_service::batch_service(service_parts aParts)
+  : mParts(std::move(aParts))
+{
+}
+
+void
+batch_service::Start()
+{
+  objects::mirror_options options;
+  options.mKind = kHeadKind;
+  objects::mirror_events events;
+  events.mOnListed = [this](const auto& aObjects) {
+    for (const auto& [name, object] : aObjects) {
+      if (const auto head = DecodeHead(object)) {
+        TakeHead(*head);
+      }
+    }
+    ResumeOwn();
+  };
+  events.mOnEvent = [this](const objects::object_event& aEvent) {
+    if (aEvent.mIsDeleted) {
+      return;
+    }
+    if (const auto head = DecodeHead(aEvent.mObject)) {
+      TakeHead(*head);
+    }
+  };
+  events.mOnContact = [](bool aIsReachable) {
+    events::line(aIsReachable ? "store_regained" : "store_lost")
+      .With("kind", kHeadKind);
+  };
+  mHeads = std::make_shared<objects::mirror>(
+    mParts.mLoop, mParts.mStore, options, events);
+  mHeads->Start();
+}
+
+void
+batch_service::After(milliseconds aPause, std::function<void()> aAction)
+{
+  auto timer = std::make_shared<boost::asio::steady_timer>(mParts.mLoop);
+  timer->expires_after(aPause);
+  timer->async_wait([timer, action = std::move(aAction)](const auto& aError) {
+    if (!aError) {
+      action();
+    }
+  });
+}
+
+bool
+batch_service::IsMine(const batch_ptr& aBatch) const
+{
+  return aBatch->mHead.mOwner == mParts.mName;
+}
+
+void
+batch_service::TakeHead(const batch_head& aHead)
+{
+  auto& batch = mBatches[aHead.mId];
+  if (!batch) {
+    batch = std::make_shared<batch_record>();
+    batch->mHead = aHead;
+    batch->mOwnedSince = boot_clock::now();
+    return;
+  }
+  if (aHead.mRevision <= batch->mHead.mRevision) {
+    return;
+  }
+  const bool wasMine = IsMine(batch);
+  if (batch->mHead.mOwner != aHead.mOwner) {
+    batch->mOwnedSince = boot_clock::now();
+    events::line("batch_owner_changed")
+      .With("batch", aHead.mId)
+      .With("owner", aHead.mOwner)
+      .With("before", batch->mHead.mOwner);
+  }
+  batch->mHead = aHead;
+  if (wasMine && !IsMine(batch)) {
+    Drop(batch);
+  } else if (aHead.mIsEnded) {
+    mParts.mRunner.Remove(aHead.mId);
+  }
+}
+
+void
+batch_service::ResumeOwn()
+{
+  for (const auto& [id, batch] : mBatches) {
+    if (IsMine(batch) && !batch->mHead.mIsEnded && !batch->mIsLoaded) {
+      Load(batch, [](bool) {});
+    }
+  }
+}
+
+// Accepting
+
+void
+batch_service::Submit(const edge::exchange_ptr& aExchange,
+                      const std::string& aCustomer,
+                      const std::string& aHost,
+                      submission aSubmission)
+{
+  if (const auto known = mBatches.find(aSubmission.mId);
+      known != mBatches.end()) {
+    const bool isOwn = known->second->mHead.mCustomer == aCustomer;
+    aExchange->Answer({ isOwn ? 202u : 404u, {}, {} });
+    return;
+  }
+  if (mIsLeaving) {
+    edge::response refusal{ 503, {}, {} };
+    refusal.mHeaders.Add("Retry-After", "0.1");
+    aExchange->Answer(std::move(refusal));
+    return;
+  }
+  auto admitted = std::make_shared<admission>();
+  admitted->mExchange = aExchange;
+  admitted->mItems = EncodeItems(aSubmission);
+  auto& head = admitted->mHead;
+  head.mId = aSubmission.mId;
+  head.mCustomer = aCustomer;
+  head.mHost = aHost;
+  head.mPath = aExchange->mRequest.mTarget;
+  head.mModel = aSubmission.mModel;
+  head.mMinimumVersion = aSubmission.mMinimumVersion;
+  head.mTargetGroups = aSubmission.mTargetGroups;
+  head.mTotal = static_cast<int>(aSubmission.mItems.size());
+  head.mParts = static_cast<int>(admitted->mItems.size());
+  head.mSubmittedAt = std::chrono::system_clock::now();
+  head.mOwner = mParts.mName;
+  admitted->mSubmission = std::make_shared<submission>(std::move(aSubmission));
+  WriteItems(admitted, 0);
+}
+
+void
+batch_service::WriteItems(const std::shared_ptr<admission>& aAdmission,
+                          std::size_t aPart)
+{
+  if (aPart == aAdmission->mItems.size()) {
+    WriteHead(aAdmission);
+    return;
+  }
+  mParts.mStore.mCreate(
+    kItemsKind,
+    ItemsName(aAdmission->mHead.mId, static_cast<int>(aPart)),
+    aAdmission->mItems[aPart],
+    [this, aAdmission, aPart](const objects::object_reply& aReply) {
+      // A conflict means that an earlier submission of the same batch wrote
+      // the same items.
+      if (aReply.mOutcome == store_outcome::Done ||
+          aReply.mOutcome == store_outcome::Conflict) {
+        WriteItems(aAdmission, aPart + 1);
+      } else if (aReply.mOutcome == store_outcome::Unknown &&
+                 aAdmission->mTriesLeft-- > 0) {
+        WriteItems(aAdmission, aPart);
+      } else {
+        FailAdmission(aAdmission, "items not stored");
+      }
+    });
+}
+
+void
+batch_service::WriteHead(const std::shared_ptr<admission>& aAdmission)
+{
+  mParts.mStore.mCreate(
+    kHeadKind,
+    aAdmission->mHead.mId,
+    EncodeHead(aAdmission->mHead),
+    [this, aAdmission](const objects::object_reply& aReply) {
+      switch (aReply.mOutcome) {
+        case store_outcome::Done:
+          aAdmission->mHead.mRevision = aReply.mObject.mRevision;
+          Accept(aAdmission);
+          return;
+        case store_outcome::Conflict:
+          // Accepted before, by another entry or by a call whose answer was
+          // lost.
+          if (const auto head = DecodeHead(aReply.mObject)) {
+            TakeHead(*head);
+            const auto batch = mBatches[head->mId];
+            if (IsMine(batch) && !batch->mIsLoaded) {
+              Load(batch, [](bool) {});
+            }
+          }
+          events::line("batch_repeated").With("batch", aAdmission->mHead.mId);
+          aAdmission->mExchange->Answer({ 202, {}, {} });
+          return;
+        case store_outcome::Unknown:
+          aAdmission->mIsUnsettled = true;
+          if (aAdmission->mTriesLeft-- > 0) {
+            WriteHead(aAdmission);
+            return;
+          }
+          break;
+        default:
+          break;
+      }
+      FailAdmission(aAdmission, "head not stored");
+    });
+}
+
+void
+batch_service::Accept(const std::shared_ptr<admission>& aAdmission)
+{
+  auto& batch = mBatches[aAdmission->mHead.mId];
+  if (!batch) {
+    batch = std::make_shared<batch_record>();
+  }
+  batch->mHead = aAdmission->mHead;
+  batch->mOwnedSince = boot_clock::now();
+  batch->mSubmission = aAdmission->mSubmission;
+  batch->mIsLoaded = true;
+  events::line("batch_accepted")
+    .With("batch", batch->mHead.mId)
+    .With("customer", batch->mHead.mCustomer)
+    .With("model", batch->mHead.mModel)
+    .With("minimum_version", batch->mHead.mMinimumVersion)
+    .With("items", static_cast<std::int64_t>(batch->mHead.mTotal))
+    .With("target_groups",
+          static_cast<std::int64_t>(batch->mHead.mTargetGroups));
+  aAdmission->mExchange->Answer({ 202, {}, {} });
+  Run(batch);
+}
+
+void
+batch_service::FailAdmission(const std::shared_ptr<admission>& aAdmission,
+                             const char* aReason)
+{
+  // Only a batch whose head certainly doesn't exist may be called not run.
+  const unsigned status = aAdmission->mIsUnsettled ? 504 : 503;
+  events::line("batch_refused")
+    .With("batch", aAdmission->mHead.mId)
+    .With("status", static_cast<std::int64_t>(status))
+    .With("reason", aReason);
+  mParts.mMetrics.Count("lavender_refusals_total", { { "reason", aReason } });
+  edge::response refusal{ status, {}, {} };
+  if (status == 503) {
+    refusal.mHeaders.Add("Retry-After", "0.3");
+  }
+  aAdmission->mExchange->Answer(std::move(refusal));
+}
+
+// Calls on a batch
+
+void
+batch_service::FindThen(const std::string& aBatchId,
+                        std::function<void(batch_ptr, store_outcome)> aDone)
+{
+  if (const auto known = mBatches.find(aBatchId); known != mBatches.end()) {
+    aDone(known->second, store_outcome::Done);
+    return;
+  }
+  mParts.mStore.mGet(
+    kHeadKind,
+    aBatchId,
+    objects::freshness::Linearizable,
+    [this, done = std::move(aDone)](const objects::object_reply& aReply) {
+      if (aReply.mOutcome == store_outcome::Done) {
+        if (const auto head = DecodeHead(aReply.mObject)) {
+          TakeHead(*head);
+          done(mBatches[head->mId], store_outcome::Done);
+          return;
+        }
+      }
+      done(nullptr,
+           aReply.mOutcome == store_outcome::Done ? store_outcome::NotFound
+                                                  : aReply.mOutcome);
+    });
+}
+
+void
+batch_service::Serve(const edge::exchange_ptr& aExchange,
+                     const batch_call& aCall)
+{
+  if (!IsUsableId(aCall.mBatchId)) {
+    aExchange->Answer({ 404, {}, {} });
+    return;
+  }
+  FindThen(
+    aCall.mBatchId,
+    [this, aExchange, aCall](const batch_ptr& aBatch, store_outcome aOutcome) {
+      if (aBatch && aBatch->mHead.mCustomer == aCall.mCustomer) {
+        ServeKnown(aExchange, aCall, aBatch);
+      } else if (aBatch || aOutcome == store_outcome::NotFound) {
+        aExchange->Answer({ 404, {}, {} });
+      } else {
+        aExchange->Answer({ 503, {}, {} });
+      }
+    });
+}
+
+void
+batch_service::ServeKnown(const edge::exchange_ptr& aExchange,
+                          const batch_call& aCall,
+                          const batch_ptr& aBatch)
+{
+  if (IsMine(aBatch)) {
+    ServeOwned(aExchange, aCall, aBatch);
+    return;
+  }
+  if (const auto peer = mParts.mFindPeer(aBatch->mHead.mOwner)) {
+    PassOn(aExchange, aCall, aBatch, *peer);
+  } else {
+    TakeOver(aExchange, aCall, aBatch);
+  }
+}
+
+void
+batch_service::ServeOwned(const edge::exchange_ptr& aExchange,
+                          const batch_call& aCall,
+                          const batch_ptr& aBatch)
+{
+  Load(aBatch, [this, aExchange, aCall, aBatch](bool aIsLoaded) {
+    if (!aIsLoaded) {
+      aExchange->Answer({ 503, {}, {} });
+      return;
+    }
+    switch (aCall.mKind) {
+      case batch_call::kind::Results:
+        ReadResults(aExchange, aCall, aBatch);
+        return;
+      case batch_call::kind::Item:
+        ReadItem(aExchange, aCall, aBatch);
+        return;
+      case batch_call::kind::End:
+        End(aExchange, aBatch, kTries);
+        return;
+    }
+  });
+}
+
+void
+batch_service::PassOn(const edge::exchange_ptr& aExchange,
+                      const batch_call& aCall,
+                      const batch_ptr& aBatch,
+                      const edge::endpoint& aPeer)
+{
+  edge::call_options options;
+  options.mConnectTimeout = kOwnerSilence;
+  const auto deadline = aCall.mWait + kOwnerSilence;
+  options.mSilenceTimeout = deadline;
+  edge::FetchWhole(
+    mParts.mClients,
+    mParts.mLoop,
+    aPeer,
+    EncodePeerCall(aCall),
+    options,
+    deadline,
+    4 << 20,
+    [this, aExchange, aCall, aBatch](edge::call_end aEnd,
+                                     edge::response aAnswer) {
+      if (aEnd == edge::call_end::Complete && aAnswer.mStatus != kNotOwner) {
+        edge::response answer{ aAnswer.mStatus, {}, std::move(aAnswer.mBody) };
+        if (answer.mStatus == 200 && aCall.mKind == batch_call::kind::Results) {
+          answer.mHeaders.Add("Content-Type", "application/json");
+        }
+        aExchange->Answer(std::move(answer));
+        return;
+      }
+      events::line("owner_silent")
+        .With("batch", aCall.mBatchId)
+        .With("owner", aBatch->mHead.mOwner)
+        .With("end", edge::WordFor(aEnd))
+        .With("status", static_cast<std::int64_t>(aAnswer.mStatus));
+      TakeOver(aExchange, aCall, aBatch);
+    });
+}
+
+void
+batch_service::ServePeer(const edge::exchange_ptr& aExchange)
+{
+  const auto call = DecodePeerCall(aExchange->mRequest);
+  if (!call) {
+    aExchange->Answer({ 400, {}, {} });
+    return;
+  }
+  const auto known = mBatches.find(call->mBatchId);
+  if (known == mBatches.end() || !IsMine(known->second)) {
+    aExchange->Answer({ kNotOwner, {}, {} });
+    return;
+  }
+  ServeOwned(aExchange, *call, known->second);
+}
+
+void
+batch_service::TakeOver(const edge::exchange_ptr& aExchange,
+                        const batch_call& aCall,
+                        const batch_ptr& aBatch)
+{
+  if (boot_clock::now() - aBatch->mOwnedSince < kClaimPause || mIsLeaving) {
+    aExchange->Answer({ 503, {}, {} });
+    return;
+  }
+  Claim(aBatch, [this, aExchange, aCall, aBatch](bool aIsMine) {
+    if (aIsMine) {
+      ServeOwned(aExchange, aCall, aBatch);
+    } else {
+      aExchange->Answer({ 503, {}, {} });
+    }
+  });
+}
+
+void
+batch_service::Claim(const batch_ptr& aBatch, std::function<void(bool)> aDone)
+{
+  mParts.mStore.mReplaceStatus(
+    kHeadKind,
+    aBatch->mHead.mId,
+    aBatch->mHead.mRevision,
+    EncodeHeadStatus(mParts.mName, aBatch->mHead.mIsEnded),
+    [this, aBatch, done = std::move(aDone)](
+      const objects::object_reply& aReply) {
+      if (aReply.mOutcome == store_outcome::Done ||
+          aReply.mOutcome == store_outcome::Conflict) {
+        if (auto head = DecodeHead(aReply.mObject)) {
+          TakeHead(*head);
+        }
+      }
+      events::line("batch_claimed")
+        .With("batch", aBatch->mHead.mId)
+        .With("owner", aBatch->mHead.mOwner)
+        .With("outcome", objects::WordFor(aReply.mOutcome));
+      done(IsMine(aBatch));
+    });
+}
+
+void
+batch_service::ReadResults(const edge::exchange_ptr& aExchange,
+                           const batch_call& aCall,
+                           const batch_ptr& aBatch)
+{
+  const bool isComplete = aBatch->mLog.mListed.size() >=
+                          static_cast<std::size_t>(aBatch->mHead.mTotal);
+  const auto wait = std::min(aCall.mWait, kLongestWait);
+  if (aBatch->mLog.mListed.size() > aCall.mAfter || isComplete ||
+      aBatch->mHead.mIsEnded || wait.count() == 0) {
+    AnswerPage(aExchange, aCall, aBatch);
+    return;
+  }
+  auto answered = std::make_shared<bool>(false);
+  const auto answer = [this, aExchange, aCall, aBatch, answered] {
+    if (!*answered) {
+      *answered = true;
+      AnswerPage(aExchange, aCall, aBatch);
+    }
+  };
+  aBatch->mResultWaiters.push_back(answer);
+  After(wait, answer);
+}
+
+void
+batch_service::AnswerPage(const edge::exchange_ptr& aExchange,
+                          const batch_call& aCall,
+                          const batch_ptr& aBatch)
+{
+  if (!aBatch->mIsLoaded) {
+    aExchange->Answer({ 503, {}, {} });
+    return;
+  }
+  const auto page = ReadPage(aBatch->mLog, aCall.mAfter, kPageBytes);
+  edge::response answer{ 200, {}, {} };
+  answer.mHeaders.Add("Content-Type", "application/json");
+  answer.mBody = mParts.mFormat.mEncodePage(
+    static_cast<std::size_t>(aBatch->mHead.mTotal), page);
+  aExchange->Answer(std::move(answer));
+}
+
+void
+batch_service::ReadItem(const edge::exchange_ptr& aExchange,
+                        const batch_call& aCall,
+                        const batch_ptr& aBatch)
+{
+  for (const auto& item : aBatch->mSubmission->mItems) {
+    if (item.mId == aCall.mItemId) {
+      auto body = DecodeBase64(item.mBodyBase64);
+      aExchange->Answer(
+        { body ? 200u : 404u, {}, body ? std::move(*body) : std::string() });
+      return;
+    }
+  }
+  aExchange->Answer({ 404, {}, {} });
+}
+
+void
+batch_service::End(const edge::exchange_ptr& aExchange,
+                   const batch_ptr& aBatch,
+                   int aTriesLeft)
+{
+  // The runs stop before the store knows: a batch whose end was asked for
+  // needs no more results, whatever becomes of this call.
+  mParts.mRunner.Remove(aBatch->mHead.mId);
+  if (aBatch->mHead.mIsEnded) {
+    aExchange->Answer({ 200, {}, {} });
+    return;
+  }
+  mParts.mStore.mReplaceStatus(
+    kHeadKind,
+    aBatch->mHead.mId,
+    aBatch->mHead.mRevision,
+    EncodeHeadStatus(mParts.mName, true),
+    [this, aExchange, aBatch, aTriesLeft](const objects::object_reply& aReply) {
+      if (aReply.mOutcome == store_outcome::Done ||
+          aReply.mOutcome == store_outcome::Conflict) {
+        if (auto head = DecodeHead(aReply.mObject)) {
+          TakeHead(*head);
+        }
+      }
+      if (aBatch->mHead.mIsEnded) {
+        events::line("batch_ended").With("batch", aBatch->mHead.mId);
+        aExchange->Answer({ 200, {}, {} });
+      } else if (aTriesLeft > 0) {
+        After(kRetryPause, [this, aExchange, aBatch, aTriesLeft] {
+          End(aExchange, aBatch, aTriesLeft - 1);
+        });
+      } else {
+        aExchange->Answer({ 504, {}, {} });
+      }
+    });
+}
+
+// Loading what the store holds
+
+void
+batch_service::Load(const batch_ptr& aBatch, std::function<void(bool)> aDone)
+{
+  if (aBatch->mIsLoaded) {
+    aDone(true);
+    return;
+  }
+  aBatch->mLoadWaiters.push_back(std::move(aDone));
+  if (aBatch->mIsLoading) {
+    return;
+  }
+  aBatch->mIsLoading = true;
+  aBatch->mLog = {};
+  auto gathered = std::make_shared<submission>();
+  gathered->mId = aBatch->mHead.mId;
+  gathered->mModel = aBatch->mHead.mModel;
+  gathered->mMinimumVersion = aBatch->mHead.mMinimumVersion;
+  gathered->mTargetGroups = aBatch->mHead.mTargetGroups;
+  LoadItems(aBatch, gathered, 0);
+}
+
+void
+batch_service::LoadItems(const batch_ptr& aBatch,
+                         std::shared_ptr<submission> aGathered,
+                         int aPart)
+{
+  if (aPart == aBatch->mHead.mParts) {
+    aBatch->mSubmission = aGathered;
+    LoadResults(aBatch);
+    return;
+  }
+  mParts.mStore.mGet(
+    kItemsKind,
+    ItemsName(aBatch->mHead.mId, aPart),
+    objects::freshness::Linearizable,
+    [this, aBatch, aGathered, aPart](const objects::object_reply& aReply) {
+      if (aReply.mOutcome == store_outcome::Done &&
+          DecodeItems(aReply.mObject, *aGathered)) {
+        LoadItems(aBatch, aGathered, aPart + 1);
+      } else {
+        FinishLoad(aBatch, false);
+      }
+    });
+}
+
+void
+batch_service::LoadResults(const batch_ptr& aBatch)
+{
+  mParts.mStore.mGet(kResultsKind,
+                     ResultsName(aBatch->mHead.mId, aBatch->mLog.mNextBlock),
+                     objects::freshness::Linearizable,
+                     [this, aBatch](const objects::object_reply& aReply) {
+                       if (aReply.mOutcome == store_outcome::NotFound) {
+                         FinishLoad(aBatch, true);
+                         return;
+                       }
+                       const auto block = aReply.mOutcome == store_outcome::Done
+                                            ? DecodeBlock(aReply.mObject)
+                                            : std::nullopt;
+                       if (!block) {
+                         FinishLoad(aBatch, false);
+                         return;
+                       }
+                       TakeBlock(aBatch->mLog, *block);
+                       LoadResults(aBatch);
+                     });
+}
+
+void
+batch_service::FinishLoad(const batch_ptr& aBatch, bool aIsLoaded)
+{
+  aBatch->mIsLoading = false;
+  aBatch->mIsLoaded = aIsLoaded && IsMine(aBatch);
+  events::line("batch_loaded")
+    .With("batch", aBatch->mHead.mId)
+    .With("outcome", aBatch->mIsLoaded ? "loaded" : "failed")
+    .With("results", static_cast<std::int64_t>(aBatch->mLog.mListed.size()));
+  const auto waiters = std::move(aBatch->mLoadWaiters);
+  aBatch->mLoadWaiters.clear();
+  if (aBatch->mIsLoaded) {
+    Run(aBatch);
+  } else if (IsMine(aBatch) && !aBatch->mHead.mIsEnded) {
+    After(kRetryPause, [this, aBatch] {
+      if (IsMine(aBatch)) {
+        Load(aBatch, [](bool) {});
+      }
+    });
+  }
+  for (const auto& waiter : waiters) {
+    waiter(aBatch->mIsLoaded);
+  }
+}
+
+void
+batch_service::Run(const batch_ptr& aBatch)
+{
+  if (!aBatch->mHead.mIsEnded) {
+    mParts.mRunner.Add(
+      aBatch->mHead, aBatch->mSubmission, [&](const std::string& aItemId) {
+        return HasResult(aBatch->mLog, aItemId);
+      });
+  }
+}
+
+void
+batch_service::Drop(const batch_ptr& aBatch)
+{
+  mParts.mRunner.Remove(aBatch->mHead.mId);
+  aBatch->mIsLoaded = false;
+  aBatch->mLog = {};
+  aBatch->mSubmission.reset();
+  const auto waiters = std::move(aBatch->mResultWaiters);
+  aBatch->mResultWaiters.clear();
+  for (const auto& waiter : waiters) {
+    waiter();
+  }
+}
+
+// Listing results
+
+void
+batch_service::TakeResult(const std::string& aBatchId, item_result aResult)
+{
+  const auto found = mBatches.find(aBatchId);
+  if (found == mBatches.end() || !found->second->mIsLoaded) {
+    return;
+  }
+  const auto& batch = found->second;
+  AddPending(
+    batch->mLog, aResult.mItemId, mParts.mFormat.mEncodeResult(aResult));
+  PlanCommit(batch, kGatherResults);
+}
+
+void
+batch_service::PlanCommit(const batch_ptr& aBatch, milliseconds aPause)
+{
+  if (aBatch->mIsCommitPlanned || aBatch->mIsCommitting) {
+    return;
+  }
+  aBatch->mIsCommitPlanned = true;
+  After(aPause, [this, aBatch] {
+    aBatch->mIsCommitPlanned = false;
+    Commit(aBatch);
+  });
+}
+
+void
+batch_service::Commit(const batch_ptr& aBatch)
+{
+  if (aBatch->mIsCommitting || !aBatch->mIsLoaded || aBatch->mHead.mIsEnded ||
+      aBatch->mLog.mPending.mItemIds.empty()) {
+    return;
+  }
+  auto block = std::make_shared<result_block>();
+  std::size_t bytes = 0;
+  const auto& pending = aBatch->mLog.mPending;
+  for (std::size_t i = 0; i < pending.mItemIds.size(); ++i) {
+    bytes += pending.mEntries[i].size();
+    if (i > 0 && bytes > kBlockBytes) {
+      break;
+    }
+    block->mItemIds.push_back(pending.mItemIds[i]);
+    block->mEntries.push_back(pending.mEntries[i]);
+  }
+  aBatch->mIsCommitting = true;
+  mParts.mStore.mCreate(
+    kResultsKind,
+    ResultsName(aBatch->mHead.mId, aBatch->mLog.mNextBlock),
+    EncodeBlock(*block),
+    [this, aBatch, block](const objects::object_reply& aReply) {
+      aBatch->mIsCommitting = false;
+      if (!aBatch->mIsLoaded) {
+        return;
+      }
+      if (aReply.mOutcome == store_outcome::Done) {
+        TakeListedBlock(aBatch, *block);
+        PlanCommit(aBatch, kGatherResults);
+      } else if (aReply.mOutcome == store_outcome::Refused) {
+        PlanCommit(aBatch, kRetryPause);
+      } else {
+        SettleCommit(aBatch);
+      }
+    });
+}
+
+void
+batch_service::SettleCommit(const batch_ptr& aBatch)
+{
+  aBatch->mIsCommitting = true;
+  mParts.mStore.mGet(kResultsKind,
+                     ResultsName(aBatch->mHead.mId, aBatch->mLog.mNextBlock),
+                     objects::freshness::Linearizable,
+                     [this, aBatch](const objects::object_reply& aReply) {
+                       aBatch->mIsCommitting = false;
+                       if (!aBatch->mIsLoaded) {
+                         return;
+                       }
+                       if (aReply.mOutcome == store_outcome::Done) {
+                         if (const auto block = DecodeBlock(aReply.mObject)) {
+                           TakeListedBlock(aBatch, *block);
+                         }
+                       }
+                       PlanCommit(aBatch, kRetryPause);
+                     });
+}
+
+void
+batch_service::TakeListedBlock(const batch_ptr& aBatch,
+                               const result_block& aBlock)
+{
+  const auto news = TakeBlock(aBatch->mLog, aBlock);
+  events::line("results_listed")
+    .With("batch", aBatch->mHead.mId)
+    .With("block", static_cast<std::int64_t>(aBatch->mLog.mNextBlock - 1))
+    .With("results", static_cast<std::int64_t>(aBlock.mItemIds.size()))
+    .With("listed", static_cast<std::int64_t>(aBatch->mLog.mListed.size()));
+  if (!news.empty()) {
+    mParts.mRunner.TakeListed(aBatch->mHead.mId, news);
+  }
+  const auto waiters = std::move(aBatch->mResultWaiters);
+  aBatch->mResultWaiters.clear();
+  for (const auto& waiter : waiters) {
+    waiter();
+  }
+}
+
+void
+batch_service::HandOver()
+{
+  mIsLeaving = true;
+}
+
+} // namespace lavender::batches
--- /dev/null
+++ b/Duties/Batches/BatchService.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "Duties/Batches/BatchRunner.h"
+#include "Duties/Batches/ResultLog.h"
+#include "Libraries/Edge/Listener.h"
+#include "Libraries/ObjectStore/Mirror.h"
+
+#include <deque>
+
+namespace lavender::batches {
+
+/** How results and pages are written for trainers; the adapter fills it in. */
+struct page_format
+{
+  std::function<std::string(const item_result&)> mEncodeResult;
+  std::function<std::string(std::size_t aTotal, const log_page&)> mEncodePage;
+};
+
+struct service_parts
+{
+  boost::asio::io_context& mLoop;
+  const objects::object_store& mStore;
+  edge::client_pool& mClients;
+  batch_runner& mRunner;
+  metrics::registry& mMetrics;
+  page_format mFormat;
+  /** Name of this entry. */
+  std::string mName;
+  /** Where another entry takes forwarded calls; none when it isn't known. */
+  std::function<std::optional<edge::endpoint>(const std::string&)> mFindPeer;
+};
+
+/** One batch as this entry knows it. */
+struct batch_record
+{
+  batch_head mHead;
+  /** Items and results are here; only the owner's are. */
+  bool mIsLoaded = false;
+  bool mIsLoading = false;
+  std::shared_ptr<const submission> mSubmission;
+  result_log mLog;
+  bool mIsCommitting = false;
+  bool mIsCommitPlanned = false;
+  /** When the owner last changed, as seen here. */
+  time_point mOwnedSince;
+  std::vector<std::function<void(bool)>> mLoadWaiters;
+  std::vector<std::function<void()>> mResultWaiters;
+};
+
+using batch_ptr = std::shared_ptr<batch_record>;
+
+/** A trainer's call on a batch that exists, as an entry passes it on. */
+struct batch_call
+{
+  enum class kind
+  {
+    Results,
+    Item,
+    End
+  };
+  kind mKind = kind::Results;
+  std::string mBatchId;
+  std::string mItemId;
+  std::size_t mAfter = 0;
+  milliseconds mWait{ 0 };
+  std::string mCustomer;
+};
+
+/** Accepts batches, lists their results and ends them.
+ *
+ * Each batch has one owner, an entry that runs it and knows its results; the
+ * others pass calls on to it. When the owner doesn't answer, the entry that
+ * was asked takes the batch over by a conditional change of its head. */
+class batch_service
+{
+public:
+  explicit batch_service(service_parts aParts);
+
+  void Start();
+  /** A new batch, read from a caller's request.
+   * @param aPath target under which it was submitted */
+  void Submit(const edge::exchange_ptr& aExchange,
+              const std::string& aCustomer,
+              const std::string& aHost,
+              submission aSubmission);
+  void Serve(const edge::exchange_ptr& aExchange, const batch_call& aCall);
+  /** Calls that another entry passed on. */
+  void ServePeer(const edge::exchange_ptr& aExchange);
+  void TakeResult(const std::string& aBatchId, item_result aResult);
+  /** Lets other entries take over what this one owns. */
+  void HandOver();
+  bool IsReachable() const { return mHeads && mHeads->IsReachable(); }
+
+private:
+  struct admission;
+
+  void TakeHead(const batch_head& aHead);
+  void ResumeOwn();
+  bool IsMine(const batch_ptr& aBatch) const;
+  void WriteItems(const std::shared_ptr<admission>& aAdmission,
+                  std::size_t aPart);
+  void WriteHead(const std::shared_ptr<admission>& aAdmission);
+  void Accept(const std::shared_ptr<admission>& aAdmission);
+  void FailAdmission(const std::shared_ptr<admission>& aAdmission,
+                     const char* aReason);
+
+  void FindThen(const std::string& aBatchId,
+                std::function<void(batch_ptr, objects::store_outcome)> aDone);
+  void ServeKnown(const edge::exchange_ptr& aExchange,
+                  const batch_call& aCall,
+                  const batch_ptr& aBatch);
+  void ServeOwned(const edge::exchange_ptr& aExchange,
+                  const batch_call& aCall,
+                  const batch_ptr& aBatch);
+  void PassOn(const edge::exchange_ptr& aExchange,
+              const batch_call& aCall,
+              const batch_ptr& aBatch,
+              const edge::endpoint& aPeer);
+  void TakeOver(const edge::exchange_ptr& aExchange,
+                const batch_call& aCall,
+                const batch_ptr& aBatch);
+  void Claim(const batch_ptr& aBatch, std::function<void(bool)> aDone);
+  void ReadResults(const edge::exchange_ptr& aExchange,
+                   const batch_call& aCall,
+                   const batch_ptr& aBatch);
+  void AnswerPage(const edge::exchange_ptr& aExchange,
+                  const batch_call& aCall,
+                  const batch_ptr& aBatch);
+  void ReadItem(const edge::exchange_ptr& aExchange,
+                const batch_call& aCall,
+                const batch_ptr& aBatch);
+  void End(const edge::exchange_ptr& aExchange,
+           const batch_ptr& aBatch,
+           int aTriesLeft);
+
+  void Load(const batch_ptr& aBatch, std::function<void(bool)> aDone);
+  void LoadItems(const batch_ptr& aBatch,
+                 std::shared_ptr<submission> aGathered,
+                 int aPart);
+  void LoadResults(const batch_ptr& aBatch);
+  void FinishLoad(const batch_ptr& aBatch, bool aIsLoaded);
+  void Run(const batch_ptr& aBatch);
+  void Drop(const batch_ptr& aBatch);
+
+  void PlanCommit(const batch_ptr& aBatch, milliseconds aPause);
+  void Commit(const batch_ptr& aBatch);
+  void SettleCommit(const batch_ptr& aBatch);
+  void TakeListedBlock(const batch_ptr& aBatch, const result_block& aBlock);
+  void After(milliseconds aPause, std::function<void()> aAction);
+
+  service_parts mParts;
+  std::shared_ptr<objects::mirror> mHeads;
+  std::map<std::string, batch_ptr> mBatches;
+  bool mIsLeaving = false;
+};
+
+} // namespace lavender::batches
--- /dev/null
+++ b/Duties/Batches/Records.cpp
@@ -0,0 +1,190 @@
+#include "Duties/Batches/Records.h"
+
+#include <algorithm>
+
+namespace lavender::batches {
+
+namespace {
+
+/** Items of one object: the store takes 1 MB, and the escapes of JSON and the
+ * object's own fields need room. */
+constexpr std::size_t kPartBytes = 700 << 10;
+
+std::string
+Numbered(const std::string& aBatchId, int aNumber)
+{
+  char suffix[16];
+  std::snprintf(suffix, sizeof suffix, ".%06d", aNumber);
+  return aBatchId + suffix;
+}
+
+json::value
+EncodeItem(const batch_item& aItem)
+{
+  json::value headers = json::object{};
+  for (const auto& [name, value] : aItem.mHeaders.mFields) {
+    headers.Set(name, value);
+  }
+  return json::object{ { "id", aItem.mId },
+                       { "path", aItem.mPath },
+                       { "headers", std::move(headers) },
+                       { "body", aItem.mBodyBase64 },
+                       { "group", aItem.mGroup },
+                       { "expected", aItem.mExpectedTokens } };
+}
+
+batch_item
+DecodeItem(const json::value& aValue)
+{
+  batch_item item;
+  item.mId = json::StringAt(aValue, "id", "");
+  item.mPath = json::StringAt(aValue, "path", "");
+  if (const auto* headers = aValue.Find("headers")) {
+    for (const auto& [name, value] : headers->Members()) {
+      item.mHeaders.Add(name, value.StringOr(""));
+    }
+  }
+  item.mBodyBase64 = json::StringAt(aValue, "body", "");
+  item.mGroup = json::StringAt(aValue, "group", "");
+  item.mExpectedTokens = json::IntegerAt(aValue, "expected", 0);
+  return item;
+}
+
+} // namespace
+
+bool
+IsUsableId(const std::string& aId)
+{
+  return !aId.empty() && aId.size() <= 128 &&
+         std::all_of(aId.begin(), aId.end(), [](unsigned char aCharacter) {
+           return std::isalnum(aCharacter) || aCharacter == '-' ||
+                  aCharacter == '_';
+         });
+}
+
+std::string
+EncodeHead(const batch_head& aHead)
+{
+  const auto submitted = std::chrono::duration_cast<milliseconds>(
+    aHead.mSubmittedAt.time_since_epoch());
+  return json::Write(
+    json::object{ { "customer", aHead.mCustomer },
+                  { "host", aHead.mHost },
+                  { "path", aHead.mPath },
+                  { "model", aHead.mModel },
+                  { "minimumVersion", aHead.mMinimumVersion },
+                  { "targetGroups", aHead.mTargetGroups },
+                  { "total", aHead.mTotal },
+                  { "parts", aHead.mParts },
+                  { "submittedMs", std::int64_t{ submitted.count() } },
+                  { "owner", aHead.mOwner } });
+}
+
+std::string
+EncodeHeadStatus(const std::string& aOwner, bool aIsEnded)
+{
+  return json::Write(
+    json::object{ { "owner", aOwner }, { "ended", aIsEnded } });
+}
+
+std::optional<batch_head>
+DecodeHead(const objects::stored_object& aObject)
+{
+  const auto& spec = aObject.mSpec;
+  if (!spec.IsObject() || !spec.Find("total")) {
+    return std::nullopt;
+  }
+  batch_head head;
+  head.mId = aObject.mName;
+  head.mRevision = aObject.mRevision;
+  head.mCustomer = json::StringAt(spec, "customer", "");
+  head.mHost = json::StringAt(spec, "host", "");
+  head.mPath = json::StringAt(spec, "path", "");
+  head.mModel = json::StringAt(spec, "model", "");
+  head.mMinimumVersion = json::IntegerAt(spec, "minimumVersion", 0);
+  head.mTargetGroups =
+    static_cast<int>(json::IntegerAt(spec, "targetGroups", 0));
+  head.mTotal = static_cast<int>(json::IntegerAt(spec, "total", 0));
+  head.mParts = static_cast<int>(json::IntegerAt(spec, "parts", 0));
+  head.mSubmittedAt = std::chrono::system_clock::time_point(
+    milliseconds(json::IntegerAt(spec, "submittedMs", 0)));
+  head.mOwner =
+    json::StringAt(aObject.mStatus, "owner", json::StringAt(spec, "owner", ""));
+  head.mIsEnded = json::BooleanAt(aObject.mStatus, "ended", false);
+  return head;
+}
+
+std::vector<std::string>
+EncodeItems(const submission& aSubmission)
+{
+  std::vector<std::string> parts;
+  std::string part;
+  for (const auto& item : aSubmission.mItems) {
+    const auto text = json::Write(EncodeItem(item));
+    if (!part.empty() && part.size() + text.size() > kPartBytes) {
+      parts.push_back("{\"items\":[" + part + "]}");
+      part.clear();
+    }
+    part += part.empty() ? text : "," + text;
+  }
+  parts.push_back("{\"items\":[" + part + "]}");
+  return parts;
+}
+
+bool
+DecodeItems(const objects::stored_object& aObject, submission& aSubmission)
+{
+  const auto* items = aObject.mSpec.Find("items");
+  if (!items || !items->IsArray()) {
+    return false;
+  }
+  for (const auto& item : items->Elements()) {
+    aSubmission.mItems.push_back(DecodeItem(item));
+  }
+  return true;
+}
+
+std::string
+ItemsName(const std::string& aBatchId, int aPart)
+{
+  return Numbered(aBatchId, aPart);
+}
+
+std::string
+ResultsName(const std::string& aBatchId, int aNumber)
+{
+  return Numbered(aBatchId, aNumber);
+}
+
+std::string
+EncodeBlock(const result_block& aBlock)
+{
+  json::array ids(aBlock.mItemIds.begin(), aBlock.mItemIds.end());
+  std::string text =
+    "{\"ids\":" + json::Write(std::move(ids)) + ",\"entries\":[";
+  for (std::size_t i = 0; i < aBlock.mEntries.size(); ++i) {
+    text += (i > 0 ? "," : "") + aBlock.mEntries[i];
+  }
+  return text + "]}";
+}
+
+std::optional<result_block>
+DecodeBlock(const objects::stored_object& aObject)
+{
+  const auto* ids = aObject.mSpec.Find("ids");
+  const auto* entries = aObject.mSpec.Find("entries");
+  if (!ids || !entries ||
+      ids->Elements().size() != entries->Elements().size()) {
+    return std::nullopt;
+  }
+  result_block block;
+  for (const auto& id : ids->Elements()) {
+    block.mItemIds.push_back(id.StringOr(""));
+  }
+  for (const auto& entry : entries->Elements()) {
+    block.mEntries.push_back(json::Write(entry));
+  }
+  return block;
+}
+
+} // namespace lavender::batches
--- /dev/null
+++ b/Duties/Batches/Schedule.cpp
@@ -0,0 +1,63 @@
+#include "Duties/Batches/Schedule.h"
+
+#include <algorithm>
+
+namespace lavender::batches {
+
+namespace {
+
+/** A group stays on its server while that has at most this many runs more
+ * than the least loaded one. Reading a prompt of 1,000 tokens again takes
+ * about 2 ms, one more run slows the others by a thirtieth, so only a small
+ * difference in load is worth it. */
+constexpr int kHomeSlack = 2;
+
+bool
+MayRun(const engine_view& aEngine, const item_need& aNeed, time_point aNow)
+{
+  const auto version = aEngine.mVersions.find(aNeed.mModel);
+  const bool hasModel =
+    aNeed.mModel.empty() || (version != aEngine.mVersions.end() &&
+                             version->second >= aNeed.mMinimumVersion);
+  return hasModel && aEngine.mOwnRuns < aEngine.mSlots &&
+         aNow >= aEngine.mBlockedUntil &&
+         std::find(aNeed.mPools.begin(), aNeed.mPools.end(), aEngine.mPool) !=
+           aNeed.mPools.end();
+}
+
+} // namespace
+
+std::optional<std::size_t>
+ChooseEngine(const std::vector<engine_view>& aEngines,
+             const item_need& aNeed,
+             const group_homes& aHomes,
+             time_point aNow)
+{
+  std::optional<std::size_t> best;
+  std::optional<std::size_t> home;
+  std::optional<std::size_t> avoided;
+  const auto homeName = aHomes.find(aNeed.mGroup);
+  for (std::size_t i = 0; i < aEngines.size(); ++i) {
+    const auto& engine = aEngines[i];
+    if (!MayRun(engine, aNeed, aNow)) {
+      continue;
+    }
+    if (engine.mId == aNeed.mAvoided) {
+      avoided = i;
+      continue;
+    }
+    if (homeName != aHomes.end() && homeName->second == engine.mId) {
+      home = i;
+    }
+    if (!best || engine.mOwnRuns < aEngines[*best].mOwnRuns) {
+      best = i;
+    }
+  }
+  if (home &&
+      aEngines[*home].mOwnRuns <= aEngines[*best].mOwnRuns + kHomeSlack) {
+    return home;
+  }
+  return best ? best : avoided;
+}
+
+} // namespace lavender::batches
--- /dev/null
+++ b/Duties/Batches/Schedule.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "Libraries/Core/Clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/** Which item runs next, and on which model server: pure decisions. */
+namespace lavender::batches {
+
+/** A model server as the scheduler sees it. */
+struct engine_view
+{
+  std::string mId;
+  std::string mPool;
+  std::string mAvailabilityZone;
+  int mSlots = 1;
+  /** Items that this entry runs there. */
+  int mOwnRuns = 0;
+  std::map<std::string, std::int64_t> mVersions;
+  /** No new work until then: it refused or failed. */
+  time_point mBlockedUntil;
+};
+
+/** What an item asks of a server. */
+struct item_need
+{
+  std::vector<std::string> mPools;
+  std::string mModel;
+  std::int64_t mMinimumVersion = 0;
+  std::string mGroup;
+  /** Server that the last run of the item failed on; taken only when no other
+   * is free. */
+  std::string mAvoided;
+};
+
+/** Order of items: the less comes first. */
+struct item_rank
+{
+  /** Batches in the order of their submission. */
+  std::int64_t mSubmittedMs = 0;
+  /** The longest first: a long run that starts late ends last and holds up
+   * its group, and a step waits for its last groups. */
+  std::int64_t mExpectedTokens = 0;
+
+  bool operator<(const item_rank& aOther) const
+  {
+    if (mSubmittedMs != aOther.mSubmittedMs) {
+      return mSubmittedMs < aOther.mSubmittedMs;
+    }
+    return mExpectedTokens > aOther.mExpectedTokens;
+  }
+};
+
+/** Server that last ran an item of a group, as its prompt is in memory there.
+ */
+using group_homes = std::map<std::string, std::string>;
+
+/** The least loaded server that may run the item; its group's home while that
+ * isn't more loaded by more than a few runs. None when all are full. */
+std::optional<std::size_t>
+ChooseEngine(const std::vector<engine_view>& aEngines,
+             const item_need& aNeed,
+             const group_homes& aHomes,
+             time_point aNow);
+
+} // namespace lavender::batches
--- /dev/null
+++ b/Duties/Billing/UsageCounts.cpp
@@ -0,0 +1,56 @@
+#include "Duties/Billing/UsageCounts.h"
+
+namespace lavender::billing {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Requests that began just before a window's end are counted when their
+ * answer's head arrives, a few hundred ms later at most. */
+constexpr milliseconds kFirstActs = 900ms;
+/** Long enough for the one before to have fixed and sent its report, with one
+ * repeat; four places fit into the ten seconds that a report may take. */
+constexpr milliseconds kPlaceStep = 1900ms;
+
+} // namespace
+
+window_number
+WindowAt(std::chrono::system_clock::time_point aTime, milliseconds aLength)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime.time_since_epoch()) /
+         aLength;
+}
+
+std::chrono::system_clock::time_point
+EndOf(window_number aWindow, milliseconds aLength)
+{
+  return std::chrono::system_clock::time_point(aLength * (aWindow + 1));
+}
+
+void
+CountStart(usage_counts& aCounts,
+           const std::string& aCustomer,
+           window_number aWindow)
+{
+  ++aCounts.mWindows[aWindow][aCustomer];
+  while (aCounts.mWindows.size() > kKeptWindows) {
+    aCounts.mWindows.erase(aCounts.mWindows.begin());
+  }
+}
+
+void
+AddCounts(customer_counts& aSum, const customer_counts& aMore)
+{
+  for (const auto& [customer, count] : aMore) {
+    aSum[customer] += count;
+  }
+}
+
+milliseconds
+ActAfter(std::size_t aPlace)
+{
+  return kFirstActs + kPlaceStep * static_cast<int>(aPlace);
+}
+
+} // namespace lavender::billing
--- /dev/null
+++ b/Duties/Billing/UsageCounts.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Libraries/Core/Clock.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+/** Bills: how many requests of each customer began in each time window. */
+namespace lavender::billing {
+
+using customer_counts = std::map<std::string, std::int64_t>;
+using window_number = std::int64_t;
+
+/** Counts of the last windows, by window. */
+struct usage_counts
+{
+  std::map<window_number, customer_counts> mWindows;
+};
+
+/** Windows kept: a report is due two windows after its own, and an outage of
+ * the platform may delay it further. */
+constexpr std::size_t kKeptWindows = 12;
+
+/** The window in which a moment lies, counted from the start of 1970. */
+window_number
+WindowAt(std::chrono::system_clock::time_point aTime, milliseconds aLength);
+
+std::chrono::system_clock::time_point
+EndOf(window_number aWindow, milliseconds aLength);
+
+void
+CountStart(usage_counts& aCounts,
+           const std::string& aCustomer,
+           window_number aWindow);
+
+void
+AddCounts(customer_counts& aSum, const customer_counts& aMore);
+
+/** How long after its window's end an entry acts, by its place among the
+ * entries. The first acts once the others' counts are complete; the next one
+ * only when the first didn't, and in time for the report. */
+milliseconds
+ActAfter(std::size_t aPlace);
+
+} // namespace lavender::billing
--- /dev/null
+++ b/Duties/Billing/UsageDuty.cpp
@@ -0,0 +1,274 @@
+#include "Duties/Billing/UsageDuty.h"
+
+#include "Libraries/EventLog/EventLog.h"
+
+#include <algorithm>
+
+namespace lavender::billing {
+
+using namespace std::chrono_literals;
+using objects::store_outcome;
+
+namespace {
+
+constexpr char kDutyKind[] = "duties";
+constexpr char kDutyName[] = "usage";
+/** A peer that doesn't tell its counts within this is left out. */
+constexpr milliseconds kPeerTimeout = 400ms;
+/** A report leaves this soon after its record was written, or not at all: the
+ * process may have been paused, and another entry have taken over. */
+constexpr milliseconds kSendWithin = 700ms;
+constexpr milliseconds kRetryPause = 500ms;
+constexpr int kTries = 6;
+
+std::string
+EncodeCounts(const customer_counts& aCounts)
+{
+  json::value counts = json::object{};
+  for (const auto& [customer, count] : aCounts) {
+    counts.Set(customer, count);
+  }
+  return json::Write(counts);
+}
+
+customer_counts
+DecodeCounts(const json::value& aValue)
+{
+  customer_counts counts;
+  for (const auto& [customer, count] : aValue.Members()) {
+    counts[customer] = count.IntegerOr(0);
+  }
+  return counts;
+}
+
+} // namespace
+
+/** One window on its way to being reported. */
+struct usage_duty::round
+{
+  window_number mWindow = 0;
+  customer_counts mCounts;
+  /** Record as read; revision 0 when there is none yet. */
+  objects::revision_number mRevision = 0;
+  /** The record already fixes this window's counts. */
+  bool mIsFixed = false;
+  time_point mWrittenAt;
+  int mTriesLeft = kTries;
+};
+
+usage_duty::usage_duty(usage_parts aParts)
+  : mParts(std::move(aParts))
+  , mTimer(mParts.mLoop)
+{
+}
+
+void
+usage_duty::CountStart(const std::string& aCustomer)
+{
+  billing::CountStart(
+    mCounts,
+    aCustomer,
+    WindowAt(std::chrono::system_clock::now(), mParts.mWindowLength));
+}
+
+std::string
+usage_duty::Share(window_number aWindow) const
+{
+  const auto found = mCounts.mWindows.find(aWindow);
+  return EncodeCounts(found == mCounts.mWindows.end() ? customer_counts{}
+                                                      : found->second);
+}
+
+void
+usage_duty::Start()
+{
+  mLastWindow =
+    WindowAt(std::chrono::system_clock::now(), mParts.mWindowLength) - 1;
+  PlanNext();
+}
+
+void
+usage_duty::PlanNext()
+{
+  const auto names = mParts.mEntryNames();
+  const auto place = static_cast<std::size_t>(
+    std::count_if(names.begin(), names.end(), [&](const auto& aName) {
+      return aName < mParts.mName;
+    }));
+  const auto window = mLastWindow + 1;
+  const auto at = EndOf(window, mParts.mWindowLength) + ActAfter(place);
+  const auto wait = std::chrono::duration_cast<milliseconds>(
+    at - std::chrono::system_clock::now());
+  mTimer.expires_after(std::max(wait, 1ms));
+  mTimer.async_wait([this, window](const auto& aError) {
+    if (!aError) {
+      mLastWindow = window;
+      Act(window);
+      PlanNext();
+    }
+  });
+}
+
+void
+usage_duty::Act(window_number aWindow)
+{
+  mParts.mStore.mGet(
+    kDutyKind,
+    kDutyName,
+    objects::freshness::Linearizable,
+    [this, aWindow](const objects::object_reply& aReply) {
+      auto next = std::make_shared<round>();
+      next->mWindow = aWindow;
+      if (aReply.mOutcome == store_outcome::Done) {
+        const auto& spec = aReply.mObject.mSpec;
+        const auto window = json::IntegerAt(spec, "window", 0);
+        next->mRevision = aReply.mObject.mRevision;
+        if (window > aWindow ||
+            (window == aWindow && json::BooleanAt(spec, "sent", false))) {
+          return;
+        }
+        if (window == aWindow) {
+          next->mIsFixed = true;
+          if (const auto* counts = spec.Find("counts")) {
+            next->mCounts = DecodeCounts(*counts);
+          }
+          Fix(next);
+          return;
+        }
+      } else if (aReply.mOutcome != store_outcome::NotFound) {
+        Retry(next);
+        return;
+      }
+      if (const auto own = mCounts.mWindows.find(aWindow);
+          own != mCounts.mWindows.end()) {
+        next->mCounts = own->second;
+      }
+      Gather(next, 0);
+    });
+}
+
+void
+usage_duty::Gather(const std::shared_ptr<round>& aRound, std::size_t aPeer)
+{
+  const auto names = mParts.mEntryNames();
+  if (aPeer >= names.size()) {
+    Fix(aRound);
+    return;
+  }
+  const auto peer = mParts.mFindPeer(names[aPeer]);
+  if (names[aPeer] == mParts.mName || !peer) {
+    Gather(aRound, aPeer + 1);
+    return;
+  }
+  edge::request request;
+  request.mMethod = "GET";
+  request.mTarget = kUsagePath + std::to_string(aRound->mWindow);
+  edge::call_options options;
+  options.mConnectTimeout = kPeerTimeout;
+  edge::FetchWhole(
+    mParts.mClients,
+    mParts.mLoop,
+    *peer,
+    request,
+    options,
+    kPeerTimeout,
+    64 << 10,
+    [this, aRound, aPeer, name = names[aPeer]](edge::call_end aEnd,
+                                               const edge::response& aAnswer) {
+      const auto body = json::Parse(aAnswer.mBody);
+      if (aEnd == edge::call_end::Complete && aAnswer.mStatus == 200 && body) {
+        AddCounts(aRound->mCounts, DecodeCounts(*body));
+      } else {
+        events::line("usage_share_missing")
+          .With("window", aRound->mWindow)
+          .With("entry", name)
+          .With("end", edge::WordFor(aEnd));
+      }
+      Gather(aRound, aPeer + 1);
+    });
+}
+
+void
+usage_duty::Fix(const std::shared_ptr<round>& aRound)
+{
+  const std::string record =
+    "{\"window\":" + std::to_string(aRound->mWindow) + ",\"holder\":\"" +
+    mParts.mName +
+    "\",\"sent\":false,\"try\":" + std::to_string(aRound->mTriesLeft) +
+    ",\"counts\":" + EncodeCounts(aRound->mCounts) + "}";
+  aRound->mWrittenAt = boot_clock::now();
+  const auto done = [this, aRound](const objects::object_reply& aReply) {
+    if (aReply.mOutcome == store_outcome::Done) {
+      aRound->mIsFixed = true;
+      aRound->mRevision = aReply.mObject.mRevision;
+      Send(aRound);
+    } else if (aReply.mOutcome != store_outcome::Conflict) {
+      Retry(aRound);
+    }
+  };
+  if (aRound->mRevision == 0) {
+    mParts.mStore.mCreate(kDutyKind, kDutyName, record, done);
+  } else {
+    mParts.mStore.mReplace(
+      kDutyKind, kDutyName, aRound->mRevision, record, done);
+  }
+}
+
+void
+usage_duty::Send(const std::shared_ptr<round>& aRound)
+{
+  if (boot_clock::now() - aRound->mWrittenAt > kSendWithin) {
+    Retry(aRound);
+    return;
+  }
+  usage_report report;
+  report.mWindow = aRound->mWindow;
+  report.mCounts = aRound->mCounts;
+  report.mHolder = mParts.mName;
+  report.mEpoch = aRound->mRevision;
+  mParts.mSend(report, [this, aRound](report_outcome aOutcome) {
+    events::line("usage_reported")
+      .With("window", aRound->mWindow)
+      .With("epoch", aRound->mRevision)
+      .With("outcome", aOutcome == report_outcome::Taken ? "taken" : "failed");
+    if (aOutcome == report_outcome::Taken) {
+      MarkSent(aRound);
+    } else {
+      Retry(aRound);
+    }
+  });
+}
+
+void
+usage_duty::MarkSent(const std::shared_ptr<round>& aRound)
+{
+  const std::string record = "{\"window\":" + std::to_string(aRound->mWindow) +
+                             ",\"holder\":\"" + mParts.mName +
+                             "\",\"sent\":true}";
+  // Whether this arrives matters little: without it the next entry sends the
+  // same counts again.
+  mParts.mStore.mReplace(kDutyKind,
+                         kDutyName,
+                         aRound->mRevision,
+                         record,
+                         [](const objects::object_reply&) {});
+}
+
+void
+usage_duty::Retry(const std::shared_ptr<round>& aRound)
+{
+  if (aRound->mTriesLeft-- <= 0) {
+    events::line("usage_given_up").With("window", aRound->mWindow);
+    return;
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(mParts.mLoop);
+  timer->expires_after(kRetryPause);
+  timer->async_wait([this, aRound, timer](const auto& aError) {
+    if (!aError) {
+      // Starts over from the record: a lost answer may have written it.
+      Act(aRound->mWindow);
+    }
+  });
+}
+
+} // namespace lavender::billing
--- /dev/null
+++ b/Duties/Billing/UsageDuty.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "Duties/Billing/UsageCounts.h"
+#include "Libraries/Edge/Caller.h"
+#include "Libraries/ObjectStore/ObjectStore.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace lavender::billing {
+
+struct usage_report
+{
+  window_number mWindow = 0;
+  customer_counts mCounts;
+  std::string mHolder;
+  /** Revision of the record that fixed the report: grows with each holder. */
+  std::int64_t mEpoch = 0;
+};
+
+/** How one report went out. */
+enum class report_outcome
+{
+  Taken,
+  /** The platform said that it did nothing. */
+  Refused,
+  Unknown
+};
+
+struct usage_parts
+{
+  boost::asio::io_context& mLoop;
+  const objects::object_store& mStore;
+  edge::client_pool& mClients;
+  std::string mName;
+  milliseconds mWindowLength{ 5000 };
+  /** Names of all entries, this one included. */
+  std::function<std::vector<std::string>()> mEntryNames;
+  std::function<std::optional<edge::endpoint>(const std::string&)> mFindPeer;
+  std::function<void(const usage_report&, std::function<void(report_outcome)>)>
+    mSend;
+};
+
+/** Reports each window once, by one entry at a time.
+ *
+ * The report is first fixed by a conditional change of one record in the
+ * store, with the counts in it; then exactly these counts are sent. The entry
+ * that is first by name acts first; another one acts when the record shows
+ * that it didn't. A holder sends nothing once the record is another's, or when
+ * much time has passed since it was written: it may have been paused. */
+class usage_duty
+{
+public:
+  explicit usage_duty(usage_parts aParts);
+
+  void Start();
+  void CountStart(const std::string& aCustomer);
+  /** Counts of a window as JSON, for the entry that reports. */
+  std::string Share(window_number aWindow) const;
+
+private:
+  struct round;
+
+  void PlanNext();
+  void Act(window_number aWindow);
+  void Gather(const std::shared_ptr<round>& aRound, std::size_t aPeer);
+  void Fix(const std::shared_ptr<round>& aRound);
+  void Send(const std::shared_ptr<round>& aRound);
+  void MarkSent(const std::shared_ptr<round>& aRound);
+  void Retry(const std::shared_ptr<round>& aRound);
+
+  usage_parts mParts;
+  usage_counts mCounts;
+  boost::asio::steady_timer mTimer;
+  /** Last window that this entry looked after. */
+  window_number mLastWindow = 0;
+};
+
+/** Path at which entries ask each other for a window's counts. */
+constexpr char kUsagePath[] = "/usage/";
+
+} // namespace lavender::billing
--- /dev/null
+++ b/Duties/Forwarding/ForwardedRequest.cpp
@@ -0,0 +1,386 @@
+#include "Duties/Forwarding/ForwardedRequest.h"
+
+#include "Libraries/EventLog/EventLog.h"
+
+namespace lavender::forwarding {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Time for a request whose caller and route name none. */
+constexpr milliseconds kDefaultDeadline = 30s;
+/** The answer needs a moment on its way back: the server's deadline and ours
+ * end this much before the caller's. */
+constexpr milliseconds kReturnMargin = 10ms;
+/** A server on the same network accepts within a few ms; three tries of a lost
+ * first packet would take seconds. */
+constexpr milliseconds kConnectTimeout = 150ms;
+/** When to come back while no server is known to be free. */
+constexpr milliseconds kRetryAfter = 200ms;
+/** A plain answer is held whole until here, so that another server can be
+ * tried when it breaks; larger ones are passed on as they come. */
+constexpr std::size_t kHeldAnswerBytes = 256 << 10;
+
+} // namespace
+
+forwarded_request::forwarded_request(
+  forwarder& aForwarder,
+  edge::exchange_ptr aExchange,
+  std::shared_ptr<const site::route> aRoute,
+  std::shared_ptr<const site::customer> aCustomer)
+  : mForwarder(aForwarder)
+  , mExchange(std::move(aExchange))
+  , mRoute(std::move(aRoute))
+  , mCustomer(std::move(aCustomer))
+  , mCaller(aForwarder.mParts.mProtocol.mReadCaller(mExchange->mRequest))
+  , mDeadlineTimer(aForwarder.mParts.mLoop)
+  , mAttemptTimer(aForwarder.mParts.mLoop)
+{
+  auto patience = mCaller.mPatience.value_or(kDefaultDeadline);
+  if (mRoute->mTimeout) {
+    patience = std::min(patience, *mRoute->mTimeout);
+  }
+  mDeadline = mExchange->mReadAt + patience - kReturnMargin;
+}
+
+void
+forwarded_request::Start()
+{
+  const auto self = shared_from_this();
+  mExchange->OnCallerLeft([self] {
+    if (!self->mIsEnded) {
+      self->LogEnd("caller_left", 0, "caller closed its connection");
+      self->EndAttempt(routing::evidence::Neutral);
+      self->Forget();
+    }
+  });
+  mDeadlineTimer.expires_after(TimeLeft());
+  mDeadlineTimer.async_wait([self](const auto& aError) {
+    if (!aError && !self->mIsEnded) {
+      self->TimeOut();
+    }
+  });
+  TryNext();
+}
+
+milliseconds
+forwarded_request::TimeLeft() const
+{
+  return std::max(
+    milliseconds(0),
+    std::chrono::duration_cast<milliseconds>(mDeadline - boot_clock::now()));
+}
+
+attempt_budget
+forwarded_request::Budget() const
+{
+  attempt_budget budget;
+  budget.mRepetition = mRoute->mRepetition;
+  budget.mAttemptsLeft =
+    mRoute->mMaximumAttempts - static_cast<int>(mTried.size());
+  budget.mTimeLeft = TimeLeft();
+  budget.mMayHaveRun = mMayHaveRun;
+  return budget;
+}
+
+bool
+forwarded_request::IsStreamed() const
+{
+  return mRoute->mIsStream;
+}
+
+void
+forwarded_request::TryNext()
+{
+  const auto pick = mForwarder.Pick(*mRoute, mTried);
+  if (!pick) {
+    if (mMayHaveRun) {
+      FailUnknown("no other server");
+    } else {
+      Refuse("no server takes work");
+    }
+    return;
+  }
+  Send(*pick);
+}
+
+void
+forwarded_request::Send(const forwarder::pick& aPick)
+{
+  mPick = aPick;
+  mTried.push_back(aPick.mServer.mId);
+  mAnswer.reset();
+  mFacts = {};
+  mIsForeign = false;
+  mSentAt = boot_clock::now();
+  mIsAttemptOpen = true;
+  auto& parts = mForwarder.mParts;
+  routing::NoteSent(
+    mForwarder.mTables[aPick.mPool], aPick.mServer.mId, 0, mSentAt);
+
+  site::attempt attempt;
+  attempt.mServerId = aPick.mServer.mId;
+  attempt.mCustomer = mCustomer ? mCustomer->mName : std::string();
+  attempt.mTimeLeft = TimeLeft();
+  edge::call_options options;
+  options.mConnectTimeout = kConnectTimeout;
+  options.mSilenceTimeout = TimeLeft() + 1s;
+  options.mMayReuse = mRoute->mRepetition == site::repetition::Idempotent;
+  const auto self = shared_from_this();
+  edge::call_events events;
+  events.mOnHead = [self](const auto& aHead) { self->TakeHead(aHead); };
+  events.mOnBody = [self](auto aPiece) { self->TakeBody(aPiece); };
+  events.mOnEnd = [self](auto aEnd) { self->TakeEnd(aEnd); };
+  events::line("sent")
+    .With("request", mCaller.mAttemptId)
+    .With("server", aPick.mServer.mId)
+    .With("attempt", static_cast<std::int64_t>(mTried.size()))
+    .With("time_left_ms", attempt.mTimeLeft);
+  ArmAttempt();
+  mCall =
+    parts.mClients.Start(aPick.mServer.mAddress,
+                         parts.mProtocol.mAddress(mExchange->mRequest, attempt),
+                         options,
+                         std::move(events));
+}
+
+void
+forwarded_request::ArmAttempt()
+{
+  const auto patience = PatienceFor(*mRoute, Budget());
+  if (patience >= TimeLeft()) {
+    mAttemptTimer.cancel();
+    return;
+  }
+  mAttemptTimer.expires_after(patience);
+  mAttemptTimer.async_wait(
+    [self = shared_from_this(), attempts = mTried.size()](const auto& aError) {
+      if (aError || self->mIsEnded || !self->mIsAttemptOpen ||
+          self->mTried.size() != attempts || self->mAnswer) {
+        return;
+      }
+      self->mCall.Cancel();
+      self->TakeEnd(edge::call_end::TimedOut);
+    });
+}
+
+void
+forwarded_request::TakeHead(const edge::response& aHead)
+{
+  mFacts = mForwarder.mParts.mProtocol.mReadAnswer(aHead);
+  mAnswer = aHead;
+  mIsForeign = !mFacts.mAttemptId.empty() && !mCaller.mAttemptId.empty() &&
+               mFacts.mAttemptId != mCaller.mAttemptId;
+  if (mIsForeign) {
+    mCall.Cancel();
+    TakeEnd(edge::call_end::Malformed);
+    return;
+  }
+  if (mFacts.mLoad) {
+    routing::TakeCount(mForwarder.mTables[mPick.mPool],
+                       mPick.mServer.mId,
+                       mFacts.mLoad->mRunning + mFacts.mLoad->mWaiting,
+                       boot_clock::now());
+  }
+  if (!mFacts.mIsNotExecuted) {
+    CountStart();
+  }
+  if (IsStreamed() && aHead.mStatus == 200 && !mIsStreaming) {
+    mIsStreaming = true;
+    edge::header_list headers;
+    for (const auto& [name, value] : aHead.mHeaders.mFields) {
+      if (!edge::IsConnectionField(name)) {
+        headers.Add(name, value);
+      }
+    }
+    mExchange->Begin(aHead.mStatus, headers);
+  }
+}
+
+void
+forwarded_request::TakeBody(std::string_view aPiece)
+{
+  if (mIsStreaming) {
+    mExchange->Write(aPiece);
+    return;
+  }
+  mAnswer->mBody.append(aPiece);
+  if (mAnswer->mBody.size() > kHeldAnswerBytes && !mFacts.mIsNotExecuted) {
+    mIsStreaming = true;
+    edge::header_list headers;
+    for (const auto& [name, value] : mAnswer->mHeaders.mFields) {
+      if (!edge::IsConnectionField(name)) {
+        headers.Add(name, value);
+      }
+    }
+    mExchange->Begin(mAnswer->mStatus, headers);
+    mExchange->Write(mAnswer->mBody);
+    mAnswer->mBody.clear();
+  }
+}
+
+void
+forwarded_request::CountStart()
+{
+  if (!mIsCounted && mForwarder.mParts.mOnStarted && mCustomer) {
+    mIsCounted = true;
+    mForwarder.mParts.mOnStarted(mCustomer->mName);
+  }
+}
+
+void
+forwarded_request::TakeEnd(edge::call_end aEnd)
+{
+  mAttemptTimer.cancel();
+  attempt_end end;
+  end.mEnd = aEnd;
+  end.mStatus = mAnswer ? mAnswer->mStatus : 0;
+  end.mIsNotExecuted = mAnswer && mFacts.mIsNotExecuted;
+  end.mIsForeign = mIsForeign;
+  const auto execution = ExecutionOf(end);
+  EndAttempt(aEnd != edge::call_end::Complete || end.mStatus >= 500
+               ? (end.mIsNotExecuted ? routing::evidence::Neutral
+                                     : routing::evidence::Failure)
+               : routing::evidence::Success);
+  if (execution == execution::Unknown) {
+    mMayHaveRun = true;
+    CountStart();
+  }
+  if (mIsStreaming) {
+    // Part of the answer is with the caller: it can only be whole or cut.
+    if (aEnd == edge::call_end::Complete) {
+      mExchange->Finish();
+      LogEnd("streamed", end.mStatus, "whole");
+    } else {
+      mExchange->Abort();
+      LogEnd("cut", end.mStatus, edge::WordFor(aEnd));
+    }
+    Forget();
+    return;
+  }
+  const auto step = DecideNext(end, Budget());
+  events::line("attempt_ended")
+    .With("request", mCaller.mAttemptId)
+    .With("server", mPick.mServer.mId)
+    .With("end", edge::WordFor(aEnd))
+    .With("status", static_cast<std::int64_t>(end.mStatus))
+    .With(
+      "took_ms",
+      std::chrono::duration_cast<milliseconds>(boot_clock::now() - mSentAt));
+  switch (step) {
+    case next_step::Deliver:
+      Deliver();
+      return;
+    case next_step::TryElsewhere:
+      mForwarder.mParts.mMetrics.Count("lavender_retries_total",
+                                       { { "reason", edge::WordFor(aEnd) } });
+      TryNext();
+      return;
+    case next_step::RefuseNotRun:
+      Refuse("servers did not run it");
+      return;
+    case next_step::FailUnknown:
+      FailUnknown(edge::WordFor(aEnd));
+      return;
+  }
+}
+
+void
+forwarded_request::EndAttempt(routing::evidence aEvidence)
+{
+  if (!mIsAttemptOpen) {
+    return;
+  }
+  mIsAttemptOpen = false;
+  routing::NoteEnded(mForwarder.mTables[mPick.mPool],
+                     mPick.mServer.mId,
+                     mSentAt,
+                     aEvidence,
+                     boot_clock::now());
+}
+
+void
+forwarded_request::Deliver()
+{
+  edge::response answer;
+  answer.mStatus = mAnswer->mStatus;
+  for (auto& [name, value] : mAnswer->mHeaders.mFields) {
+    if (!edge::IsConnectionField(name)) {
+      answer.mHeaders.Add(std::move(name), std::move(value));
+    }
+  }
+  answer.mBody = std::move(mAnswer->mBody);
+  LogEnd("answered", answer.mStatus, "server's answer");
+  mExchange->Answer(std::move(answer));
+  Forget();
+}
+
+void
+forwarded_request::Refuse(const char* aReason)
+{
+  mForwarder.mParts.mMetrics.Count("lavender_refusals_total",
+                                   { { "reason", aReason } });
+  LogEnd("refused", 503, aReason);
+  AnswerOwn(mExchange, 503, kRetryAfter);
+  Forget();
+}
+
+void
+forwarded_request::FailUnknown(const char* aReason)
+{
+  mForwarder.mParts.mMetrics.Count("lavender_failures_total",
+                                   { { "reason", aReason } });
+  LogEnd("failed", 502, aReason);
+  AnswerOwn(mExchange, 502);
+  Forget();
+}
+
+void
+forwarded_request::TimeOut()
+{
+  EndAttempt(routing::evidence::Failure);
+  if (mIsStreaming) {
+    LogEnd("cut", 0, "deadline");
+    mExchange->Abort();
+  } else {
+    LogEnd("failed", 504, "deadline");
+    AnswerOwn(mExchange, 504);
+  }
+  Forget();
+}
+
+void
+forwarded_request::Forget()
+{
+  mIsEnded = true;
+  mCall.Cancel();
+  mDeadlineTimer.cancel();
+  mAttemptTimer.cancel();
+  // The exchange's handler holds this object, and this object the exchange.
+  mExchange->OnCallerLeft(nullptr);
+  mExchange.reset();
+}
+
+void
+forwarded_request::LogEnd(const char* aOutcome,
+                          unsigned aStatus,
+                          const char* aReason)
+{
+  const auto took = std::chrono::duration_cast<milliseconds>(
+    boot_clock::now() - mExchange->mReadAt);
+  events::line("request_ended")
+    .With("request", mCaller.mAttemptId)
+    .With("route", mRoute->mName)
+    .With("outcome", aOutcome)
+    .With("status", static_cast<std::int64_t>(aStatus))
+    .With("reason", aReason)
+    .With("attempts", static_cast<std::int64_t>(mTried.size()))
+    .With("took_ms", took);
+  mForwarder.mParts.mMetrics.Observe(
+    "lavender_request_seconds",
+    { { "pool", mRoute->mPools.front().mPool }, { "outcome", aOutcome } },
+    boot_clock::now() - mExchange->mReadAt);
+}
+
+} // namespace lavender::forwarding
--- /dev/null
+++ b/Duties/Forwarding/ForwardedRequest.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Duties/Forwarding/AttemptOutcome.h"
+#include "Duties/Forwarding/Forwarder.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace lavender::forwarding {
+
+/** One caller's request on its way through one or more attempts. */
+class forwarded_request : public std::enable_shared_from_this<forwarded_request>
+{
+public:
+  forwarded_request(forwarder& aForwarder,
+                    edge::exchange_ptr aExchange,
+                    std::shared_ptr<const site::route> aRoute,
+                    std::shared_ptr<const site::customer> aCustomer);
+
+  void Start();
+
+private:
+  milliseconds TimeLeft() const;
+  attempt_budget Budget() const;
+  void TryNext();
+  void Send(const forwarder::pick& aPick);
+  void TakeHead(const edge::response& aHead);
+  void TakeBody(std::string_view aPiece);
+  void TakeEnd(edge::call_end aEnd);
+  void Forget();
+  void CountStart();
+  void ArmAttempt();
+  void Deliver();
+  void Refuse(const char* aReason);
+  void FailUnknown(const char* aReason);
+  void TimeOut();
+  void EndAttempt(routing::evidence aEvidence);
+  void LogEnd(const char* aOutcome, unsigned aStatus, const char* aReason);
+  bool IsStreamed() const;
+
+  forwarder& mForwarder;
+  edge::exchange_ptr mExchange;
+  const std::shared_ptr<const site::route> mRoute;
+  const std::shared_ptr<const site::customer> mCustomer;
+  const site::caller_facts mCaller;
+  time_point mDeadline;
+  boost::asio::steady_timer mDeadlineTimer;
+  boost::asio::steady_timer mAttemptTimer;
+  edge::call_handle mCall;
+  std::vector<std::string> mTried;
+  forwarder::pick mPick;
+  time_point mSentAt;
+  std::optional<edge::response> mAnswer;
+  site::answer_facts mFacts;
+  bool mIsAttemptOpen = false;
+  bool mIsForeign = false;
+  bool mMayHaveRun = false;
+  bool mIsCounted = false;
+  bool mIsStreaming = false;
+  bool mIsEnded = false;
+};
+
+} // namespace lavender::forwarding
--- /dev/null
+++ b/Duties/Site/ServerDirectory.cpp
@@ -0,0 +1,77 @@
+#include "Duties/Site/ServerDirectory.h"
+
+#include <algorithm>
+
+namespace lavender::site {
+
+void
+TakeServer(server_directory& aDirectory, backend_server aServer)
+{
+  auto& row = aDirectory.mRows[aServer.mId];
+  row.mServer = std::move(aServer);
+  row.mGoneAt.reset();
+}
+
+void
+TakeRemoval(server_directory& aDirectory,
+            const std::string& aId,
+            time_point aNow)
+{
+  const auto found = aDirectory.mRows.find(aId);
+  if (found == aDirectory.mRows.end()) {
+    return;
+  }
+  if (aDirectory.mLenientUntil && aNow < *aDirectory.mLenientUntil &&
+      !found->second.mServer.mIsLeaving) {
+    if (!found->second.mGoneAt) {
+      found->second.mGoneAt = aDirectory.mLenientUntil;
+    }
+    return;
+  }
+  aDirectory.mRows.erase(found);
+}
+
+void
+TakeListing(server_directory& aDirectory,
+            const std::map<std::string, backend_server>& aListed,
+            time_point aNow)
+{
+  std::vector<std::string> missing;
+  for (const auto& [id, row] : aDirectory.mRows) {
+    if (aListed.count(id) == 0) {
+      missing.push_back(id);
+    }
+  }
+  for (const auto& id : missing) {
+    TakeRemoval(aDirectory, id, aNow);
+  }
+  for (const auto& [id, server] : aListed) {
+    TakeServer(aDirectory, server);
+  }
+}
+
+void
+NoteOutageEnded(server_directory& aDirectory, time_point aNow)
+{
+  aDirectory.mLenientUntil = aNow + kRenewalAfterOutage;
+}
+
+std::optional<time_point>
+DropGone(server_directory& aDirectory, time_point aNow)
+{
+  std::optional<time_point> next;
+  for (auto row = aDirectory.mRows.begin(); row != aDirectory.mRows.end();) {
+    const auto goneAt = row->second.mGoneAt;
+    if (goneAt && *goneAt <= aNow) {
+      row = aDirectory.mRows.erase(row);
+      continue;
+    }
+    if (goneAt) {
+      next = next ? std::min(*next, *goneAt) : *goneAt;
+    }
+    ++row;
+  }
+  return next;
+}
+
+} // namespace lavender::site
--- /dev/null
+++ b/Duties/Versions/Assignments.cpp
@@ -0,0 +1,231 @@
+#include "Duties/Versions/Assignments.h"
+
+#include "Libraries/EventLog/EventLog.h"
+#include "Libraries/Json/Value.h"
+
+namespace lavender::versions {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/** An agent's question is answered after this even if nothing has changed. */
+constexpr milliseconds kLongestWait = 8s;
+/** A load takes about a second, up to a few when runs go first; a server that
+ * needs longer doesn't hold up the others. */
+constexpr milliseconds kLoadTime = 3s;
+constexpr milliseconds kLookEach = 500ms;
+
+json::value
+EncodeVersions(const std::map<std::string, std::int64_t>& aVersions)
+{
+  json::value object = json::object{};
+  for (const auto& [model, version] : aVersions) {
+    object.Set(model, version);
+  }
+  return object;
+}
+
+std::map<std::string, std::int64_t>
+DecodeVersions(const json::value* aObject)
+{
+  std::map<std::string, std::int64_t> versions;
+  if (aObject) {
+    for (const auto& [model, version] : aObject->Members()) {
+      versions[model] = version.IntegerOr(0);
+    }
+  }
+  return versions;
+}
+
+} // namespace
+
+assignments::assignments(assignment_parts aParts)
+  : mParts(std::move(aParts))
+  , mTimer(mParts.mLoop)
+{
+}
+
+void
+assignments::TakeNamed(const std::string& aModel, std::int64_t aVersion)
+{
+  auto& newest = mNamed[aModel];
+  if (aVersion > newest) {
+    newest = aVersion;
+    events::line("version_named")
+      .With("model", aModel)
+      .With("version", aVersion);
+    Refresh();
+  }
+}
+
+void
+assignments::Refresh()
+{
+  AnswerChanged();
+}
+
+std::string
+assignments::FindServer(const std::string& aAddress) const
+{
+  for (const auto& [id, row] : mParts.mDirectory.mRows) {
+    if (row.mServer.mAddress.Text() == aAddress) {
+      return id;
+    }
+  }
+  return {};
+}
+
+std::map<std::string, wanted_versions>
+assignments::Decide(time_point aNow)
+{
+  std::map<std::string, wanted_versions> wanted;
+  if (!mParts.mConfiguration) {
+    return wanted;
+  }
+  for (const auto& [name, pool] : mParts.mConfiguration->mPools) {
+    if (!pool.mEngine || pool.mEngine->mModels.empty()) {
+      continue;
+    }
+    std::vector<placed_server> servers;
+    for (const auto& [id, row] : mParts.mDirectory.mRows) {
+      if (row.mServer.mPool != name || row.mServer.mIsLeaving) {
+        continue;
+      }
+      placed_server server{ id, row.mServer.mVersions };
+      if (const auto reported = mReported.find(id);
+          reported != mReported.end()) {
+        for (const auto& [model, version] : reported->second) {
+          server.mVersions[model] = std::max(server.mVersions[model], version);
+        }
+      }
+      servers.push_back(std::move(server));
+    }
+    const auto placed = PlaceModels(servers, pool.mEngine->mModels, mNamed);
+    const auto atOnce = LoadsAtOnce(servers.size());
+    std::size_t loading = 0;
+    std::vector<const placed_server*> behind;
+    for (const auto& server : servers) {
+      const auto& model = placed.at(server.mId);
+      const auto named = mNamed.find(model);
+      const auto held = server.mVersions.find(model);
+      if (named == mNamed.end() ||
+          (held != server.mVersions.end() && held->second >= named->second)) {
+        mLoadingSince.erase(server.mId);
+        continue;
+      }
+      const auto since = mLoadingSince.find(server.mId);
+      if (since != mLoadingSince.end()) {
+        wanted[server.mId][model] = named->second;
+        loading += aNow - since->second < kLoadTime ? 1 : 0;
+      } else {
+        behind.push_back(&server);
+      }
+    }
+    for (const auto* server : behind) {
+      if (loading >= atOnce) {
+        break;
+      }
+      const auto& model = placed.at(server->mId);
+      wanted[server->mId][model] = mNamed[model];
+      mLoadingSince[server->mId] = aNow;
+      ++loading;
+    }
+  }
+  return wanted;
+}
+
+void
+assignments::Serve(const edge::exchange_ptr& aExchange)
+{
+  const auto address =
+    aExchange->mRequest.mTarget.substr(sizeof kAssignmentPath - 1);
+  const auto body = json::Parse(aExchange->mRequest.mBody);
+  if (!body) {
+    aExchange->Answer({ 400, {}, {} });
+    return;
+  }
+  waiter asked;
+  asked.mExchange = aExchange;
+  asked.mServer = FindServer(address);
+  asked.mKnown = DecodeVersions(body->Find("known"));
+  asked.mUntil = boot_clock::now() + kLongestWait;
+  if (!asked.mServer.empty()) {
+    mReported[asked.mServer] = DecodeVersions(body->Find("held"));
+  }
+  mWaiters.push_back(std::move(asked));
+  AnswerChanged();
+  PlanLook();
+}
+
+void
+assignments::AnswerChanged()
+{
+  const auto now = boot_clock::now();
+  mWanted = Decide(now);
+  std::vector<waiter> kept;
+  for (auto& waiting : mWaiters) {
+    if (waiting.mExchange->IsEnded()) {
+      continue;
+    }
+    const auto wanted = mWanted.find(waiting.mServer);
+    const auto versions =
+      wanted == mWanted.end() ? wanted_versions{} : wanted->second;
+    if ((!versions.empty() && versions != waiting.mKnown) ||
+        now >= waiting.mUntil) {
+      Answer(waiting, versions);
+    } else {
+      kept.push_back(std::move(waiting));
+    }
+  }
+  mWaiters = std::move(kept);
+}
+
+void
+assignments::PlanLook()
+{
+  mTimer.expires_after(kLookEach);
+  mTimer.async_wait([this](const auto& aError) {
+    if (aError) {
+      return;
+    }
+    AnswerChanged();
+    if (!mWaiters.empty()) {
+      PlanLook();
+    }
+  });
+}
+
+void
+assignments::Answer(const waiter& aWaiter, const wanted_versions& aWanted)
+{
+  edge::response answer{ 200, {}, {} };
+  answer.mBody =
+    json::Write(json::object{ { "wanted", EncodeVersions(aWanted) } });
+  aWaiter.mExchange->Answer(std::move(answer));
+}
+
+edge::request
+EncodeQuestion(const std::string& aServerAddress,
+               const std::map<std::string, std::int64_t>& aHeld,
+               const wanted_versions& aKnown)
+{
+  edge::request request;
+  request.mMethod = "POST";
+  request.mTarget = kAssignmentPath + aServerAddress;
+  request.mBody = json::Write(json::object{
+    { "held", EncodeVersions(aHeld) }, { "known", EncodeVersions(aKnown) } });
+  return request;
+}
+
+std::optional<wanted_versions>
+DecodeAssignment(const edge::response& aResponse)
+{
+  const auto body = json::Parse(aResponse.mBody);
+  if (aResponse.mStatus != 200 || !body || !body->Find("wanted")) {
+    return std::nullopt;
+  }
+  return DecodeVersions(body->Find("wanted"));
+}
+
+} // namespace lavender::versions
--- /dev/null
+++ b/Duties/Versions/Assignments.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "Duties/Versions/Placement.h"
+#include "Libraries/Edge/Listener.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+
+namespace lavender::versions {
+
+struct assignment_parts
+{
+  boost::asio::io_context& mLoop;
+  const site::server_directory& mDirectory;
+  const site::configuration_ptr& mConfiguration;
+};
+
+/** Tells the agents which versions their servers shall hold.
+ *
+ * Agents wait here for a change. What they say when they ask, namely which
+ * versions their server holds now, is fresher than the server's own entry, so
+ * the next loads start as soon as earlier ones end. Nothing rests on it: an
+ * agent is the only one that gives its server orders, and it asks another
+ * entry when this one is gone. */
+class assignments
+{
+public:
+  explicit assignments(assignment_parts aParts);
+
+  /** A trainer named a version. */
+  void TakeNamed(const std::string& aModel, std::int64_t aVersion);
+  /** Servers or configuration have changed. */
+  void Refresh();
+  /** An agent's question. */
+  void Serve(const edge::exchange_ptr& aExchange);
+
+private:
+  struct waiter
+  {
+    edge::exchange_ptr mExchange;
+    std::string mServer;
+    /** What the agent was told before. */
+    wanted_versions mKnown;
+    time_point mUntil;
+  };
+
+  std::map<std::string, wanted_versions> Decide(time_point aNow);
+  void AnswerChanged();
+  void Answer(const waiter& aWaiter, const wanted_versions& aWanted);
+  std::string FindServer(const std::string& aAddress) const;
+  void PlanLook();
+
+  assignment_parts mParts;
+  named_versions mNamed;
+  std::map<std::string, std::map<std::string, std::int64_t>> mReported;
+  /** Since when a server has been told to load what it doesn't hold. */
+  std::map<std::string, time_point> mLoadingSince;
+  std::map<std::string, wanted_versions> mWanted;
+  std::vector<waiter> mWaiters;
+  boost::asio::steady_timer mTimer;
+};
+
+/** Path at which agents ask; the server's address follows. */
+constexpr char kAssignmentPath[] = "/assignments/";
+
+/** What an agent asks: versions that its server holds, and those that it was
+ * told last. */
+edge::request
+EncodeQuestion(const std::string& aServerAddress,
+               const std::map<std::string, std::int64_t>& aHeld,
+               const wanted_versions& aKnown);
+
+/** None for anything but an entry's answer. */
+std::optional<wanted_versions>
+DecodeAssignment(const edge::response& aResponse);
+
+} // namespace lavender::versions
--- /dev/null
+++ b/Duties/Versions/OrderDuty.cpp
@@ -0,0 +1,207 @@
+#include "Duties/Versions/OrderDuty.h"
+
+#include "Duties/Versions/Assignments.h"
+#include "Libraries/EventLog/EventLog.h"
+
+namespace lavender::versions {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr milliseconds kRetryPause = 500ms;
+/** An entry holds a question for eight seconds; probes on the connection find
+ * one that was dropped on the way. */
+constexpr milliseconds kAskTimeout = 10s;
+constexpr milliseconds kServerTimeout = 1s;
+/** While a load runs the server is asked this often: its report costs nothing
+ * from its own instance, and the next server's load waits for the end of this
+ * one. */
+constexpr milliseconds kLoadLook = 100ms;
+
+bool
+HoldsAll(const server_report& aReport, const wanted_versions& aWanted)
+{
+  for (const auto& [model, version] : aWanted) {
+    const auto held = aReport.mVersions.find(model);
+    if (held == aReport.mVersions.end() || held->second < version) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace
+
+order_duty::order_duty(order_parts aParts)
+  : mParts(std::move(aParts))
+  , mTimer(mParts.mLoop)
+{
+}
+
+void
+order_duty::Start()
+{
+  FindEpoch();
+}
+
+void
+order_duty::After(milliseconds aPause, void (order_duty::*aStep)())
+{
+  mTimer.expires_after(aPause);
+  mTimer.async_wait([this, aStep](const auto& aError) {
+    if (!aError) {
+      (this->*aStep)();
+    }
+  });
+}
+
+void
+order_duty::FindEpoch()
+{
+  mParts.mEpoch([this](std::optional<std::int64_t> aEpoch) {
+    if (!aEpoch) {
+      After(kRetryPause, &order_duty::FindEpoch);
+      return;
+    }
+    mEpoch = *aEpoch;
+    FindEntries();
+  });
+}
+
+void
+order_duty::FindEntries()
+{
+  mParts.mEntries([this](std::vector<edge::endpoint> aEntries) {
+    // What was known stays in use while the list can't be had.
+    if (!aEntries.empty()) {
+      mEntries = std::move(aEntries);
+    }
+    mEntry = 0;
+    if (mEntries.empty()) {
+      After(kRetryPause, &order_duty::FindEntries);
+    } else {
+      Ask();
+    }
+  });
+}
+
+void
+order_duty::Ask()
+{
+  edge::call_options options;
+  options.mSilenceTimeout = kAskTimeout;
+  options.mProbesConnection = true;
+  edge::FetchWhole(mParts.mClients,
+                   mParts.mLoop,
+                   mEntries[mEntry],
+                   EncodeQuestion(mParts.mServer.Text(), mHeld, mWanted),
+                   options,
+                   kAskTimeout,
+                   64 << 10,
+                   [this](edge::call_end aEnd, const edge::response& aAnswer) {
+                     TakeAnswer(aEnd, aAnswer);
+                   });
+}
+
+void
+order_duty::TakeAnswer(edge::call_end aEnd, const edge::response& aAnswer)
+{
+  const auto wanted =
+    aEnd == edge::call_end::Complete ? DecodeAssignment(aAnswer) : std::nullopt;
+  if (!wanted) {
+    events::line("entry_silent")
+      .With("entry", mEntries[mEntry].Text())
+      .With("end", edge::WordFor(aEnd));
+    ++mEntry;
+    if (mEntry >= mEntries.size()) {
+      After(kRetryPause, &order_duty::FindEntries);
+    } else {
+      After(50ms, &order_duty::Ask);
+    }
+    return;
+  }
+  mWanted = *wanted;
+  if (mWanted.empty()) {
+    Ask();
+  } else {
+    ReadReport();
+  }
+}
+
+void
+order_duty::ReadReport()
+{
+  edge::call_options options;
+  options.mSilenceTimeout = kServerTimeout;
+  edge::FetchWhole(mParts.mClients,
+                   mParts.mLoop,
+                   mParts.mServer,
+                   mParts.mEncodeReport(),
+                   options,
+                   kServerTimeout,
+                   256 << 10,
+                   [this](edge::call_end aEnd, const edge::response& aAnswer) {
+                     const auto report = aEnd == edge::call_end::Complete
+                                           ? mParts.mDecodeReport(aAnswer)
+                                           : std::nullopt;
+                     if (report) {
+                       TakeReport(*report);
+                       return;
+                     }
+                     // The server may be away for long; the entry decides anew.
+                     mWanted.clear();
+                     After(kRetryPause, &order_duty::Ask);
+                   });
+}
+
+void
+order_duty::TakeReport(const server_report& aReport)
+{
+  mHeld = aReport.mVersions;
+  if (HoldsAll(aReport, mWanted)) {
+    Ask();
+    return;
+  }
+  auto order = DecideOrder(aReport, mWanted);
+  if (!order) {
+    After(kLoadLook, &order_duty::ReadReport);
+    return;
+  }
+  order->mHolder = mParts.mName;
+  order->mEpoch = mEpoch;
+  Give(*order);
+}
+
+void
+order_duty::Give(const weight_order& aOrder)
+{
+  edge::call_options options;
+  options.mSilenceTimeout = kServerTimeout;
+  options.mMayReuse = false;
+  edge::FetchWhole(
+    mParts.mClients,
+    mParts.mLoop,
+    mParts.mServer,
+    mParts.mEncodeOrder(aOrder),
+    options,
+    kServerTimeout,
+    64 << 10,
+    [this, aOrder](edge::call_end aEnd, const edge::response& aAnswer) {
+      events::line("order_given")
+        .With("server", aOrder.mServerId)
+        .With("model", aOrder.mModel)
+        .With("version", aOrder.mVersion)
+        .With("epoch", aOrder.mEpoch)
+        .With("expect", aOrder.mAcceptedOrders)
+        .With("end", edge::WordFor(aEnd))
+        .With("status", static_cast<std::int64_t>(aAnswer.mStatus));
+      // The report tells what became of it, with or without an answer. One that
+      // was turned down isn't sent again at once: the reason lasts.
+      const bool isTurnedDown =
+        aEnd == edge::call_end::Complete && aAnswer.mStatus >= 300;
+      After(isTurnedDown ? kRetryPause : kLoadLook, &order_duty::ReadReport);
+    });
+}
+
+} // namespace lavender::versions
--- /dev/null
+++ b/Duties/Versions/Placement.cpp
@@ -0,0 +1,89 @@
+#include "Duties/Versions/Placement.h"
+
+#include <algorithm>
+
+namespace lavender::versions {
+
+namespace {
+
+/** The model of which the server holds a version that was named; the first
+ * versions of all models are there from the start and say nothing. */
+std::optional<std::string>
+HeldModel(const placed_server& aServer,
+          const std::vector<std::string>& aModels,
+          const named_versions& aNamed)
+{
+  std::optional<std::string> held;
+  std::int64_t leastBehind = 0;
+  for (const auto& model : aModels) {
+    const auto named = aNamed.find(model);
+    const auto version = aServer.mVersions.find(model);
+    if (named == aNamed.end() || version == aServer.mVersions.end() ||
+        version->second < 2) {
+      continue;
+    }
+    const auto behind = named->second - version->second;
+    if (!held || behind < leastBehind) {
+      held = model;
+      leastBehind = behind;
+    }
+  }
+  return held;
+}
+
+} // namespace
+
+std::size_t
+LoadsAtOnce(std::size_t aServers)
+{
+  constexpr std::size_t kShare = 5;
+  return std::max<std::size_t>(2, (aServers + kShare - 1) / kShare);
+}
+
+std::map<std::string, std::string>
+PlaceModels(const std::vector<placed_server>& aServers,
+            const std::vector<std::string>& aModels,
+            const named_versions& aNamed)
+{
+  std::map<std::string, std::string> placed;
+  if (aModels.empty()) {
+    return placed;
+  }
+  std::map<std::string, std::vector<std::string>> byModel;
+  std::vector<std::string> free;
+  for (const auto& server : aServers) {
+    if (const auto held = HeldModel(server, aModels, aNamed)) {
+      byModel[*held].push_back(server.mId);
+    } else {
+      free.push_back(server.mId);
+    }
+  }
+  const std::size_t most =
+    (aServers.size() + aModels.size() - 1) / aModels.size();
+  for (const auto& model : aModels) {
+    auto& servers = byModel[model];
+    std::sort(servers.begin(), servers.end());
+    while (servers.size() > most) {
+      free.push_back(servers.back());
+      servers.pop_back();
+    }
+  }
+  std::sort(free.begin(), free.end());
+  for (const auto& server : free) {
+    const auto poorest =
+      std::min_element(aModels.begin(),
+                       aModels.end(),
+                       [&](const auto& aLeft, const auto& aRight) {
+                         return byModel[aLeft].size() < byModel[aRight].size();
+                       });
+    byModel[*poorest].push_back(server);
+  }
+  for (const auto& [model, servers] : byModel) {
+    for (const auto& server : servers) {
+      placed[server] = model;
+    }
+  }
+  return placed;
+}
+
+} // namespace lavender::versions
--- /dev/null
+++ b/Duties/Versions/Placement.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Duties/Site/ServerDirectory.h"
+#include "Duties/Site/SiteConfiguration.h"
+#include "Duties/Versions/OrderDecision.h"
+
+#include <vector>
+
+namespace lavender::versions {
+
+/** Newest version that a trainer has named, by model. */
+using named_versions = std::map<std::string, std::int64_t>;
+
+/** A server that may hold weights. */
+struct placed_server
+{
+  std::string mId;
+  std::map<std::string, std::int64_t> mVersions;
+};
+
+/** Model that each server serves, by server.
+ *
+ * Each model has its own share of the servers: loading every version of every
+ * model on all of them would cost as many loads as there are models. A server
+ * keeps the model of which it holds a named version; only what the shares are
+ * out of balance by moves. Depends on the arguments alone, so that entries
+ * with the same view agree. */
+std::map<std::string, std::string>
+PlaceModels(const std::vector<placed_server>& aServers,
+            const std::vector<std::string>& aModels,
+            const named_versions& aNamed);
+
+/** Servers that load at the same time without slowing each other much: a
+ * fifth of the fleet, at least two. */
+std::size_t
+LoadsAtOnce(std::size_t aServers);
+
+} // namespace lavender::versions
--- /dev/null
+++ b/Libraries/Edge/Caller.cpp
@@ -0,0 +1,195 @@
+#include "Libraries/Edge/Caller.h"
+
+#include "Libraries/Edge/ClientConnection.h"
+
+#include <algorithm>
+
+namespace lavender::edge {
+
+namespace {
+/** Idle connections kept per server; more would hold its places. */
+constexpr std::size_t kMostIdle = 16;
+} // namespace
+
+const char*
+WordFor(call_end aEnd)
+{
+  switch (aEnd) {
+    case call_end::Complete:
+      return "complete";
+    case call_end::NotSent:
+      return "not_sent";
+    case call_end::Broken:
+      return "broken";
+    case call_end::Malformed:
+      return "malformed";
+    case call_end::TimedOut:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
+call_handle::call_handle(std::weak_ptr<client_connection> aConnection)
+  : mConnection(std::move(aConnection))
+{
+}
+
+void
+call_handle::Cancel()
+{
+  if (auto connection = mConnection.lock()) {
+    mConnection.reset();
+    connection->Cancel();
+  }
+}
+
+client_pool::client_pool(boost::asio::io_context& aLoop)
+  : mLoop(aLoop)
+{
+}
+
+call_handle
+client_pool::Start(const endpoint& aServer,
+                   const request& aRequest,
+                   call_options aOptions,
+                   call_events aEvents)
+{
+  auto connection = aOptions.mMayReuse ? TakeIdle(aServer)
+                                       : std::shared_ptr<client_connection>();
+  if (connection) {
+    ++mCounts.mReused;
+  } else {
+    ++mCounts.mOpened;
+    connection =
+      std::make_shared<client_connection>(mLoop, weak_from_this(), aServer);
+  }
+  connection->Start(aRequest, aOptions, std::move(aEvents));
+  return call_handle(connection);
+}
+
+std::shared_ptr<client_connection>
+client_pool::TakeIdle(const endpoint& aServer)
+{
+  const auto found = mIdle.find(aServer);
+  if (found == mIdle.end()) {
+    return nullptr;
+  }
+  auto& idle = found->second;
+  while (!idle.empty()) {
+    auto connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->IsUsable(boot_clock::now())) {
+      return connection;
+    }
+    connection->Close();
+  }
+  return nullptr;
+}
+
+void
+client_pool::Keep(const std::shared_ptr<client_connection>& aConnection)
+{
+  auto& idle = mIdle[aConnection->Server()];
+  if (idle.size() >= kMostIdle) {
+    aConnection->Close();
+    return;
+  }
+  idle.push_back(aConnection);
+}
+
+void
+client_pool::Drop(const client_connection* aConnection)
+{
+  const auto found = mIdle.find(aConnection->Server());
+  if (found == mIdle.end()) {
+    return;
+  }
+  auto& idle = found->second;
+  idle.erase(std::remove_if(
+               idle.begin(),
+               idle.end(),
+               [&](const auto& aOther) { return aOther.get() == aConnection; }),
+             idle.end());
+  if (idle.empty()) {
+    mIdle.erase(found);
+  }
+}
+
+void
+client_pool::Forget(const endpoint& aServer)
+{
+  const auto found = mIdle.find(aServer);
+  if (found == mIdle.end()) {
+    return;
+  }
+  const auto idle = std::move(found->second);
+  mIdle.erase(found);
+  for (const auto& connection : idle) {
+    connection->Close();
+  }
+}
+
+namespace {
+
+/** Gathers one answer. */
+struct gathering
+{
+  explicit gathering(boost::asio::io_context& aLoop)
+    : mTimer(aLoop)
+  {
+  }
+
+  void End(call_end aEnd)
+  {
+    if (mDone) {
+      mTimer.cancel();
+      const auto done = std::move(mDone);
+      mDone = nullptr;
+      done(aEnd, std::move(mAnswer));
+    }
+  }
+
+  boost::asio::steady_timer mTimer;
+  call_handle mCall;
+  response mAnswer;
+  std::size_t mMaximumBytes = 0;
+  whole_answer mDone;
+};
+
+} // namespace
+
+call_handle
+FetchWhole(client_pool& aPool,
+           boost::asio::io_context& aLoop,
+           const endpoint& aServer,
+           const request& aRequest,
+           call_options aOptions,
+           milliseconds aDeadline,
+           std::size_t aMaximumBytes,
+           whole_answer aDone)
+{
+  auto state = std::make_shared<gathering>(aLoop);
+  state->mMaximumBytes = aMaximumBytes;
+  state->mDone = std::move(aDone);
+  call_events events;
+  events.mOnHead = [state](const response& aHead) { state->mAnswer = aHead; };
+  events.mOnBody = [state](std::string_view aPiece) {
+    state->mAnswer.mBody.append(aPiece);
+    if (state->mAnswer.mBody.size() > state->mMaximumBytes) {
+      state->mCall.Cancel();
+      state->End(call_end::Malformed);
+    }
+  };
+  events.mOnEnd = [state](call_end aEnd) { state->End(aEnd); };
+  state->mTimer.expires_after(aDeadline);
+  state->mTimer.async_wait([state](const auto& aError) {
+    if (!aError) {
+      state->mCall.Cancel();
+      state->End(call_end::TimedOut);
+    }
+  });
+  state->mCall = aPool.Start(aServer, aRequest, aOptions, std::move(events));
+  return state->mCall;
+}
+
+} // namespace lavender::edge
--- /dev/null
+++ b/Libraries/Edge/ClientConnection.cpp
@@ -0,0 +1,365 @@
+#include "Libraries/Edge/ClientConnection.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <netinet/tcp.h>
+
+namespace lavender::edge {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kReadBytes = 16384;
+/** Servers that don't say how long they keep an idle connection are taken to
+ * keep it at least this long. */
+constexpr milliseconds kDefaultKeepAlive{ 4000 };
+/** An idle connection is given up this much before the server closes it: a
+ * request that crosses the close has an unknown outcome. */
+constexpr milliseconds kKeepAliveMargin{ 700 };
+/** Unacknowledged bytes end a connection after this; without it a peer that
+ * lost power would hold a call until the end of its time. */
+constexpr unsigned kUserTimeoutMilliseconds = 3000;
+/** Probes: first after this, then each second, given up after two. */
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbeEachSeconds = 1;
+constexpr int kProbes = 2;
+
+std::string
+WriteRequest(const request& aRequest, const endpoint& aServer)
+{
+  std::string bytes =
+    aRequest.mMethod + " " + aRequest.mTarget + " HTTP/1.1\r\n";
+  if (!aRequest.mHeaders.Find("Host")) {
+    bytes += "Host: " + aServer.Text() + "\r\n";
+  }
+  for (const auto& [name, value] : aRequest.mHeaders.mFields) {
+    bytes += name + ": " + value + "\r\n";
+  }
+  if (!aRequest.mBody.empty() || aRequest.mMethod == "POST" ||
+      aRequest.mMethod == "PUT") {
+    bytes +=
+      "Content-Length: " + std::to_string(aRequest.mBody.size()) + "\r\n";
+  }
+  return bytes + "\r\n" + aRequest.mBody;
+}
+
+/** Seconds that a Keep-Alive field names, as time; none when it names none. */
+std::optional<milliseconds>
+ReadKeepAlive(const header_list& aHeaders)
+{
+  const auto* field = aHeaders.Find("Keep-Alive");
+  if (!field) {
+    return std::nullopt;
+  }
+  const auto start = field->find("timeout=");
+  if (start == std::string::npos) {
+    return std::nullopt;
+  }
+  const auto first = start + 8;
+  const auto end = field->find_first_not_of("0123456789", first);
+  const auto seconds =
+    ParseInteger(std::string_view(*field).substr(first, end - first));
+  return seconds ? std::optional<milliseconds>(std::chrono::seconds(*seconds))
+                 : std::nullopt;
+}
+
+} // namespace
+
+client_connection::client_connection(boost::asio::io_context& aLoop,
+                                     std::weak_ptr<client_pool> aPool,
+                                     endpoint aServer)
+  : mSocket(aLoop)
+  , mTimer(aLoop)
+  , mPool(std::move(aPool))
+  , mServer(std::move(aServer))
+{
+}
+
+bool
+client_connection::IsUsable(time_point aNow) const
+{
+  return !mIsClosed && mIsConnected && !mIsBusy && aNow < mUsableUntil;
+}
+
+void
+client_connection::Start(const request& aRequest,
+                         const call_options& aOptions,
+                         call_events aEvents)
+{
+  mIsBusy = true;
+  mIsSent = false;
+  mHasToldHead = false;
+  mOptions = aOptions;
+  mEvents = std::move(aEvents);
+  mOutgoing = WriteRequest(aRequest, mServer);
+  mParser.emplace();
+  mParser->eager(true);
+  mParser->body_limit(boost::none);
+  if (mIsConnected) {
+    Send();
+  } else {
+    Connect();
+  }
+}
+
+void
+client_connection::Connect()
+{
+  Arm(mOptions.mConnectTimeout);
+  error_code error;
+  const boost::asio::ip::tcp::endpoint address(
+    boost::asio::ip::make_address_v4(mServer.mAddress, error), mServer.mPort);
+  mSocket.async_connect(address,
+                        [self = shared_from_this()](error_code aError) {
+                          if (self->mIsClosed) {
+                            return;
+                          }
+                          if (aError) {
+                            self->End(call_end::NotSent);
+                            return;
+                          }
+                          self->mIsConnected = true;
+                          self->SetSocketOptions();
+                          self->Send();
+                        });
+}
+
+void
+client_connection::SetSocketOptions()
+{
+  error_code ignored;
+  mSocket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  const int handle = mSocket.native_handle();
+  const unsigned timeout = kUserTimeoutMilliseconds;
+  setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+  if (mOptions.mProbesConnection) {
+    mSocket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    setsockopt(handle,
+               IPPROTO_TCP,
+               TCP_KEEPIDLE,
+               &kProbeAfterSeconds,
+               sizeof kProbeAfterSeconds);
+    setsockopt(handle,
+               IPPROTO_TCP,
+               TCP_KEEPINTVL,
+               &kProbeEachSeconds,
+               sizeof kProbeEachSeconds);
+    setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof kProbes);
+  }
+}
+
+void
+client_connection::Send()
+{
+  mIsSent = true;
+  mIsWriting = true;
+  Arm(mOptions.mSilenceTimeout);
+  boost::asio::async_write(
+    mSocket,
+    boost::asio::buffer(mOutgoing),
+    [self = shared_from_this()](error_code aError, std::size_t) {
+      self->mIsWriting = false;
+      self->mOutgoing.clear();
+      // A broken write shows in the read as well, after an answer that the
+      // server may have sent before it stopped reading.
+      if (!aError && self->mIsBusy) {
+        self->CompleteWhenDone();
+      }
+    });
+  Read();
+}
+
+void
+client_connection::Read()
+{
+  if (mIsReading || mIsClosed) {
+    return;
+  }
+  mIsReading = true;
+  mSocket.async_read_some(
+    mBuffer.prepare(kReadBytes),
+    [self = shared_from_this()](error_code aError, std::size_t aSize) {
+      self->mIsReading = false;
+      self->TakeBytes(aError, aSize);
+    });
+}
+
+void
+client_connection::TakeBytes(const error_code& aError, std::size_t aSize)
+{
+  if (mIsClosed) {
+    return;
+  }
+  if (!mIsBusy) {
+    // Bytes or a close on an idle connection belong to no call.
+    Close();
+    return;
+  }
+  if (aError == boost::asio::error::eof) {
+    TakeEndOfFile();
+    return;
+  }
+  if (aError) {
+    End(call_end::Broken);
+    return;
+  }
+  mBuffer.commit(aSize);
+  Arm(mOptions.mSilenceTimeout);
+  Parse();
+  if (!mIsClosed) {
+    Read();
+  }
+}
+
+void
+client_connection::TakeEndOfFile()
+{
+  error_code error;
+  if (mParser->is_header_done() && !mParser->is_done()) {
+    mParser->put_eof(error);
+    if (!error && mParser->is_done()) {
+      End(call_end::Complete);
+      return;
+    }
+  }
+  End(call_end::Broken);
+}
+
+void
+client_connection::Parse()
+{
+  const auto self = shared_from_this();
+  error_code error;
+  while (mBuffer.size() > 0 && !mParser->is_done()) {
+    const auto used = mParser->put(mBuffer.data(), error);
+    mBuffer.consume(used);
+    if (error) {
+      break;
+    }
+  }
+  if (error && error != http::error::need_more) {
+    End(call_end::Malformed);
+    return;
+  }
+  if (mParser->is_header_done()) {
+    TellHead();
+    TellBody();
+    CompleteWhenDone();
+  }
+}
+
+void
+client_connection::TellHead()
+{
+  if (mHasToldHead || !mIsBusy) {
+    return;
+  }
+  mHasToldHead = true;
+  const auto& message = mParser->get();
+  response head;
+  head.mStatus = message.result_int();
+  for (const auto& field : message) {
+    head.mHeaders.Add(std::string(field.name_string()),
+                      std::string(field.value()));
+  }
+  const auto keeps = ReadKeepAlive(head.mHeaders).value_or(kDefaultKeepAlive);
+  mUsableUntil = boot_clock::now() + keeps - kKeepAliveMargin;
+  if (mEvents.mOnHead) {
+    mEvents.mOnHead(head);
+  }
+}
+
+void
+client_connection::TellBody()
+{
+  if (!mIsBusy) {
+    return;
+  }
+  std::string piece;
+  piece.swap(mParser->get().body());
+  if (!piece.empty() && mEvents.mOnBody) {
+    mEvents.mOnBody(piece);
+  }
+}
+
+void
+client_connection::CompleteWhenDone()
+{
+  // A server may answer before it has taken the whole body; the rest of the
+  // body must reach it before anything else does.
+  if (!mIsBusy || !mParser->is_done() || mIsWriting) {
+    return;
+  }
+  End(mBuffer.size() > 0 ? call_end::Malformed : call_end::Complete);
+}
+
+void
+client_connection::End(call_end aEnd)
+{
+  if (!mIsBusy) {
+    return;
+  }
+  const auto self = shared_from_this();
+  mIsBusy = false;
+  mTimer.cancel();
+  const auto events = std::move(mEvents);
+  mEvents = {};
+  const bool isReusable =
+    aEnd == call_end::Complete && mParser->keep_alive() && !mParser->need_eof();
+  const auto pool = mPool.lock();
+  if (isReusable && pool) {
+    pool->Keep(self);
+    Read();
+  } else {
+    Close();
+  }
+  if (events.mOnEnd) {
+    events.mOnEnd(aEnd);
+  }
+}
+
+void
+client_connection::Cancel()
+{
+  // The caller may cancel from within one of these functions, which must
+  // outlive its own return.
+  boost::asio::post(mSocket.get_executor(), [events = std::move(mEvents)] {});
+  mEvents = {};
+  mIsBusy = false;
+  Close();
+}
+
+void
+client_connection::Close()
+{
+  if (mIsClosed) {
+    return;
+  }
+  mIsClosed = true;
+  mTimer.cancel();
+  error_code ignored;
+  mSocket.close(ignored);
+  if (const auto pool = mPool.lock()) {
+    pool->Drop(this);
+  }
+}
+
+void
+client_connection::Arm(milliseconds aTimeout)
+{
+  mTimer.expires_after(aTimeout);
+  mTimer.async_wait([self = weak_from_this()](error_code aError) {
+    const auto connection = self.lock();
+    // A wait that ended just before it was set anew still calls back.
+    if (!connection || aError || !connection->mIsBusy ||
+        connection->mTimer.expiry() > std::chrono::steady_clock::now()) {
+      return;
+    }
+    connection->End(connection->mIsSent ? call_end::TimedOut
+                                        : call_end::NotSent);
+  });
+}
+
+} // namespace lavender::edge
--- /dev/null
+++ b/Libraries/Edge/ClientConnection.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Libraries/Edge/Caller.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+
+namespace lavender::edge {
+
+/** One connection to a server; one call at a time. */
+class client_connection : public std::enable_shared_from_this<client_connection>
+{
+public:
+  client_connection(boost::asio::io_context& aLoop,
+                    std::weak_ptr<client_pool> aPool,
+                    endpoint aServer);
+
+  const endpoint& Server() const { return mServer; }
+  bool IsUsable(time_point aNow) const;
+  void Start(const request& aRequest,
+             const call_options& aOptions,
+             call_events aEvents);
+  void Cancel();
+  void Close();
+
+private:
+  using parser =
+    boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Connect();
+  void Send();
+  void Read();
+  void TakeBytes(const boost::system::error_code& aError, std::size_t aSize);
+  void TakeEndOfFile();
+  void Parse();
+  void TellHead();
+  void TellBody();
+  void CompleteWhenDone();
+  void End(call_end aEnd);
+  void Arm(milliseconds aTimeout);
+  void SetSocketOptions();
+
+  boost::asio::ip::tcp::socket mSocket;
+  boost::asio::steady_timer mTimer;
+  std::weak_ptr<client_pool> mPool;
+  const endpoint mServer;
+  boost::beast::flat_buffer mBuffer;
+  std::optional<parser> mParser;
+  call_options mOptions;
+  call_events mEvents;
+  std::string mOutgoing;
+  /** End of the time for which the server keeps the connection idle. */
+  time_point mUsableUntil;
+  bool mIsConnected = false;
+  bool mIsBusy = false;
+  bool mIsReading = false;
+  bool mIsSent = false;
+  bool mIsWriting = false;
+  bool mHasToldHead = false;
+  bool mIsClosed = false;
+};
+
+} // namespace lavender::edge
--- /dev/null
+++ b/Libraries/Edge/ServerConnection.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "Libraries/Edge/Listener.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <unordered_set>
+
+namespace lavender::edge {
+
+/** What the connections of one listener share. */
+struct listener_state
+{
+  std::shared_ptr<const listener_limits> mLimits;
+  request_handler mHandler;
+  std::unordered_set<server_connection*> mConnections;
+  std::size_t mRequests = 0;
+  bool mIsDraining = false;
+};
+
+/** One caller's connection: reads a request, hands it on, writes the answer,
+ * and keeps reading meanwhile to notice that the caller has left. */
+class server_connection : public std::enable_shared_from_this<server_connection>
+{
+public:
+  server_connection(boost::asio::ip::tcp::socket aSocket,
+                    std::shared_ptr<listener_state> aShared);
+  ~server_connection();
+
+  void Start();
+  void Send(std::string aBytes, bool aIsLast);
+  void Reset();
+  /** Closes soon when no request is under way. */
+  void Drain();
+  std::size_t Unsent() const { return mUnsent; }
+  /** Whether the answer under way is the last on this connection. */
+  bool IsClosing() const;
+
+private:
+  using parser =
+    boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void PrepareRequest();
+  void Read();
+  void TakeBytes(const boost::system::error_code& aError, std::size_t aSize);
+  void Parse();
+  void HandOn();
+  void Refuse(unsigned aStatus);
+  void Flush();
+  void AfterWrite(const boost::system::error_code& aError);
+  void EndRequest();
+  void TellCallerLeft();
+  void Linger();
+  void Close();
+  void Arm(milliseconds aTimeout, void (server_connection::*aAction)());
+  void TimeOutHeader();
+  void TimeOutIdle();
+
+  boost::asio::ip::tcp::socket mSocket;
+  boost::asio::steady_timer mTimer;
+  std::shared_ptr<listener_state> mShared;
+  boost::beast::flat_buffer mBuffer;
+  std::optional<parser> mParser;
+  /** The handler owns the exchange: one that it drops unanswered resets the
+   * connection instead of leaving the caller waiting. */
+  std::weak_ptr<exchange> mExchange;
+  bool mHasRequest = false;
+  std::string mQueued;
+  std::string mWriting;
+  std::size_t mUnsent = 0;
+  std::size_t mLingered = 0;
+  bool mIsReading = false;
+  bool mIsWriting = false;
+  bool mIsLastQueued = false;
+  bool mKeepsConnection = true;
+  bool mHasRequestBegun = false;
+  bool mIsLingering = false;
+  bool mIsClosed = false;
+};
+
+} // namespace lavender::edge
--- /dev/null
+++ b/Libraries/EventLog/EventLog.cpp
@@ -0,0 +1,206 @@
+#include "Libraries/EventLog/EventLog.h"
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <cstdio>
+#include <mutex>
+#include <thread>
+#include <unistd.h>
+
+namespace lavender::events {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Pause of the writing thread; each of its wake-ups costs processor time. */
+constexpr milliseconds kWriteEach = 250ms;
+
+struct log_state
+{
+  log_options mOptions;
+  std::mutex mMutex;
+  std::condition_variable mStopping;
+  std::string mBuffered;
+  bool mIsStopped = false;
+  std::thread mThread;
+  std::atomic<std::uint64_t> mDropped{ 0 };
+  std::uint64_t mReportedDrops = 0;
+  /** Lines that may be written now; grows with time. */
+  double mAllowance = 0;
+  time_point mAllowanceAt;
+};
+
+log_state&
+State()
+{
+  static log_state state;
+  return state;
+}
+
+void
+WriteAll(const std::string& aText)
+{
+  std::size_t written = 0;
+  while (written < aText.size()) {
+    const auto size =
+      write(STDOUT_FILENO, aText.data() + written, aText.size() - written);
+    if (size <= 0) {
+      return;
+    }
+    written += static_cast<std::size_t>(size);
+  }
+}
+
+void
+AppendEscaped(std::string& aText, std::string_view aValue)
+{
+  for (const char c : aValue) {
+    if (c == '"' || c == '\\') {
+      aText += '\\';
+      aText += c;
+    } else if (static_cast<unsigned char>(c) < 0x20) {
+      char code[8];
+      std::snprintf(code, sizeof code, "\\u%04x", static_cast<unsigned>(c));
+      aText += code;
+    } else {
+      aText += c;
+    }
+  }
+}
+
+/** Takes one line from the allowance. */
+bool
+TakeAllowance(log_state& aState)
+{
+  const auto now = boot_clock::now();
+  const auto rate = static_cast<double>(aState.mOptions.mLinesPerSecond);
+  const std::chrono::duration<double> passed = now - aState.mAllowanceAt;
+  aState.mAllowanceAt = now;
+  aState.mAllowance = std::min(rate, aState.mAllowance + passed.count() * rate);
+  if (aState.mAllowance < 1) {
+    return false;
+  }
+  aState.mAllowance -= 1;
+  return true;
+}
+
+void
+WriteUntilStopped(log_state& aState)
+{
+  std::unique_lock lock(aState.mMutex);
+  for (;;) {
+    const bool isStopped = aState.mStopping.wait_for(
+      lock, kWriteEach, [&] { return aState.mIsStopped; });
+    std::string text;
+    text.swap(aState.mBuffered);
+    lock.unlock();
+    const auto dropped = aState.mDropped.load();
+    if (dropped != aState.mReportedDrops) {
+      text += "{\"event\":\"log_dropped\",\"lines\":" +
+              std::to_string(dropped - aState.mReportedDrops) + "}\n";
+      aState.mReportedDrops = dropped;
+    }
+    WriteAll(text);
+    lock.lock();
+    if (isStopped) {
+      return;
+    }
+  }
+}
+
+} // namespace
+
+void
+StartEventLog(log_options aOptions)
+{
+  auto& state = State();
+  state.mOptions = std::move(aOptions);
+  state.mAllowance = static_cast<double>(state.mOptions.mLinesPerSecond);
+  state.mAllowanceAt = boot_clock::now();
+  state.mThread = std::thread([&state] { WriteUntilStopped(state); });
+}
+
+void
+StopEventLog()
+{
+  auto& state = State();
+  {
+    std::lock_guard lock(state.mMutex);
+    state.mIsStopped = true;
+  }
+  state.mStopping.notify_all();
+  if (state.mThread.joinable()) {
+    state.mThread.join();
+  }
+}
+
+std::uint64_t
+DroppedLines()
+{
+  return State().mDropped;
+}
+
+line::line(std::string_view aEvent)
+{
+  auto& state = State();
+  {
+    std::lock_guard lock(state.mMutex);
+    mIsKept = state.mBuffered.size() < state.mOptions.mBufferedBytes &&
+              TakeAllowance(state);
+  }
+  if (!mIsKept) {
+    ++state.mDropped;
+    return;
+  }
+  const auto wall = std::chrono::duration_cast<milliseconds>(
+    std::chrono::system_clock::now().time_since_epoch());
+  mText = "{\"at_ms\":" + std::to_string(wall.count()) + ",\"process\":\"";
+  AppendEscaped(mText, state.mOptions.mProcess);
+  mText += "\",\"event\":\"";
+  mText.append(aEvent);
+  mText += '"';
+}
+
+line::~line()
+{
+  if (mIsKept) {
+    auto& state = State();
+    std::lock_guard lock(state.mMutex);
+    state.mBuffered += mText;
+    state.mBuffered += "}\n";
+  }
+}
+
+void
+line::Name(std::string_view aName)
+{
+  mText += ",\"";
+  mText.append(aName);
+  mText += "\":";
+}
+
+line&
+line::With(std::string_view aName, std::string_view aValue)
+{
+  if (mIsKept) {
+    Name(aName);
+    mText += '"';
+    AppendEscaped(mText, aValue);
+    mText += '"';
+  }
+  return *this;
+}
+
+line&
+line::With(std::string_view aName, std::int64_t aValue)
+{
+  if (mIsKept) {
+    Name(aName);
+    mText += std::to_string(aValue);
+  }
+  return *this;
+}
+
+} // namespace lavender::events
--- /dev/null
+++ b/Libraries/ObjectStore/Mirror.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "Libraries/ObjectStore/ObjectStore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace lavender::objects {
+
+struct mirror_options
+{
+  std::string mKind;
+  /** Longest wait of one watch. A watch is a priced call; probes find a dead
+   * connection sooner. */
+  milliseconds mWatchWait{ 25000 };
+  /** Pause after an event, so that changes that come together are one call. */
+  milliseconds mGatherFor{ 0 };
+  /** Pause after a call that failed. */
+  milliseconds mRetryPause{ 300 };
+};
+
+struct mirror_events
+{
+  /** All objects, after a listing. */
+  std::function<void(const std::map<std::string, stored_object>&)> mOnListed;
+  std::function<void(const object_event&)> mOnEvent;
+  /** Contact with the store was lost, or is back. */
+  std::function<void(bool aIsReachable)> mOnContact;
+};
+
+/** Keeps a copy of all objects of one kind: lists, then watches from there.
+ *
+ * When the store has forgotten the history, the kind is listed again while the
+ * copy goes on to serve: what was known isn't dropped meanwhile. */
+class mirror : public std::enable_shared_from_this<mirror>
+{
+public:
+  mirror(boost::asio::io_context& aLoop,
+         const object_store& aStore,
+         mirror_options aOptions,
+         mirror_events aEvents);
+
+  void Start();
+  void Stop() { mIsStopped = true; }
+  const std::map<std::string, stored_object>& Objects() const
+  {
+    return mObjects;
+  }
+  bool HasListed() const { return mHasListed; }
+  bool IsReachable() const { return mIsReachable; }
+  /** When the copy was last known to be the store's state; a watch that waits
+   * without an event counts from its start. */
+  std::optional<time_point> FreshAt() const { return mFreshAt; }
+  revision_number Revision() const { return mRevision; }
+
+private:
+  void List(const std::string& aAfter,
+            std::map<std::string, stored_object> aGathered);
+  void TakeList(list_reply aReply,
+                std::map<std::string, stored_object> aGathered);
+  void Watch();
+  void TakeWatch(watch_reply aReply);
+  void After(milliseconds aPause, std::function<void()> aAction);
+  void SetReachable(bool aIsReachable);
+
+  const object_store& mStore;
+  const mirror_options mOptions;
+  const mirror_events mEvents;
+  boost::asio::steady_timer mTimer;
+  std::map<std::string, stored_object> mObjects;
+  revision_number mRevision = 0;
+  /** Of a listing's first page: changes during the listing come again. */
+  revision_number mListedAt = 0;
+  std::optional<time_point> mFreshAt;
+  bool mHasListed = false;
+  bool mIsReachable = true;
+  bool mIsStopped = false;
+};
+
+} // namespace lavender::objects
--- /dev/null
+++ b/Libraries/ObjectStore/ObjectStore.cpp
@@ -0,0 +1,25 @@
+#include "Libraries/ObjectStore/ObjectStore.h"
+
+namespace lavender::objects {
+
+const char*
+WordFor(store_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case store_outcome::Done:
+      return "done";
+    case store_outcome::Conflict:
+      return "conflict";
+    case store_outcome::NotFound:
+      return "not_found";
+    case store_outcome::Refused:
+      return "refused";
+    case store_outcome::HistoryGone:
+      return "history_gone";
+    case store_outcome::Unknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+} // namespace lavender::objects
--- /dev/null
+++ b/Services/Agent/SiteAgent.cpp
@@ -0,0 +1,163 @@
+#include "Services/Agent/SiteAgent.h"
+
+#include "Libraries/EventLog/EventLog.h"
+#include "platform/Names.h"
+#include "platform/Orders.h"
+
+#include <csignal>
+
+namespace lavender::agent {
+
+namespace {
+
+constexpr char kEntryKind[] = "entries";
+
+settings::setting
+Text(std::string aFlag, std::string aDescription, bool aIsRequired)
+{
+  settings::setting declared;
+  declared.mFlag = std::move(aFlag);
+  declared.mDescription = std::move(aDescription);
+  declared.mIsRequired = aIsRequired;
+  return declared;
+}
+
+} // namespace
+
+std::vector<settings::setting>
+DeclareSiteSettings()
+{
+  return {
+    Text("name", "Name of this instance.", true),
+    Text("zone", "Availability zone of this instance.", true),
+    Text("store", "Address of the object store.", true),
+    Text("server",
+         "Address of the model server beside this process; empty on an "
+         "instance without one.",
+         false),
+  };
+}
+
+site_settings
+ReadSiteSettings(const settings::values& aValues, findings& aFindings)
+{
+  site_settings read;
+  read.mName = aValues.Text("name");
+  read.mAvailabilityZone = aValues.Text("zone");
+  if (const auto store = edge::ParseAddress(aValues.Text("store"))) {
+    read.mStore = *store;
+  } else {
+    aFindings.Add("--store", "not an IPv4 address and port");
+  }
+  if (const auto& text = aValues.Text("server"); !text.empty()) {
+    read.mServer = edge::ParseAddress(text);
+    if (!read.mServer) {
+      aFindings.Add("--server", "not an IPv4 address and port");
+    }
+  }
+  return read;
+}
+
+site_agent::site_agent(site_settings aSettings)
+  : mSettings(std::move(aSettings))
+  , mClients(std::make_shared<edge::client_pool>(mLoop))
+  , mStore(platform::MakeStore(
+      platform::DirectTransport(mLoop, mClients, mSettings.mStore),
+      mStoreCounts))
+  , mSignals(mLoop, SIGTERM, SIGINT, SIGHUP)
+{
+}
+
+int
+site_agent::Run()
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  events::line("started").With(
+    "server", mSettings.mServer ? mSettings.mServer->Text() : std::string());
+  WaitForSignals();
+  if (mSettings.mServer) {
+    StartOrders();
+  } else {
+    StartRetirement();
+  }
+  mLoop.run();
+  events::line("stopped");
+  return 0;
+}
+
+void
+site_agent::StartOrders()
+{
+  versions::order_parts parts{
+    mLoop,
+    *mClients,
+    *mSettings.mServer,
+    mSettings.mName,
+    [this](auto aDone) { ListEntries(std::move(aDone)); },
+    [this](auto aDone) { FindEpoch(std::move(aDone)); },
+    platform::EncodeReportRequest,
+    platform::DecodeReport,
+    platform::EncodeOrder
+  };
+  mOrders.emplace(std::move(parts));
+  mOrders->Start();
+}
+
+void
+site_agent::StartRetirement()
+{
+  mRetirement.emplace(retirement::retirement_parts{
+    mLoop, mStore, platform::kRetirementKind, mSettings.mName });
+  mRetirement->Start();
+}
+
+void
+site_agent::ListEntries(std::function<void(std::vector<edge::endpoint>)> aDone)
+{
+  mStore.mList(kEntryKind,
+               "",
+               objects::freshness::MayBeStale,
+               [done = std::move(aDone)](const objects::list_reply& aReply) {
+                 std::vector<edge::endpoint> entries;
+                 for (const auto& object : aReply.mObjects) {
+                   if (const auto address = edge::ParseAddress(
+                         json::StringAt(object.mSpec, "address", ""))) {
+                     entries.push_back(*address);
+                   }
+                 }
+                 done(std::move(entries));
+               });
+}
+
+void
+site_agent::FindEpoch(std::function<void(std::optional<std::int64_t>)> aDone)
+{
+  mStore.mList(kEntryKind,
+               "",
+               objects::freshness::Linearizable,
+               [done = std::move(aDone)](const objects::list_reply& aReply) {
+                 if (aReply.mOutcome == objects::store_outcome::Done) {
+                   done(aReply.mStoreRevision);
+                 } else {
+                   done(std::nullopt);
+                 }
+               });
+}
+
+void
+site_agent::WaitForSignals()
+{
+  mSignals.async_wait([this](const auto& aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      events::line("reloaded");
+      WaitForSignals();
+    } else {
+      mLoop.stop();
+    }
+  });
+}
+
+} // namespace lavender::agent
--- /dev/null
+++ b/Services/Agent/SiteAgent.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "Duties/Retirement/RetirementDuty.h"
+#include "Duties/Versions/OrderDuty.h"
+#include "Libraries/Edge/Message.h"
+#include "Libraries/Settings/Settings.h"
+#include "platform/StoreClient.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <optional>
+
+namespace lavender::agent {
+
+/** Settings of an agent on the users' platform. */
+struct site_settings
+{
+  std::string mName;
+  std::string mAvailabilityZone;
+  edge::endpoint mStore;
+  /** The model server beside this process; none on an instance that has a
+   * disk instead. */
+  std::optional<edge::endpoint> mServer;
+};
+
+std::vector<settings::setting>
+DeclareSiteSettings();
+
+site_settings
+ReadSiteSettings(const settings::values& aValues, findings& aFindings);
+
+/** An agent on the users' platform. Beside a model server it gives the orders
+ * about weights; on an instance with a disk it answers retirements, and stores
+ * nothing there. */
+class site_agent
+{
+public:
+  explicit site_agent(site_settings aSettings);
+
+  int Run();
+
+private:
+  void StartOrders();
+  void StartRetirement();
+  void ListEntries(std::function<void(std::vector<edge::endpoint>)> aDone);
+  void FindEpoch(std::function<void(std::optional<std::int64_t>)> aDone);
+  void WaitForSignals();
+
+  const site_settings mSettings;
+  boost::asio::io_context mLoop{ 1 };
+  std::shared_ptr<edge::client_pool> mClients;
+  platform::store_counts mStoreCounts;
+  objects::object_store mStore;
+  std::optional<versions::order_duty> mOrders;
+  std::optional<retirement::retirement_duty> mRetirement;
+  boost::asio::signal_set mSignals;
+};
+
+} // namespace lavender::agent
--- a/Services/Agent/main.cpp
+++ b/Services/Agent/main.cpp
@@ -1,12 +1,14 @@
 #include "Libraries/Core/Identity.h"
 #include "Libraries/Core/Log.h"
 #include "Libraries/Core/TerminationSignal.h"
+#include "Libraries/EventLog/EventLog.h"
 #include "Libraries/Http/Router.h"
 #include "Libraries/Http/Server.h"
 #include "Libraries/Wire/SecuritySettings.h"
 #include "Libraries/Wire/WireServer.h"
 #include "Services/Agent/AgentHandler.h"
 #include "Services/Agent/AgentSettings.h"
+#include "Services/Agent/SiteAgent.h"
 
 #include <iostream>
 
@@ -140,11 +142,35 @@
   return 0;
 }
 
+/** Runs on the users' platform: the word "site" comes first, then flags. */
+int
+RunOnSite(int aCount, char** aArguments)
+{
+  auto reading = settings::Read(
+    "lavender-agent site", agent::DeclareSiteSettings(), aCount, aArguments);
+  const auto chosen =
+    agent::ReadSiteSettings(reading.mValues, reading.mFindings);
+  if (!reading.mFindings.IsEmpty()) {
+    settings::Report(reading.mFindings);
+    return settings::kBadSettingsStatus;
+  }
+  if (reading.mIsCheckOnly) {
+    return 0;
+  }
+  events::StartEventLog({ chosen.mName });
+  const int status = agent::site_agent(chosen).Run();
+  events::StopEventLog();
+  return status;
+}
+
 } // namespace
 
 int
 main(int aCount, char** aArguments)
 {
+  if (aCount > 1 && std::string(aArguments[1]) == "site") {
+    return RunOnSite(aCount - 1, aArguments + 1);
+  }
   termination_signal termination;
   auto reading = settings::Read(
     "lavender-agent", agent::DeclareSettings(), aCount, aArguments);
--- /dev/null
+++ b/Services/Entry/SiteEntry.cpp
@@ -0,0 +1,554 @@
+#include "Services/Entry/SiteEntry.h"
+
+#include "Duties/Batches/PeerCall.h"
+#include "Libraries/Core/Identity.h"
+#include "Libraries/EventLog/EventLog.h"
+#include "platform/BatchMessages.h"
+#include "platform/Decode.h"
+#include "platform/ExchangeProtocol.h"
+#include "platform/Names.h"
+#include "platform/Orders.h"
+
+#include <csignal>
+
+namespace lavender::entry {
+
+using namespace std::chrono_literals;
+using objects::store_outcome;
+
+namespace {
+
+/** Kind of the objects in which entries tell each other their address. */
+constexpr char kEntryKind[] = "entries";
+/** Events that come together are taken as one call, within this. */
+constexpr milliseconds kGatherServers = 250ms;
+constexpr milliseconds kGatherVersions = 30ms;
+/** The balancer asks once a second and takes an entry out after two misses;
+ * callers may still come until then. */
+constexpr milliseconds kAnnounceLeaving = 3200ms;
+/** Left of the grace when the process ends whatever is under way. */
+constexpr milliseconds kGraceMargin = 600ms;
+constexpr milliseconds kLookEach = 100ms;
+constexpr milliseconds kAnnounceRetry = 1000ms;
+/** A usage report that isn't answered within this is settled by a repeat. */
+constexpr milliseconds kReportTimeout = 1200ms;
+/** When to come back to an entry that knows no configuration yet. */
+constexpr milliseconds kStartingUp = 300ms;
+
+} // namespace
+
+site_entry::site_entry(site_settings aSettings)
+  : mSettings(std::move(aSettings))
+  , mClients(std::make_shared<edge::client_pool>(mLoop))
+  , mStore(platform::MakeStore(
+      platform::DirectTransport(mLoop, mClients, mSettings.mStore),
+      mStoreCounts))
+  , mProtocol(platform::MakeExchangeProtocol())
+  , mLimits(std::make_shared<edge::listener_limits>())
+  , mForwarder({ mLoop,
+                 *mClients,
+                 mProtocol,
+                 mDirectory,
+                 mMetrics,
+                 mSettings.mAvailabilityZone,
+                 [this](const std::string& aCustomer) {
+                   mUsage.CountStart(aCustomer);
+                 } })
+  , mRunner(
+      { mLoop,
+        *mClients,
+        mProtocol,
+        mDirectory,
+        mConfiguration,
+        mMetrics,
+        [this](const std::string& aBatchId, batches::item_result aResult) {
+          mBatches.TakeResult(aBatchId, std::move(aResult));
+        } })
+  , mBatches({ mLoop,
+               mStore,
+               *mClients,
+               mRunner,
+               mMetrics,
+               platform::MakePageFormat(),
+               mSettings.mName,
+               [this](const std::string& aName) { return FindPeer(aName); } })
+  , mAssignments({ mLoop, mDirectory, mConfiguration })
+  , mUsage({ mLoop,
+             mStore,
+             *mClients,
+             mSettings.mName,
+             mSettings.mUsageWindow,
+             [this] {
+               std::vector<std::string> names;
+               for (const auto& [name, known] : mPeers) {
+                 names.push_back(name);
+               }
+               return names;
+             },
+             [this](const std::string& aName) { return FindPeer(aName); },
+             [this](const billing::usage_report& aReport,
+                    std::function<void(billing::report_outcome)> aDone) {
+               SendUsage(aReport, std::move(aDone));
+             } })
+  , mCallers(mLoop,
+             mLimits,
+             [this](const auto& aExchange) { ServeCaller(aExchange); })
+  , mReadiness(mLoop,
+               std::make_shared<edge::listener_limits>(),
+               [this](const auto& aExchange) { ServeReadiness(aExchange); })
+  , mPeerListener(mLoop,
+                  std::make_shared<edge::listener_limits>(),
+                  [this](const auto& aExchange) { ServePeer(aExchange); })
+  , mMetricsListener(mLoop,
+                     std::make_shared<edge::listener_limits>(),
+                     [this](const auto& aExchange) {
+                       edge::response page{ 200, {}, mMetrics.Write() };
+                       page.mHeaders.Add("Content-Type", "text/plain");
+                       aExchange->Answer(std::move(page));
+                     })
+  , mSignals(mLoop, SIGTERM, SIGINT, SIGHUP)
+  , mLeaveTimer(mLoop)
+  , mDirectoryTimer(mLoop)
+  , mAnnounceTimer(mLoop)
+{
+  mLimits->mMaximumConnections = mSettings.mMaximumConnections;
+}
+
+std::string
+site_entry::Open()
+{
+  for (auto [listener, address] :
+       { std::pair{ &mCallers, mSettings.mCallers },
+         std::pair{ &mReadiness, mSettings.mReadiness },
+         std::pair{ &mPeerListener, mSettings.mPeers } }) {
+    if (auto problem = listener->Open(address); !problem.empty()) {
+      return problem;
+    }
+  }
+  return mSettings.mMetrics ? mMetricsListener.Open(*mSettings.mMetrics)
+                            : std::string();
+}
+
+int
+site_entry::Run()
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  if (const auto problem = Open(); !problem.empty()) {
+    events::line("start_failed").With("reason", problem);
+    return 1;
+  }
+  events::line("started")
+    .With("zone", mSettings.mAvailabilityZone)
+    .With("callers", mSettings.mCallers.Text())
+    .With("peers", mSettings.mPeers.Text());
+  mPeers[mSettings.mName] = { mSettings.mPeers };
+  WaitForSignals();
+  Announce();
+  StartMirrors();
+  mBatches.Start();
+  mUsage.Start();
+  mLoop.run();
+  events::line("stopped");
+  return 0;
+}
+
+void
+site_entry::Announce()
+{
+  mStore.mReplace(
+    kEntryKind,
+    mSettings.mName,
+    0,
+    json::Write(json::object{ { "address", mSettings.mPeers.Text() },
+                              { "zone", mSettings.mAvailabilityZone } }),
+    [this](const objects::object_reply& aReply) {
+      if (aReply.mOutcome == store_outcome::NotFound) {
+        mStore.mCreate(
+          kEntryKind,
+          mSettings.mName,
+          json::Write(json::object{ { "address", mSettings.mPeers.Text() },
+                                    { "zone", mSettings.mAvailabilityZone } }),
+          [this](const objects::object_reply& aCreated) {
+            if (aCreated.mOutcome != store_outcome::Done) {
+              mAnnounceTimer.expires_after(kAnnounceRetry);
+              mAnnounceTimer.async_wait([this](const auto& aError) {
+                if (!aError) {
+                  Announce();
+                }
+              });
+            }
+          });
+      } else if (aReply.mOutcome != store_outcome::Done) {
+        mAnnounceTimer.expires_after(kAnnounceRetry);
+        mAnnounceTimer.async_wait([this](const auto& aError) {
+          if (!aError) {
+            Announce();
+          }
+        });
+      }
+    });
+}
+
+void
+site_entry::StartMirrors()
+{
+  const auto contactOf = [](const char* aKind) {
+    return [aKind](bool aIsReachable) {
+      events::line(aIsReachable ? "store_regained" : "store_lost")
+        .With("kind", aKind);
+    };
+  };
+  objects::mirror_events configuration;
+  configuration.mOnListed = [this](const auto& aObjects) {
+    if (const auto found = aObjects.find(platform::kConfigurationName);
+        found != aObjects.end()) {
+      TakeConfiguration(found->second);
+    }
+  };
+  configuration.mOnEvent = [this](const objects::object_event& aEvent) {
+    if (!aEvent.mIsDeleted &&
+        aEvent.mObject.mName == platform::kConfigurationName) {
+      TakeConfiguration(aEvent.mObject);
+    }
+  };
+  configuration.mOnContact = contactOf("configuration");
+  objects::mirror_options options;
+  options.mKind = platform::kConfigurationKind;
+  mConfigurationMirror =
+    std::make_shared<objects::mirror>(mLoop, mStore, options, configuration);
+
+  objects::mirror_events servers;
+  servers.mOnListed = [this](const auto& aObjects) {
+    std::map<std::string, site::backend_server> listed;
+    for (const auto& [name, object] : aObjects) {
+      if (auto server = platform::DecodeServer(object)) {
+        listed[name] = std::move(*server);
+      }
+    }
+    site::TakeListing(mDirectory, listed, boot_clock::now());
+    AfterServersChanged();
+  };
+  servers.mOnEvent = [this](const objects::object_event& aEvent) {
+    if (aEvent.mIsDeleted) {
+      site::TakeRemoval(mDirectory, aEvent.mObject.mName, boot_clock::now());
+    } else {
+      TakeServerObject(aEvent.mObject);
+    }
+    AfterServersChanged();
+  };
+  servers.mOnContact = [this, log = contactOf("servers")](bool aIsReachable) {
+    log(aIsReachable);
+    if (aIsReachable) {
+      site::NoteOutageEnded(mDirectory, boot_clock::now());
+    }
+  };
+  options.mKind = platform::kServerKind;
+  options.mGatherFor = kGatherServers;
+  mServerMirror =
+    std::make_shared<objects::mirror>(mLoop, mStore, options, servers);
+
+  objects::mirror_events peers;
+  const auto takePeer = [this](const objects::stored_object& aObject) {
+    if (const auto address =
+          edge::ParseAddress(json::StringAt(aObject.mSpec, "address", ""))) {
+      mPeers[aObject.mName] = { *address };
+    }
+  };
+  peers.mOnListed = [takePeer](const auto& aObjects) {
+    for (const auto& [name, object] : aObjects) {
+      takePeer(object);
+    }
+  };
+  peers.mOnEvent = [takePeer](const objects::object_event& aEvent) {
+    if (!aEvent.mIsDeleted) {
+      takePeer(aEvent.mObject);
+    }
+  };
+  options.mKind = kEntryKind;
+  options.mGatherFor = kGatherServers;
+  mPeerMirror =
+    std::make_shared<objects::mirror>(mLoop, mStore, options, peers);
+
+  objects::mirror_events versions;
+  const auto takeVersion = [this](const objects::stored_object& aObject) {
+    if (const auto named = platform::DecodeVersion(aObject)) {
+      mAssignments.TakeNamed(named->mModel, named->mVersion);
+    }
+  };
+  versions.mOnListed = [takeVersion](const auto& aObjects) {
+    for (const auto& [name, object] : aObjects) {
+      takeVersion(object);
+    }
+  };
+  versions.mOnEvent = [takeVersion](const objects::object_event& aEvent) {
+    if (!aEvent.mIsDeleted) {
+      takeVersion(aEvent.mObject);
+    }
+  };
+  options.mKind = platform::kVersionKind;
+  options.mGatherFor = kGatherVersions;
+  mVersionMirror =
+    std::make_shared<objects::mirror>(mLoop, mStore, options, versions);
+
+  mConfigurationMirror->Start();
+  mServerMirror->Start();
+  mPeerMirror->Start();
+  mVersionMirror->Start();
+}
+
+void
+site_entry::TakeConfiguration(const objects::stored_object& aObject)
+{
+  auto decoded = platform::DecodeConfiguration(aObject.mSpec);
+  if (!decoded) {
+    events::line("configuration_unreadable")
+      .With("reason", decoded.mLastReason);
+    return;
+  }
+  if (!site::TakeConfiguration(mConfiguration, *decoded)) {
+    return;
+  }
+  const auto connections = mLimits->mMaximumConnections;
+  *mLimits = mConfiguration->mLimits;
+  mLimits->mMaximumConnections = connections;
+  events::line("configuration_in_force")
+    .With("version", mConfiguration->mVersion)
+    .With("revision", aObject.mRevision);
+  mAssignments.Refresh();
+  mRunner.Dispatch();
+}
+
+void
+site_entry::TakeServerObject(const objects::stored_object& aObject)
+{
+  if (auto server = platform::DecodeServer(aObject)) {
+    events::line("server_entry")
+      .With("server", server->mId)
+      .With("state", server->mIsLeaving ? "leaving" : "ready");
+    site::TakeServer(mDirectory, std::move(*server));
+  } else {
+    site::TakeRemoval(mDirectory, aObject.mName, boot_clock::now());
+  }
+}
+
+void
+site_entry::AfterServersChanged()
+{
+  const auto now = boot_clock::now();
+  if (const auto next = site::DropGone(mDirectory, now)) {
+    mDirectoryTimer.expires_after(*next - now + 1ms);
+    mDirectoryTimer.async_wait([this](const auto& aError) {
+      if (!aError) {
+        AfterServersChanged();
+      }
+    });
+  }
+  mForwarder.TakeServers(now);
+  mAssignments.Refresh();
+  mRunner.Dispatch();
+}
+
+void
+site_entry::Deny(const edge::exchange_ptr& aExchange,
+                 unsigned aStatus,
+                 const char* aReason)
+{
+  events::line("denied")
+    .With("request", mProtocol.mReadCaller(aExchange->mRequest).mAttemptId)
+    .With("status", static_cast<std::int64_t>(aStatus))
+    .With("reason", aReason)
+    .With("configuration", mConfiguration ? mConfiguration->mVersion : -1);
+  mMetrics.Count("lavender_refusals_total", { { "reason", aReason } });
+  forwarding::AnswerOwn(
+    aExchange,
+    aStatus,
+    aStatus == 503 ? std::optional<milliseconds>(kStartingUp) : std::nullopt);
+}
+
+void
+site_entry::ServeCaller(const edge::exchange_ptr& aExchange)
+{
+  if (!mConfiguration) {
+    Deny(aExchange, 503, "no configuration yet");
+    return;
+  }
+  const auto& request = aExchange->mRequest;
+  const auto host = request.mHeaders.ValueOr("Host", "");
+  if (platform::IsBatchPath(request.mTarget) &&
+      !site::FindRoute(*mConfiguration, host, request.mTarget)) {
+    // These paths belong to no route; any known key will do, and the batch
+    // knows whose it is.
+    site::route anyRoute;
+    const auto check =
+      site::CheckKey(*mConfiguration, anyRoute, mProtocol.mFindKey(request));
+    if (check.mVerdict == site::key_verdict::Unknown) {
+      Deny(aExchange, 401, "unknown key");
+      return;
+    }
+    ServeBatchCall(aExchange, check.mCustomer);
+    return;
+  }
+  const auto route = site::FindRoute(*mConfiguration, host, request.mTarget);
+  if (!route) {
+    Deny(aExchange, 404, "no route");
+    return;
+  }
+  const auto check =
+    site::CheckKey(*mConfiguration, *route, mProtocol.mFindKey(request));
+  if (check.mVerdict == site::key_verdict::Unknown) {
+    Deny(aExchange, 401, "unknown key");
+    return;
+  }
+  if (route->mTakesBatches) {
+    ServeSubmission(aExchange,
+                    check.mCustomer ? check.mCustomer->mName : std::string());
+    return;
+  }
+  mForwarder.Serve(aExchange, route, check.mCustomer);
+}
+
+void
+site_entry::ServeBatchCall(
+  const edge::exchange_ptr& aExchange,
+  const std::shared_ptr<const site::customer>& aCustomer)
+{
+  auto call = platform::DecodeBatchCall(aExchange->mRequest);
+  if (!call) {
+    Deny(aExchange, 400, "unreadable batch call");
+    return;
+  }
+  call->mCustomer = aCustomer ? aCustomer->mName : std::string();
+  mBatches.Serve(aExchange, *call);
+}
+
+void
+site_entry::ServeSubmission(const edge::exchange_ptr& aExchange,
+                            const std::string& aCustomer)
+{
+  auto submission = platform::DecodeSubmission(aExchange->mRequest);
+  if (!submission) {
+    events::line("submission_unreadable")
+      .With("reason", submission.mLastReason);
+    Deny(aExchange, 400, "unreadable submission");
+    return;
+  }
+  mBatches.Submit(aExchange,
+                  aCustomer,
+                  aExchange->mRequest.mHeaders.ValueOr("Host", ""),
+                  std::move(*submission));
+}
+
+void
+site_entry::ServePeer(const edge::exchange_ptr& aExchange)
+{
+  const auto& target = aExchange->mRequest.mTarget;
+  const auto startsWith = [&](std::string_view aPrefix) {
+    return std::string_view(target).substr(0, aPrefix.size()) == aPrefix;
+  };
+  if (startsWith(batches::kPeerPath)) {
+    mBatches.ServePeer(aExchange);
+  } else if (startsWith(versions::kAssignmentPath)) {
+    mAssignments.Serve(aExchange);
+  } else if (startsWith(billing::kUsagePath)) {
+    const auto window = edge::ParseInteger(
+      std::string_view(target).substr(sizeof billing::kUsagePath - 1));
+    aExchange->Answer(
+      { window ? 200u : 400u, {}, mUsage.Share(window.value_or(0)) });
+  } else {
+    aExchange->Answer({ 404, {}, {} });
+  }
+}
+
+bool
+site_entry::IsReady() const
+{
+  return mConfiguration && mServerMirror->HasListed() && !mLeavingSince;
+}
+
+void
+site_entry::ServeReadiness(const edge::exchange_ptr& aExchange)
+{
+  aExchange->Answer({ IsReady() ? 200u : 503u, {}, {} });
+}
+
+std::optional<edge::endpoint>
+site_entry::FindPeer(const std::string& aName) const
+{
+  const auto found = mPeers.find(aName);
+  return found == mPeers.end() ? std::nullopt
+                               : std::optional(found->second.mAddress);
+}
+
+void
+site_entry::SendUsage(const billing::usage_report& aReport,
+                      std::function<void(billing::report_outcome)> aDone)
+{
+  edge::call_options options;
+  options.mMayReuse = false;
+  edge::FetchWhole(*mClients,
+                   mLoop,
+                   mSettings.mReports,
+                   platform::EncodeUsage(aReport),
+                   options,
+                   kReportTimeout,
+                   64 << 10,
+                   [done = std::move(aDone)](edge::call_end aEnd,
+                                             const edge::response& aAnswer) {
+                     if (aEnd != edge::call_end::Complete) {
+                       done(aEnd == edge::call_end::NotSent
+                              ? billing::report_outcome::Refused
+                              : billing::report_outcome::Unknown);
+                       return;
+                     }
+                     done(aAnswer.mStatus == 200
+                            ? billing::report_outcome::Taken
+                            : billing::report_outcome::Refused);
+                   });
+}
+
+void
+site_entry::WaitForSignals()
+{
+  mSignals.async_wait([this](const auto& aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGHUP) {
+      // All that may change while this runs comes from the store.
+      events::line("reloaded");
+    } else if (!mLeavingSince) {
+      StartLeaving();
+    }
+    WaitForSignals();
+  });
+}
+
+void
+site_entry::StartLeaving()
+{
+  mLeavingSince = boot_clock::now();
+  events::line("leaving").With("requests",
+                               static_cast<std::int64_t>(mCallers.Requests()));
+  mBatches.HandOver();
+  mCallers.StartDraining();
+  LookWhetherDone();
+}
+
+void
+site_entry::LookWhetherDone()
+{
+  const auto since = boot_clock::now() - *mLeavingSince;
+  const bool isIdle = since >= kAnnounceLeaving && mCallers.Requests() == 0;
+  if (isIdle || since >= mSettings.mGrace - kGraceMargin) {
+    mLoop.stop();
+    return;
+  }
+  mLeaveTimer.expires_after(kLookEach);
+  mLeaveTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      LookWhetherDone();
+    }
+  });
+}
+
+} // namespace lavender::entry
--- /dev/null
+++ b/Services/Entry/SiteEntry.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "Duties/Batches/BatchService.h"
+#include "Duties/Billing/UsageDuty.h"
+#include "Duties/Forwarding/Forwarder.h"
+#include "Duties/Versions/Assignments.h"
+#include "Libraries/ObjectStore/Mirror.h"
+#include "Services/Entry/SiteSettings.h"
+#include "platform/StoreClient.h"
+
+#include <boost/asio/signal_set.hpp>
+
+namespace lavender::entry {
+
+/** An entry on the users' platform: one loop that serves callers, passes their
+ * requests on to servers, runs batches, and shares the duties that one entry
+ * at a time has. */
+class site_entry
+{
+public:
+  explicit site_entry(site_settings aSettings);
+
+  /** Serves until a signal ends it.
+   * @return the process's exit status */
+  int Run();
+
+private:
+  struct peer
+  {
+    edge::endpoint mAddress;
+  };
+
+  std::string Open();
+  void StartMirrors();
+  void Announce();
+  void TakeConfiguration(const objects::stored_object& aObject);
+  void TakeServerObject(const objects::stored_object& aObject);
+  void AfterServersChanged();
+  void ServeCaller(const edge::exchange_ptr& aExchange);
+  void ServeBatchCall(const edge::exchange_ptr& aExchange,
+                      const std::shared_ptr<const site::customer>& aCustomer);
+  void ServeSubmission(const edge::exchange_ptr& aExchange,
+                       const std::string& aCustomer);
+  void ServePeer(const edge::exchange_ptr& aExchange);
+  void ServeReadiness(const edge::exchange_ptr& aExchange);
+  void SendUsage(const billing::usage_report& aReport,
+                 std::function<void(billing::report_outcome)> aDone);
+  void WaitForSignals();
+  void StartLeaving();
+  void LookWhetherDone();
+  void Deny(const edge::exchange_ptr& aExchange,
+            unsigned aStatus,
+            const char* aReason);
+  std::optional<edge::endpoint> FindPeer(const std::string& aName) const;
+  bool IsReady() const;
+
+  const site_settings mSettings;
+  boost::asio::io_context mLoop{ 1 };
+  std::shared_ptr<edge::client_pool> mClients;
+  platform::store_counts mStoreCounts;
+  objects::object_store mStore;
+  metrics::registry mMetrics;
+  site::exchange_protocol mProtocol;
+  site::configuration_ptr mConfiguration;
+  site::server_directory mDirectory;
+  std::shared_ptr<edge::listener_limits> mLimits;
+  std::map<std::string, peer> mPeers;
+  forwarding::forwarder mForwarder;
+  batches::batch_runner mRunner;
+  batches::batch_service mBatches;
+  versions::assignments mAssignments;
+  billing::usage_duty mUsage;
+  std::shared_ptr<objects::mirror> mConfigurationMirror;
+  std::shared_ptr<objects::mirror> mServerMirror;
+  std::shared_ptr<objects::mirror> mPeerMirror;
+  std::shared_ptr<objects::mirror> mVersionMirror;
+  edge::listener mCallers;
+  edge::listener mReadiness;
+  edge::listener mPeerListener;
+  edge::listener mMetricsListener;
+  boost::asio::signal_set mSignals;
+  boost::asio::steady_timer mLeaveTimer;
+  boost::asio::steady_timer mDirectoryTimer;
+  boost::asio::steady_timer mAnnounceTimer;
+  std::optional<time_point> mLeavingSince;
+};
+
+} // namespace lavender::entry
--- /dev/null
+++ b/Services/Entry/SiteSettings.cpp
@@ -0,0 +1,121 @@
+#include "Services/Entry/SiteSettings.h"
+
+namespace lavender::entry {
+
+namespace {
+
+using settings::setting;
+using settings::setting_kind;
+
+setting
+Required(std::string aFlag, std::string aDescription, setting_kind aKind)
+{
+  setting declared;
+  declared.mFlag = std::move(aFlag);
+  declared.mDescription = std::move(aDescription);
+  declared.mKind = aKind;
+  declared.mIsRequired = true;
+  return declared;
+}
+
+setting
+Number(std::string aFlag,
+       std::string aDescription,
+       std::string aUnit,
+       std::int64_t aDefault,
+       std::int64_t aLowest,
+       std::int64_t aHighest)
+{
+  setting declared;
+  declared.mFlag = std::move(aFlag);
+  declared.mDescription = std::move(aDescription);
+  declared.mUnit = std::move(aUnit);
+  declared.mDefault = std::to_string(aDefault);
+  declared.mKind = setting_kind::Integer;
+  declared.mLowest = aLowest;
+  declared.mHighest = aHighest;
+  return declared;
+}
+
+edge::endpoint
+EndpointOf(const settings::values& aValues,
+           const char* aFlag,
+           findings& aFindings)
+{
+  const auto address = edge::ParseAddress(aValues.Text(aFlag));
+  if (!address) {
+    aFindings.Add(std::string("--") + aFlag, "not an IPv4 address and port");
+  }
+  return address.value_or(edge::endpoint{});
+}
+
+} // namespace
+
+std::vector<setting>
+DeclareSiteSettings()
+{
+  setting metrics;
+  metrics.mFlag = "metrics-listen";
+  metrics.mDescription = "Address of the metrics page; empty for none.";
+  return {
+    Required("name", "Name of this instance.", setting_kind::Text),
+    Required("zone", "Availability zone of this instance.", setting_kind::Text),
+    Required("caller-listen", "Address for callers.", setting_kind::Endpoint),
+    Required("ready-listen",
+             "Address at which the balancer asks whether this entry takes "
+             "callers.",
+             setting_kind::Endpoint),
+    Required("peer-listen",
+             "Address at which other entries and agents call this one.",
+             setting_kind::Endpoint),
+    Required("store", "Address of the object store.", setting_kind::Endpoint),
+    Required("reports",
+             "Address of the interface that takes usage reports.",
+             setting_kind::Endpoint),
+    metrics,
+    Number("usage-window", "Length of a usage window.", "s", 5, 1, 3600),
+    Number("grace",
+           "Time from the signal to end until the process is killed.",
+           "s",
+           8,
+           1,
+           600),
+    Number("descriptors",
+           "File descriptors that may be open.",
+           "",
+           4096,
+           64,
+           1000000),
+  };
+}
+
+site_settings
+ReadSiteSettings(const settings::values& aValues, findings& aFindings)
+{
+  // Connections to servers, peers and the store, files and logs share the
+  // descriptors with callers.
+  constexpr std::size_t kReservedDescriptors = 600;
+  site_settings read;
+  read.mName = aValues.Text("name");
+  read.mAvailabilityZone = aValues.Text("zone");
+  read.mCallers = EndpointOf(aValues, "caller-listen", aFindings);
+  read.mReadiness = EndpointOf(aValues, "ready-listen", aFindings);
+  read.mPeers = EndpointOf(aValues, "peer-listen", aFindings);
+  read.mStore = EndpointOf(aValues, "store", aFindings);
+  read.mReports = EndpointOf(aValues, "reports", aFindings);
+  if (!aValues.Text("metrics-listen").empty()) {
+    read.mMetrics = EndpointOf(aValues, "metrics-listen", aFindings);
+  }
+  read.mUsageWindow = std::chrono::seconds(aValues.Integer("usage-window"));
+  read.mGrace = std::chrono::seconds(aValues.Integer("grace"));
+  const auto descriptors =
+    static_cast<std::size_t>(aValues.Integer("descriptors"));
+  if (descriptors <= kReservedDescriptors) {
+    aFindings.Add("--descriptors", "too few: 600 are kept for other uses");
+  } else {
+    read.mMaximumConnections = descriptors - kReservedDescriptors;
+  }
+  return read;
+}
+
+} // namespace lavender::entry
--- /dev/null
+++ b/Services/Entry/SiteSettings.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "Libraries/Core/Clock.h"
+#include "Libraries/Edge/Message.h"
+#include "Libraries/Settings/Settings.h"
+
+namespace lavender::entry {
+
+/** Settings of an entry on the users' platform. */
+struct site_settings
+{
+  std::string mName;
+  std::string mAvailabilityZone;
+  edge::endpoint mCallers;
+  edge::endpoint mReadiness;
+  /** Where other entries and agents call this one. */
+  edge::endpoint mPeers;
+  std::optional<edge::endpoint> mMetrics;
+  edge::endpoint mStore;
+  /** Where usage reports go. */
+  edge::endpoint mReports;
+  milliseconds mUsageWindow{ 5000 };
+  /** From the signal to end until the platform kills the process. */
+  milliseconds mGrace{ 8000 };
+  std::size_t mMaximumConnections = 1000;
+};
+
+std::vector<settings::setting>
+DeclareSiteSettings();
+
+/** The settings as types; adds what doesn't fit together to the findings. */
+site_settings
+ReadSiteSettings(const settings::values& aValues, findings& aFindings);
+
+} // namespace lavender::entry
