An answer to an earlier load of a batch is dropped

Ruled out: the client connection (the trace ends in FinishLoad). Change: each log has a generation; answers of the store that belong to an earlier one are ignored.

--- a/Duties/Batches/BatchService.cpp
+++ b/Duties/Batches/BatchService.cpp
@@ -252,9 +252,19 @@
   if (!batch) {
     batch = std::make_shared<batch_record>();
   }
+  if (batch->mIsLoaded ||
+      batch->mHead.mRevision > aAdmission->mHead.mRevision) {
+    // The watch told of the new head before the store's answer came, and the
+    // batch was loaded, or another entry took it over, meanwhile.
+    aAdmission->mExchange->Answer({ 202, {}, {} });
+    return;
+  }
   batch->mHead = aAdmission->mHead;
   batch->mOwnedSince = boot_clock::now();
   batch->mSubmission = aAdmission->mSubmission;
+  batch->mLog = {};
+  ++batch->mGeneration;
+  batch->mIsLoading = false;
   batch->mIsLoaded = true;
   events::line("batch_accepted")
     .With("batch", batch->mHead.mId)
@@ -266,6 +276,7 @@
           static_cast<std::int64_t>(batch->mHead.mTargetGroups));
   aAdmission->mExchange->Answer({ 202, {}, {} });
   Run(batch);
+  TellLoaded(batch);
 }
 
 void
@@ -577,8 +588,26 @@
   if (aBatch->mIsLoading) {
     return;
   }
+  StartLoad(aBatch);
+}
+
+objects::object_done
+batch_service::WhileSame(const batch_ptr& aBatch, objects::object_done aDone)
+{
+  return [aBatch, generation = aBatch->mGeneration, done = std::move(aDone)](
+           objects::object_reply aReply) {
+    if (aBatch->mGeneration == generation) {
+      done(std::move(aReply));
+    }
+  };
+}
+
+void
+batch_service::StartLoad(const batch_ptr& aBatch)
+{
   aBatch->mIsLoading = true;
   aBatch->mLog = {};
+  ++aBatch->mGeneration;
   auto gathered = std::make_shared<submission>();
   gathered->mId = aBatch->mHead.mId;
   gathered->mModel = aBatch->mHead.mModel;
@@ -597,63 +626,71 @@
     LoadResults(aBatch);
     return;
   }
-  mParts.mStore.mGet(
-    kItemsKind,
-    ItemsName(aBatch->mHead.mId, aPart),
-    objects::freshness::Linearizable,
-    [this, aBatch, aGathered, aPart](const objects::object_reply& aReply) {
-      if (aReply.mOutcome == store_outcome::Done &&
-          DecodeItems(aReply.mObject, *aGathered)) {
-        LoadItems(aBatch, aGathered, aPart + 1);
-      } else {
-        FinishLoad(aBatch, false);
-      }
-    });
+  mParts.mStore.mGet(kItemsKind,
+                     ItemsName(aBatch->mHead.mId, aPart),
+                     objects::freshness::Linearizable,
+                     WhileSame(aBatch,
+                               [this, aBatch, aGathered, aPart](
+                                 const objects::object_reply& aReply) {
+                                 if (aReply.mOutcome == store_outcome::Done &&
+                                     DecodeItems(aReply.mObject, *aGathered)) {
+                                   LoadItems(aBatch, aGathered, aPart + 1);
+                                 } else {
+                                   FinishLoad(aBatch, false);
+                                 }
+                               }));
 }
 
 void
 batch_service::LoadResults(const batch_ptr& aBatch)
 {
+  const auto take = [this, aBatch](const objects::object_reply& aReply) {
+    if (aReply.mOutcome == store_outcome::NotFound) {
+      FinishLoad(aBatch, true);
+      return;
+    }
+    const auto block = aReply.mOutcome == store_outcome::Done
+                         ? DecodeBlock(aReply.mObject)
+                         : std::nullopt;
+    if (!block) {
+      FinishLoad(aBatch, false);
+      return;
+    }
+    TakeBlock(aBatch->mLog, *block);
+    LoadResults(aBatch);
+  };
   mParts.mStore.mGet(kResultsKind,
                      ResultsName(aBatch->mHead.mId, aBatch->mLog.mNextBlock),
                      objects::freshness::Linearizable,
-                     [this, aBatch](const objects::object_reply& aReply) {
-                       if (aReply.mOutcome == store_outcome::NotFound) {
-                         FinishLoad(aBatch, true);
-                         return;
-                       }
-                       const auto block = aReply.mOutcome == store_outcome::Done
-                                            ? DecodeBlock(aReply.mObject)
-                                            : std::nullopt;
-                       if (!block) {
-                         FinishLoad(aBatch, false);
-                         return;
-                       }
-                       TakeBlock(aBatch->mLog, *block);
-                       LoadResults(aBatch);
-                     });
+                     WhileSame(aBatch, take));
 }
 
 void
 batch_service::FinishLoad(const batch_ptr& aBatch, bool aIsLoaded)
 {
   aBatch->mIsLoading = false;
-  aBatch->mIsLoaded = aIsLoaded && IsMine(aBatch);
+  aBatch->mIsLoaded = aIsLoaded;
   events::line("batch_loaded")
     .With("batch", aBatch->mHead.mId)
     .With("outcome", aBatch->mIsLoaded ? "loaded" : "failed")
     .With("results", static_cast<std::int64_t>(aBatch->mLog.mListed.size()));
-  const auto waiters = std::move(aBatch->mLoadWaiters);
-  aBatch->mLoadWaiters.clear();
   if (aBatch->mIsLoaded) {
     Run(aBatch);
-  } else if (IsMine(aBatch) && !aBatch->mHead.mIsEnded) {
+  } else if (!aBatch->mHead.mIsEnded) {
     After(kRetryPause, [this, aBatch] {
       if (IsMine(aBatch)) {
         Load(aBatch, [](bool) {});
       }
     });
   }
+  TellLoaded(aBatch);
+}
+
+void
+batch_service::TellLoaded(const batch_ptr& aBatch)
+{
+  const auto waiters = std::move(aBatch->mLoadWaiters);
+  aBatch->mLoadWaiters.clear();
   for (const auto& waiter : waiters) {
     waiter(aBatch->mIsLoaded);
   }
@@ -675,8 +712,12 @@
 {
   mParts.mRunner.Remove(aBatch->mHead.mId);
   aBatch->mIsLoaded = false;
+  aBatch->mIsLoading = false;
+  aBatch->mIsCommitting = false;
+  ++aBatch->mGeneration;
   aBatch->mLog = {};
   aBatch->mSubmission.reset();
+  TellLoaded(aBatch);
   const auto waiters = std::move(aBatch->mResultWaiters);
   aBatch->mResultWaiters.clear();
   for (const auto& waiter : waiters) {
@@ -735,41 +776,37 @@
     kResultsKind,
     ResultsName(aBatch->mHead.mId, aBatch->mLog.mNextBlock),
     EncodeBlock(*block),
-    [this, aBatch, block](const objects::object_reply& aReply) {
-      aBatch->mIsCommitting = false;
-      if (!aBatch->mIsLoaded) {
-        return;
-      }
-      if (aReply.mOutcome == store_outcome::Done) {
-        TakeListedBlock(aBatch, *block);
-        PlanCommit(aBatch, kGatherResults);
-      } else if (aReply.mOutcome == store_outcome::Refused) {
-        PlanCommit(aBatch, kRetryPause);
-      } else {
-        SettleCommit(aBatch);
-      }
-    });
+    WhileSame(aBatch,
+              [this, aBatch, block](const objects::object_reply& aReply) {
+                aBatch->mIsCommitting = false;
+                if (aReply.mOutcome == store_outcome::Done) {
+                  TakeListedBlock(aBatch, *block);
+                  PlanCommit(aBatch, kGatherResults);
+                } else if (aReply.mOutcome == store_outcome::Refused) {
+                  PlanCommit(aBatch, kRetryPause);
+                } else {
+                  SettleCommit(aBatch);
+                }
+              }));
 }
 
 void
 batch_service::SettleCommit(const batch_ptr& aBatch)
 {
   aBatch->mIsCommitting = true;
-  mParts.mStore.mGet(kResultsKind,
-                     ResultsName(aBatch->mHead.mId, aBatch->mLog.mNextBlock),
-                     objects::freshness::Linearizable,
-                     [this, aBatch](const objects::object_reply& aReply) {
-                       aBatch->mIsCommitting = false;
-                       if (!aBatch->mIsLoaded) {
-                         return;
-                       }
-                       if (aReply.mOutcome == store_outcome::Done) {
-                         if (const auto block = DecodeBlock(aReply.mObject)) {
-                           TakeListedBlock(aBatch, *block);
-                         }
-                       }
-                       PlanCommit(aBatch, kRetryPause);
-                     });
+  mParts.mStore.mGet(
+    kResultsKind,
+    ResultsName(aBatch->mHead.mId, aBatch->mLog.mNextBlock),
+    objects::freshness::Linearizable,
+    WhileSame(aBatch, [this, aBatch](const objects::object_reply& aReply) {
+      aBatch->mIsCommitting = false;
+      if (aReply.mOutcome == store_outcome::Done) {
+        if (const auto block = DecodeBlock(aReply.mObject)) {
+          TakeListedBlock(aBatch, *block);
+        }
+      }
+      PlanCommit(aBatch, kRetryPause);
+    }));
 }
 
 void
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -39,6 +39,10 @@
   bool mIsLoading = false;
   std::shared_ptr<const submission> mSubmission;
   result_log mLog;
+  /** Grows whenever the log is thrown away. An answer of the store that comes
+   * after this entry lost the batch and took it over again belongs to the log
+   * before; added to the new one it would shift every later position. */
+  std::uint64_t mGeneration = 0;
   bool mIsCommitting = false;
   bool mIsCommitPlanned = false;
   /** When the owner last changed, as seen here. */
@@ -134,11 +138,16 @@
            int aTriesLeft);
 
   void Load(const batch_ptr& aBatch, std::function<void(bool)> aDone);
+  void StartLoad(const batch_ptr& aBatch);
   void LoadItems(const batch_ptr& aBatch,
                  std::shared_ptr<submission> aGathered,
                  int aPart);
   void LoadResults(const batch_ptr& aBatch);
   void FinishLoad(const batch_ptr& aBatch, bool aIsLoaded);
+  void TellLoaded(const batch_ptr& aBatch);
+  /** The function, unless the batch's log has been thrown away by then. */
+  objects::object_done WhileSame(const batch_ptr& aBatch,
+                                 objects::object_done aDone);
   void Run(const batch_ptr& aBatch);
   void Drop(const batch_ptr& aBatch);
 
