Batches: a lost answer is settled by reading back; tests on a stand-in store

Cause: with every answer of the store lost, the entry gave up on a batch whose items and head it could have read (503 for one that was accepted by nobody yet, 504 else). Change: after a lost answer the object is read; when it isn't there the write is tried again.

--- a/Duties/Batches/BatchService.cpp
+++ b/Duties/Batches/BatchService.cpp
@@ -186,22 +186,32 @@
     WriteHead(aAdmission);
     return;
   }
-  mParts.mStore.mCreate(
-    kItemsKind,
-    ItemsName(aAdmission->mHead.mId, static_cast<int>(aPart)),
-    aAdmission->mItems[aPart],
+  const auto name = ItemsName(aAdmission->mHead.mId, static_cast<int>(aPart));
+  const auto take =
     [this, aAdmission, aPart](const objects::object_reply& aReply) {
-      // A conflict means that an earlier submission of the same batch wrote
-      // the same items.
+      // A conflict means that an earlier submission of the same batch wrote the
+      // same items.
       if (aReply.mOutcome == store_outcome::Done ||
           aReply.mOutcome == store_outcome::Conflict) {
         WriteItems(aAdmission, aPart + 1);
-      } else if (aReply.mOutcome == store_outcome::Unknown &&
-                 aAdmission->mTriesLeft-- > 0) {
+      } else if (aReply.mOutcome == store_outcome::NotFound) {
         WriteItems(aAdmission, aPart);
       } else {
         FailAdmission(aAdmission, "items not stored");
       }
+    };
+  mParts.mStore.mCreate(
+    kItemsKind,
+    name,
+    aAdmission->mItems[aPart],
+    [this, aAdmission, name, take](const objects::object_reply& aReply) {
+      if (aReply.mOutcome == store_outcome::Unknown &&
+          aAdmission->mTriesLeft-- > 0) {
+        mParts.mStore.mGet(
+          kItemsKind, name, objects::freshness::Linearizable, take);
+      } else {
+        take(aReply);
+      }
     });
 }
 
@@ -213,38 +223,68 @@
     aAdmission->mHead.mId,
     EncodeHead(aAdmission->mHead),
     [this, aAdmission](const objects::object_reply& aReply) {
-      switch (aReply.mOutcome) {
-        case store_outcome::Done:
-          aAdmission->mHead.mRevision = aReply.mObject.mRevision;
-          Accept(aAdmission);
-          return;
-        case store_outcome::Conflict:
-          // Accepted before, by another entry or by a call whose answer was
-          // lost.
-          if (const auto head = DecodeHead(aReply.mObject)) {
-            TakeHead(*head);
-            const auto batch = mBatches[head->mId];
-            if (IsMine(batch) && !batch->mIsLoaded) {
-              Load(batch, [](bool) {});
-            }
-          }
-          events::line("batch_repeated").With("batch", aAdmission->mHead.mId);
-          aAdmission->mExchange->Answer({ 202, {}, {} });
-          return;
-        case store_outcome::Unknown:
-          aAdmission->mIsUnsettled = true;
-          if (aAdmission->mTriesLeft-- > 0) {
-            WriteHead(aAdmission);
-            return;
-          }
-          break;
-        default:
-          break;
-      }
-      FailAdmission(aAdmission, "head not stored");
+      TakeHeadReply(aAdmission, aReply);
     });
 }
 
+void
+batch_service::TakeHeadReply(const std::shared_ptr<admission>& aAdmission,
+                             const objects::object_reply& aReply)
+{
+  switch (aReply.mOutcome) {
+    case store_outcome::Done:
+      if (!aAdmission->mIsUnsettled) {
+        aAdmission->mHead.mRevision = aReply.mObject.mRevision;
+        Accept(aAdmission);
+        return;
+      }
+      [[fallthrough]];
+    case store_outcome::Conflict:
+      if (const auto head = DecodeHead(aReply.mObject)) {
+        TakeExistingHead(aAdmission, *head);
+        return;
+      }
+      break;
+    case store_outcome::NotFound:
+      // Read back after a lost answer: it isn't there yet.
+      WriteHead(aAdmission);
+      return;
+    case store_outcome::Unknown:
+      aAdmission->mIsUnsettled = true;
+      if (aAdmission->mTriesLeft-- > 0) {
+        mParts.mStore.mGet(
+          kHeadKind,
+          aAdmission->mHead.mId,
+          objects::freshness::Linearizable,
+          [this, aAdmission](const objects::object_reply& aRead) {
+            TakeHeadReply(aAdmission, aRead);
+          });
+        return;
+      }
+      break;
+    default:
+      break;
+  }
+  FailAdmission(aAdmission, "head not stored");
+}
+
+void
+batch_service::TakeExistingHead(const std::shared_ptr<admission>& aAdmission,
+                                const batch_head& aHead)
+{
+  // Accepted by a call whose answer was lost, by an earlier life of this
+  // entry, or by another one: results may be listed already.
+  TakeHead(aHead);
+  const auto batch = mBatches[aHead.mId];
+  if (IsMine(batch) && !aHead.mIsEnded) {
+    Load(batch, [](bool) {});
+  }
+  events::line("batch_repeated")
+    .With("batch", aHead.mId)
+    .With("owner", aHead.mOwner);
+  aAdmission->mExchange->Answer({ 202, {}, {} });
+}
+
 void
 batch_service::Accept(const std::shared_ptr<admission>& aAdmission)
 {
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -104,6 +104,10 @@
   void WriteItems(const std::shared_ptr<admission>& aAdmission,
                   std::size_t aPart);
   void WriteHead(const std::shared_ptr<admission>& aAdmission);
+  void TakeHeadReply(const std::shared_ptr<admission>& aAdmission,
+                     const objects::object_reply& aReply);
+  void TakeExistingHead(const std::shared_ptr<admission>& aAdmission,
+                        const batch_head& aHead);
   void Accept(const std::shared_ptr<admission>& aAdmission);
   void FailAdmission(const std::shared_ptr<admission>& aAdmission,
                      const char* aReason);
--- /dev/null
+++ b/StandIns/ObjectStore/MemoryStore.cpp
@@ -0,0 +1,254 @@
+#include "StandIns/ObjectStore/MemoryStore.h"
+
+#include <functional>
+
+namespace lavender::standin {
+
+using namespace std::chrono_literals;
+using objects::store_outcome;
+
+namespace {
+
+enum class write_kind
+{
+  Create,
+  Replace,
+  ReplaceStatus,
+  Delete
+};
+
+struct write_call
+{
+  write_kind mWhat = write_kind::Create;
+  std::string mKind;
+  std::string mName;
+  objects::revision_number mExpected = 0;
+  std::string mJson;
+};
+
+void
+After(boost::asio::io_context& aLoop,
+      milliseconds aPause,
+      std::function<void()> aAction)
+{
+  auto timer = std::make_shared<boost::asio::steady_timer>(aLoop);
+  timer->expires_after(aPause);
+  timer->async_wait([timer, action = std::move(aAction)](const auto& aError) {
+    if (!aError) {
+      action();
+    }
+  });
+}
+
+json::value
+ParsedOrNull(const std::string& aJson)
+{
+  auto parsed = json::Parse(aJson);
+  return parsed ? std::move(*parsed) : json::value();
+}
+
+objects::object_reply
+Apply(memory_store_state& aState, const write_call& aCall)
+{
+  auto& kind = aState.mKinds[aCall.mKind];
+  const auto found = kind.find(aCall.mName);
+  if (aCall.mWhat == write_kind::Create) {
+    if (found != kind.end()) {
+      return { store_outcome::Conflict, found->second };
+    }
+    auto& object = kind[aCall.mName];
+    object.mName = aCall.mName;
+    object.mRevision = object.mCreatedAt = ++aState.mRevision;
+    object.mSpec = ParsedOrNull(aCall.mJson);
+    aState.mHistory[aCall.mKind].push_back({ object, false });
+    return { store_outcome::Done, object };
+  }
+  if (found == kind.end()) {
+    return { store_outcome::NotFound, {} };
+  }
+  auto& object = found->second;
+  if (aCall.mExpected != 0 && aCall.mExpected != object.mRevision) {
+    return { store_outcome::Conflict, object };
+  }
+  object.mRevision = ++aState.mRevision;
+  if (aCall.mWhat == write_kind::Delete) {
+    const auto gone = object;
+    kind.erase(found);
+    aState.mHistory[aCall.mKind].push_back({ gone, true });
+    return { store_outcome::Done, gone };
+  }
+  (aCall.mWhat == write_kind::Replace ? object.mSpec : object.mStatus) =
+    ParsedOrNull(aCall.mJson);
+  aState.mHistory[aCall.mKind].push_back({ object, false });
+  return { store_outcome::Done, object };
+}
+
+void
+Write(boost::asio::io_context& aLoop,
+      memory_store_state& aState,
+      write_call aCall,
+      objects::object_done aDone)
+{
+  ++aState.mCalls;
+  const auto answer = [&aLoop, done = std::move(aDone)](
+                        milliseconds aPause, objects::object_reply aReply) {
+    After(aLoop, aPause, [done, reply = std::move(aReply)] { done(reply); });
+  };
+  const objects::object_reply unknown{ store_outcome::Unknown, {} };
+  switch (aState.mFault) {
+    case store_fault::None:
+      answer(aState.mLatency, Apply(aState, aCall));
+      return;
+    case store_fault::Refuse:
+      answer(aState.mLatency, { store_outcome::Refused, {} });
+      return;
+    case store_fault::Silent:
+      answer(aState.mSilence, unknown);
+      return;
+    case store_fault::LoseAnswers:
+      Apply(aState, aCall);
+      answer(aState.mSilence, unknown);
+      return;
+    case store_fault::Late:
+      After(
+        aLoop, aState.mLateness, [&aState, aCall] { Apply(aState, aCall); });
+      answer(aState.mSilence, unknown);
+      return;
+  }
+}
+
+/** The outcome of a read that can't be served now, if it can't. */
+std::optional<store_outcome>
+ReadFault(const memory_store_state& aState)
+{
+  switch (aState.mFault) {
+    case store_fault::Refuse:
+      return store_outcome::Refused;
+    case store_fault::Silent:
+      return store_outcome::Unknown;
+    default:
+      return std::nullopt;
+  }
+}
+
+void
+Watch(boost::asio::io_context& aLoop,
+      memory_store_state& aState,
+      const std::string& aKind,
+      objects::revision_number aSince,
+      milliseconds aLeft,
+      const objects::watch_done& aDone)
+{
+  // A stand-in looks every few ms; that is simpler than keeping waiters.
+  constexpr milliseconds kLookEach = 2ms;
+  objects::watch_reply reply;
+  if (const auto fault = ReadFault(aState)) {
+    reply.mOutcome = *fault;
+    After(aLoop, aState.mSilence, [aDone, reply] { aDone(reply); });
+    return;
+  }
+  reply.mOutcome = aSince < aState.mForgottenBefore ? store_outcome::HistoryGone
+                                                    : store_outcome::Done;
+  for (const auto& event : aState.mHistory[aKind]) {
+    if (event.mObject.mRevision > aSince) {
+      reply.mEvents.push_back(event);
+    }
+  }
+  reply.mStoreRevision = aState.mRevision;
+  if (!reply.mEvents.empty() || aLeft <= 0ms ||
+      reply.mOutcome != store_outcome::Done) {
+    After(aLoop, aState.mLatency, [aDone, reply] { aDone(reply); });
+    return;
+  }
+  After(aLoop, kLookEach, [=, &aLoop, &aState] {
+    Watch(aLoop, aState, aKind, aSince, aLeft - kLookEach, aDone);
+  });
+}
+
+} // namespace
+
+objects::object_store
+MakeMemoryStore(boost::asio::io_context& aLoop, memory_store_state& aState)
+{
+  objects::object_store store;
+  store.mGet = [&](const auto& aKind, const auto& aName, auto, auto aDone) {
+    ++aState.mCalls;
+    objects::object_reply reply{ store_outcome::NotFound, {} };
+    auto pause = aState.mLatency;
+    if (const auto fault = ReadFault(aState)) {
+      reply.mOutcome = *fault;
+      pause = aState.mSilence;
+    } else if (const auto found = aState.mKinds[aKind].find(aName);
+               found != aState.mKinds[aKind].end()) {
+      reply = { store_outcome::Done, found->second };
+    }
+    After(aLoop, pause, [aDone, reply] { aDone(reply); });
+  };
+  store.mList = [&](const auto& aKind, const auto& aAfter, auto, auto aDone) {
+    ++aState.mCalls;
+    objects::list_reply reply;
+    reply.mOutcome = ReadFault(aState).value_or(store_outcome::Done);
+    reply.mStoreRevision = aState.mRevision;
+    for (const auto& [name, object] : aState.mKinds[aKind]) {
+      if (name > aAfter) {
+        reply.mObjects.push_back(object);
+      }
+    }
+    After(aLoop, aState.mLatency, [aDone, reply] { aDone(reply); });
+  };
+  store.mWatch = [&](const auto& aKind, auto aSince, auto aWait, auto aDone) {
+    ++aState.mCalls;
+    Watch(aLoop, aState, aKind, aSince, aWait, aDone);
+  };
+  store.mCreate =
+    [&](const auto& aKind, const auto& aName, auto aJson, auto aDone) {
+      Write(aLoop,
+            aState,
+            { write_kind::Create, aKind, aName, 0, aJson },
+            std::move(aDone));
+    };
+  store.mReplace = [&](const auto& aKind,
+                       const auto& aName,
+                       auto aExpected,
+                       auto aJson,
+                       auto aDone) {
+    Write(aLoop,
+          aState,
+          { write_kind::Replace, aKind, aName, aExpected, aJson },
+          std::move(aDone));
+  };
+  store.mReplaceStatus = [&](const auto& aKind,
+                             const auto& aName,
+                             auto aExpected,
+                             auto aJson,
+                             auto aDone) {
+    Write(aLoop,
+          aState,
+          { write_kind::ReplaceStatus, aKind, aName, aExpected, aJson },
+          std::move(aDone));
+  };
+  store.mDelete = [&](const auto& aKind, const auto& aName, auto aDone) {
+    Write(aLoop,
+          aState,
+          { write_kind::Delete, aKind, aName, 0, "" },
+          std::move(aDone));
+  };
+  return store;
+}
+
+void
+PutDirectly(memory_store_state& aState,
+            const std::string& aKind,
+            const std::string& aName,
+            const std::string& aSpecJson)
+{
+  const bool exists = aState.mKinds[aKind].count(aName) > 0;
+  Apply(aState,
+        { exists ? write_kind::Replace : write_kind::Create,
+          aKind,
+          aName,
+          0,
+          aSpecJson });
+}
+
+} // namespace lavender::standin
--- /dev/null
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -0,0 +1,136 @@
+#include "Tests/Site/Support/BatchEntry.h"
+
+#include "Duties/Batches/PeerCall.h"
+
+namespace lavender::tests {
+
+batch_site::batch_site()
+{
+  auto route = std::make_shared<site::route>();
+  route->mHost = "train.example";
+  route->mPathPrefix = "/r/";
+  route->mTakesBatches = true;
+  route->mMaximumAttempts = 3;
+  route->mPools = { { "pool", 1 } };
+  auto configuration = std::make_shared<site::site_configuration>();
+  configuration->mVersion = 1;
+  configuration->mRoutes[route->mHost][route->mPathPrefix] = route;
+  mConfiguration = configuration;
+}
+
+void
+batch_site::Add(const model_server& aServer)
+{
+  site::TakeServer(mDirectory, aServer.Entry());
+}
+
+batch_entry::batch_entry(batch_site& aSite, const std::string& aName)
+  : mSite(aSite)
+  , mStore(standin::MakeMemoryStore(aSite.mLoop.mLoop, aSite.mState))
+  , mRunner({ aSite.mLoop.mLoop,
+              *aSite.mClients,
+              aSite.mProtocol,
+              aSite.mDirectory,
+              aSite.mConfiguration,
+              aSite.mMetrics,
+              [this](const auto& aBatchId, auto aResult) {
+                mService.TakeResult(aBatchId, std::move(aResult));
+              } })
+  , mService({ aSite.mLoop.mLoop,
+               mStore,
+               *aSite.mClients,
+               mRunner,
+               aSite.mMetrics,
+               platform::MakePageFormat(),
+               aName,
+               [this](const std::string& aPeer) {
+                 const auto found = mSite.mPeers.find(aPeer);
+                 return found == mSite.mPeers.end()
+                          ? std::optional<edge::endpoint>()
+                          : std::optional(found->second);
+               } })
+  , mListener(aSite.mLoop.mLoop,
+              std::make_shared<edge::listener_limits>(),
+              [this](const auto& aExchange) { Serve(aExchange); })
+{
+  mListener.Open({ "127.0.0.1", 0 });
+  aSite.mPeers[aName] = { "127.0.0.1", mListener.Port() };
+  mService.Start();
+}
+
+void
+batch_entry::Serve(const edge::exchange_ptr& aExchange)
+{
+  if (!mIsReachable) {
+    mHeld.push_back(aExchange);
+    return;
+  }
+  const auto& target = aExchange->mRequest.mTarget;
+  if (target.rfind(batches::kPeerPath, 0) == 0) {
+    mService.ServePeer(aExchange);
+  } else if (platform::IsBatchPath(target)) {
+    mService.Serve(aExchange, *platform::DecodeBatchCall(aExchange->mRequest));
+  } else {
+    mService.Submit(aExchange,
+                    "",
+                    "train.example",
+                    *platform::DecodeSubmission(aExchange->mRequest));
+  }
+}
+
+call_result
+batch_entry::Submit(const std::string& aBatchId, int aItems)
+{
+  json::array items;
+  for (int i = 0; i < aItems; ++i) {
+    items.push_back(json::object{ { "id", aBatchId + "i" + std::to_string(i) },
+                                  { "path", "/r/x" },
+                                  { "headers", json::object{} },
+                                  { "body", "aGVsbG8=" },
+                                  { "group", "g" + std::to_string(i / 4) } });
+  }
+  edge::request request;
+  request.mMethod = "POST";
+  request.mTarget = "/r/" + aBatchId;
+  request.mHeaders.Add("X-Attempt-Id", aBatchId);
+  request.mBody = json::Write(json::object{ { "model", "model" },
+                                            { "minVersion", 1 },
+                                            { "targetGroups", 1 },
+                                            { "items", items } });
+  return Call(mSite.mLoop, *mSite.mClients, Port(), request);
+}
+
+json::value
+batch_entry::Read(const std::string& aBatchId, std::size_t aAfter)
+{
+  edge::request request;
+  request.mMethod = "GET";
+  request.mTarget = "/lots/" + aBatchId + "?after=" + std::to_string(aAfter);
+  const auto result = Call(mSite.mLoop, *mSite.mClients, Port(), request);
+  auto body = json::Parse(result.mAnswer.mBody);
+  return body ? std::move(*body) : json::value();
+}
+
+std::vector<std::string>
+batch_entry::ListedIds(const std::string& aBatchId)
+{
+  std::vector<std::string> ids;
+  const auto page = Read(aBatchId, 0);
+  if (const auto* results = page.Find("results")) {
+    for (const auto& result : results->Elements()) {
+      ids.push_back(json::StringAt(result, "id", ""));
+    }
+  }
+  return ids;
+}
+
+unsigned
+batch_entry::End(const std::string& aBatchId)
+{
+  edge::request request;
+  request.mMethod = "DELETE";
+  request.mTarget = "/lots/" + aBatchId;
+  return Call(mSite.mLoop, *mSite.mClients, Port(), request).mAnswer.mStatus;
+}
+
+} // namespace lavender::tests
--- /dev/null
+++ b/Tests/Site/Support/BatchEntry.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Duties/Batches/BatchService.h"
+#include "StandIns/ObjectStore/MemoryStore.h"
+#include "Tests/Site/Support/Loop.h"
+#include "Tests/Site/Support/ModelServer.h"
+#include "platform/BatchMessages.h"
+#include "platform/ExchangeProtocol.h"
+
+namespace lavender::tests {
+
+/** What entries of one test share. */
+struct batch_site
+{
+  test_loop mLoop;
+  std::shared_ptr<edge::client_pool> mClients =
+    std::make_shared<edge::client_pool>(mLoop.mLoop);
+  standin::memory_store_state mState;
+  site::exchange_protocol mProtocol = platform::MakeExchangeProtocol();
+  site::configuration_ptr mConfiguration;
+  site::server_directory mDirectory;
+  metrics::registry mMetrics;
+  /** Peers that can be reached, by name. */
+  std::map<std::string, edge::endpoint> mPeers;
+
+  batch_site();
+  void Add(const model_server& aServer);
+};
+
+/** One entry's batch duty with a listener for trainers and peers. */
+class batch_entry
+{
+public:
+  batch_entry(batch_site& aSite, const std::string& aName);
+
+  unsigned short Port() const { return mListener.Port(); }
+  call_result Submit(const std::string& aBatchId, int aItems);
+  /** All results that are listed from that position on. */
+  json::value Read(const std::string& aBatchId, std::size_t aAfter);
+  std::vector<std::string> ListedIds(const std::string& aBatchId);
+  unsigned End(const std::string& aBatchId);
+
+  batch_site& mSite;
+  objects::object_store mStore;
+  batches::batch_runner mRunner;
+  batches::batch_service mService;
+  /** False stands for an entry that is cut off from callers and peers. */
+  bool mIsReachable = true;
+
+private:
+  void Serve(const edge::exchange_ptr& aExchange);
+
+  std::vector<edge::exchange_ptr> mHeld;
+  edge::listener mListener;
+};
+
+} // namespace lavender::tests
--- /dev/null
+++ b/Tests/Site/Support/Loop.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Libraries/Core/Clock.h"
+#include "Libraries/Edge/Caller.h"
+#include "Libraries/Edge/Listener.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+
+namespace lavender::tests {
+
+/** An event loop that a test drives until what it waits for has happened. */
+struct test_loop
+{
+  boost::asio::io_context mLoop{ 1 };
+
+  /** @return whether the condition came to hold; the limit only ends a test
+   * that would hang */
+  bool RunUntil(const std::function<bool()>& aCondition,
+                milliseconds aLimit = std::chrono::seconds(20));
+};
+
+struct call_result
+{
+  bool mIsDone = false;
+  edge::call_end mEnd = edge::call_end::NotSent;
+  edge::response mAnswer;
+};
+
+/** Runs one call to its end. */
+call_result
+Call(test_loop& aLoop,
+     edge::client_pool& aClients,
+     unsigned short aPort,
+     const edge::request& aRequest);
+
+} // namespace lavender::tests
--- /dev/null
+++ b/Tests/Site/Support/ModelServer.cpp
@@ -0,0 +1,98 @@
+#include "Tests/Site/Support/ModelServer.h"
+
+namespace lavender::tests {
+
+struct model_server::run
+{
+  edge::exchange_ptr mExchange;
+  std::string mItem;
+  int mNext = 1;
+  std::shared_ptr<boost::asio::steady_timer> mTimer;
+  bool mIsOpen = true;
+};
+
+model_server::model_server(boost::asio::io_context& aLoop, std::string aId)
+  : mLoop(aLoop)
+  , mId(std::move(aId))
+  , mListener(aLoop,
+              std::make_shared<edge::listener_limits>(),
+              [this](const auto& aExchange) { Serve(aExchange); })
+{
+  mListener.Open({ "127.0.0.1", 0 });
+}
+
+site::backend_server
+model_server::Entry() const
+{
+  site::backend_server entry;
+  entry.mId = mId;
+  entry.mPool = "pool";
+  entry.mAddress = { "127.0.0.1", mListener.Port() };
+  entry.mAvailabilityZone = "zone";
+  entry.mSlots = 64;
+  entry.mVersions["model"] = mVersion;
+  return entry;
+}
+
+void
+model_server::Serve(const edge::exchange_ptr& aExchange)
+{
+  const auto& request = aExchange->mRequest;
+  auto started = std::make_shared<run>();
+  started->mExchange = aExchange;
+  started->mItem = request.mHeaders.ValueOr("X-Attempt-Id", "");
+  started->mTimer = std::make_shared<boost::asio::steady_timer>(mLoop);
+  ++mRuns[started->mItem];
+  edge::header_list headers;
+  headers.Add("X-Attempt-Id", started->mItem);
+  if (mStatus != 200) {
+    aExchange->Answer({ mStatus, headers, {} });
+    return;
+  }
+  headers.Add("Content-Type", "text/event-stream");
+  headers.Add("X-Weight-Versions", std::to_string(mVersion));
+  started->mNext =
+    static_cast<int>(request.mHeaders.Integer("Last-Event-Id").value_or(0)) + 1;
+  ++mOpenRuns;
+  aExchange->OnCallerLeft([this, started] {
+    if (started->mIsOpen) {
+      started->mIsOpen = false;
+      --mOpenRuns;
+    }
+  });
+  aExchange->Begin(200, headers);
+  WriteNext(started);
+}
+
+void
+model_server::WriteNext(const std::shared_ptr<run>& aRun)
+{
+  if (!aRun->mIsOpen) {
+    return;
+  }
+  const bool breaks =
+    mBreakAfter > 0 && aRun->mNext > mBreakAfter && mRuns[aRun->mItem] == 1;
+  if (breaks || aRun->mNext > mEvents) {
+    aRun->mIsOpen = false;
+    --mOpenRuns;
+    if (breaks) {
+      aRun->mExchange->Write("id: 99\ndata: half an ev");
+      aRun->mExchange->Abort();
+    } else {
+      aRun->mExchange->Finish();
+    }
+    aRun->mExchange->OnCallerLeft(nullptr);
+    return;
+  }
+  const auto number = std::to_string(aRun->mNext++);
+  aRun->mExchange->Write("id: " + number + "\ndata: " + aRun->mItem + "-" +
+                         number + "\n\n");
+  aRun->mTimer->expires_after(mEventPause);
+  aRun->mTimer->async_wait([this, aRun](const auto& aError) {
+    if (!aError) {
+      WriteNext(aRun);
+    }
+  });
+}
+
+} // namespace lavender::tests
--- /dev/null
+++ b/Tests/Site/TestBatchPositions.cpp
@@ -0,0 +1,201 @@
+#include "Tests/Site/Support/BatchEntry.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace lavender;
+using namespace lavender::tests;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_SUITE(TestBatchPositions)
+
+namespace {
+
+/** Takes a batch away from its owner, as another entry's claim would. */
+void
+GiveTo(batch_site& aSite, const std::string& aBatchId, const char* aOwner)
+{
+  auto& object = aSite.mState.mKinds["batches"].at(aBatchId);
+  object.mRevision = ++aSite.mState.mRevision;
+  object.mStatus = json::object{ { "owner", aOwner }, { "ended", false } };
+  aSite.mState.mHistory["batches"].push_back({ object, false });
+}
+
+bool
+IsPrefix(const std::vector<std::string>& aShort,
+         const std::vector<std::string>& aLong)
+{
+  return aShort.size() <= aLong.size() &&
+         std::equal(aShort.begin(), aShort.end(), aLong.begin());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(EveryItemIsListedOnceAtOnePosition)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  site.Add(server);
+  batch_entry entry(site, "a");
+  BOOST_TEST(entry.Submit("b1", 20).mAnswer.mStatus == 202u);
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return entry.ListedIds("b1").size() == 20; }));
+  const auto ids = entry.ListedIds("b1");
+  BOOST_TEST(std::set<std::string>(ids.begin(), ids.end()).size() == 20u);
+  const auto page = entry.Read("b1", 0);
+  const auto& first = page.Find("results")->Elements().front();
+  const auto id = json::StringAt(first, "id", "");
+  BOOST_TEST(json::StringAt(first, "text", "") ==
+             id + "-1\n" + id + "-2\n" + id + "-3\n" + id + "-4");
+}
+
+// A trainer reads results, and later another result stands at a position that
+// it had read. An entry loses a batch to another one while it loads it and
+// gets it back at once; the answers of the store to the first load came into
+// the log of the second, which shifted the numbers of its blocks.
+BOOST_AUTO_TEST_CASE(ABatchLostAndRegainedWhileLoadingKeepsItsPositions)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  server.mEventPause = 25ms;
+  site.Add(server);
+  site.mState.mLatency = 4ms;
+  batch_entry owner(site, "a");
+  batch_entry other(site, "b");
+  BOOST_TEST(owner.Submit("b1", 60).mAnswer.mStatus == 202u);
+  std::vector<std::string> seen;
+  for (int turn = 0; turn < 40 && seen.size() < 60; ++turn) {
+    // Both entries lose and regain it within the time of one load.
+    GiveTo(site, "b1", "b");
+    site.mLoop.RunUntil([] { return false; }, milliseconds(6 + turn % 7));
+    GiveTo(site, "b1", "a");
+    site.mLoop.RunUntil([] { return false; }, milliseconds(5 + turn % 11));
+    GiveTo(site, "b1", "b");
+    site.mLoop.RunUntil([] { return false; }, 3ms);
+    GiveTo(site, "b1", turn % 2 ? "a" : "b");
+    std::vector<std::string> now;
+    BOOST_TEST(site.mLoop.RunUntil([&] {
+      now = owner.ListedIds("b1");
+      return !owner.Read("b1", 0).IsNull() && now.size() >= seen.size();
+    }));
+    BOOST_TEST(IsPrefix(seen, now));
+    seen = now;
+    site.mLoop.RunUntil([] { return false; }, 120ms);
+  }
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return owner.ListedIds("b1").size() == 60; }));
+  const auto last = owner.ListedIds("b1");
+  BOOST_TEST(IsPrefix(seen, last));
+  BOOST_TEST(std::set<std::string>(last.begin(), last.end()).size() == 60u);
+}
+
+// A trainer waits for a step while its entry has died. Whoever is asked next
+// takes the batch over and goes on after what was listed.
+BOOST_AUTO_TEST_CASE(AnotherEntryTakesOverWhenTheOwnerIsSilent)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  server.mEventPause = 40ms;
+  site.Add(server);
+  batch_entry owner(site, "a");
+  batch_entry other(site, "b");
+  BOOST_TEST(owner.Submit("b1", 12).mAnswer.mStatus == 202u);
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return !owner.ListedIds("b1").empty(); }));
+  const auto before = owner.ListedIds("b1");
+  owner.mIsReachable = false;
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return other.ListedIds("b1").size() == 12; }));
+  BOOST_TEST(IsPrefix(before, other.ListedIds("b1")));
+}
+
+// A trainer submits a batch and the store's answer to it is lost, or comes to
+// pass late. The batch must be accepted once, whatever the trainer is told,
+// and no 503 may be given for one that runs.
+BOOST_AUTO_TEST_CASE(ALostAnswerToTheHeadNeverMakesARefusedBatchRun)
+{
+  for (const auto fault : { standin::store_fault::LoseAnswers,
+                            standin::store_fault::Late,
+                            standin::store_fault::Silent,
+                            standin::store_fault::Refuse }) {
+    batch_site site;
+    model_server server(site.mLoop.mLoop, "s1");
+    site.Add(server);
+    batch_entry entry(site, "a");
+    site.mState.mFault = fault;
+    const auto status = entry.Submit("b1", 4).mAnswer.mStatus;
+    site.mState.mFault = standin::store_fault::None;
+    site.mLoop.RunUntil([] { return false; }, 300ms);
+    const bool hasRun = !server.mRuns.empty();
+    const bool promisedNot = status == 503;
+    BOOST_TEST(!(hasRun && promisedNot));
+    if (fault == standin::store_fault::LoseAnswers) {
+      BOOST_TEST(status == 202u);
+    }
+    if (fault == standin::store_fault::Refuse) {
+      BOOST_TEST(status == 503u);
+    }
+  }
+}
+
+// A server dies in the middle of an event. The text must go on after the last
+// whole one, with neither a gap nor a doubled event.
+BOOST_AUTO_TEST_CASE(ABrokenStreamGoesOnAfterItsLastWholeEvent)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  server.mBreakAfter = 2;
+  site.Add(server);
+  batch_entry entry(site, "a");
+  BOOST_TEST(entry.Submit("b1", 3).mAnswer.mStatus == 202u);
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return entry.ListedIds("b1").size() == 3; }));
+  const auto page = entry.Read("b1", 0);
+  for (const auto& result : page.Find("results")->Elements()) {
+    const auto id = json::StringAt(result, "id", "");
+    BOOST_TEST(json::StringAt(result, "text", "") ==
+               id + "-1\n" + id + "-2\n" + id + "-3\n" + id + "-4");
+    BOOST_TEST(server.mRuns[id] == 2);
+  }
+}
+
+// A trainer ends a batch and its items go on to use the servers. The runs must
+// be cut when the end is asked for, not when the store has taken it.
+BOOST_AUTO_TEST_CASE(AnEndCutsTheRunsEvenWhileTheStoreIsSilent)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  server.mEvents = 100000;
+  site.Add(server);
+  batch_entry entry(site, "a");
+  BOOST_TEST(entry.Submit("b1", 5).mAnswer.mStatus == 202u);
+  BOOST_TEST(site.mLoop.RunUntil([&] { return server.mOpenRuns == 5; }));
+  site.mState.mFault = standin::store_fault::Silent;
+  const auto status = entry.End("b1");
+  BOOST_TEST(status != 200u);
+  BOOST_TEST(server.mOpenRuns == 0);
+  site.mState.mFault = standin::store_fault::None;
+  BOOST_TEST(entry.End("b1") == 200u);
+  BOOST_TEST(entry.End("b1") == 200u);
+}
+
+// An item that fails on every server must not be tried for ever, and is given
+// up only after as many failures as its route allows.
+BOOST_AUTO_TEST_CASE(AnItemThatAlwaysFailsIsGivenUpAfterItsAttempts)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  server.mStatus = 500;
+  site.Add(server);
+  batch_entry entry(site, "a");
+  BOOST_TEST(entry.Submit("b1", 2).mAnswer.mStatus == 202u);
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return entry.ListedIds("b1").size() == 2; }));
+  const auto page = entry.Read("b1", 0);
+  for (const auto& result : page.Find("results")->Elements()) {
+    BOOST_TEST(json::StringAt(result, "state", "") == "dead_letter");
+    BOOST_TEST(server.mRuns[json::StringAt(result, "id", "")] == 3);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
