Fewer loads, calls and connections: staggered versions, gathered watches

Cause: each named version was loaded on every server of its model's share at the start of the step that needed them, results were written each 200 ms, four entries watched every kind, and a connection's idle time was counted from the head of its last answer, so none was used again after a stream. Change: a server loads only when it is older than the batches' lag allows, plus as many as keep the versions spread; results that complete no group wait a second; watches gather 600 ms; idle time counts from the end of an answer.

--- a/Duties/Batches/BatchService.cpp
+++ b/Duties/Batches/BatchService.cpp
@@ -19,7 +19,10 @@
 constexpr std::size_t kBlockBytes = 900 << 10;
 /** Results gather this long before they are written as one block: each write
  * is a priced call, and trainers read about twice a second. */
-constexpr milliseconds kGatherResults = 200ms;
+constexpr milliseconds kGatherGroups = 250ms;
+/** Results that complete no group are of no use to the trainer yet; they are
+ * written so that a crash of this entry loses little work. */
+constexpr milliseconds kGatherParts = 1000ms;
 constexpr milliseconds kRetryPause = 250ms;
 /** Longest time that a trainer's reading call is held. */
 constexpr milliseconds kLongestWait = 1000ms;
@@ -32,6 +35,22 @@
 /** Tries to settle a write whose answer was lost. */
 constexpr int kTries = 3;
 
+/** Whether every item of that item's group has a result. */
+bool
+CompletesGroup(const batch_record& aBatch, const std::string& aItemId)
+{
+  const auto& items = aBatch.mSubmission->mItems;
+  const auto item =
+    std::find_if(items.begin(), items.end(), [&](const auto& aCandidate) {
+      return aCandidate.mId == aItemId;
+    });
+  return item == items.end() ||
+         std::all_of(items.begin(), items.end(), [&](const auto& aCandidate) {
+           return aCandidate.mGroup != item->mGroup ||
+                  HasResult(aBatch.mLog, aCandidate.mId);
+         });
+}
+
 } // namespace
 
 /** A batch on its way to being accepted. */
@@ -108,6 +127,7 @@
     batch = std::make_shared<batch_record>();
     batch->mHead = aHead;
     batch->mOwnedSince = boot_clock::now();
+    mParts.mOnAccepted(aHead);
     return;
   }
   if (aHead.mRevision <= batch->mHead.mRevision) {
@@ -291,6 +311,7 @@
   auto& batch = mBatches[aAdmission->mHead.mId];
   if (!batch) {
     batch = std::make_shared<batch_record>();
+    mParts.mOnAccepted(aAdmission->mHead);
   }
   if (batch->mIsLoaded ||
       batch->mHead.mRevision > aAdmission->mHead.mRevision) {
@@ -777,19 +798,25 @@
   const auto& batch = found->second;
   AddPending(
     batch->mLog, aResult.mItemId, mParts.mFormat.mEncodeResult(aResult));
-  PlanCommit(batch, kGatherResults);
+  PlanCommit(batch,
+             CompletesGroup(*batch, aResult.mItemId) ? kGatherGroups
+                                                     : kGatherParts);
 }
 
 void
 batch_service::PlanCommit(const batch_ptr& aBatch, milliseconds aPause)
 {
-  if (aBatch->mIsCommitPlanned || aBatch->mIsCommitting) {
+  const auto at = boot_clock::now() + aPause;
+  if (aBatch->mIsCommitting ||
+      (aBatch->mCommitAt && *aBatch->mCommitAt <= at)) {
     return;
   }
-  aBatch->mIsCommitPlanned = true;
-  After(aPause, [this, aBatch] {
-    aBatch->mIsCommitPlanned = false;
-    Commit(aBatch);
+  aBatch->mCommitAt = at;
+  After(aPause, [this, aBatch, at] {
+    if (aBatch->mCommitAt == at) {
+      aBatch->mCommitAt.reset();
+      Commit(aBatch);
+    }
   });
 }
 
@@ -821,7 +848,7 @@
                 aBatch->mIsCommitting = false;
                 if (aReply.mOutcome == store_outcome::Done) {
                   TakeListedBlock(aBatch, *block);
-                  PlanCommit(aBatch, kGatherResults);
+                  PlanCommit(aBatch, kGatherGroups);
                 } else if (aReply.mOutcome == store_outcome::Refused) {
                   PlanCommit(aBatch, kRetryPause);
                 } else {
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -28,6 +28,8 @@
   std::string mName;
   /** Where another entry takes forwarded calls; none when it isn't known. */
   std::function<std::optional<edge::endpoint>(const std::string&)> mFindPeer;
+  /** Told once of each batch that was accepted, by whichever entry. */
+  std::function<void(const batch_head&)> mOnAccepted;
 };
 
 /** One batch as this entry knows it. */
@@ -44,7 +46,8 @@
    * before; added to the new one it would shift every later position. */
   std::uint64_t mGeneration = 0;
   bool mIsCommitting = false;
-  bool mIsCommitPlanned = false;
+  /** When the waiting results will be written. */
+  std::optional<time_point> mCommitAt;
   /** When the owner last changed, as seen here. */
   time_point mOwnedSince;
   std::vector<std::function<void(bool)>> mLoadWaiters;
--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -3,6 +3,8 @@
 #include "Libraries/EventLog/EventLog.h"
 #include "Libraries/Json/Value.h"
 
+#include <algorithm>
+
 namespace lavender::versions {
 
 using namespace std::chrono_literals;
@@ -76,6 +78,42 @@
   return {};
 }
 
+void
+assignments::TakeBatch(const std::string& aModel, std::int64_t aMinimumVersion)
+{
+  // More than a few versions would be a trainer that has fallen behind, not
+  // one that allows it.
+  constexpr std::int64_t kLargestLag = 3;
+  const auto named = mNamed.find(aModel);
+  if (named != mNamed.end()) {
+    // The batch may be heard of before the version that it was asked for with;
+    // then the difference comes out too small, so the last two count.
+    auto& [before, last] = mLags[aModel];
+    before = last;
+    last =
+      std::clamp<std::int64_t>(named->second - aMinimumVersion, 0, kLargestLag);
+  }
+}
+
+std::vector<placed_server>
+assignments::ServersOf(const std::string& aPool) const
+{
+  std::vector<placed_server> servers;
+  for (const auto& [id, row] : mParts.mDirectory.mRows) {
+    if (row.mServer.mPool != aPool || row.mServer.mIsLeaving) {
+      continue;
+    }
+    placed_server server{ id, row.mServer.mVersions };
+    if (const auto reported = mReported.find(id); reported != mReported.end()) {
+      for (const auto& [model, version] : reported->second) {
+        server.mVersions[model] = std::max(server.mVersions[model], version);
+      }
+    }
+    servers.push_back(std::move(server));
+  }
+  return servers;
+}
+
 std::map<std::string, wanted_versions>
 assignments::Decide(time_point aNow)
 {
@@ -87,52 +125,63 @@
     if (!pool.mEngine || pool.mEngine->mModels.empty()) {
       continue;
     }
-    std::vector<placed_server> servers;
-    for (const auto& [id, row] : mParts.mDirectory.mRows) {
-      if (row.mServer.mPool != name || row.mServer.mIsLeaving) {
-        continue;
-      }
-      placed_server server{ id, row.mServer.mVersions };
-      if (const auto reported = mReported.find(id);
-          reported != mReported.end()) {
-        for (const auto& [model, version] : reported->second) {
-          server.mVersions[model] = std::max(server.mVersions[model], version);
-        }
-      }
-      servers.push_back(std::move(server));
-    }
+    const auto servers = ServersOf(name);
     const auto placed = PlaceModels(servers, pool.mEngine->mModels, mNamed);
-    const auto atOnce = LoadsAtOnce(servers.size());
+    const auto due = DueOf(servers, pool.mEngine->mModels);
     std::size_t loading = 0;
-    std::vector<const placed_server*> behind;
     for (const auto& server : servers) {
-      const auto& model = placed.at(server.mId);
-      const auto named = mNamed.find(model);
-      const auto held = server.mVersions.find(model);
-      if (named == mNamed.end() ||
-          (held != server.mVersions.end() && held->second >= named->second)) {
+      const bool isDue =
+        std::find(due.begin(), due.end(), server.mId) != due.end();
+      if (!isDue) {
         mLoadingSince.erase(server.mId);
+      } else if (const auto since = mLoadingSince.find(server.mId);
+                 since != mLoadingSince.end() &&
+                 aNow - since->second < kLoadTime) {
+        ++loading;
+      }
+    }
+    const auto atOnce = LoadsAtOnce(servers.size());
+    for (const auto& id : due) {
+      const auto& model = placed.at(id);
+      const bool isLoading = mLoadingSince.count(id) > 0;
+      if (!isLoading && loading >= atOnce) {
         continue;
       }
-      const auto since = mLoadingSince.find(server.mId);
-      if (since != mLoadingSince.end()) {
-        wanted[server.mId][model] = named->second;
-        loading += aNow - since->second < kLoadTime ? 1 : 0;
-      } else {
-        behind.push_back(&server);
+      if (!isLoading) {
+        mLoadingSince[id] = aNow;
+        ++loading;
       }
+      wanted[id][model] = mNamed.at(model);
     }
-    for (const auto* server : behind) {
-      if (loading >= atOnce) {
-        break;
+  }
+  return wanted;
+}
+
+std::vector<std::string>
+assignments::DueOf(const std::vector<placed_server>& aServers,
+                   const std::vector<std::string>& aModels) const
+{
+  const auto placed = PlaceModels(aServers, aModels, mNamed);
+  std::vector<std::string> due;
+  for (const auto& model : aModels) {
+    const auto named = mNamed.find(model);
+    if (named == mNamed.end()) {
+      continue;
+    }
+    std::vector<placed_server> share;
+    for (const auto& server : aServers) {
+      if (placed.at(server.mId) == model) {
+        share.push_back(server);
       }
-      const auto& model = placed.at(server->mId);
-      wanted[server->mId][model] = mNamed[model];
-      mLoadingSince[server->mId] = aNow;
-      ++loading;
     }
+    const auto lags = mLags.find(model);
+    const auto lag = lags == mLags.end()
+                       ? 0
+                       : std::max(lags->second.first, lags->second.second);
+    const auto ids = DueServers(share, model, named->second, lag);
+    due.insert(due.end(), ids.begin(), ids.end());
   }
-  return wanted;
+  return due;
 }
 
 void
--- a/Duties/Versions/Assignments.h
+++ b/Duties/Versions/Assignments.h
@@ -29,6 +29,9 @@
 
   /** A trainer named a version. */
   void TakeNamed(const std::string& aModel, std::int64_t aVersion);
+  /** A trainer submitted a batch: how far behind the newest version it lets
+   * its tokens be tells how many servers must load the next one. */
+  void TakeBatch(const std::string& aModel, std::int64_t aMinimumVersion);
   /** Servers or configuration have changed. */
   void Refresh();
   /** An agent's question. */
@@ -45,6 +48,9 @@
   };
 
   std::map<std::string, wanted_versions> Decide(time_point aNow);
+  std::vector<placed_server> ServersOf(const std::string& aPool) const;
+  std::vector<std::string> DueOf(const std::vector<placed_server>& aServers,
+                                 const std::vector<std::string>& aModels) const;
   void AnswerChanged();
   void Answer(const waiter& aWaiter, const wanted_versions& aWanted);
   std::string FindServer(const std::string& aAddress) const;
@@ -52,6 +58,8 @@
 
   assignment_parts mParts;
   named_versions mNamed;
+  /** Versions that the last two batches of a model allowed to be behind. */
+  std::map<std::string, std::pair<std::int64_t, std::int64_t>> mLags;
   std::map<std::string, std::map<std::string, std::int64_t>> mReported;
   /** Since when a server has been told to load what it doesn't hold. */
   std::map<std::string, time_point> mLoadingSince;
--- a/Duties/Versions/Placement.cpp
+++ b/Duties/Versions/Placement.cpp
@@ -33,6 +33,44 @@
 
 } // namespace
 
+std::vector<std::string>
+DueServers(const std::vector<placed_server>& aShare,
+           const std::string& aModel,
+           std::int64_t aNamed,
+           std::int64_t aLag)
+{
+  struct row
+  {
+    std::int64_t mVersion;
+    std::string mId;
+    bool operator<(const row& aOther) const
+    {
+      return std::tie(mVersion, mId) < std::tie(aOther.mVersion, aOther.mId);
+    }
+  };
+  std::vector<row> behind;
+  std::size_t fresh = 0;
+  for (const auto& server : aShare) {
+    const auto held = server.mVersions.find(aModel);
+    const auto version = held == server.mVersions.end() ? 0 : held->second;
+    if (version >= aNamed) {
+      ++fresh;
+    } else {
+      behind.push_back({ version, server.mId });
+    }
+  }
+  std::sort(behind.begin(), behind.end());
+  const auto parts = static_cast<std::size_t>(aLag + 1);
+  const std::size_t wanted = (aShare.size() + parts - 1) / parts;
+  std::vector<std::string> due;
+  for (const auto& [version, id] : behind) {
+    if (version < aNamed - aLag || fresh + due.size() < wanted) {
+      due.push_back(id);
+    }
+  }
+  return due;
+}
+
 std::size_t
 LoadsAtOnce(std::size_t aServers)
 {
--- a/Duties/Versions/Placement.h
+++ b/Duties/Versions/Placement.h
@@ -30,6 +30,21 @@
             const std::vector<std::string>& aModels,
             const named_versions& aNamed);
 
+/** Servers of one model's share that shall load the newest version, the most
+ * outdated first.
+ *
+ * A batch that is asked for when version k is named takes tokens of k - lag
+ * and newer. Servers below that are of no use to it and must load. Of the
+ * others just enough load that each version is on an equal part of the share:
+ * then the next version finds most servers fresh enough, and each server loads
+ * only every lag + 1 versions. With a lag of one that halves the loads, each
+ * of which costs a server about a second. */
+std::vector<std::string>
+DueServers(const std::vector<placed_server>& aShare,
+           const std::string& aModel,
+           std::int64_t aNamed,
+           std::int64_t aLag);
+
 /** Servers that load at the same time without slowing each other much: a
  * fifth of the fleet, at least two. */
 std::size_t
--- a/Libraries/Edge/ClientConnection.cpp
+++ b/Libraries/Edge/ClientConnection.cpp
@@ -264,8 +264,7 @@
     head.mHeaders.Add(std::string(field.name_string()),
                       std::string(field.value()));
   }
-  const auto keeps = ReadKeepAlive(head.mHeaders).value_or(kDefaultKeepAlive);
-  mUsableUntil = boot_clock::now() + keeps - kKeepAliveMargin;
+  mKeepsFor = ReadKeepAlive(head.mHeaders).value_or(kDefaultKeepAlive);
   if (mEvents.mOnHead) {
     mEvents.mOnHead(head);
   }
@@ -310,6 +309,8 @@
     aEnd == call_end::Complete && mParser->keep_alive() && !mParser->need_eof();
   const auto pool = mPool.lock();
   if (isReusable && pool) {
+    // The server counts from the end of its answer, which may be a long stream.
+    mUsableUntil = boot_clock::now() + mKeepsFor - kKeepAliveMargin;
     pool->Keep(self);
     Read();
   } else {
--- a/Libraries/Edge/ClientConnection.h
+++ b/Libraries/Edge/ClientConnection.h
@@ -53,6 +53,8 @@
   call_options mOptions;
   call_events mEvents;
   std::string mOutgoing;
+  /** How long the server keeps an idle connection, by its last answer. */
+  milliseconds mKeepsFor{ 0 };
   /** End of the time for which the server keeps the connection idle. */
   time_point mUsableUntil;
   bool mIsConnected = false;
--- a/Libraries/ObjectStore/Mirror.cpp
+++ b/Libraries/ObjectStore/Mirror.cpp
@@ -16,6 +16,10 @@
 void
 mirror::Start()
 {
+  if (mIsStarted) {
+    return;
+  }
+  mIsStarted = true;
   List({}, {});
 }
 
--- a/Libraries/ObjectStore/Mirror.h
+++ b/Libraries/ObjectStore/Mirror.h
@@ -43,6 +43,7 @@
          mirror_options aOptions,
          mirror_events aEvents);
 
+  /** Does nothing when it was started before. */
   void Start();
   void Stop() { mIsStopped = true; }
   const std::map<std::string, stored_object>& Objects() const
@@ -75,6 +76,7 @@
   /** Of a listing's first page: changes during the listing come again. */
   revision_number mListedAt = 0;
   std::optional<time_point> mFreshAt;
+  bool mIsStarted = false;
   bool mHasListed = false;
   bool mIsReachable = true;
   bool mIsStopped = false;
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -21,7 +21,7 @@
 /** Kind of the objects in which entries tell each other their address. */
 constexpr char kEntryKind[] = "entries";
 /** Events that come together are taken as one call, within this. */
-constexpr milliseconds kGatherServers = 250ms;
+constexpr milliseconds kGatherServers = 600ms;
 constexpr milliseconds kGatherVersions = 30ms;
 /** The balancer asks once a second and takes an entry out after two misses;
  * callers may still come until then. */
@@ -71,7 +71,10 @@
                mMetrics,
                platform::MakePageFormat(),
                mSettings.mName,
-               [this](const std::string& aName) { return FindPeer(aName); } })
+               [this](const std::string& aName) { return FindPeer(aName); },
+               [this](const batches::batch_head& aHead) {
+                 mAssignments.TakeBatch(aHead.mModel, aHead.mMinimumVersion);
+               } })
   , mAssignments({ mLoop, mDirectory, mConfiguration })
   , mUsage({ mLoop,
              mStore,
@@ -293,7 +296,6 @@
   mConfigurationMirror->Start();
   mServerMirror->Start();
   mPeerMirror->Start();
-  mVersionMirror->Start();
 }
 
 void
@@ -448,6 +450,9 @@
   if (startsWith(batches::kPeerPath)) {
     mBatches.ServePeer(aExchange);
   } else if (startsWith(versions::kAssignmentPath)) {
+    // Agents all ask the same entry while it lives; only that one needs to
+    // watch for versions.
+    mVersionMirror->Start();
     mAssignments.Serve(aExchange);
   } else if (startsWith(billing::kUsagePath)) {
     const auto window = edge::ParseInteger(
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -48,7 +48,8 @@
                  return found == mSite.mPeers.end()
                           ? std::optional<edge::endpoint>()
                           : std::optional(found->second);
-               } })
+               },
+               [](const batches::batch_head&) {} })
   , mListener(aSite.mLoop.mLoop,
               std::make_shared<edge::listener_limits>(),
               [this](const auto& aExchange) { Serve(aExchange); })
