One entry watches the store and feeds the others

Change: the first entry by name watches, the others ask it and hear of a change when it does; silence of 0.9 s or its word that the store is out of reach sends them to the next one or to the store.

--- a/Duties/Batches/BatchService.cpp
+++ b/Duties/Batches/BatchService.cpp
@@ -71,34 +71,26 @@
 }
 
 void
-batch_service::Start()
-{
-  objects::mirror_options options;
-  options.mKind = kHeadKind;
-  objects::mirror_events events;
-  events.mOnListed = [this](const auto& aObjects) {
-    for (const auto& [name, object] : aObjects) {
-      if (const auto head = DecodeHead(object)) {
-        TakeHead(*head);
-      }
-    }
-    ResumeOwn();
-  };
-  events.mOnEvent = [this](const objects::object_event& aEvent) {
-    if (aEvent.mIsDeleted) {
-      return;
-    }
-    if (const auto head = DecodeHead(aEvent.mObject)) {
+batch_service::TakeListing(
+  const std::map<std::string, objects::stored_object>& aHeads)
+{
+  for (const auto& [name, object] : aHeads) {
+    if (const auto head = DecodeHead(object)) {
       TakeHead(*head);
     }
-  };
-  events.mOnContact = [](bool aIsReachable) {
-    events::line(aIsReachable ? "store_regained" : "store_lost")
-      .With("kind", kHeadKind);
-  };
-  mHeads = std::make_shared<objects::mirror>(
-    mParts.mLoop, mParts.mStore, options, events);
-  mHeads->Start();
+  }
+  ResumeOwn();
+}
+
+void
+batch_service::TakeEvent(const objects::object_event& aEvent)
+{
+  if (aEvent.mIsDeleted) {
+    return;
+  }
+  if (const auto head = DecodeHead(aEvent.mObject)) {
+    TakeHead(*head);
+  }
 }
 
 void
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -3,7 +3,7 @@
 #include "Duties/Batches/BatchRunner.h"
 #include "Duties/Batches/ResultLog.h"
 #include "Libraries/Edge/Listener.h"
-#include "Libraries/ObjectStore/Mirror.h"
+#include "Libraries/ObjectStore/ObjectStore.h"
 
 #include <deque>
 
@@ -83,7 +83,9 @@
 public:
   explicit batch_service(service_parts aParts);
 
-  void Start();
+  /** All heads that the store holds. */
+  void TakeListing(const std::map<std::string, objects::stored_object>& aHeads);
+  void TakeEvent(const objects::object_event& aEvent);
   /** A new batch, read from a caller's request.
    * @param aPath target under which it was submitted */
   void Submit(const edge::exchange_ptr& aExchange,
@@ -96,7 +98,6 @@
   void TakeResult(const std::string& aBatchId, item_result aResult);
   /** Lets other entries take over what this one owns. */
   void HandOver();
-  bool IsReachable() const { return mHeads && mHeads->IsReachable(); }
 
 private:
   struct admission;
@@ -165,7 +166,6 @@
   void After(milliseconds aPause, std::function<void()> aAction);
 
   service_parts mParts;
-  std::shared_ptr<objects::mirror> mHeads;
   std::map<std::string, batch_ptr> mBatches;
   bool mIsLeaving = false;
 };
--- /dev/null
+++ b/Duties/Feed/FeedState.cpp
@@ -0,0 +1,138 @@
+#include "Duties/Feed/FeedState.h"
+
+namespace lavender::feed {
+
+namespace {
+
+std::string
+EncodeChange(const std::string& aKind, const objects::object_event& aEvent)
+{
+  const auto& object = aEvent.mObject;
+  json::value change = json::object{ { "kind", aKind },
+                                     { "deleted", aEvent.mIsDeleted },
+                                     { "name", object.mName },
+                                     { "revision", object.mRevision },
+                                     { "created", object.mCreatedAt } };
+  if (!aEvent.mIsDeleted) {
+    change.Set("spec", object.mSpec);
+    change.Set("status", object.mStatus);
+  }
+  return json::Write(change);
+}
+
+decoded_change
+DecodeChange(const json::value& aValue)
+{
+  decoded_change change;
+  change.mKind = json::StringAt(aValue, "kind", "");
+  change.mEvent.mIsDeleted = json::BooleanAt(aValue, "deleted", false);
+  auto& object = change.mEvent.mObject;
+  object.mName = json::StringAt(aValue, "name", "");
+  object.mRevision = json::IntegerAt(aValue, "revision", 0);
+  object.mCreatedAt = json::IntegerAt(aValue, "created", 0);
+  if (const auto* spec = aValue.Find("spec")) {
+    object.mSpec = *spec;
+  }
+  if (const auto* status = aValue.Find("status")) {
+    object.mStatus = *status;
+  }
+  return change;
+}
+
+void
+Append(feed_state& aState,
+       const std::string& aKind,
+       const objects::object_event& aEvent)
+{
+  aState.mChanges.push_back({ ++aState.mNewest, EncodeChange(aKind, aEvent) });
+  while (aState.mChanges.size() > kKeptChanges) {
+    aState.mChanges.pop_front();
+  }
+}
+
+} // namespace
+
+void
+TakeListing(feed_state& aState,
+            const std::string& aKind,
+            const object_map& aListed)
+{
+  auto& known = aState.mKinds[aKind];
+  for (const auto& [name, object] : known) {
+    if (aListed.count(name) == 0) {
+      Append(aState, aKind, { object, true });
+    }
+  }
+  for (const auto& [name, object] : aListed) {
+    const auto before = known.find(name);
+    if (before == known.end() || before->second.mRevision != object.mRevision) {
+      Append(aState, aKind, { object, false });
+    }
+  }
+  known = aListed;
+}
+
+void
+TakeEvent(feed_state& aState,
+          const std::string& aKind,
+          const objects::object_event& aEvent)
+{
+  auto& known = aState.mKinds[aKind];
+  if (aEvent.mIsDeleted) {
+    known.erase(aEvent.mObject.mName);
+  } else {
+    known[aEvent.mObject.mName] = aEvent.mObject;
+  }
+  Append(aState, aKind, aEvent);
+}
+
+std::string
+EncodeFeed(const feed_state& aState,
+           const std::string& aLife,
+           std::optional<feed_number> aSince)
+{
+  const feed_number oldest =
+    aState.mNewest - static_cast<feed_number>(aState.mChanges.size());
+  const bool isWhole = !aSince || *aSince < oldest || *aSince > aState.mNewest;
+  std::string changes;
+  const auto add = [&](const std::string& aJson) {
+    changes += changes.empty() ? aJson : "," + aJson;
+  };
+  if (isWhole) {
+    for (const auto& [kind, known] : aState.mKinds) {
+      for (const auto& [name, object] : known) {
+        add(EncodeChange(kind, { object, false }));
+      }
+    }
+  } else {
+    for (const auto& change : aState.mChanges) {
+      if (change.mNumber > *aSince) {
+        add(change.mJson);
+      }
+    }
+  }
+  return "{\"life\":\"" + aLife +
+         "\",\"newest\":" + std::to_string(aState.mNewest) +
+         ",\"whole\":" + (isWhole ? "true" : "false") + ",\"changes\":[" +
+         changes + "]}";
+}
+
+std::optional<decoded_feed>
+DecodeFeed(const std::string& aBody)
+{
+  const auto body = json::Parse(aBody);
+  const auto* changes = body ? body->Find("changes") : nullptr;
+  if (!changes || !changes->IsArray()) {
+    return std::nullopt;
+  }
+  decoded_feed feed;
+  feed.mLife = json::StringAt(*body, "life", "");
+  feed.mNewest = json::IntegerAt(*body, "newest", 0);
+  feed.mIsWhole = json::BooleanAt(*body, "whole", false);
+  for (const auto& change : changes->Elements()) {
+    feed.mChanges.push_back(DecodeChange(change));
+  }
+  return feed;
+}
+
+} // namespace lavender::feed
--- /dev/null
+++ b/Duties/Feed/StoreFeed.cpp
@@ -0,0 +1,400 @@
+#include "Duties/Feed/StoreFeed.h"
+
+#include "Libraries/Core/Identity.h"
+#include "Libraries/EventLog/EventLog.h"
+
+#include <algorithm>
+
+namespace lavender::feed {
+
+using namespace std::chrono_literals;
+using objects::store_outcome;
+
+namespace {
+
+constexpr char kLifeField[] = "Lavender-Life";
+constexpr char kSinceField[] = "Lavender-Since";
+/** A question is answered after this at the latest, so that silence beyond it
+ * shows that the other entry is gone. */
+constexpr milliseconds kHold = 500ms;
+constexpr milliseconds kAnswerTimeout = 900ms;
+/** How often the watching entry makes sure that the store answers, and how
+ * long it waits for that. Together with a listing this stays below the two
+ * seconds within which a configuration must be in force. */
+constexpr milliseconds kProbeEach = 500ms;
+constexpr milliseconds kProbeTimeout = 600ms;
+/** An entry that was silent isn't asked again for this long. */
+constexpr milliseconds kAvoidSilent = 5000ms;
+/** One that can't reach the store itself may soon. */
+constexpr milliseconds kAvoidUnreachable = 1500ms;
+/** How often an entry that watches out of turn looks for the one whose turn
+ * it is. */
+constexpr milliseconds kLookForBetter = 3000ms;
+/** An entry that follows another one itself is asked again after this: it may
+ * be about to watch in place of one that has died. */
+constexpr milliseconds kWaitForSource = 200ms;
+constexpr int kMostWaitsForSource = 3;
+
+/** The answer of an entry that follows another one. */
+constexpr unsigned kFollows = 421;
+/** The answer of one that doesn't know the store's state. */
+constexpr unsigned kUnreachable = 503;
+
+} // namespace
+
+store_feed::store_feed(feed_parts aParts, std::vector<followed_kind> aKinds)
+  : mParts(std::move(aParts))
+  , mKinds(std::move(aKinds))
+  , mLife(MakeRandomName())
+  , mTimer(mParts.mLoop)
+  , mProbeTimer(mParts.mLoop)
+  , mAnswerTimer(mParts.mLoop)
+{
+}
+
+void
+store_feed::Start()
+{
+  Choose();
+}
+
+bool
+store_feed::HasListed() const
+{
+  return mIsListed.size() == mKinds.size();
+}
+
+bool
+store_feed::IsTried(const feed_candidate& aCandidate, time_point aNow) const
+{
+  const auto avoided = mAvoidedUntil.find(aCandidate.mName);
+  return avoided == mAvoidedUntil.end() || avoided->second <= aNow;
+}
+
+void
+store_feed::Avoid(const std::string& aName, milliseconds aTime)
+{
+  mAvoidedUntil[aName] = boot_clock::now() + aTime;
+}
+
+void
+store_feed::Choose()
+{
+  const auto now = boot_clock::now();
+  for (const auto& candidate : mParts.mCandidates()) {
+    if (candidate.mName == mParts.mName) {
+      break;
+    }
+    if (!IsTried(candidate, now)) {
+      continue;
+    }
+    if (mSourceName != candidate.mName) {
+      mSourceName = candidate.mName;
+      mSource = candidate.mAddress;
+      mWaitsForSource = 0;
+    }
+    Ask();
+    return;
+  }
+  mSourceName.clear();
+  WatchStore();
+}
+
+// Following another entry
+
+void
+store_feed::Ask()
+{
+  edge::request request;
+  request.mMethod = "GET";
+  request.mTarget = kFeedPath;
+  request.mHeaders.Add(kLifeField, mSourceLife);
+  request.mHeaders.Add(kSinceField, std::to_string(mSourceNumber));
+  edge::call_options options;
+  options.mConnectTimeout = kAnswerTimeout;
+  options.mSilenceTimeout = kAnswerTimeout;
+  edge::FetchWhole(mParts.mClients,
+                   mParts.mLoop,
+                   mSource,
+                   request,
+                   options,
+                   kAnswerTimeout,
+                   64 << 20,
+                   [this, question = ++mQuestion, name = mSourceName](
+                     edge::call_end aEnd, const edge::response& aAnswer) {
+                     TakeAnswer(question, name, aEnd, aAnswer);
+                   });
+}
+
+void
+store_feed::TakeAnswer(std::uint64_t aQuestion,
+                       const std::string& aName,
+                       edge::call_end aEnd,
+                       const edge::response& aAnswer)
+{
+  if (aQuestion != mQuestion) {
+    return;
+  }
+  const auto feed = aEnd == edge::call_end::Complete && aAnswer.mStatus == 200
+                      ? DecodeFeed(aAnswer.mBody)
+                      : std::nullopt;
+  if (feed) {
+    mWaitsForSource = 0;
+    if (mIsWatching) {
+      events::line("feed_followed").With("entry", aName);
+      StopWatching();
+    }
+    Apply(*feed);
+    SetReachable(true);
+    Ask();
+    return;
+  }
+  const bool follows =
+    aEnd == edge::call_end::Complete && aAnswer.mStatus == kFollows;
+  if (follows && !mIsWatching && mWaitsForSource++ < kMostWaitsForSource) {
+    mTimer.expires_after(kWaitForSource);
+    mTimer.async_wait([this](const auto& aError) {
+      if (!aError) {
+        Choose();
+      }
+    });
+    return;
+  }
+  events::line("feed_lost")
+    .With("entry", aName)
+    .With("end", edge::WordFor(aEnd))
+    .With("status", static_cast<std::int64_t>(aAnswer.mStatus));
+  const bool isAlive = aEnd == edge::call_end::Complete;
+  Avoid(aName, isAlive ? kAvoidUnreachable : kAvoidSilent);
+  if (mIsWatching) {
+    LookForBetter();
+  } else {
+    Choose();
+  }
+}
+
+void
+store_feed::Apply(const decoded_feed& aFeed)
+{
+  mSourceLife = aFeed.mLife;
+  mSourceNumber = aFeed.mNewest;
+  if (aFeed.mIsWhole) {
+    std::map<std::string, object_map> listed;
+    for (const auto& change : aFeed.mChanges) {
+      listed[change.mKind][change.mEvent.mObject.mName] = change.mEvent.mObject;
+    }
+    for (const auto& kind : mKinds) {
+      TakeListing(mState, kind.mKind, listed[kind.mKind]);
+      mIsListed[kind.mKind] = true;
+      kind.mOnListed(listed[kind.mKind]);
+    }
+    return;
+  }
+  for (const auto& change : aFeed.mChanges) {
+    for (const auto& kind : mKinds) {
+      if (kind.mKind == change.mKind) {
+        TakeEvent(mState, change.mKind, change.mEvent);
+        kind.mOnEvent(change.mEvent);
+      }
+    }
+  }
+}
+
+// Watching the store
+
+void
+store_feed::WatchStore()
+{
+  if (mIsWatching) {
+    return;
+  }
+  mIsWatching = true;
+  mDoesStoreAnswer = true;
+  events::line("feed_watches_store");
+  for (const auto& kind : mKinds) {
+    objects::mirror_options options = kind.mOptions;
+    options.mKind = kind.mKind;
+    options.mMayCall = [this] { return mDoesStoreAnswer; };
+    objects::mirror_events heard;
+    heard.mOnListed = [this, &kind](const object_map& aObjects) {
+      TakeListing(mState, kind.mKind, aObjects);
+      mIsListed[kind.mKind] = true;
+      kind.mOnListed(aObjects);
+      AnswerAll();
+    };
+    heard.mOnEvent = [this, &kind](const objects::object_event& aEvent) {
+      TakeEvent(mState, kind.mKind, aEvent);
+      kind.mOnEvent(aEvent);
+      AnswerAll();
+    };
+    mMirrors.push_back(std::make_shared<objects::mirror>(
+      mParts.mLoop, mParts.mStore, options, heard));
+    mMirrors.back()->Start();
+  }
+  Probe();
+  LookForBetter();
+}
+
+void
+store_feed::StopWatching()
+{
+  mIsWatching = false;
+  for (const auto& mirror : mMirrors) {
+    mirror->Stop();
+  }
+  mMirrors.clear();
+  mProbeTimer.cancel();
+  AnswerAll();
+}
+
+void
+store_feed::LookForBetter()
+{
+  mTimer.expires_after(kLookForBetter);
+  mTimer.async_wait([this](const auto& aError) {
+    if (aError || !mIsWatching) {
+      return;
+    }
+    const auto now = boot_clock::now();
+    for (const auto& candidate : mParts.mCandidates()) {
+      if (candidate.mName == mParts.mName) {
+        break;
+      }
+      if (IsTried(candidate, now)) {
+        mSourceName = candidate.mName;
+        mSource = candidate.mAddress;
+        Ask();
+        return;
+      }
+    }
+    LookForBetter();
+  });
+}
+
+void
+store_feed::Probe()
+{
+  mProbeTimer.expires_after(kProbeEach);
+  mProbeTimer.async_wait([this](const auto& aError) {
+    if (aError || !mIsWatching) {
+      return;
+    }
+    const auto answered = std::make_shared<bool>(false);
+    const auto take = [this, answered](const objects::object_reply& aReply) {
+      if (!*answered && mIsWatching) {
+        *answered = true;
+        TakeProbe(aReply);
+      }
+    };
+    mParts.mStore.mGet(
+      mParts.mProbeKind, mParts.mName, objects::freshness::MayBeStale, take);
+    mProbeTimer.expires_after(kProbeTimeout);
+    mProbeTimer.async_wait([take](const auto& aStopped) {
+      if (!aStopped) {
+        take({ store_outcome::Unknown, {} });
+      }
+    });
+  });
+}
+
+void
+store_feed::TakeProbe(const objects::object_reply& aReply)
+{
+  const bool answers = aReply.mOutcome == store_outcome::Done ||
+                       aReply.mOutcome == store_outcome::NotFound;
+  if (answers != mDoesStoreAnswer) {
+    mDoesStoreAnswer = answers;
+    if (answers) {
+      // Watches from before the silence may never be answered.
+      for (const auto& mirror : mMirrors) {
+        mirror->WatchAgain();
+      }
+    }
+  }
+  SetReachable(answers);
+  AnswerAll();
+  Probe();
+}
+
+// Answering other entries
+
+bool
+store_feed::CanServe() const
+{
+  if (!mIsWatching || !mDoesStoreAnswer) {
+    return false;
+  }
+  return std::all_of(mMirrors.begin(), mMirrors.end(), [](const auto& aMirror) {
+    return aMirror->HasListed() && aMirror->IsReachable();
+  });
+}
+
+void
+store_feed::Serve(const edge::exchange_ptr& aExchange)
+{
+  const auto& headers = aExchange->mRequest.mHeaders;
+  asking asked;
+  asked.mExchange = aExchange;
+  asked.mUntil = boot_clock::now() + kHold;
+  if (headers.ValueOr(kLifeField, "") == mLife) {
+    asked.mSince = headers.Integer(kSinceField);
+  }
+  mAsking.push_back(std::move(asked));
+  AnswerAll();
+}
+
+void
+store_feed::AnswerAll()
+{
+  const auto now = boot_clock::now();
+  const bool canServe = CanServe();
+  std::vector<asking> kept;
+  for (auto& asked : mAsking) {
+    if (asked.mExchange->IsEnded()) {
+      continue;
+    }
+    if (!canServe) {
+      const unsigned status = mIsWatching ? kUnreachable : kFollows;
+      asked.mExchange->Answer({ status, {}, {} });
+    } else if (!asked.mSince || *asked.mSince < mState.mNewest ||
+               now >= asked.mUntil) {
+      asked.mExchange->Answer(
+        { 200, {}, EncodeFeed(mState, mLife, asked.mSince) });
+    } else {
+      kept.push_back(std::move(asked));
+    }
+  }
+  mAsking = std::move(kept);
+  PlanAnswer();
+}
+
+void
+store_feed::PlanAnswer()
+{
+  if (mAsking.empty()) {
+    return;
+  }
+  auto next = mAsking.front().mUntil;
+  for (const auto& asked : mAsking) {
+    next = std::min(next, asked.mUntil);
+  }
+  mAnswerTimer.expires_after(
+    std::max(next - boot_clock::now(), std::chrono::nanoseconds(1ms)));
+  mAnswerTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      AnswerAll();
+    }
+  });
+}
+
+void
+store_feed::SetReachable(bool aIsReachable)
+{
+  if (mIsReachable != aIsReachable) {
+    mIsReachable = aIsReachable;
+    events::line(aIsReachable ? "store_regained" : "store_lost");
+    mParts.mOnContact(aIsReachable);
+  }
+}
+
+} // namespace lavender::feed
--- /dev/null
+++ b/Duties/Feed/StoreFeed.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "Duties/Feed/FeedState.h"
+#include "Libraries/Edge/Caller.h"
+#include "Libraries/Edge/Listener.h"
+#include "Libraries/ObjectStore/Mirror.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace lavender::feed {
+
+struct followed_kind
+{
+  std::string mKind;
+  objects::mirror_options mOptions;
+  std::function<void(const object_map&)> mOnListed;
+  std::function<void(const objects::object_event&)> mOnEvent;
+};
+
+/** An entry that may watch for others. */
+struct feed_candidate
+{
+  std::string mName;
+  edge::endpoint mAddress;
+};
+
+struct feed_parts
+{
+  boost::asio::io_context& mLoop;
+  const objects::object_store& mStore;
+  edge::client_pool& mClients;
+  std::string mName;
+  /** An object of this entry's own, read to learn whether the store answers. */
+  std::string mProbeKind;
+  /** All entries in the order in which they are asked, this one included. */
+  std::function<std::vector<feed_candidate>()> mCandidates;
+  /** The store's state is known again, or can't be learned from anybody. */
+  std::function<void(bool aIsReachable)> mOnContact;
+};
+
+/** Keeps this entry up to date about some kinds of objects.
+ *
+ * The first entry by name watches the store, the others ask it and learn of a
+ * change as soon as it does. One that gets no answer asks the next, and last
+ * watches the store itself; so the loss of the watching entry delays a change
+ * by about a second, and being cut off from the store but not from the other
+ * entries delays nothing. The watching entry reads a small object twice a
+ * second: a watch alone would not show for long that the store is out of
+ * reach. */
+class store_feed
+{
+public:
+  store_feed(feed_parts aParts, std::vector<followed_kind> aKinds);
+
+  void Start();
+  /** Another entry's question. */
+  void Serve(const edge::exchange_ptr& aExchange);
+  /** Every kind has been listed at least once. */
+  bool HasListed() const;
+  bool IsReachable() const { return mIsReachable; }
+
+private:
+  struct asking
+  {
+    edge::exchange_ptr mExchange;
+    std::optional<feed_number> mSince;
+    time_point mUntil;
+  };
+
+  void Choose();
+  bool IsTried(const feed_candidate& aCandidate, time_point aNow) const;
+  void Avoid(const std::string& aName, milliseconds aTime);
+  void Ask();
+  void TakeAnswer(std::uint64_t aQuestion,
+                  const std::string& aName,
+                  edge::call_end aEnd,
+                  const edge::response& aAnswer);
+  void Apply(const decoded_feed& aFeed);
+  void WatchStore();
+  void StopWatching();
+  void Probe();
+  void TakeProbe(const objects::object_reply& aReply);
+  void LookForBetter();
+  void AnswerAll();
+  void PlanAnswer();
+  void SetReachable(bool aIsReachable);
+  bool CanServe() const;
+
+  feed_parts mParts;
+  std::vector<followed_kind> mKinds;
+  feed_state mState;
+  const std::string mLife;
+  std::vector<std::shared_ptr<objects::mirror>> mMirrors;
+  std::vector<asking> mAsking;
+  std::map<std::string, time_point> mAvoidedUntil;
+  std::map<std::string, bool> mIsListed;
+  boost::asio::steady_timer mTimer;
+  boost::asio::steady_timer mProbeTimer;
+  boost::asio::steady_timer mAnswerTimer;
+  edge::endpoint mSource;
+  std::string mSourceName;
+  std::string mSourceLife;
+  feed_number mSourceNumber = 0;
+  std::uint64_t mQuestion = 0;
+  int mWaitsForSource = 0;
+  bool mIsWatching = false;
+  bool mDoesStoreAnswer = true;
+  bool mIsReachable = true;
+};
+
+/** Path of the questions between entries. */
+constexpr char kFeedPath[] = "/feed";
+
+} // namespace lavender::feed
--- a/Libraries/ObjectStore/Mirror.cpp
+++ b/Libraries/ObjectStore/Mirror.cpp
@@ -23,6 +23,27 @@
   List({}, {});
 }
 
+void
+mirror::Stop()
+{
+  mIsStopped = true;
+  mTimer.cancel();
+}
+
+void
+mirror::WatchAgain()
+{
+  if (!mIsStarted || mIsStopped) {
+    return;
+  }
+  mTimer.cancel();
+  if (mHasListed) {
+    Watch();
+  } else {
+    List({}, {});
+  }
+}
+
 void
 mirror::After(milliseconds aPause, std::function<void()> aAction)
 {
@@ -50,15 +71,19 @@
 mirror::List(const std::string& aAfter,
              std::map<std::string, stored_object> aGathered)
 {
-  mStore.mList(mOptions.mKind,
-               aAfter,
-               freshness::Linearizable,
-               [self = shared_from_this(),
-                gathered = std::move(aGathered)](list_reply aReply) mutable {
-                 if (!self->mIsStopped) {
-                   self->TakeList(std::move(aReply), std::move(gathered));
-                 }
-               });
+  if (!MayCall()) {
+    After(mOptions.mRetryPause, [this] { List({}, {}); });
+    return;
+  }
+  const auto take = [self = shared_from_this(),
+                     gathered = std::move(aGathered),
+                     call = ++mCall](list_reply aReply) mutable {
+    if (!self->mIsStopped && self->mCall == call) {
+      self->TakeList(std::move(aReply), std::move(gathered));
+    }
+  };
+  mStore.mList(
+    mOptions.mKind, aAfter, freshness::Linearizable, std::move(take));
 }
 
 void
@@ -96,14 +121,19 @@
 void
 mirror::Watch()
 {
-  mStore.mWatch(mOptions.mKind,
-                mRevision,
-                mOptions.mWatchWait,
-                [self = shared_from_this()](watch_reply aReply) {
-                  if (!self->mIsStopped) {
-                    self->TakeWatch(std::move(aReply));
-                  }
-                });
+  if (!MayCall()) {
+    After(mOptions.mRetryPause, [this] { Watch(); });
+    return;
+  }
+  mStore.mWatch(
+    mOptions.mKind,
+    mRevision,
+    mOptions.mWatchWait,
+    [self = shared_from_this(), call = ++mCall](watch_reply aReply) {
+      if (!self->mIsStopped && self->mCall == call) {
+        self->TakeWatch(std::move(aReply));
+      }
+    });
 }
 
 void
--- a/Libraries/ObjectStore/Mirror.h
+++ b/Libraries/ObjectStore/Mirror.h
@@ -20,6 +20,8 @@
   milliseconds mGatherFor{ 0 };
   /** Pause after a call that failed. */
   milliseconds mRetryPause{ 300 };
+  /** False while calls would be in vain; they wait, as each is priced. */
+  std::function<bool()> mMayCall;
 };
 
 struct mirror_events
@@ -45,7 +47,10 @@
 
   /** Does nothing when it was started before. */
   void Start();
-  void Stop() { mIsStopped = true; }
+  void Stop();
+  /** Watches anew from what is known; an answer to the present watch is
+   * dropped. For a watch whose answer was lost with its connection alive. */
+  void WatchAgain();
   const std::map<std::string, stored_object>& Objects() const
   {
     return mObjects;
@@ -66,6 +71,7 @@
   void TakeWatch(watch_reply aReply);
   void After(milliseconds aPause, std::function<void()> aAction);
   void SetReachable(bool aIsReachable);
+  bool MayCall() const { return !mOptions.mMayCall || mOptions.mMayCall(); }
 
   const object_store& mStore;
   const mirror_options mOptions;
@@ -80,6 +86,8 @@
   bool mHasListed = false;
   bool mIsReachable = true;
   bool mIsStopped = false;
+  /** Tells the answer of the present call from those of calls given up. */
+  std::uint64_t mCall = 0;
 };
 
 } // namespace lavender::objects
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -23,6 +23,9 @@
 /** Events that come together are taken as one call, within this. */
 constexpr milliseconds kGatherServers = 600ms;
 constexpr milliseconds kGatherVersions = 30ms;
+/** An owner that has lost a batch learns of it within this, and goes on in
+ * vain meanwhile; an end must be known within seconds. */
+constexpr milliseconds kGatherHeads = 300ms;
 /** The balancer asks once a second and takes an entry out after two misses;
  * callers may still come until then. */
 constexpr milliseconds kAnnounceLeaving = 3200ms;
@@ -30,6 +33,9 @@
 constexpr milliseconds kGraceMargin = 600ms;
 constexpr milliseconds kLookEach = 100ms;
 constexpr milliseconds kAnnounceRetry = 1000ms;
+/** All entries of a site start within 0.3 s; by then each finds the others in
+ * the list, and most needn't watch the store themselves. */
+constexpr milliseconds kJoinAfter = 350ms;
 /** A usage report that isn't answered within this is settled by a repeat. */
 constexpr milliseconds kReportTimeout = 1200ms;
 /** When to come back to an entry that knows no configuration yet. */
@@ -93,6 +99,24 @@
                     std::function<void(billing::report_outcome)> aDone) {
                SendUsage(aReport, std::move(aDone));
              } })
+  , mFeed({ mLoop,
+            mStore,
+            *mClients,
+            mSettings.mName,
+            kEntryKind,
+            [this] {
+              std::vector<feed::feed_candidate> candidates;
+              for (const auto& [name, known] : mPeers) {
+                candidates.push_back({ name, known.mAddress });
+              }
+              return candidates;
+            },
+            [this](bool aIsReachable) {
+              if (aIsReachable) {
+                site::NoteOutageEnded(mDirectory, boot_clock::now());
+              }
+            } },
+          FollowedKinds())
   , mCallers(mLoop,
              mLimits,
              [this](const auto& aExchange) { ServeCaller(aExchange); })
@@ -113,6 +137,7 @@
   , mLeaveTimer(mLoop)
   , mDirectoryTimer(mLoop)
   , mAnnounceTimer(mLoop)
+  , mJoinTimer(mLoop)
 {
   mLimits->mMaximumConnections = mSettings.mMaximumConnections;
 }
@@ -147,8 +172,13 @@
   mPeers[mSettings.mName] = { mSettings.mPeers };
   WaitForSignals();
   Announce();
-  StartMirrors();
-  mBatches.Start();
+  MakeVersionMirror();
+  mJoinTimer.expires_after(kJoinAfter);
+  mJoinTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      JoinPeers();
+    }
+  });
   mUsage.Start();
   mLoop.run();
   events::line("stopped");
@@ -158,51 +188,64 @@
 void
 site_entry::Announce()
 {
-  mStore.mReplace(
-    kEntryKind,
-    mSettings.mName,
-    0,
+  const auto spec =
     json::Write(json::object{ { "address", mSettings.mPeers.Text() },
-                              { "zone", mSettings.mAvailabilityZone } }),
-    [this](const objects::object_reply& aReply) {
-      if (aReply.mOutcome == store_outcome::NotFound) {
-        mStore.mCreate(
-          kEntryKind,
-          mSettings.mName,
-          json::Write(json::object{ { "address", mSettings.mPeers.Text() },
-                                    { "zone", mSettings.mAvailabilityZone } }),
-          [this](const objects::object_reply& aCreated) {
-            if (aCreated.mOutcome != store_outcome::Done) {
-              mAnnounceTimer.expires_after(kAnnounceRetry);
-              mAnnounceTimer.async_wait([this](const auto& aError) {
-                if (!aError) {
-                  Announce();
-                }
-              });
-            }
-          });
-      } else if (aReply.mOutcome != store_outcome::Done) {
-        mAnnounceTimer.expires_after(kAnnounceRetry);
-        mAnnounceTimer.async_wait([this](const auto& aError) {
-          if (!aError) {
-            Announce();
-          }
-        });
+                              { "zone", mSettings.mAvailabilityZone } });
+  const auto retry = [this](const objects::object_reply& aReply) {
+    if (aReply.mOutcome == store_outcome::Done) {
+      return;
+    }
+    mAnnounceTimer.expires_after(kAnnounceRetry);
+    mAnnounceTimer.async_wait([this](const auto& aError) {
+      if (!aError) {
+        Announce();
       }
     });
+  };
+  mStore.mCreate(kEntryKind,
+                 mSettings.mName,
+                 spec,
+                 [this, spec, retry](const objects::object_reply& aReply) {
+                   if (aReply.mOutcome != store_outcome::Conflict) {
+                     retry(aReply);
+                   } else if (json::Write(aReply.mObject.mSpec) != spec) {
+                     mStore.mReplace(
+                       kEntryKind, mSettings.mName, 0, spec, retry);
+                   }
+                 });
 }
 
 void
-site_entry::StartMirrors()
+site_entry::TakePeer(const objects::stored_object& aObject)
 {
-  const auto contactOf = [](const char* aKind) {
-    return [aKind](bool aIsReachable) {
-      events::line(aIsReachable ? "store_regained" : "store_lost")
-        .With("kind", aKind);
-    };
-  };
-  objects::mirror_events configuration;
-  configuration.mOnListed = [this](const auto& aObjects) {
+  if (const auto address =
+        edge::ParseAddress(json::StringAt(aObject.mSpec, "address", ""))) {
+    mPeers[aObject.mName] = { *address };
+  }
+}
+
+void
+site_entry::JoinPeers()
+{
+  // Which entry watches the store follows from the list of entries, so that is
+  // read first; without it this entry watches for itself.
+  mStore.mList(kEntryKind,
+               "",
+               objects::freshness::Linearizable,
+               [this](const objects::list_reply& aReply) {
+                 for (const auto& object : aReply.mObjects) {
+                   TakePeer(object);
+                 }
+                 mFeed.Start();
+               });
+}
+
+std::vector<feed::followed_kind>
+site_entry::FollowedKinds()
+{
+  feed::followed_kind configuration;
+  configuration.mKind = platform::kConfigurationKind;
+  configuration.mOnListed = [this](const feed::object_map& aObjects) {
     if (const auto found = aObjects.find(platform::kConfigurationName);
         found != aObjects.end()) {
       TakeConfiguration(found->second);
@@ -214,14 +257,11 @@
       TakeConfiguration(aEvent.mObject);
     }
   };
-  configuration.mOnContact = contactOf("configuration");
-  objects::mirror_options options;
-  options.mKind = platform::kConfigurationKind;
-  mConfigurationMirror =
-    std::make_shared<objects::mirror>(mLoop, mStore, options, configuration);
 
-  objects::mirror_events servers;
-  servers.mOnListed = [this](const auto& aObjects) {
+  feed::followed_kind servers;
+  servers.mKind = platform::kServerKind;
+  servers.mOptions.mGatherFor = kGatherServers;
+  servers.mOnListed = [this](const feed::object_map& aObjects) {
     std::map<std::string, site::backend_server> listed;
     for (const auto& [name, object] : aObjects) {
       if (auto server = platform::DecodeServer(object)) {
@@ -239,39 +279,36 @@
     }
     AfterServersChanged();
   };
-  servers.mOnContact = [this, log = contactOf("servers")](bool aIsReachable) {
-    log(aIsReachable);
-    if (aIsReachable) {
-      site::NoteOutageEnded(mDirectory, boot_clock::now());
-    }
-  };
-  options.mKind = platform::kServerKind;
-  options.mGatherFor = kGatherServers;
-  mServerMirror =
-    std::make_shared<objects::mirror>(mLoop, mStore, options, servers);
-
-  objects::mirror_events peers;
-  const auto takePeer = [this](const objects::stored_object& aObject) {
-    if (const auto address =
-          edge::ParseAddress(json::StringAt(aObject.mSpec, "address", ""))) {
-      mPeers[aObject.mName] = { *address };
-    }
-  };
-  peers.mOnListed = [takePeer](const auto& aObjects) {
+
+  feed::followed_kind peers;
+  peers.mKind = kEntryKind;
+  peers.mOptions.mGatherFor = kGatherServers;
+  peers.mOnListed = [this](const feed::object_map& aObjects) {
     for (const auto& [name, object] : aObjects) {
-      takePeer(object);
+      TakePeer(object);
     }
   };
-  peers.mOnEvent = [takePeer](const objects::object_event& aEvent) {
+  peers.mOnEvent = [this](const objects::object_event& aEvent) {
     if (!aEvent.mIsDeleted) {
-      takePeer(aEvent.mObject);
+      TakePeer(aEvent.mObject);
     }
   };
-  options.mKind = kEntryKind;
-  options.mGatherFor = kGatherServers;
-  mPeerMirror =
-    std::make_shared<objects::mirror>(mLoop, mStore, options, peers);
 
+  feed::followed_kind heads;
+  heads.mKind = batches::kHeadKind;
+  heads.mOptions.mGatherFor = kGatherHeads;
+  heads.mOnListed = [this](const feed::object_map& aObjects) {
+    mBatches.TakeListing(aObjects);
+  };
+  heads.mOnEvent = [this](const objects::object_event& aEvent) {
+    mBatches.TakeEvent(aEvent);
+  };
+  return { configuration, servers, peers, heads };
+}
+
+void
+site_entry::MakeVersionMirror()
+{
   objects::mirror_events versions;
   const auto takeVersion = [this](const objects::stored_object& aObject) {
     if (const auto named = platform::DecodeVersion(aObject)) {
@@ -288,14 +325,11 @@
       takeVersion(aEvent.mObject);
     }
   };
+  objects::mirror_options options;
   options.mKind = platform::kVersionKind;
   options.mGatherFor = kGatherVersions;
   mVersionMirror =
     std::make_shared<objects::mirror>(mLoop, mStore, options, versions);
-
-  mConfigurationMirror->Start();
-  mServerMirror->Start();
-  mPeerMirror->Start();
 }
 
 void
@@ -447,7 +481,9 @@
   const auto startsWith = [&](std::string_view aPrefix) {
     return std::string_view(target).substr(0, aPrefix.size()) == aPrefix;
   };
-  if (startsWith(batches::kPeerPath)) {
+  if (target == feed::kFeedPath) {
+    mFeed.Serve(aExchange);
+  } else if (startsWith(batches::kPeerPath)) {
     mBatches.ServePeer(aExchange);
   } else if (startsWith(versions::kAssignmentPath)) {
     // Agents all ask the same entry while it lives; only that one needs to
@@ -467,7 +503,7 @@
 bool
 site_entry::IsReady() const
 {
-  return mConfiguration && mServerMirror->HasListed() && !mLeavingSince;
+  return mConfiguration && mFeed.HasListed() && !mLeavingSince;
 }
 
 void
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -2,6 +2,7 @@
 
 #include "Duties/Batches/BatchService.h"
 #include "Duties/Billing/UsageDuty.h"
+#include "Duties/Feed/StoreFeed.h"
 #include "Duties/Forwarding/Forwarder.h"
 #include "Duties/Versions/Assignments.h"
 #include "Libraries/ObjectStore/Mirror.h"
@@ -31,9 +32,12 @@
   };
 
   std::string Open();
-  void StartMirrors();
+  std::vector<feed::followed_kind> FollowedKinds();
+  void MakeVersionMirror();
   void Announce();
+  void JoinPeers();
   void TakeConfiguration(const objects::stored_object& aObject);
+  void TakePeer(const objects::stored_object& aObject);
   void TakeServerObject(const objects::stored_object& aObject);
   void AfterServersChanged();
   void ServeCaller(const edge::exchange_ptr& aExchange);
@@ -70,9 +74,7 @@
   batches::batch_service mBatches;
   versions::assignments mAssignments;
   billing::usage_duty mUsage;
-  std::shared_ptr<objects::mirror> mConfigurationMirror;
-  std::shared_ptr<objects::mirror> mServerMirror;
-  std::shared_ptr<objects::mirror> mPeerMirror;
+  feed::store_feed mFeed;
   std::shared_ptr<objects::mirror> mVersionMirror;
   edge::listener mCallers;
   edge::listener mReadiness;
@@ -82,6 +84,7 @@
   boost::asio::steady_timer mLeaveTimer;
   boost::asio::steady_timer mDirectoryTimer;
   boost::asio::steady_timer mAnnounceTimer;
+  boost::asio::steady_timer mJoinTimer;
   std::optional<time_point> mLeavingSince;
 };
 
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -24,6 +24,11 @@
   site::TakeServer(mDirectory, aServer.Entry());
 }
 
+batch_entry::~batch_entry()
+{
+  mHeads->Stop();
+}
+
 batch_entry::batch_entry(batch_site& aSite, const std::string& aName)
   : mSite(aSite)
   , mStore(standin::MakeMemoryStore(aSite.mLoop.mLoop, aSite.mState))
@@ -56,7 +61,16 @@
 {
   mListener.Open({ "127.0.0.1", 0 });
   aSite.mPeers[aName] = { "127.0.0.1", mListener.Port() };
-  mService.Start();
+  objects::mirror_options options;
+  options.mKind = batches::kHeadKind;
+  objects::mirror_events heard;
+  heard.mOnListed = [this](const auto& aHeads) {
+    mService.TakeListing(aHeads);
+  };
+  heard.mOnEvent = [this](const auto& aEvent) { mService.TakeEvent(aEvent); };
+  mHeads = std::make_shared<objects::mirror>(
+    aSite.mLoop.mLoop, mStore, options, heard);
+  mHeads->Start();
 }
 
 void
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Duties/Batches/BatchService.h"
+#include "Libraries/ObjectStore/Mirror.h"
 #include "StandIns/ObjectStore/MemoryStore.h"
 #include "Tests/Site/Support/Loop.h"
 #include "Tests/Site/Support/ModelServer.h"
@@ -32,6 +33,7 @@
 {
 public:
   batch_entry(batch_site& aSite, const std::string& aName);
+  ~batch_entry();
 
   unsigned short Port() const { return mListener.Port(); }
   call_result Submit(const std::string& aBatchId, int aItems);
@@ -46,6 +48,7 @@
   objects::object_store mStore;
   batches::batch_runner mRunner;
   batches::batch_service mService;
+  std::shared_ptr<objects::mirror> mHeads;
   /** False stands for an entry that is cut off from callers and peers. */
   bool mIsReachable = true;
 
