Agents are answered though they ask before their server is known

An entry that the store turned away kept the agents although it heard of no version (24.5 to 33.6 s). Ruled out: slow loads (0.9 s each). Change: the address is looked up whenever something changes; versions come with the feed; an entry without the store follows any other.

--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -143,6 +143,16 @@
     if (mIsWatching) {
       events::line("feed_followed").With("entry", aName);
       StopWatching();
+      mFollowsSince = boot_clock::now();
+    }
+    if (aName > mParts.mName &&
+        boot_clock::now() - mFollowsSince > kLookForBetter) {
+      // This entry's turn comes before that of the one it follows: the store
+      // may answer it again.
+      mSourceName.clear();
+      Apply(*feed);
+      WatchStore();
+      return;
     }
     Apply(*feed);
     SetReachable(true);
@@ -165,9 +175,16 @@
     .With("end", edge::WordFor(aEnd))
     .With("status", static_cast<std::int64_t>(aAnswer.mStatus));
   const bool isAlive = aEnd == edge::call_end::Complete;
-  Avoid(aName, isAlive ? kAvoidUnreachable : kAvoidSilent);
+  Avoid(aName,
+        follows   ? kWaitForSource
+        : isAlive ? kAvoidUnreachable
+                  : kAvoidSilent);
   if (mIsWatching) {
-    LookForBetter();
+    if (!mDoesStoreAnswer) {
+      FollowAnyone();
+    } else {
+      LookForBetter();
+    }
   } else {
     Choose();
   }
@@ -313,9 +330,27 @@
   }
   SetReachable(answers);
   AnswerAll();
+  if (!answers) {
+    FollowAnyone();
+  }
   Probe();
 }
 
+void
+store_feed::FollowAnyone()
+{
+  // The store may turn this instance away and serve the others.
+  const auto now = boot_clock::now();
+  for (const auto& candidate : mParts.mCandidates()) {
+    if (candidate.mName != mParts.mName && IsTried(candidate, now)) {
+      mSourceName = candidate.mName;
+      mSource = candidate.mAddress;
+      Ask();
+      return;
+    }
+  }
+}
+
 // Answering other entries
 
 bool
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -81,6 +81,7 @@
   void Probe();
   void TakeProbe(const objects::object_reply& aReply);
   void LookForBetter();
+  void FollowAnyone();
   void AnswerAll();
   void PlanAnswer();
   void SetReachable(bool aIsReachable);
@@ -103,6 +104,7 @@
   feed_number mSourceNumber = 0;
   std::uint64_t mQuestion = 0;
   int mWaitsForSource = 0;
+  time_point mFollowsSince;
   bool mIsWatching = false;
   bool mDoesStoreAnswer = true;
   bool mIsReachable = true;
--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -196,12 +196,10 @@
   }
   waiter asked;
   asked.mExchange = aExchange;
-  asked.mServer = FindServer(address);
+  asked.mAddress = address;
+  asked.mHeld = DecodeVersions(body->Find("held"));
   asked.mKnown = DecodeVersions(body->Find("known"));
   asked.mUntil = boot_clock::now() + kLongestWait;
-  if (!asked.mServer.empty()) {
-    mReported[asked.mServer] = DecodeVersions(body->Find("held"));
-  }
   mWaiters.push_back(std::move(asked));
   AnswerChanged();
   PlanLook();
@@ -211,6 +209,14 @@
 assignments::AnswerChanged()
 {
   const auto now = boot_clock::now();
+  // Looked up each time: an agent may ask before its server's entry, or any,
+  // is known here.
+  for (auto& waiting : mWaiters) {
+    waiting.mServer = FindServer(waiting.mAddress);
+    if (!waiting.mServer.empty()) {
+      mReported[waiting.mServer] = waiting.mHeld;
+    }
+  }
   mWanted = Decide(now);
   std::vector<waiter> kept;
   for (auto& waiting : mWaiters) {
--- a/Duties/Versions/Assignments.h
+++ b/Duties/Versions/Assignments.h
@@ -41,7 +41,10 @@
   struct waiter
   {
     edge::exchange_ptr mExchange;
+    std::string mAddress;
+    /** Name of the server at that address; empty while it isn't known. */
     std::string mServer;
+    std::map<std::string, std::int64_t> mHeld;
     /** What the agent was told before. */
     wanted_versions mKnown;
     time_point mUntil;
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -172,7 +172,6 @@
   mPeers[mSettings.mName] = { mSettings.mPeers };
   WaitForSignals();
   Announce();
-  MakeVersionMirror();
   mJoinTimer.expires_after(kJoinAfter);
   mJoinTimer.async_wait([this](const auto& aError) {
     if (!aError) {
@@ -215,6 +214,14 @@
                  });
 }
 
+void
+site_entry::TakeVersion(const objects::stored_object& aObject)
+{
+  if (const auto named = platform::DecodeVersion(aObject)) {
+    mAssignments.TakeNamed(named->mModel, named->mVersion);
+  }
+}
+
 void
 site_entry::TakePeer(const objects::stored_object& aObject)
 {
@@ -303,33 +310,21 @@
   heads.mOnEvent = [this](const objects::object_event& aEvent) {
     mBatches.TakeEvent(aEvent);
   };
-  return { configuration, servers, peers, heads };
-}
 
-void
-site_entry::MakeVersionMirror()
-{
-  objects::mirror_events versions;
-  const auto takeVersion = [this](const objects::stored_object& aObject) {
-    if (const auto named = platform::DecodeVersion(aObject)) {
-      mAssignments.TakeNamed(named->mModel, named->mVersion);
-    }
-  };
-  versions.mOnListed = [takeVersion](const auto& aObjects) {
+  feed::followed_kind versions;
+  versions.mKind = platform::kVersionKind;
+  versions.mOptions.mGatherFor = kGatherVersions;
+  versions.mOnListed = [this](const feed::object_map& aObjects) {
     for (const auto& [name, object] : aObjects) {
-      takeVersion(object);
+      TakeVersion(object);
     }
   };
-  versions.mOnEvent = [takeVersion](const objects::object_event& aEvent) {
+  versions.mOnEvent = [this](const objects::object_event& aEvent) {
     if (!aEvent.mIsDeleted) {
-      takeVersion(aEvent.mObject);
+      TakeVersion(aEvent.mObject);
     }
   };
-  objects::mirror_options options;
-  options.mKind = platform::kVersionKind;
-  options.mGatherFor = kGatherVersions;
-  mVersionMirror =
-    std::make_shared<objects::mirror>(mLoop, mStore, options, versions);
+  return { configuration, servers, peers, heads, versions };
 }
 
 void
@@ -486,10 +481,12 @@
   } else if (startsWith(batches::kPeerPath)) {
     mBatches.ServePeer(aExchange);
   } else if (startsWith(versions::kAssignmentPath)) {
-    // Agents all ask the same entry while it lives; only that one needs to
-    // watch for versions.
-    mVersionMirror->Start();
-    mAssignments.Serve(aExchange);
+    if (mFeed.IsReachable()) {
+      mAssignments.Serve(aExchange);
+    } else {
+      // Another entry may know which versions were named meanwhile.
+      aExchange->Answer({ 503, {}, {} });
+    }
   } else if (startsWith(billing::kUsagePath)) {
     const auto window = edge::ParseInteger(
       std::string_view(target).substr(sizeof billing::kUsagePath - 1));
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -33,10 +33,10 @@
 
   std::string Open();
   std::vector<feed::followed_kind> FollowedKinds();
-  void MakeVersionMirror();
   void Announce();
   void JoinPeers();
   void TakeConfiguration(const objects::stored_object& aObject);
+  void TakeVersion(const objects::stored_object& aObject);
   void TakePeer(const objects::stored_object& aObject);
   void TakeServerObject(const objects::stored_object& aObject);
   void AfterServersChanged();
@@ -75,7 +75,6 @@
   versions::assignments mAssignments;
   billing::usage_duty mUsage;
   feed::store_feed mFeed;
-  std::shared_ptr<objects::mirror> mVersionMirror;
   edge::listener mCallers;
   edge::listener mReadiness;
   edge::listener mPeerListener;
