--- /dev/null
+++ b/Tests/Site/TestFeed.cpp
@@ -0,0 +1,233 @@
+#include "Duties/Feed/StoreFeed.h"
+#include "StandIns/ObjectStore/MemoryStore.h"
+#include "Tests/Site/Support/Loop.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace lavender;
+using namespace lavender::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** One entry that follows the kind "things", and what it has heard. */
+struct follower
+{
+  follower(test_loop& aLoop,
+           std::shared_ptr<edge::client_pool> aClients,
+           standin::memory_store_state& aState,
+           std::string aName,
+           std::map<std::string, edge::endpoint>& aPeers)
+    : mClients(std::move(aClients))
+    , mName(std::move(aName))
+    , mPeers(aPeers)
+    , mStore(standin::MakeMemoryStore(aLoop.mLoop, aState))
+    , mFeed(
+        { aLoop.mLoop,
+          mStore,
+          *mClients,
+          mName,
+          "entries",
+          [this] {
+            std::vector<feed::feed_candidate> candidates;
+            for (const auto& [name, address] : mPeers) {
+              candidates.push_back({ name, address });
+            }
+            return candidates;
+          },
+          [this](bool aIsReachable) { mIsReachable = aIsReachable; } },
+        { { "things",
+            {},
+            [this](const feed::object_map& aObjects) { mThings = aObjects; },
+            [this](const objects::object_event& aEvent) {
+              if (aEvent.mIsDeleted) {
+                mThings.erase(aEvent.mObject.mName);
+              } else {
+                mThings[aEvent.mObject.mName] = aEvent.mObject;
+              }
+            } } })
+    , mListener(aLoop.mLoop,
+                std::make_shared<edge::listener_limits>(),
+                [this](const auto& aExchange) {
+                  if (mIsSilent) {
+                    mHeld.push_back(aExchange);
+                  } else {
+                    mFeed.Serve(aExchange);
+                  }
+                })
+  {
+    mListener.Open({ "127.0.0.1", 0 });
+    mPeers[mName] = { "127.0.0.1", mListener.Port() };
+  }
+
+  std::int64_t Value(const std::string& aName) const
+  {
+    const auto found = mThings.find(aName);
+    return found == mThings.end()
+             ? -1
+             : json::IntegerAt(found->second.mSpec, "value", -1);
+  }
+
+  std::shared_ptr<edge::client_pool> mClients;
+  const std::string mName;
+  std::map<std::string, edge::endpoint>& mPeers;
+  objects::object_store mStore;
+  feed::object_map mThings;
+  bool mIsReachable = true;
+  bool mIsSilent = false;
+  std::vector<edge::exchange_ptr> mHeld;
+  feed::store_feed mFeed;
+  edge::listener mListener;
+};
+
+struct feed_site
+{
+  test_loop mLoop;
+  std::shared_ptr<edge::client_pool> mClients =
+    std::make_shared<edge::client_pool>(mLoop.mLoop);
+  /** Each entry has its own view of one store, so that the store can turn one
+   * of them away. */
+  standin::memory_store_state mState;
+  std::map<std::string, edge::endpoint> mPeers;
+
+  void Put(int aValue)
+  {
+    standin::PutDirectly(
+      mState, "things", "x", "{\"value\":" + std::to_string(aValue) + "}");
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestFeed)
+
+BOOST_AUTO_TEST_CASE(OneEntryWatchesAndAllHear)
+{
+  feed_site site;
+  site.Put(1);
+  follower first(site.mLoop, site.mClients, site.mState, "a", site.mPeers);
+  follower second(site.mLoop, site.mClients, site.mState, "b", site.mPeers);
+  follower third(site.mLoop, site.mClients, site.mState, "c", site.mPeers);
+  for (auto* entry : { &first, &second, &third }) {
+    entry->mFeed.Start();
+  }
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return second.Value("x") == 1 && third.Value("x") == 1; }));
+  const int before = site.mState.mCalls;
+  site.Put(2);
+  BOOST_TEST(site.mLoop.RunUntil([&] {
+    return first.Value("x") == 2 && second.Value("x") == 2 &&
+           third.Value("x") == 2;
+  }));
+  // The watch that told of it and the next one; a probe may fall in between.
+  BOOST_TEST(site.mState.mCalls - before <= 3);
+}
+
+// An operator's change is in force late at most entries. The entry that
+// watches the store for all dies silently; the others must hear of a change
+// that comes right after all the same.
+BOOST_AUTO_TEST_CASE(TheLossOfTheWatchingEntryDelaysAChangeBriefly)
+{
+  feed_site site;
+  site.Put(1);
+  follower first(site.mLoop, site.mClients, site.mState, "a", site.mPeers);
+  follower second(site.mLoop, site.mClients, site.mState, "b", site.mPeers);
+  follower third(site.mLoop, site.mClients, site.mState, "c", site.mPeers);
+  for (auto* entry : { &first, &second, &third }) {
+    entry->mFeed.Start();
+  }
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return second.Value("x") == 1 && third.Value("x") == 1; }));
+  first.mIsSilent = true;
+  site.Put(2);
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return second.Value("x") == 2 && third.Value("x") == 2; }));
+}
+
+// Callers at one entry get answers by an old configuration while the store
+// turns this one entry away and serves the others. It must hear from them.
+BOOST_AUTO_TEST_CASE(AnEntryThatTheStoreTurnsAwayHearsFromAnother)
+{
+  feed_site site;
+  site.Put(1);
+  standin::memory_store_state turnedAway;
+  standin::PutDirectly(turnedAway, "things", "x", "{\"value\":1}");
+  follower first(site.mLoop, site.mClients, turnedAway, "a", site.mPeers);
+  follower second(site.mLoop, site.mClients, site.mState, "b", site.mPeers);
+  first.mFeed.Start();
+  second.mFeed.Start();
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return first.Value("x") == 1 && second.Value("x") == 1; }));
+  turnedAway.mFault = standin::store_fault::Refuse;
+  site.Put(7);
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return first.Value("x") == 7 && second.Value("x") == 7; }));
+  BOOST_TEST(first.mFeed.IsReachable());
+}
+
+// After an outage of the store with a silent watch, an entry knows nothing of
+// what was changed meanwhile, though the store answers again.
+BOOST_AUTO_TEST_CASE(AWatchThatWasLostInAnOutageIsReplaced)
+{
+  feed_site site;
+  site.Put(1);
+  follower only(site.mLoop, site.mClients, site.mState, "a", site.mPeers);
+  only.mFeed.Start();
+  BOOST_TEST(site.mLoop.RunUntil([&] { return only.Value("x") == 1; }));
+  site.mState.mFault = standin::store_fault::Silent;
+  BOOST_TEST(site.mLoop.RunUntil([&] { return !only.mFeed.IsReachable(); }));
+  site.Put(2);
+  site.mState.mFault = standin::store_fault::None;
+  BOOST_TEST(site.mLoop.RunUntil([&] { return only.Value("x") == 2; }));
+}
+
+/** Whatever is listed, changed and removed, one that asks from any number on
+ * ends up with the same objects. */
+BOOST_AUTO_TEST_CASE(AnyPlaceToAskFromGivesTheSameObjects)
+{
+  BOOST_TEST(rc::check("feeds agree", [] {
+    feed::feed_state state;
+    std::vector<std::pair<feed::feed_number, feed::object_map>> known = {
+      { 0, {} }
+    };
+    objects::revision_number revision = 1;
+    const int steps = *rc::gen::inRange(1, 40);
+    for (int step = 0; step < steps; ++step) {
+      const auto name = std::string(1, *rc::gen::inRange<char>('a', 'f'));
+      objects::stored_object object;
+      object.mName = name;
+      object.mRevision = ++revision;
+      if (*rc::gen::inRange(0, 4) == 0) {
+        auto listed = state.mKinds["k"];
+        listed.erase(name);
+        feed::TakeListing(state, "k", listed);
+      } else {
+        feed::TakeEvent(state, "k", { object, *rc::gen::inRange(0, 5) == 0 });
+      }
+      auto& [since, objects] =
+        known[*rc::gen::inRange<std::size_t>(0, known.size())];
+      const auto decoded =
+        feed::DecodeFeed(feed::EncodeFeed(state, "life", since));
+      RC_ASSERT(decoded.has_value());
+      if (decoded->mIsWhole) {
+        objects.clear();
+      }
+      for (const auto& change : decoded->mChanges) {
+        if (change.mEvent.mIsDeleted) {
+          objects.erase(change.mEvent.mObject.mName);
+        } else {
+          objects[change.mEvent.mObject.mName] = change.mEvent.mObject;
+        }
+      }
+      since = decoded->mNewest;
+      RC_ASSERT(objects.size() == state.mKinds["k"].size());
+      for (const auto& [key, held] : state.mKinds["k"]) {
+        RC_ASSERT(objects.at(key).mRevision == held.mRevision);
+      }
+      known.push_back({ since, objects });
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/Site/TestVersions.cpp
@@ -0,0 +1,174 @@
+#include "Duties/Versions/Assignments.h"
+#include "Tests/Site/Support/Loop.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+#include <set>
+
+using namespace lavender;
+using namespace lavender::tests;
+using namespace lavender::versions;
+using namespace std::chrono_literals;
+
+namespace {
+
+site::configuration_ptr
+TwoModels()
+{
+  auto configuration = std::make_shared<site::site_configuration>();
+  configuration->mVersion = 1;
+  site::server_pool pool;
+  pool.mName = "pool";
+  pool.mEngine = site::engine_pool{ 12, { "m", "n" } };
+  configuration->mPools["pool"] = pool;
+  return configuration;
+}
+
+site::backend_server
+Server(const std::string& aId, int aNumber)
+{
+  site::backend_server server;
+  server.mId = aId;
+  server.mPool = "pool";
+  server.mAddress = { "10.0.0." + std::to_string(aNumber), 80 };
+  server.mVersions = { { "m", 1 }, { "n", 1 } };
+  return server;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestVersions)
+
+// A trainer waits for seconds after all processes were restarted: the agents
+// ask for versions before the entry has listed any server, and their questions
+// are tied to none.
+BOOST_AUTO_TEST_CASE(AnAgentThatAsksBeforeItsServerIsKnownIsAnswered)
+{
+  test_loop loop;
+  auto clients = std::make_shared<edge::client_pool>(loop.mLoop);
+  site::server_directory directory;
+  site::configuration_ptr configuration;
+  assignments assigned({ loop.mLoop, directory, configuration });
+  edge::listener listener(
+    loop.mLoop,
+    std::make_shared<edge::listener_limits>(),
+    [&](const auto& aExchange) { assigned.Serve(aExchange); });
+  listener.Open({ "127.0.0.1", 0 });
+  std::optional<wanted_versions> wanted;
+  edge::FetchWhole(*clients,
+                   loop.mLoop,
+                   { "127.0.0.1", listener.Port() },
+                   EncodeQuestion("10.0.0.1:80", { { "m", 1 } }, {}),
+                   {},
+                   20s,
+                   1 << 20,
+                   [&](edge::call_end, const edge::response& aAnswer) {
+                     wanted = DecodeAssignment(aAnswer);
+                   });
+  loop.RunUntil([] { return false; }, 50ms);
+  configuration = TwoModels();
+  site::TakeServer(directory, Server("s1", 1));
+  assigned.TakeNamed("m", 2);
+  BOOST_TEST(loop.RunUntil([&] { return wanted.has_value(); }));
+  // Without the second look the hold ends and the answer is empty.
+  BOOST_TEST(wanted->count("m") == 1u);
+}
+
+/** Whatever versions servers hold and trainers name: each server has one
+ * model, shares differ by one at most, and those that hold a named version
+ * keep their model unless the shares require a move. */
+BOOST_AUTO_TEST_CASE(SharesAreEvenAndStable)
+{
+  BOOST_TEST(rc::check("shares", [] {
+    const auto models = std::vector<std::string>{ "m", "n", "o" };
+    named_versions named;
+    for (const auto& model : models) {
+      named[model] = *rc::gen::inRange(2, 6);
+    }
+    std::vector<placed_server> servers;
+    const int count = *rc::gen::inRange(1, 30);
+    for (int i = 0; i < count; ++i) {
+      placed_server server;
+      server.mId = "s" + std::to_string(i);
+      for (const auto& model : models) {
+        server.mVersions[model] =
+          *rc::gen::inRange<std::int64_t>(1, named[model] + 1);
+      }
+      servers.push_back(server);
+    }
+    const auto placed = PlaceModels(servers, models, named);
+    std::map<std::string, int> sizes;
+    for (const auto& server : servers) {
+      ++sizes[placed.at(server.mId)];
+    }
+    const int most = (count + 2) / 3;
+    for (const auto& [model, size] : sizes) {
+      RC_ASSERT(size <= most);
+    }
+    // The same servers, brought to what they were placed for, stay there.
+    for (auto& server : servers) {
+      server.mVersions = { { "m", 1 }, { "n", 1 }, { "o", 1 } };
+      const auto& model = placed.at(server.mId);
+      server.mVersions[model] = named[model];
+    }
+    RC_ASSERT(PlaceModels(servers, models, named) == placed);
+  }));
+}
+
+/** After each naming and the loads that follow, at least one server in lag + 1
+ * holds the newest version and all are fresh enough for the next batch; over
+ * many versions a server loads once in lag + 1. */
+BOOST_AUTO_TEST_CASE(LoadsAreSpreadOverTheAllowedLag)
+{
+  BOOST_TEST(rc::check("loads", [] {
+    const int count = *rc::gen::inRange(1, 12);
+    const std::int64_t lag = *rc::gen::inRange(0, 3);
+    std::vector<placed_server> share;
+    for (int i = 0; i < count; ++i) {
+      share.push_back({ "s" + std::to_string(i), { { "m", 1 } } });
+    }
+    std::size_t loads = 0;
+    constexpr int kVersions = 24;
+    for (std::int64_t named = 2; named < 2 + kVersions; ++named) {
+      const auto due = DueServers(share, "m", named, lag);
+      loads += due.size();
+      std::size_t newest = 0;
+      for (auto& server : share) {
+        if (std::find(due.begin(), due.end(), server.mId) != due.end()) {
+          server.mVersions["m"] = named;
+        }
+        RC_ASSERT(server.mVersions["m"] >= named - lag);
+        newest += server.mVersions["m"] == named ? 1 : 0;
+      }
+      RC_ASSERT(newest * static_cast<std::size_t>(lag + 1) >=
+                static_cast<std::size_t>(count));
+    }
+    const auto perVersion = (static_cast<std::size_t>(count + lag) /
+                             static_cast<std::size_t>(lag + 1));
+    RC_ASSERT(loads <= perVersion * kVersions + share.size());
+  }));
+}
+
+/** An order is never given while another is under way, to an older version, or
+ * without the count that keeps a delayed one from being carried out. */
+BOOST_AUTO_TEST_CASE(OrdersOnlyGoForward)
+{
+  BOOST_TEST(rc::check("orders", [] {
+    server_report report;
+    report.mServerId = "s";
+    report.mIsBusy = *rc::gen::arbitrary<bool>();
+    report.mAcceptedOrders = *rc::gen::inRange(0, 100);
+    report.mVersions["m"] = *rc::gen::inRange(1, 6);
+    const std::int64_t wanted = *rc::gen::inRange(1, 6);
+    const auto order = DecideOrder(report, { { "m", wanted } });
+    RC_ASSERT(order.has_value() ==
+              (!report.mIsBusy && report.mVersions["m"] < wanted));
+    if (order) {
+      RC_ASSERT(order->mAcceptedOrders == report.mAcceptedOrders);
+      RC_ASSERT(order->mServerId == "s");
+      RC_ASSERT(order->mVersion == wanted);
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
