Servers are shared by the work that each model's batches make

Cause: two models whose batches differ threefold in tokens had equal shares; the heavier one's runs queued (fault-triage p90 2.9 s, kit-check 1.5 s). Change: shares follow the expected tokens of the last batches, and move only when the parts shift by a tenth.

--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -50,6 +50,8 @@
   std::int64_t mMinimumVersion = 0;
   int mTargetGroups = 0;
   int mTotal = 0;
+  /** Guess of the output tokens of all items: how much work the batch is. */
+  std::int64_t mExpectedTokens = 0;
   /** Objects that hold the items. */
   int mParts = 0;
   /** By the wall clock of the entry that accepted it. */
--- a/Duties/Batches/BatchService.cpp
+++ b/Duties/Batches/BatchService.cpp
@@ -183,6 +183,9 @@
   head.mMinimumVersion = aSubmission.mMinimumVersion;
   head.mTargetGroups = aSubmission.mTargetGroups;
   head.mTotal = static_cast<int>(aSubmission.mItems.size());
+  for (const auto& item : aSubmission.mItems) {
+    head.mExpectedTokens += item.mExpectedTokens;
+  }
   head.mParts = static_cast<int>(admitted->mItems.size());
   head.mSubmittedAt = std::chrono::system_clock::now();
   head.mOwner = mParts.mName;
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -75,6 +75,7 @@
                   { "minimumVersion", aHead.mMinimumVersion },
                   { "targetGroups", aHead.mTargetGroups },
                   { "total", aHead.mTotal },
+                  { "expected", aHead.mExpectedTokens },
                   { "parts", aHead.mParts },
                   { "submittedMs", std::int64_t{ submitted.count() } },
                   { "owner", aHead.mOwner } });
@@ -105,6 +106,7 @@
   head.mTargetGroups =
     static_cast<int>(json::IntegerAt(spec, "targetGroups", 0));
   head.mTotal = static_cast<int>(json::IntegerAt(spec, "total", 0));
+  head.mExpectedTokens = json::IntegerAt(spec, "expected", 0);
   head.mParts = static_cast<int>(json::IntegerAt(spec, "parts", 0));
   head.mSubmittedAt = std::chrono::system_clock::time_point(
     milliseconds(json::IntegerAt(spec, "submittedMs", 0)));
--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -4,6 +4,7 @@
 #include "Libraries/Json/Value.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lavender::versions {
 
@@ -17,6 +18,10 @@
  * needs longer doesn't hold up the others. */
 constexpr milliseconds kLoadTime = 3s;
 constexpr milliseconds kLookEach = 500ms;
+/** Of the newest batch in a model's work. */
+constexpr double kNewestWeight = 0.3;
+/** A model's part of the work must change by this much to move servers. */
+constexpr double kShift = 0.1;
 
 json::value
 EncodeVersions(const std::map<std::string, std::int64_t>& aVersions)
@@ -79,8 +84,15 @@
 }
 
 void
-assignments::TakeBatch(const std::string& aModel, std::int64_t aMinimumVersion)
+assignments::TakeBatch(const std::string& aModel,
+                       std::int64_t aMinimumVersion,
+                       std::int64_t aExpectedTokens)
 {
+  auto& work = mWork[aModel];
+  work = work == 0 ? static_cast<double>(aExpectedTokens)
+                   : work + kNewestWeight *
+                              (static_cast<double>(aExpectedTokens) - work);
+  UpdateWeights();
   // More than a few versions would be a trainer that has fallen behind, not
   // one that allows it.
   constexpr std::int64_t kLargestLag = 3;
@@ -95,6 +107,26 @@
   }
 }
 
+void
+assignments::UpdateWeights()
+{
+  double sum = 0;
+  for (const auto& [model, work] : mWork) {
+    sum += work;
+  }
+  model_weights weights;
+  bool hasShifted = false;
+  for (const auto& [model, work] : mWork) {
+    weights[model] = sum > 0 ? work / sum : 0;
+    const auto before = mWeights.find(model);
+    hasShifted = hasShifted || before == mWeights.end() ||
+                 std::abs(before->second - weights[model]) > kShift;
+  }
+  if (hasShifted) {
+    mWeights = weights;
+  }
+}
+
 std::vector<placed_server>
 assignments::ServersOf(const std::string& aPool) const
 {
@@ -126,7 +158,8 @@
       continue;
     }
     const auto servers = ServersOf(name);
-    const auto placed = PlaceModels(servers, pool.mEngine->mModels, mNamed);
+    const auto placed =
+      PlaceModels(servers, pool.mEngine->mModels, mNamed, mWeights);
     const auto due = DueOf(servers, pool.mEngine->mModels);
     std::size_t loading = 0;
     for (const auto& server : servers) {
@@ -161,7 +194,7 @@
 assignments::DueOf(const std::vector<placed_server>& aServers,
                    const std::vector<std::string>& aModels) const
 {
-  const auto placed = PlaceModels(aServers, aModels, mNamed);
+  const auto placed = PlaceModels(aServers, aModels, mNamed, mWeights);
   std::vector<std::string> due;
   for (const auto& model : aModels) {
     const auto named = mNamed.find(model);
--- a/Duties/Versions/Assignments.h
+++ b/Duties/Versions/Assignments.h
@@ -31,7 +31,9 @@
   void TakeNamed(const std::string& aModel, std::int64_t aVersion);
   /** A trainer submitted a batch: how far behind the newest version it lets
    * its tokens be tells how many servers must load the next one. */
-  void TakeBatch(const std::string& aModel, std::int64_t aMinimumVersion);
+  void TakeBatch(const std::string& aModel,
+                 std::int64_t aMinimumVersion,
+                 std::int64_t aExpectedTokens);
   /** Servers or configuration have changed. */
   void Refresh();
   /** An agent's question. */
@@ -58,12 +60,18 @@
   void Answer(const waiter& aWaiter, const wanted_versions& aWanted);
   std::string FindServer(const std::string& aAddress) const;
   void PlanLook();
+  void UpdateWeights();
 
   assignment_parts mParts;
   named_versions mNamed;
   /** Versions that the last two batches of a model allowed to be behind. */
   std::map<std::string, std::pair<std::int64_t, std::int64_t>> mLags;
   std::map<std::string, std::map<std::string, std::int64_t>> mReported;
+  /** Work of a model's batches, newest counting most, and the weights that
+   * follow. They change only when the work has clearly shifted: a server that
+   * moves to another model loads it first. */
+  std::map<std::string, double> mWork;
+  model_weights mWeights;
   /** Since when a server has been told to load what it doesn't hold. */
   std::map<std::string, time_point> mLoadingSince;
   std::map<std::string, wanted_versions> mWanted;
--- a/Duties/Versions/Placement.cpp
+++ b/Duties/Versions/Placement.cpp
@@ -78,15 +78,51 @@
   return std::max<std::size_t>(2, (aServers + kShare - 1) / kShare);
 }
 
+std::map<std::string, std::size_t>
+SharesOf(std::size_t aServers,
+         const std::vector<std::string>& aModels,
+         const model_weights& aWeights)
+{
+  std::map<std::string, std::size_t> shares;
+  std::map<std::string, double> wanted;
+  for (const auto& model : aModels) {
+    const auto weight = aWeights.find(model);
+    wanted[model] = weight == aWeights.end()
+                      ? 1.0 / static_cast<double>(aModels.size())
+                      : weight->second;
+    shares[model] = 0;
+  }
+  // One server at a time to the model that is furthest below its part; a model
+  // without any comes first.
+  for (std::size_t given = 0; given < aServers; ++given) {
+    const auto next = std::max_element(
+      aModels.begin(),
+      aModels.end(),
+      [&](const auto& aLeft, const auto& aRight) {
+        const auto lack = [&](const std::string& aModel) {
+          return shares[aModel] == 0
+                   ? 2.0 + wanted[aModel]
+                   : wanted[aModel] - static_cast<double>(shares[aModel]) /
+                                        static_cast<double>(aServers);
+        };
+        return lack(aLeft) < lack(aRight);
+      });
+    ++shares[*next];
+  }
+  return shares;
+}
+
 std::map<std::string, std::string>
 PlaceModels(const std::vector<placed_server>& aServers,
             const std::vector<std::string>& aModels,
-            const named_versions& aNamed)
+            const named_versions& aNamed,
+            const model_weights& aWeights)
 {
   std::map<std::string, std::string> placed;
   if (aModels.empty()) {
     return placed;
   }
+  const auto shares = SharesOf(aServers.size(), aModels, aWeights);
   std::map<std::string, std::vector<std::string>> byModel;
   std::vector<std::string> free;
   for (const auto& server : aServers) {
@@ -96,12 +132,10 @@
       free.push_back(server.mId);
     }
   }
-  const std::size_t most =
-    (aServers.size() + aModels.size() - 1) / aModels.size();
   for (const auto& model : aModels) {
     auto& servers = byModel[model];
     std::sort(servers.begin(), servers.end());
-    while (servers.size() > most) {
+    while (servers.size() > shares.at(model)) {
       free.push_back(servers.back());
       servers.pop_back();
     }
@@ -109,10 +143,14 @@
   std::sort(free.begin(), free.end());
   for (const auto& server : free) {
     const auto poorest =
-      std::min_element(aModels.begin(),
+      std::max_element(aModels.begin(),
                        aModels.end(),
                        [&](const auto& aLeft, const auto& aRight) {
-                         return byModel[aLeft].size() < byModel[aRight].size();
+                         const auto lack = [&](const std::string& aModel) {
+                           return static_cast<double>(shares.at(aModel)) -
+                                  static_cast<double>(byModel[aModel].size());
+                         };
+                         return lack(aLeft) < lack(aRight);
                        });
     byModel[*poorest].push_back(server);
   }
--- a/Duties/Versions/Placement.h
+++ b/Duties/Versions/Placement.h
@@ -18,6 +18,16 @@
   std::map<std::string, std::int64_t> mVersions;
 };
 
+/** Part of the servers' work that each model makes; the sum is one. */
+using model_weights = std::map<std::string, double>;
+
+/** Servers for each model, by its weight; every model has one if there are
+ * enough servers. */
+std::map<std::string, std::size_t>
+SharesOf(std::size_t aServers,
+         const std::vector<std::string>& aModels,
+         const model_weights& aWeights);
+
 /** Model that each server serves, by server.
  *
  * Each model has its own share of the servers: loading every version of every
@@ -28,7 +38,8 @@
 std::map<std::string, std::string>
 PlaceModels(const std::vector<placed_server>& aServers,
             const std::vector<std::string>& aModels,
-            const named_versions& aNamed);
+            const named_versions& aNamed,
+            const model_weights& aWeights);
 
 /** Servers of one model's share that shall load the newest version, the most
  * outdated first.
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -79,7 +79,8 @@
                mSettings.mName,
                [this](const std::string& aName) { return FindPeer(aName); },
                [this](const batches::batch_head& aHead) {
-                 mAssignments.TakeBatch(aHead.mModel, aHead.mMinimumVersion);
+                 mAssignments.TakeBatch(
+                   aHead.mModel, aHead.mMinimumVersion, aHead.mExpectedTokens);
                } })
   , mAssignments({ mLoop, mDirectory, mConfiguration })
   , mUsage({ mLoop,
--- a/Tests/Site/TestVersions.cpp
+++ b/Tests/Site/TestVersions.cpp
@@ -96,22 +96,37 @@
       }
       servers.push_back(server);
     }
-    const auto placed = PlaceModels(servers, models, named);
+    model_weights weights;
+    if (*rc::gen::arbitrary<bool>()) {
+      const int first = *rc::gen::inRange(0, 90);
+      weights = { { "m", first / 100.0 },
+                  { "n", 0.1 },
+                  { "o", 0.9 - first / 100.0 } };
+    }
+    const auto placed = PlaceModels(servers, models, named, weights);
     std::map<std::string, int> sizes;
     for (const auto& server : servers) {
       ++sizes[placed.at(server.mId)];
     }
-    const int most = (count + 2) / 3;
-    for (const auto& [model, size] : sizes) {
-      RC_ASSERT(size <= most);
+    const auto shares =
+      SharesOf(static_cast<std::size_t>(count), models, weights);
+    std::size_t sum = 0;
+    for (const auto& model : models) {
+      RC_ASSERT(static_cast<std::size_t>(sizes[model]) == shares.at(model));
+      RC_ASSERT(shares.at(model) > 0 || count < 3);
+      const auto weight = weights.empty() ? 1.0 / 3 : weights.at(model);
+      RC_ASSERT(static_cast<double>(shares.at(model)) <=
+                std::max(1.0, weight * count + 1.01));
+      sum += shares.at(model);
     }
+    RC_ASSERT(sum == static_cast<std::size_t>(count));
     // The same servers, brought to what they were placed for, stay there.
     for (auto& server : servers) {
       server.mVersions = { { "m", 1 }, { "n", 1 }, { "o", 1 } };
       const auto& model = placed.at(server.mId);
       server.mVersions[model] = named[model];
     }
-    RC_ASSERT(PlaceModels(servers, models, named) == placed);
+    RC_ASSERT(PlaceModels(servers, models, named, weights) == placed);
   }));
 }
 
