Leaving entries hand their batches over; bodies bounded; peers carry calls

Cause: an entry that was stopped left its batches to be claimed when a trainer's read failed; large uploads could end a process for memory; an entry that the store turned away could list no results though others could.

--- a/Duties/Batches/BatchService.cpp
+++ b/Duties/Batches/BatchService.cpp
@@ -138,6 +138,9 @@
     Drop(batch);
   } else if (aHead.mIsEnded) {
     mParts.mRunner.Remove(aHead.mId);
+  } else if (!wasMine && IsMine(batch)) {
+    // Taken over, or handed over by an entry that leaves.
+    Load(batch, [](bool) {});
   }
 }
 
@@ -891,10 +894,55 @@
   }
 }
 
+std::size_t
+batch_service::OpenBatches() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mBatches.begin(), mBatches.end(), [&](const auto& aEntry) {
+      const auto& batch = *aEntry.second;
+      return IsMine(aEntry.second) && batch.mIsLoaded &&
+             !batch.mHead.mIsEnded &&
+             batch.mLog.mListed.size() <
+               static_cast<std::size_t>(batch.mHead.mTotal);
+    }));
+}
+
+std::optional<std::string>
+batch_service::SuccessorFor(const std::string& aBatchId) const
+{
+  // Rendezvous hashing: the batches of one entry spread over the others.
+  std::optional<std::string> chosen;
+  std::size_t highest = 0;
+  for (const auto& name : mParts.mEntryNames()) {
+    const auto weight = std::hash<std::string>{}(aBatchId + "/" + name);
+    if (name != mParts.mName && (!chosen || weight > highest)) {
+      chosen = name;
+      highest = weight;
+    }
+  }
+  return chosen;
+}
+
 void
 batch_service::HandOver()
 {
   mIsLeaving = true;
+  for (const auto& [id, batch] : mBatches) {
+    const auto successor = SuccessorFor(id);
+    if (!IsMine(batch) || batch->mHead.mIsEnded || !successor) {
+      continue;
+    }
+    mParts.mStore.mReplaceStatus(kHeadKind,
+                                 id,
+                                 batch->mHead.mRevision,
+                                 EncodeHeadStatus(*successor, false),
+                                 [this](const objects::object_reply& aReply) {
+                                   if (const auto head =
+                                         DecodeHead(aReply.mObject)) {
+                                     TakeHead(*head);
+                                   }
+                                 });
+  }
 }
 
 } // namespace lavender::batches
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -28,6 +28,8 @@
   std::string mName;
   /** Where another entry takes forwarded calls; none when it isn't known. */
   std::function<std::optional<edge::endpoint>(const std::string&)> mFindPeer;
+  /** Names of all entries, this one included. */
+  std::function<std::vector<std::string>()> mEntryNames;
   /** Told once of each batch that was accepted, by whichever entry. */
   std::function<void(const batch_head&)> mOnAccepted;
 };
@@ -96,7 +98,12 @@
   /** Calls that another entry passed on. */
   void ServePeer(const edge::exchange_ptr& aExchange);
   void TakeResult(const std::string& aBatchId, item_result aResult);
-  /** Lets other entries take over what this one owns. */
+  /** From now on new batches are refused; those that run go on. */
+  void StopAccepting() { mIsLeaving = true; }
+  /** Batches of this entry whose trainers still wait. */
+  std::size_t OpenBatches() const;
+  /** Gives each open batch to another entry, which goes on from what is
+   * listed. */
   void HandOver();
 
 private:
@@ -158,6 +165,7 @@
                                  objects::object_done aDone);
   void Run(const batch_ptr& aBatch);
   void Drop(const batch_ptr& aBatch);
+  std::optional<std::string> SuccessorFor(const std::string& aBatchId) const;
 
   void PlanCommit(const batch_ptr& aBatch, milliseconds aPause);
   void Commit(const batch_ptr& aBatch);
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -58,6 +58,12 @@
   /** Every kind has been listed at least once. */
   bool HasListed() const;
   bool IsReachable() const { return mIsReachable; }
+  /** The entry that this one hears from, unless it watches itself. */
+  std::optional<edge::endpoint> Source() const
+  {
+    return mIsWatching || mSourceNumber == 0 ? std::nullopt
+                                             : std::optional(mSource);
+  }
 
 private:
   struct asking
--- a/Libraries/Edge/Listener.h
+++ b/Libraries/Edge/Listener.h
@@ -19,6 +19,9 @@
   milliseconds mHeaderTimeout{ 5000 };
   /** A connection without a request is closed after this. */
   milliseconds mIdleTimeout{ 60000 };
+  /** Bodies of all requests under way together; a request beyond it is told to
+   * come back. Without it a few large uploads end the process for memory. */
+  std::size_t mMaximumBufferedBytes = 256 << 20;
   /** Connections beyond this are closed at once: descriptors are limited. */
   std::size_t mMaximumConnections = 2000;
 };
--- a/Libraries/Edge/ServerConnection.cpp
+++ b/Libraries/Edge/ServerConnection.cpp
@@ -22,6 +22,9 @@
  * which crosses the close is still answered. */
 constexpr milliseconds kDrainIdle{ 1500 };
 
+/** Seconds after which room for another body is likely. */
+constexpr char kComeBackAfter[] = "0.5";
+
 std::string
 WriteHead(unsigned aStatus,
           const header_list& aHeaders,
@@ -147,6 +150,7 @@
 
 server_connection::~server_connection()
 {
+  CountBody(0);
   mShared->mConnections.erase(this);
 }
 
@@ -270,12 +274,16 @@
   if (error == http::error::need_more) {
     error = {};
   }
+  CountBody(BodyBytes());
+  const auto& limits = *mShared->mLimits;
   if (error == http::error::header_limit) {
     Refuse(431);
   } else if (error == http::error::body_limit) {
     Refuse(413);
   } else if (error) {
     Refuse(400);
+  } else if (mShared->mBodyBytes > limits.mMaximumBufferedBytes) {
+    Refuse(503);
   } else if (mParser->is_done()) {
     HandOn();
   } else if (mParser->is_header_done()) {
@@ -284,6 +292,24 @@
   }
 }
 
+void
+server_connection::CountBody(std::size_t aBytes)
+{
+  mShared->mBodyBytes += aBytes - mCountedBytes;
+  mCountedBytes = aBytes;
+}
+
+std::size_t
+server_connection::BodyBytes() const
+{
+  if (!mParser->is_header_done()) {
+    return 0;
+  }
+  const auto announced = mParser->content_length();
+  return std::max<std::size_t>(announced ? *announced : 0,
+                               mParser->get().body().size());
+}
+
 void
 server_connection::HandOn()
 {
@@ -311,7 +337,12 @@
 server_connection::Refuse(unsigned aStatus)
 {
   mKeepsConnection = false;
-  Send(WriteHead(aStatus, {}, std::size_t{ 0 }, true), true);
+  header_list headers;
+  if (aStatus == 503) {
+    headers.Add("Retry-After", kComeBackAfter);
+  }
+  CountBody(0);
+  Send(WriteHead(aStatus, headers, std::size_t{ 0 }, true), true);
 }
 
 void
@@ -368,6 +399,7 @@
 server_connection::EndRequest()
 {
   const bool closes = IsClosing();
+  CountBody(0);
   if (mHasRequest) {
     --mShared->mRequests;
     mHasRequest = false;
--- a/Libraries/Edge/ServerConnection.h
+++ b/Libraries/Edge/ServerConnection.h
@@ -19,6 +19,8 @@
   request_handler mHandler;
   std::unordered_set<server_connection*> mConnections;
   std::size_t mRequests = 0;
+  /** Of request bodies that are held or announced. */
+  std::size_t mBodyBytes = 0;
   bool mIsDraining = false;
 };
 
@@ -50,6 +52,8 @@
   void Parse();
   void HandOn();
   void Refuse(unsigned aStatus);
+  void CountBody(std::size_t aBytes);
+  std::size_t BodyBytes() const;
   void Flush();
   void AfterWrite(const boost::system::error_code& aError);
   void EndRequest();
@@ -72,6 +76,8 @@
   std::string mQueued;
   std::string mWriting;
   std::size_t mUnsent = 0;
+  /** This connection's part of the listener's body bytes. */
+  std::size_t mCountedBytes = 0;
   std::size_t mLingered = 0;
   bool mIsReading = false;
   bool mIsWriting = false;
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -31,6 +31,9 @@
 constexpr milliseconds kAnnounceLeaving = 3200ms;
 /** Left of the grace when the process ends whatever is under way. */
 constexpr milliseconds kGraceMargin = 600ms;
+/** Open batches go to other entries this long before the end; until then most
+ * of them end by themselves, and a run that moves loses its text so far. */
+constexpr milliseconds kHandOverBefore = 2000ms;
 constexpr milliseconds kLookEach = 100ms;
 constexpr milliseconds kAnnounceRetry = 1000ms;
 /** All entries of a site start within 0.3 s; by then each finds the others in
@@ -46,8 +49,12 @@
 site_entry::site_entry(site_settings aSettings)
   : mSettings(std::move(aSettings))
   , mClients(std::make_shared<edge::client_pool>(mLoop))
+  , mDirectStore(platform::DirectTransport(mLoop, mClients, mSettings.mStore))
   , mStore(platform::MakeStore(
-      platform::DirectTransport(mLoop, mClients, mSettings.mStore),
+      platform::HelpedTransport(mLoop,
+                                mClients,
+                                mDirectStore,
+                                [this] { return mFeed.Source(); }),
       mStoreCounts))
   , mProtocol(platform::MakeExchangeProtocol())
   , mLimits(std::make_shared<edge::listener_limits>())
@@ -78,6 +85,7 @@
                platform::MakePageFormat(),
                mSettings.mName,
                [this](const std::string& aName) { return FindPeer(aName); },
+               [this] { return EntryNames(); },
                [this](const batches::batch_head& aHead) {
                  mAssignments.TakeBatch(
                    aHead.mModel, aHead.mMinimumVersion, aHead.mExpectedTokens);
@@ -88,13 +96,7 @@
              *mClients,
              mSettings.mName,
              mSettings.mUsageWindow,
-             [this] {
-               std::vector<std::string> names;
-               for (const auto& [name, known] : mPeers) {
-                 names.push_back(name);
-               }
-               return names;
-             },
+             [this] { return EntryNames(); },
              [this](const std::string& aName) { return FindPeer(aName); },
              [this](const billing::usage_report& aReport,
                     std::function<void(billing::report_outcome)> aDone) {
@@ -141,6 +143,7 @@
   , mJoinTimer(mLoop)
 {
   mLimits->mMaximumConnections = mSettings.mMaximumConnections;
+  mLimits->mMaximumBufferedBytes = mSettings.mMaximumBufferedBytes;
 }
 
 std::string
@@ -343,6 +346,7 @@
   const auto connections = mLimits->mMaximumConnections;
   *mLimits = mConfiguration->mLimits;
   mLimits->mMaximumConnections = connections;
+  mLimits->mMaximumBufferedBytes = mSettings.mMaximumBufferedBytes;
   events::line("configuration_in_force")
     .With("version", mConfiguration->mVersion)
     .With("revision", aObject.mRevision);
@@ -479,6 +483,8 @@
   };
   if (target == feed::kFeedPath) {
     mFeed.Serve(aExchange);
+  } else if (target == platform::kHelpPath) {
+    platform::ServeHelpCall(aExchange, mDirectStore);
   } else if (startsWith(batches::kPeerPath)) {
     mBatches.ServePeer(aExchange);
   } else if (startsWith(versions::kAssignmentPath)) {
@@ -498,6 +504,16 @@
   }
 }
 
+std::vector<std::string>
+site_entry::EntryNames() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, known] : mPeers) {
+    names.push_back(name);
+  }
+  return names;
+}
+
 bool
 site_entry::IsReady() const
 {
@@ -568,7 +584,7 @@
   mLeavingSince = boot_clock::now();
   events::line("leaving").With("requests",
                                static_cast<std::int64_t>(mCallers.Requests()));
-  mBatches.HandOver();
+  mBatches.StopAccepting();
   mCallers.StartDraining();
   LookWhetherDone();
 }
@@ -577,7 +593,12 @@
 site_entry::LookWhetherDone()
 {
   const auto since = boot_clock::now() - *mLeavingSince;
-  const bool isIdle = since >= kAnnounceLeaving && mCallers.Requests() == 0;
+  const bool isIdle = since >= kAnnounceLeaving && mCallers.Requests() == 0 &&
+                      mBatches.OpenBatches() == 0;
+  if (!mHasHandedOver && since >= mSettings.mGrace - kHandOverBefore) {
+    mHasHandedOver = true;
+    mBatches.HandOver();
+  }
   if (isIdle || since >= mSettings.mGrace - kGraceMargin) {
     mLoop.stop();
     return;
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -56,12 +56,14 @@
             unsigned aStatus,
             const char* aReason);
   std::optional<edge::endpoint> FindPeer(const std::string& aName) const;
+  std::vector<std::string> EntryNames() const;
   bool IsReady() const;
 
   const site_settings mSettings;
   boost::asio::io_context mLoop{ 1 };
   std::shared_ptr<edge::client_pool> mClients;
   platform::store_counts mStoreCounts;
+  platform::store_transport mDirectStore;
   objects::object_store mStore;
   metrics::registry mMetrics;
   site::exchange_protocol mProtocol;
@@ -85,6 +87,7 @@
   boost::asio::steady_timer mAnnounceTimer;
   boost::asio::steady_timer mJoinTimer;
   std::optional<time_point> mLeavingSince;
+  bool mHasHandedOver = false;
 };
 
 } // namespace lavender::entry
--- a/Services/Entry/SiteSettings.cpp
+++ b/Services/Entry/SiteSettings.cpp
@@ -80,6 +80,7 @@
            8,
            1,
            600),
+    Number("memory", "Memory of the process.", "MB", 256, 16, 1 << 20),
     Number("descriptors",
            "File descriptors that may be open.",
            "",
@@ -108,6 +109,11 @@
   }
   read.mUsageWindow = std::chrono::seconds(aValues.Integer("usage-window"));
   read.mGrace = std::chrono::seconds(aValues.Integer("grace"));
+  // Bodies are held until their answer, beside the batches' results and the
+  // tables; a quarter leaves room for both.
+  constexpr std::size_t kBodyShare = 4;
+  read.mMaximumBufferedBytes =
+    (static_cast<std::size_t>(aValues.Integer("memory")) << 20) / kBodyShare;
   const auto descriptors =
     static_cast<std::size_t>(aValues.Integer("descriptors"));
   if (descriptors <= kReservedDescriptors) {
--- a/Services/Entry/SiteSettings.h
+++ b/Services/Entry/SiteSettings.h
@@ -23,6 +23,8 @@
   /** From the signal to end until the platform kills the process. */
   milliseconds mGrace{ 8000 };
   std::size_t mMaximumConnections = 1000;
+  /** Of request bodies held at once. */
+  std::size_t mMaximumBufferedBytes = 64 << 20;
 };
 
 std::vector<settings::setting>
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -54,6 +54,13 @@
                           ? std::optional<edge::endpoint>()
                           : std::optional(found->second);
                },
+               [this] {
+                 std::vector<std::string> names;
+                 for (const auto& [name, address] : mSite.mPeers) {
+                   names.push_back(name);
+                 }
+                 return names;
+               },
                [](const batches::batch_head&) {} })
   , mListener(aSite.mLoop.mLoop,
               std::make_shared<edge::listener_limits>(),
