--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -132,7 +132,7 @@
   , mMetricsListener(mLoop,
                      std::make_shared<edge::listener_limits>(),
                      [this](const auto& aExchange) {
-                       edge::response page{ 200, {}, mMetrics.Write() };
+                       edge::response page{ 200, {}, MetricsText() };
                        page.mHeaders.Add("Content-Type", "text/plain");
                        aExchange->Answer(std::move(page));
                      })
@@ -514,6 +514,33 @@
   return names;
 }
 
+std::string
+site_entry::MetricsText()
+{
+  const auto gauge = [this](const char* aName, double aValue) {
+    mMetrics.SetGauge(aName, {}, aValue);
+  };
+  gauge("lavender_configuration_version",
+        mConfiguration ? static_cast<double>(mConfiguration->mVersion) : -1);
+  gauge("lavender_servers_known", static_cast<double>(mDirectory.mRows.size()));
+  gauge("lavender_open_batches", static_cast<double>(mBatches.OpenBatches()));
+  gauge("lavender_requests_under_way",
+        static_cast<double>(mCallers.Requests()));
+  gauge("lavender_store_reachable", mFeed.IsReachable() ? 1 : 0);
+  gauge("lavender_connections_opened",
+        static_cast<double>(mClients->Counts().mOpened));
+  gauge("lavender_connections_reused",
+        static_cast<double>(mClients->Counts().mReused));
+  gauge("lavender_log_lines_dropped",
+        static_cast<double>(events::DroppedLines()));
+  for (const auto& [outcome, calls] : mStoreCounts.mCalls) {
+    mMetrics.SetGauge("lavender_store_calls",
+                      { { "outcome", outcome } },
+                      static_cast<double>(calls));
+  }
+  return mMetrics.Write();
+}
+
 bool
 site_entry::IsReady() const
 {
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -57,6 +57,7 @@
             const char* aReason);
   std::optional<edge::endpoint> FindPeer(const std::string& aName) const;
   std::vector<std::string> EntryNames() const;
+  std::string MetricsText();
   bool IsReady() const;
 
   const site_settings mSettings;
