A fault soak of the real programs against stand-ins of the platform

Entries and agents run as processes; links to the store and to servers go through relays that delay, silence, cut one way or reset; processes are killed, stopped, paused and reloaded; the store refuses, is silent, loses answers, comes late or forgets its history. Checked from what callers and servers see: positions, whole texts, versions, one run, true refusals, one giver of orders, one count for each usage window, no end of its own. Writing logs no longer waits for a reader that has stopped.

--- a/Libraries/EventLog/EventLog.cpp
+++ b/Libraries/EventLog/EventLog.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <atomic>
+#include <climits>
 #include <condition_variable>
 #include <cstdio>
 #include <mutex>
+#include <poll.h>
 #include <thread>
 #include <unistd.h>
 
@@ -16,6 +18,7 @@
 
 /** Pause of the writing thread; each of its wake-ups costs processor time. */
 constexpr milliseconds kWriteEach = 250ms;
+constexpr milliseconds kReaderPatience = 300ms;
 
 struct log_state
 {
@@ -39,18 +42,32 @@
   return state;
 }
 
-void
+/** Writes what the reader of the output takes. A reader that has stopped
+ * reading must hold up nothing, least of all the end of the process: what it
+ * doesn't take in time is given up.
+ * @return lines that were not written */
+std::uint64_t
 WriteAll(const std::string& aText)
 {
   std::size_t written = 0;
   while (written < aText.size()) {
+    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+    const auto timeout = static_cast<int>(kReaderPatience.count());
+    if (poll(&output, 1, timeout) <= 0) {
+      break;
+    }
+    // A ready pipe takes this many bytes without blocking.
     const auto size =
-      write(STDOUT_FILENO, aText.data() + written, aText.size() - written);
+      write(STDOUT_FILENO,
+            aText.data() + written,
+            std::min<std::size_t>(aText.size() - written, PIPE_BUF));
     if (size <= 0) {
-      return;
+      break;
     }
     written += static_cast<std::size_t>(size);
   }
+  return static_cast<std::uint64_t>(std::count(
+    aText.begin() + static_cast<std::ptrdiff_t>(written), aText.end(), '\n'));
 }
 
 void
@@ -102,7 +119,7 @@
               std::to_string(dropped - aState.mReportedDrops) + "}\n";
       aState.mReportedDrops = dropped;
     }
-    WriteAll(text);
+    aState.mDropped += WriteAll(text);
     lock.lock();
     if (isStopped) {
       return;
--- /dev/null
+++ b/StandIns/ObjectStore/StoreListener.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "Libraries/Edge/Listener.h"
+#include "StandIns/ObjectStore/MemoryStore.h"
+
+namespace lavender::standin {
+
+/** The stand-in store behind the platform's published paths, for programs that
+ * reach it over HTTP. */
+class store_listener
+{
+public:
+  store_listener(boost::asio::io_context& aLoop, memory_store_state& aState);
+
+  unsigned short Open();
+
+private:
+  void Serve(const edge::exchange_ptr& aExchange);
+
+  memory_store_state& mState;
+  objects::object_store mStore;
+  edge::listener mListener;
+};
+
+} // namespace lavender::standin
--- a/Tests/Site/Support/ModelServer.cpp
+++ b/Tests/Site/Support/ModelServer.cpp
@@ -1,5 +1,7 @@
 #include "Tests/Site/Support/ModelServer.h"
 
+#include "Libraries/Json/Value.h"
+
 namespace lavender::tests {
 
 struct model_server::run
@@ -17,6 +19,7 @@
   , mListener(aLoop,
               std::make_shared<edge::listener_limits>(),
               [this](const auto& aExchange) { Serve(aExchange); })
+  , mLoadTimer(aLoop)
 {
   mListener.Open({ "127.0.0.1", 0 });
 }
@@ -34,10 +37,69 @@
   return entry;
 }
 
+void
+model_server::ServeReport(const edge::exchange_ptr& aExchange)
+{
+  json::value report =
+    json::object{ { "models",
+                    json::array{ json::object{ { "name", "model" },
+                                               { "version", mVersion } } } },
+                  { "busy", mIsLoading },
+                  { "seq", mAcceptedOrders },
+                  { "running", mOpenRuns },
+                  { "waiting", 0 } };
+  edge::response answer{ 200, {}, json::Write(report) };
+  answer.mHeaders.Add("X-Instance-Id", mId);
+  aExchange->Answer(std::move(answer));
+}
+
+void
+model_server::ServeOrder(const edge::exchange_ptr& aExchange)
+{
+  const auto order = json::Parse(aExchange->mRequest.mBody);
+  if (!order) {
+    aExchange->Answer({ 400, {}, {} });
+    return;
+  }
+  mOrders.emplace_back(json::IntegerAt(*order, "fencingToken", 0),
+                       json::StringAt(*order, "holder", ""));
+  const auto version = json::IntegerAt(*order, "version", 0);
+  if (mIsLoading || json::IntegerAt(*order, "expect", -1) != mAcceptedOrders) {
+    aExchange->Answer({ 409, {}, {} });
+    return;
+  }
+  ++mAcceptedOrders;
+  mIsLoading = true;
+  mLoadTimer.expires_after(mLoadTime);
+  mLoadTimer.async_wait([this, version](const auto& aError) {
+    if (!aError) {
+      mIsLoading = false;
+      mVersion = version;
+    }
+  });
+  aExchange->Answer({ 202, {}, {} });
+}
+
 void
 model_server::Serve(const edge::exchange_ptr& aExchange)
 {
   const auto& request = aExchange->mRequest;
+  if (request.mTarget == "/report") {
+    ServeReport(aExchange);
+    return;
+  }
+  if (request.mTarget == "/order") {
+    ServeOrder(aExchange);
+    return;
+  }
+  if (mIsLoading) {
+    edge::response busy{ 503, {}, {} };
+    busy.mHeaders.Add("X-Attempt-Id",
+                      request.mHeaders.ValueOr("X-Attempt-Id", ""));
+    busy.mHeaders.Add("X-Not-Executed", "1");
+    aExchange->Answer(std::move(busy));
+    return;
+  }
   auto started = std::make_shared<run>();
   started->mExchange = aExchange;
   started->mItem = request.mHeaders.ValueOr("X-Attempt-Id", "");
--- a/Tests/Site/Support/ModelServer.h
+++ b/Tests/Site/Support/ModelServer.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace lavender::tests {
 
@@ -17,6 +18,8 @@
   model_server(boost::asio::io_context& aLoop, std::string aId);
 
   site::backend_server Entry() const;
+  unsigned short Port() const { return mListener.Port(); }
+  const std::string& Id() const { return mId; }
 
   /** Events of each run. */
   int mEvents = 4;
@@ -26,6 +29,10 @@
   /** Answers with this status instead of running. */
   unsigned mStatus = 200;
   std::int64_t mVersion = 1;
+  /** A version order takes this long; new runs are turned away meanwhile. */
+  milliseconds mLoadTime{ 60 };
+  /** Epoch and holder of each order, as it came. */
+  std::vector<std::pair<std::int64_t, std::string>> mOrders;
   std::map<std::string, int> mRuns;
   int mOpenRuns = 0;
 
@@ -33,11 +40,16 @@
   struct run;
 
   void Serve(const edge::exchange_ptr& aExchange);
+  void ServeReport(const edge::exchange_ptr& aExchange);
+  void ServeOrder(const edge::exchange_ptr& aExchange);
   void WriteNext(const std::shared_ptr<run>& aRun);
 
   boost::asio::io_context& mLoop;
   const std::string mId;
   edge::listener mListener;
+  boost::asio::steady_timer mLoadTimer;
+  bool mIsLoading = false;
+  std::int64_t mAcceptedOrders = 0;
 };
 
 } // namespace lavender::tests
--- /dev/null
+++ b/Tests/Soak/Site.cpp
@@ -0,0 +1,268 @@
+#include "Tests/Soak/Site.h"
+
+#include <csignal>
+
+namespace lavender::soak {
+
+using boost::asio::ip::tcp;
+
+namespace {
+
+/** A port that is free now. */
+unsigned short
+FreePort(boost::asio::io_context& aLoop)
+{
+  tcp::acceptor probe(
+    aLoop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  return probe.local_endpoint().port();
+}
+
+std::string
+Local(unsigned short aPort)
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+std::string
+Program(const char* aName)
+{
+  return std::string(LAVENDER_BUILD) + "/Services/" + aName;
+}
+
+} // namespace
+
+plain_server::plain_server(boost::asio::io_context& aLoop)
+  : mLoop(aLoop)
+  , mListener(aLoop,
+              std::make_shared<edge::listener_limits>(),
+              [this](const auto& aExchange) { Serve(aExchange); })
+{
+  mListener.Open({ "127.0.0.1", 0 });
+}
+
+void
+plain_server::Serve(const edge::exchange_ptr& aExchange)
+{
+  const auto id = aExchange->mRequest.mHeaders.ValueOr("X-Attempt-Id", "");
+  ++mRuns[id];
+  if (std::uniform_real_distribution<>(0, 1)(mRandom) < mLosesAnswers) {
+    aExchange->Abort();
+    return;
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(mLoop);
+  timer->expires_after(milliseconds(5));
+  timer->async_wait([aExchange, id, timer](const auto& aError) {
+    if (!aError) {
+      edge::response answer{ 200, {}, "answer to " + id };
+      answer.mHeaders.Add("X-Attempt-Id", id);
+      answer.mHeaders.Add("X-Server-Seal", "seal-" + id);
+      aExchange->Answer(std::move(answer));
+    }
+  });
+}
+
+soak_site::soak_site(boost::asio::io_context& aLoop, site_options aOptions)
+  : mLoop(aLoop)
+  , mOptions(std::move(aOptions))
+  , mStore(aLoop, mState)
+  , mPlain(aLoop)
+  , mReportListener(aLoop,
+                    std::make_shared<edge::listener_limits>(),
+                    [this](const auto& aExchange) { ServeReports(aExchange); })
+{
+  const auto storePort = mStore.Open();
+  mReportListener.Open({ "127.0.0.1", 0 });
+  for (int i = 0; i < mOptions.mEntries; ++i) {
+    auto entry = std::make_unique<entry_instance>();
+    entry->mName = "entry-" + std::to_string(i);
+    entry->mCallers = FreePort(aLoop);
+    entry->mReadiness = FreePort(aLoop);
+    entry->mPeers = FreePort(aLoop);
+    entry->mStoreLink = std::make_unique<fault_proxy>(aLoop, storePort);
+    mEntries.push_back(std::move(entry));
+  }
+  for (int i = 0; i < mOptions.mAgents; ++i) {
+    auto agent = std::make_unique<agent_instance>();
+    agent->mName = "agent-" + std::to_string(i);
+    agent->mServer = std::make_unique<tests::model_server>(
+      aLoop, "server-" + std::to_string(i));
+    agent->mServer->mEvents = 6;
+    agent->mServer->mEventPause = milliseconds(25);
+    agent->mServerLink =
+      std::make_unique<fault_proxy>(aLoop, agent->mServer->Port());
+    mAgents.push_back(std::move(agent));
+  }
+  WriteConfiguration();
+  WriteServers();
+}
+
+void
+soak_site::WriteConfiguration()
+{
+  const std::string spec =
+    R"({"version":)" + std::to_string(mConfigurationVersion) + R"(,
+    "routes":[
+      {"name":"batch","host":"train.example","pathPrefix":"/r/",
+       "kind":"rollout","service":"models","maxAttempts":3,"maxQueueS":600,
+       "dueMs":8000,"resumable":true},
+      {"name":"safe","host":"desk.example","pathPrefix":"/safe/",
+       "kind":"safe","service":"desk","maxAttempts":2,"timeoutMs":3000},
+      {"name":"once","host":"desk.example","pathPrefix":"/once/",
+       "kind":"non_idempotent","service":"desk","maxAttempts":2,
+       "timeoutMs":3000}],
+    "services":[
+      {"name":"models","engine":{"slots":8,"models":[{"name":"model"}]}},
+      {"name":"desk"}],
+    "tenants":[{"name":"customer","apiKeys":["key"]}]})";
+  standin::PutDirectly(mState, "config", "main", spec);
+}
+
+void
+soak_site::WriteServers()
+{
+  for (const auto& agent : mAgents) {
+    const auto version = std::to_string(agent->mServer->mVersion);
+    standin::PutDirectly(
+      mState,
+      "servers",
+      agent->mServer->Id(),
+      R"({"service":"models","address":")" + Local(agent->mServerLink->Port()) +
+        R"(","zone":"zone","slots":8,"state":"ready","models":[)" +
+        R"({"name":"model","version":)" + version + "}]}");
+  }
+  standin::PutDirectly(mState,
+                       "servers",
+                       "desk-1",
+                       R"({"service":"desk","address":")" +
+                         Local(mPlain.Port()) +
+                         R"(","zone":"zone","slots":8,"state":"ready"})");
+}
+
+void
+soak_site::ServeReports(const edge::exchange_ptr& aExchange)
+{
+  const auto body = json::Parse(aExchange->mRequest.mBody);
+  if (body && body->Find("counts")) {
+    mReports[json::IntegerAt(*body, "window", 0)].insert(
+      json::Write(*body->Find("counts")));
+  }
+  aExchange->Answer({ 200, {}, {} });
+}
+
+void
+soak_site::StartAll()
+{
+  for (auto& entry : mEntries) {
+    StartEntry(*entry);
+  }
+  for (auto& agent : mAgents) {
+    StartAgent(*agent);
+  }
+}
+
+void
+soak_site::StartEntry(entry_instance& aEntry)
+{
+  aEntry.mMayEnd = false;
+  aEntry.mIsPaused = false;
+  aEntry.mProcess.Start({ Program("Entry/lavender-entry"),
+                          "site",
+                          "--name",
+                          aEntry.mName,
+                          "--zone",
+                          "zone",
+                          "--caller-listen",
+                          Local(aEntry.mCallers),
+                          "--ready-listen",
+                          Local(aEntry.mReadiness),
+                          "--peer-listen",
+                          Local(aEntry.mPeers),
+                          "--store",
+                          Local(aEntry.mStoreLink->Port()),
+                          "--reports",
+                          Local(mReportListener.Port()),
+                          "--usage-window",
+                          "2",
+                          "--grace",
+                          "5" },
+                        mOptions.mLogFolder + "/" + aEntry.mName + ".log");
+}
+
+void
+soak_site::StartAgent(agent_instance& aAgent)
+{
+  // The agent is beside its server: no link between them can fail.
+  aAgent.mProcess.Start({ Program("Agent/lavender-agent"),
+                          "site",
+                          "--name",
+                          aAgent.mName,
+                          "--zone",
+                          "zone",
+                          "--store",
+                          Local(mEntries.front()->mStoreLink->Port()),
+                          "--server",
+                          Local(aAgent.mServerLink->Port()) },
+                        mOptions.mLogFolder + "/" + aAgent.mName + ".log");
+}
+
+void
+soak_site::Watch()
+{
+  WriteServers();
+  for (auto& entry : mEntries) {
+    if (entry->mProcess.HasEnded()) {
+      const int ending = entry->mProcess.Ending();
+      if (!entry->mMayEnd) {
+        mFindings.push_back(entry->mName + " ended by itself with " +
+                            std::to_string(ending));
+      }
+      StartEntry(*entry);
+    }
+  }
+  for (auto& agent : mAgents) {
+    if (agent->mProcess.HasEnded()) {
+      if (agent->mProcess.Ending() != -SIGKILL) {
+        mFindings.push_back(agent->mName + " ended by itself with " +
+                            std::to_string(agent->mProcess.Ending()));
+      }
+      StartAgent(*agent);
+    }
+  }
+}
+
+void
+soak_site::NameVersion()
+{
+  ++mVersion;
+  standin::PutDirectly(mState,
+                       "versions",
+                       "model",
+                       R"({"model":"model","version":)" +
+                         std::to_string(mVersion) + "}");
+}
+
+void
+soak_site::ChangeConfiguration()
+{
+  mConfigurationVersion += 3;
+  WriteConfiguration();
+}
+
+void
+soak_site::Heal()
+{
+  mState.mFault = standin::store_fault::None;
+  mPlain.mLosesAnswers = 0;
+  for (auto& entry : mEntries) {
+    entry->mStoreLink->SetFault(link_fault::None);
+    entry->mProcess.Signal(SIGCONT);
+    entry->mIsPaused = false;
+  }
+  for (auto& agent : mAgents) {
+    agent->mServerLink->SetFault(link_fault::None);
+    agent->mServer->mBreakAfter = 0;
+    agent->mProcess.Signal(SIGCONT);
+  }
+}
+
+} // namespace lavender::soak
--- /dev/null
+++ b/Tests/Soak/Site.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "Libraries/Edge/Caller.h"
+#include "StandIns/ObjectStore/StoreListener.h"
+#include "Tests/Site/Support/ModelServer.h"
+#include "Tests/Soak/FaultProxy.h"
+#include "Tests/Soak/Process.h"
+
+#include <random>
+#include <set>
+
+namespace lavender::soak {
+
+/** Stand-in of a plain service: answers each request with its own id, and
+ * remembers what it ran. */
+class plain_server
+{
+public:
+  explicit plain_server(boost::asio::io_context& aLoop);
+
+  unsigned short Port() const { return mListener.Port(); }
+
+  std::map<std::string, int> mRuns;
+  /** Runs a request and loses its answer, for this share of them. */
+  double mLosesAnswers = 0;
+
+private:
+  void Serve(const edge::exchange_ptr& aExchange);
+
+  boost::asio::io_context& mLoop;
+  std::mt19937 mRandom{ 1 };
+  edge::listener mListener;
+};
+
+/** One entry with the links through which it reaches the store. */
+struct entry_instance
+{
+  std::string mName;
+  unsigned short mCallers = 0;
+  unsigned short mReadiness = 0;
+  unsigned short mPeers = 0;
+  std::unique_ptr<fault_proxy> mStoreLink;
+  process mProcess;
+  bool mIsPaused = false;
+  /** A signal of the soak's ends it; any other end is a finding. */
+  bool mMayEnd = false;
+};
+
+struct agent_instance
+{
+  std::string mName;
+  std::unique_ptr<tests::model_server> mServer;
+  std::unique_ptr<fault_proxy> mServerLink;
+  process mProcess;
+};
+
+struct site_options
+{
+  int mEntries = 3;
+  int mAgents = 3;
+  std::string mLogFolder;
+};
+
+/** The platform's stand-ins and the real programs before them. */
+class soak_site
+{
+public:
+  soak_site(boost::asio::io_context& aLoop, site_options aOptions);
+
+  void StartAll();
+  void StartEntry(entry_instance& aEntry);
+  void StartAgent(agent_instance& aAgent);
+  /** Restarts what the soak ended, and reports what ended by itself. */
+  void Watch();
+  void NameVersion();
+  void ChangeConfiguration();
+  /** Undoes every fault. */
+  void Heal();
+
+  boost::asio::io_context& mLoop;
+  site_options mOptions;
+  standin::memory_store_state mState;
+  standin::store_listener mStore;
+  plain_server mPlain;
+  std::vector<std::unique_ptr<entry_instance>> mEntries;
+  std::vector<std::unique_ptr<agent_instance>> mAgents;
+  std::int64_t mVersion = 1;
+  std::int64_t mConfigurationVersion = 1;
+  /** Reports by window, each distinct count once. */
+  std::map<std::int64_t, std::set<std::string>> mReports;
+  std::vector<std::string> mFindings;
+
+private:
+  void ServeReports(const edge::exchange_ptr& aExchange);
+  void WriteConfiguration();
+  void WriteServers();
+
+  edge::listener mReportListener;
+};
+
+} // namespace lavender::soak
--- /dev/null
+++ b/Tests/Soak/main.cpp
@@ -0,0 +1,280 @@
+#include "Tests/Soak/Clients.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <tclap/CmdLine.h>
+#include <unistd.h>
+
+using namespace lavender;
+using namespace lavender::soak;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct fault_action
+{
+  const char* mName;
+  std::function<void(soak_site&, std::mt19937_64&)> mBegin;
+  std::function<void(soak_site&)> mEnd;
+};
+
+template<typename Item>
+Item&
+Pick(std::vector<std::unique_ptr<Item>>& aItems, std::mt19937_64& aRandom)
+{
+  return *aItems[std::uniform_int_distribution<std::size_t>(
+    0, aItems.size() - 1)(aRandom)];
+}
+
+fault_action
+StoreFault(const char* aName, standin::store_fault aFault)
+{
+  return { aName,
+           [aFault](soak_site& aSite, std::mt19937_64&) {
+             aSite.mState.mFault = aFault;
+           },
+           [](soak_site& aSite) {
+             aSite.mState.mFault = standin::store_fault::None;
+           } };
+}
+
+fault_action
+StoreLinkFault(const char* aName, link_fault aFault)
+{
+  return { aName,
+           [aFault](soak_site& aSite, std::mt19937_64& aRandom) {
+             Pick(aSite.mEntries, aRandom).mStoreLink->SetFault(aFault);
+           },
+           [](soak_site& aSite) {
+             for (auto& entry : aSite.mEntries) {
+               entry->mStoreLink->SetFault(link_fault::None);
+             }
+           } };
+}
+
+fault_action
+ServerLinkFault(const char* aName, link_fault aFault)
+{
+  return { aName,
+           [aFault](soak_site& aSite, std::mt19937_64& aRandom) {
+             Pick(aSite.mAgents, aRandom).mServerLink->SetFault(aFault);
+           },
+           [](soak_site& aSite) {
+             for (auto& agent : aSite.mAgents) {
+               agent->mServerLink->SetFault(link_fault::None);
+             }
+           } };
+}
+
+fault_action
+EntrySignal(const char* aName, int aSignal)
+{
+  return { aName,
+           [aSignal](soak_site& aSite, std::mt19937_64& aRandom) {
+             auto& entry = Pick(aSite.mEntries, aRandom);
+             entry.mMayEnd =
+               entry.mMayEnd || aSignal == SIGKILL || aSignal == SIGTERM;
+             entry.mProcess.Signal(aSignal);
+           },
+           [](soak_site& aSite) {
+             for (auto& entry : aSite.mEntries) {
+               entry->mProcess.Signal(SIGCONT);
+             }
+           } };
+}
+
+std::vector<fault_action>
+AllFaults()
+{
+  const auto nothing = [](soak_site&) {};
+  return {
+    EntrySignal("entry killed", SIGKILL),
+    EntrySignal("entry stopped", SIGTERM),
+    EntrySignal("entry paused", SIGSTOP),
+    EntrySignal("entry reloaded", SIGHUP),
+    { "all entries killed",
+      [](soak_site& aSite, std::mt19937_64&) {
+        for (auto& entry : aSite.mEntries) {
+          entry->mMayEnd = true;
+          entry->mProcess.Signal(SIGKILL);
+        }
+      },
+      nothing },
+    { "agent killed",
+      [](soak_site& aSite, std::mt19937_64& aRandom) {
+        Pick(aSite.mAgents, aRandom).mProcess.Signal(SIGKILL);
+      },
+      nothing },
+    StoreFault("store refuses", standin::store_fault::Refuse),
+    StoreFault("store silent", standin::store_fault::Silent),
+    StoreFault("store loses answers", standin::store_fault::LoseAnswers),
+    StoreFault("store late", standin::store_fault::Late),
+    StoreLinkFault("store link delayed", link_fault::Delay),
+    StoreLinkFault("store link silent", link_fault::Silence),
+    StoreLinkFault("store link one way", link_fault::OneWay),
+    StoreLinkFault("store link reset", link_fault::Reset),
+    ServerLinkFault("server link silent", link_fault::Silence),
+    ServerLinkFault("server link reset", link_fault::Reset),
+    { "history forgotten",
+      [](soak_site& aSite, std::mt19937_64&) {
+        aSite.mState.mForgottenBefore = aSite.mState.mRevision;
+        for (auto& [kind, history] : aSite.mState.mHistory) {
+          history.clear();
+        }
+      },
+      nothing },
+    { "answers lost",
+      [](soak_site& aSite, std::mt19937_64&) {
+        aSite.mPlain.mLosesAnswers = 0.2;
+      },
+      [](soak_site& aSite) { aSite.mPlain.mLosesAnswers = 0; } },
+    { "runs broken off",
+      [](soak_site& aSite, std::mt19937_64& aRandom) {
+        Pick(aSite.mAgents, aRandom).mServer->mBreakAfter = 2;
+      },
+      [](soak_site& aSite) {
+        for (auto& agent : aSite.mAgents) {
+          agent->mServer->mBreakAfter = 0;
+        }
+      } },
+    { "version named",
+      [](soak_site& aSite, std::mt19937_64&) { aSite.NameVersion(); },
+      nothing },
+    { "configuration changed",
+      [](soak_site& aSite, std::mt19937_64&) { aSite.ChangeConfiguration(); },
+      nothing },
+  };
+}
+
+/** Runs the loop for a while; the programs under test run beside it. */
+void
+Pass(boost::asio::io_context& aLoop, milliseconds aTime)
+{
+  aLoop.restart();
+  aLoop.run_for(aTime);
+}
+
+struct planned_end
+{
+  time_point mAt;
+  std::size_t mFault = 0;
+};
+
+/** Faults come every few hundred ms, last up to two seconds, and overlap. */
+void
+Disturb(soak_site& aSite,
+        soak_clients& aClients,
+        std::mt19937_64& aRandom,
+        std::chrono::seconds aTime)
+{
+  const auto faults = AllFaults();
+  const auto end = boot_clock::now() + aTime;
+  auto nextFault = boot_clock::now() + 1500ms;
+  std::vector<planned_end> planned;
+  while (boot_clock::now() < end) {
+    Pass(aSite.mLoop, 60ms);
+    aSite.Watch();
+    aClients.Step(true);
+    const auto now = boot_clock::now();
+    for (auto& item : planned) {
+      if (item.mAt <= now) {
+        faults[item.mFault].mEnd(aSite);
+        item.mAt = time_point::max();
+      }
+    }
+    if (now < nextFault) {
+      continue;
+    }
+    const auto chosen =
+      std::uniform_int_distribution<std::size_t>(0, faults.size() - 1)(aRandom);
+    const milliseconds lasts(
+      std::uniform_int_distribution<int>(100, 2000)(aRandom));
+    std::cout << "fault: " << faults[chosen].mName << " for " << lasts.count()
+              << " ms" << std::endl;
+    faults[chosen].mBegin(aSite, aRandom);
+    planned.push_back({ now + lasts, chosen });
+    nextFault =
+      now + milliseconds(std::uniform_int_distribution<int>(150, 900)(aRandom));
+  }
+}
+
+int
+Soak(std::uint64_t aSeed,
+     std::chrono::seconds aTime,
+     const site_options& aOptions)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  boost::asio::io_context loop{ 1 };
+  soak_site site(loop, aOptions);
+  soak_clients clients(site, aSeed);
+  std::mt19937_64 random(aSeed);
+  site.StartAll();
+  Pass(loop, 1500ms);
+  Disturb(site, clients, random, aTime);
+  site.Heal();
+  // The limit ends a run that hangs; what isn't whole by then is a finding.
+  constexpr auto kHealLimit = 60s;
+  const auto limit = boot_clock::now() + kHealLimit;
+  while (!clients.AreBatchesWhole() && boot_clock::now() < limit) {
+    Pass(loop, 60ms);
+    site.Watch();
+    clients.Step(false);
+  }
+  if (!clients.AreBatchesWhole()) {
+    site.mFindings.push_back("an accepted batch isn't whole after the faults");
+  }
+  clients.CheckRuns();
+  std::cout << clients.Summary() << "\n";
+  for (const auto& finding : site.mFindings) {
+    std::cout << "FINDING seed " << aSeed << ": " << finding << "\n";
+  }
+  return site.mFindings.empty() ? 0 : 1;
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  TCLAP::CmdLine line("Faults against the real programs", ' ', "1");
+  TCLAP::ValueArg<std::uint64_t> seed("",
+                                      "seed",
+                                      "Seed of the faults and of the load.",
+                                      false,
+                                      1,
+                                      "number",
+                                      line);
+  TCLAP::ValueArg<int> seconds(
+    "", "seconds", "How long faults come.", false, 20, "s", line);
+  TCLAP::ValueArg<int> entries(
+    "", "entries", "Entries to start.", false, 3, "number", line);
+  TCLAP::ValueArg<int> agents("",
+                              "agents",
+                              "Model servers, with an agent each.",
+                              false,
+                              3,
+                              "number",
+                              line);
+  TCLAP::ValueArg<std::string> logs(
+    "", "logs", "Folder for the programs' logs.", false, "", "path", line);
+  line.parse(aCount, aArguments);
+  site_options options;
+  options.mEntries = entries.getValue();
+  options.mAgents = agents.getValue();
+  options.mLogFolder = logs.getValue();
+  if (options.mLogFolder.empty()) {
+    const auto folder = std::filesystem::temp_directory_path() /
+                        ("lavender-soak-" + std::to_string(getpid()));
+    options.mLogFolder = folder.string();
+  }
+  std::filesystem::create_directories(options.mLogFolder);
+  std::cout << "logs in " << options.mLogFolder << std::endl;
+  const int status =
+    Soak(seed.getValue(), std::chrono::seconds(seconds.getValue()), options);
+  if (status == 0) {
+    std::filesystem::remove_all(options.mLogFolder);
+  }
+  return status;
+}
