Agents that wait at a cut-off entry are sent away; trace command

An entry that had just begun to watch told the others that the store was out of reach, and each of them watched for itself.

--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -35,8 +35,8 @@
 constexpr milliseconds kWaitForSource = 200ms;
 constexpr int kMostWaitsForSource = 3;
 
-/** The answer of an entry that follows another one. */
-constexpr unsigned kFollows = 421;
+/** The answer of an entry that follows another one or has just started. */
+constexpr unsigned kFollows = 421; // asked again shortly
 /** The answer of one that doesn't know the store's state. */
 constexpr unsigned kUnreachable = 503;
 
@@ -155,6 +155,7 @@
       return;
     }
     Apply(*feed);
+    mFreshAt = boot_clock::now();
     SetReachable(true);
     Ask();
     return;
@@ -328,6 +329,9 @@
       }
     }
   }
+  if (answers) {
+    mFreshAt = boot_clock::now();
+  }
   SetReachable(answers);
   AnswerAll();
   if (!answers) {
@@ -389,7 +393,9 @@
       continue;
     }
     if (!canServe) {
-      const unsigned status = mIsWatching ? kUnreachable : kFollows;
+      // One that has just begun to watch will know in a moment.
+      const unsigned status =
+        mIsWatching && !mDoesStoreAnswer ? kUnreachable : kFollows;
       asked.mExchange->Answer({ status, {}, {} });
     } else if (!asked.mSince || *asked.mSince < mState.mNewest ||
                now >= asked.mUntil) {
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -58,6 +58,12 @@
   /** Every kind has been listed at least once. */
   bool HasListed() const;
   bool IsReachable() const { return mIsReachable; }
+  /** How long ago what is known here was known to be the store's state. */
+  milliseconds Age() const
+  {
+    return std::chrono::duration_cast<milliseconds>(boot_clock::now() -
+                                                    mFreshAt);
+  }
   /** The entry that this one hears from, unless it watches itself. */
   std::optional<edge::endpoint> Source() const
   {
@@ -111,6 +117,7 @@
   std::uint64_t mQuestion = 0;
   int mWaitsForSource = 0;
   time_point mFollowsSince;
+  time_point mFreshAt = boot_clock::now();
   bool mIsWatching = false;
   bool mDoesStoreAnswer = true;
   bool mIsReachable = true;
--- a/Duties/Forwarding/ForwardedRequest.cpp
+++ b/Duties/Forwarding/ForwardedRequest.cpp
@@ -135,6 +135,7 @@
   events::line("sent")
     .With("request", mCaller.mAttemptId)
     .With("server", aPick.mServer.mId)
+    .With("requests_there", static_cast<std::int64_t>(aPick.mRequests))
     .With("attempt", static_cast<std::int64_t>(mTried.size()))
     .With("time_left_ms", attempt.mTimeLeft);
   ArmAttempt();
--- a/Duties/Forwarding/Forwarder.cpp
+++ b/Duties/Forwarding/Forwarder.cpp
@@ -123,7 +123,9 @@
   if (row == mParts.mDirectory.mRows.end()) {
     return std::nullopt;
   }
-  return pick{ pool, row->second.mServer };
+  const auto& chosenRow = table->second.mRows[table->second.mIndex.at(*chosen)];
+  const int requests = chosenRow.mReport.mRequests + chosenRow.mOwn.mCorrection;
+  return pick{ pool, row->second.mServer, requests };
 }
 
 } // namespace lavender::forwarding
--- a/Duties/Forwarding/Forwarder.h
+++ b/Duties/Forwarding/Forwarder.h
@@ -47,6 +47,8 @@
   {
     std::string mPool;
     site::backend_server mServer;
+    /** Requests there as far as known, this one not included. */
+    int mRequests = 0;
   };
   std::optional<pick> Pick(const site::route& aRoute,
                            const std::vector<std::string>& aTried);
--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -269,6 +269,16 @@
   mWaiters = std::move(kept);
 }
 
+void
+assignments::TurnAway()
+{
+  const auto waiters = std::move(mWaiters);
+  mWaiters.clear();
+  for (const auto& waiting : waiters) {
+    waiting.mExchange->Answer({ 503, {}, {} });
+  }
+}
+
 void
 assignments::PlanLook()
 {
--- a/Duties/Versions/Assignments.h
+++ b/Duties/Versions/Assignments.h
@@ -36,6 +36,9 @@
                  std::int64_t aExpectedTokens);
   /** Servers or configuration have changed. */
   void Refresh();
+  /** Sends all waiting agents to other entries: this one no longer hears which
+   * versions are named, and would hold them for nothing. */
+  void TurnAway();
   /** An agent's question. */
   void Serve(const edge::exchange_ptr& aExchange);
 
--- a/Duties/Versions/OrderDuty.cpp
+++ b/Duties/Versions/OrderDuty.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr milliseconds kRetryPause = 500ms;
+/** When no entry answers, as in an outage of the store: the list of entries is
+ * a priced call. */
+constexpr milliseconds kAllSilentPause = 1000ms;
 /** An entry holds a question for eight seconds; probes on the connection find
  * one that was dropped on the way. */
 constexpr milliseconds kAskTimeout = 10s;
@@ -115,7 +118,7 @@
       .With("end", edge::WordFor(aEnd));
     ++mEntry;
     if (mEntry >= mEntries.size()) {
-      After(kRetryPause, &order_duty::FindEntries);
+      After(kAllSilentPause, &order_duty::FindEntries);
     } else {
       After(50ms, &order_duty::Ask);
     }
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -117,6 +117,8 @@
             [this](bool aIsReachable) {
               if (aIsReachable) {
                 site::NoteOutageEnded(mDirectory, boot_clock::now());
+              } else {
+                mAssignments.TurnAway();
               }
             } },
           FollowedKinds())
@@ -393,7 +395,8 @@
     .With("request", mProtocol.mReadCaller(aExchange->mRequest).mAttemptId)
     .With("status", static_cast<std::int64_t>(aStatus))
     .With("reason", aReason)
-    .With("configuration", mConfiguration ? mConfiguration->mVersion : -1);
+    .With("configuration", mConfiguration ? mConfiguration->mVersion : -1)
+    .With("known_ms_ago", mFeed.Age());
   mMetrics.Count("lavender_refusals_total", { { "reason", aReason } });
   forwarding::AnswerOwn(
     aExchange,
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -9,6 +9,7 @@
 #include "Services/Entry/EntryHandler.h"
 #include "Services/Entry/EntrySettings.h"
 #include "Services/Entry/SiteEntry.h"
+#include "Services/Entry/TraceCommand.h"
 
 #include <iostream>
 
@@ -163,6 +164,9 @@
 int
 main(int aCount, char** aArguments)
 {
+  if (aCount > 1 && std::string(aArguments[1]) == "trace") {
+    return entry::RunTrace({ aArguments + 2, aArguments + aCount }, std::cout);
+  }
   if (aCount > 1 && std::string(aArguments[1]) == "site") {
     return RunOnSite(aCount - 1, aArguments + 1);
   }
--- a/Tests/Site/TestVersions.cpp
+++ b/Tests/Site/TestVersions.cpp
@@ -74,6 +74,41 @@
   BOOST_TEST(wanted->count("m") == 1u);
 }
 
+// Steps wait for seconds: the entry that the agents ask is cut off from the
+// store, and they wait there for versions that it never hears of.
+BOOST_AUTO_TEST_CASE(AgentsThatWaitAtACutOffEntryAreSentAway)
+{
+  test_loop loop;
+  auto clients = std::make_shared<edge::client_pool>(loop.mLoop);
+  site::server_directory directory;
+  site::TakeServer(directory, Server("s1", 1));
+  site::configuration_ptr configuration = TwoModels();
+  assignments assigned({ loop.mLoop, directory, configuration });
+  int asked = 0;
+  edge::listener listener(loop.mLoop,
+                          std::make_shared<edge::listener_limits>(),
+                          [&](const auto& aExchange) {
+                            ++asked;
+                            assigned.Serve(aExchange);
+                          });
+  listener.Open({ "127.0.0.1", 0 });
+  unsigned status = 0;
+  edge::FetchWhole(*clients,
+                   loop.mLoop,
+                   { "127.0.0.1", listener.Port() },
+                   EncodeQuestion("10.0.0.1:80", { { "m", 1 } }, {}),
+                   {},
+                   20s,
+                   1 << 20,
+                   [&](edge::call_end, const edge::response& aAnswer) {
+                     status = aAnswer.mStatus;
+                   });
+  BOOST_TEST(loop.RunUntil([&] { return asked == 1; }));
+  assigned.TurnAway();
+  BOOST_TEST(loop.RunUntil([&] { return status != 0; }));
+  BOOST_TEST(status == 503u);
+}
+
 /** Whatever versions servers hold and trainers name: each server has one
  * model, shares differ by one at most, and those that hold a named version
  * keep their model unless the shares require a move. */
