--- /dev/null
+++ b/Duties/Batches/BatchListing.cpp
@@ -0,0 +1,149 @@
+#include "Duties/Batches/BatchService.h"
+
+#include "Libraries/EventLog/EventLog.h"
+
+#include <algorithm>
+
+namespace lavender::batches {
+
+using namespace std::chrono_literals;
+using objects::store_outcome;
+
+namespace {
+
+/** A block of results stays below the store's limit on objects. */
+constexpr std::size_t kBlockBytes = 900 << 10;
+/** Results gather this long before they are written as one block: each write
+ * is a priced call, and trainers read about twice a second. */
+constexpr milliseconds kGatherGroups = 250ms;
+/** Results that complete no group are of no use to the trainer yet; they are
+ * written so that a crash of this entry loses little work. */
+constexpr milliseconds kGatherParts = 1000ms;
+
+/** Whether every item of that item's group has a result. */
+bool
+CompletesGroup(const batch_record& aBatch, const std::string& aItemId)
+{
+  const auto& items = aBatch.mSubmission->mItems;
+  const auto item =
+    std::find_if(items.begin(), items.end(), [&](const auto& aCandidate) {
+      return aCandidate.mId == aItemId;
+    });
+  return item == items.end() ||
+         std::all_of(items.begin(), items.end(), [&](const auto& aCandidate) {
+           return aCandidate.mGroup != item->mGroup ||
+                  HasResult(aBatch.mLog, aCandidate.mId);
+         });
+}
+
+} // namespace
+
+void
+batch_service::TakeResult(const std::string& aBatchId, item_result aResult)
+{
+  const auto found = mBatches.find(aBatchId);
+  if (found == mBatches.end() || !found->second->mIsLoaded) {
+    return;
+  }
+  const auto& batch = found->second;
+  AddPending(
+    batch->mLog, aResult.mItemId, mParts.mFormat.mEncodeResult(aResult));
+  PlanCommit(batch,
+             CompletesGroup(*batch, aResult.mItemId) ? kGatherGroups
+                                                     : kGatherParts);
+}
+
+void
+batch_service::PlanCommit(const batch_ptr& aBatch, milliseconds aPause)
+{
+  const auto at = boot_clock::now() + aPause;
+  if (aBatch->mIsCommitting ||
+      (aBatch->mCommitAt && *aBatch->mCommitAt <= at)) {
+    return;
+  }
+  aBatch->mCommitAt = at;
+  After(aPause, [this, aBatch, at] {
+    if (aBatch->mCommitAt == at) {
+      aBatch->mCommitAt.reset();
+      Commit(aBatch);
+    }
+  });
+}
+
+void
+batch_service::Commit(const batch_ptr& aBatch)
+{
+  if (aBatch->mIsCommitting || !aBatch->mIsLoaded || aBatch->mHead.mIsEnded ||
+      aBatch->mLog.mPending.mItemIds.empty()) {
+    return;
+  }
+  auto block = std::make_shared<result_block>();
+  std::size_t bytes = 0;
+  const auto& pending = aBatch->mLog.mPending;
+  for (std::size_t i = 0; i < pending.mItemIds.size(); ++i) {
+    bytes += pending.mEntries[i].size();
+    if (i > 0 && bytes > kBlockBytes) {
+      break;
+    }
+    block->mItemIds.push_back(pending.mItemIds[i]);
+    block->mEntries.push_back(pending.mEntries[i]);
+  }
+  aBatch->mIsCommitting = true;
+  mParts.mStore.mCreate(
+    kResultsKind,
+    ResultsName(aBatch->mHead.mId, aBatch->mLog.mNextBlock),
+    EncodeBlock(*block),
+    WhileSame(aBatch,
+              [this, aBatch, block](const objects::object_reply& aReply) {
+                aBatch->mIsCommitting = false;
+                if (aReply.mOutcome == store_outcome::Done) {
+                  TakeListedBlock(aBatch, *block);
+                  PlanCommit(aBatch, kGatherGroups);
+                } else if (aReply.mOutcome == store_outcome::Refused) {
+                  PlanCommit(aBatch, kRetryPause);
+                } else {
+                  SettleCommit(aBatch);
+                }
+              }));
+}
+
+void
+batch_service::SettleCommit(const batch_ptr& aBatch)
+{
+  aBatch->mIsCommitting = true;
+  mParts.mStore.mGet(
+    kResultsKind,
+    ResultsName(aBatch->mHead.mId, aBatch->mLog.mNextBlock),
+    objects::freshness::Linearizable,
+    WhileSame(aBatch, [this, aBatch](const objects::object_reply& aReply) {
+      aBatch->mIsCommitting = false;
+      if (aReply.mOutcome == store_outcome::Done) {
+        if (const auto block = DecodeBlock(aReply.mObject)) {
+          TakeListedBlock(aBatch, *block);
+        }
+      }
+      PlanCommit(aBatch, kRetryPause);
+    }));
+}
+
+void
+batch_service::TakeListedBlock(const batch_ptr& aBatch,
+                               const result_block& aBlock)
+{
+  const auto news = TakeBlock(aBatch->mLog, aBlock);
+  events::line("results_listed")
+    .With("batch", aBatch->mHead.mId)
+    .With("block", static_cast<std::int64_t>(aBatch->mLog.mNextBlock - 1))
+    .With("results", static_cast<std::int64_t>(aBlock.mItemIds.size()))
+    .With("listed", static_cast<std::int64_t>(aBatch->mLog.mListed.size()));
+  if (!news.empty()) {
+    mParts.mRunner.TakeListed(aBatch->mHead.mId, news);
+  }
+  const auto waiters = std::move(aBatch->mResultWaiters);
+  aBatch->mResultWaiters.clear();
+  for (const auto& waiter : waiters) {
+    waiter();
+  }
+}
+
+} // namespace lavender::batches
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -9,6 +9,12 @@
 
 namespace lavender::batches {
 
+/** Pause before a call to the store that failed is made again; answers come
+ * within some ms when the store is well. */
+constexpr milliseconds kRetryPause{ 250 };
+/** Tries to settle a write whose answer was lost. */
+constexpr int kTries = 3;
+
 /** How results and pages are written for trainers; the adapter fills it in. */
 struct page_format
 {
--- a/Services/Agent/SiteAgent.cpp
+++ b/Services/Agent/SiteAgent.cpp
@@ -1,5 +1,6 @@
 #include "Services/Agent/SiteAgent.h"
 
+#include "Duties/Site/EntryKind.h"
 #include "Libraries/EventLog/EventLog.h"
 #include "platform/Names.h"
 #include "platform/Orders.h"
@@ -10,8 +11,6 @@
 
 namespace {
 
-constexpr char kEntryKind[] = "entries";
-
 settings::setting
 Text(std::string aFlag, std::string aDescription, bool aIsRequired)
 {
@@ -114,7 +113,7 @@
 void
 site_agent::ListEntries(std::function<void(std::vector<edge::endpoint>)> aDone)
 {
-  mStore.mList(kEntryKind,
+  mStore.mList(site::kEntryKind,
                "",
                objects::freshness::MayBeStale,
                [done = std::move(aDone)](const objects::list_reply& aReply) {
@@ -132,7 +131,7 @@
 void
 site_agent::FindEpoch(std::function<void(std::optional<std::int64_t>)> aDone)
 {
-  mStore.mList(kEntryKind,
+  mStore.mList(site::kEntryKind,
                "",
                objects::freshness::Linearizable,
                [done = std::move(aDone)](const objects::list_reply& aReply) {
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -1,6 +1,7 @@
 #include "Services/Entry/SiteEntry.h"
 
 #include "Duties/Batches/PeerCall.h"
+#include "Duties/Site/EntryKind.h"
 #include "Libraries/Core/Identity.h"
 #include "Libraries/EventLog/EventLog.h"
 #include "platform/BatchMessages.h"
@@ -18,14 +19,6 @@
 
 namespace {
 
-/** Kind of the objects in which entries tell each other their address. */
-constexpr char kEntryKind[] = "entries";
-/** Events that come together are taken as one call, within this. */
-constexpr milliseconds kGatherServers = 600ms;
-constexpr milliseconds kGatherVersions = 30ms;
-/** An owner that has lost a batch learns of it within this, and goes on in
- * vain meanwhile; an end must be known within seconds. */
-constexpr milliseconds kGatherHeads = 300ms;
 /** The balancer asks once a second and takes an entry out after two misses;
  * callers may still come until then. */
 constexpr milliseconds kAnnounceLeaving = 3200ms;
@@ -41,8 +34,6 @@
 constexpr milliseconds kJoinAfter = 350ms;
 /** A usage report that isn't answered within this is settled by a repeat. */
 constexpr milliseconds kReportTimeout = 1200ms;
-/** When to come back to an entry that knows no configuration yet. */
-constexpr milliseconds kStartingUp = 300ms;
 
 } // namespace
 
@@ -106,7 +97,7 @@
             mStore,
             *mClients,
             mSettings.mName,
-            kEntryKind,
+            site::kEntryKind,
             [this] {
               std::vector<feed::feed_candidate> candidates;
               for (const auto& [name, known] : mPeers) {
@@ -207,7 +198,7 @@
       }
     });
   };
-  mStore.mCreate(kEntryKind,
+  mStore.mCreate(site::kEntryKind,
                  mSettings.mName,
                  spec,
                  [this, spec, retry](const objects::object_reply& aReply) {
@@ -215,298 +206,11 @@
                      retry(aReply);
                    } else if (json::Write(aReply.mObject.mSpec) != spec) {
                      mStore.mReplace(
-                       kEntryKind, mSettings.mName, 0, spec, retry);
+                       site::kEntryKind, mSettings.mName, 0, spec, retry);
                    }
                  });
 }
 
-void
-site_entry::TakeVersion(const objects::stored_object& aObject)
-{
-  if (const auto named = platform::DecodeVersion(aObject)) {
-    mAssignments.TakeNamed(named->mModel, named->mVersion);
-  }
-}
-
-void
-site_entry::TakePeer(const objects::stored_object& aObject)
-{
-  if (const auto address =
-        edge::ParseAddress(json::StringAt(aObject.mSpec, "address", ""))) {
-    mPeers[aObject.mName] = { *address };
-  }
-}
-
-void
-site_entry::JoinPeers()
-{
-  // Which entry watches the store follows from the list of entries, so that is
-  // read first; without it this entry watches for itself.
-  mStore.mList(kEntryKind,
-               "",
-               objects::freshness::Linearizable,
-               [this](const objects::list_reply& aReply) {
-                 for (const auto& object : aReply.mObjects) {
-                   TakePeer(object);
-                 }
-                 mFeed.Start();
-               });
-}
-
-std::vector<feed::followed_kind>
-site_entry::FollowedKinds()
-{
-  feed::followed_kind configuration;
-  configuration.mKind = platform::kConfigurationKind;
-  configuration.mOnListed = [this](const feed::object_map& aObjects) {
-    if (const auto found = aObjects.find(platform::kConfigurationName);
-        found != aObjects.end()) {
-      TakeConfiguration(found->second);
-    }
-  };
-  configuration.mOnEvent = [this](const objects::object_event& aEvent) {
-    if (!aEvent.mIsDeleted &&
-        aEvent.mObject.mName == platform::kConfigurationName) {
-      TakeConfiguration(aEvent.mObject);
-    }
-  };
-
-  feed::followed_kind servers;
-  servers.mKind = platform::kServerKind;
-  servers.mOptions.mGatherFor = kGatherServers;
-  servers.mOnListed = [this](const feed::object_map& aObjects) {
-    std::map<std::string, site::backend_server> listed;
-    for (const auto& [name, object] : aObjects) {
-      if (auto server = platform::DecodeServer(object)) {
-        listed[name] = std::move(*server);
-      }
-    }
-    site::TakeListing(mDirectory, listed, boot_clock::now());
-    AfterServersChanged();
-  };
-  servers.mOnEvent = [this](const objects::object_event& aEvent) {
-    if (aEvent.mIsDeleted) {
-      site::TakeRemoval(mDirectory, aEvent.mObject.mName, boot_clock::now());
-    } else {
-      TakeServerObject(aEvent.mObject);
-    }
-    AfterServersChanged();
-  };
-
-  feed::followed_kind peers;
-  peers.mKind = kEntryKind;
-  peers.mOptions.mGatherFor = kGatherServers;
-  peers.mOnListed = [this](const feed::object_map& aObjects) {
-    for (const auto& [name, object] : aObjects) {
-      TakePeer(object);
-    }
-  };
-  peers.mOnEvent = [this](const objects::object_event& aEvent) {
-    if (!aEvent.mIsDeleted) {
-      TakePeer(aEvent.mObject);
-    }
-  };
-
-  feed::followed_kind heads;
-  heads.mKind = batches::kHeadKind;
-  heads.mOptions.mGatherFor = kGatherHeads;
-  heads.mOnListed = [this](const feed::object_map& aObjects) {
-    mBatches.TakeListing(aObjects);
-  };
-  heads.mOnEvent = [this](const objects::object_event& aEvent) {
-    mBatches.TakeEvent(aEvent);
-  };
-
-  feed::followed_kind versions;
-  versions.mKind = platform::kVersionKind;
-  versions.mOptions.mGatherFor = kGatherVersions;
-  versions.mOnListed = [this](const feed::object_map& aObjects) {
-    for (const auto& [name, object] : aObjects) {
-      TakeVersion(object);
-    }
-  };
-  versions.mOnEvent = [this](const objects::object_event& aEvent) {
-    if (!aEvent.mIsDeleted) {
-      TakeVersion(aEvent.mObject);
-    }
-  };
-  return { configuration, servers, peers, heads, versions };
-}
-
-void
-site_entry::TakeConfiguration(const objects::stored_object& aObject)
-{
-  auto decoded = platform::DecodeConfiguration(aObject.mSpec);
-  if (!decoded) {
-    events::line("configuration_unreadable")
-      .With("reason", decoded.mLastReason);
-    return;
-  }
-  if (!site::TakeConfiguration(mConfiguration, *decoded)) {
-    return;
-  }
-  const auto connections = mLimits->mMaximumConnections;
-  *mLimits = mConfiguration->mLimits;
-  mLimits->mMaximumConnections = connections;
-  mLimits->mMaximumBufferedBytes = mSettings.mMaximumBufferedBytes;
-  events::line("configuration_in_force")
-    .With("version", mConfiguration->mVersion)
-    .With("revision", aObject.mRevision);
-  mAssignments.Refresh();
-  mRunner.Dispatch();
-}
-
-void
-site_entry::TakeServerObject(const objects::stored_object& aObject)
-{
-  if (auto server = platform::DecodeServer(aObject)) {
-    events::line("server_entry")
-      .With("server", server->mId)
-      .With("state", server->mIsLeaving ? "leaving" : "ready");
-    site::TakeServer(mDirectory, std::move(*server));
-  } else {
-    site::TakeRemoval(mDirectory, aObject.mName, boot_clock::now());
-  }
-}
-
-void
-site_entry::AfterServersChanged()
-{
-  const auto now = boot_clock::now();
-  if (const auto next = site::DropGone(mDirectory, now)) {
-    mDirectoryTimer.expires_after(*next - now + 1ms);
-    mDirectoryTimer.async_wait([this](const auto& aError) {
-      if (!aError) {
-        AfterServersChanged();
-      }
-    });
-  }
-  mForwarder.TakeServers(now);
-  mAssignments.Refresh();
-  mRunner.Dispatch();
-}
-
-void
-site_entry::Deny(const edge::exchange_ptr& aExchange,
-                 unsigned aStatus,
-                 const char* aReason)
-{
-  events::line("denied")
-    .With("request", mProtocol.mReadCaller(aExchange->mRequest).mAttemptId)
-    .With("status", static_cast<std::int64_t>(aStatus))
-    .With("reason", aReason)
-    .With("configuration", mConfiguration ? mConfiguration->mVersion : -1)
-    .With("known_ms_ago", mFeed.Age());
-  mMetrics.Count("lavender_refusals_total", { { "reason", aReason } });
-  forwarding::AnswerOwn(
-    aExchange,
-    aStatus,
-    aStatus == 503 ? std::optional<milliseconds>(kStartingUp) : std::nullopt);
-}
-
-void
-site_entry::ServeCaller(const edge::exchange_ptr& aExchange)
-{
-  if (!mConfiguration) {
-    Deny(aExchange, 503, "no configuration yet");
-    return;
-  }
-  const auto& request = aExchange->mRequest;
-  const auto host = request.mHeaders.ValueOr("Host", "");
-  if (platform::IsBatchPath(request.mTarget) &&
-      !site::FindRoute(*mConfiguration, host, request.mTarget)) {
-    // These paths belong to no route; any known key will do, and the batch
-    // knows whose it is.
-    site::route anyRoute;
-    const auto check =
-      site::CheckKey(*mConfiguration, anyRoute, mProtocol.mFindKey(request));
-    if (check.mVerdict == site::key_verdict::Unknown) {
-      Deny(aExchange, 401, "unknown key");
-      return;
-    }
-    ServeBatchCall(aExchange, check.mCustomer);
-    return;
-  }
-  const auto route = site::FindRoute(*mConfiguration, host, request.mTarget);
-  if (!route) {
-    Deny(aExchange, 404, "no route");
-    return;
-  }
-  const auto check =
-    site::CheckKey(*mConfiguration, *route, mProtocol.mFindKey(request));
-  if (check.mVerdict == site::key_verdict::Unknown) {
-    Deny(aExchange, 401, "unknown key");
-    return;
-  }
-  if (route->mTakesBatches) {
-    ServeSubmission(aExchange,
-                    check.mCustomer ? check.mCustomer->mName : std::string());
-    return;
-  }
-  mForwarder.Serve(aExchange, route, check.mCustomer);
-}
-
-void
-site_entry::ServeBatchCall(
-  const edge::exchange_ptr& aExchange,
-  const std::shared_ptr<const site::customer>& aCustomer)
-{
-  auto call = platform::DecodeBatchCall(aExchange->mRequest);
-  if (!call) {
-    Deny(aExchange, 400, "unreadable batch call");
-    return;
-  }
-  call->mCustomer = aCustomer ? aCustomer->mName : std::string();
-  mBatches.Serve(aExchange, *call);
-}
-
-void
-site_entry::ServeSubmission(const edge::exchange_ptr& aExchange,
-                            const std::string& aCustomer)
-{
-  auto submission = platform::DecodeSubmission(aExchange->mRequest);
-  if (!submission) {
-    events::line("submission_unreadable")
-      .With("reason", submission.mLastReason);
-    Deny(aExchange, 400, "unreadable submission");
-    return;
-  }
-  mBatches.Submit(aExchange,
-                  aCustomer,
-                  aExchange->mRequest.mHeaders.ValueOr("Host", ""),
-                  std::move(*submission));
-}
-
-void
-site_entry::ServePeer(const edge::exchange_ptr& aExchange)
-{
-  const auto& target = aExchange->mRequest.mTarget;
-  const auto startsWith = [&](std::string_view aPrefix) {
-    return std::string_view(target).substr(0, aPrefix.size()) == aPrefix;
-  };
-  if (target == feed::kFeedPath) {
-    mFeed.Serve(aExchange);
-  } else if (target == platform::kHelpPath) {
-    platform::ServeHelpCall(aExchange, mDirectStore);
-  } else if (startsWith(batches::kPeerPath)) {
-    mBatches.ServePeer(aExchange);
-  } else if (startsWith(versions::kAssignmentPath)) {
-    if (mFeed.IsReachable()) {
-      mAssignments.Serve(aExchange);
-    } else {
-      // Another entry may know which versions were named meanwhile.
-      aExchange->Answer({ 503, {}, {} });
-    }
-  } else if (startsWith(billing::kUsagePath)) {
-    const auto window = edge::ParseInteger(
-      std::string_view(target).substr(sizeof billing::kUsagePath - 1));
-    aExchange->Answer(
-      { window ? 200u : 400u, {}, mUsage.Share(window.value_or(0)) });
-  } else {
-    aExchange->Answer({ 404, {}, {} });
-  }
-}
-
 std::vector<std::string>
 site_entry::EntryNames() const
 {
--- /dev/null
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -0,0 +1,189 @@
+#include "Services/Entry/SiteEntry.h"
+
+#include "Duties/Site/EntryKind.h"
+#include "Libraries/EventLog/EventLog.h"
+#include "platform/Decode.h"
+#include "platform/Names.h"
+
+namespace lavender::entry {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Events that come together are taken as one call, within this. */
+constexpr milliseconds kGatherServers = 600ms;
+constexpr milliseconds kGatherVersions = 30ms;
+/** An owner that has lost a batch learns of it within this, and goes on in
+ * vain meanwhile; an end must be known within seconds. */
+constexpr milliseconds kGatherHeads = 300ms;
+
+} // namespace
+
+void
+site_entry::TakeVersion(const objects::stored_object& aObject)
+{
+  if (const auto named = platform::DecodeVersion(aObject)) {
+    mAssignments.TakeNamed(named->mModel, named->mVersion);
+  }
+}
+
+void
+site_entry::TakePeer(const objects::stored_object& aObject)
+{
+  if (const auto address =
+        edge::ParseAddress(json::StringAt(aObject.mSpec, "address", ""))) {
+    mPeers[aObject.mName] = { *address };
+  }
+}
+
+void
+site_entry::JoinPeers()
+{
+  // Which entry watches the store follows from the list of entries, so that is
+  // read first; without it this entry watches for itself.
+  mStore.mList(site::kEntryKind,
+               "",
+               objects::freshness::Linearizable,
+               [this](const objects::list_reply& aReply) {
+                 for (const auto& object : aReply.mObjects) {
+                   TakePeer(object);
+                 }
+                 mFeed.Start();
+               });
+}
+
+std::vector<feed::followed_kind>
+site_entry::FollowedKinds()
+{
+  feed::followed_kind configuration;
+  configuration.mKind = platform::kConfigurationKind;
+  configuration.mOnListed = [this](const feed::object_map& aObjects) {
+    if (const auto found = aObjects.find(platform::kConfigurationName);
+        found != aObjects.end()) {
+      TakeConfiguration(found->second);
+    }
+  };
+  configuration.mOnEvent = [this](const objects::object_event& aEvent) {
+    if (!aEvent.mIsDeleted &&
+        aEvent.mObject.mName == platform::kConfigurationName) {
+      TakeConfiguration(aEvent.mObject);
+    }
+  };
+
+  feed::followed_kind servers;
+  servers.mKind = platform::kServerKind;
+  servers.mOptions.mGatherFor = kGatherServers;
+  servers.mOnListed = [this](const feed::object_map& aObjects) {
+    std::map<std::string, site::backend_server> listed;
+    for (const auto& [name, object] : aObjects) {
+      if (auto server = platform::DecodeServer(object)) {
+        listed[name] = std::move(*server);
+      }
+    }
+    site::TakeListing(mDirectory, listed, boot_clock::now());
+    AfterServersChanged();
+  };
+  servers.mOnEvent = [this](const objects::object_event& aEvent) {
+    if (aEvent.mIsDeleted) {
+      site::TakeRemoval(mDirectory, aEvent.mObject.mName, boot_clock::now());
+    } else {
+      TakeServerObject(aEvent.mObject);
+    }
+    AfterServersChanged();
+  };
+
+  feed::followed_kind peers;
+  peers.mKind = site::kEntryKind;
+  peers.mOptions.mGatherFor = kGatherServers;
+  peers.mOnListed = [this](const feed::object_map& aObjects) {
+    for (const auto& [name, object] : aObjects) {
+      TakePeer(object);
+    }
+  };
+  peers.mOnEvent = [this](const objects::object_event& aEvent) {
+    if (!aEvent.mIsDeleted) {
+      TakePeer(aEvent.mObject);
+    }
+  };
+
+  feed::followed_kind heads;
+  heads.mKind = batches::kHeadKind;
+  heads.mOptions.mGatherFor = kGatherHeads;
+  heads.mOnListed = [this](const feed::object_map& aObjects) {
+    mBatches.TakeListing(aObjects);
+  };
+  heads.mOnEvent = [this](const objects::object_event& aEvent) {
+    mBatches.TakeEvent(aEvent);
+  };
+
+  feed::followed_kind versions;
+  versions.mKind = platform::kVersionKind;
+  versions.mOptions.mGatherFor = kGatherVersions;
+  versions.mOnListed = [this](const feed::object_map& aObjects) {
+    for (const auto& [name, object] : aObjects) {
+      TakeVersion(object);
+    }
+  };
+  versions.mOnEvent = [this](const objects::object_event& aEvent) {
+    if (!aEvent.mIsDeleted) {
+      TakeVersion(aEvent.mObject);
+    }
+  };
+  return { configuration, servers, peers, heads, versions };
+}
+
+void
+site_entry::TakeConfiguration(const objects::stored_object& aObject)
+{
+  auto decoded = platform::DecodeConfiguration(aObject.mSpec);
+  if (!decoded) {
+    events::line("configuration_unreadable")
+      .With("reason", decoded.mLastReason);
+    return;
+  }
+  if (!site::TakeConfiguration(mConfiguration, *decoded)) {
+    return;
+  }
+  const auto connections = mLimits->mMaximumConnections;
+  *mLimits = mConfiguration->mLimits;
+  mLimits->mMaximumConnections = connections;
+  mLimits->mMaximumBufferedBytes = mSettings.mMaximumBufferedBytes;
+  events::line("configuration_in_force")
+    .With("version", mConfiguration->mVersion)
+    .With("revision", aObject.mRevision);
+  mAssignments.Refresh();
+  mRunner.Dispatch();
+}
+
+void
+site_entry::TakeServerObject(const objects::stored_object& aObject)
+{
+  if (auto server = platform::DecodeServer(aObject)) {
+    events::line("server_entry")
+      .With("server", server->mId)
+      .With("state", server->mIsLeaving ? "leaving" : "ready");
+    site::TakeServer(mDirectory, std::move(*server));
+  } else {
+    site::TakeRemoval(mDirectory, aObject.mName, boot_clock::now());
+  }
+}
+
+void
+site_entry::AfterServersChanged()
+{
+  const auto now = boot_clock::now();
+  if (const auto next = site::DropGone(mDirectory, now)) {
+    mDirectoryTimer.expires_after(*next - now + 1ms);
+    mDirectoryTimer.async_wait([this](const auto& aError) {
+      if (!aError) {
+        AfterServersChanged();
+      }
+    });
+  }
+  mForwarder.TakeServers(now);
+  mAssignments.Refresh();
+  mRunner.Dispatch();
+}
+
+} // namespace lavender::entry
--- /dev/null
+++ b/Services/Entry/SiteEntryServing.cpp
@@ -0,0 +1,139 @@
+#include "Services/Entry/SiteEntry.h"
+
+#include "Duties/Batches/PeerCall.h"
+#include "Libraries/EventLog/EventLog.h"
+#include "platform/BatchMessages.h"
+
+namespace lavender::entry {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/** When to come back to an entry that knows no configuration yet. */
+constexpr milliseconds kStartingUp = 300ms;
+
+} // namespace
+
+void
+site_entry::Deny(const edge::exchange_ptr& aExchange,
+                 unsigned aStatus,
+                 const char* aReason)
+{
+  events::line("denied")
+    .With("request", mProtocol.mReadCaller(aExchange->mRequest).mAttemptId)
+    .With("status", static_cast<std::int64_t>(aStatus))
+    .With("reason", aReason)
+    .With("configuration", mConfiguration ? mConfiguration->mVersion : -1)
+    .With("known_ms_ago", mFeed.Age());
+  mMetrics.Count("lavender_refusals_total", { { "reason", aReason } });
+  forwarding::AnswerOwn(
+    aExchange,
+    aStatus,
+    aStatus == 503 ? std::optional<milliseconds>(kStartingUp) : std::nullopt);
+}
+
+void
+site_entry::ServeCaller(const edge::exchange_ptr& aExchange)
+{
+  if (!mConfiguration) {
+    Deny(aExchange, 503, "no configuration yet");
+    return;
+  }
+  const auto& request = aExchange->mRequest;
+  const auto host = request.mHeaders.ValueOr("Host", "");
+  if (platform::IsBatchPath(request.mTarget) &&
+      !site::FindRoute(*mConfiguration, host, request.mTarget)) {
+    // These paths belong to no route; any known key will do, and the batch
+    // knows whose it is.
+    site::route anyRoute;
+    const auto check =
+      site::CheckKey(*mConfiguration, anyRoute, mProtocol.mFindKey(request));
+    if (check.mVerdict == site::key_verdict::Unknown) {
+      Deny(aExchange, 401, "unknown key");
+      return;
+    }
+    ServeBatchCall(aExchange, check.mCustomer);
+    return;
+  }
+  const auto route = site::FindRoute(*mConfiguration, host, request.mTarget);
+  if (!route) {
+    Deny(aExchange, 404, "no route");
+    return;
+  }
+  const auto check =
+    site::CheckKey(*mConfiguration, *route, mProtocol.mFindKey(request));
+  if (check.mVerdict == site::key_verdict::Unknown) {
+    Deny(aExchange, 401, "unknown key");
+    return;
+  }
+  if (route->mTakesBatches) {
+    ServeSubmission(aExchange,
+                    check.mCustomer ? check.mCustomer->mName : std::string());
+    return;
+  }
+  mForwarder.Serve(aExchange, route, check.mCustomer);
+}
+
+void
+site_entry::ServeBatchCall(
+  const edge::exchange_ptr& aExchange,
+  const std::shared_ptr<const site::customer>& aCustomer)
+{
+  auto call = platform::DecodeBatchCall(aExchange->mRequest);
+  if (!call) {
+    Deny(aExchange, 400, "unreadable batch call");
+    return;
+  }
+  call->mCustomer = aCustomer ? aCustomer->mName : std::string();
+  mBatches.Serve(aExchange, *call);
+}
+
+void
+site_entry::ServeSubmission(const edge::exchange_ptr& aExchange,
+                            const std::string& aCustomer)
+{
+  auto submission = platform::DecodeSubmission(aExchange->mRequest);
+  if (!submission) {
+    events::line("submission_unreadable")
+      .With("reason", submission.mLastReason);
+    Deny(aExchange, 400, "unreadable submission");
+    return;
+  }
+  mBatches.Submit(aExchange,
+                  aCustomer,
+                  aExchange->mRequest.mHeaders.ValueOr("Host", ""),
+                  std::move(*submission));
+}
+
+void
+site_entry::ServePeer(const edge::exchange_ptr& aExchange)
+{
+  const auto& target = aExchange->mRequest.mTarget;
+  const auto startsWith = [&](std::string_view aPrefix) {
+    return std::string_view(target).substr(0, aPrefix.size()) == aPrefix;
+  };
+  if (target == feed::kFeedPath) {
+    mFeed.Serve(aExchange);
+  } else if (target == platform::kHelpPath) {
+    platform::ServeHelpCall(aExchange, mDirectStore);
+  } else if (startsWith(batches::kPeerPath)) {
+    mBatches.ServePeer(aExchange);
+  } else if (startsWith(versions::kAssignmentPath)) {
+    if (mFeed.IsReachable()) {
+      mAssignments.Serve(aExchange);
+    } else {
+      // Another entry may know which versions were named meanwhile.
+      aExchange->Answer({ 503, {}, {} });
+    }
+  } else if (startsWith(billing::kUsagePath)) {
+    const auto window = edge::ParseInteger(
+      std::string_view(target).substr(sizeof billing::kUsagePath - 1));
+    aExchange->Answer(
+      { window ? 200u : 400u, {}, mUsage.Share(window.value_or(0)) });
+  } else {
+    aExchange->Answer({ 404, {}, {} });
+  }
+}
+
+} // namespace lavender::entry
--- /dev/null
+++ b/Tests/Site/TestForwarding.cpp
@@ -0,0 +1,208 @@
+#include "Duties/Forwarding/Forwarder.h"
+#include "Tests/Site/Support/Loop.h"
+#include "platform/ExchangeProtocol.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lavender;
+using namespace lavender::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A plain server whose behaviour the test sets. */
+struct plain_server
+{
+  explicit plain_server(test_loop& aLoop)
+    : mListener(aLoop.mLoop,
+                std::make_shared<edge::listener_limits>(),
+                [this](const edge::exchange_ptr& aExchange) {
+                  ++mRequests;
+                  mLast = aExchange;
+                  aExchange->OnCallerLeft([this] { ++mCallersLeft; });
+                  mServe(aExchange);
+                })
+  {
+    mListener.Open({ "127.0.0.1", 0 });
+  }
+
+  static edge::response Answer(const edge::exchange_ptr& aExchange,
+                               unsigned aStatus)
+  {
+    edge::response answer{ aStatus, {}, "whole answer" };
+    answer.mHeaders.Add(
+      "X-Attempt-Id", aExchange->mRequest.mHeaders.ValueOr("X-Attempt-Id", ""));
+    return answer;
+  }
+
+  std::function<void(const edge::exchange_ptr&)> mServe;
+  edge::exchange_ptr mLast;
+  int mRequests = 0;
+  int mCallersLeft = 0;
+  edge::listener mListener;
+};
+
+/** An entry that forwards everything to the given servers. */
+struct forwarding_site
+{
+  explicit forwarding_site(site::repetition aRepetition)
+    : mForwarder(
+        { mLoop.mLoop,
+          *mClients,
+          mProtocol,
+          mDirectory,
+          mMetrics,
+          "zone",
+          [this](const std::string& aCustomer) { ++mStarts[aCustomer]; } })
+    , mListener(mLoop.mLoop,
+                std::make_shared<edge::listener_limits>(),
+                [this](const auto& aExchange) {
+                  mForwarder.Serve(aExchange, mRoute, mCustomer);
+                })
+  {
+    mRoute->mRepetition = aRepetition;
+    mRoute->mMaximumAttempts = 2;
+    mRoute->mPools = { { "pool", 1 } };
+    mCustomer->mName = "customer";
+    mListener.Open({ "127.0.0.1", 0 });
+  }
+
+  void Add(const std::string& aId, const plain_server& aServer)
+  {
+    site::backend_server entry;
+    entry.mId = aId;
+    entry.mPool = "pool";
+    entry.mAddress = { "127.0.0.1", aServer.mListener.Port() };
+    entry.mAvailabilityZone = "zone";
+    entry.mSlots = 4;
+    site::TakeServer(mDirectory, entry);
+    mForwarder.TakeServers(boot_clock::now());
+  }
+
+  edge::request Request() const
+  {
+    edge::request request;
+    request.mMethod = "POST";
+    request.mTarget = "/x";
+    request.mHeaders.Add("X-Attempt-Id", "a1");
+    request.mHeaders.Add("X-Deadline-Ms", "3000");
+    return request;
+  }
+
+  call_result Send()
+  {
+    return Call(mLoop, *mClients, mListener.Port(), Request());
+  }
+
+  test_loop mLoop;
+  std::shared_ptr<edge::client_pool> mClients =
+    std::make_shared<edge::client_pool>(mLoop.mLoop);
+  site::exchange_protocol mProtocol = platform::MakeExchangeProtocol();
+  site::server_directory mDirectory;
+  metrics::registry mMetrics;
+  std::map<std::string, int> mStarts;
+  std::shared_ptr<site::route> mRoute = std::make_shared<site::route>();
+  std::shared_ptr<site::customer> mCustomer =
+    std::make_shared<site::customer>();
+  forwarding::forwarder mForwarder;
+  edge::listener mListener;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestForwarding)
+
+// A booking is made twice: the first server takes the request and its
+// connection breaks, and the entry sends it to the second.
+BOOST_AUTO_TEST_CASE(ABrokenAnswerIsRepeatedOnlyWhenThatIsAllowed)
+{
+  for (const auto repetition :
+       { site::repetition::AtMostOnce, site::repetition::Idempotent }) {
+    forwarding_site site(repetition);
+    plain_server first(site.mLoop);
+    plain_server second(site.mLoop);
+    const auto breaks = [](const auto& aExchange) { aExchange->Abort(); };
+    first.mServe = second.mServe = breaks;
+    site.Add("s1", first);
+    site.Add("s2", second);
+    const auto result = site.Send();
+    const bool isOnce = repetition == site::repetition::AtMostOnce;
+    BOOST_TEST(first.mRequests + second.mRequests == (isOnce ? 1 : 2));
+    BOOST_TEST(result.mAnswer.mStatus == 502u);
+    // Counted once for the bill, however often it was tried.
+    BOOST_TEST(site.mStarts["customer"] == 1);
+  }
+}
+
+// Each server is full and says that it didn't run the request: the caller is
+// told so at once, with when to come back.
+BOOST_AUTO_TEST_CASE(ARequestThatNoServerRanIsRefusedAtOnce)
+{
+  forwarding_site site(site::repetition::AtMostOnce);
+  plain_server server(site.mLoop);
+  server.mServe = [](const auto& aExchange) {
+    auto busy = plain_server::Answer(aExchange, 503);
+    busy.mHeaders.Add("X-Not-Executed", "1");
+    aExchange->Answer(std::move(busy));
+  };
+  site.Add("s1", server);
+  const auto result = site.Send();
+  BOOST_TEST(result.mAnswer.mStatus == 503u);
+  BOOST_TEST(result.mAnswer.mHeaders.Find("Retry-After") != nullptr);
+  BOOST_TEST(site.mStarts["customer"] == 0);
+}
+
+// A caller gets the answer to somebody else's request: it came late, on a
+// connection that was used again.
+BOOST_AUTO_TEST_CASE(AnAnswerToAnotherAttemptIsNeverPassedOn)
+{
+  forwarding_site site(site::repetition::AtMostOnce);
+  plain_server server(site.mLoop);
+  server.mServe = [](const auto& aExchange) {
+    edge::response answer{ 200, {}, "not yours" };
+    answer.mHeaders.Add("X-Attempt-Id", "another");
+    aExchange->Answer(std::move(answer));
+  };
+  site.Add("s1", server);
+  const auto result = site.Send();
+  BOOST_TEST(result.mAnswer.mStatus == 502u);
+  BOOST_TEST(result.mAnswer.mBody.empty());
+}
+
+// Servers work on for callers that have given up. The server's connection must
+// be closed when the caller's is.
+BOOST_AUTO_TEST_CASE(AServerIsToldThatItsCallerHasLeft)
+{
+  forwarding_site site(site::repetition::AtMostOnce);
+  plain_server server(site.mLoop);
+  server.mServe = [](const auto&) {};
+  site.Add("s1", server);
+  auto call = site.mClients->Start(
+    { "127.0.0.1", site.mListener.Port() }, site.Request(), {}, {});
+  BOOST_TEST(site.mLoop.RunUntil([&] { return server.mRequests == 1; }));
+  call.Cancel();
+  BOOST_TEST(site.mLoop.RunUntil([&] { return server.mCallersLeft == 1; }));
+}
+
+// A server goes dark with a request that may be repeated: the other one must
+// get it well before the caller's time is over.
+BOOST_AUTO_TEST_CASE(ADarkServerDoesntHoldARequestToItsDeadline)
+{
+  forwarding_site site(site::repetition::Idempotent);
+  plain_server dark(site.mLoop);
+  plain_server sound(site.mLoop);
+  dark.mServe = [](const auto&) {};
+  sound.mServe = [](const auto& aExchange) {
+    aExchange->Answer(plain_server::Answer(aExchange, 200));
+  };
+  site.Add("s1", dark);
+  site.Add("s2", sound);
+  for (int i = 0; i < 6; ++i) {
+    const auto result = site.Send();
+    BOOST_TEST(result.mAnswer.mStatus == 200u);
+    BOOST_TEST(result.mAnswer.mBody == "whole answer");
+  }
+  BOOST_TEST(dark.mRequests > 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
