--- a/StandIns/ObjectStore/StoreListener.cpp
+++ b/StandIns/ObjectStore/StoreListener.cpp
@@ -156,8 +156,7 @@
 
 store_listener::store_listener(boost::asio::io_context& aLoop,
                                memory_store_state& aState)
-  : mState(aState)
-  , mStore(MakeMemoryStore(aLoop, aState))
+  : mStore(MakeMemoryStore(aLoop, aState))
   , mListener(aLoop,
               std::make_shared<edge::listener_limits>(),
               [this](const auto& aExchange) { Serve(aExchange); })
--- a/StandIns/ObjectStore/StoreListener.h
+++ b/StandIns/ObjectStore/StoreListener.h
@@ -17,7 +17,6 @@
 private:
   void Serve(const edge::exchange_ptr& aExchange);
 
-  memory_store_state& mState;
   objects::object_store mStore;
   edge::listener mListener;
 };
