Old batches and silent entries leave the store

Cause: nothing removed a batch's objects, so a site that runs for weeks would fill the store, every listing and each entry's memory; instances that were replaced stayed in the list of entries, and each made the usage report of a window 1.9 s later.

--- a/Duties/Batches/BatchService.cpp
+++ b/Duties/Batches/BatchService.cpp
@@ -24,6 +24,13 @@
       TakeHead(*head);
     }
   }
+  // A head that the listing lacks was removed, unless it is newer than it.
+  for (const auto& head : Heads()) {
+    if (aHeads.count(head.mId) == 0 &&
+        std::chrono::system_clock::now() - head.mSubmittedAt > kListingDelay) {
+      Forget(head.mId);
+    }
+  }
   ResumeOwn();
 }
 
@@ -31,6 +38,7 @@
 batch_service::TakeEvent(const objects::object_event& aEvent)
 {
   if (aEvent.mIsDeleted) {
+    Forget(aEvent.mObject.mName);
     return;
   }
   if (const auto head = DecodeHead(aEvent.mObject)) {
@@ -38,6 +46,27 @@
   }
 }
 
+void
+batch_service::Forget(const std::string& aBatchId)
+{
+  const auto found = mBatches.find(aBatchId);
+  if (found != mBatches.end()) {
+    const auto batch = found->second;
+    mBatches.erase(found);
+    Drop(batch);
+  }
+}
+
+std::vector<batch_head>
+batch_service::Heads() const
+{
+  std::vector<batch_head> heads;
+  for (const auto& [id, batch] : mBatches) {
+    heads.push_back(batch->mHead);
+  }
+  return heads;
+}
+
 void
 batch_service::After(milliseconds aPause, std::function<void()> aAction)
 {
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -14,6 +14,9 @@
 constexpr milliseconds kRetryPause{ 250 };
 /** Tries to settle a write whose answer was lost. */
 constexpr int kTries = 3;
+/** A listing of heads may lack those accepted while it was on its way, through
+ * another entry and a slow store at worst. */
+constexpr milliseconds kListingDelay{ 60000 };
 
 /** How results and pages are written for trainers; the adapter fills it in. */
 struct page_format
@@ -101,6 +104,8 @@
               const std::string& aHost,
               submission aSubmission);
   void Serve(const edge::exchange_ptr& aExchange, const batch_call& aCall);
+  /** All heads that are known here. */
+  std::vector<batch_head> Heads() const;
   /** Calls that another entry passed on. */
   void ServePeer(const edge::exchange_ptr& aExchange);
   void TakeResult(const std::string& aBatchId, item_result aResult);
@@ -116,6 +121,7 @@
   struct admission;
 
   void TakeHead(const batch_head& aHead);
+  void Forget(const std::string& aBatchId);
   void ResumeOwn();
   bool IsMine(const batch_ptr& aBatch) const;
   void WriteItems(const std::shared_ptr<admission>& aAdmission,
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -58,6 +58,8 @@
   /** Every kind has been listed at least once. */
   bool HasListed() const;
   bool IsReachable() const { return mIsReachable; }
+  /** This entry watches the store, and the store answers it. */
+  bool IsWatching() const { return mIsWatching && mDoesStoreAnswer; }
   /** How long ago what is known here was known to be the store's state. */
   milliseconds Age() const
   {
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -113,6 +113,26 @@
               }
             } },
           FollowedKinds())
+  , mUpkeep({ mLoop,
+              mStore,
+              *mClients,
+              mSettings.mName,
+              mSettings.mKeepResults,
+              [this] { return mFeed.IsWatching() && !mLeavingSince; },
+              [this] {
+                std::map<std::string, edge::endpoint> entries;
+                for (const auto& [name, known] : mPeers) {
+                  entries[name] = known.mAddress;
+                }
+                return entries;
+              },
+              [this] { return mBatches.Heads(); },
+              [] {
+                edge::request ping;
+                ping.mMethod = "GET";
+                ping.mTarget = std::string(billing::kUsagePath) + "0";
+                return ping;
+              } })
   , mCallers(mLoop,
              mLimits,
              [this](const auto& aExchange) { ServeCaller(aExchange); })
@@ -176,6 +196,7 @@
     }
   });
   mUsage.Start();
+  mUpkeep.Start();
   mLoop.run();
   events::line("stopped");
   return 0;
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -4,6 +4,7 @@
 #include "Duties/Billing/UsageDuty.h"
 #include "Duties/Feed/StoreFeed.h"
 #include "Duties/Forwarding/Forwarder.h"
+#include "Duties/Upkeep/UpkeepDuty.h"
 #include "Duties/Versions/Assignments.h"
 #include "Libraries/ObjectStore/Mirror.h"
 #include "Services/Entry/SiteSettings.h"
@@ -38,6 +39,7 @@
   void TakeConfiguration(const objects::stored_object& aObject);
   void TakeVersion(const objects::stored_object& aObject);
   void TakePeer(const objects::stored_object& aObject);
+  void DropPeer(const std::string& aName);
   void TakeServerObject(const objects::stored_object& aObject);
   void AfterServersChanged();
   void ServeCaller(const edge::exchange_ptr& aExchange);
@@ -78,6 +80,7 @@
   versions::assignments mAssignments;
   billing::usage_duty mUsage;
   feed::store_feed mFeed;
+  upkeep::upkeep_duty mUpkeep;
   edge::listener mCallers;
   edge::listener mReadiness;
   edge::listener mPeerListener;
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -53,6 +53,17 @@
                });
 }
 
+void
+site_entry::DropPeer(const std::string& aName)
+{
+  if (aName == mSettings.mName) {
+    // Taken for gone after a long silence, or not announced yet.
+    Announce();
+  } else {
+    mPeers.erase(aName);
+  }
+}
+
 std::vector<feed::followed_kind>
 site_entry::FollowedKinds()
 {
@@ -97,12 +108,23 @@
   peers.mKind = site::kEntryKind;
   peers.mOptions.mGatherFor = kGatherServers;
   peers.mOnListed = [this](const feed::object_map& aObjects) {
+    std::vector<std::string> gone;
+    for (const auto& [name, known] : mPeers) {
+      if (aObjects.count(name) == 0) {
+        gone.push_back(name);
+      }
+    }
+    for (const auto& name : gone) {
+      DropPeer(name);
+    }
     for (const auto& [name, object] : aObjects) {
       TakePeer(object);
     }
   };
   peers.mOnEvent = [this](const objects::object_event& aEvent) {
-    if (!aEvent.mIsDeleted) {
+    if (aEvent.mIsDeleted) {
+      DropPeer(aEvent.mObject.mName);
+    } else {
       TakePeer(aEvent.mObject);
     }
   };
--- a/Services/Entry/SiteSettings.cpp
+++ b/Services/Entry/SiteSettings.cpp
@@ -74,6 +74,12 @@
              setting_kind::Endpoint),
     metrics,
     Number("usage-window", "Length of a usage window.", "s", 5, 1, 3600),
+    Number("keep-results",
+           "How long a batch's results can be read after its submission.",
+           "s",
+           120,
+           1,
+           86400),
     Number("grace",
            "Time from the signal to end until the process is killed.",
            "s",
@@ -108,6 +114,7 @@
     read.mMetrics = EndpointOf(aValues, "metrics-listen", aFindings);
   }
   read.mUsageWindow = std::chrono::seconds(aValues.Integer("usage-window"));
+  read.mKeepResults = std::chrono::seconds(aValues.Integer("keep-results"));
   read.mGrace = std::chrono::seconds(aValues.Integer("grace"));
   // Bodies are held until their answer, beside the batches' results and the
   // tables; a quarter leaves room for both.
