--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -34,6 +34,10 @@
  * be about to watch in place of one that has died. */
 constexpr milliseconds kWaitForSource = 200ms;
 constexpr int kMostWaitsForSource = 3;
+/** Entries that ask one other: a question each half second from so many takes
+ * one or two percent of the smallest instance's processor. 360 entries are
+ * three steps deep. */
+constexpr std::size_t kFollowersOfOne = 16;
 
 /** The answer of an entry that follows another one or has just started. */
 constexpr unsigned kFollows = 421; // asked again shortly
@@ -42,6 +46,28 @@
 
 } // namespace
 
+std::vector<feed_candidate>
+FeedOrder(const std::vector<feed_candidate>& aAll, const std::string& aName)
+{
+  std::size_t own = 0;
+  while (own < aAll.size() && aAll[own].mName < aName) {
+    ++own;
+  }
+  std::vector<feed_candidate> order;
+  std::vector<bool> isTaken(own, false);
+  for (auto place = own; place > 0;) {
+    place = (place - 1) / kFollowersOfOne;
+    order.push_back(aAll[place]);
+    isTaken[place] = true;
+  }
+  for (std::size_t place = 0; place < own; ++place) {
+    if (!isTaken[place]) {
+      order.push_back(aAll[place]);
+    }
+  }
+  return order;
+}
+
 store_feed::store_feed(feed_parts aParts, std::vector<followed_kind> aKinds)
   : mParts(std::move(aParts))
   , mKinds(std::move(aKinds))
@@ -77,14 +103,17 @@
   mAvoidedUntil[aName] = boot_clock::now() + aTime;
 }
 
+std::vector<feed_candidate>
+store_feed::Candidates() const
+{
+  return FeedOrder(mParts.mCandidates(), mParts.mName);
+}
+
 void
 store_feed::Choose()
 {
   const auto now = boot_clock::now();
-  for (const auto& candidate : mParts.mCandidates()) {
-    if (candidate.mName == mParts.mName) {
-      break;
-    }
+  for (const auto& candidate : Candidates()) {
     if (!IsTried(candidate, now)) {
       continue;
     }
@@ -157,6 +186,7 @@
     Apply(*feed);
     mFreshAt = boot_clock::now();
     SetReachable(true);
+    AnswerAll();
     Ask();
     return;
   }
@@ -274,10 +304,7 @@
       return;
     }
     const auto now = boot_clock::now();
-    for (const auto& candidate : mParts.mCandidates()) {
-      if (candidate.mName == mParts.mName) {
-        break;
-      }
+    for (const auto& candidate : Candidates()) {
       if (IsTried(candidate, now)) {
         mSourceName = candidate.mName;
         mSource = candidate.mAddress;
@@ -360,12 +387,15 @@
 bool
 store_feed::CanServe() const
 {
-  if (!mIsWatching || !mDoesStoreAnswer) {
-    return false;
+  if (!mIsWatching) {
+    // Passed on from one whose turn comes before; never in a circle.
+    return mSourceName < mParts.mName && mSourceNumber > 0 &&
+           boot_clock::now() - mFreshAt < kAnswerTimeout;
   }
-  return std::all_of(mMirrors.begin(), mMirrors.end(), [](const auto& aMirror) {
-    return aMirror->HasListed() && aMirror->IsReachable();
-  });
+  return mDoesStoreAnswer &&
+         std::all_of(mMirrors.begin(), mMirrors.end(), [](const auto& aMirror) {
+           return aMirror->HasListed() && aMirror->IsReachable();
+         });
 }
 
 void
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -24,6 +24,13 @@
   edge::endpoint mAddress;
 };
 
+/** Whom an entry asks, in this order, before it watches the store itself: the
+ * one above it in a tree of entries by name, those above that one up to the
+ * first, then the others whose names come before its own.
+ * @param aAll all entries in the order of their names */
+std::vector<feed_candidate>
+FeedOrder(const std::vector<feed_candidate>& aAll, const std::string& aName);
+
 struct feed_parts
 {
   boost::asio::io_context& mLoop;
@@ -40,13 +47,13 @@
 
 /** Keeps this entry up to date about some kinds of objects.
  *
- * The first entry by name watches the store, the others ask it and learn of a
- * change as soon as it does. One that gets no answer asks the next, and last
- * watches the store itself; so the loss of the watching entry delays a change
- * by about a second, and being cut off from the store but not from the other
- * entries delays nothing. The watching entry reads a small object twice a
- * second: a watch alone would not show for long that the store is out of
- * reach. */
+ * The first entry by name watches the store; the others ask it, or one that
+ * asks it, and learn of a change as soon as that one does. One that gets no
+ * answer asks the next, and last watches the store itself; so the loss of the
+ * watching entry delays a change by about a second, and being cut off from the
+ * store but not from the other entries delays nothing. The watching entry reads
+ * a small object twice a second: a watch alone would not show for long that the
+ * store is out of reach. */
 class store_feed
 {
 public:
@@ -81,6 +88,7 @@
     time_point mUntil;
   };
 
+  std::vector<feed_candidate> Candidates() const;
   void Choose();
   bool IsTried(const feed_candidate& aCandidate, time_point aNow) const;
   void Avoid(const std::string& aName, milliseconds aTime);
--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -18,6 +18,8 @@
  * needs longer doesn't hold up the others. */
 constexpr milliseconds kLoadTime = 3s;
 constexpr milliseconds kLookEach = 500ms;
+/** Short against a load of about a second. */
+constexpr milliseconds kGatherChanges = 15ms;
 /** Of the newest batch in a model's work. */
 constexpr double kNewestWeight = 0.3;
 /** A model's part of the work must change by this much to move servers. */
@@ -50,6 +52,7 @@
 assignments::assignments(assignment_parts aParts)
   : mParts(std::move(aParts))
   , mTimer(mParts.mLoop)
+  , mBurstTimer(mParts.mLoop)
 {
 }
 
@@ -69,18 +72,28 @@
 void
 assignments::Refresh()
 {
-  AnswerChanged();
+  // Changes and questions come in bursts, and each look goes over all servers.
+  if (mWaiters.empty() || mIsLookPlanned) {
+    return;
+  }
+  mIsLookPlanned = true;
+  mBurstTimer.expires_after(kGatherChanges);
+  mBurstTimer.async_wait([this](const auto& aError) {
+    mIsLookPlanned = false;
+    if (!aError) {
+      AnswerChanged();
+    }
+  });
 }
 
-std::string
-assignments::FindServer(const std::string& aAddress) const
+std::unordered_map<std::string, std::string>
+assignments::ServersByAddress() const
 {
+  std::unordered_map<std::string, std::string> servers;
   for (const auto& [id, row] : mParts.mDirectory.mRows) {
-    if (row.mServer.mAddress.Text() == aAddress) {
-      return id;
-    }
+    servers[row.mServer.mAddress.Text()] = id;
   }
-  return {};
+  return servers;
 }
 
 void
@@ -234,7 +247,7 @@
   asked.mKnown = DecodeVersions(body->Find("known"));
   asked.mUntil = boot_clock::now() + kLongestWait;
   mWaiters.push_back(std::move(asked));
-  AnswerChanged();
+  Refresh();
   PlanLook();
 }
 
@@ -244,8 +257,10 @@
   const auto now = boot_clock::now();
   // Looked up each time: an agent may ask before its server's entry, or any,
   // is known here.
+  const auto servers = ServersByAddress();
   for (auto& waiting : mWaiters) {
-    waiting.mServer = FindServer(waiting.mAddress);
+    const auto found = servers.find(waiting.mAddress);
+    waiting.mServer = found == servers.end() ? std::string() : found->second;
     if (!waiting.mServer.empty()) {
       mReported[waiting.mServer] = waiting.mHeld;
     }
--- a/Duties/Versions/Assignments.h
+++ b/Duties/Versions/Assignments.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <unordered_map>
 
 namespace lavender::versions {
 
@@ -61,7 +62,7 @@
                                  const std::vector<std::string>& aModels) const;
   void AnswerChanged();
   void Answer(const waiter& aWaiter, const wanted_versions& aWanted);
-  std::string FindServer(const std::string& aAddress) const;
+  std::unordered_map<std::string, std::string> ServersByAddress() const;
   void PlanLook();
   void UpdateWeights();
 
@@ -80,6 +81,8 @@
   std::map<std::string, wanted_versions> mWanted;
   std::vector<waiter> mWaiters;
   boost::asio::steady_timer mTimer;
+  boost::asio::steady_timer mBurstTimer;
+  bool mIsLookPlanned = false;
 };
 
 /** Path at which agents ask; the server's address follows. */
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -154,6 +154,7 @@
   , mDirectoryTimer(mLoop)
   , mAnnounceTimer(mLoop)
   , mJoinTimer(mLoop)
+  , mServerLookTimer(mLoop)
 {
   mLimits->mMaximumConnections = mSettings.mMaximumConnections;
   mLimits->mMaximumBufferedBytes = mSettings.mMaximumBufferedBytes;
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -41,6 +41,7 @@
   void TakePeer(const objects::stored_object& aObject);
   void DropPeer(const std::string& aName);
   void TakeServerObject(const objects::stored_object& aObject);
+  void PlanServersChanged();
   void AfterServersChanged();
   void ServeCaller(const edge::exchange_ptr& aExchange);
   void ServeBatchCall(const edge::exchange_ptr& aExchange,
@@ -90,6 +91,8 @@
   boost::asio::steady_timer mDirectoryTimer;
   boost::asio::steady_timer mAnnounceTimer;
   boost::asio::steady_timer mJoinTimer;
+  boost::asio::steady_timer mServerLookTimer;
+  bool mIsServerLookPlanned = false;
   std::optional<time_point> mLeavingSince;
   bool mHasHandedOver = false;
 };
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -14,6 +14,8 @@
 /** Events that come together are taken as one call, within this. */
 constexpr milliseconds kGatherServers = 600ms;
 constexpr milliseconds kGatherVersions = 30ms;
+/** Short against the seconds within which a leaving server must be left. */
+constexpr milliseconds kGatherServerLook = 20ms;
 /** An owner that has lost a batch learns of it within this, and goes on in
  * vain meanwhile; an end must be known within seconds. */
 constexpr milliseconds kGatherHeads = 300ms;
@@ -93,7 +95,7 @@
       }
     }
     site::TakeListing(mDirectory, listed, boot_clock::now());
-    AfterServersChanged();
+    PlanServersChanged();
   };
   servers.mOnEvent = [this](const objects::object_event& aEvent) {
     if (aEvent.mIsDeleted) {
@@ -101,7 +103,7 @@
     } else {
       TakeServerObject(aEvent.mObject);
     }
-    AfterServersChanged();
+    PlanServersChanged();
   };
 
   feed::followed_kind peers;
@@ -191,6 +193,23 @@
   }
 }
 
+void
+site_entry::PlanServersChanged()
+{
+  // Entries of servers change together, and each look goes over all of them.
+  if (mIsServerLookPlanned) {
+    return;
+  }
+  mIsServerLookPlanned = true;
+  mServerLookTimer.expires_after(kGatherServerLook);
+  mServerLookTimer.async_wait([this](const auto& aError) {
+    mIsServerLookPlanned = false;
+    if (!aError) {
+      AfterServersChanged();
+    }
+  });
+}
+
 void
 site_entry::AfterServersChanged()
 {
--- a/Tests/Site/TestFeed.cpp
+++ b/Tests/Site/TestFeed.cpp
@@ -124,6 +124,36 @@
   BOOST_TEST(site.mState.mCalls - before <= 3);
 }
 
+/** At the size planned for, nobody answers more than a few, everyone is a few
+ * steps from the first, and whom one asks always comes before oneself: there
+ * are no circles. */
+BOOST_AUTO_TEST_CASE(TheTreeOfEntriesIsFlatAndHasNoCircle)
+{
+  std::vector<feed::feed_candidate> all;
+  for (int i = 0; i < 360; ++i) {
+    char name[16];
+    std::snprintf(name, sizeof name, "entry-%03d", i);
+    all.push_back({ name, {} });
+  }
+  std::map<std::string, int> followers;
+  std::map<std::string, int> depth;
+  for (const auto& entry : all) {
+    const auto order = feed::FeedOrder(all, entry.mName);
+    BOOST_TEST(order.size() == static_cast<std::size_t>(&entry - all.data()));
+    for (const auto& asked : order) {
+      BOOST_TEST(asked.mName < entry.mName);
+    }
+    if (!order.empty()) {
+      ++followers[order.front().mName];
+      depth[entry.mName] = depth[order.front().mName] + 1;
+      BOOST_TEST(depth[entry.mName] <= 3);
+    }
+  }
+  for (const auto& [name, count] : followers) {
+    BOOST_TEST(count <= 16);
+  }
+}
+
 // An operator's change is in force late at most entries. The entry that
 // watches the store for all dies silently; the others must hear of a change
 // that comes right after all the same.
--- a/Tests/Soak/Site.cpp
+++ b/Tests/Soak/Site.cpp
@@ -1,6 +1,7 @@
 #include "Tests/Soak/Site.h"
 
 #include <csignal>
+#include <unistd.h>
 
 namespace lavender::soak {
 
@@ -8,13 +9,29 @@
 
 namespace {
 
-/** A port that is free now. */
+/** A port that is free now, outside the range from which the system gives out
+ * ports: one from that range may go to another program before the entry that
+ * is to listen there has started. Each process begins elsewhere. */
 unsigned short
 FreePort(boost::asio::io_context& aLoop)
 {
-  tcp::acceptor probe(
-    aLoop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  return probe.local_endpoint().port();
+  constexpr int kFirst = 10000;
+  constexpr int kLast = 32000;
+  constexpr int kEachProcess = 40;
+  static int next =
+    kFirst + (static_cast<int>(getpid()) * kEachProcess) % (kLast - kFirst);
+  for (;;) {
+    next = next >= kLast ? kFirst : next + 1;
+    tcp::acceptor probe(aLoop);
+    const tcp::endpoint address(boost::asio::ip::address_v4::loopback(),
+                                static_cast<unsigned short>(next));
+    boost::system::error_code error;
+    probe.open(tcp::v4(), error);
+    probe.bind(address, error);
+    if (!error) {
+      return address.port();
+    }
+  }
 }
 
 std::string
@@ -165,27 +182,31 @@
 {
   aEntry.mMayEnd = false;
   aEntry.mIsPaused = false;
-  aEntry.mProcess.Start({ Program("Entry/lavender-entry"),
-                          "site",
-                          "--name",
-                          aEntry.mName,
-                          "--zone",
-                          "zone",
-                          "--caller-listen",
-                          Local(aEntry.mCallers),
-                          "--ready-listen",
-                          Local(aEntry.mReadiness),
-                          "--peer-listen",
-                          Local(aEntry.mPeers),
-                          "--store",
-                          Local(aEntry.mStoreLink->Port()),
-                          "--reports",
-                          Local(mReportListener.Port()),
-                          "--usage-window",
-                          "2",
-                          "--grace",
-                          "5" },
-                        mOptions.mLogFolder + "/" + aEntry.mName + ".log");
+  const bool isStarted =
+    aEntry.mProcess.Start({ Program("Entry/lavender-entry"),
+                            "site",
+                            "--name",
+                            aEntry.mName,
+                            "--zone",
+                            "zone",
+                            "--caller-listen",
+                            Local(aEntry.mCallers),
+                            "--ready-listen",
+                            Local(aEntry.mReadiness),
+                            "--peer-listen",
+                            Local(aEntry.mPeers),
+                            "--store",
+                            Local(aEntry.mStoreLink->Port()),
+                            "--reports",
+                            Local(mReportListener.Port()),
+                            "--usage-window",
+                            "2",
+                            "--grace",
+                            "5" },
+                          mOptions.mLogFolder + "/" + aEntry.mName + ".log");
+  if (!isStarted) {
+    mFindings.push_back(aEntry.mName + " can't be started");
+  }
 }
 
 void
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -156,6 +156,10 @@
   aLoop.run_for(aTime);
 }
 
+/** Set by a signal that ends the soak: it must not leave the programs that it
+ * started behind. */
+volatile std::sig_atomic_t gIsInterrupted = 0;
+
 struct planned_end
 {
   time_point mAt;
@@ -173,7 +177,7 @@
   const auto end = boot_clock::now() + aTime;
   auto nextFault = boot_clock::now() + 1500ms;
   std::vector<planned_end> planned;
-  while (boot_clock::now() < end) {
+  while (boot_clock::now() < end && !gIsInterrupted) {
     Pass(aSite.mLoop, 60ms);
     aSite.Watch();
     aClients.Step(true);
@@ -206,6 +210,9 @@
      const site_options& aOptions)
 {
   std::signal(SIGPIPE, SIG_IGN);
+  for (const int signal : { SIGTERM, SIGINT, SIGHUP }) {
+    std::signal(signal, [](int) { gIsInterrupted = 1; });
+  }
   boost::asio::io_context loop{ 1 };
   soak_site site(loop, aOptions);
   soak_clients clients(site, aSeed);
@@ -217,7 +224,8 @@
   // The limit ends a run that hangs; what isn't whole by then is a finding.
   constexpr auto kHealLimit = 60s;
   const auto limit = boot_clock::now() + kHealLimit;
-  while (!clients.AreBatchesWhole() && boot_clock::now() < limit) {
+  while (!clients.AreBatchesWhole() && boot_clock::now() < limit &&
+         !gIsInterrupted) {
     Pass(loop, 60ms);
     site.Watch();
     clients.Step(false);
