--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -212,7 +212,7 @@
 }
 
 void
-batch_runner::GiveUpLate(running_batch& aBatch, time_point)
+batch_runner::GiveUpLate(running_batch& aBatch)
 {
   for (auto& item : aBatch.mItems) {
     if (item.mPhase == item_phase::Ended) {
@@ -239,7 +239,7 @@
   };
   std::vector<candidate> waiting;
   for (auto& [id, batch] : mBatches) {
-    GiveUpLate(batch, now);
+    GiveUpLate(batch);
     const auto submitted = std::chrono::duration_cast<milliseconds>(
       batch.mHead.mSubmittedAt.time_since_epoch());
     for (std::size_t i = 0; i < batch.mItems.size(); ++i) {
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -100,7 +100,7 @@
   void DispatchNow();
   void MoveFromSlow(std::vector<engine_view>& aEngines, time_point aNow);
   void PlanLook();
-  void GiveUpLate(running_batch& aBatch, time_point aNow);
+  void GiveUpLate(running_batch& aBatch);
   void StartRun(running_batch& aBatch,
                 std::size_t aIndex,
                 const engine_view& aEngine,
--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -40,7 +40,7 @@
 constexpr std::size_t kFollowersOfOne = 16;
 
 /** The answer of an entry that follows another one or has just started. */
-constexpr unsigned kFollows = 421; // asked again shortly
+constexpr unsigned kFollows = 421;
 /** The answer of one that doesn't know the store's state. */
 constexpr unsigned kUnreachable = 503;
 
--- a/Duties/Forwarding/ForwardedRequest.cpp
+++ b/Duties/Forwarding/ForwardedRequest.cpp
@@ -22,6 +22,19 @@
  * tried when it breaks; larger ones are passed on as they come. */
 constexpr std::size_t kHeldAnswerBytes = 256 << 10;
 
+/** A server's header fields without those of its connection. */
+edge::header_list
+PassedOn(const edge::header_list& aHeaders)
+{
+  edge::header_list passed;
+  for (const auto& [name, value] : aHeaders.mFields) {
+    if (!edge::IsConnectionField(name)) {
+      passed.Add(name, value);
+    }
+  }
+  return passed;
+}
+
 } // namespace
 
 forwarded_request::forwarded_request(
@@ -84,12 +97,6 @@
   return budget;
 }
 
-bool
-forwarded_request::IsStreamed() const
-{
-  return mRoute->mIsStream;
-}
-
 void
 forwarded_request::TryNext()
 {
@@ -187,15 +194,9 @@
   if (!mFacts.mIsNotExecuted) {
     CountStart();
   }
-  if (IsStreamed() && aHead.mStatus == 200 && !mIsStreaming) {
+  if (mRoute->mIsStream && aHead.mStatus == 200 && !mIsStreaming) {
     mIsStreaming = true;
-    edge::header_list headers;
-    for (const auto& [name, value] : aHead.mHeaders.mFields) {
-      if (!edge::IsConnectionField(name)) {
-        headers.Add(name, value);
-      }
-    }
-    mExchange->Begin(aHead.mStatus, headers);
+    mExchange->Begin(aHead.mStatus, PassedOn(aHead.mHeaders));
   }
 }
 
@@ -209,13 +210,7 @@
   mAnswer->mBody.append(aPiece);
   if (mAnswer->mBody.size() > kHeldAnswerBytes && !mFacts.mIsNotExecuted) {
     mIsStreaming = true;
-    edge::header_list headers;
-    for (const auto& [name, value] : mAnswer->mHeaders.mFields) {
-      if (!edge::IsConnectionField(name)) {
-        headers.Add(name, value);
-      }
-    }
-    mExchange->Begin(mAnswer->mStatus, headers);
+    mExchange->Begin(mAnswer->mStatus, PassedOn(mAnswer->mHeaders));
     mExchange->Write(mAnswer->mBody);
     mAnswer->mBody.clear();
   }
@@ -306,11 +301,7 @@
 {
   edge::response answer;
   answer.mStatus = mAnswer->mStatus;
-  for (auto& [name, value] : mAnswer->mHeaders.mFields) {
-    if (!edge::IsConnectionField(name)) {
-      answer.mHeaders.Add(std::move(name), std::move(value));
-    }
-  }
+  answer.mHeaders = PassedOn(mAnswer->mHeaders);
   answer.mBody = std::move(mAnswer->mBody);
   LogEnd("answered", answer.mStatus, "server's answer");
   mExchange->Answer(std::move(answer));
--- a/Duties/Forwarding/ForwardedRequest.h
+++ b/Duties/Forwarding/ForwardedRequest.h
@@ -35,7 +35,6 @@
   void TimeOut();
   void EndAttempt(routing::evidence aEvidence);
   void LogEnd(const char* aOutcome, unsigned aStatus, const char* aReason);
-  bool IsStreamed() const;
 
   forwarder& mForwarder;
   edge::exchange_ptr mExchange;
