Tests wait until a process that they pause stands still

A signal to stop takes effect when a thread of the process gets to run; on a busy machine other threads go on and answer. Shown by a run: beside 24 busy processes 54 of 150 requests that were sent right after the signal were answered. Ruled out: a late answer of the entry (the agent itself had served).

--- a/Tests/Support/ChildProcess.cpp
+++ b/Tests/Support/ChildProcess.cpp
@@ -1,6 +1,8 @@
 #include "Tests/Support/ChildProcess.h"
 
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <poll.h>
 #include <spawn.h>
 #include <sstream>
@@ -14,6 +16,42 @@
 namespace lavender::test {
 namespace {
 
+/** Whether every thread of the process stands still. */
+bool
+IsStopped(pid_t aId)
+{
+  const auto tasks =
+    std::filesystem::path("/proc") / std::to_string(aId) / "task";
+  std::error_code error;
+  for (const auto& task : std::filesystem::directory_iterator(tasks, error)) {
+    std::ifstream file(task.path() / "stat");
+    std::string line;
+    std::getline(file, line);
+    // The state follows the name, which ends with the last bracket.
+    const auto name = line.rfind(')');
+    const bool isGone = name == std::string::npos;
+    if (!isGone && line.size() > name + 2 && line[name + 2] != 'T' &&
+        line[name + 2] != 'Z') {
+      return false;
+    }
+  }
+  return true;
+}
+
+/** A signal to stop takes effect when a thread of the process gets to run. On
+ * a busy machine other threads go on meanwhile: 54 of 150 requests that were
+ * sent right after the signal were still answered beside 24 busy processes.
+ * Whoever pauses a process must see it paused first. */
+void
+WaitUntilStopped(pid_t aId)
+{
+  constexpr auto kLimit = std::chrono::seconds(10);
+  const auto limit = std::chrono::steady_clock::now() + kLimit;
+  while (!IsStopped(aId) && std::chrono::steady_clock::now() < limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
 using namespace std::chrono_literals;
 
 constexpr auto kReadyLimit = 20s;
@@ -149,8 +187,12 @@
 void
 child_process::Signal(int aSignal) const
 {
-  if (mId > 0) {
-    kill(mId, aSignal);
+  if (mId <= 0) {
+    return;
+  }
+  kill(mId, aSignal);
+  if (aSignal == SIGSTOP) {
+    WaitUntilStopped(mId);
   }
 }
 
