Expired idle connections are closed after the search

Cause: closing the last idle connection to a server removed the list that was being searched; found by AddressSanitizer in TestUpkeep (use after free). Change: expired connections are gathered and closed once the list is no longer in use.

--- a/Libraries/Edge/Caller.cpp
+++ b/Libraries/Edge/Caller.cpp
@@ -75,15 +75,26 @@
     return nullptr;
   }
   auto& idle = found->second;
-  while (!idle.empty()) {
+  std::shared_ptr<client_connection> usable;
+  std::vector<std::shared_ptr<client_connection>> expired;
+  while (!idle.empty() && !usable) {
     auto connection = std::move(idle.back());
     idle.pop_back();
     if (connection->IsUsable(boot_clock::now())) {
-      return connection;
+      usable = std::move(connection);
+    } else {
+      expired.push_back(std::move(connection));
     }
+  }
+  if (idle.empty()) {
+    mIdle.erase(found);
+  }
+  // Closing takes the connection off its list, and an empty list off the map:
+  // only once neither is in use here.
+  for (const auto& connection : expired) {
     connection->Close();
   }
-  return nullptr;
+  return usable;
 }
 
 void
