--- a/Duties/Batches/BatchService.cpp
+++ b/Duties/Batches/BatchService.cpp
@@ -1,9 +1,9 @@
 #include "Duties/Batches/BatchService.h"
 
+#include "Libraries/Edge/RunAfter.h"
 #include "Libraries/EventLog/EventLog.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 
 namespace lavender::batches {
 
@@ -70,13 +70,7 @@
 void
 batch_service::After(milliseconds aPause, std::function<void()> aAction)
 {
-  auto timer = std::make_shared<boost::asio::steady_timer>(mParts.mLoop);
-  timer->expires_after(aPause);
-  timer->async_wait([timer, action = std::move(aAction)](const auto& aError) {
-    if (!aError) {
-      action();
-    }
-  });
+  edge::RunAfter(mParts.mLoop, aPause, std::move(aAction));
 }
 
 bool
--- a/Duties/Billing/UsageDuty.cpp
+++ b/Duties/Billing/UsageDuty.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Billing/UsageDuty.h"
 
+#include "Libraries/Edge/RunAfter.h"
 #include "Libraries/EventLog/EventLog.h"
 
 #include <algorithm>
@@ -261,14 +262,9 @@
     events::line("usage_given_up").With("window", aRound->mWindow);
     return;
   }
-  auto timer = std::make_shared<boost::asio::steady_timer>(mParts.mLoop);
-  timer->expires_after(kRetryPause);
-  timer->async_wait([this, aRound, timer](const auto& aError) {
-    if (!aError) {
-      // Starts over from the record: a lost answer may have written it.
-      Act(aRound->mWindow);
-    }
-  });
+  // Starts over from the record: a lost answer may have written it.
+  edge::RunAfter(
+    mParts.mLoop, kRetryPause, [this, aRound] { Act(aRound->mWindow); });
 }
 
 } // namespace lavender::billing
--- a/Libraries/ObjectStore/Mirror.cpp
+++ b/Libraries/ObjectStore/Mirror.cpp
@@ -111,7 +111,6 @@
   mObjects = std::move(aGathered);
   mRevision = mListedAt;
   mHasListed = true;
-  mFreshAt = boot_clock::now();
   if (mEvents.mOnListed) {
     mEvents.mOnListed(mObjects);
   }
@@ -151,7 +150,6 @@
   }
   SetReachable(true);
   mRevision = std::max(mRevision, aReply.mStoreRevision);
-  mFreshAt = boot_clock::now();
   for (const auto& event : aReply.mEvents) {
     if (event.mIsDeleted) {
       mObjects.erase(event.mObject.mName);
--- a/Libraries/ObjectStore/Mirror.h
+++ b/Libraries/ObjectStore/Mirror.h
@@ -6,7 +6,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
-#include <optional>
 
 namespace lavender::objects {
 
@@ -51,16 +50,8 @@
   /** Watches anew from what is known; an answer to the present watch is
    * dropped. For a watch whose answer was lost with its connection alive. */
   void WatchAgain();
-  const std::map<std::string, stored_object>& Objects() const
-  {
-    return mObjects;
-  }
   bool HasListed() const { return mHasListed; }
   bool IsReachable() const { return mIsReachable; }
-  /** When the copy was last known to be the store's state; a watch that waits
-   * without an event counts from its start. */
-  std::optional<time_point> FreshAt() const { return mFreshAt; }
-  revision_number Revision() const { return mRevision; }
 
 private:
   void List(const std::string& aAfter,
@@ -81,7 +72,6 @@
   revision_number mRevision = 0;
   /** Of a listing's first page: changes during the listing come again. */
   revision_number mListedAt = 0;
-  std::optional<time_point> mFreshAt;
   bool mIsStarted = false;
   bool mHasListed = false;
   bool mIsReachable = true;
--- a/StandIns/ObjectStore/MemoryStore.cpp
+++ b/StandIns/ObjectStore/MemoryStore.cpp
@@ -1,5 +1,7 @@
 #include "StandIns/ObjectStore/MemoryStore.h"
 
+#include "Libraries/Edge/RunAfter.h"
+
 #include <functional>
 
 namespace lavender::standin {
@@ -26,20 +28,6 @@
   std::string mJson;
 };
 
-void
-After(boost::asio::io_context& aLoop,
-      milliseconds aPause,
-      std::function<void()> aAction)
-{
-  auto timer = std::make_shared<boost::asio::steady_timer>(aLoop);
-  timer->expires_after(aPause);
-  timer->async_wait([timer, action = std::move(aAction)](const auto& aError) {
-    if (!aError) {
-      action();
-    }
-  });
-}
-
 json::value
 ParsedOrNull(const std::string& aJson)
 {
@@ -92,7 +80,8 @@
   ++aState.mCalls;
   const auto answer = [&aLoop, done = std::move(aDone)](
                         milliseconds aPause, objects::object_reply aReply) {
-    After(aLoop, aPause, [done, reply = std::move(aReply)] { done(reply); });
+    edge::RunAfter(
+      aLoop, aPause, [done, reply = std::move(aReply)] { done(reply); });
   };
   const objects::object_reply unknown{ store_outcome::Unknown, {} };
   switch (aState.mFault) {
@@ -110,7 +99,7 @@
       answer(aState.mSilence, unknown);
       return;
     case store_fault::Late:
-      After(
+      edge::RunAfter(
         aLoop, aState.mLateness, [&aState, aCall] { Apply(aState, aCall); });
       answer(aState.mSilence, unknown);
       return;
@@ -144,7 +133,7 @@
   objects::watch_reply reply;
   if (const auto fault = ReadFault(aState)) {
     reply.mOutcome = *fault;
-    After(aLoop, aState.mSilence, [aDone, reply] { aDone(reply); });
+    edge::RunAfter(aLoop, aState.mSilence, [aDone, reply] { aDone(reply); });
     return;
   }
   reply.mOutcome = aSince < aState.mForgottenBefore ? store_outcome::HistoryGone
@@ -157,10 +146,10 @@
   reply.mStoreRevision = aState.mRevision;
   if (!reply.mEvents.empty() || aLeft <= 0ms ||
       reply.mOutcome != store_outcome::Done) {
-    After(aLoop, aState.mLatency, [aDone, reply] { aDone(reply); });
+    edge::RunAfter(aLoop, aState.mLatency, [aDone, reply] { aDone(reply); });
     return;
   }
-  After(aLoop, kLookEach, [=, &aLoop, &aState] {
+  edge::RunAfter(aLoop, kLookEach, [=, &aLoop, &aState] {
     Watch(aLoop, aState, aKind, aSince, aLeft - kLookEach, aDone);
   });
 }
@@ -182,7 +171,7 @@
                found != aState.mKinds[aKind].end()) {
       reply = { store_outcome::Done, found->second };
     }
-    After(aLoop, pause, [aDone, reply] { aDone(reply); });
+    edge::RunAfter(aLoop, pause, [aDone, reply] { aDone(reply); });
   };
   store.mList = [&](const auto& aKind, const auto& aAfter, auto, auto aDone) {
     ++aState.mCalls;
@@ -194,7 +183,7 @@
         reply.mObjects.push_back(object);
       }
     }
-    After(aLoop, aState.mLatency, [aDone, reply] { aDone(reply); });
+    edge::RunAfter(aLoop, aState.mLatency, [aDone, reply] { aDone(reply); });
   };
   store.mWatch = [&](const auto& aKind, auto aSince, auto aWait, auto aDone) {
     ++aState.mCalls;
