A write without answer stays unknown though the helping entry is refused

Cause, found by reading: an entry whose call to the store got no answer asks another entry to make it. When that one was turned away too (503, 429) or couldn't be reached, the caller was told 'refused', so a batch could be called not run and run when the first write was carried out late.

--- /dev/null
+++ b/Tests/Site/TestStoreHelp.cpp
@@ -0,0 +1,106 @@
+#include "Tests/Site/Support/Loop.h"
+#include "platform/StoreClient.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lavender;
+using namespace lavender::tests;
+
+namespace {
+
+/** An entry whose own calls to the store end as the test says, and the entry
+ * that helps it. */
+struct help_site
+{
+  help_site()
+    : mHelper(mLoop.mLoop,
+              std::make_shared<edge::listener_limits>(),
+              [this](const auto& aExchange) {
+                ++mHelped;
+                aExchange->Answer({ mHelperStatus, {}, {} });
+              })
+  {
+    mHelper.Open({ "127.0.0.1", 0 });
+    mHelperPort = mHelper.Port();
+  }
+
+  /** The word for what the entry concludes of one create. */
+  std::string Create()
+  {
+    const auto direct = [this](const edge::request&,
+                               milliseconds,
+                               const edge::call_options&,
+                               const edge::whole_answer& aDone) {
+      aDone(mDirectEnd, { mDirectStatus, {}, {} });
+    };
+    platform::store_counts counts;
+    const auto store = platform::MakeStore(
+      platform::HelpedTransport(
+        mLoop.mLoop,
+        mClients,
+        direct,
+        [this] {
+          return std::optional(edge::endpoint{ "127.0.0.1", mHelperPort });
+        }),
+      counts);
+    std::optional<objects::store_outcome> outcome;
+    store.mCreate("kind", "name", "{}", [&](const auto& aReply) {
+      outcome = aReply.mOutcome;
+    });
+    BOOST_TEST(mLoop.RunUntil([&] { return outcome.has_value(); }));
+    return outcome ? objects::WordFor(*outcome) : "none";
+  }
+
+  test_loop mLoop;
+  std::shared_ptr<edge::client_pool> mClients =
+    std::make_shared<edge::client_pool>(mLoop.mLoop);
+  edge::call_end mDirectEnd = edge::call_end::TimedOut;
+  unsigned mDirectStatus = 0;
+  unsigned mHelperStatus = 503;
+  int mHelped = 0;
+  edge::listener mHelper;
+  unsigned short mHelperPort = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestStoreHelp)
+
+// A trainer is told that its batch will not run, and it runs. The entry's write
+// to the store got no answer and was carried out seconds later; the entry that
+// helped had meanwhile been turned away too, and its refusal was taken for the
+// whole story.
+BOOST_AUTO_TEST_CASE(ARefusalToTheHelperDoesntUndoAWriteWithoutAnswer)
+{
+  for (const auto end : { edge::call_end::TimedOut,
+                          edge::call_end::Broken,
+                          edge::call_end::Malformed }) {
+    for (const unsigned status : { 503u, 429u }) {
+      help_site site;
+      site.mDirectEnd = end;
+      site.mHelperStatus = status;
+      BOOST_TEST(site.Create() == "unknown");
+      BOOST_TEST(site.mHelped == 1);
+    }
+  }
+}
+
+// The same, with a helper that has just died: nothing was sent to it.
+BOOST_AUTO_TEST_CASE(AMissingHelperDoesntUndoAWriteWithoutAnswer)
+{
+  help_site site;
+  site.mHelper.StopAccepting();
+  BOOST_TEST(site.Create() == "unknown");
+}
+
+/** What both were refused has certainly not happened. */
+BOOST_AUTO_TEST_CASE(WhatBothAreRefusedHasNotHappened)
+{
+  help_site site;
+  site.mDirectEnd = edge::call_end::Complete;
+  site.mDirectStatus = 503;
+  BOOST_TEST(site.Create() == "refused");
+  BOOST_TEST(site.mHelped == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
