Items aren't given up early, unreadable ones are refused, memory is bounded

Causes, found by reading: - An item was given up once its batch's age passed the route's time. The age is a difference of two instances' wall clocks, each up to 2 s off, so a trainer could find an item given up 4 s early. - A body that is no base64 waited for ever, looked at ten times a second; the decoder took padding in the middle for zero bits, so that a server got other bytes. Two items with one id made a step that never ends. - An entry kept the server of every group and the health of every server that it ever saw.

Before: AnItemIsntGivenUpEarlyBecauseClocksDiffer failed, and of the bodies padding in the middle was taken until the decoder was mended. After: all pass.

--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -95,9 +95,36 @@
     StopRun(item);
   }
   mBatches.erase(found);
+  ForgetGone();
   Dispatch();
 }
 
+void
+batch_runner::ForgetGone()
+{
+  ForgetOldHomes(mHomes, boot_clock::now());
+  const auto forget = [this](auto& aRows, const auto& aIsUnused) {
+    for (auto row = aRows.begin(); row != aRows.end();) {
+      const bool isGone = mParts.mDirectory.mRows.count(row->first) == 0;
+      row = isGone && aIsUnused(row->second) ? aRows.erase(row) : ++row;
+    }
+  };
+  const auto always = [](const auto&) { return true; };
+  forget(mRunsByServer, [](int aRuns) { return aRuns == 0; });
+  forget(mBlocked, always);
+  forget(mSeenVersions, always);
+  forget(mHealths, always);
+}
+
+std::size_t
+batch_runner::KnownServers() const
+{
+  return std::max({ mRunsByServer.size(),
+                    mBlocked.size(),
+                    mSeenVersions.size(),
+                    mHealths.size() });
+}
+
 void
 batch_runner::TakeListed(const std::string& aBatchId,
                          const std::vector<std::string>& aItemIds)
@@ -219,7 +246,8 @@
       continue;
     }
     const auto route = RouteOf(aBatch, *item.mItem);
-    if (route && AgeOf(aBatch.mHead) > route->mMaximumQueueing) {
+    if (route &&
+        TimeUntilGivenUp(AgeOf(aBatch.mHead), route->mMaximumQueueing) <= 0ms) {
       StopRun(item);
       FinishItem(aBatch, item, false);
     }
@@ -377,7 +405,7 @@
   routing::NoteSent(mHealths[aEngine.mId].mBreaker, item.mLastSign);
   ++mRunsByServer[aEngine.mId];
   if (!item.mItem->mGroup.empty()) {
-    mHomes[item.mItem->mGroup] = aEngine.mId;
+    mHomes[item.mItem->mGroup] = { aEngine.mId, item.mLastSign };
   }
 
   edge::request request;
@@ -389,9 +417,10 @@
   site::attempt attempt;
   attempt.mServerId = aEngine.mId;
   attempt.mCustomer = aBatch.mHead.mCustomer;
-  attempt.mTimeLeft = std::clamp(aRoute.mMaximumQueueing - AgeOf(aBatch.mHead),
-                                 milliseconds(1),
-                                 kLongestRun);
+  attempt.mTimeLeft =
+    std::clamp(TimeUntilGivenUp(AgeOf(aBatch.mHead), aRoute.mMaximumQueueing),
+               milliseconds(1),
+               kLongestRun);
   attempt.mAfterEvent = item.mLastEvent;
 
   const place where{ aBatch.mHead.mId, aIndex, item.mRun };
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -80,6 +80,8 @@
                   const std::vector<std::string>& aItemIds);
   /** Servers or configuration have changed. */
   void Dispatch();
+  /** Servers of which something is remembered. */
+  std::size_t KnownServers() const;
 
 private:
   struct place
@@ -98,6 +100,9 @@
                           const item_progress& aItem,
                           const site::route& aRoute);
   void DispatchNow();
+  /** Drops what is known of servers and groups that are no more: servers mostly
+   * start under a new name. */
+  void ForgetGone();
   void MoveFromSlow(std::vector<engine_view>& aEngines, time_point aNow);
   void PlanLook();
   void GiveUpLate(running_batch& aBatch);
--- a/Duties/Batches/Schedule.cpp
+++ b/Duties/Batches/Schedule.cpp
@@ -27,6 +27,15 @@
 
 } // namespace
 
+void
+ForgetOldHomes(group_homes& aHomes, time_point aNow)
+{
+  for (auto home = aHomes.begin(); home != aHomes.end();) {
+    home = aNow - home->second.mUsedAt > kHomeKept ? aHomes.erase(home)
+                                                   : std::next(home);
+  }
+}
+
 std::optional<std::size_t>
 ChooseEngine(const std::vector<engine_view>& aEngines,
              const item_need& aNeed,
@@ -51,7 +60,7 @@
       avoided = i;
       continue;
     }
-    if (homeName != aHomes.end() && homeName->second == engine.mId) {
+    if (homeName != aHomes.end() && homeName->second.mServer == engine.mId) {
       home = i;
     }
     if (!best || isBetter(engine, aEngines[*best])) {
--- a/Duties/Batches/Schedule.h
+++ b/Duties/Batches/Schedule.h
@@ -39,6 +39,21 @@
   std::string mAvoided;
 };
 
+/** The wall clocks of the entry that accepted a batch and of the one that runs
+ * it may differ by this much: each may be two seconds off, and the batch's age
+ * is their difference. An item that is given up early breaks a promise; one
+ * that is given up late costs a run. */
+constexpr milliseconds kClockDifference{ 5000 };
+
+/** How long an item of a batch of that age may still wait or run; zero or less
+ * when it may be given up.
+ * @param aMaximumQueueing time from the submission that its route names */
+constexpr milliseconds
+TimeUntilGivenUp(milliseconds aAge, milliseconds aMaximumQueueing)
+{
+  return aMaximumQueueing + kClockDifference - aAge;
+}
+
 /** Order of items: the less comes first. */
 struct item_rank
 {
@@ -59,7 +74,21 @@
 
 /** Server that last ran an item of a group, as its prompt is in memory there.
  */
-using group_homes = std::map<std::string, std::string>;
+struct group_home
+{
+  std::string mServer;
+  time_point mUsedAt;
+};
+
+using group_homes = std::map<std::string, group_home>;
+
+/** Groups whose last run began longer ago are forgotten. Their prompts have
+ * yielded to others by then, and each step brings new groups: at 17 trainers
+ * with 1,024 samples a step they would grow by gigabytes in a week. */
+constexpr milliseconds kHomeKept{ 60000 };
+
+void
+ForgetOldHomes(group_homes& aHomes, time_point aNow);
 
 /** The least loaded server that may run the item; its group's home while that
  * isn't more loaded by more than a few runs. None when all are full. */
--- a/Libraries/Core/Base64.cpp
+++ b/Libraries/Core/Base64.cpp
@@ -13,6 +13,13 @@
   if (aText.size() % 4 != 0) {
     return Fail<std::string>("length isn't a multiple of four");
   }
+  // The library takes padding anywhere for zero bits.
+  if (const auto end = aText.find('=');
+      end != std::string_view::npos &&
+      aText.substr(end) !=
+        std::string_view("==").substr(0, aText.size() - end)) {
+    return Fail<std::string>("padding before the end");
+  }
   std::string bytes(aText.size() / 4 * 3, '\0');
   const int size =
     EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -18,6 +18,19 @@
   mConfiguration = configuration;
 }
 
+void
+batch_site::SetMaximumQueueing(milliseconds aTime)
+{
+  auto configuration =
+    std::make_shared<site::site_configuration>(*mConfiguration);
+  auto& route = configuration->mRoutes["train.example"]["/r/"];
+  auto changed = std::make_shared<site::route>(*route);
+  changed->mMaximumQueueing = aTime;
+  route = changed;
+  ++configuration->mVersion;
+  mConfiguration = configuration;
+}
+
 void
 batch_site::Add(const model_server& aServer)
 {
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -26,6 +26,8 @@
 
   batch_site();
   void Add(const model_server& aServer);
+  /** Age at which items may be given up. */
+  void SetMaximumQueueing(milliseconds aTime);
 };
 
 /** One entry's batch duty with a listener for trainers and peers. */
--- a/Tests/Site/TestBatchPositions.cpp
+++ b/Tests/Site/TestBatchPositions.cpp
@@ -208,4 +208,49 @@
   }
 }
 
+// An entry's memory grows with every server that ever ran an item there:
+// servers start anew under other names all day.
+BOOST_AUTO_TEST_CASE(ServersThatAreNoMoreAreForgotten)
+{
+  batch_site site;
+  batch_entry entry(site, "a");
+  constexpr int kLives = 6;
+  for (int life = 0; life < kLives; ++life) {
+    const auto name = "s" + std::to_string(life);
+    model_server server(site.mLoop.mLoop, name);
+    site.Add(server);
+    const auto batch = "b" + std::to_string(life);
+    BOOST_TEST(entry.Submit(batch, 2).mAnswer.mStatus == 202u);
+    BOOST_TEST(
+      site.mLoop.RunUntil([&] { return entry.ListedIds(batch).size() == 2; }));
+    BOOST_TEST(entry.mRunner.KnownServers() == 1u);
+    site.mDirectory.mRows.erase(name);
+    BOOST_TEST(entry.End(batch) == 200u);
+  }
+  BOOST_TEST(entry.mRunner.KnownServers() == 0u);
+}
+
+// A trainer finds an item given up seconds before its time: the clock of the
+// entry that accepted the batch was behind, that of the entry which runs it is
+// ahead, and the age of the batch is their difference.
+BOOST_AUTO_TEST_CASE(AnItemIsntGivenUpEarlyBecauseClocksDiffer)
+{
+  for (const auto& [age, isGivenUp] :
+       { std::pair{ 11s, false }, std::pair{ 16s, true } }) {
+    batch_site site;
+    site.SetMaximumQueueing(10s);
+    batch_entry owner(site, "a");
+    BOOST_TEST(owner.Submit("b1", 3).mAnswer.mStatus == 202u);
+    const auto submitted = std::chrono::duration_cast<milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch() - age);
+    auto& head = site.mState.mKinds["batches"].at("b1");
+    head.mSpec.Set("submittedMs", std::int64_t{ submitted.count() });
+    GiveTo(site, "b1", "b");
+    batch_entry other(site, "b");
+    const bool isListed = site.mLoop.RunUntil(
+      [&] { return other.ListedIds("b1").size() == 3; }, isGivenUp ? 20s : 2s);
+    BOOST_TEST(isListed == isGivenUp);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Site/TestDecisions.cpp
+++ b/Tests/Site/TestDecisions.cpp
@@ -155,7 +155,7 @@
     need.mMinimumVersion = *rc::gen::inRange(1, 4);
     need.mGroup = "g";
     need.mAvoided = "s0";
-    const batches::group_homes homes = { { "g", "s1" } };
+    const batches::group_homes homes = { { "g", { "s1", now } } };
     const auto mayRun = [&](const batches::engine_view& aEngine) {
       return aEngine.mPool == "p" && aEngine.mOwnRuns < aEngine.mSlots &&
              aEngine.mVersions.at("m") >= need.mMinimumVersion &&
@@ -177,6 +177,20 @@
   }));
 }
 
+// An entry's memory grows by every group it ever ran and ends the process in
+// weeks. Groups that weren't used for a minute are forgotten, the others kept.
+BOOST_AUTO_TEST_CASE(GroupsOfLongAgoAreForgotten)
+{
+  const auto now = boot_clock::now();
+  batches::group_homes homes = {
+    { "old", { "s1", now - batches::kHomeKept - 1ms } },
+    { "recent", { "s1", now - batches::kHomeKept + 1ms } }
+  };
+  batches::ForgetOldHomes(homes, now);
+  BOOST_TEST(homes.count("old") == 0u);
+  BOOST_TEST(homes.count("recent") == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(TheLongestPrefixOfTheHostDecides)
 {
   site::site_configuration configuration;
--- /dev/null
+++ b/Tests/Site/TestSubmissions.cpp
@@ -0,0 +1,53 @@
+#include "platform/BatchMessages.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lavender;
+
+namespace {
+
+/** Why a submission with these items can't be read; empty when it can. */
+std::string
+ProblemWith(const std::string& aItems)
+{
+  edge::request request;
+  request.mMethod = "POST";
+  request.mTarget = "/r/b1";
+  request.mHeaders.Add("X-Attempt-Id", "b1");
+  request.mBody = "{\"model\":\"m\",\"items\":[" + aItems + "]}";
+  const auto submission = platform::DecodeSubmission(request);
+  return submission ? std::string() : submission.mLastReason;
+}
+
+std::string
+Item(const std::string& aId, const std::string& aBody)
+{
+  return R"({"id":")" + aId + R"(","path":"/r/x","body":")" + aBody + R"("})";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestSubmissions)
+
+// A trainer waits for a step that never ends: one item's body can't be decoded,
+// so no server was ever sent it. It is told at once what is wrong instead.
+BOOST_AUTO_TEST_CASE(ABodyThatCantBeDecodedIsRefusedAtOnce)
+{
+  BOOST_TEST(ProblemWith(Item("i1", "aGVsbG8=")) == "");
+  BOOST_TEST(ProblemWith(Item("i1", "")) == "");
+  for (const auto* bad : { "aGVsbG8", "a*Vs", "====", "aGVsbG8=aGVs" }) {
+    const auto problem =
+      ProblemWith(Item("i1", "aGVsbG8=") + "," + Item("i2", bad));
+    BOOST_TEST(problem.find("i2") != std::string::npos, bad);
+  }
+}
+
+// A trainer waits for as many results as it submitted items, and two of them
+// bear one id: a result is listed once for each id.
+BOOST_AUTO_TEST_CASE(AnIdThatStandsTwiceIsRefusedAtOnce)
+{
+  const auto problem = ProblemWith(Item("i1", "") + "," + Item("i1", ""));
+  BOOST_TEST(problem.find("i1") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
