A model's batches run at one entry, chosen by weighted rendezvous

Cause: a batch ran at whichever entry its trainer reached.

Ruled out: connections that servers close early (they say 10 s, and the pool keeps them 9.3 s); the plain service (823 of its 825 requests open one, as its servers keep none for as long as a second).

Change: the asked entry passes a submission to the entry that rendezvous hashing names for customer and model, by the square of the processor share; without an answer it accepts the batch itself, and says 'not run' only when nothing was passed. Orders go over kept connections, as their expected count makes a repeat harmless.

--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -39,13 +39,19 @@
   std::vector<batch_item> mItems;
 };
 
+/** Whose submission it is, and the host that it was sent to. */
+struct submission_origin
+{
+  std::string mCustomer;
+  std::string mHost;
+};
+
 /** The small object that says that a batch was accepted and who runs it. */
 struct batch_head
 {
   std::string mId;
   std::string mCustomer;
   std::string mHost;
-  std::string mPath;
   std::string mModel;
   std::int64_t mMinimumVersion = 0;
   int mTargetGroups = 0;
--- a/Duties/Batches/BatchAdmission.cpp
+++ b/Duties/Batches/BatchAdmission.cpp
@@ -20,31 +20,27 @@
 };
 
 void
-batch_service::Submit(const edge::exchange_ptr& aExchange,
-                      const std::string& aCustomer,
-                      const std::string& aHost,
-                      submission aSubmission)
+batch_service::Admit(const edge::exchange_ptr& aExchange,
+                     const submission_origin& aOrigin,
+                     submission aSubmission,
+                     prior_try aPriorTry)
 {
-  if (const auto known = mBatches.find(aSubmission.mId);
-      known != mBatches.end()) {
-    const bool isOwn = known->second->mHead.mCustomer == aCustomer;
-    aExchange->Answer({ isOwn ? 202u : 404u, {}, {} });
-    return;
-  }
   if (mIsLeaving) {
-    edge::response refusal{ 503, {}, {} };
+    // Nobody else is known who could take it.
+    const bool mayExist = aPriorTry == prior_try::MayHaveBeenAccepted;
+    edge::response refusal{ mayExist ? 504u : 503u, {}, {} };
     refusal.mHeaders.Add("Retry-After", "0.1");
     aExchange->Answer(std::move(refusal));
     return;
   }
   auto admitted = std::make_shared<admission>();
   admitted->mExchange = aExchange;
+  admitted->mIsUnsettled = aPriorTry == prior_try::MayHaveBeenAccepted;
   admitted->mItems = EncodeItems(aSubmission);
   auto& head = admitted->mHead;
   head.mId = aSubmission.mId;
-  head.mCustomer = aCustomer;
-  head.mHost = aHost;
-  head.mPath = aExchange->mRequest.mTarget;
+  head.mCustomer = aOrigin.mCustomer;
+  head.mHost = aOrigin.mHost;
   head.mModel = aSubmission.mModel;
   head.mMinimumVersion = aSubmission.mMinimumVersion;
   head.mTargetGroups = aSubmission.mTargetGroups;
--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -15,9 +15,14 @@
 constexpr std::size_t kPageBytes = 900 << 10;
 /** Longest time that a trainer's reading call is held. */
 constexpr milliseconds kLongestWait = 1000ms;
-/** How long the owner may take beyond the wait before another entry takes its
- * batch over. */
+/** How long the owner may be silent beyond the wait before another entry takes
+ * its batch over. */
 constexpr milliseconds kOwnerSilence = 600ms;
+/** Longest time in which a page arrives once its owner has begun to answer: a
+ * megabyte takes 0.14 s on a link of 60 Mbit/s, and several readers may share
+ * it. An owner that was given up in the middle of a page lost its batch, and
+ * the next owner on such a link did too. */
+constexpr milliseconds kPageTransfer = 3000ms;
 /** A batch changes its owner at most once in this time, so that two entries
  * which don't reach each other don't take turns. */
 constexpr milliseconds kClaimPause = 1500ms;
@@ -119,15 +124,14 @@
 {
   edge::call_options options;
   options.mConnectTimeout = kOwnerSilence;
-  const auto deadline = aCall.mWait + kOwnerSilence;
-  options.mSilenceTimeout = deadline;
+  options.mSilenceTimeout = aCall.mWait + kOwnerSilence;
   edge::FetchWhole(
     mParts.mClients,
     mParts.mLoop,
     aPeer,
     EncodePeerCall(aCall),
     options,
-    deadline,
+    options.mSilenceTimeout + kPageTransfer,
     4 << 20,
     [this, aExchange, aCall, aBatch](edge::call_end aEnd,
                                      edge::response aAnswer) {
--- a/Duties/Batches/BatchService.cpp
+++ b/Duties/Batches/BatchService.cpp
@@ -135,42 +135,4 @@
     }));
 }
 
-std::optional<std::string>
-batch_service::SuccessorFor(const std::string& aBatchId) const
-{
-  // Rendezvous hashing: the batches of one entry spread over the others.
-  std::optional<std::string> chosen;
-  std::size_t highest = 0;
-  for (const auto& name : mParts.mEntryNames()) {
-    const auto weight = std::hash<std::string>{}(aBatchId + "/" + name);
-    if (name != mParts.mName && (!chosen || weight > highest)) {
-      chosen = name;
-      highest = weight;
-    }
-  }
-  return chosen;
-}
-
-void
-batch_service::HandOver()
-{
-  mIsLeaving = true;
-  for (const auto& [id, batch] : mBatches) {
-    const auto successor = SuccessorFor(id);
-    if (!IsMine(batch) || batch->mHead.mIsEnded || !successor) {
-      continue;
-    }
-    mParts.mStore.mReplaceStatus(kHeadKind,
-                                 id,
-                                 batch->mHead.mRevision,
-                                 EncodeHeadStatus(*successor, false),
-                                 [this](const objects::object_reply& aReply) {
-                                   if (const auto head =
-                                         DecodeHead(aReply.mObject)) {
-                                     TakeHead(*head);
-                                   }
-                                 });
-  }
-}
-
 } // namespace lavender::batches
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -2,6 +2,7 @@
 
 #include "Duties/Batches/BatchRunner.h"
 #include "Duties/Batches/ResultLog.h"
+#include "Libraries/Core/Rendezvous.h"
 #include "Libraries/Edge/Listener.h"
 #include "Libraries/ObjectStore/ObjectStore.h"
 
@@ -37,8 +38,9 @@
   std::string mName;
   /** Where another entry takes forwarded calls; none when it isn't known. */
   std::function<std::optional<edge::endpoint>(const std::string&)> mFindPeer;
-  /** Names of all entries, this one included. */
-  std::function<std::vector<std::string>()> mEntryNames;
+  /** Entries that may own a batch, this one included, by how much work each
+   * can do. */
+  std::function<std::vector<weighted_candidate>()> mEntries;
   /** Told once of each batch that was accepted, by whichever entry. */
   std::function<void(const batch_head&)> mOnAccepted;
 };
@@ -87,8 +89,11 @@
 /** Accepts batches, lists their results and ends them.
  *
  * Each batch has one owner, an entry that runs it and knows its results; the
- * others pass calls on to it. When the owner doesn't answer, the entry that
- * was asked takes the batch over by a conditional change of its head. */
+ * others pass calls on to it. All batches of one customer's model go to one
+ * entry while it answers: it alone then sends runs to that model's servers, so
+ * that it knows how full they are, and uses its connections to them again from
+ * step to step. When the owner doesn't answer, the entry that was asked takes
+ * the batch over by a conditional change of its head. */
 class batch_service
 {
 public:
@@ -97,12 +102,15 @@
   /** All heads that the store holds. */
   void TakeListing(const std::map<std::string, objects::stored_object>& aHeads);
   void TakeEvent(const objects::object_event& aEvent);
-  /** A new batch, read from a caller's request.
-   * @param aPath target under which it was submitted */
+  /** A new batch, read from a caller's request. Accepted by the entry that
+   * shall own it, or by this one when that can't be asked. */
   void Submit(const edge::exchange_ptr& aExchange,
-              const std::string& aCustomer,
-              const std::string& aHost,
+              const submission_origin& aOrigin,
               submission aSubmission);
+  /** One that another entry passed on, since this one shall own it. */
+  void SubmitHere(const edge::exchange_ptr& aExchange,
+                  const submission_origin& aOrigin,
+                  submission aSubmission);
   void Serve(const edge::exchange_ptr& aExchange, const batch_call& aCall);
   /** All heads that are known here. */
   std::vector<batch_head> Heads() const;
@@ -119,6 +127,26 @@
 
 private:
   struct admission;
+  struct placement;
+  /** What came of passing the submission to another entry before. */
+  enum class prior_try
+  {
+    None,
+    MayHaveBeenAccepted
+  };
+
+  std::optional<std::string> DesignatedOwner(const std::string& aCustomer,
+                                             const std::string& aModel) const;
+  bool AnswerKnown(const edge::exchange_ptr& aExchange,
+                   const submission_origin& aOrigin,
+                   const std::string& aBatchId);
+  void PassSubmission(const std::shared_ptr<placement>& aPlacement,
+                      const std::string& aOwner,
+                      const edge::endpoint& aPeer);
+  void Admit(const edge::exchange_ptr& aExchange,
+             const submission_origin& aOrigin,
+             submission aSubmission,
+             prior_try aPriorTry);
 
   void TakeHead(const batch_head& aHead);
   void Forget(const std::string& aBatchId);
@@ -177,7 +205,6 @@
                                  objects::object_done aDone);
   void Run(const batch_ptr& aBatch);
   void Drop(const batch_ptr& aBatch);
-  std::optional<std::string> SuccessorFor(const std::string& aBatchId) const;
 
   void PlanCommit(const batch_ptr& aBatch, milliseconds aPause);
   void Commit(const batch_ptr& aBatch);
@@ -187,6 +214,8 @@
 
   service_parts mParts;
   std::map<std::string, batch_ptr> mBatches;
+  /** Entries that didn't take a batch lately. */
+  std::map<std::string, time_point> mAvoidedUntil;
   bool mIsLeaving = false;
 };
 
--- a/Duties/Batches/PeerCall.cpp
+++ b/Duties/Batches/PeerCall.cpp
@@ -6,6 +6,7 @@
 
 constexpr char kKindField[] = "Lavender-Call";
 constexpr char kCustomerField[] = "Lavender-Customer";
+constexpr char kHostField[] = "Lavender-Host";
 constexpr char kItemField[] = "Lavender-Item";
 constexpr char kAfterField[] = "Lavender-After";
 constexpr char kWaitField[] = "Lavender-Wait-Ms";
@@ -70,4 +71,29 @@
   return std::nullopt;
 }
 
+edge::request
+EncodePeerSubmission(const peer_submission& aSubmission)
+{
+  edge::request request;
+  request.mMethod = "POST";
+  request.mTarget = kPeerSubmissionPath + aSubmission.mBatchId;
+  request.mHeaders.Add(kCustomerField, aSubmission.mOrigin.mCustomer);
+  request.mHeaders.Add(kHostField, aSubmission.mOrigin.mHost);
+  request.mBody = aSubmission.mBody;
+  return request;
+}
+
+std::optional<peer_submission>
+DecodePeerSubmission(const edge::request& aRequest)
+{
+  const std::string prefix = kPeerSubmissionPath;
+  if (aRequest.mTarget.compare(0, prefix.size(), prefix) != 0) {
+    return std::nullopt;
+  }
+  return peer_submission{ aRequest.mTarget.substr(prefix.size()),
+                          { aRequest.mHeaders.ValueOr(kCustomerField, ""),
+                            aRequest.mHeaders.ValueOr(kHostField, "") },
+                          aRequest.mBody };
+}
+
 } // namespace lavender::batches
--- a/Duties/Batches/PeerCall.h
+++ b/Duties/Batches/PeerCall.h
@@ -16,4 +16,22 @@
 std::optional<batch_call>
 DecodePeerCall(const edge::request& aRequest);
 
+/** Path below which entries take submissions that another one passes on. */
+constexpr char kPeerSubmissionPath[] = "/submissions/";
+
+/** A submission as one entry passes it to another: the body is the trainer's,
+ * its key stays behind. */
+struct peer_submission
+{
+  std::string mBatchId;
+  submission_origin mOrigin;
+  std::string mBody;
+};
+
+edge::request
+EncodePeerSubmission(const peer_submission& aSubmission);
+
+std::optional<peer_submission>
+DecodePeerSubmission(const edge::request& aRequest);
+
 } // namespace lavender::batches
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -70,7 +70,6 @@
   return json::Write(
     json::object{ { "customer", aHead.mCustomer },
                   { "host", aHead.mHost },
-                  { "path", aHead.mPath },
                   { "model", aHead.mModel },
                   { "minimumVersion", aHead.mMinimumVersion },
                   { "targetGroups", aHead.mTargetGroups },
@@ -100,7 +99,6 @@
   head.mRevision = aObject.mRevision;
   head.mCustomer = json::StringAt(spec, "customer", "");
   head.mHost = json::StringAt(spec, "host", "");
-  head.mPath = json::StringAt(spec, "path", "");
   head.mModel = json::StringAt(spec, "model", "");
   head.mMinimumVersion = json::IntegerAt(spec, "minimumVersion", 0);
   head.mTargetGroups =
--- a/Duties/Versions/OrderDuty.cpp
+++ b/Duties/Versions/OrderDuty.cpp
@@ -181,7 +181,6 @@
 {
   edge::call_options options;
   options.mSilenceTimeout = kServerTimeout;
-  options.mMayReuse = false;
   edge::FetchWhole(
     mParts.mClients,
     mParts.mLoop,
--- a/Libraries/Settings/Settings.cpp
+++ b/Libraries/Settings/Settings.cpp
@@ -24,7 +24,8 @@
   }
   text += aSetting.mIsRequired ? " Required."
                                : " Default: '" + aSetting.mDefault + "'.";
-  if (aSetting.mKind == setting_kind::Integer) {
+  if (aSetting.mKind == setting_kind::Integer ||
+      aSetting.mKind == setting_kind::Decimal) {
     text += " Range: " + std::to_string(aSetting.mLowest) + " to " +
             std::to_string(aSetting.mHighest) + ".";
   }
@@ -54,6 +55,25 @@
   return {};
 }
 
+std::string
+CheckDecimal(const setting& aSetting, const std::string& aText)
+{
+  const bool isNumber =
+    !aText.empty() && aText.size() < 18 &&
+    aText.find_first_not_of("0123456789.") == std::string::npos &&
+    std::count(aText.begin(), aText.end(), '.') <= 1 && aText != ".";
+  if (!isNumber) {
+    return "'" + aText + "' is not a number";
+  }
+  const double number = std::stod(aText);
+  if (number < static_cast<double>(aSetting.mLowest) ||
+      number > static_cast<double>(aSetting.mHighest)) {
+    return aText + " is not within " + std::to_string(aSetting.mLowest) +
+           " to " + std::to_string(aSetting.mHighest);
+  }
+  return {};
+}
+
 std::vector<std::string>
 SplitList(const std::string& aText)
 {
@@ -84,6 +104,8 @@
       return {};
     case setting_kind::Integer:
       return CheckInteger(aSetting, aText);
+    case setting_kind::Decimal:
+      return CheckDecimal(aSetting, aText);
     case setting_kind::Endpoint:
       return CheckEndpoint(aText);
     case setting_kind::Endpoints:
@@ -131,6 +153,12 @@
   return std::stoll(mByFlag.at(aFlag));
 }
 
+double
+values::Decimal(const std::string& aFlag) const
+{
+  return std::stod(mByFlag.at(aFlag));
+}
+
 std::chrono::milliseconds
 values::Milliseconds(const std::string& aFlag) const
 {
--- a/Libraries/Settings/Settings.h
+++ b/Libraries/Settings/Settings.h
@@ -17,6 +17,8 @@
   Text,
   /** Whole number within the range. */
   Integer,
+  /** Number with an optional fraction, within the range. */
+  Decimal,
   /** "ADDRESS:PORT"; port 0 lets the system choose. */
   Endpoint,
   /** Comma-separated endpoints; may be empty. */
@@ -54,6 +56,7 @@
 
   const std::string& Text(const std::string& aFlag) const;
   std::int64_t Integer(const std::string& aFlag) const;
+  double Decimal(const std::string& aFlag) const;
   std::chrono::milliseconds Milliseconds(const std::string& aFlag) const;
   /** Comma-separated parts; empty when the text is. */
   std::vector<std::string> List(const std::string& aFlag) const;
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -76,7 +76,7 @@
                platform::MakePageFormat(),
                mSettings.mName,
                [this](const std::string& aName) { return FindPeer(aName); },
-               [this] { return EntryNames(); },
+               [this] { return WeighedEntries(); },
                [this](const batches::batch_head& aHead) {
                  mAssignments.TakeBatch(
                    aHead.mModel, aHead.mMinimumVersion, aHead.mExpectedTokens);
@@ -187,7 +187,7 @@
     .With("zone", mSettings.mAvailabilityZone)
     .With("callers", mSettings.mCallers.Text())
     .With("peers", mSettings.mPeers.Text());
-  mPeers[mSettings.mName] = { mSettings.mPeers };
+  mPeers[mSettings.mName] = { mSettings.mPeers, mSettings.mProcessorShare };
   WaitForSignals();
   Announce();
   mJoinTimer.expires_after(kJoinAfter);
@@ -208,7 +208,8 @@
 {
   const auto spec =
     json::Write(json::object{ { "address", mSettings.mPeers.Text() },
-                              { "zone", mSettings.mAvailabilityZone } });
+                              { "zone", mSettings.mAvailabilityZone },
+                              { "cores", mSettings.mProcessorShare } });
   const auto retry = [this](const objects::object_reply& aReply) {
     if (aReply.mOutcome == store_outcome::Done) {
       return;
@@ -243,6 +244,16 @@
   return names;
 }
 
+std::vector<weighted_candidate>
+site_entry::WeighedEntries() const
+{
+  std::vector<weighted_candidate> entries;
+  for (const auto& [name, known] : mPeers) {
+    entries.push_back({ name, known.mProcessorShare * known.mProcessorShare });
+  }
+  return entries;
+}
+
 std::string
 site_entry::MetricsText()
 {
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -30,6 +30,8 @@
   struct peer
   {
     edge::endpoint mAddress;
+    /** Part of a processor core that it may use. */
+    double mProcessorShare = 1;
   };
 
   std::string Open();
@@ -48,6 +50,7 @@
                       const std::shared_ptr<const site::customer>& aCustomer);
   void ServeSubmission(const edge::exchange_ptr& aExchange,
                        const std::string& aCustomer);
+  void ServePassedSubmission(const edge::exchange_ptr& aExchange);
   void ServePeer(const edge::exchange_ptr& aExchange);
   void ServeReadiness(const edge::exchange_ptr& aExchange);
   void SendUsage(const billing::usage_report& aReport,
@@ -60,6 +63,10 @@
             const char* aReason);
   std::optional<edge::endpoint> FindPeer(const std::string& aName) const;
   std::vector<std::string> EntryNames() const;
+  /** A model's batches run at one entry and can't be split, so a small instance
+   * is a bad place for them: one with five times the processor gets
+   * twenty-five times as many. */
+  std::vector<weighted_candidate> WeighedEntries() const;
   std::string MetricsText();
   bool IsReady() const;
 
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -35,7 +35,8 @@
 {
   if (const auto address =
         edge::ParseAddress(json::StringAt(aObject.mSpec, "address", ""))) {
-    mPeers[aObject.mName] = { *address };
+    mPeers[aObject.mName] = { *address,
+                              json::NumberAt(aObject.mSpec, "cores", 1) };
   }
 }
 
--- a/Services/Entry/SiteEntryServing.cpp
+++ b/Services/Entry/SiteEntryServing.cpp
@@ -93,7 +93,9 @@
 site_entry::ServeSubmission(const edge::exchange_ptr& aExchange,
                             const std::string& aCustomer)
 {
-  auto submission = platform::DecodeSubmission(aExchange->mRequest);
+  const auto& request = aExchange->mRequest;
+  auto submission =
+    platform::DecodeSubmission(platform::SubmittedId(request), request.mBody);
   if (!submission) {
     events::line("submission_unreadable")
       .With("reason", submission.mLastReason);
@@ -101,11 +103,22 @@
     return;
   }
   mBatches.Submit(aExchange,
-                  aCustomer,
-                  aExchange->mRequest.mHeaders.ValueOr("Host", ""),
+                  { aCustomer, request.mHeaders.ValueOr("Host", "") },
                   std::move(*submission));
 }
 
+void
+site_entry::ServePassedSubmission(const edge::exchange_ptr& aExchange)
+{
+  const auto passed = batches::DecodePeerSubmission(aExchange->mRequest);
+  auto submission = platform::DecodeSubmission(passed->mBatchId, passed->mBody);
+  if (!submission) {
+    aExchange->Answer({ 400, {}, {} });
+    return;
+  }
+  mBatches.SubmitHere(aExchange, passed->mOrigin, std::move(*submission));
+}
+
 void
 site_entry::ServePeer(const edge::exchange_ptr& aExchange)
 {
@@ -119,6 +132,8 @@
     platform::ServeHelpCall(aExchange, mDirectStore);
   } else if (startsWith(batches::kPeerPath)) {
     mBatches.ServePeer(aExchange);
+  } else if (startsWith(batches::kPeerSubmissionPath)) {
+    ServePassedSubmission(aExchange);
   } else if (startsWith(versions::kAssignmentPath)) {
     if (mFeed.IsReachable()) {
       mAssignments.Serve(aExchange);
--- a/Services/Entry/SiteSettings.cpp
+++ b/Services/Entry/SiteSettings.cpp
@@ -57,6 +57,15 @@
   setting metrics;
   metrics.mFlag = "metrics-listen";
   metrics.mDescription = "Address of the metrics page; empty for none.";
+  setting share;
+  share.mFlag = "processor-share";
+  share.mDescription = "Part of a processor core that this process may use; "
+                       "entries with more of it run more of the batches.";
+  share.mUnit = "cores";
+  share.mDefault = "1";
+  share.mKind = setting_kind::Decimal;
+  share.mLowest = 0;
+  share.mHighest = 1024;
   return {
     Required("name", "Name of this instance.", setting_kind::Text),
     Required("zone", "Availability zone of this instance.", setting_kind::Text),
@@ -86,6 +95,7 @@
            8,
            1,
            600),
+    share,
     Number("memory", "Memory of the process.", "MB", 256, 16, 1 << 20),
     Number("descriptors",
            "File descriptors that may be open.",
@@ -116,6 +126,7 @@
   read.mUsageWindow = std::chrono::seconds(aValues.Integer("usage-window"));
   read.mKeepResults = std::chrono::seconds(aValues.Integer("keep-results"));
   read.mGrace = std::chrono::seconds(aValues.Integer("grace"));
+  read.mProcessorShare = aValues.Decimal("processor-share");
   // Bodies are held until their answer, beside the batches' results and the
   // tables; a quarter leaves room for both.
   constexpr std::size_t kBodyShare = 4;
--- a/Services/Entry/SiteSettings.h
+++ b/Services/Entry/SiteSettings.h
@@ -24,6 +24,8 @@
   milliseconds mKeepResults{ 120000 };
   /** From the signal to end until the platform kills the process. */
   milliseconds mGrace{ 8000 };
+  /** Part of a processor core that this process may use. */
+  double mProcessorShare = 1;
   std::size_t mMaximumConnections = 1000;
   /** Of request bodies held at once. */
   std::size_t mMaximumBufferedBytes = 64 << 20;
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -1,6 +1,7 @@
 #include "Tests/Site/Support/BatchEntry.h"
 
 #include "Duties/Batches/PeerCall.h"
+#include "Libraries/Edge/RunAfter.h"
 
 namespace lavender::tests {
 
@@ -54,27 +55,29 @@
               [this](const auto& aBatchId, auto aResult) {
                 mService.TakeResult(aBatchId, std::move(aResult));
               } })
-  , mService({ aSite.mLoop.mLoop,
-               mStore,
-               *aSite.mClients,
-               mRunner,
-               aSite.mMetrics,
-               platform::MakePageFormat(),
-               aName,
-               [this](const std::string& aPeer) {
-                 const auto found = mSite.mPeers.find(aPeer);
-                 return found == mSite.mPeers.end()
-                          ? std::optional<edge::endpoint>()
-                          : std::optional(found->second);
-               },
-               [this] {
-                 std::vector<std::string> names;
-                 for (const auto& [name, address] : mSite.mPeers) {
-                   names.push_back(name);
-                 }
-                 return names;
-               },
-               [](const batches::batch_head&) {} })
+  , mService(
+      { aSite.mLoop.mLoop,
+        mStore,
+        *aSite.mClients,
+        mRunner,
+        aSite.mMetrics,
+        platform::MakePageFormat(),
+        aName,
+        [this](const std::string& aPeer) {
+          const auto found = mSite.mPeers.find(aPeer);
+          return found == mSite.mPeers.end() ? std::optional<edge::endpoint>()
+                                             : std::optional(found->second);
+        },
+        [this] {
+          std::vector<weighted_candidate> entries;
+          for (const auto& [name, address] : mSite.mPeers) {
+            const auto weight = mSite.mWeights.find(name);
+            entries.push_back(
+              { name, weight == mSite.mWeights.end() ? 1 : weight->second });
+          }
+          return entries;
+        },
+        [](const batches::batch_head&) {} })
   , mListener(aSite.mLoop.mLoop,
               std::make_shared<edge::listener_limits>(),
               [this](const auto& aExchange) { Serve(aExchange); })
@@ -101,15 +104,53 @@
     return;
   }
   const auto& target = aExchange->mRequest.mTarget;
-  if (target.rfind(batches::kPeerPath, 0) == 0) {
+  if (mAnswersSlowly && target.rfind(batches::kPeerPath, 0) == 0) {
+    AnswerSlowly(aExchange);
+  } else if (target.rfind(batches::kPeerPath, 0) == 0) {
     mService.ServePeer(aExchange);
+  } else if (const auto passed =
+               batches::DecodePeerSubmission(aExchange->mRequest)) {
+    // Nobody reads the answer to an exchange of its own.
+    const auto answered =
+      mLosesAnswers
+        ? std::make_shared<edge::exchange>(nullptr, aExchange->mRequest)
+        : aExchange;
+    if (mLosesAnswers) {
+      mHeld.push_back(aExchange);
+    }
+    mService.SubmitHere(
+      answered,
+      passed->mOrigin,
+      *platform::DecodeSubmission(passed->mBatchId, passed->mBody));
   } else if (platform::IsBatchPath(target)) {
     mService.Serve(aExchange, *platform::DecodeBatchCall(aExchange->mRequest));
   } else {
+    const auto& request = aExchange->mRequest;
     mService.Submit(aExchange,
-                    "",
-                    "train.example",
-                    *platform::DecodeSubmission(aExchange->mRequest));
+                    { "", "train.example" },
+                    *platform::DecodeSubmission(platform::SubmittedId(request),
+                                                request.mBody));
+  }
+}
+
+void
+batch_entry::AnswerSlowly(const edge::exchange_ptr& aExchange)
+{
+  constexpr int kPieces = 5;
+  constexpr milliseconds kPause{ 300 };
+  const auto call = batches::DecodePeerCall(aExchange->mRequest);
+  const auto page =
+    std::make_shared<std::string>(json::Write(Read(call->mBatchId, 0)));
+  aExchange->Begin(200, {});
+  for (int i = 0; i < kPieces; ++i) {
+    edge::RunAfter(mSite.mLoop.mLoop, kPause * (i + 1), [=] {
+      const auto size = page->size() / kPieces + 1;
+      const auto start = size * static_cast<std::size_t>(i);
+      aExchange->Write(std::string_view(*page).substr(start, size));
+      if (i + 1 == kPieces) {
+        aExchange->Finish();
+      }
+    });
   }
 }
 
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -23,6 +23,8 @@
   metrics::registry mMetrics;
   /** Peers that can be reached, by name. */
   std::map<std::string, edge::endpoint> mPeers;
+  /** How much of the batches each entry shall own; 1 when not named. */
+  std::map<std::string, double> mWeights;
 
   batch_site();
   void Add(const model_server& aServer);
@@ -45,6 +47,8 @@
   void StartReading(const std::string& aBatchId);
   std::vector<std::string> ListedIds(const std::string& aBatchId);
   unsigned End(const std::string& aBatchId);
+  /** From now on nobody listens at this entry's address. */
+  void StopListening() { mListener.StopAccepting(); }
 
   batch_site& mSite;
   objects::object_store mStore;
@@ -53,9 +57,14 @@
   std::shared_ptr<objects::mirror> mHeads;
   /** False stands for an entry that is cut off from callers and peers. */
   bool mIsReachable = true;
+  /** True stands for answers to other entries that are lost on their way. */
+  bool mLosesAnswers = false;
+  /** True stands for a narrow link: pages for other entries take 1.5 s. */
+  bool mAnswersSlowly = false;
 
 private:
   void Serve(const edge::exchange_ptr& aExchange);
+  void AnswerSlowly(const edge::exchange_ptr& aExchange);
 
   std::vector<edge::exchange_ptr> mHeld;
   edge::listener mListener;
--- a/Tests/Site/TestBatchPositions.cpp
+++ b/Tests/Site/TestBatchPositions.cpp
@@ -106,6 +106,7 @@
   model_server server(site.mLoop.mLoop, "s1");
   server.mEventPause = 40ms;
   site.Add(server);
+  site.mWeights["b"] = 0;
   batch_entry owner(site, "a");
   batch_entry other(site, "b");
   BOOST_TEST(owner.Submit("b1", 12).mAnswer.mStatus == 202u);
--- a/Tests/Site/TestSubmissions.cpp
+++ b/Tests/Site/TestSubmissions.cpp
@@ -10,12 +10,8 @@
 std::string
 ProblemWith(const std::string& aItems)
 {
-  edge::request request;
-  request.mMethod = "POST";
-  request.mTarget = "/r/b1";
-  request.mHeaders.Add("X-Attempt-Id", "b1");
-  request.mBody = "{\"model\":\"m\",\"items\":[" + aItems + "]}";
-  const auto submission = platform::DecodeSubmission(request);
+  const auto submission = platform::DecodeSubmission(
+    "b1", "{\"model\":\"m\",\"items\":[" + aItems + "]}");
   return submission ? std::string() : submission.mLastReason;
 }
 
--- a/Tests/TestSettings.cpp
+++ b/Tests/TestSettings.cpp
@@ -46,6 +46,23 @@
   BOOST_TEST(Contains(text, "LAVENDER_LOG_LEVEL: 'loud'"));
 }
 
+BOOST_AUTO_TEST_CASE(ReportsFindingsOfAnEntryOnAPlatform)
+{
+  for (const auto& [share, problem] :
+       { std::pair<std::string, std::string>{ "1.2.3", "is not a number" },
+         { "1e3", "is not a number" },
+         { ".", "is not a number" },
+         { "5000", "is not within 0 to 1024" } }) {
+    const auto [status, text] =
+      RunToEnd("Services/Entry/lavender-entry",
+               { "site", "--check-settings", "--processor-share", share });
+    BOOST_TEST(status == 2);
+    BOOST_TEST(Contains(text, "--processor-share: "), text);
+    BOOST_TEST(Contains(text, problem), text);
+    BOOST_TEST(Contains(text, "--store: is required"), text);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AFlagGoesBeforeItsVariable)
 {
   const std::vector<std::string> good = {
