A malformed number among a site program's settings is a finding

Change: a value with a finding is replaced by its default for the checks that follow; an address that is missing is one finding, not two.

--- a/Libraries/Settings/Settings.cpp
+++ b/Libraries/Settings/Settings.cpp
@@ -225,6 +225,8 @@
     }
     if (auto problem = Check(declared, text); !problem.empty()) {
       outcome.mFindings.Add(place, problem);
+      // Checks across settings go on after a finding, and read numbers.
+      text = declared.mDefault;
     }
     outcome.mValues.mByFlag[declared.mFlag] = text;
   }
--- a/Services/Agent/SiteAgent.cpp
+++ b/Services/Agent/SiteAgent.cpp
@@ -45,7 +45,7 @@
   read.mAvailabilityZone = aValues.Text("zone");
   if (const auto store = edge::ParseAddress(aValues.Text("store"))) {
     read.mStore = *store;
-  } else {
+  } else if (!aValues.Text("store").empty()) {
     aFindings.Add("--store", "not an IPv4 address and port");
   }
   if (const auto& text = aValues.Text("server"); !text.empty()) {
--- a/Services/Entry/SiteSettings.cpp
+++ b/Services/Entry/SiteSettings.cpp
@@ -42,8 +42,10 @@
            const char* aFlag,
            findings& aFindings)
 {
-  const auto address = edge::ParseAddress(aValues.Text(aFlag));
-  if (!address) {
+  const auto& text = aValues.Text(aFlag);
+  const auto address = edge::ParseAddress(text);
+  // One that is missing is a finding already.
+  if (!address && !text.empty()) {
     aFindings.Add(std::string("--") + aFlag, "not an IPv4 address and port");
   }
   return address.value_or(edge::endpoint{});
