An entry that the store turns away stays with the one it follows

Change: it asks the store with one stale read, without other entries' help, and watches only when that is answered.

--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -44,6 +44,14 @@
 /** The answer of one that doesn't know the store's state. */
 constexpr unsigned kUnreachable = 503;
 
+/** Whether the store answered a read, whatever it found. */
+bool
+IsAnswer(const objects::object_reply& aReply)
+{
+  return aReply.mOutcome == store_outcome::Done ||
+         aReply.mOutcome == store_outcome::NotFound;
+}
+
 } // namespace
 
 std::vector<feed_candidate>
@@ -176,12 +184,8 @@
     }
     if (aName > mParts.mName &&
         boot_clock::now() - mFollowsSince > kLookForBetter) {
-      // This entry's turn comes before that of the one it follows: the store
-      // may answer it again.
-      mSourceName.clear();
-      Apply(*feed);
-      WatchStore();
-      return;
+      mFollowsSince = boot_clock::now();
+      LookWhetherStoreAnswers();
     }
     Apply(*feed);
     mFreshAt = boot_clock::now();
@@ -221,6 +225,24 @@
   }
 }
 
+void
+store_feed::LookWhetherStoreAnswers()
+{
+  // This entry's turn comes before that of the one it follows, and the store
+  // may have it back. It follows on meanwhile: leaving first, an entry that is
+  // still turned away would know nothing for half a second of every three.
+  mParts.mDirectStore.mGet(mParts.mProbeKind,
+                           mParts.mName,
+                           objects::freshness::MayBeStale,
+                           [this](const objects::object_reply& aReply) {
+                             if (IsAnswer(aReply) && !mIsWatching) {
+                               ++mQuestion;
+                               mSourceName.clear();
+                               WatchStore();
+                             }
+                           });
+}
+
 void
 store_feed::Apply(const decoded_feed& aFeed)
 {
@@ -345,8 +367,7 @@
 void
 store_feed::TakeProbe(const objects::object_reply& aReply)
 {
-  const bool answers = aReply.mOutcome == store_outcome::Done ||
-                       aReply.mOutcome == store_outcome::NotFound;
+  const bool answers = IsAnswer(aReply);
   if (answers != mDoesStoreAnswer) {
     mDoesStoreAnswer = answers;
     if (answers) {
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -35,6 +35,8 @@
 {
   boost::asio::io_context& mLoop;
   const objects::object_store& mStore;
+  /** The same store without other entries' help: whether it serves this one. */
+  const objects::object_store& mDirectStore;
   edge::client_pool& mClients;
   std::string mName;
   /** An object of this entry's own, read to learn whether the store answers. */
@@ -97,6 +99,7 @@
                   const std::string& aName,
                   edge::call_end aEnd,
                   const edge::response& aAnswer);
+  void LookWhetherStoreAnswers();
   void Apply(const decoded_feed& aFeed);
   void WatchStore();
   void StopWatching();
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -40,11 +40,13 @@
 site_entry::site_entry(site_settings aSettings)
   : mSettings(std::move(aSettings))
   , mClients(std::make_shared<edge::client_pool>(mLoop))
-  , mDirectStore(platform::DirectTransport(mLoop, mClients, mSettings.mStore))
+  , mDirectTransport(
+      platform::DirectTransport(mLoop, mClients, mSettings.mStore))
+  , mDirectStore(platform::MakeStore(mDirectTransport, mStoreCounts))
   , mStore(platform::MakeStore(
       platform::HelpedTransport(mLoop,
                                 mClients,
-                                mDirectStore,
+                                mDirectTransport,
                                 [this] { return mFeed.Source(); }),
       mStoreCounts))
   , mProtocol(platform::MakeExchangeProtocol())
@@ -95,6 +97,7 @@
              } })
   , mFeed({ mLoop,
             mStore,
+            mDirectStore,
             *mClients,
             mSettings.mName,
             site::kEntryKind,
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -74,7 +74,9 @@
   boost::asio::io_context mLoop{ 1 };
   std::shared_ptr<edge::client_pool> mClients;
   platform::store_counts mStoreCounts;
-  platform::store_transport mDirectStore;
+  platform::store_transport mDirectTransport;
+  /** Calls that no other entry helps with. */
+  objects::object_store mDirectStore;
   objects::object_store mStore;
   metrics::registry mMetrics;
   site::exchange_protocol mProtocol;
--- a/Services/Entry/SiteEntryServing.cpp
+++ b/Services/Entry/SiteEntryServing.cpp
@@ -129,7 +129,7 @@
   if (target == feed::kFeedPath) {
     mFeed.Serve(aExchange);
   } else if (target == platform::kHelpPath) {
-    platform::ServeHelpCall(aExchange, mDirectStore);
+    platform::ServeHelpCall(aExchange, mDirectTransport);
   } else if (startsWith(batches::kPeerPath)) {
     mBatches.ServePeer(aExchange);
   } else if (startsWith(batches::kPeerSubmissionPath)) {
--- a/Tests/Site/TestFeed.cpp
+++ b/Tests/Site/TestFeed.cpp
@@ -25,6 +25,7 @@
     , mStore(standin::MakeMemoryStore(aLoop.mLoop, aState))
     , mFeed(
         { aLoop.mLoop,
+          mStore,
           mStore,
           *mClients,
           mName,
@@ -36,7 +37,10 @@
             }
             return candidates;
           },
-          [this](bool aIsReachable) { mIsReachable = aIsReachable; } },
+          [this](bool aIsReachable) {
+            mIsReachable = aIsReachable;
+            mLosses += aIsReachable ? 0 : 1;
+          } },
         { { "things",
             {},
             [this](const feed::object_map& aObjects) { mThings = aObjects; },
@@ -75,6 +79,8 @@
   objects::object_store mStore;
   feed::object_map mThings;
   bool mIsReachable = true;
+  /** How often the store's state became unknown here. */
+  int mLosses = 0;
   bool mIsSilent = false;
   std::vector<edge::exchange_ptr> mHeld;
   feed::store_feed mFeed;
@@ -196,6 +202,35 @@
   BOOST_TEST(first.mFeed.IsReachable());
 }
 
+// An entry that the store turns away for long answers agents and trainers with
+// "unknown" for half a second out of every few. It left the entry that it
+// follows each time to see whether the store had it back. It must look without
+// leaving, and come back when the store does answer.
+BOOST_AUTO_TEST_CASE(AnEntryThatIsStillTurnedAwayStaysWithTheOneItFollows)
+{
+  feed_site site;
+  site.Put(1);
+  standin::memory_store_state turnedAway;
+  standin::PutDirectly(turnedAway, "things", "x", "{\"value\":1}");
+  follower first(site.mLoop, site.mClients, turnedAway, "a", site.mPeers);
+  follower second(site.mLoop, site.mClients, site.mState, "b", site.mPeers);
+  first.mFeed.Start();
+  second.mFeed.Start();
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return first.Value("x") == 1 && second.Value("x") == 1; }));
+  turnedAway.mFault = standin::store_fault::Refuse;
+  site.Put(7);
+  BOOST_TEST(site.mLoop.RunUntil([&] { return first.Value("x") == 7; }));
+  const auto losses = first.mLosses;
+  site.mLoop.RunUntil([] { return false; }, 8s);
+  BOOST_TEST(first.mLosses == losses);
+  BOOST_TEST(!first.mFeed.IsWatching());
+  standin::PutDirectly(turnedAway, "things", "x", "{\"value\":9}");
+  turnedAway.mFault = standin::store_fault::None;
+  BOOST_TEST(site.mLoop.RunUntil([&] { return first.mFeed.IsWatching(); }));
+  BOOST_TEST(site.mLoop.RunUntil([&] { return first.Value("x") == 9; }));
+}
+
 // After an outage of the store with a silent watch, an entry knows nothing of
 // what was changed meanwhile, though the store answers again.
 BOOST_AUTO_TEST_CASE(AWatchThatWasLostInAnOutageIsReplaced)
