A server that turned a run away is tried with one run

Cause: a server that loads weights (0.9 s) turns new runs away.

Ruled out: a longer pause (servers that are full for a moment would idle).

Change: until a run there makes an event, one run at a time tries the server.

Also tested: one version a text where a route asks for it (passed before).

--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-/** A server that turned a run away gets none for this long: it loads weights
- * (about 0.9 s) or is full for a moment. */
+/** A server that turned a run away gets none for this long, and then one to
+ * try: it loads weights (about 0.9 s) or is full for a moment. */
 constexpr milliseconds kBusyPause = 150ms;
 /** After a failure that says the server is hardly there. */
 constexpr milliseconds kFailurePause = 500ms;
@@ -112,6 +112,7 @@
   const auto always = [](const auto&) { return true; };
   forget(mRunsByServer, [](int aRuns) { return aRuns == 0; });
   forget(mBlocked, always);
+  forget(mTrials, always);
   forget(mSeenVersions, always);
   forget(mHealths, always);
 }
@@ -152,6 +153,15 @@
                      boot_clock::now());
 }
 
+void
+batch_runner::EndTrial(const std::string& aServer, std::uint64_t aRun)
+{
+  const auto trial = mTrials.find(aServer);
+  if (trial != mTrials.end() && trial->second == aRun) {
+    trial->second = 0;
+  }
+}
+
 void
 batch_runner::StopRun(item_progress& aItem)
 {
@@ -163,6 +173,7 @@
                      RunBreakerLimits(),
                      boot_clock::now());
   aItem.mCall.Cancel();
+  EndTrial(aItem.mServer, aItem.mRun);
   aItem.mRun = 0;
   aItem.mPhase = item_phase::Waiting;
   --mRunsByServer[aItem.mServer];
@@ -227,6 +238,10 @@
     if (const auto runs = mRunsByServer.find(id); runs != mRunsByServer.end()) {
       engine.mOwnRuns = runs->second;
     }
+    if (const auto trial = mTrials.find(id); trial != mTrials.end()) {
+      engine.mSlots =
+        trial->second == 0 ? std::min(engine.mSlots, engine.mOwnRuns + 1) : 0;
+    }
     if (const auto blocked = mBlocked.find(id); blocked != mBlocked.end()) {
       engine.mBlockedUntil = blocked->second;
     }
@@ -401,6 +416,9 @@
   item.mPhase = item_phase::Running;
   item.mServer = aEngine.mId;
   item.mRun = ++mRuns;
+  if (const auto trial = mTrials.find(aEngine.mId); trial != mTrials.end()) {
+    trial->second = item.mRun;
+  }
   item.mLastSign = boot_clock::now();
   routing::NoteSent(mHealths[aEngine.mId].mBreaker, item.mLastSign);
   ++mRunsByServer[aEngine.mId];
@@ -470,6 +488,7 @@
     return;
   }
   auto& batch = mBatches.at(aPlace.mBatchId);
+  mTrials.erase(item->mServer);
   aRun->mVersion = aEvent.mVersion.value_or(aRun->mVersion);
   if (aRun->mVersion < batch.mHead.mMinimumVersion) {
     aRun->mIsStale = true;
@@ -518,6 +537,7 @@
   auto& batch = mBatches.at(aPlace.mBatchId);
   const auto route = RouteOf(batch, *item->mItem);
   item->mPhase = item_phase::Waiting;
+  EndTrial(item->mServer, item->mRun);
   item->mRun = 0;
   --mRunsByServer[item->mServer];
   const auto status = aRun->mHead.mStatus;
@@ -544,6 +564,7 @@
   } else if (aRun->mFacts.mIsNotExecuted) {
     outcome = "not_executed";
     Block(item->mServer, kBusyPause);
+    mTrials.emplace(item->mServer, 0);
   } else if (aEnd == edge::call_end::Complete && status == kCannotBeDone) {
     LogRunEnd(*item, batch, "cannot_be_done", aEnd, status);
     FinishItem(batch, *item, false);
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -117,6 +117,9 @@
                   const std::shared_ptr<run_state>& aRun,
                   edge::call_end aEnd);
   void NoteRunEnd(const item_progress& aItem, bool aIsFailure);
+  /** A run is no longer under way: if it was a server's trial, another may be.
+   */
+  void EndTrial(const std::string& aServer, std::uint64_t aRun);
   void StopRun(item_progress& aItem);
   void FinishItem(running_batch& aBatch, item_progress& aItem, bool aIsDone);
   void Block(const std::string& aServer, milliseconds aPause);
@@ -130,6 +133,9 @@
   std::map<std::string, running_batch> mBatches;
   std::map<std::string, int> mRunsByServer;
   std::map<std::string, time_point> mBlocked;
+  /** Servers that turned a run away and haven't taken one since, with the run
+   * that tries whether they do again; 0 while none does. */
+  std::map<std::string, std::uint64_t> mTrials;
   /** Versions seen in answers: fresher than the servers' own entries. */
   std::map<std::string, std::map<std::string, std::int64_t>> mSeenVersions;
   engine_healths mHealths;
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -20,18 +20,24 @@
 }
 
 void
-batch_site::SetMaximumQueueing(milliseconds aTime)
+batch_site::Change(const std::function<void(site::route&)>& aChange)
 {
   auto configuration =
     std::make_shared<site::site_configuration>(*mConfiguration);
   auto& route = configuration->mRoutes["train.example"]["/r/"];
   auto changed = std::make_shared<site::route>(*route);
-  changed->mMaximumQueueing = aTime;
+  aChange(*changed);
   route = changed;
   ++configuration->mVersion;
   mConfiguration = configuration;
 }
 
+void
+batch_site::SetMaximumQueueing(milliseconds aTime)
+{
+  Change([&](site::route& aRoute) { aRoute.mMaximumQueueing = aTime; });
+}
+
 void
 batch_site::Add(const model_server& aServer)
 {
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -28,6 +28,8 @@
 
   batch_site();
   void Add(const model_server& aServer);
+  /** Changes the route of all batches. */
+  void Change(const std::function<void(site::route&)>& aChange);
   /** Age at which items may be given up. */
   void SetMaximumQueueing(milliseconds aTime);
 };
--- a/Tests/Site/Support/ModelServer.cpp
+++ b/Tests/Site/Support/ModelServer.cpp
@@ -9,6 +9,8 @@
   edge::exchange_ptr mExchange;
   std::string mItem;
   int mNext = 1;
+  /** Version that the caller was told last. */
+  std::int64_t mVersion = 0;
   std::shared_ptr<boost::asio::steady_timer> mTimer;
   bool mIsOpen = true;
 };
@@ -92,7 +94,8 @@
     ServeOrder(aExchange);
     return;
   }
-  if (mIsLoading) {
+  if (mIsLoading || mIsFull) {
+    ++mTurnedAway;
     edge::response busy{ 503, {}, {} };
     busy.mHeaders.Add("X-Attempt-Id",
                       request.mHeaders.ValueOr("X-Attempt-Id", ""));
@@ -115,6 +118,7 @@
   headers.Add("X-Weight-Versions", std::to_string(mVersion));
   started->mNext =
     static_cast<int>(request.mHeaders.Integer("Last-Event-Id").value_or(0)) + 1;
+  started->mVersion = mVersion;
   ++mOpenRuns;
   aExchange->OnCallerLeft([this, started] {
     if (started->mIsOpen) {
@@ -147,6 +151,11 @@
     return;
   }
   const auto number = std::to_string(aRun->mNext++);
+  if (aRun->mVersion != mVersion) {
+    aRun->mVersion = mVersion;
+    aRun->mExchange->Write("x-weight-versions: " + std::to_string(mVersion) +
+                           "\n");
+  }
   aRun->mExchange->Write("id: " + number + "\ndata: " + aRun->mItem + "-" +
                          number + "\n\n");
   aRun->mTimer->expires_after(mEventPause);
--- a/Tests/Site/Support/ModelServer.h
+++ b/Tests/Site/Support/ModelServer.h
@@ -35,6 +35,9 @@
   std::vector<std::pair<std::int64_t, std::string>> mOrders;
   std::map<std::string, int> mRuns;
   int mOpenRuns = 0;
+  /** Turns new runs away as not executed. */
+  bool mIsFull = false;
+  int mTurnedAway = 0;
 
 private:
   struct run;
--- a/Tests/Site/TestBatchPositions.cpp
+++ b/Tests/Site/TestBatchPositions.cpp
@@ -209,6 +209,61 @@
   }
 }
 
+// A trainer that asked for samples of one version each gets one whose text was
+// made under two: its server changed its weights in the middle of the run.
+BOOST_AUTO_TEST_CASE(AMixedTextIsMadeAnewWhereOneVersionIsAskedFor)
+{
+  for (const bool isSingle : { true, false }) {
+    batch_site site;
+    site.Change(
+      [&](site::route& aRoute) { aRoute.mIsSingleVersion = isSingle; });
+    model_server server(site.mLoop.mLoop, "s1");
+    server.mEvents = 20;
+    server.mEventPause = 15ms;
+    site.Add(server);
+    batch_entry entry(site, "a");
+    BOOST_TEST(entry.Submit("b1", 4).mAnswer.mStatus == 202u);
+    BOOST_TEST(site.mLoop.RunUntil([&] { return server.mOpenRuns == 4; }));
+    site.mLoop.RunUntil([] { return false; }, 60ms);
+    server.mVersion = 2;
+    BOOST_TEST(
+      site.mLoop.RunUntil([&] { return entry.ListedIds("b1").size() == 4; }));
+    const auto page = entry.Read("b1", 0);
+    for (const auto& result : page.Find("results")->Elements()) {
+      const auto id = json::StringAt(result, "id", "");
+      const auto text = json::StringAt(result, "text", "");
+      BOOST_TEST(std::count(text.begin(), text.end(), '\n') == 19);
+      BOOST_TEST(text.rfind(id + "-20") == text.size() - id.size() - 3);
+      BOOST_TEST(json::Write(*result.Find("versions")) ==
+                 (isSingle ? "[2]" : "[1,2]"));
+    }
+  }
+}
+
+// A server that loads weights, or is full, turns a burst of runs away again and
+// again: each time its pause ended, all its places were tried at once.
+BOOST_AUTO_TEST_CASE(AServerThatTurnedRunsAwayIsTriedWithOne)
+{
+  constexpr int kItems = 24;
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  site.Add(server);
+  batch_entry entry(site, "a");
+  server.mIsFull = true;
+  BOOST_TEST(entry.Submit("b1", kItems).mAnswer.mStatus == 202u);
+  BOOST_TEST(site.mLoop.RunUntil([&] { return server.mTurnedAway >= kItems; }));
+  // The burst at the start was sent before anything was known. From then on
+  // one goes with each look, of which there are at most ten a second.
+  const auto start = boot_clock::now();
+  site.mLoop.RunUntil([] { return false; }, 1s);
+  const auto looks = (boot_clock::now() - start) / 100ms;
+  BOOST_TEST(server.mTurnedAway <= kItems + 1 + looks);
+  BOOST_TEST(server.mTurnedAway > kItems);
+  server.mIsFull = false;
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return entry.ListedIds("b1").size() == kItems; }));
+}
+
 // An entry's memory grows with every server that ever ran an item there:
 // servers start anew under other names all day.
 BOOST_AUTO_TEST_CASE(ServersThatAreNoMoreAreForgotten)
