Batch runner split by job; one function for answers of our own; order experiment

Answers of an entry's own were written in three places; reads of a batch that is being loaded name a time to come back too.

--- a/Bench/Experiments.h
+++ b/Bench/Experiments.h
@@ -63,4 +63,8 @@
 void
 RunLeases(const experiment_options& aOptions);
 
+/** Orders and places of a training step's items, on emulated engines. */
+void
+RunBatchOrder(const experiment_options& aOptions);
+
 } // namespace lavender::bench
--- a/Bench/main.cpp
+++ b/Bench/main.cpp
@@ -26,6 +26,7 @@
     { "state-memory", RunStateMemory },
     { "leases", RunLeases },
     { "cost", RunCost },
+    { "batch-order", RunBatchOrder },
   };
   return kExperiments;
 }
--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -68,6 +68,10 @@
   objects::revision_number mRevision = 0;
 };
 
+/** Time since the submission, as far as the instances' wall clocks agree. */
+milliseconds
+AgeOf(const batch_head& aHead);
+
 /** The end of one item. */
 struct item_result
 {
--- a/Duties/Batches/BatchAdmission.cpp
+++ b/Duties/Batches/BatchAdmission.cpp
@@ -7,6 +7,17 @@
 using namespace std::chrono_literals;
 using objects::store_outcome;
 
+namespace {
+
+/** When to come back to another entry, as this one leaves. */
+constexpr milliseconds kAskAnotherAfter = 100ms;
+/** When to come back after the store didn't take a batch: it is slow or away
+ * for seconds, and the first submission after its return is accepted at once.
+ */
+constexpr milliseconds kStoreBackAfter = 300ms;
+
+} // namespace
+
 /** A batch on its way to being accepted. */
 struct batch_service::admission
 {
@@ -28,9 +39,7 @@
   if (mIsLeaving) {
     // Nobody else is known who could take it.
     const bool mayExist = aPriorTry == prior_try::MayHaveBeenAccepted;
-    edge::response refusal{ mayExist ? 504u : 503u, {}, {} };
-    refusal.mHeaders.Add("Retry-After", "0.1");
-    aExchange->Answer(std::move(refusal));
+    edge::AnswerOwn(aExchange, mayExist ? 504 : 503, kAskAnotherAfter);
     return;
   }
   auto admitted = std::make_shared<admission>();
@@ -208,11 +217,10 @@
     .With("status", static_cast<std::int64_t>(status))
     .With("reason", aReason);
   mParts.mMetrics.Count("lavender_refusals_total", { { "reason", aReason } });
-  edge::response refusal{ status, {}, {} };
-  if (status == 503) {
-    refusal.mHeaders.Add("Retry-After", "0.3");
-  }
-  aAdmission->mExchange->Answer(std::move(refusal));
+  edge::AnswerOwn(aAdmission->mExchange,
+                  status,
+                  status == 503 ? std::optional(kStoreBackAfter)
+                                : std::nullopt);
 }
 
 } // namespace lavender::batches
--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -23,6 +23,9 @@
  * it. An owner that was given up in the middle of a page lost its batch, and
  * the next owner on such a link did too. */
 constexpr milliseconds kPageTransfer = 3000ms;
+/** When to ask again while a batch is being loaded or changes its owner: a load
+ * that failed is tried again after this. */
+constexpr milliseconds kAskAgainAfter = kRetryPause;
 /** A batch changes its owner at most once in this time, so that two entries
  * which don't reach each other don't take turns. */
 constexpr milliseconds kClaimPause = 1500ms;
@@ -71,7 +74,7 @@
       } else if (aBatch || aOutcome == store_outcome::NotFound) {
         aExchange->Answer({ 404, {}, {} });
       } else {
-        aExchange->Answer({ 503, {}, {} });
+        edge::AnswerOwn(aExchange, 503, kAskAgainAfter);
       }
     });
 }
@@ -99,7 +102,7 @@
 {
   Load(aBatch, [this, aExchange, aCall, aBatch](bool aIsLoaded) {
     if (!aIsLoaded) {
-      aExchange->Answer({ 503, {}, {} });
+      edge::AnswerOwn(aExchange, 503, kAskAgainAfter);
       return;
     }
     switch (aCall.mKind) {
@@ -174,14 +177,14 @@
                         const batch_ptr& aBatch)
 {
   if (boot_clock::now() - aBatch->mOwnedSince < kClaimPause || mIsLeaving) {
-    aExchange->Answer({ 503, {}, {} });
+    edge::AnswerOwn(aExchange, 503, kAskAgainAfter);
     return;
   }
   Claim(aBatch, [this, aExchange, aCall, aBatch](bool aIsMine) {
     if (aIsMine) {
       ServeOwned(aExchange, aCall, aBatch);
     } else {
-      aExchange->Answer({ 503, {}, {} });
+      edge::AnswerOwn(aExchange, 503, kAskAgainAfter);
     }
   });
 }
@@ -240,7 +243,7 @@
                           const batch_ptr& aBatch)
 {
   if (!aBatch->mIsLoaded) {
-    aExchange->Answer({ 503, {}, {} });
+    edge::AnswerOwn(aExchange, 503, kAskAgainAfter);
     return;
   }
   const auto page = ReadPage(aBatch->mLog, aCall.mAfter, kPageBytes);
--- /dev/null
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -0,0 +1,232 @@
+#include "Duties/Batches/BatchRunner.h"
+
+#include "Libraries/EventLog/EventLog.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+namespace lavender::batches {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/** How often waiting items are looked at when nothing else happens. */
+constexpr milliseconds kLookEach = 100ms;
+
+/** Runs that leave a slow server at once, and how often one item does: each
+ * move reads the item's tokens again. */
+constexpr int kMostMovesAtOnce = 8;
+constexpr int kMostMovesOfItem = 2;
+
+} // namespace
+
+void
+batch_runner::Dispatch()
+{
+  if (mIsDispatchPosted) {
+    return;
+  }
+  mIsDispatchPosted = true;
+  boost::asio::post(mParts.mLoop, [this] {
+    mIsDispatchPosted = false;
+    DispatchNow();
+  });
+}
+
+std::shared_ptr<const site::route>
+batch_runner::RouteOf(const running_batch& aBatch,
+                      const batch_item& aItem) const
+{
+  return mParts.mConfiguration ? site::FindRoute(*mParts.mConfiguration,
+                                                 aBatch.mHead.mHost,
+                                                 aItem.mPath)
+                               : nullptr;
+}
+
+std::vector<engine_view>
+batch_runner::Engines() const
+{
+  std::vector<engine_view> engines;
+  const auto now = boot_clock::now();
+  const double usual = UsualEventTime(mHealths);
+  for (const auto& [id, row] : mParts.mDirectory.mRows) {
+    if (row.mServer.mIsLeaving ||
+        !MayUse(mHealths, id, mParts.mDirectory.mRows.size(), now)) {
+      continue;
+    }
+    engine_view engine;
+    engine.mId = id;
+    engine.mPool = row.mServer.mPool;
+    engine.mAvailabilityZone = row.mServer.mAvailabilityZone;
+    engine.mSlots = row.mServer.mSlots;
+    engine.mVersions = row.mServer.mVersions;
+    if (const auto seen = mSeenVersions.find(id); seen != mSeenVersions.end()) {
+      for (const auto& [model, version] : seen->second) {
+        engine.mVersions[model] = std::max(engine.mVersions[model], version);
+      }
+    }
+    if (const auto runs = mRunsByServer.find(id); runs != mRunsByServer.end()) {
+      engine.mOwnRuns = runs->second;
+    }
+    if (const auto trial = mTrials.find(id); trial != mTrials.end()) {
+      engine.mSlots =
+        trial->second == 0 ? std::min(engine.mSlots, engine.mOwnRuns + 1) : 0;
+    }
+    if (const auto blocked = mBlocked.find(id); blocked != mBlocked.end()) {
+      engine.mBlockedUntil = blocked->second;
+    }
+    if (const auto health = mHealths.find(id); health != mHealths.end()) {
+      engine.mIsSlow = IsSlow(health->second, usual);
+    }
+    engines.push_back(std::move(engine));
+  }
+  return engines;
+}
+
+void
+batch_runner::GiveUpLate(running_batch& aBatch)
+{
+  for (auto& item : aBatch.mItems) {
+    if (item.mPhase == item_phase::Ended) {
+      continue;
+    }
+    const auto route = RouteOf(aBatch, *item.mItem);
+    if (route &&
+        TimeUntilGivenUp(AgeOf(aBatch.mHead), route->mMaximumQueueing) <= 0ms) {
+      StopRun(item);
+      FinishItem(aBatch, item, false);
+    }
+  }
+}
+
+void
+batch_runner::DispatchNow()
+{
+  const auto now = boot_clock::now();
+  auto engines = Engines();
+  struct candidate
+  {
+    item_rank mRank;
+    running_batch* mBatch;
+    std::size_t mIndex;
+  };
+  std::vector<candidate> waiting;
+  for (auto& [id, batch] : mBatches) {
+    GiveUpLate(batch);
+    const auto submitted = std::chrono::duration_cast<milliseconds>(
+      batch.mHead.mSubmittedAt.time_since_epoch());
+    for (std::size_t i = 0; i < batch.mItems.size(); ++i) {
+      if (batch.mItems[i].mPhase == item_phase::Waiting) {
+        waiting.push_back(
+          { { submitted.count(), batch.mItems[i].mItem->mExpectedTokens },
+            &batch,
+            i });
+      }
+    }
+  }
+  std::stable_sort(
+    waiting.begin(), waiting.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.mRank < aRight.mRank;
+    });
+  for (const auto& next : waiting) {
+    auto& item = next.mBatch->mItems[next.mIndex];
+    const auto route = RouteOf(*next.mBatch, *item.mItem);
+    if (!route) {
+      continue;
+    }
+    const auto chosen =
+      ChooseEngine(engines, NeedOf(*next.mBatch, item, *route), mHomes, now);
+    if (chosen) {
+      ++engines[*chosen].mOwnRuns;
+      StartRun(*next.mBatch, next.mIndex, engines[*chosen], *route);
+    }
+  }
+  if (waiting.empty()) {
+    MoveFromSlow(engines, now);
+  }
+  PlanLook();
+}
+
+void
+batch_runner::PlanLook()
+{
+  const bool isBusy =
+    std::any_of(mBatches.begin(), mBatches.end(), [](const auto& aEntry) {
+      const auto& items = aEntry.second.mItems;
+      return std::any_of(items.begin(), items.end(), [](const auto& aItem) {
+        return aItem.mPhase != item_phase::Ended;
+      });
+    });
+  if (!isBusy) {
+    return;
+  }
+  mTimer.expires_after(kLookEach);
+  mTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      Dispatch();
+    }
+  });
+}
+
+void
+batch_runner::MoveFromSlow(std::vector<engine_view>& aEngines, time_point aNow)
+{
+  int moves = 0;
+  for (auto& [id, batch] : mBatches) {
+    for (std::size_t i = 0; i < batch.mItems.size(); ++i) {
+      auto& item = batch.mItems[i];
+      const auto at = std::find_if(
+        aEngines.begin(), aEngines.end(), [&](const auto& aEngine) {
+          return aEngine.mId == item.mServer;
+        });
+      if (item.mPhase != item_phase::Running || at == aEngines.end() ||
+          !at->mIsSlow || item.mMoves >= kMostMovesOfItem ||
+          moves >= kMostMovesAtOnce) {
+        continue;
+      }
+      const auto route = RouteOf(batch, *item.mItem);
+      if (!route || !route->mIsResumable) {
+        continue;
+      }
+      const auto chosen =
+        ChooseEngine(aEngines, NeedOf(batch, item, *route), mHomes, aNow);
+      if (!chosen || aEngines[*chosen].mIsSlow) {
+        continue;
+      }
+      events::line("item_moved")
+        .With("request", item.mItem->mId)
+        .With("batch", id)
+        .With("server", item.mServer)
+        .With("to", aEngines[*chosen].mId)
+        .With(
+          "event_ms",
+          static_cast<std::int64_t>(mHealths[item.mServer].mEventMilliseconds));
+      mParts.mMetrics.Count("lavender_batch_moves_total", {});
+      --at->mOwnRuns;
+      StopRun(item);
+      ++item.mMoves;
+      ++moves;
+      ++aEngines[*chosen].mOwnRuns;
+      StartRun(batch, i, aEngines[*chosen], *route);
+    }
+  }
+}
+
+item_need
+batch_runner::NeedOf(const running_batch& aBatch,
+                     const item_progress& aItem,
+                     const site::route& aRoute)
+{
+  item_need need;
+  for (const auto& pool : aRoute.mPools) {
+    need.mPools.push_back(pool.mPool);
+  }
+  need.mModel = aBatch.mHead.mModel;
+  need.mMinimumVersion = aBatch.mHead.mMinimumVersion;
+  need.mGroup = aItem.mItem->mGroup;
+  need.mAvoided = aItem.mAvoided;
+  return need;
+}
+
+} // namespace lavender::batches
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -62,6 +62,13 @@
          });
 }
 
+milliseconds
+AgeOf(const batch_head& aHead)
+{
+  return std::chrono::duration_cast<milliseconds>(
+    std::chrono::system_clock::now() - aHead.mSubmittedAt);
+}
+
 std::string
 EncodeHead(const batch_head& aHead)
 {
--- a/Duties/Forwarding/ForwardedRequest.cpp
+++ b/Duties/Forwarding/ForwardedRequest.cpp
@@ -314,7 +314,7 @@
   mForwarder.mParts.mMetrics.Count("lavender_refusals_total",
                                    { { "reason", aReason } });
   LogEnd("refused", 503, aReason);
-  AnswerOwn(mExchange, 503, kRetryAfter);
+  edge::AnswerOwn(mExchange, 503, kRetryAfter);
   Forget();
 }
 
@@ -324,7 +324,7 @@
   mForwarder.mParts.mMetrics.Count("lavender_failures_total",
                                    { { "reason", aReason } });
   LogEnd("failed", 502, aReason);
-  AnswerOwn(mExchange, 502);
+  edge::AnswerOwn(mExchange, 502);
   Forget();
 }
 
@@ -337,7 +337,7 @@
     mExchange->Abort();
   } else {
     LogEnd("failed", 504, "deadline");
-    AnswerOwn(mExchange, 504);
+    edge::AnswerOwn(mExchange, 504);
   }
   Forget();
 }
--- a/Duties/Forwarding/Forwarder.cpp
+++ b/Duties/Forwarding/Forwarder.cpp
@@ -38,24 +38,6 @@
 
 } // namespace
 
-void
-AnswerOwn(const edge::exchange_ptr& aExchange,
-          unsigned aStatus,
-          std::optional<milliseconds> aRetryAfter)
-{
-  edge::response answer;
-  answer.mStatus = aStatus;
-  if (aRetryAfter) {
-    char text[32];
-    std::snprintf(text,
-                  sizeof text,
-                  "%.2f",
-                  std::chrono::duration<double>(*aRetryAfter).count());
-    answer.mHeaders.Add("Retry-After", text);
-  }
-  aExchange->Answer(std::move(answer));
-}
-
 forwarder::forwarder(forwarder_parts aParts)
   : mParts(std::move(aParts))
 {
--- a/Duties/Forwarding/Forwarder.h
+++ b/Duties/Forwarding/Forwarder.h
@@ -58,10 +58,4 @@
   std::mt19937_64 mRandom{ std::random_device{}() };
 };
 
-/** Answers with a status of the entry's own. */
-void
-AnswerOwn(const edge::exchange_ptr& aExchange,
-          unsigned aStatus,
-          std::optional<milliseconds> aRetryAfter = std::nullopt);
-
 } // namespace lavender::forwarding
--- a/Libraries/Edge/Listener.cpp
+++ b/Libraries/Edge/Listener.cpp
@@ -141,4 +141,22 @@
   return mImplementation->mShared->mRequests;
 }
 
+void
+AnswerOwn(const exchange_ptr& aExchange,
+          unsigned aStatus,
+          std::optional<milliseconds> aRetryAfter)
+{
+  response answer;
+  answer.mStatus = aStatus;
+  if (aRetryAfter) {
+    char text[32];
+    std::snprintf(text,
+                  sizeof text,
+                  "%.2f",
+                  std::chrono::duration<double>(*aRetryAfter).count());
+    answer.mHeaders.Add("Retry-After", text);
+  }
+  aExchange->Answer(std::move(answer));
+}
+
 } // namespace lavender::edge
--- a/Libraries/Edge/Listener.h
+++ b/Libraries/Edge/Listener.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace lavender::edge {
 
@@ -67,6 +68,14 @@
 };
 
 using exchange_ptr = std::shared_ptr<exchange>;
+
+/** Answers with a status of this process's own, without a body.
+ * @param aRetryAfter when to come back, told in seconds with a fraction */
+void
+AnswerOwn(const exchange_ptr& aExchange,
+          unsigned aStatus,
+          std::optional<milliseconds> aRetryAfter = std::nullopt);
+
 using request_handler = std::function<void(const exchange_ptr&)>;
 
 /** Accepts connections on one address. */
--- a/Services/Entry/SiteEntryServing.cpp
+++ b/Services/Entry/SiteEntryServing.cpp
@@ -27,10 +27,10 @@
     .With("configuration", mConfiguration ? mConfiguration->mVersion : -1)
     .With("known_ms_ago", mFeed.Age());
   mMetrics.Count("lavender_refusals_total", { { "reason", aReason } });
-  forwarding::AnswerOwn(
-    aExchange,
-    aStatus,
-    aStatus == 503 ? std::optional<milliseconds>(kStartingUp) : std::nullopt);
+  edge::AnswerOwn(aExchange,
+                  aStatus,
+                  aStatus == 503 ? std::optional<milliseconds>(kStartingUp)
+                                 : std::nullopt);
 }
 
 void
