An owner shows what the entry before it listed late

An owner that writes learns of another's block by a conflict; one whose batch has ended writes nothing more and shows less for good.

Ruled out: results removed early (kept 120 s), stale reads, overlapping loads.

Change: before it says that there is nothing more, an owner that loaded an unfinished batch asks the store for the next block, for 15 s after the load and always once the batch is ended. What is known is answered, the empty end only when certain.

Before: WhatAnEarlierOwnerListedLateIsShown and AnOwnerThatCantBeSureOfTheEndSaysSo failed (3 checks).

--- a/Duties/Batches/BatchAdmission.cpp
+++ b/Duties/Batches/BatchAdmission.cpp
@@ -193,6 +193,7 @@
   ++batch->mGeneration;
   batch->mIsLoading = false;
   batch->mIsLoaded = true;
+  batch->mLoadedAt.reset();
   events::line("batch_accepted")
     .With("batch", batch->mHead.mId)
     .With("customer", batch->mHead.mCustomer)
--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -218,6 +218,19 @@
                            const batch_call& aCall,
                            const batch_ptr& aBatch)
 {
+  if (MayHaveMore(*aBatch)) {
+    LookForMore(aBatch, [this, aExchange, aCall, aBatch](bool aIsWhole) {
+      if (aIsWhole) {
+        ReadResults(aExchange, aCall, aBatch);
+      } else if (aBatch->mLog.mListed.size() > aCall.mAfter) {
+        // What is known is right, whether or not there is more.
+        AnswerPage(aExchange, aCall, aBatch);
+      } else {
+        edge::AnswerOwn(aExchange, 503, kAskAgainAfter);
+      }
+    });
+    return;
+  }
   const bool isComplete = aBatch->mLog.mListed.size() >=
                           static_cast<std::size_t>(aBatch->mHead.mTotal);
   const auto wait = std::min(aCall.mWait, kLongestWait);
--- a/Duties/Batches/BatchListing.cpp
+++ b/Duties/Batches/BatchListing.cpp
@@ -20,6 +20,14 @@
  * written so that a crash of this entry loses little work. */
 constexpr milliseconds kGatherParts = 1000ms;
 
+/** An entry that lost a batch may not know it for this long, and list results
+ * until then: it learns of the new head through the feed, a second late at the
+ * worst, and a block that it was writing may come to pass six seconds later. */
+constexpr milliseconds kOthersMayList = 15000ms;
+/** What a reader saw at another entry must be seen here a second later, so the
+ * store is asked about twice as often while readers ask. */
+constexpr milliseconds kLookForMoreEach = 400ms;
+
 /** Whether every item of that item's group has a result. */
 bool
 CompletesGroup(const batch_record& aBatch, const std::string& aItemId)
@@ -146,4 +154,56 @@
   }
 }
 
+bool
+batch_service::MayHaveMore(const batch_record& aBatch) const
+{
+  // An owner that writes learns of another's block by the conflict with its
+  // own. One that has ended its batch writes no more, so it would show less
+  // than the entry before it did, for good.
+  const auto now = boot_clock::now();
+  const bool isWhole =
+    aBatch.mLog.mListed.size() >= static_cast<std::size_t>(aBatch.mHead.mTotal);
+  return !isWhole && aBatch.mLoadedAt &&
+         (aBatch.mHead.mIsEnded || now - *aBatch.mLoadedAt < kOthersMayList) &&
+         now - aBatch.mEndSeenAt >= kLookForMoreEach;
+}
+
+void
+batch_service::LookForMore(const batch_ptr& aBatch,
+                           std::function<void(bool)> aDone)
+{
+  if (aBatch->mIsCommitting) {
+    // The block on its way would be counted twice.
+    aDone(false);
+    return;
+  }
+  aBatch->mIsCommitting = true;
+  mParts.mStore.mGet(
+    kResultsKind,
+    ResultsName(aBatch->mHead.mId, aBatch->mLog.mNextBlock),
+    objects::freshness::Linearizable,
+    [this, aBatch, generation = aBatch->mGeneration, done = std::move(aDone)](
+      const objects::object_reply& aReply) {
+      if (aBatch->mGeneration != generation) {
+        done(false);
+        return;
+      }
+      aBatch->mIsCommitting = false;
+      const auto block = aReply.mOutcome == store_outcome::Done
+                           ? DecodeBlock(aReply.mObject)
+                           : std::nullopt;
+      if (block) {
+        TakeListedBlock(aBatch, *block);
+        LookForMore(aBatch, done);
+        return;
+      }
+      const bool isEnd = aReply.mOutcome == store_outcome::NotFound;
+      if (isEnd) {
+        aBatch->mEndSeenAt = boot_clock::now();
+      }
+      PlanCommit(aBatch, kRetryPause);
+      done(isEnd);
+    });
+}
+
 } // namespace lavender::batches
--- a/Duties/Batches/BatchLoading.cpp
+++ b/Duties/Batches/BatchLoading.cpp
@@ -105,6 +105,7 @@
     .With("outcome", aBatch->mIsLoaded ? "loaded" : "failed")
     .With("results", static_cast<std::int64_t>(aBatch->mLog.mListed.size()));
   if (aBatch->mIsLoaded) {
+    aBatch->mLoadedAt = aBatch->mEndSeenAt = boot_clock::now();
     Run(aBatch);
   } else if (!aBatch->mHead.mIsEnded) {
     After(kRetryPause, [this, aBatch] {
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -59,6 +59,11 @@
    * before; added to the new one it would shift every later position. */
   std::uint64_t mGeneration = 0;
   bool mIsCommitting = false;
+  /** When the log was loaded from the store; none when all of it was listed
+   * here. */
+  std::optional<time_point> mLoadedAt;
+  /** When the store last said that no more blocks exist. */
+  time_point mEndSeenAt;
   /** When the waiting results will be written. */
   std::optional<time_point> mCommitAt;
   /** When the owner last changed, as seen here. */
@@ -182,6 +187,12 @@
   void ReadResults(const edge::exchange_ptr& aExchange,
                    const batch_call& aCall,
                    const batch_ptr& aBatch);
+  /** Whether another entry may have listed results that this one, which owns
+   * the batch now, doesn't know of. */
+  bool MayHaveMore(const batch_record& aBatch) const;
+  /** Takes in the blocks that others listed, then tells whether the log is
+   * certainly whole. */
+  void LookForMore(const batch_ptr& aBatch, std::function<void(bool)> aDone);
   void AnswerPage(const edge::exchange_ptr& aExchange,
                   const batch_call& aCall,
                   const batch_ptr& aBatch);
--- a/Duties/Usage/TestWindowReport.cpp
+++ b/Duties/Usage/TestWindowReport.cpp
@@ -151,7 +151,8 @@
 
   void NoteTold(const witness& aAgent)
   {
-    for (auto& [customer, call] : mRepeated) {
+    for (auto& entry : mRepeated) {
+      auto& call = entry.second;
       const bool isHeard =
         std::any_of(mEntries.begin(), mEntries.end(), [&](const auto& aEntry) {
           return aEntry.mIncarnation == call.mEntry && !aEntry.mIsCutOff;
@@ -166,14 +167,15 @@
   void ExcuseUnheard()
   {
     for (const auto& entry : mEntries) {
-      for (const auto& [customer, call] : mRepeated) {
+      for (const auto& repeated : mRepeated) {
+        const auto& call = repeated.second;
         const bool isOffered =
           std::any_of(mAgents.begin(), mAgents.end(), [&](const auto& aAgent) {
             return aAgent.mIncarnation == call.mFirstAgent && !aAgent.mIsCutOff;
           });
         if (entry.mIsCutOff && entry.mIncarnation == call.mEntry && isOffered &&
             !call.mIsTold) {
-          mMayBeDouble.insert(customer);
+          mMayBeDouble.insert(repeated.first);
         }
       }
     }
--- a/Tests/Site/TestBatchPositions.cpp
+++ b/Tests/Site/TestBatchPositions.cpp
@@ -1,5 +1,6 @@
 #include "Tests/Site/Support/BatchEntry.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <set>
 
@@ -98,6 +99,61 @@
   BOOST_TEST(reader.ListedIds("b1") == owner.ListedIds("b1"));
 }
 
+// A trainer has read all results of a step, and later the last one is missing.
+// Its batch had changed its owner; the entry that had it before didn't know yet
+// and listed one more block, which the new owner, having loaded the batch just
+// before, never saw: it writes nothing more once the batch is ended.
+BOOST_AUTO_TEST_CASE(WhatAnEarlierOwnerListedLateIsShown)
+{
+  for (const bool isEnded : { true, false }) {
+    batch_site site;
+    batch_entry first(site, "a");
+    BOOST_TEST(first.Submit("b1", 3).mAnswer.mStatus == 202u);
+    GiveTo(site, "b1", "b");
+    batch_entry owner(site, "b");
+    BOOST_TEST(owner.ListedIds("b1").empty());
+    BOOST_TEST((!isEnded || owner.End("b1") == 200u));
+    const auto list = [&](int aBlock, const std::string& aItem) {
+      const batches::result_block block{
+        { aItem }, { R"({"id":")" + aItem + R"(","state":"completed"})" }
+      };
+      standin::PutDirectly(site.mState,
+                           batches::kResultsKind,
+                           batches::ResultsName("b1", aBlock),
+                           batches::EncodeBlock(block));
+    };
+    list(0, "b1i0");
+    list(1, "b1i2");
+    const std::vector<std::string> listed = { "b1i0", "b1i2" };
+    BOOST_TEST(
+      site.mLoop.RunUntil([&] { return owner.ListedIds("b1") == listed; }, 3s));
+  }
+}
+
+// While the store can't be asked, an owner that doesn't know whether another
+// one listed more says so instead of showing less than was shown.
+BOOST_AUTO_TEST_CASE(AnOwnerThatCantBeSureOfTheEndSaysSo)
+{
+  batch_site site;
+  batch_entry first(site, "a");
+  BOOST_TEST(first.Submit("b1", 3).mAnswer.mStatus == 202u);
+  GiveTo(site, "b1", "b");
+  batch_entry owner(site, "b");
+  BOOST_TEST(owner.ListedIds("b1").empty());
+  site.mLoop.RunUntil([] { return false; }, 600ms);
+  site.mState.mFault = standin::store_fault::Refuse;
+  edge::request request;
+  request.mMethod = "GET";
+  request.mTarget = "/lots/b1?after=0";
+  const auto read = [&] {
+    return Call(site.mLoop, *site.mClients, owner.Port(), request)
+      .mAnswer.mStatus;
+  };
+  BOOST_TEST(read() == 503u);
+  site.mState.mFault = standin::store_fault::None;
+  BOOST_TEST(read() == 200u);
+}
+
 // A trainer waits for a step while its entry has died. Whoever is asked next
 // takes the batch over and goes on after what was listed.
 BOOST_AUTO_TEST_CASE(AnotherEntryTakesOverWhenTheOwnerIsSilent)
--- a/Tests/Site/TestUsageDuty.cpp
+++ b/Tests/Site/TestUsageDuty.cpp
@@ -214,7 +214,7 @@
   const auto replace = first.mStore.mReplace;
   const auto create = first.mStore.mCreate;
   // Long enough for the second entry's turn to begin and end.
-  constexpr milliseconds kPause = 2600ms;
+  static constexpr milliseconds kPause = 2600ms;
   const auto late = [&](const objects::object_done& aDone) {
     return [&fleet, aDone](const objects::object_reply& aReply) {
       edge::RunAfter(
