Stand-in of a model server: a run that is open at a test's end isn't leaked

A run holds its exchange, and the exchange's handler held the run; a test that ends with open runs, as ALeavingEntryIsntGivenBatches, left three of each. Only the stand-in.

Change: the handler holds the run weakly.

--- a/Tests/Site/Support/ModelServer.cpp
+++ b/Tests/Site/Support/ModelServer.cpp
@@ -120,9 +120,12 @@
     static_cast<int>(request.mHeaders.Integer("Last-Event-Id").value_or(0)) + 1;
   started->mVersion = mVersion;
   ++mOpenRuns;
-  aExchange->OnCallerLeft([this, started] {
-    if (started->mIsOpen) {
-      started->mIsOpen = false;
+  // Weak, as the run holds the exchange: a run that is open when a test ends
+  // would keep both for ever.
+  aExchange->OnCallerLeft([this, weak = std::weak_ptr<run>(started)] {
+    const auto left = weak.lock();
+    if (left && left->mIsOpen) {
+      left->mIsOpen = false;
       --mOpenRuns;
     }
   });
