Reward calls: a result carries its score; a cancel after the end spares the connection

An item may name a call that scores it. Once its text is whole the call goes to a server of its route's pool, by the configuration in force, again elsewhere after a reset, silence or refusal, with a second copy for one that is slower than nearly all others. Its answer's signature is listed with the text; an item whose call the service failed as often as its route allows is given up. Plain forwarding and reward calls share one table of servers' load and health.

Found by the count of connections: a handle that was cancelled after its call had ended closed the connection that had just been kept, so callers' requests never used one twice; and a late cancel cut the next call on the connection. Both tests failed first.

--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/Rewards/RewardCall.h"
 #include "Libraries/Core/Clock.h"
 #include "Libraries/Edge/Message.h"
 #include "Libraries/ObjectStore/ObjectStore.h"
@@ -25,6 +26,8 @@
   std::string mGroup;
   /** Guess of the output tokens. */
   std::int64_t mExpectedTokens = 0;
+  /** Scores the item's text once it is whole. */
+  std::optional<rewards::reward_call> mReward;
 };
 
 /** What a trainer submits for one step. */
@@ -81,6 +84,8 @@
   std::string mText;
   /** Versions that made an event of the text, oldest first. */
   std::vector<std::int64_t> mVersions;
+  /** What the reward call brought; none for an item without such a call. */
+  std::optional<std::string> mScore;
 };
 
 /** Kinds of the product's own objects. */
--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -95,7 +95,7 @@
     if (route &&
         TimeUntilGivenUp(AgeOf(aBatch.mHead), route->mMaximumQueueing) <= 0ms) {
       StopRun(item);
-      FinishItem(aBatch, item, false);
+      FinishItem(aBatch, item, item_end::GivenUp);
     }
   }
 }
--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -23,6 +23,8 @@
     progress.mItem = &item;
     if (aHasResult(item.mId)) {
       progress.mPhase = item_phase::Ended;
+    } else {
+      ++batch.mOpenInGroup[item.mGroup];
     }
     batch.mItems.push_back(std::move(progress));
   }
@@ -85,7 +87,7 @@
     if (std::find(aItemIds.begin(), aItemIds.end(), item.mItem->mId) !=
         aItemIds.end()) {
       StopRun(item);
-      item.mPhase = item_phase::Ended;
+      MarkEnded(found->second, item);
     }
   }
 }
@@ -112,6 +114,12 @@
 void
 batch_runner::StopRun(item_progress& aItem)
 {
+  if (aItem.mPhase == item_phase::Scoring) {
+    mParts.mRewards.Cancel(std::exchange(aItem.mReward, 0));
+    aItem.mRun = 0;
+    aItem.mPhase = item_phase::Waiting;
+    return;
+  }
   if (aItem.mPhase != item_phase::Running) {
     return;
   }
@@ -137,22 +145,34 @@
   return item.mRun == aPlace.mRun ? &item : nullptr;
 }
 
+void
+batch_runner::MarkEnded(running_batch& aBatch, item_progress& aItem)
+{
+  if (aItem.mPhase != item_phase::Ended) {
+    aItem.mPhase = item_phase::Ended;
+    --aBatch.mOpenInGroup[aItem.mItem->mGroup];
+  }
+}
+
 void
 batch_runner::FinishItem(running_batch& aBatch,
                          item_progress& aItem,
-                         bool aIsDone)
+                         item_end aEnd,
+                         std::optional<std::string> aScore)
 {
-  aItem.mPhase = item_phase::Ended;
+  const bool isDone = aEnd == item_end::Completed;
+  MarkEnded(aBatch, aItem);
   item_result result;
   result.mItemId = aItem.mItem->mId;
-  result.mIsCompleted = aIsDone;
-  if (aIsDone) {
+  result.mIsCompleted = isDone;
+  if (isDone) {
     result.mText = std::move(aItem.mText);
     result.mVersions = aItem.mVersions;
+    result.mScore = std::move(aScore);
   }
   aItem.mText.clear();
   mParts.mMetrics.Count("lavender_batch_items_total",
-                        { { "result", aIsDone ? "completed" : "given_up" } });
+                        { { "result", isDone ? "completed" : "given_up" } });
   mParts.mOnResult(aBatch.mHead.mId, std::move(result));
 }
 
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -4,6 +4,7 @@
 #include "Duties/Batches/EngineHealth.h"
 #include "Duties/Batches/EventStream.h"
 #include "Duties/Batches/Schedule.h"
+#include "Duties/Rewards/RewardCaller.h"
 #include "Duties/Site/ServerProtocol.h"
 #include "Duties/Site/SiteConfiguration.h"
 #include "Libraries/Edge/Caller.h"
@@ -18,9 +19,17 @@
 {
   Waiting,
   Running,
+  /** Its text is whole and waits for its score. */
+  Scoring,
   Ended
 };
 
+enum class item_end
+{
+  Completed,
+  GivenUp
+};
+
 /** One item on its way, with what its runs have made so far. */
 struct item_progress
 {
@@ -37,6 +46,8 @@
   std::string mServer;
   std::string mAvoided;
   edge::call_handle mCall;
+  /** Reward call under way; 0 for none. */
+  std::uint64_t mReward = 0;
   /** Of the last event, or of the start. */
   time_point mLastSign;
   int mMoves = 0;
@@ -50,6 +61,8 @@
   batch_head mHead;
   std::shared_ptr<const submission> mSubmission;
   std::vector<item_progress> mItems;
+  /** Items without a result, by group. */
+  std::map<std::string, int> mOpenInGroup;
 };
 
 struct runner_parts
@@ -60,6 +73,7 @@
   const site::server_directory& mDirectory;
   const site::configuration_ptr& mConfiguration;
   metrics::registry& mMetrics;
+  rewards::reward_caller& mRewards;
   std::function<void(const std::string& aBatchId, item_result)> mOnResult;
 };
 
@@ -121,7 +135,17 @@
    */
   void EndTrial(const std::string& aServer, std::uint64_t aRun);
   void StopRun(item_progress& aItem);
-  void FinishItem(running_batch& aBatch, item_progress& aItem, bool aIsDone);
+  /** The item's text is whole: it is scored, or done where nothing scores it.
+   */
+  void TakeText(running_batch& aBatch, std::size_t aIndex);
+  /** Items of the item's group without a result. */
+  int OpenInGroup(const place& aPlace) const;
+  void TakeScore(const place& aPlace, std::optional<std::string> aScore);
+  void MarkEnded(running_batch& aBatch, item_progress& aItem);
+  void FinishItem(running_batch& aBatch,
+                  item_progress& aItem,
+                  item_end aEnd,
+                  std::optional<std::string> aScore = std::nullopt);
   void Block(const std::string& aServer, milliseconds aPause);
   void LogRunEnd(const item_progress& aItem,
                  const running_batch& aBatch,
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -200,7 +200,7 @@
       outcome = "mixed_versions";
     } else {
       LogRunEnd(*item, batch, "completed", aEnd, status);
-      FinishItem(batch, *item, true);
+      TakeText(batch, aPlace.mIndex);
       Dispatch();
       return;
     }
@@ -210,7 +210,7 @@
     mTrials.emplace(item->mServer, 0);
   } else if (aEnd == edge::call_end::Complete && status == kCannotBeDone) {
     LogRunEnd(*item, batch, "cannot_be_done", aEnd, status);
-    FinishItem(batch, *item, false);
+    FinishItem(batch, *item, item_end::GivenUp);
     return;
   } else if (aEnd == edge::call_end::Complete && status >= 500) {
     outcome = "server_error";
@@ -218,7 +218,7 @@
     item->mAvoided = item->mServer;
     if (route && item->mErrors >= kErrorsPerAttempt * route->mMaximumAttempts) {
       LogRunEnd(*item, batch, "too_many_errors", aEnd, status);
-      FinishItem(batch, *item, false);
+      FinishItem(batch, *item, item_end::GivenUp);
       return;
     }
   } else {
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -25,12 +25,20 @@
   for (const auto& [name, value] : aItem.mHeaders.mFields) {
     headers.Set(name, value);
   }
-  return json::object{ { "id", aItem.mId },
-                       { "path", aItem.mPath },
-                       { "headers", std::move(headers) },
-                       { "body", aItem.mBodyBase64 },
-                       { "group", aItem.mGroup },
-                       { "expected", aItem.mExpectedTokens } };
+  json::value item = json::object{ { "id", aItem.mId },
+                                   { "path", aItem.mPath },
+                                   { "headers", std::move(headers) },
+                                   { "body", aItem.mBodyBase64 },
+                                   { "group", aItem.mGroup },
+                                   { "expected", aItem.mExpectedTokens } };
+  if (const auto& reward = aItem.mReward) {
+    item.Set("reward",
+             json::object{ { "id", reward->mId },
+                           { "host", reward->mHost },
+                           { "path", reward->mPath },
+                           { "body", reward->mBodyBase64 } });
+  }
+  return item;
 }
 
 batch_item
@@ -47,6 +55,12 @@
   item.mBodyBase64 = json::StringAt(aValue, "body", "");
   item.mGroup = json::StringAt(aValue, "group", "");
   item.mExpectedTokens = json::IntegerAt(aValue, "expected", 0);
+  if (const auto* reward = aValue.Find("reward")) {
+    item.mReward = rewards::reward_call{ json::StringAt(*reward, "id", ""),
+                                         json::StringAt(*reward, "host", ""),
+                                         json::StringAt(*reward, "path", ""),
+                                         json::StringAt(*reward, "body", "") };
+  }
   return item;
 }
 
--- a/Duties/Forwarding/ForwardedRequest.cpp
+++ b/Duties/Forwarding/ForwardedRequest.cpp
@@ -100,7 +100,7 @@
 void
 forwarded_request::TryNext()
 {
-  const auto pick = mForwarder.Pick(*mRoute, mTried);
+  const auto pick = mForwarder.mParts.mRouter.Pick(*mRoute, mTried);
   if (!pick) {
     if (mMayHaveRun) {
       FailUnknown("no other server");
@@ -113,7 +113,7 @@
 }
 
 void
-forwarded_request::Send(const forwarder::pick& aPick)
+forwarded_request::Send(const server_pick& aPick)
 {
   mPick = aPick;
   mTried.push_back(aPick.mServer.mId);
@@ -123,8 +123,7 @@
   mSentAt = boot_clock::now();
   mIsAttemptOpen = true;
   auto& parts = mForwarder.mParts;
-  routing::NoteSent(
-    mForwarder.mTables[aPick.mPool], aPick.mServer.mId, 0, mSentAt);
+  parts.mRouter.NoteSent(aPick, mSentAt);
 
   site::attempt attempt;
   attempt.mServerId = aPick.mServer.mId;
@@ -186,10 +185,7 @@
     return;
   }
   if (mFacts.mLoad) {
-    routing::TakeCount(mForwarder.mTables[mPick.mPool],
-                       mPick.mServer.mId,
-                       mFacts.mLoad->mRunning + mFacts.mLoad->mWaiting,
-                       boot_clock::now());
+    mForwarder.mParts.mRouter.TakeLoad(mPick, *mFacts.mLoad, boot_clock::now());
   }
   if (!mFacts.mIsNotExecuted) {
     CountStart();
@@ -289,11 +285,8 @@
     return;
   }
   mIsAttemptOpen = false;
-  routing::NoteEnded(mForwarder.mTables[mPick.mPool],
-                     mPick.mServer.mId,
-                     mSentAt,
-                     aEvidence,
-                     boot_clock::now());
+  mForwarder.mParts.mRouter.NoteEnded(
+    mPick, mSentAt, aEvidence, boot_clock::now());
 }
 
 void
--- a/Duties/Forwarding/ForwardedRequest.h
+++ b/Duties/Forwarding/ForwardedRequest.h
@@ -22,7 +22,7 @@
   milliseconds TimeLeft() const;
   attempt_budget Budget() const;
   void TryNext();
-  void Send(const forwarder::pick& aPick);
+  void Send(const server_pick& aPick);
   void TakeHead(const edge::response& aHead);
   void TakeBody(std::string_view aPiece);
   void TakeEnd(edge::call_end aEnd);
@@ -46,7 +46,7 @@
   boost::asio::steady_timer mAttemptTimer;
   edge::call_handle mCall;
   std::vector<std::string> mTried;
-  forwarder::pick mPick;
+  server_pick mPick;
   time_point mSentAt;
   std::optional<edge::response> mAnswer;
   site::answer_facts mFacts;
--- a/Duties/Forwarding/Forwarder.cpp
+++ b/Duties/Forwarding/Forwarder.cpp
@@ -4,40 +4,6 @@
 
 namespace lavender::forwarding {
 
-namespace {
-
-/** Answers carry their server's load, so a table row is never too old to be
- * used; that a server is alive is the directory's knowledge. */
-constexpr milliseconds kNoHeartbeat = std::chrono::hours(24 * 365);
-
-int
-WeightOf(const site::route& aRoute)
-{
-  int sum = 0;
-  for (const auto& pool : aRoute.mPools) {
-    sum += std::max(pool.mWeight, 0);
-  }
-  return sum;
-}
-
-const std::string&
-DrawPool(const site::route& aRoute, std::mt19937_64& aRandom)
-{
-  const int sum = WeightOf(aRoute);
-  if (aRoute.mPools.size() > 1 && sum > 0) {
-    int drawn = std::uniform_int_distribution<int>(0, sum - 1)(aRandom);
-    for (const auto& pool : aRoute.mPools) {
-      drawn -= std::max(pool.mWeight, 0);
-      if (drawn < 0) {
-        return pool.mPool;
-      }
-    }
-  }
-  return aRoute.mPools.front().mPool;
-}
-
-} // namespace
-
 forwarder::forwarder(forwarder_parts aParts)
   : mParts(std::move(aParts))
 {
@@ -52,62 +18,4 @@
     ->Start();
 }
 
-void
-forwarder::TakeServers(time_point aNow)
-{
-  for (auto& [pool, table] : mTables) {
-    for (const auto& row : table.mRows) {
-      const auto found = mParts.mDirectory.mRows.find(row.mReport.mName);
-      if (found == mParts.mDirectory.mRows.end() ||
-          found->second.mServer.mIsLeaving ||
-          found->second.mServer.mPool != pool) {
-        routing::TakeOut(table, row.mReport.mName);
-      }
-    }
-  }
-  for (const auto& [id, row] : mParts.mDirectory.mRows) {
-    const auto& server = row.mServer;
-    auto& table = mTables[server.mPool];
-    table.mLimits.mHeartbeat = kNoHeartbeat;
-    const auto known = table.mIndex.find(id);
-    if (server.mIsLeaving || (known != table.mIndex.end() &&
-                              table.mRows[known->second].mReport.mTakesWork)) {
-      continue;
-    }
-    routing::server_report report;
-    report.mName = id;
-    report.mAvailabilityZone = server.mAvailabilityZone;
-    report.mSlots = server.mSlots;
-    report.mTakesWork = true;
-    report.mMadeAt = aNow;
-    routing::TakeReport(table, report, aNow);
-  }
-}
-
-std::optional<forwarder::pick>
-forwarder::Pick(const site::route& aRoute,
-                const std::vector<std::string>& aTried)
-{
-  const auto& pool = DrawPool(aRoute, mRandom);
-  const auto table = mTables.find(pool);
-  if (table == mTables.end()) {
-    return std::nullopt;
-  }
-  routing::route_request request;
-  request.mOwnZone = mParts.mAvailabilityZone;
-  request.mExcluded = aTried;
-  const auto chosen =
-    routing::Choose(table->second, request, mRandom, boot_clock::now());
-  if (!chosen) {
-    return std::nullopt;
-  }
-  const auto row = mParts.mDirectory.mRows.find(*chosen);
-  if (row == mParts.mDirectory.mRows.end()) {
-    return std::nullopt;
-  }
-  const auto& chosenRow = table->second.mRows[table->second.mIndex.at(*chosen)];
-  const int requests = chosenRow.mReport.mRequests + chosenRow.mOwn.mCorrection;
-  return pick{ pool, row->second.mServer, requests };
-}
-
 } // namespace lavender::forwarding
--- /dev/null
+++ b/Duties/Rewards/RewardCaller.cpp
@@ -0,0 +1,391 @@
+#include "Duties/Rewards/RewardCaller.h"
+
+#include "Libraries/Core/Base64.h"
+#include "Libraries/EventLog/EventLog.h"
+
+#include <algorithm>
+
+namespace lavender::rewards {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A server on the same network accepts within a few ms. */
+constexpr milliseconds kConnectTimeout = 150ms;
+/** Pause after a server had no place, or while no server can be used: some
+ * places come free in it. */
+constexpr milliseconds kBusyPause = 60ms;
+/** How often a call is looked at again for which there is no route. */
+constexpr milliseconds kNoRoutePause = 500ms;
+/** Time for a call whose route names none. */
+constexpr milliseconds kDefaultTime = 10s;
+
+milliseconds
+Since(time_point aStart, time_point aNow)
+{
+  return std::chrono::duration_cast<milliseconds>(aNow - aStart);
+}
+
+} // namespace
+
+/** One sending of a call to one server. */
+struct reward_caller::sending
+{
+  forwarding::server_pick mPick;
+  edge::call_handle mHandle;
+  time_point mSentAt;
+  /** Given up as silent then. */
+  time_point mEndsAt;
+  site::answer_facts mFacts;
+  unsigned mStatus = 0;
+  bool mIsHedge = false;
+  bool mIsOpen = true;
+};
+
+struct reward_caller::call
+{
+  std::uint64_t mNumber = 0;
+  reward_request mRequest;
+  time_point mAskedAt;
+  /** Not sent before then. */
+  time_point mNotBefore;
+  std::vector<std::shared_ptr<sending>> mOpen;
+  /** Servers that didn't serve it, or that have it now. */
+  std::vector<std::string> mTried;
+  /** Since when the newest copy is under way; a second one is sent later. */
+  time_point mHedgeAt = time_point::max();
+  std::unique_ptr<boost::asio::steady_timer> mTimer;
+  int mErrors = 0;
+  int mSendings = 0;
+  bool mIsOver = false;
+};
+
+reward_caller::reward_caller(caller_parts aParts)
+  : mParts(std::move(aParts))
+  , mTimer(mParts.mLoop)
+{
+}
+
+std::uint64_t
+reward_caller::Start(reward_request aRequest)
+{
+  auto started = std::make_shared<call>();
+  started->mNumber = ++mNumbers;
+  started->mRequest = std::move(aRequest);
+  started->mAskedAt = boot_clock::now();
+  started->mNotBefore = started->mAskedAt;
+  started->mTimer = std::make_unique<boost::asio::steady_timer>(mParts.mLoop);
+  mCalls[started->mNumber] = started;
+  PlanDispatch(0ms);
+  return started->mNumber;
+}
+
+void
+reward_caller::Cancel(std::uint64_t aNumber)
+{
+  const auto found = mCalls.find(aNumber);
+  if (found == mCalls.end()) {
+    return;
+  }
+  const auto cancelled = found->second;
+  mCalls.erase(found);
+  cancelled->mIsOver = true;
+  cancelled->mTimer->cancel();
+  for (const auto& open : std::exchange(cancelled->mOpen, {})) {
+    Close(open, routing::evidence::Neutral);
+  }
+  PlanDispatch(0ms);
+}
+
+void
+reward_caller::PlanDispatch(milliseconds aPause)
+{
+  const auto at = boot_clock::now() + aPause;
+  if (mDispatchAt <= at) {
+    return;
+  }
+  mDispatchAt = at;
+  mTimer.expires_after(aPause);
+  mTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      mDispatchAt = time_point::max();
+      Dispatch();
+    }
+  });
+}
+
+void
+reward_caller::Dispatch()
+{
+  const auto now = boot_clock::now();
+  std::vector<std::pair<reward_rank, call_ptr>> waiting;
+  for (const auto& [number, held] : mCalls) {
+    if (!held->mOpen.empty()) {
+      continue;
+    }
+    if (held->mNotBefore > now) {
+      PlanDispatch(Since(now, held->mNotBefore) + 1ms);
+      continue;
+    }
+    waiting.emplace_back(held->mRequest.mRank(), held);
+  }
+  std::stable_sort(
+    waiting.begin(), waiting.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first < aRight.first;
+    });
+  for (const auto& [rank, next] : waiting) {
+    if (!next->mIsOver && !Send(next)) {
+      PlanDispatch(kBusyPause);
+    }
+  }
+}
+
+std::optional<forwarding::server_pick>
+reward_caller::PickFor(const call_ptr& aCall, const site::route& aRoute)
+{
+  auto pick = mParts.mRouter.Pick(aRoute, aCall->mTried);
+  if (!pick) {
+    // Each server has been tried: all but those that have the call now may be
+    // again.
+    aCall->mTried.clear();
+    for (const auto& open : aCall->mOpen) {
+      aCall->mTried.push_back(open->mPick.mServer.mId);
+    }
+    pick = mParts.mRouter.Pick(aRoute, aCall->mTried);
+  }
+  return pick;
+}
+
+bool
+reward_caller::Send(const call_ptr& aCall)
+{
+  const auto now = boot_clock::now();
+  const auto& asked = aCall->mRequest;
+  const auto route = mParts.mConfiguration
+                       ? site::FindRoute(*mParts.mConfiguration,
+                                         asked.mCall.mHost,
+                                         asked.mCall.mPath)
+                       : nullptr;
+  if (!route) {
+    // It may come back with the next configuration; until then the item waits,
+    // as one without a route of its own does.
+    aCall->mNotBefore = now + kNoRoutePause;
+    mParts.mMetrics.Count("lavender_rewards_total", { { "end", "no_route" } });
+    return false;
+  }
+  const auto pick = PickFor(aCall, *route);
+  if (!pick || mUnderWay[pick->mPool] >=
+                 MostUnderWay(mParts.mRouter.PlacesOf(pick->mPool))) {
+    return false;
+  }
+  const auto timeLeft =
+    std::max(1ms,
+             std::min(Since(now, asked.mGiveUpAt),
+                      route->mTimeout.value_or(kDefaultTime)));
+  auto sent = std::make_shared<sending>();
+  sent->mPick = *pick;
+  sent->mSentAt = now;
+  sent->mEndsAt = now + PatienceFor(route->mTargetLatency, timeLeft);
+  sent->mIsHedge = !aCall->mOpen.empty();
+  aCall->mOpen.push_back(sent);
+  aCall->mTried.push_back(pick->mServer.mId);
+  if (aCall->mSendings++ == 0) {
+    NoteFirstSending(mBudget);
+  }
+  aCall->mHedgeAt = sent->mIsHedge
+                      ? time_point::max()
+                      : now + HedgeAfter(mDurations, route->mTargetLatency);
+  ++mUnderWay[pick->mPool];
+  mParts.mRouter.NoteSent(*pick, now);
+
+  edge::request request;
+  request.mMethod = "POST";
+  request.mTarget = asked.mCall.mPath;
+  request.mHeaders.Set("Host", asked.mCall.mHost);
+  request.mBody = DecodeBase64(asked.mCall.mBodyBase64).mValue.value_or("");
+  site::attempt attempt;
+  attempt.mAttemptId = asked.mCall.mId;
+  attempt.mServerId = pick->mServer.mId;
+  attempt.mCustomer = asked.mCustomer;
+  attempt.mTimeLeft = timeLeft;
+  edge::call_options options;
+  options.mConnectTimeout = kConnectTimeout;
+  options.mSilenceTimeout = timeLeft + 1s;
+  edge::call_events events;
+  events.mOnHead = [this, sent](const edge::response& aHead) {
+    TakeHead(sent, aHead);
+  };
+  events.mOnBody = [](std::string_view) {};
+  events.mOnEnd = [this, aCall, sent](edge::call_end aEnd) {
+    TakeEnd(aCall, sent, aEnd);
+  };
+  events::line("reward_sent")
+    .With("request", asked.mItemId)
+    .With("reward", asked.mCall.mId)
+    .With("server", pick->mServer.mId)
+    .With("requests_there", static_cast<std::int64_t>(pick->mRequests))
+    .With("sending", static_cast<std::int64_t>(aCall->mSendings))
+    .With("hedge", static_cast<std::int64_t>(sent->mIsHedge))
+    .With("waited_ms", Since(aCall->mAskedAt, now));
+  sent->mHandle =
+    mParts.mClients.Start(pick->mServer.mAddress,
+                          mParts.mProtocol.mAddress(request, attempt),
+                          options,
+                          std::move(events));
+  Arm(aCall);
+  return true;
+}
+
+void
+reward_caller::TakeHead(const std::shared_ptr<sending>& aSending,
+                        const edge::response& aHead)
+{
+  aSending->mStatus = aHead.mStatus;
+  aSending->mFacts = mParts.mProtocol.mReadAnswer(aHead);
+  if (aSending->mFacts.mLoad) {
+    mParts.mRouter.TakeLoad(
+      aSending->mPick, *aSending->mFacts.mLoad, boot_clock::now());
+  }
+}
+
+void
+reward_caller::TakeEnd(const call_ptr& aCall,
+                       const std::shared_ptr<sending>& aSending,
+                       edge::call_end aEnd)
+{
+  if (aCall->mIsOver || !aSending->mIsOpen) {
+    return;
+  }
+  const auto now = boot_clock::now();
+  const auto& asked = aCall->mRequest;
+  answer_view view;
+  view.mEnd = aEnd;
+  view.mStatus = aSending->mStatus;
+  view.mIsNotExecuted = aSending->mFacts.mIsNotExecuted;
+  view.mIsForeign = aSending->mFacts.mAttemptId != asked.mCall.mId;
+  view.mIsSigned = !aSending->mFacts.mSignature.empty();
+  const auto kind = Judge(view);
+  aCall->mErrors += kind == answer_kind::ServerError ? 1 : 0;
+  aCall->mOpen.erase(
+    std::remove(aCall->mOpen.begin(), aCall->mOpen.end(), aSending),
+    aCall->mOpen.end());
+  Close(aSending,
+        kind == answer_kind::Scored       ? routing::evidence::Success
+        : kind == answer_kind::TurnedAway ? routing::evidence::Neutral
+                                          : routing::evidence::Failure);
+  events::line("reward_answered")
+    .With("request", asked.mItemId)
+    .With("reward", asked.mCall.mId)
+    .With("server", aSending->mPick.mServer.mId)
+    .With("outcome", WordFor(kind))
+    .With("end", edge::WordFor(aEnd))
+    .With("status", static_cast<std::int64_t>(aSending->mStatus))
+    .With("errors", static_cast<std::int64_t>(aCall->mErrors))
+    .With("hedge", static_cast<std::int64_t>(aSending->mIsHedge))
+    .With("took_ms", Since(aSending->mSentAt, now));
+  mParts.mMetrics.Count("lavender_reward_answers_total",
+                        { { "outcome", WordFor(kind) } });
+  const auto route = mParts.mConfiguration
+                       ? site::FindRoute(*mParts.mConfiguration,
+                                         asked.mCall.mHost,
+                                         asked.mCall.mPath)
+                       : nullptr;
+  // Without its route nobody knows how often the call may fail.
+  const auto step =
+    route || kind == answer_kind::Scored
+      ? DecideNext(kind, aCall->mErrors, route ? route->mMaximumAttempts : 1)
+      : next_step::SendLater;
+  switch (step) {
+    case next_step::Deliver:
+      NoteDuration(mDurations, Since(aSending->mSentAt, now));
+      Finish(aCall, std::move(aSending->mFacts.mSignature));
+      return;
+    case next_step::GiveUp:
+      Finish(aCall, std::nullopt);
+      return;
+    case next_step::SendLater:
+      NoteTurnedAway(mBudget);
+      aCall->mNotBefore = now + kBusyPause;
+      break;
+    case next_step::SendAgain:
+      aCall->mNotBefore = now;
+      break;
+  }
+  PlanDispatch(Since(now, aCall->mNotBefore));
+}
+
+void
+reward_caller::Arm(const call_ptr& aCall)
+{
+  auto at = aCall->mHedgeAt;
+  for (const auto& open : aCall->mOpen) {
+    at = std::min(at, open->mEndsAt);
+  }
+  aCall->mTimer->expires_after(std::max(0ms, Since(boot_clock::now(), at)) +
+                               1ms);
+  aCall->mTimer->async_wait([this, aCall](const auto& aError) {
+    if (!aError && !aCall->mIsOver) {
+      Look(aCall);
+    }
+  });
+}
+
+void
+reward_caller::Look(const call_ptr& aCall)
+{
+  const auto now = boot_clock::now();
+  const auto open = aCall->mOpen;
+  for (const auto& sent : open) {
+    if (now >= sent->mEndsAt && sent->mIsOpen) {
+      sent->mHandle.Cancel();
+      TakeEnd(aCall, sent, edge::call_end::TimedOut);
+    }
+  }
+  if (aCall->mIsOver || aCall->mOpen.empty()) {
+    return;
+  }
+  if (now >= aCall->mHedgeAt) {
+    aCall->mHedgeAt = time_point::max();
+    if (TakeHedge(mBudget) && Send(aCall)) {
+      mParts.mMetrics.Count("lavender_reward_hedges_total", {});
+      return;
+    }
+  }
+  Arm(aCall);
+}
+
+void
+reward_caller::Close(const std::shared_ptr<sending>& aSending,
+                     routing::evidence aEvidence)
+{
+  if (!aSending->mIsOpen) {
+    return;
+  }
+  aSending->mIsOpen = false;
+  aSending->mHandle.Cancel();
+  --mUnderWay[aSending->mPick.mPool];
+  mParts.mRouter.NoteEnded(
+    aSending->mPick, aSending->mSentAt, aEvidence, boot_clock::now());
+}
+
+void
+reward_caller::Finish(const call_ptr& aCall, std::optional<std::string> aScore)
+{
+  mCalls.erase(aCall->mNumber);
+  aCall->mIsOver = true;
+  aCall->mTimer->cancel();
+  for (const auto& open : std::exchange(aCall->mOpen, {})) {
+    Close(open, routing::evidence::Neutral);
+  }
+  mParts.mMetrics.Count("lavender_rewards_total",
+                        { { "end", aScore ? "scored" : "given_up" } });
+  mParts.mMetrics.Observe("lavender_reward_seconds",
+                          { { "end", aScore ? "scored" : "given_up" } },
+                          boot_clock::now() - aCall->mAskedAt);
+  PlanDispatch(0ms);
+  const auto done = std::move(aCall->mRequest.mOnEnd);
+  done(std::move(aScore));
+}
+
+} // namespace lavender::rewards
--- /dev/null
+++ b/Duties/Rewards/RewardCaller.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Duties/Forwarding/PoolRouter.h"
+#include "Duties/Rewards/Hedging.h"
+#include "Duties/Rewards/RewardCall.h"
+#include "Duties/Rewards/RewardDecision.h"
+#include "Libraries/Edge/Caller.h"
+#include "Libraries/Metrics/Metrics.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+namespace lavender::rewards {
+
+/** What the caller works with; all outlive it. */
+struct caller_parts
+{
+  boost::asio::io_context& mLoop;
+  edge::client_pool& mClients;
+  const site::exchange_protocol& mProtocol;
+  const site::configuration_ptr& mConfiguration;
+  forwarding::pool_router& mRouter;
+  metrics::registry& mMetrics;
+};
+
+/** Makes the reward calls of the items that this entry runs.
+ *
+ * A call goes by the route that its host and path have in the configuration in
+ * force when it is sent, and again, each time to another server, until one
+ * answers or the service has failed it as often as the route allows. */
+class reward_caller
+{
+public:
+  explicit reward_caller(caller_parts aParts);
+
+  /** @return a number by which the call can be cancelled; never 0 */
+  std::uint64_t Start(reward_request aRequest);
+  /** Cuts the call, also at its server; does nothing once it has ended. */
+  void Cancel(std::uint64_t aNumber);
+  /** Calls that have no end yet, waiting ones included. */
+  std::size_t Open() const { return mCalls.size(); }
+
+private:
+  struct sending;
+  struct call;
+  using call_ptr = std::shared_ptr<call>;
+
+  void Dispatch();
+  void PlanDispatch(milliseconds aPause);
+  bool Send(const call_ptr& aCall);
+  std::optional<forwarding::server_pick> PickFor(const call_ptr& aCall,
+                                                 const site::route& aRoute);
+  void TakeHead(const std::shared_ptr<sending>& aSending,
+                const edge::response& aHead);
+  void TakeEnd(const call_ptr& aCall,
+               const std::shared_ptr<sending>& aSending,
+               edge::call_end aEnd);
+  void Arm(const call_ptr& aCall);
+  void Look(const call_ptr& aCall);
+  void Close(const std::shared_ptr<sending>& aSending,
+             routing::evidence aEvidence);
+  void Finish(const call_ptr& aCall, std::optional<std::string> aScore);
+
+  caller_parts mParts;
+  std::map<std::uint64_t, call_ptr> mCalls;
+  /** Sendings under way, by pool. */
+  std::map<std::string, int> mUnderWay;
+  recent_durations mDurations;
+  hedge_budget mBudget;
+  boost::asio::steady_timer mTimer;
+  time_point mDispatchAt = time_point::max();
+  std::uint64_t mNumbers = 0;
+};
+
+} // namespace lavender::rewards
--- a/Duties/Site/ServerProtocol.h
+++ b/Duties/Site/ServerProtocol.h
@@ -21,6 +21,8 @@
 /** One sending of a request to one server. */
 struct attempt
 {
+  /** Id of the attempt where the request bears none. */
+  std::string mAttemptId;
   std::string mServerId;
   /** Empty where the site has no customers. */
   std::string mCustomer;
@@ -46,6 +48,8 @@
   /** The server states that it did not run the request. */
   bool mIsNotExecuted = false;
   std::optional<server_load> mLoad;
+  /** Proof that the server made the answer; empty when it bears none. */
+  std::string mSignature;
   /** Version of the weights behind the first event. */
   std::optional<std::int64_t> mVersion;
 };
--- a/Libraries/Edge/Caller.cpp
+++ b/Libraries/Edge/Caller.cpp
@@ -29,8 +29,10 @@
   return "unknown";
 }
 
-call_handle::call_handle(std::weak_ptr<client_connection> aConnection)
+call_handle::call_handle(std::weak_ptr<client_connection> aConnection,
+                         std::uint64_t aCall)
   : mConnection(std::move(aConnection))
+  , mCall(aCall)
 {
 }
 
@@ -39,7 +41,7 @@
 {
   if (auto connection = mConnection.lock()) {
     mConnection.reset();
-    connection->Cancel();
+    connection->Cancel(mCall);
   }
 }
 
@@ -63,8 +65,8 @@
     connection =
       std::make_shared<client_connection>(mLoop, weak_from_this(), aServer);
   }
-  connection->Start(aRequest, aOptions, std::move(aEvents));
-  return call_handle(connection);
+  const auto call = connection->Start(aRequest, aOptions, std::move(aEvents));
+  return { connection, call };
 }
 
 std::shared_ptr<client_connection>
--- a/Libraries/Edge/Caller.h
+++ b/Libraries/Edge/Caller.h
@@ -55,16 +55,20 @@
 class client_connection;
 
 /** A call under way. Cancel closes its connection, which is how a server is
- * told to stop its work. */
+ * told to stop its work. Once the call has ended, its connection may be idle or
+ * serve another call; a late Cancel leaves it alone. */
 class call_handle
 {
 public:
   call_handle() = default;
-  explicit call_handle(std::weak_ptr<client_connection> aConnection);
+  call_handle(std::weak_ptr<client_connection> aConnection,
+              std::uint64_t aCall);
   void Cancel();
 
 private:
   std::weak_ptr<client_connection> mConnection;
+  /** Number of the call on its connection. */
+  std::uint64_t mCall = 0;
 };
 
 struct client_counts
--- a/Libraries/Edge/ClientConnection.cpp
+++ b/Libraries/Edge/ClientConnection.cpp
@@ -83,11 +83,12 @@
   return !mIsClosed && mIsConnected && !mIsBusy && aNow < mUsableUntil;
 }
 
-void
+std::uint64_t
 client_connection::Start(const request& aRequest,
                          const call_options& aOptions,
                          call_events aEvents)
 {
+  const auto number = ++mCalls;
   mIsBusy = true;
   mIsSent = false;
   mHasToldHead = false;
@@ -102,6 +103,7 @@
   } else {
     Connect();
   }
+  return number;
 }
 
 void
@@ -322,8 +324,11 @@
 }
 
 void
-client_connection::Cancel()
+client_connection::Cancel(std::uint64_t aCall)
 {
+  if (!mIsBusy || aCall != mCalls) {
+    return;
+  }
   // The caller may cancel from within one of these functions, which must
   // outlive its own return.
   boost::asio::post(mSocket.get_executor(), [events = std::move(mEvents)] {});
--- a/Libraries/Edge/ClientConnection.h
+++ b/Libraries/Edge/ClientConnection.h
@@ -21,10 +21,12 @@
 
   const endpoint& Server() const { return mServer; }
   bool IsUsable(time_point aNow) const;
-  void Start(const request& aRequest,
-             const call_options& aOptions,
-             call_events aEvents);
-  void Cancel();
+  /** @return the call's number on this connection */
+  std::uint64_t Start(const request& aRequest,
+                      const call_options& aOptions,
+                      call_events aEvents);
+  /** Cuts the call with that number, unless it has ended. */
+  void Cancel(std::uint64_t aCall);
   void Close();
 
 private:
@@ -57,6 +59,7 @@
   milliseconds mKeepsFor{ 0 };
   /** End of the time for which the server keeps the connection idle. */
   time_point mUsableUntil;
+  std::uint64_t mCalls = 0;
   bool mIsConnected = false;
   bool mIsBusy = false;
   bool mIsReading = false;
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -51,15 +51,16 @@
       mStoreCounts))
   , mProtocol(platform::MakeExchangeProtocol())
   , mLimits(std::make_shared<edge::listener_limits>())
+  , mRouter(mDirectory, mSettings.mAvailabilityZone)
   , mForwarder({ mLoop,
                  *mClients,
                  mProtocol,
-                 mDirectory,
+                 mRouter,
                  mMetrics,
-                 mSettings.mAvailabilityZone,
                  [this](const std::string& aCustomer) {
                    mUsage.CountStart(aCustomer);
                  } })
+  , mRewards({ mLoop, *mClients, mProtocol, mConfiguration, mRouter, mMetrics })
   , mRunner(
       { mLoop,
         *mClients,
@@ -67,6 +68,7 @@
         mDirectory,
         mConfiguration,
         mMetrics,
+        mRewards,
         [this](const std::string& aBatchId, batches::item_result aResult) {
           mBatches.TakeResult(aBatchId, std::move(aResult));
         } })
@@ -273,6 +275,7 @@
         mConfiguration ? static_cast<double>(mConfiguration->mVersion) : -1);
   gauge("lavender_servers_known", static_cast<double>(mDirectory.mRows.size()));
   gauge("lavender_open_batches", static_cast<double>(mBatches.OpenBatches()));
+  gauge("lavender_rewards_open", static_cast<double>(mRewards.Open()));
   gauge("lavender_requests_under_way",
         static_cast<double>(mCallers.Requests()));
   gauge("lavender_store_reachable", mFeed.IsReachable() ? 1 : 0);
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -84,7 +84,9 @@
   site::server_directory mDirectory;
   std::shared_ptr<edge::listener_limits> mLimits;
   std::map<std::string, peer> mPeers;
+  forwarding::pool_router mRouter;
   forwarding::forwarder mForwarder;
+  rewards::reward_caller mRewards;
   batches::batch_runner mRunner;
   batches::batch_service mBatches;
   versions::assignments mAssignments;
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -227,7 +227,7 @@
       }
     });
   }
-  mForwarder.TakeServers(now);
+  mRouter.TakeServers(now);
   mAssignments.Refresh();
   mRunner.Dispatch();
 }
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -52,12 +52,19 @@
 batch_entry::batch_entry(batch_site& aSite, const std::string& aName)
   : mSite(aSite)
   , mStore(standin::MakeMemoryStore(aSite.mLoop.mLoop, aSite.mState))
+  , mRewards({ aSite.mLoop.mLoop,
+               *aSite.mClients,
+               aSite.mProtocol,
+               aSite.mConfiguration,
+               aSite.mRouter,
+               aSite.mMetrics })
   , mRunner({ aSite.mLoop.mLoop,
               *aSite.mClients,
               aSite.mProtocol,
               aSite.mDirectory,
               aSite.mConfiguration,
               aSite.mMetrics,
+              mRewards,
               [this](const auto& aBatchId, auto aResult) {
                 mService.TakeResult(aBatchId, std::move(aResult));
               } })
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -20,6 +20,7 @@
   site::exchange_protocol mProtocol = platform::MakeExchangeProtocol();
   site::configuration_ptr mConfiguration;
   site::server_directory mDirectory;
+  forwarding::pool_router mRouter{ mDirectory, "zone" };
   metrics::registry mMetrics;
   /** Peers that can be reached, by name. */
   std::map<std::string, edge::endpoint> mPeers;
@@ -54,6 +55,7 @@
 
   batch_site& mSite;
   objects::object_store mStore;
+  rewards::reward_caller mRewards;
   batches::batch_runner mRunner;
   batches::batch_service mService;
   std::shared_ptr<objects::mirror> mHeads;
--- a/Tests/Site/TestClientPool.cpp
+++ b/Tests/Site/TestClientPool.cpp
@@ -34,4 +34,71 @@
   BOOST_TEST(clients->Counts().mReused == 0u);
 }
 
+// Each of a caller's requests opens a connection to its server, though the last
+// one's is idle: a request that has ended lets go of all it holds, its handle
+// among it, and cancelling that closed the connection that had just been kept.
+BOOST_AUTO_TEST_CASE(ACancelAfterTheEndLeavesTheConnectionOpen)
+{
+  test_loop loop;
+  auto clients = std::make_shared<edge::client_pool>(loop.mLoop);
+  edge::listener listener(loop.mLoop,
+                          std::make_shared<edge::listener_limits>(),
+                          [](const auto& aExchange) {
+                            aExchange->Answer({ 200, {}, "x" });
+                          });
+  listener.Open({ "127.0.0.1", 0 });
+  edge::request request;
+  request.mMethod = "GET";
+  request.mTarget = "/";
+  for (int i = 0; i < 3; ++i) {
+    edge::call_handle handle;
+    bool isDone = false;
+    edge::call_events events;
+    events.mOnEnd = [&](edge::call_end) {
+      handle.Cancel();
+      isDone = true;
+    };
+    handle = clients->Start(
+      { "127.0.0.1", listener.Port() }, request, {}, std::move(events));
+    BOOST_TEST(loop.RunUntil([&] { return isDone; }));
+  }
+  BOOST_TEST(clients->Counts().mOpened == 1u);
+  BOOST_TEST(clients->Counts().mReused == 2u);
+}
+
+// A request that is under way breaks for no reason: an earlier one, which used
+// the same connection and has ended, is cancelled late.
+BOOST_AUTO_TEST_CASE(ALateCancelSparesTheNextCallOnTheConnection)
+{
+  test_loop loop;
+  auto clients = std::make_shared<edge::client_pool>(loop.mLoop);
+  std::vector<edge::exchange_ptr> held;
+  edge::listener listener(
+    loop.mLoop,
+    std::make_shared<edge::listener_limits>(),
+    [&](const auto& aExchange) { held.push_back(aExchange); });
+  listener.Open({ "127.0.0.1", 0 });
+  edge::request request;
+  request.mMethod = "GET";
+  request.mTarget = "/";
+  std::vector<edge::call_end> ends;
+  const auto start = [&] {
+    edge::call_events events;
+    events.mOnEnd = [&](edge::call_end aEnd) { ends.push_back(aEnd); };
+    return clients->Start(
+      { "127.0.0.1", listener.Port() }, request, {}, std::move(events));
+  };
+  auto first = start();
+  BOOST_TEST(loop.RunUntil([&] { return held.size() == 1; }));
+  held[0]->Answer({ 200, {}, "x" });
+  BOOST_TEST(loop.RunUntil([&] { return ends.size() == 1; }));
+  auto second = start();
+  BOOST_TEST(loop.RunUntil([&] { return held.size() == 2; }));
+  first.Cancel();
+  held[1]->Answer({ 200, {}, "x" });
+  BOOST_TEST(loop.RunUntil([&] { return ends.size() == 2; }));
+  BOOST_TEST((ends.back() == edge::call_end::Complete));
+  BOOST_TEST(clients->Counts().mReused == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Site/TestForwarding.cpp
+++ b/Tests/Site/TestForwarding.cpp
@@ -50,9 +50,8 @@
         { mLoop.mLoop,
           *mClients,
           mProtocol,
-          mDirectory,
+          mRouter,
           mMetrics,
-          "zone",
           [this](const std::string& aCustomer) { ++mStarts[aCustomer]; } })
     , mListener(mLoop.mLoop,
                 std::make_shared<edge::listener_limits>(),
@@ -76,7 +75,7 @@
     entry.mAvailabilityZone = "zone";
     entry.mSlots = 4;
     site::TakeServer(mDirectory, entry);
-    mForwarder.TakeServers(boot_clock::now());
+    mRouter.TakeServers(boot_clock::now());
   }
 
   edge::request Request() const
@@ -99,6 +98,7 @@
     std::make_shared<edge::client_pool>(mLoop.mLoop);
   site::exchange_protocol mProtocol = platform::MakeExchangeProtocol();
   site::server_directory mDirectory;
+  forwarding::pool_router mRouter{ mDirectory, "zone" };
   metrics::registry mMetrics;
   std::map<std::string, int> mStarts;
   std::shared_ptr<site::route> mRoute = std::make_shared<site::route>();
