--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -44,6 +44,37 @@
   site::TakeServer(mDirectory, aServer.Entry());
 }
 
+void
+batch_site::Add(const plain_server& aServer,
+                const std::string& aId,
+                const std::string& aPool)
+{
+  site::TakeServer(mDirectory, aServer.Entry(aId, aPool));
+  mRouter.TakeServers(boot_clock::now());
+}
+
+void
+batch_site::RouteRewardsTo(const std::string& aPool)
+{
+  auto configuration =
+    std::make_shared<site::site_configuration>(*mConfiguration);
+  ++configuration->mVersion;
+  auto& routes = configuration->mRoutes["score.example"];
+  routes.clear();
+  if (!aPool.empty()) {
+    auto route = std::make_shared<site::route>();
+    route->mHost = "score.example";
+    route->mPathPrefix = "/score/";
+    route->mRepetition = site::repetition::Idempotent;
+    route->mMaximumAttempts = 4;
+    route->mTargetLatency = milliseconds(800);
+    route->mTimeout = milliseconds(3000);
+    route->mPools = { { aPool, 1 } };
+    routes[route->mPathPrefix] = route;
+  }
+  mConfiguration = configuration;
+}
+
 batch_entry::~batch_entry()
 {
   mHeads->Stop();
@@ -172,11 +203,20 @@
 {
   json::array items;
   for (int i = 0; i < aItems; ++i) {
-    items.push_back(json::object{ { "id", aBatchId + "i" + std::to_string(i) },
-                                  { "path", "/r/x" },
-                                  { "headers", json::object{} },
-                                  { "body", "aGVsbG8=" },
-                                  { "group", "g" + std::to_string(i / 4) } });
+    const auto id = aBatchId + "i" + std::to_string(i);
+    json::value item = json::object{ { "id", id },
+                                     { "path", "/r/x" },
+                                     { "headers", json::object{} },
+                                     { "body", "aGVsbG8=" },
+                                     { "group", "g" + std::to_string(i / 4) } };
+    if (mSite.mItemsHaveRewards) {
+      item.Set("scorer",
+               json::object{ { "id", "r" + id },
+                             { "host", "score.example" },
+                             { "path", "/score/x" },
+                             { "body", "aGk=" } });
+    }
+    items.push_back(std::move(item));
   }
   edge::request request;
   request.mMethod = "POST";
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -5,6 +5,7 @@
 #include "StandIns/ObjectStore/MemoryStore.h"
 #include "Tests/Site/Support/Loop.h"
 #include "Tests/Site/Support/ModelServer.h"
+#include "Tests/Site/Support/PlainServer.h"
 #include "platform/BatchMessages.h"
 #include "platform/ExchangeProtocol.h"
 
@@ -26,9 +27,18 @@
   std::map<std::string, edge::endpoint> mPeers;
   /** How much of the batches each entry shall own; 1 when not named. */
   std::map<std::string, double> mWeights;
+  /** Items that are submitted name a reward call, "rID" for item ID. */
+  bool mItemsHaveRewards = false;
 
   batch_site();
   void Add(const model_server& aServer);
+  /** A server of the plain service that reward calls go to. */
+  void Add(const plain_server& aServer,
+           const std::string& aId,
+           const std::string& aPool = "rewards");
+  /** The route of reward calls leads to that pool from now on; to none where
+   * it is empty. */
+  void RouteRewardsTo(const std::string& aPool);
   /** Changes the route of all batches. */
   void Change(const std::function<void(site::route&)>& aChange);
   /** Age at which items may be given up. */
--- a/Tests/Site/TestForwarding.cpp
+++ b/Tests/Site/TestForwarding.cpp
@@ -1,5 +1,5 @@
 #include "Duties/Forwarding/Forwarder.h"
-#include "Tests/Site/Support/Loop.h"
+#include "Tests/Site/Support/PlainServer.h"
 #include "platform/ExchangeProtocol.h"
 
 #include <boost/test/unit_test.hpp>
@@ -10,38 +10,6 @@
 
 namespace {
 
-/** A plain server whose behaviour the test sets. */
-struct plain_server
-{
-  explicit plain_server(test_loop& aLoop)
-    : mListener(aLoop.mLoop,
-                std::make_shared<edge::listener_limits>(),
-                [this](const edge::exchange_ptr& aExchange) {
-                  ++mRequests;
-                  mLast = aExchange;
-                  aExchange->OnCallerLeft([this] { ++mCallersLeft; });
-                  mServe(aExchange);
-                })
-  {
-    mListener.Open({ "127.0.0.1", 0 });
-  }
-
-  static edge::response Answer(const edge::exchange_ptr& aExchange,
-                               unsigned aStatus)
-  {
-    edge::response answer{ aStatus, {}, "whole answer" };
-    answer.mHeaders.Add(
-      "X-Attempt-Id", aExchange->mRequest.mHeaders.ValueOr("X-Attempt-Id", ""));
-    return answer;
-  }
-
-  std::function<void(const edge::exchange_ptr&)> mServe;
-  edge::exchange_ptr mLast;
-  int mRequests = 0;
-  int mCallersLeft = 0;
-  edge::listener mListener;
-};
-
 /** An entry that forwards everything to the given servers. */
 struct forwarding_site
 {
@@ -68,13 +36,7 @@
 
   void Add(const std::string& aId, const plain_server& aServer)
   {
-    site::backend_server entry;
-    entry.mId = aId;
-    entry.mPool = "pool";
-    entry.mAddress = { "127.0.0.1", aServer.mListener.Port() };
-    entry.mAvailabilityZone = "zone";
-    entry.mSlots = 4;
-    site::TakeServer(mDirectory, entry);
+    site::TakeServer(mDirectory, aServer.Entry(aId, "pool"));
     mRouter.TakeServers(boot_clock::now());
   }
 
@@ -141,9 +103,7 @@
   forwarding_site site(site::repetition::AtMostOnce);
   plain_server server(site.mLoop);
   server.mServe = [](const auto& aExchange) {
-    auto busy = plain_server::Answer(aExchange, 503);
-    busy.mHeaders.Add("X-Not-Executed", "1");
-    aExchange->Answer(std::move(busy));
+    aExchange->Answer(plain_server::TurnAway(aExchange));
   };
   site.Add("s1", server);
   const auto result = site.Send();
--- /dev/null
+++ b/Tests/Site/TestRewards.cpp
@@ -0,0 +1,267 @@
+#include "Tests/Site/Support/BatchEntry.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace lavender;
+using namespace lavender::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A site whose items are scored by servers of a plain service. */
+struct reward_site : batch_site
+{
+  reward_site()
+    : mEngine(mLoop.mLoop, "s1")
+  {
+    mItemsHaveRewards = true;
+    RouteRewardsTo("rewards");
+    batch_site::Add(mEngine);
+  }
+
+  /** Results of a batch once it has that many. */
+  std::vector<json::value> Results(batch_entry& aEntry,
+                                   const std::string& aBatchId,
+                                   std::size_t aCount)
+  {
+    BOOST_TEST(mLoop.RunUntil(
+      [&] { return aEntry.ListedIds(aBatchId).size() == aCount; }));
+    const auto page = aEntry.Read(aBatchId, 0);
+    const auto* results = page.Find("results");
+    return results ? std::vector<json::value>(results->Elements().begin(),
+                                              results->Elements().end())
+                   : std::vector<json::value>();
+  }
+
+  model_server mEngine;
+};
+
+bool
+IsScored(const json::value& aResult)
+{
+  return json::StringAt(aResult, "state", "") == "completed" &&
+         json::StringAt(aResult, "score", "") ==
+           "seal-r" + json::StringAt(aResult, "id", "");
+}
+
+int
+CountScored(const std::vector<json::value>& aResults)
+{
+  return static_cast<int>(
+    std::count_if(aResults.begin(), aResults.end(), IsScored));
+}
+
+const auto kStaySilent = [](const edge::exchange_ptr&) {};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestRewards)
+
+BOOST_AUTO_TEST_CASE(AResultBearsTheScoreOfItsRewardCall)
+{
+  reward_site site;
+  plain_server service(site.mLoop);
+  site.Add(service, "p1");
+  std::vector<edge::request> seen;
+  bool isTextWhole = true;
+  service.mServe = [&](const edge::exchange_ptr& aExchange) {
+    seen.push_back(aExchange->mRequest);
+    isTextWhole = isTextWhole && site.mEngine.mOpenRuns == 0;
+    aExchange->Answer(plain_server::Answer(aExchange, 200));
+  };
+  batch_entry entry(site, "a");
+  BOOST_TEST(entry.Submit("b1", 1).mAnswer.mStatus == 202u);
+  const auto results = site.Results(entry, "b1", 1);
+  BOOST_TEST(CountScored(results) == 1);
+  BOOST_REQUIRE(seen.size() == 1u);
+  BOOST_TEST(isTextWhole);
+  BOOST_TEST(seen[0].mMethod == "POST");
+  BOOST_TEST(seen[0].mTarget == "/score/x");
+  BOOST_TEST(seen[0].mBody == "hi");
+  BOOST_TEST(seen[0].mHeaders.ValueOr("Host", "") == "score.example");
+  BOOST_TEST(seen[0].mHeaders.ValueOr("X-Attempt-Id", "") == "rb1i0");
+  BOOST_TEST(seen[0].mHeaders.ValueOr("X-Expect-Instance", "") == "p1");
+  BOOST_TEST(seen[0].mHeaders.Integer("X-Deadline-Ms").value_or(0) > 0);
+  BOOST_TEST(!seen[0].mHeaders.Find("Authorization"));
+}
+
+// A trainer waits for a group for good: one item's reward call fails each time.
+// The item is given up after as many errors as the call's route allows, not
+// before and not after, and the others are listed with their scores.
+BOOST_AUTO_TEST_CASE(ACallThatAlwaysFailsEndsItsItemAfterItsAttempts)
+{
+  reward_site site;
+  plain_server service(site.mLoop);
+  site.Add(service, "p1");
+  int errors = 0;
+  service.mServe = [&](const edge::exchange_ptr& aExchange) {
+    const bool fails =
+      aExchange->mRequest.mHeaders.ValueOr("X-Attempt-Id", "") == "rb1i2";
+    errors += fails ? 1 : 0;
+    aExchange->Answer(plain_server::Answer(aExchange, fails ? 500 : 200));
+  };
+  batch_entry entry(site, "a");
+  entry.Submit("b1", 8);
+  const auto results = site.Results(entry, "b1", 8);
+  BOOST_TEST(CountScored(results) == 7);
+  BOOST_TEST(errors == 4);
+  for (const auto& result : results) {
+    const bool isFailed = json::StringAt(result, "id", "") == "b1i2";
+    BOOST_TEST((json::StringAt(result, "state", "") == "dead_letter") ==
+               isFailed);
+  }
+}
+
+// Samples are lost though their text is whole: servers behind the reward calls
+// reset, give another call's answer, are full or go silent. None of this is a
+// failure of the call, which goes on at another server.
+BOOST_AUTO_TEST_CASE(FaultsOfAServerDontLoseTheSample)
+{
+  const auto abort = [](const edge::exchange_ptr& aExchange) {
+    aExchange->Abort();
+  };
+  const auto answerAnother = [](const edge::exchange_ptr& aExchange) {
+    auto answer = plain_server::Answer(aExchange, 200);
+    answer.mHeaders.Set("X-Attempt-Id", "another");
+    aExchange->Answer(std::move(answer));
+  };
+  const auto failAnother = [](const edge::exchange_ptr& aExchange) {
+    auto answer = plain_server::Answer(aExchange, 500);
+    answer.mHeaders.Set("X-Attempt-Id", "another");
+    aExchange->Answer(std::move(answer));
+  };
+  const auto turnAway = [](const edge::exchange_ptr& aExchange) {
+    aExchange->Answer(plain_server::TurnAway(aExchange));
+  };
+  for (const std::function<void(const edge::exchange_ptr&)>& fault :
+       { std::function<void(const edge::exchange_ptr&)>(abort),
+         std::function<void(const edge::exchange_ptr&)>(answerAnother),
+         std::function<void(const edge::exchange_ptr&)>(failAnother),
+         std::function<void(const edge::exchange_ptr&)>(turnAway),
+         std::function<void(const edge::exchange_ptr&)>(kStaySilent) }) {
+    reward_site site;
+    plain_server bad(site.mLoop);
+    plain_server sound(site.mLoop);
+    bad.mServe = fault;
+    site.Add(bad, "p1");
+    site.Add(sound, "p2");
+    batch_entry entry(site, "a");
+    entry.Submit("b1", 12);
+    BOOST_TEST(CountScored(site.Results(entry, "b1", 12)) == 12);
+    BOOST_TEST(bad.mRequests > 0);
+  }
+}
+
+// Shopkeepers wait for a price while a step's texts end together: their reward
+// calls took every place of the service that both use.
+BOOST_AUTO_TEST_CASE(AWaveOfCallsLeavesPlacesForOthers)
+{
+  reward_site site;
+  std::vector<std::unique_ptr<plain_server>> servers;
+  std::vector<edge::exchange_ptr> held;
+  std::size_t most = 0;
+  constexpr int kServers = 4;
+  for (int i = 0; i < kServers; ++i) {
+    servers.push_back(std::make_unique<plain_server>(site.mLoop));
+    servers.back()->mServe = [&](const edge::exchange_ptr& aExchange) {
+      held.push_back(aExchange);
+      most = std::max(most, held.size());
+    };
+    site.Add(*servers.back(), "p" + std::to_string(i));
+  }
+  batch_entry entry(site, "a");
+  entry.Submit("b1", 60);
+  constexpr std::size_t kHalfOfThePlaces = 8;
+  while (entry.ListedIds("b1").size() < 60) {
+    site.mLoop.RunUntil([&] { return held.size() >= kHalfOfThePlaces; }, 60ms);
+    for (const auto& exchange : std::exchange(held, {})) {
+      exchange->Answer(plain_server::Answer(exchange, 200));
+    }
+  }
+  BOOST_TEST(most <= kHalfOfThePlaces);
+  BOOST_TEST(most > kHalfOfThePlaces / 2);
+}
+
+// Work is done for nobody: a batch has ended, and the calls that score its
+// texts go on, or begin.
+BOOST_AUTO_TEST_CASE(AnEndedBatchMakesNoMoreCalls)
+{
+  reward_site site;
+  plain_server service(site.mLoop);
+  site.Add(service, "p1");
+  std::vector<edge::exchange_ptr> held;
+  service.mServe = [&](const edge::exchange_ptr& aExchange) {
+    held.push_back(aExchange);
+  };
+  batch_entry entry(site, "a");
+  entry.Submit("b1", 20);
+  BOOST_TEST(site.mLoop.RunUntil([&] { return service.mRequests == 4; }));
+  BOOST_TEST(entry.End("b1") == 200u);
+  BOOST_TEST(site.mLoop.RunUntil([&] { return service.mCallersLeft == 4; }));
+  site.mLoop.RunUntil([] { return false; }, 300ms);
+  BOOST_TEST(service.mRequests == 4);
+  BOOST_TEST(entry.mRewards.Open() == 0u);
+}
+
+// The entry that runs a batch goes silent while most texts wait for their
+// scores. The next one runs them again, and each result is listed once, with
+// the score of a call that was made for it.
+BOOST_AUTO_TEST_CASE(TheNextOwnerScoresWhatTheLastOneLeft)
+{
+  reward_site site;
+  plain_server service(site.mLoop);
+  site.Add(service, "p1");
+  bool isSilent = true;
+  service.mServe = [&](const edge::exchange_ptr& aExchange) {
+    if (!isSilent) {
+      aExchange->Answer(plain_server::Answer(aExchange, 200));
+    }
+  };
+  site.mWeights["b"] = 0;
+  batch_entry first(site, "a");
+  batch_entry second(site, "b");
+  first.Submit("b1", 12);
+  BOOST_TEST(site.mLoop.RunUntil([&] { return service.mRequests >= 4; }));
+  first.mIsReachable = false;
+  isSilent = false;
+  BOOST_TEST(CountScored(site.Results(second, "b1", 12)) == 12);
+  const auto ids = second.ListedIds("b1");
+  BOOST_TEST(std::set<std::string>(ids.begin(), ids.end()).size() == 12u);
+}
+
+// The operator moves the reward calls to another service: a call that is sent
+// after that goes there, though its text was made before.
+BOOST_AUTO_TEST_CASE(ACallFollowsItsRoute)
+{
+  reward_site site;
+  plain_server before(site.mLoop);
+  plain_server after(site.mLoop);
+  site.Add(before, "p1");
+  site.Add(after, "p2", "others");
+  site.RouteRewardsTo("");
+  batch_entry entry(site, "a");
+  entry.Submit("b1", 4);
+  BOOST_TEST(site.mLoop.RunUntil([&] { return entry.mRewards.Open() == 4; }));
+  site.RouteRewardsTo("others");
+  BOOST_TEST(CountScored(site.Results(entry, "b1", 4)) == 4);
+  BOOST_TEST(before.mRequests == 0);
+  BOOST_TEST(after.mRequests == 4);
+}
+
+// A scored sample is read back by another entry with the score it had.
+BOOST_AUTO_TEST_CASE(ScoresAreListedWithTheTexts)
+{
+  reward_site site;
+  plain_server service(site.mLoop);
+  site.Add(service, "p1");
+  batch_entry first(site, "a");
+  batch_entry second(site, "b");
+  first.Submit("b1", 6);
+  site.Results(first, "b1", 6);
+  first.mIsReachable = false;
+  BOOST_TEST(CountScored(site.Results(second, "b1", 6)) == 6);
+  BOOST_TEST(service.mRequests == 6);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Site/TestSubmissions.cpp
+++ b/Tests/Site/TestSubmissions.cpp
@@ -46,4 +46,33 @@
   BOOST_TEST(problem.find("i1") != std::string::npos);
 }
 
+// A trainer waits for a score that never comes: the call that shall bring it
+// can't be made. It is told at once what is wrong instead.
+BOOST_AUTO_TEST_CASE(ARewardCallThatCantBeMadeIsRefusedAtOnce)
+{
+  const auto with = [](const std::string& aId, const std::string& aScorer) {
+    return R"({"id":")" + aId + R"(","path":"/r/x","body":"","scorer":)" +
+           aScorer + "}";
+  };
+  const std::string good =
+    R"({"id":"r1","host":"h","path":"/p","body":"aGk="})";
+  BOOST_TEST(ProblemWith(with("i1", good)) == "");
+  for (const auto* bad :
+       { R"({"host":"h","path":"/p","body":""})",
+         R"({"id":"r1","path":"/p","body":""})",
+         R"({"id":"r1","host":"h","body":""})",
+         R"({"id":"r1","host":"h","path":"p","body":""})",
+         R"({"id":"r1","host":"h","path":"/p","body":"*"})",
+         R"({"id":"r 1","host":"h","path":"/p","body":""})",
+         R"({"id":"r","host":"h\r\nX: 1","path":"/","body":""})",
+         R"("r1")",
+         "null",
+         "[]" }) {
+    const auto problem = ProblemWith(with("i1", bad));
+    BOOST_TEST(problem.find("i1") != std::string::npos, bad);
+  }
+  const auto twice = ProblemWith(with("i1", good) + "," + with("i2", good));
+  BOOST_TEST(twice.find("r1") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
