Texts of long runs are stored, so that the next owner goes on from there

Cause: an entry that dies takes all that its items' runs have made with it. A long run takes six of the eight seconds that a step has, so one that begins anew misses it, and a trainer that is late once loses a later step as well. Ruled out: writing each text before its reward call (0.2 s of work for a write an item); replicating to other entries (no store of ours).

A text that has grown for two seconds is written as part of the batch's next block, one of a second along with results that are written anyway. Parts of two writers are never joined. An entry that leaves stores all before it hands over.

--- a/Duties/Batches/BatchListing.cpp
+++ b/Duties/Batches/BatchListing.cpp
@@ -20,6 +20,17 @@
  * written so that a crash of this entry loses little work. */
 constexpr milliseconds kGatherParts = 1000ms;
 
+/** A text that has grown this long without being stored is written on its own:
+ * an entry that dies then costs a step two seconds of a long run instead of all
+ * of it, which is more than most steps have to spare. */
+constexpr milliseconds kSaveAlone = 2000ms;
+/** One that has grown this long goes along with results that are written
+ * anyway; shorter ones mostly end before they would be of use. */
+constexpr milliseconds kSaveAlong = 1000ms;
+constexpr milliseconds kLookForUnsavedEach = 500ms;
+/** A block that is on its way is settled within some ms. */
+constexpr milliseconds kSettlePause = 50ms;
+
 /** An entry that lost a batch may not know it for this long, and list results
  * until then: it learns of the new head through the feed, a second late at the
  * worst, and a block that it was writing may come to pass six seconds later. */
@@ -81,8 +92,17 @@
 void
 batch_service::Commit(const batch_ptr& aBatch)
 {
-  if (aBatch->mIsCommitting || !aBatch->mIsLoaded || aBatch->mHead.mIsEnded ||
-      aBatch->mLog.mPending.mItemIds.empty()) {
+  const bool hasResults = !aBatch->mLog.mPending.mItemIds.empty();
+  CommitBlock(aBatch, hasResults ? kSaveAlong : kSaveAlone, [] {});
+}
+
+void
+batch_service::CommitBlock(const batch_ptr& aBatch,
+                           milliseconds aSaveLongerThan,
+                           std::function<void()> aDone)
+{
+  if (aBatch->mIsCommitting || !aBatch->mIsLoaded || aBatch->mHead.mIsEnded) {
+    aDone();
     return;
   }
   auto block = std::make_shared<result_block>();
@@ -96,23 +116,73 @@
     block->mItemIds.push_back(pending.mItemIds[i]);
     block->mEntries.push_back(pending.mEntries[i]);
   }
+  block->mWriter = aBatch->mWriter;
+  block->mParts =
+    mParts.mRunner.Unsaved(aBatch->mHead.mId,
+                           aSaveLongerThan,
+                           kBlockBytes - std::min(bytes, kBlockBytes));
+  if (block->mItemIds.empty() && block->mParts.empty()) {
+    aDone();
+    return;
+  }
   aBatch->mIsCommitting = true;
   mParts.mStore.mCreate(
     kResultsKind,
     ResultsName(aBatch->mHead.mId, aBatch->mLog.mNextBlock),
     EncodeBlock(*block),
-    WhileSame(aBatch,
-              [this, aBatch, block](const objects::object_reply& aReply) {
-                aBatch->mIsCommitting = false;
-                if (aReply.mOutcome == store_outcome::Done) {
-                  TakeListedBlock(aBatch, *block);
-                  PlanCommit(aBatch, kGatherGroups);
-                } else if (aReply.mOutcome == store_outcome::Refused) {
-                  PlanCommit(aBatch, kRetryPause);
-                } else {
-                  SettleCommit(aBatch);
-                }
-              }));
+    [this,
+     aBatch,
+     block,
+     generation = aBatch->mGeneration,
+     done = std::move(aDone)](const objects::object_reply& aReply) {
+      if (aBatch->mGeneration != generation) {
+        done();
+        return;
+      }
+      aBatch->mIsCommitting = false;
+      if (aReply.mOutcome == store_outcome::Done) {
+        mParts.mRunner.NoteSaved(aBatch->mHead.mId, block->mParts);
+        TakeListedBlock(aBatch, *block);
+        PlanCommit(aBatch, kGatherGroups);
+      } else if (aReply.mOutcome == store_outcome::Refused) {
+        PlanCommit(aBatch, kRetryPause);
+      } else {
+        mParts.mRunner.ForgetSaved(aBatch->mHead.mId);
+        SettleCommit(aBatch);
+      }
+      done();
+    });
+}
+
+void
+batch_service::PlanSave(const batch_ptr& aBatch)
+{
+  After(kLookForUnsavedEach, [this, aBatch, generation = aBatch->mGeneration] {
+    if (aBatch->mGeneration != generation || aBatch->mHead.mIsEnded) {
+      return;
+    }
+    const auto unsaved =
+      mParts.mRunner.Unsaved(aBatch->mHead.mId, kSaveAlone, kBlockBytes);
+    if (!unsaved.empty()) {
+      CommitBlock(aBatch, kSaveAlong, [] {});
+    }
+    PlanSave(aBatch);
+  });
+}
+
+void
+batch_service::SaveThen(const batch_ptr& aBatch,
+                        int aTriesLeft,
+                        std::function<void()> aDone)
+{
+  if (aBatch->mIsCommitting && aTriesLeft > 0) {
+    After(kSettlePause,
+          [this, aBatch, aTriesLeft, done = std::move(aDone)]() mutable {
+            SaveThen(aBatch, aTriesLeft - 1, std::move(done));
+          });
+    return;
+  }
+  CommitBlock(aBatch, milliseconds(0), std::move(aDone));
 }
 
 void
--- a/Duties/Batches/BatchLoading.cpp
+++ b/Duties/Batches/BatchLoading.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Batches/BatchService.h"
 
+#include "Libraries/Core/Identity.h"
 #include "Libraries/EventLog/EventLog.h"
 
 namespace lavender::batches {
@@ -37,6 +38,7 @@
 {
   aBatch->mIsLoading = true;
   aBatch->mLog = {};
+  aBatch->mStored.clear();
   ++aBatch->mGeneration;
   auto gathered = std::make_shared<submission>();
   gathered->mId = aBatch->mHead.mId;
@@ -87,6 +89,11 @@
       return;
     }
     TakeBlock(aBatch->mLog, *block);
+    for (const auto& part : block->mParts) {
+      if (part.mItem < aBatch->mSubmission->mItems.size()) {
+        TakePart(aBatch->mStored, block->mWriter, part);
+      }
+    }
     LoadResults(aBatch);
   };
   mParts.mStore.mGet(kResultsKind,
@@ -130,12 +137,19 @@
 void
 batch_service::Run(const batch_ptr& aBatch)
 {
-  if (!aBatch->mHead.mIsEnded) {
-    mParts.mRunner.Add(
-      aBatch->mHead, aBatch->mSubmission, [&](const std::string& aItemId) {
-        return HasResult(aBatch->mLog, aItemId);
-      });
+  auto stored = std::exchange(aBatch->mStored, {});
+  if (aBatch->mHead.mIsEnded) {
+    return;
   }
+  aBatch->mWriter = MakeRandomName();
+  mParts.mRunner.Add(
+    aBatch->mHead,
+    aBatch->mSubmission,
+    [&](const std::string& aItemId) {
+      return HasResult(aBatch->mLog, aItemId);
+    },
+    std::move(stored));
+  PlanSave(aBatch);
 }
 
 void
--- a/Duties/Batches/BatchOwners.cpp
+++ b/Duties/Batches/BatchOwners.cpp
@@ -157,17 +157,26 @@
     if (!IsMine(batch) || batch->mHead.mIsEnded || !successor) {
       continue;
     }
-    mParts.mStore.mReplaceStatus(kHeadKind,
-                                 id,
-                                 batch->mHead.mRevision,
-                                 EncodeHeadStatus(*successor, false),
-                                 [this](const objects::object_reply& aReply) {
-                                   if (const auto head =
-                                         DecodeHead(aReply.mObject)) {
-                                     TakeHead(*head);
-                                   }
-                                 });
+    constexpr int kTriesToSave = 6;
+    SaveThen(batch, kTriesToSave, [this, batch = batch, owner = *successor] {
+      GiveTo(batch, owner);
+    });
   }
 }
 
+void
+batch_service::GiveTo(const batch_ptr& aBatch, const std::string& aOwner)
+{
+  mParts.mStore.mReplaceStatus(kHeadKind,
+                               aBatch->mHead.mId,
+                               aBatch->mHead.mRevision,
+                               EncodeHeadStatus(aOwner, aBatch->mHead.mIsEnded),
+                               [this](const objects::object_reply& aReply) {
+                                 if (const auto head =
+                                       DecodeHead(aReply.mObject)) {
+                                   TakeHead(*head);
+                                 }
+                               });
+}
+
 } // namespace lavender::batches
--- a/Duties/Batches/BatchRewards.cpp
+++ b/Duties/Batches/BatchRewards.cpp
@@ -8,6 +8,7 @@
 batch_runner::TakeText(running_batch& aBatch, std::size_t aIndex)
 {
   auto& item = aBatch.mItems[aIndex];
+  item.mMade.mIsWhole = true;
   if (!item.mItem->mReward) {
     FinishItem(aBatch, item, item_end::Completed);
     return;
--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -13,7 +13,8 @@
 void
 batch_runner::Add(const batch_head& aHead,
                   std::shared_ptr<const submission> aSubmission,
-                  const std::function<bool(const std::string&)>& aHasResult)
+                  const std::function<bool(const std::string&)>& aHasResult,
+                  stored_texts aStored)
 {
   running_batch batch;
   batch.mHead = aHead;
@@ -30,6 +31,7 @@
   }
   Remove(aHead.mId);
   mBatches[aHead.mId] = std::move(batch);
+  TakeStored(mBatches[aHead.mId], std::move(aStored));
   Dispatch();
 }
 
@@ -166,11 +168,11 @@
   result.mItemId = aItem.mItem->mId;
   result.mIsCompleted = isDone;
   if (isDone) {
-    result.mText = std::move(aItem.mText);
-    result.mVersions = aItem.mVersions;
+    result.mText = std::move(aItem.mMade.mData);
+    result.mVersions = aItem.mMade.mVersions;
     result.mScore = std::move(aScore);
   }
-  aItem.mText.clear();
+  aItem.mMade = {};
   mParts.mMetrics.Count("lavender_batch_items_total",
                         { { "result", isDone ? "completed" : "given_up" } });
   mParts.mOnResult(aBatch.mHead.mId, std::move(result));
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -3,6 +3,7 @@
 #include "Duties/Batches/Batch.h"
 #include "Duties/Batches/EngineHealth.h"
 #include "Duties/Batches/EventStream.h"
+#include "Duties/Batches/MadeText.h"
 #include "Duties/Batches/Schedule.h"
 #include "Duties/Rewards/RewardCaller.h"
 #include "Duties/Site/ServerProtocol.h"
@@ -35,11 +36,10 @@
 {
   const batch_item* mItem = nullptr;
   item_phase mPhase = item_phase::Waiting;
-  /** Data of the whole events so far. */
-  std::string mText;
-  bool mHasText = false;
-  std::optional<std::int64_t> mLastEvent;
-  std::vector<std::int64_t> mVersions;
+  made_text mMade;
+  save_mark mSaved;
+  /** Since when the text has grown without being stored. */
+  std::optional<time_point> mUnsavedSince;
   /** Answers with a server's own error. */
   int mErrors = 0;
   /** Server of the present or last run. */
@@ -83,10 +83,22 @@
 public:
   explicit batch_runner(runner_parts aParts);
 
-  /** Starts the items for which the predicate has no result. */
+  /** Starts the items for which the predicate has no result, each after what
+   * is stored of its text. */
   void Add(const batch_head& aHead,
            std::shared_ptr<const submission> aSubmission,
-           const std::function<bool(const std::string&)>& aHasResult);
+           const std::function<bool(const std::string&)>& aHasResult,
+           stored_texts aStored);
+  /** Parts of texts that have grown for longer than that without being stored,
+   * at most that many bytes. */
+  std::vector<text_part> Unsaved(const std::string& aBatchId,
+                                 milliseconds aLongerThan,
+                                 std::size_t aMostBytes) const;
+  /** The store holds these parts now. */
+  void NoteSaved(const std::string& aBatchId,
+                 const std::vector<text_part>& aParts);
+  /** Nobody knows which parts the store holds: the next ones begin anew. */
+  void ForgetSaved(const std::string& aBatchId);
   /** Cuts all runs of a batch that ended or that another entry runs now. */
   void Remove(const std::string& aBatchId);
   /** Results that another entry has listed need no run. */
@@ -140,6 +152,7 @@
   void TakeText(running_batch& aBatch, std::size_t aIndex);
   /** Items of the item's group without a result. */
   int OpenInGroup(const place& aPlace) const;
+  void TakeStored(running_batch& aBatch, stored_texts aStored);
   void TakeScore(const place& aPlace, std::optional<std::string> aScore);
   void MarkEnded(running_batch& aBatch, item_progress& aItem);
   void FinishItem(running_batch& aBatch,
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -82,7 +82,7 @@
     std::clamp(TimeUntilGivenUp(AgeOf(aBatch.mHead), aRoute.mMaximumQueueing),
                milliseconds(1),
                kLongestRun);
-  attempt.mAfterEvent = item.mLastEvent;
+  attempt.mAfterEvent = item.mMade.mLastEvent;
 
   const place where{ aBatch.mHead.mId, aIndex, item.mRun };
   auto run = std::make_shared<run_state>();
@@ -113,7 +113,7 @@
     .With("batch", aBatch.mHead.mId)
     .With("server", aEngine.mId)
     .With("own_runs", static_cast<std::int64_t>(aEngine.mOwnRuns))
-    .With("after_event", item.mLastEvent.value_or(-1));
+    .With("after_event", item.mMade.mLastEvent.value_or(-1));
   item.mCall =
     mParts.mClients.Start(server->second.mServer.mAddress,
                           mParts.mProtocol.mAddress(request, attempt),
@@ -140,7 +140,7 @@
     return;
   }
   if (!aEvent.mId ||
-      (item->mLastEvent && *aEvent.mId != *item->mLastEvent + 1)) {
+      (item->mMade.mLastEvent && *aEvent.mId != *item->mMade.mLastEvent + 1)) {
     // An event is missing or doubled: nothing after it can be used.
     aRun->mIsBroken = true;
     item->mCall.Cancel();
@@ -154,14 +154,9 @@
   }
   aRun->mHasEvents = true;
   item->mLastSign = now;
-  if (item->mHasText) {
-    item->mText += '\n';
-  }
-  item->mHasText = true;
-  item->mText += aEvent.mData;
-  item->mLastEvent = aEvent.mId;
-  if (item->mVersions.empty() || item->mVersions.back() != aRun->mVersion) {
-    item->mVersions.push_back(aRun->mVersion);
+  AddEvent(item->mMade, *aEvent.mId, aEvent.mData, aRun->mVersion);
+  if (!item->mUnsavedSince) {
+    item->mUnsavedSince = now;
   }
   if (!batch.mHead.mModel.empty()) {
     mSeenVersions[item->mServer][batch.mHead.mModel] = aRun->mVersion;
@@ -191,12 +186,10 @@
   NoteRunEnd(*item, isFailure);
   const char* outcome = "again";
   if (aEnd == edge::call_end::Complete && status == 200 && !isForeign &&
-      !aRun->mIsStale && !aRun->mIsBroken && item->mHasText) {
-    if (route && route->mIsSingleVersion && item->mVersions.size() > 1) {
-      item->mText.clear();
-      item->mHasText = false;
-      item->mLastEvent.reset();
-      item->mVersions.clear();
+      !aRun->mIsStale && !aRun->mIsBroken && item->mMade.mLastEvent) {
+    if (route && route->mIsSingleVersion && item->mMade.mVersions.size() > 1) {
+      Restart(item->mMade);
+      item->mSaved = {};
       outcome = "mixed_versions";
     } else {
       LogRunEnd(*item, batch, "completed", aEnd, status);
@@ -245,7 +238,7 @@
     .With("outcome", aOutcome)
     .With("end", edge::WordFor(aEnd))
     .With("status", static_cast<std::int64_t>(aStatus))
-    .With("events", aItem.mLastEvent.value_or(-1));
+    .With("events", aItem.mMade.mLastEvent.value_or(-1));
 }
 
 } // namespace lavender::batches
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -54,6 +54,10 @@
   bool mIsLoading = false;
   std::shared_ptr<const submission> mSubmission;
   result_log mLog;
+  /** Texts without result that were found while loading. */
+  stored_texts mStored;
+  /** Under which this load of the batch stores parts of texts. */
+  std::string mWriter;
   /** Grows whenever the log is thrown away. An answer of the store that comes
    * after this entry lost the batch and took it over again belongs to the log
    * before; added to the new one it would shift every later position. */
@@ -140,6 +144,7 @@
     MayHaveBeenAccepted
   };
 
+  void GiveTo(const batch_ptr& aBatch, const std::string& aOwner);
   std::optional<std::string> DesignatedOwner(const std::string& aCustomer,
                                              const std::string& aModel) const;
   bool AnswerKnown(const edge::exchange_ptr& aExchange,
@@ -217,6 +222,16 @@
   void Run(const batch_ptr& aBatch);
   void Drop(const batch_ptr& aBatch);
 
+  /** Stores the texts of long runs now and then while the batch runs. */
+  void PlanSave(const batch_ptr& aBatch);
+  /** Stores all that runs have made, then calls the function: once, whatever
+   * came of it. */
+  void SaveThen(const batch_ptr& aBatch,
+                int aTriesLeft,
+                std::function<void()> aDone);
+  void CommitBlock(const batch_ptr& aBatch,
+                   milliseconds aSaveLongerThan,
+                   std::function<void()> aDone);
   void PlanCommit(const batch_ptr& aBatch, milliseconds aPause);
   void Commit(const batch_ptr& aBatch);
   void SettleCommit(const batch_ptr& aBatch);
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -64,6 +64,44 @@
   return item;
 }
 
+json::value
+EncodePart(const text_part& aPart)
+{
+  json::array versions;
+  for (const auto version : aPart.mMade.mVersions) {
+    versions.emplace_back(version);
+  }
+  json::value part =
+    json::object{ { "item", static_cast<std::int64_t>(aPart.mItem) },
+                  { "last", aPart.mMade.mLastEvent.value_or(0) },
+                  { "text", aPart.mMade.mData },
+                  { "versions", std::move(versions) },
+                  { "whole", aPart.mMade.mIsWhole } };
+  if (aPart.mAfter) {
+    part.Set("after", *aPart.mAfter);
+  }
+  return part;
+}
+
+text_part
+DecodePart(const json::value& aValue)
+{
+  text_part part;
+  part.mItem = static_cast<std::size_t>(json::IntegerAt(aValue, "item", 0));
+  if (aValue.Find("after")) {
+    part.mAfter = json::IntegerAt(aValue, "after", 0);
+  }
+  part.mMade.mLastEvent = json::IntegerAt(aValue, "last", 0);
+  part.mMade.mData = json::StringAt(aValue, "text", "");
+  part.mMade.mIsWhole = json::BooleanAt(aValue, "whole", false);
+  if (const auto* versions = aValue.Find("versions")) {
+    for (const auto& version : versions->Elements()) {
+      part.mMade.mVersions.push_back(version.IntegerOr(0));
+    }
+  }
+  return part;
+}
+
 } // namespace
 
 bool
@@ -186,7 +224,16 @@
   for (std::size_t i = 0; i < aBlock.mEntries.size(); ++i) {
     text += (i > 0 ? "," : "") + aBlock.mEntries[i];
   }
-  return text + "]}";
+  text += ']';
+  if (!aBlock.mParts.empty()) {
+    json::array parts;
+    for (const auto& part : aBlock.mParts) {
+      parts.push_back(EncodePart(part));
+    }
+    text += ",\"writer\":" + json::Write(json::value(aBlock.mWriter)) +
+            ",\"parts\":" + json::Write(std::move(parts));
+  }
+  return text + "}";
 }
 
 std::optional<result_block>
@@ -205,6 +252,12 @@
   for (const auto& entry : entries->Elements()) {
     block.mEntries.push_back(json::Write(entry));
   }
+  block.mWriter = json::StringAt(aObject.mSpec, "writer", "");
+  if (const auto* parts = aObject.mSpec.Find("parts")) {
+    for (const auto& part : parts->Elements()) {
+      block.mParts.push_back(DecodePart(part));
+    }
+  }
   return block;
 }
 
--- a/Duties/Batches/Records.h
+++ b/Duties/Batches/Records.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Duties/Batches/Batch.h"
+#include "Duties/Batches/MadeText.h"
 
 #include <optional>
 
@@ -39,6 +40,9 @@
   std::vector<std::string> mItemIds;
   /** Each result as the JSON text that readers get. */
   std::vector<std::string> mEntries;
+  /** Parts of texts that have no result yet, and who made them. */
+  std::vector<text_part> mParts;
+  std::string mWriter;
 };
 
 std::string
--- a/Tests/Site/Support/ModelServer.cpp
+++ b/Tests/Site/Support/ModelServer.cpp
@@ -116,8 +116,9 @@
   }
   headers.Add("Content-Type", "text/event-stream");
   headers.Add("X-Weight-Versions", std::to_string(mVersion));
-  started->mNext =
-    static_cast<int>(request.mHeaders.Integer("Last-Event-Id").value_or(0)) + 1;
+  const auto after = request.mHeaders.Integer("Last-Event-Id").value_or(0);
+  mAfterEvents[started->mItem].push_back(after);
+  started->mNext = static_cast<int>(after) + 1;
   started->mVersion = mVersion;
   ++mOpenRuns;
   // Weak, as the run holds the exchange: a run that is open when a test ends
--- a/Tests/Site/Support/ModelServer.h
+++ b/Tests/Site/Support/ModelServer.h
@@ -34,6 +34,8 @@
   /** Epoch and holder of each order, as it came. */
   std::vector<std::pair<std::int64_t, std::string>> mOrders;
   std::map<std::string, int> mRuns;
+  /** Event after which each run of an item was asked to go on; 0 for none. */
+  std::map<std::string, std::vector<std::int64_t>> mAfterEvents;
   int mOpenRuns = 0;
   /** Turns new runs away as not executed. */
   bool mIsFull = false;
--- a/Tests/Site/TestBatchOwners.cpp
+++ b/Tests/Site/TestBatchOwners.cpp
@@ -152,4 +152,66 @@
   BOOST_TEST(OwnerOf(site, "b2") == "b");
 }
 
+// A step ends seconds late though its entry was back at once: the one that ran
+// it was killed, and the long runs began anew. What they had made is stored now
+// and then, and the next owner goes on after the last stored event.
+BOOST_AUTO_TEST_CASE(ALongRunGoesOnWhereItsOwnerDied)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  constexpr int kEvents = 60;
+  server.mEvents = kEvents;
+  server.mEventPause = 80ms;
+  site.Add(server);
+  site.mWeights["b"] = 0;
+  batch_entry first(site, "a");
+  batch_entry second(site, "b");
+  first.Submit("b1", 2);
+  const auto isStored = [&] {
+    const auto blocks = site.mState.mKinds.find(batches::kResultsKind);
+    return blocks != site.mState.mKinds.end() && !blocks->second.empty();
+  };
+  BOOST_TEST(site.mLoop.RunUntil(isStored));
+  first.mIsReachable = false;
+  BOOST_TEST(second.ListedIds("b1").empty());
+  BOOST_TEST(OwnerOf(site, "b1") == "b");
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return second.ListedIds("b1").size() == 2; }));
+  // A run from nothing is one that the first owner began.
+  BOOST_TEST(server.mRuns.at("b1i0") == 2);
+  BOOST_TEST(server.mAfterEvents.at("b1i0").back() >= 10);
+  const auto page = second.Read("b1", 0);
+  for (const auto& result : page.Find("results")->Elements()) {
+    const auto id = json::StringAt(result, "id", "");
+    std::string whole = id + "-1";
+    for (int i = 2; i <= kEvents; ++i) {
+      whole += "\n" + id + "-" + std::to_string(i);
+    }
+    BOOST_TEST(json::StringAt(result, "text", "") == whole);
+  }
+}
+
+// An entry that is told to end gives its batches away in time, and the runs
+// that are under way begin anew elsewhere: it stores them first.
+BOOST_AUTO_TEST_CASE(AnEntryThatLeavesHandsItsTextsOver)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  server.mEvents = 40;
+  server.mEventPause = 40ms;
+  site.Add(server);
+  site.mWeights["b"] = 0;
+  batch_entry first(site, "a");
+  batch_entry second(site, "b");
+  first.Submit("b1", 1);
+  site.mWeights["b"] = 1;
+  BOOST_TEST(site.mLoop.RunUntil([&] { return server.mRuns["b1i0"] == 1; }));
+  site.mLoop.RunUntil([] { return false; }, 600ms);
+  first.mService.HandOver();
+  BOOST_TEST(site.mLoop.RunUntil([&] { return OwnerOf(site, "b1") == "b"; }));
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return second.ListedIds("b1").size() == 1; }));
+  BOOST_TEST(server.mAfterEvents.at("b1i0").back() >= 5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Site/TestBatchPositions.cpp
+++ b/Tests/Site/TestBatchPositions.cpp
@@ -114,9 +114,11 @@
     BOOST_TEST(owner.ListedIds("b1").empty());
     BOOST_TEST((!isEnded || owner.End("b1") == 200u));
     const auto list = [&](int aBlock, const std::string& aItem) {
-      const batches::result_block block{
-        { aItem }, { R"({"id":")" + aItem + R"(","state":"completed"})" }
-      };
+      const batches::result_block block{ { aItem },
+                                         { R"({"id":")" + aItem +
+                                           R"(","state":"completed"})" },
+                                         {},
+                                         {} };
       standin::PutDirectly(site.mState,
                            batches::kResultsKind,
                            batches::ResultsName("b1", aBlock),
