Results gather by who waits for them

Hypothesis: a trainer can do nothing with a step until its target of whole groups is reached, so what comes before may gather for a second, and what may end the step must not gather at all.

--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -42,6 +42,10 @@
   std::vector<batch_item> mItems;
 };
 
+/** Group of the item with that id; null when there is no such item. */
+const std::string*
+GroupOf(const submission& aSubmission, const std::string& aItemId);
+
 /** Whose submission it is, and the host that it was sent to. */
 struct submission_origin
 {
--- a/Duties/Batches/BatchListing.cpp
+++ b/Duties/Batches/BatchListing.cpp
@@ -1,4 +1,5 @@
 #include "Duties/Batches/BatchService.h"
+#include "Duties/Batches/ListingPace.h"
 
 #include "Libraries/EventLog/EventLog.h"
 
@@ -13,13 +14,6 @@
 
 /** A block of results stays below the store's limit on objects. */
 constexpr std::size_t kBlockBytes = 900 << 10;
-/** Results gather this long before they are written as one block: each write
- * is a priced call, and trainers read about twice a second. */
-constexpr milliseconds kGatherGroups = 250ms;
-/** Results that complete no group are of no use to the trainer yet; they are
- * written so that a crash of this entry loses little work. */
-constexpr milliseconds kGatherParts = 1000ms;
-
 /** A text that has grown this long without being stored is written on its own:
  * an entry that dies then costs a step two seconds of a long run instead of all
  * of it, which is more than most steps have to spare. */
@@ -39,22 +33,6 @@
  * store is asked about twice as often while readers ask. */
 constexpr milliseconds kLookForMoreEach = 400ms;
 
-/** Whether every item of that item's group has a result. */
-bool
-CompletesGroup(const batch_record& aBatch, const std::string& aItemId)
-{
-  const auto& items = aBatch.mSubmission->mItems;
-  const auto item =
-    std::find_if(items.begin(), items.end(), [&](const auto& aCandidate) {
-      return aCandidate.mId == aItemId;
-    });
-  return item == items.end() ||
-         std::all_of(items.begin(), items.end(), [&](const auto& aCandidate) {
-           return aCandidate.mGroup != item->mGroup ||
-                  HasResult(aBatch.mLog, aCandidate.mId);
-         });
-}
-
 } // namespace
 
 void
@@ -65,11 +43,16 @@
     return;
   }
   const auto& batch = found->second;
+  const bool isNew = !HasResult(batch->mLog, aResult.mItemId);
   AddPending(
     batch->mLog, aResult.mItemId, mParts.mFormat.mEncodeResult(aResult));
+  const auto* group = GroupOf(*batch->mSubmission, aResult.mItemId);
+  const bool isWhole = isNew && group && NoteResult(batch->mGroups, *group);
   PlanCommit(batch,
-             CompletesGroup(*batch, aResult.mItemId) ? kGatherGroups
-                                                     : kGatherParts);
+             GatherTime(batch->mGroups,
+                        batch->mHead.mTargetGroups,
+                        mParts.mRunner.DueIn(aBatchId),
+                        isWhole));
 }
 
 void
@@ -143,7 +126,12 @@
       if (aReply.mOutcome == store_outcome::Done) {
         mParts.mRunner.NoteSaved(aBatch->mHead.mId, block->mParts);
         TakeListedBlock(aBatch, *block);
-        PlanCommit(aBatch, kGatherGroups);
+        // What came while the block was on its way has no time set.
+        const auto dueIn = mParts.mRunner.DueIn(aBatch->mHead.mId);
+        PlanCommit(
+          aBatch,
+          GatherTime(
+            aBatch->mGroups, aBatch->mHead.mTargetGroups, dueIn, true));
       } else if (aReply.mOutcome == store_outcome::Refused) {
         PlanCommit(aBatch, kRetryPause);
       } else {
@@ -209,6 +197,11 @@
                                const result_block& aBlock)
 {
   const auto news = TakeBlock(aBatch->mLog, aBlock);
+  for (const auto& itemId : news) {
+    if (const auto* group = GroupOf(*aBatch->mSubmission, itemId)) {
+      NoteResult(aBatch->mGroups, *group);
+    }
+  }
   events::line("results_listed")
     .With("batch", aBatch->mHead.mId)
     .With("block", static_cast<std::int64_t>(aBatch->mLog.mNextBlock - 1))
--- a/Duties/Batches/BatchLoading.cpp
+++ b/Duties/Batches/BatchLoading.cpp
@@ -141,6 +141,15 @@
   if (aBatch->mHead.mIsEnded) {
     return;
   }
+  aBatch->mGroups = {};
+  for (const auto& item : aBatch->mSubmission->mItems) {
+    NoteOpenItem(aBatch->mGroups, item.mGroup);
+  }
+  for (const auto& item : aBatch->mSubmission->mItems) {
+    if (HasResult(aBatch->mLog, item.mId)) {
+      NoteResult(aBatch->mGroups, item.mGroup);
+    }
+  }
   aBatch->mWriter = MakeRandomName();
   mParts.mRunner.Add(
     aBatch->mHead,
--- a/Duties/Batches/BatchRewards.cpp
+++ b/Duties/Batches/BatchRewards.cpp
@@ -44,8 +44,7 @@
     return 0;
   }
   const auto& group = batch->second.mItems[aPlace.mIndex].mItem->mGroup;
-  const auto open = batch->second.mOpenInGroup.find(group);
-  return open == batch->second.mOpenInGroup.end() ? 0 : open->second;
+  return OpenItems(batch->second.mGroups, group);
 }
 
 void
--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -25,7 +25,7 @@
     if (aHasResult(item.mId)) {
       progress.mPhase = item_phase::Ended;
     } else {
-      ++batch.mOpenInGroup[item.mGroup];
+      NoteOpenItem(batch.mGroups, item.mGroup);
     }
     batch.mItems.push_back(std::move(progress));
   }
@@ -68,6 +68,18 @@
   forget(mHealths, always);
 }
 
+milliseconds
+batch_runner::DueIn(const std::string& aBatchId) const
+{
+  const auto batch = mBatches.find(aBatchId);
+  if (batch == mBatches.end() || batch->second.mItems.empty()) {
+    return milliseconds(0);
+  }
+  const auto& running = batch->second;
+  const auto route = RouteOf(running, *running.mItems.front().mItem);
+  return (route ? route->mDue : site::route().mDue) - AgeOf(running.mHead);
+}
+
 std::size_t
 batch_runner::KnownServers() const
 {
@@ -152,7 +164,7 @@
 {
   if (aItem.mPhase != item_phase::Ended) {
     aItem.mPhase = item_phase::Ended;
-    --aBatch.mOpenInGroup[aItem.mItem->mGroup];
+    NoteResult(aBatch.mGroups, aItem.mItem->mGroup);
   }
 }
 
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -3,6 +3,7 @@
 #include "Duties/Batches/Batch.h"
 #include "Duties/Batches/EngineHealth.h"
 #include "Duties/Batches/EventStream.h"
+#include "Duties/Batches/GroupProgress.h"
 #include "Duties/Batches/MadeText.h"
 #include "Duties/Batches/Schedule.h"
 #include "Duties/Rewards/RewardCaller.h"
@@ -61,8 +62,7 @@
   batch_head mHead;
   std::shared_ptr<const submission> mSubmission;
   std::vector<item_progress> mItems;
-  /** Items without a result, by group. */
-  std::map<std::string, int> mOpenInGroup;
+  group_progress mGroups;
 };
 
 struct runner_parts
@@ -104,6 +104,8 @@
   /** Results that another entry has listed need no run. */
   void TakeListed(const std::string& aBatchId,
                   const std::vector<std::string>& aItemIds);
+  /** Time until all results of a batch that runs here are due. */
+  milliseconds DueIn(const std::string& aBatchId) const;
   /** Servers or configuration have changed. */
   void Dispatch();
   /** Servers of which something is remembered. */
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -54,6 +54,7 @@
   bool mIsLoading = false;
   std::shared_ptr<const submission> mSubmission;
   result_log mLog;
+  group_progress mGroups;
   /** Texts without result that were found while loading. */
   stored_texts mStored;
   /** Under which this load of the batch stores parts of texts. */
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -114,6 +114,17 @@
          });
 }
 
+const std::string*
+GroupOf(const submission& aSubmission, const std::string& aItemId)
+{
+  const auto& items = aSubmission.mItems;
+  const auto item =
+    std::find_if(items.begin(), items.end(), [&](const auto& aCandidate) {
+      return aCandidate.mId == aItemId;
+    });
+  return item == items.end() ? nullptr : &item->mGroup;
+}
+
 milliseconds
 AgeOf(const batch_head& aHead)
 {
