Early results gather for half a second

With a whole second, an outage of the store finds more results unlisted: groups that were whole then are read after it, too late.

--- a/Duties/Batches/ListingPace.cpp
+++ b/Duties/Batches/ListingPace.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr milliseconds kGatherEarly{ 1000 };
+constexpr milliseconds kGatherEarly{ 500 };
 /** Results that come within one turn of the loop go together. */
 constexpr milliseconds kGatherLast{ 10 };
 /** Near the due time a group counts by itself, whatever the others do. */
