Soak: reward calls with faults of the service that scores

Checked: a completed item bears the score of a call that the server answered with success, one that is given up had four errors.

--- a/Tests/Soak/Clients.cpp
+++ b/Tests/Soak/Clients.cpp
@@ -75,6 +75,7 @@
     auto batch = std::make_shared<submitted_batch>();
     batch->mId = "b" + std::to_string(mNext++);
     batch->mItems = std::uniform_int_distribution<int>(1, 24)(mRandom);
+    batch->mIsScored = std::uniform_int_distribution<int>(0, 1)(mRandom) == 1;
     batch->mMinimumVersion = std::max<std::int64_t>(1, mSite.mVersion - 1);
     mBatches.push_back(batch);
     Submit(batch);
@@ -118,12 +119,20 @@
 {
   json::array items;
   for (int i = 0; i < aBatch->mItems; ++i) {
-    items.push_back(
-      json::object{ { "id", aBatch->mId + "i" + std::to_string(i) },
-                    { "path", "/r/x" },
-                    { "headers", json::object{} },
-                    { "body", "aGVsbG8=" },
-                    { "group", "g" + std::to_string(i / 4) } });
+    const auto id = aBatch->mId + "i" + std::to_string(i);
+    json::value item = json::object{ { "id", id },
+                                     { "path", "/r/x" },
+                                     { "headers", json::object{} },
+                                     { "body", "aGVsbG8=" },
+                                     { "group", "g" + std::to_string(i / 4) } };
+    if (aBatch->mIsScored) {
+      item.Set("scorer",
+               json::object{ { "id", "r" + id },
+                             { "host", "score.example" },
+                             { "path", "/score/x" },
+                             { "body", "aGk=" } });
+    }
+    items.push_back(std::move(item));
   }
   auto request =
     Request("POST", "/r/" + aBatch->mId, "train.example", aBatch->mId);
@@ -238,6 +247,9 @@
       json::StringAt(aResult, "text", "") != ExpectedText(id, events)) {
     Find("item " + id + ": its text isn't whole");
   }
+  if (aBatch.mIsScored) {
+    CheckScore(aResult);
+  }
   if (const auto* versions = aResult.Find("versions")) {
     for (const auto& version : versions->Elements()) {
       if (version.IntegerOr(0) < aBatch.mMinimumVersion) {
@@ -247,6 +259,26 @@
   }
 }
 
+void
+soak_clients::CheckScore(const json::value& aResult)
+{
+  const auto id = json::StringAt(aResult, "id", "");
+  const auto call = "r" + id;
+  const auto& server = mSite.mRewards;
+  if (json::StringAt(aResult, "state", "") != "completed") {
+    constexpr int kAttempts = 4;
+    const auto errors = server.mErrors.find(call);
+    if (errors == server.mErrors.end() || errors->second < kAttempts) {
+      Find("item " + id + " was given up before its reward call had failed");
+    }
+    return;
+  }
+  if (json::StringAt(aResult, "score", "") != "seal-" + call ||
+      server.mScored.count(call) == 0) {
+    Find("item " + id + " is listed without the score of its reward call");
+  }
+}
+
 bool
 soak_clients::AreBatchesWhole() const
 {
--- a/Tests/Soak/Clients.h
+++ b/Tests/Soak/Clients.h
@@ -12,6 +12,8 @@
   std::int64_t mMinimumVersion = 1;
   bool mIsAccepted = false;
   /** Every try was answered that nothing runs. */
+  /** Its items name reward calls. */
+  bool mIsScored = false;
   bool mIsRefused = true;
   bool mIsSettled = false;
   bool mIsEnded = false;
@@ -45,6 +47,7 @@
                 std::size_t aAfter,
                 const edge::response& aAnswer);
   void CheckResult(const submitted_batch& aBatch, const json::value& aResult);
+  void CheckScore(const json::value& aResult);
   void Find(std::string aFinding);
 
   soak_site& mSite;
--- a/Tests/Soak/Site.cpp
+++ b/Tests/Soak/Site.cpp
@@ -83,6 +83,7 @@
   , mOptions(std::move(aOptions))
   , mStore(aLoop, mState)
   , mPlain(aLoop)
+  , mRewards(aLoop)
   , mReportListener(aLoop,
                     std::make_shared<edge::listener_limits>(),
                     [this](const auto& aExchange) { ServeReports(aExchange); })
@@ -126,10 +127,14 @@
        "kind":"safe","service":"desk","maxAttempts":2,"timeoutMs":3000},
       {"name":"once","host":"desk.example","pathPrefix":"/once/",
        "kind":"non_idempotent","service":"desk","maxAttempts":2,
-       "timeoutMs":3000}],
+       "timeoutMs":3000},
+      {"name":"reward","host":"score.example","pathPrefix":"/score/",
+       "kind":"safe","service":"judges","maxAttempts":4,"timeoutMs":3000,
+       "targetLatencyMs":300,"authExempt":true}],
     "services":[
       {"name":"models","engine":{"slots":8,"models":[{"name":"model"}]}},
-      {"name":"desk"}],
+      {"name":"desk"},
+      {"name":"judges"}],
     "tenants":[{"name":"customer","apiKeys":["key"]}]})";
   standin::PutDirectly(mState, "config", "main", spec);
 }
@@ -147,12 +152,18 @@
         R"(","zone":"zone","slots":8,"state":"ready","models":[)" +
         R"({"name":"model","version":)" + version + "}]}");
   }
-  standin::PutDirectly(mState,
-                       "servers",
-                       "desk-1",
-                       R"({"service":"desk","address":")" +
-                         Local(mPlain.Port()) +
-                         R"(","zone":"zone","slots":8,"state":"ready"})");
+  const auto putPlain = [this](const std::string& aId,
+                               const std::string& aService,
+                               unsigned short aPort) {
+    standin::PutDirectly(mState,
+                         "servers",
+                         aId,
+                         R"({"service":")" + aService + R"(","address":")" +
+                           Local(aPort) +
+                           R"(","zone":"zone","slots":8,"state":"ready"})");
+  };
+  putPlain("desk-1", "desk", mPlain.Port());
+  putPlain("judge-1", "judges", mRewards.Port());
 }
 
 void
@@ -274,6 +285,7 @@
 {
   mState.mFault = standin::store_fault::None;
   mPlain.mLosesAnswers = 0;
+  mRewards.mFaulty = 0;
   for (auto& entry : mEntries) {
     entry->mStoreLink->SetFault(link_fault::None);
     entry->mProcess.Signal(SIGCONT);
--- a/Tests/Soak/Site.h
+++ b/Tests/Soak/Site.h
@@ -5,6 +5,7 @@
 #include "Tests/Site/Support/ModelServer.h"
 #include "Tests/Soak/FaultProxy.h"
 #include "Tests/Soak/Process.h"
+#include "Tests/Soak/RewardServer.h"
 
 #include <random>
 #include <set>
@@ -82,6 +83,7 @@
   standin::memory_store_state mState;
   standin::store_listener mStore;
   plain_server mPlain;
+  reward_server mRewards;
   std::vector<std::unique_ptr<entry_instance>> mEntries;
   std::vector<std::unique_ptr<agent_instance>> mAgents;
   std::int64_t mVersion = 1;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -145,6 +145,9 @@
     { "configuration changed",
       [](soak_site& aSite, std::mt19937_64&) { aSite.ChangeConfiguration(); },
       nothing },
+    { "reward calls fail",
+      [](soak_site& aSite, std::mt19937_64&) { aSite.mRewards.mFaulty = 0.3; },
+      [](soak_site& aSite) { aSite.mRewards.mFaulty = 0; } },
   };
 }
 
