--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Batches/BatchRunner.h"
 
+#include "Libraries/Core/Mechanisms.h"
 #include "Libraries/EventLog/EventLog.h"
 
 #include <algorithm>
@@ -52,7 +53,8 @@
   const double usual = UsualEventTime(mHealths);
   for (const auto& [id, row] : mParts.mDirectory.mRows) {
     if (row.mServer.mIsLeaving ||
-        !MayUse(mHealths, id, mParts.mDirectory.mRows.size(), now)) {
+        (IsOn(mechanism::RunBreakers) &&
+         !MayUse(mHealths, id, mParts.mDirectory.mRows.size(), now))) {
       continue;
     }
     engine_view engine;
@@ -118,10 +120,12 @@
       batch.mHead.mSubmittedAt.time_since_epoch());
     for (std::size_t i = 0; i < batch.mItems.size(); ++i) {
       if (batch.mItems[i].mPhase == item_phase::Waiting) {
-        waiting.push_back(
-          { { submitted.count(), batch.mItems[i].mItem->mExpectedTokens },
-            &batch,
-            i });
+        waiting.push_back({ { submitted.count(),
+                              IsOn(mechanism::LongestFirst)
+                                ? batch.mItems[i].mItem->mExpectedTokens
+                                : 0 },
+                            &batch,
+                            i });
       }
     }
   }
@@ -142,7 +146,7 @@
       StartRun(*next.mBatch, next.mIndex, engines[*chosen], *route);
     }
   }
-  if (waiting.empty()) {
+  if (waiting.empty() && IsOn(mechanism::SlowServerMoves)) {
     MoveFromSlow(engines, now);
   }
   PlanLook();
--- a/Duties/Batches/BatchOwners.cpp
+++ b/Duties/Batches/BatchOwners.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Batches/BatchService.h"
 
 #include "Duties/Batches/PeerCall.h"
+#include "Libraries/Core/Mechanisms.h"
 #include "Libraries/EventLog/EventLog.h"
 
 namespace lavender::batches {
@@ -36,6 +37,9 @@
 batch_service::DesignatedOwner(const std::string& aCustomer,
                                const std::string& aModel) const
 {
+  if (!IsOn(mechanism::DesignatedOwners) && !mIsLeaving) {
+    return mParts.mName;
+  }
   const auto now = boot_clock::now();
   auto candidates = mParts.mEntries();
   for (auto& candidate : candidates) {
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Batches/BatchRunner.h"
 
 #include "Libraries/Core/Base64.h"
+#include "Libraries/Core/Mechanisms.h"
 #include "Libraries/EventLog/EventLog.h"
 
 #include <algorithm>
@@ -200,7 +201,9 @@
   } else if (aRun->mFacts.mIsNotExecuted) {
     outcome = "not_executed";
     Block(item->mServer, kBusyPause);
-    mTrials.emplace(item->mServer, 0);
+    if (IsOn(mechanism::TrialOfOneRun)) {
+      mTrials.emplace(item->mServer, 0);
+    }
   } else if (aEnd == edge::call_end::Complete && status == kCannotBeDone) {
     LogRunEnd(*item, batch, "cannot_be_done", aEnd, status);
     FinishItem(batch, *item, item_end::GivenUp);
--- a/Duties/Batches/BatchTexts.cpp
+++ b/Duties/Batches/BatchTexts.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Batches/BatchRunner.h"
 
+#include "Libraries/Core/Mechanisms.h"
 #include "Libraries/EventLog/EventLog.h"
 
 namespace lavender::batches {
@@ -11,7 +12,7 @@
 {
   std::vector<text_part> parts;
   const auto batch = mBatches.find(aBatchId);
-  if (batch == mBatches.end()) {
+  if (batch == mBatches.end() || !IsOn(mechanism::StoredTexts)) {
     return parts;
   }
   const auto now = boot_clock::now();
--- a/Duties/Batches/ListingPace.cpp
+++ b/Duties/Batches/ListingPace.cpp
@@ -1,5 +1,7 @@
 #include "Duties/Batches/ListingPace.h"
 
+#include "Libraries/Core/Mechanisms.h"
+
 namespace lavender::batches {
 
 namespace {
@@ -10,6 +12,8 @@
 /** Near the due time a group counts by itself, whatever the others do. */
 constexpr milliseconds kGatherDue{ 100 };
 constexpr milliseconds kNearDue{ 1500 };
+/** One pace for all whole groups, where the mechanism is off. */
+constexpr milliseconds kGatherEven{ 250 };
 
 } // namespace
 
@@ -22,6 +26,9 @@
   if (!aIsGroupWhole) {
     return kGatherEarly;
   }
+  if (!IsOn(mechanism::ListingPace)) {
+    return kGatherEven;
+  }
   if (aProgress.mWholeGroups >= aTargetGroups) {
     return kGatherLast;
   }
--- a/Duties/Batches/Schedule.cpp
+++ b/Duties/Batches/Schedule.cpp
@@ -1,5 +1,7 @@
 #include "Duties/Batches/Schedule.h"
 
+#include "Libraries/Core/Mechanisms.h"
+
 #include <algorithm>
 
 namespace lavender::batches {
@@ -67,7 +69,8 @@
       best = i;
     }
   }
-  if (home && aEngines[*home].mIsSlow == aEngines[*best].mIsSlow &&
+  if (home && IsOn(mechanism::GroupHomes) &&
+      aEngines[*home].mIsSlow == aEngines[*best].mIsSlow &&
       aEngines[*home].mOwnRuns <= aEngines[*best].mOwnRuns + kHomeSlack) {
     return home;
   }
--- a/Duties/Rewards/Hedging.cpp
+++ b/Duties/Rewards/Hedging.cpp
@@ -1,5 +1,7 @@
 #include "Duties/Rewards/Hedging.h"
 
+#include "Libraries/Core/Mechanisms.h"
+
 #include <algorithm>
 #include <vector>
 
@@ -58,7 +60,7 @@
 bool
 TakeHedge(hedge_budget& aBudget)
 {
-  if (aBudget.mEarned < 1) {
+  if (aBudget.mEarned < 1 || !IsOn(mechanism::HedgedRewards)) {
     return false;
   }
   aBudget.mEarned -= 1;
--- a/Duties/Rewards/RewardCaller.cpp
+++ b/Duties/Rewards/RewardCaller.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Rewards/RewardCaller.h"
 
 #include "Libraries/Core/Base64.h"
+#include "Libraries/Core/Mechanisms.h"
 #include "Libraries/EventLog/EventLog.h"
 
 #include <algorithm>
@@ -53,7 +54,7 @@
   std::vector<std::shared_ptr<sending>> mOpen;
   /** Servers that didn't serve it, or that have it now. */
   std::vector<std::string> mTried;
-  /** Since when the newest copy is under way; a second one is sent later. */
+  /** When a second copy is sent; max for never. */
   time_point mHedgeAt = time_point::max();
   std::unique_ptr<boost::asio::steady_timer> mTimer;
   int mErrors = 0;
@@ -130,10 +131,13 @@
     }
     waiting.emplace_back(held->mRequest.mRank(), held);
   }
-  std::stable_sort(
-    waiting.begin(), waiting.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.first < aRight.first;
-    });
+  if (IsOn(mechanism::RewardOrder)) {
+    std::stable_sort(waiting.begin(),
+                     waiting.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.first < aRight.first;
+                     });
+  }
   for (const auto& [rank, next] : waiting) {
     if (!next->mIsOver && !Send(next)) {
       PlanDispatch(kBusyPause);
@@ -157,21 +161,26 @@
   return pick;
 }
 
+std::shared_ptr<const site::route>
+reward_caller::RouteOf(const call& aCall) const
+{
+  const auto& asked = aCall.mRequest.mCall;
+  return mParts.mConfiguration
+           ? site::FindRoute(*mParts.mConfiguration, asked.mHost, asked.mPath)
+           : nullptr;
+}
+
 bool
 reward_caller::Send(const call_ptr& aCall)
 {
-  const auto now = boot_clock::now();
-  const auto& asked = aCall->mRequest;
-  const auto route = mParts.mConfiguration
-                       ? site::FindRoute(*mParts.mConfiguration,
-                                         asked.mCall.mHost,
-                                         asked.mCall.mPath)
-                       : nullptr;
+  const auto route = RouteOf(*aCall);
   if (!route) {
     // It may come back with the next configuration; until then the item waits,
     // as one without a route of its own does.
-    aCall->mNotBefore = now + kNoRoutePause;
-    mParts.mMetrics.Count("lavender_rewards_total", { { "end", "no_route" } });
+    aCall->mNotBefore = boot_clock::now() + kNoRoutePause;
+    events::line("reward_unroutable")
+      .With("request", aCall->mRequest.mItemId)
+      .With("reward", aCall->mRequest.mCall.mId);
     return false;
   }
   const auto pick = PickFor(aCall, *route);
@@ -179,62 +188,81 @@
                  MostUnderWay(mParts.mRouter.PlacesOf(pick->mPool))) {
     return false;
   }
+  SendTo(aCall, *route, *pick);
+  return true;
+}
+
+void
+reward_caller::SendTo(const call_ptr& aCall,
+                      const site::route& aRoute,
+                      const forwarding::server_pick& aPick)
+{
+  const auto now = boot_clock::now();
   const auto timeLeft =
     std::max(1ms,
-             std::min(Since(now, asked.mGiveUpAt),
-                      route->mTimeout.value_or(kDefaultTime)));
+             std::min(Since(now, aCall->mRequest.mGiveUpAt),
+                      aRoute.mTimeout.value_or(kDefaultTime)));
   auto sent = std::make_shared<sending>();
-  sent->mPick = *pick;
+  sent->mPick = aPick;
   sent->mSentAt = now;
-  sent->mEndsAt = now + PatienceFor(route->mTargetLatency, timeLeft);
+  sent->mEndsAt = now + PatienceFor(aRoute.mTargetLatency, timeLeft);
   sent->mIsHedge = !aCall->mOpen.empty();
   aCall->mOpen.push_back(sent);
-  aCall->mTried.push_back(pick->mServer.mId);
+  aCall->mTried.push_back(aPick.mServer.mId);
   if (aCall->mSendings++ == 0) {
     NoteFirstSending(mBudget);
   }
   aCall->mHedgeAt = sent->mIsHedge
                       ? time_point::max()
-                      : now + HedgeAfter(mDurations, route->mTargetLatency);
-  ++mUnderWay[pick->mPool];
-  mParts.mRouter.NoteSent(*pick, now);
+                      : now + HedgeAfter(mDurations, aRoute.mTargetLatency);
+  ++mUnderWay[aPick.mPool];
+  mParts.mRouter.NoteSent(aPick, now);
+  events::line("reward_sent")
+    .With("request", aCall->mRequest.mItemId)
+    .With("reward", aCall->mRequest.mCall.mId)
+    .With("server", aPick.mServer.mId)
+    .With("requests_there", static_cast<std::int64_t>(aPick.mRequests))
+    .With("sending", static_cast<std::int64_t>(aCall->mSendings))
+    .With("hedge", static_cast<std::int64_t>(sent->mIsHedge))
+    .With("waited_ms", Since(aCall->mAskedAt, now));
+  StartSending(aCall, sent, timeLeft);
+  Arm(aCall);
+}
 
+void
+reward_caller::StartSending(const call_ptr& aCall,
+                            const std::shared_ptr<sending>& aSending,
+                            milliseconds aTimeLeft)
+{
+  const auto& asked = aCall->mRequest;
+  const auto& server = aSending->mPick.mServer;
   edge::request request;
   request.mMethod = "POST";
   request.mTarget = asked.mCall.mPath;
   request.mHeaders.Set("Host", asked.mCall.mHost);
+  // Checked when the batch was submitted.
   request.mBody = DecodeBase64(asked.mCall.mBodyBase64).mValue.value_or("");
   site::attempt attempt;
   attempt.mAttemptId = asked.mCall.mId;
-  attempt.mServerId = pick->mServer.mId;
+  attempt.mServerId = server.mId;
   attempt.mCustomer = asked.mCustomer;
-  attempt.mTimeLeft = timeLeft;
+  attempt.mTimeLeft = aTimeLeft;
   edge::call_options options;
   options.mConnectTimeout = kConnectTimeout;
-  options.mSilenceTimeout = timeLeft + 1s;
+  options.mSilenceTimeout = aTimeLeft + 1s;
   edge::call_events events;
-  events.mOnHead = [this, sent](const edge::response& aHead) {
-    TakeHead(sent, aHead);
+  events.mOnHead = [this, aSending](const edge::response& aHead) {
+    TakeHead(aSending, aHead);
   };
   events.mOnBody = [](std::string_view) {};
-  events.mOnEnd = [this, aCall, sent](edge::call_end aEnd) {
-    TakeEnd(aCall, sent, aEnd);
+  events.mOnEnd = [this, aCall, aSending](edge::call_end aEnd) {
+    TakeEnd(aCall, aSending, aEnd);
   };
-  events::line("reward_sent")
-    .With("request", asked.mItemId)
-    .With("reward", asked.mCall.mId)
-    .With("server", pick->mServer.mId)
-    .With("requests_there", static_cast<std::int64_t>(pick->mRequests))
-    .With("sending", static_cast<std::int64_t>(aCall->mSendings))
-    .With("hedge", static_cast<std::int64_t>(sent->mIsHedge))
-    .With("waited_ms", Since(aCall->mAskedAt, now));
-  sent->mHandle =
-    mParts.mClients.Start(pick->mServer.mAddress,
+  aSending->mHandle =
+    mParts.mClients.Start(server.mAddress,
                           mParts.mProtocol.mAddress(request, attempt),
                           options,
                           std::move(events));
-  Arm(aCall);
-  return true;
 }
 
 void
@@ -249,6 +277,20 @@
   }
 }
 
+answer_kind
+reward_caller::KindOf(const call& aCall,
+                      const sending& aSending,
+                      edge::call_end aEnd)
+{
+  answer_view view;
+  view.mEnd = aEnd;
+  view.mStatus = aSending.mStatus;
+  view.mIsNotExecuted = aSending.mFacts.mIsNotExecuted;
+  view.mIsForeign = aSending.mFacts.mAttemptId != aCall.mRequest.mCall.mId;
+  view.mIsSigned = !aSending.mFacts.mSignature.empty();
+  return Judge(view);
+}
+
 void
 reward_caller::TakeEnd(const call_ptr& aCall,
                        const std::shared_ptr<sending>& aSending,
@@ -257,15 +299,7 @@
   if (aCall->mIsOver || !aSending->mIsOpen) {
     return;
   }
-  const auto now = boot_clock::now();
-  const auto& asked = aCall->mRequest;
-  answer_view view;
-  view.mEnd = aEnd;
-  view.mStatus = aSending->mStatus;
-  view.mIsNotExecuted = aSending->mFacts.mIsNotExecuted;
-  view.mIsForeign = aSending->mFacts.mAttemptId != asked.mCall.mId;
-  view.mIsSigned = !aSending->mFacts.mSignature.empty();
-  const auto kind = Judge(view);
+  const auto kind = KindOf(*aCall, *aSending, aEnd);
   aCall->mErrors += kind == answer_kind::ServerError ? 1 : 0;
   aCall->mOpen.erase(
     std::remove(aCall->mOpen.begin(), aCall->mOpen.end(), aSending),
@@ -274,27 +308,44 @@
         kind == answer_kind::Scored       ? routing::evidence::Success
         : kind == answer_kind::TurnedAway ? routing::evidence::Neutral
                                           : routing::evidence::Failure);
+  LogAnswer(*aCall, *aSending, kind, aEnd);
+  if (kind == answer_kind::TurnedAway) {
+    NoteTurnedAway(mBudget);
+  }
+  Decide(aCall, aSending, kind);
+}
+
+void
+reward_caller::LogAnswer(const call& aCall,
+                         const sending& aSending,
+                         answer_kind aKind,
+                         edge::call_end aEnd)
+{
   events::line("reward_answered")
-    .With("request", asked.mItemId)
-    .With("reward", asked.mCall.mId)
-    .With("server", aSending->mPick.mServer.mId)
-    .With("outcome", WordFor(kind))
+    .With("request", aCall.mRequest.mItemId)
+    .With("reward", aCall.mRequest.mCall.mId)
+    .With("server", aSending.mPick.mServer.mId)
+    .With("outcome", WordFor(aKind))
     .With("end", edge::WordFor(aEnd))
-    .With("status", static_cast<std::int64_t>(aSending->mStatus))
-    .With("errors", static_cast<std::int64_t>(aCall->mErrors))
-    .With("hedge", static_cast<std::int64_t>(aSending->mIsHedge))
-    .With("took_ms", Since(aSending->mSentAt, now));
+    .With("status", static_cast<std::int64_t>(aSending.mStatus))
+    .With("errors", static_cast<std::int64_t>(aCall.mErrors))
+    .With("hedge", static_cast<std::int64_t>(aSending.mIsHedge))
+    .With("took_ms", Since(aSending.mSentAt, boot_clock::now()));
   mParts.mMetrics.Count("lavender_reward_answers_total",
-                        { { "outcome", WordFor(kind) } });
-  const auto route = mParts.mConfiguration
-                       ? site::FindRoute(*mParts.mConfiguration,
-                                         asked.mCall.mHost,
-                                         asked.mCall.mPath)
-                       : nullptr;
+                        { { "outcome", WordFor(aKind) } });
+}
+
+void
+reward_caller::Decide(const call_ptr& aCall,
+                      const std::shared_ptr<sending>& aSending,
+                      answer_kind aKind)
+{
+  const auto now = boot_clock::now();
+  const auto route = RouteOf(*aCall);
   // Without its route nobody knows how often the call may fail.
   const auto step =
-    route || kind == answer_kind::Scored
-      ? DecideNext(kind, aCall->mErrors, route ? route->mMaximumAttempts : 1)
+    route || aKind == answer_kind::Scored
+      ? DecideNext(aKind, aCall->mErrors, route ? route->mMaximumAttempts : 1)
       : next_step::SendLater;
   switch (step) {
     case next_step::Deliver:
@@ -305,14 +356,14 @@
       Finish(aCall, std::nullopt);
       return;
     case next_step::SendLater:
-      NoteTurnedAway(mBudget);
-      aCall->mNotBefore = now + kBusyPause;
-      break;
     case next_step::SendAgain:
-      aCall->mNotBefore = now;
       break;
   }
-  PlanDispatch(Since(now, aCall->mNotBefore));
+  const auto pause = aKind == answer_kind::ServerError
+                       ? 0ms
+                       : PauseBefore(step, aCall->mSendings);
+  aCall->mNotBefore = now + pause;
+  PlanDispatch(pause);
 }
 
 void
--- a/Duties/Rewards/RewardCaller.h
+++ b/Duties/Rewards/RewardCaller.h
@@ -47,14 +47,32 @@
 
   void Dispatch();
   void PlanDispatch(milliseconds aPause);
+  std::shared_ptr<const site::route> RouteOf(const call& aCall) const;
+  /** @return false when the call can't be sent now */
   bool Send(const call_ptr& aCall);
+  void SendTo(const call_ptr& aCall,
+              const site::route& aRoute,
+              const forwarding::server_pick& aPick);
+  void StartSending(const call_ptr& aCall,
+                    const std::shared_ptr<sending>& aSending,
+                    milliseconds aTimeLeft);
   std::optional<forwarding::server_pick> PickFor(const call_ptr& aCall,
                                                  const site::route& aRoute);
   void TakeHead(const std::shared_ptr<sending>& aSending,
                 const edge::response& aHead);
+  static answer_kind KindOf(const call& aCall,
+                            const sending& aSending,
+                            edge::call_end aEnd);
   void TakeEnd(const call_ptr& aCall,
                const std::shared_ptr<sending>& aSending,
                edge::call_end aEnd);
+  void LogAnswer(const call& aCall,
+                 const sending& aSending,
+                 answer_kind aKind,
+                 edge::call_end aEnd);
+  void Decide(const call_ptr& aCall,
+              const std::shared_ptr<sending>& aSending,
+              answer_kind aKind);
   void Arm(const call_ptr& aCall);
   void Look(const call_ptr& aCall);
   void Close(const std::shared_ptr<sending>& aSending,
--- a/Duties/Rewards/RewardDecision.cpp
+++ b/Duties/Rewards/RewardDecision.cpp
@@ -1,6 +1,9 @@
 #include "Duties/Rewards/RewardDecision.h"
 
+#include "Libraries/Core/Mechanisms.h"
+
 #include <algorithm>
+#include <limits>
 
 namespace lavender::rewards {
 
@@ -12,6 +15,12 @@
  * are missing. */
 constexpr int kLeastUnderWay = 4;
 constexpr unsigned kServerError = 500;
+/** Sendings that follow each other at once. */
+constexpr int kSentAtOnce = 2;
+/** Some places come free in it. */
+constexpr milliseconds kFirstPause{ 60 };
+constexpr milliseconds kLongestPause{ 1000 };
+constexpr int kMostDoublings = 8;
 
 } // namespace
 
@@ -67,6 +76,16 @@
   return next_step::SendLater;
 }
 
+milliseconds
+PauseBefore(next_step aStep, int aSendings)
+{
+  if (aStep == next_step::SendAgain && aSendings <= kSentAtOnce) {
+    return milliseconds(0);
+  }
+  const auto doublings = std::clamp(aSendings - kSentAtOnce, 0, kMostDoublings);
+  return std::min(kFirstPause * (1 << doublings), kLongestPause);
+}
+
 milliseconds
 PatienceFor(milliseconds aTargetLatency, milliseconds aTimeLeft)
 {
@@ -76,7 +95,9 @@
 int
 MostUnderWay(int aPlaces)
 {
-  return std::max(aPlaces / kShareOfPlaces, kLeastUnderWay);
+  return IsOn(mechanism::RewardLimit)
+           ? std::max(aPlaces / kShareOfPlaces, kLeastUnderWay)
+           : std::numeric_limits<int>::max();
 }
 
 } // namespace lavender::rewards
--- a/Duties/Rewards/RewardDecision.h
+++ b/Duties/Rewards/RewardDecision.h
@@ -41,7 +41,7 @@
   Deliver,
   /** To another server, at once. */
   SendAgain,
-  /** After a pause: the servers have no place. */
+  /** After a pause. */
   SendLater,
   /** The service has failed the call as often as its route allows. */
   GiveUp
@@ -53,6 +53,12 @@
 next_step
 DecideNext(answer_kind aKind, int aErrors, int aMaximumAttempts);
 
+/** How long to wait before a call is sent again. The first sending may have met
+ * one bad server, so the second goes at once; after that the service itself is
+ * in trouble, and calls that come again at once would keep it there. */
+milliseconds
+PauseBefore(next_step aStep, int aSendings);
+
 /** How long a server may be silent before the call goes to another one: twice
  * the target, which all but the slowest answers keep, and at most what is
  * left. */
--- a/Duties/Rewards/TestRewardDecision.cpp
+++ b/Duties/Rewards/TestRewardDecision.cpp
@@ -75,6 +75,21 @@
               next_step::SendLater));
 }
 
+// A service answers each call at once with something that can't be used, and is
+// called thousands of times a second by the items that wait for it.
+BOOST_AUTO_TEST_CASE(CallsToAServiceInTroubleComeMoreAndMoreSeldom)
+{
+  BOOST_TEST((PauseBefore(next_step::SendAgain, 1) == 0ms));
+  BOOST_TEST((PauseBefore(next_step::SendLater, 1) > 0ms));
+  milliseconds waited{ 0 };
+  constexpr int kSendings = 60;
+  for (int sendings = 1; sendings <= kSendings; ++sendings) {
+    waited += PauseBefore(next_step::SendAgain, sendings);
+  }
+  BOOST_TEST((waited > 50s));
+  BOOST_TEST((PauseBefore(next_step::SendAgain, 1000) <= 1s));
+}
+
 // Groups end late though most of their items are scored: the calls went in the
 // order in which the texts came, and each group's last one stood behind the
 // first ones of many others.
--- a/Duties/Versions/Placement.cpp
+++ b/Duties/Versions/Placement.cpp
@@ -1,5 +1,7 @@
 #include "Duties/Versions/Placement.h"
 
+#include "Libraries/Core/Mechanisms.h"
+
 #include <algorithm>
 
 namespace lavender::versions {
@@ -60,7 +62,8 @@
     }
   }
   std::sort(behind.begin(), behind.end());
-  const auto parts = static_cast<std::size_t>(aLag + 1);
+  const auto parts =
+    IsOn(mechanism::VersionSpread) ? static_cast<std::size_t>(aLag + 1) : 1;
   const std::size_t wanted = (aShare.size() + parts - 1) / parts;
   std::vector<std::string> due;
   for (const auto& [version, id] : behind) {
--- /dev/null
+++ b/Libraries/Core/Mechanisms.cpp
@@ -0,0 +1,68 @@
+#include "Libraries/Core/Mechanisms.h"
+
+#include <map>
+#include <sstream>
+
+namespace lavender {
+
+namespace {
+
+const std::map<std::string, mechanism>&
+Names()
+{
+  static const std::map<std::string, mechanism> names = {
+    { "group-homes", mechanism::GroupHomes },
+    { "longest-first", mechanism::LongestFirst },
+    { "slow-server-moves", mechanism::SlowServerMoves },
+    { "run-breakers", mechanism::RunBreakers },
+    { "trial-of-one-run", mechanism::TrialOfOneRun },
+    { "designated-owners", mechanism::DesignatedOwners },
+    { "stored-texts", mechanism::StoredTexts },
+    { "listing-pace", mechanism::ListingPace },
+    { "hedged-rewards", mechanism::HedgedRewards },
+    { "reward-order", mechanism::RewardOrder },
+    { "reward-limit", mechanism::RewardLimit },
+    { "version-spread", mechanism::VersionSpread },
+  };
+  return names;
+}
+
+std::set<mechanism>&
+Off()
+{
+  static std::set<mechanism> off;
+  return off;
+}
+
+} // namespace
+
+bool
+IsOn(mechanism aMechanism)
+{
+  return Off().count(aMechanism) == 0;
+}
+
+std::set<mechanism>
+ReadMechanisms(const std::string& aNames,
+               const std::string& aSetting,
+               findings& aFindings)
+{
+  std::set<mechanism> read;
+  std::istringstream input(aNames);
+  for (std::string name; std::getline(input, name, ',');) {
+    if (const auto known = Names().find(name); known != Names().end()) {
+      read.insert(known->second);
+    } else {
+      aFindings.Add(aSetting, "no mechanism is called " + name);
+    }
+  }
+  return read;
+}
+
+void
+SwitchOff(std::set<mechanism> aMechanisms)
+{
+  Off() = std::move(aMechanisms);
+}
+
+} // namespace lavender
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -185,6 +185,7 @@
 site_entry::Run()
 {
   std::signal(SIGPIPE, SIG_IGN);
+  SwitchOff(mSettings.mSwitchedOff);
   if (const auto problem = Open(); !problem.empty()) {
     events::line("start_failed").With("reason", problem);
     return 1;
--- a/Services/Entry/SiteSettings.cpp
+++ b/Services/Entry/SiteSettings.cpp
@@ -59,6 +59,11 @@
   setting metrics;
   metrics.mFlag = "metrics-listen";
   metrics.mDescription = "Address of the metrics page; empty for none.";
+  setting without;
+  without.mFlag = "without";
+  without.mDescription =
+    "For experiments, never in production: names of mechanisms that are "
+    "switched off, with commas between.";
   setting share;
   share.mFlag = "processor-share";
   share.mDescription = "Part of a processor core that this process may use; "
@@ -105,6 +110,7 @@
            1,
            600),
     share,
+    without,
     Number("memory", "Memory of the process.", "MB", 256, 16, 1 << 20),
     Number("descriptors",
            "File descriptors that may be open.",
@@ -136,6 +142,8 @@
   read.mLeaseDuration = aValues.Milliseconds("lease-duration");
   read.mKeepResults = std::chrono::seconds(aValues.Integer("keep-results"));
   read.mGrace = std::chrono::seconds(aValues.Integer("grace"));
+  read.mSwitchedOff =
+    ReadMechanisms(aValues.Text("without"), "--without", aFindings);
   read.mProcessorShare = aValues.Decimal("processor-share");
   // Bodies are held until their answer, beside the batches' results and the
   // tables; a quarter leaves room for both.
--- a/Services/Entry/SiteSettings.h
+++ b/Services/Entry/SiteSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Libraries/Core/Clock.h"
+#include "Libraries/Core/Mechanisms.h"
 #include "Libraries/Edge/Message.h"
 #include "Libraries/Settings/Settings.h"
 
@@ -28,6 +29,8 @@
   milliseconds mGrace{ 8000 };
   /** Part of a processor core that this process may use. */
   double mProcessorShare = 1;
+  /** By an experiment. */
+  std::set<mechanism> mSwitchedOff;
   std::size_t mMaximumConnections = 1000;
   /** Of request bodies held at once. */
   std::size_t mMaximumBufferedBytes = 64 << 20;
--- a/Services/Entry/TestTraceCommand.cpp
+++ b/Services/Entry/TestTraceCommand.cpp
@@ -28,4 +28,16 @@
   BOOST_TEST(entry::TraceRequest({ first, second }, "unknown").empty());
 }
 
+// An item missed its step, and nothing was wrong with its run: the call that
+// scored it went to two servers. Its id leads to the same lines.
+BOOST_AUTO_TEST_CASE(TellsWhatTheRewardCallOfAnItemDid)
+{
+  const std::string log =
+    R"({"at_ms":1,"process":"a","event":"item_run_ended","request":"i1","batch":"b1"}
+{"at_ms":2,"process":"a","event":"reward_sent","request":"i1","reward":"r1"}
+{"at_ms":3,"process":"a","event":"reward_answered","request":"i1","reward":"r1"})";
+  BOOST_TEST(entry::TraceRequest({ log }, "i1").size() == 3u);
+  BOOST_TEST(entry::TraceRequest({ log }, "r1").size() == 2u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Services/Entry/TraceCommand.cpp
+++ b/Services/Entry/TraceCommand.cpp
@@ -73,8 +73,9 @@
   std::vector<trace_line> story;
   for (const auto& line : lines) {
     const auto batch = json::StringAt(line, "batch", "");
-    const bool names =
-      json::StringAt(line, "request", "") == aId || batch == aId;
+    const bool names = json::StringAt(line, "request", "") == aId ||
+                       batch == aId ||
+                       json::StringAt(line, "reward", "") == aId;
     const bool explains = batches.count(batch) > 0 &&
                           IsAboutWholeBatch(json::StringAt(line, "event", ""));
     if (names || explains) {
