--- a/Duties/Batches/BatchListing.cpp
+++ b/Duties/Batches/BatchListing.cpp
@@ -88,16 +88,11 @@
     aDone();
     return;
   }
-  auto block = std::make_shared<result_block>();
+  const auto block =
+    std::make_shared<result_block>(FirstPending(aBatch->mLog, kBlockBytes));
   std::size_t bytes = 0;
-  const auto& pending = aBatch->mLog.mPending;
-  for (std::size_t i = 0; i < pending.mItemIds.size(); ++i) {
-    bytes += pending.mEntries[i].size();
-    if (i > 0 && bytes > kBlockBytes) {
-      break;
-    }
-    block->mItemIds.push_back(pending.mItemIds[i]);
-    block->mEntries.push_back(pending.mEntries[i]);
+  for (const auto& entry : block->mEntries) {
+    bytes += entry.size();
   }
   block->mWriter = aBatch->mWriter;
   block->mParts =
--- a/Duties/Batches/ResultLog.h
+++ b/Duties/Batches/ResultLog.h
@@ -38,6 +38,11 @@
 std::vector<std::string>
 TakeBlock(result_log& aLog, const result_block& aBlock);
 
+/** The results that have waited longest, at most that many bytes but at least
+ * one if there is one. */
+result_block
+FirstPending(const result_log& aLog, std::size_t aBytes);
+
 struct log_page
 {
   std::size_t mNext = 0;
