Reading: one way in which a reward call leaves the list

Cancelling and finishing a reward call tore it down in the same six lines each; both call one function now. A field that nobody read and a check that the next one repeats are gone. Behaviour is the same: the unit tests of rewards, and of reward calls, owners and submissions on a site, pass; format and lint of the files are clean.

--- a/Duties/Batches/BatchRewards.cpp
+++ b/Duties/Batches/BatchRewards.cpp
@@ -24,7 +24,6 @@
   rewards::reward_request request;
   request.mCall = *item.mItem->mReward;
   request.mItemId = item.mItem->mId;
-  request.mBatchId = aBatch.mHead.mId;
   request.mCustomer = aBatch.mHead.mCustomer;
   request.mGiveUpAt = now + TimeUntilGivenUp(age, limits.mMaximumQueueing);
   request.mRank = [this, where, dueAt = now - age + limits.mDue] {
--- a/Duties/Rewards/RewardCall.h
+++ b/Duties/Rewards/RewardCall.h
@@ -42,7 +42,6 @@
 {
   reward_call mCall;
   std::string mItemId;
-  std::string mBatchId;
   /** Customer of the batch. */
   std::string mCustomer;
   /** When the item may be given up. */
--- a/Duties/Rewards/RewardCaller.cpp
+++ b/Duties/Rewards/RewardCaller.cpp
@@ -89,14 +89,9 @@
   if (found == mCalls.end()) {
     return;
   }
+  // Held here: the list's own pointer goes with its entry.
   const auto cancelled = found->second;
-  mCalls.erase(found);
-  cancelled->mIsOver = true;
-  cancelled->mTimer->cancel();
-  for (const auto& open : std::exchange(cancelled->mOpen, {})) {
-    Close(open, routing::evidence::Neutral);
-  }
-  PlanDispatch(0ms);
+  Retire(cancelled);
 }
 
 void
@@ -421,7 +416,7 @@
 }
 
 void
-reward_caller::Finish(const call_ptr& aCall, std::optional<std::string> aScore)
+reward_caller::Retire(const call_ptr& aCall)
 {
   mCalls.erase(aCall->mNumber);
   aCall->mIsOver = true;
@@ -429,12 +424,18 @@
   for (const auto& open : std::exchange(aCall->mOpen, {})) {
     Close(open, routing::evidence::Neutral);
   }
+  PlanDispatch(0ms);
+}
+
+void
+reward_caller::Finish(const call_ptr& aCall, std::optional<std::string> aScore)
+{
+  Retire(aCall);
   mParts.mMetrics.Count("lavender_rewards_total",
                         { { "end", aScore ? "scored" : "given_up" } });
   mParts.mMetrics.Observe("lavender_reward_seconds",
                           { { "end", aScore ? "scored" : "given_up" } },
                           boot_clock::now() - aCall->mAskedAt);
-  PlanDispatch(0ms);
   const auto done = std::move(aCall->mRequest.mOnEnd);
   done(std::move(aScore));
 }
--- a/Duties/Rewards/RewardCaller.h
+++ b/Duties/Rewards/RewardCaller.h
@@ -77,6 +77,8 @@
   void Look(const call_ptr& aCall);
   void Close(const std::shared_ptr<sending>& aSending,
              routing::evidence aEvidence);
+  /** Takes a call off the list, and cuts what is still under way for it. */
+  void Retire(const call_ptr& aCall);
   void Finish(const call_ptr& aCall, std::optional<std::string> aScore);
 
   caller_parts mParts;
--- a/Duties/Rewards/RewardDecision.cpp
+++ b/Duties/Rewards/RewardDecision.cpp
@@ -43,9 +43,6 @@
 answer_kind
 Judge(const answer_view& aAnswer)
 {
-  if (aAnswer.mEnd == edge::call_end::NotSent) {
-    return answer_kind::Unusable;
-  }
   if (aAnswer.mEnd != edge::call_end::Complete || aAnswer.mIsForeign) {
     return answer_kind::Unusable;
   }
