The feed and its mirrors know time and other entries through functions alone

Same behaviour. A test can then run histories of an entry's losses and returns on a clock of its own; on the loop's clock a single one took seconds.

--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -80,13 +80,20 @@
   return order;
 }
 
+feed_asker
+AskerOf(const edge::exchange_ptr& aExchange)
+{
+  return { [aExchange](edge::response aAnswer) {
+            aExchange->Answer(std::move(aAnswer));
+          },
+           [aExchange] { return aExchange->IsEnded(); } };
+}
+
 store_feed::store_feed(feed_parts aParts, std::vector<followed_kind> aKinds)
   : mParts(std::move(aParts))
   , mKinds(std::move(aKinds))
   , mLife(MakeRandomName())
-  , mTimer(mParts.mLoop)
-  , mProbeTimer(mParts.mLoop)
-  , mAnswerTimer(mParts.mLoop)
+  , mFreshAt(Now())
 {
 }
 
@@ -112,7 +119,7 @@
 void
 store_feed::Avoid(const std::string& aName, milliseconds aTime)
 {
-  mAvoidedUntil[aName] = boot_clock::now() + aTime;
+  mAvoidedUntil[aName] = Now() + aTime;
 }
 
 std::vector<feed_candidate>
@@ -124,7 +131,7 @@
 void
 store_feed::Choose()
 {
-  const auto now = boot_clock::now();
+  const auto now = Now();
   for (const auto& candidate : Candidates()) {
     if (!IsTried(candidate, now)) {
       continue;
@@ -154,17 +161,14 @@
   edge::call_options options;
   options.mConnectTimeout = kConnectTimeout;
   options.mSilenceTimeout = kAnswerTimeout;
-  edge::FetchWhole(mParts.mClients,
-                   mParts.mLoop,
-                   mSource,
-                   request,
-                   options,
-                   kAnswerTimeout,
-                   64 << 20,
-                   [this, question = ++mQuestion, name = mSourceName](
-                     edge::call_end aEnd, const edge::response& aAnswer) {
-                     TakeAnswer(question, name, aEnd, aAnswer);
-                   });
+  mParts.mCall(mSource,
+               request,
+               options,
+               kAnswerTimeout,
+               [this, question = ++mQuestion, name = mSourceName](
+                 edge::call_end aEnd, const edge::response& aAnswer) {
+                 TakeAnswer(question, name, aEnd, aAnswer);
+               });
 }
 
 void
@@ -184,15 +188,14 @@
     if (mIsWatching) {
       events::line("feed_followed").With("entry", aName);
       StopWatching();
-      mFollowsSince = boot_clock::now();
+      mFollowsSince = Now();
     }
-    if (aName > mParts.mName &&
-        boot_clock::now() - mFollowsSince > kLookForBetter) {
-      mFollowsSince = boot_clock::now();
+    if (aName > mParts.mName && Now() - mFollowsSince > kLookForBetter) {
+      mFollowsSince = Now();
       LookWhetherStoreAnswers();
     }
     Apply(*feed);
-    mFreshAt = boot_clock::now();
+    mFreshAt = Now();
     SetReachable(true);
     AnswerAll();
     Ask();
@@ -201,12 +204,7 @@
   const bool follows =
     aEnd == edge::call_end::Complete && aAnswer.mStatus == kFollows;
   if (follows && !mIsWatching && mWaitsForSource++ < kMostWaitsForSource) {
-    mTimer.expires_after(kWaitForSource);
-    mTimer.async_wait([this](const auto& aError) {
-      if (!aError) {
-        Choose();
-      }
-    });
+    mNextLook = mParts.mScheduler.mAfter(kWaitForSource, [this] { Choose(); });
     return;
   }
   events::line("feed_lost")
@@ -302,7 +300,7 @@
       AnswerAll();
     };
     mMirrors.push_back(std::make_shared<objects::mirror>(
-      mParts.mLoop, mParts.mStore, options, heard));
+      mParts.mScheduler, mParts.mStore, options, heard));
     mMirrors.back()->Start();
   }
   Probe();
@@ -317,19 +315,18 @@
     mirror->Stop();
   }
   mMirrors.clear();
-  mProbeTimer.cancel();
+  mNextProbe.reset();
   AnswerAll();
 }
 
 void
 store_feed::LookForBetter()
 {
-  mTimer.expires_after(kLookForBetter);
-  mTimer.async_wait([this](const auto& aError) {
-    if (aError || !mIsWatching) {
+  mNextLook = mParts.mScheduler.mAfter(kLookForBetter, [this] {
+    if (!mIsWatching) {
       return;
     }
-    const auto now = boot_clock::now();
+    const auto now = Now();
     for (const auto& candidate : Candidates()) {
       if (IsTried(candidate, now)) {
         mSourceName = candidate.mName;
@@ -345,9 +342,8 @@
 void
 store_feed::Probe()
 {
-  mProbeTimer.expires_after(kProbeEach);
-  mProbeTimer.async_wait([this](const auto& aError) {
-    if (aError || !mIsWatching) {
+  mNextProbe = mParts.mScheduler.mAfter(kProbeEach, [this] {
+    if (!mIsWatching) {
       return;
     }
     const auto answered = std::make_shared<bool>(false);
@@ -359,11 +355,8 @@
     };
     mParts.mStore.mGet(
       mParts.mProbeKind, mParts.mName, objects::freshness::MayBeStale, take);
-    mProbeTimer.expires_after(kProbeTimeout);
-    mProbeTimer.async_wait([take](const auto& aStopped) {
-      if (!aStopped) {
-        take({ store_outcome::Unknown, {} });
-      }
+    mNextProbe = mParts.mScheduler.mAfter(kProbeTimeout, [take] {
+      take({ store_outcome::Unknown, {} });
     });
   });
 }
@@ -382,7 +375,7 @@
     }
   }
   if (answers) {
-    mFreshAt = boot_clock::now();
+    mFreshAt = Now();
   }
   SetReachable(answers);
   AnswerAll();
@@ -396,7 +389,7 @@
 store_feed::FollowAnyone()
 {
   // The store may turn this instance away and serve the others.
-  const auto now = boot_clock::now();
+  const auto now = Now();
   for (const auto& candidate : mParts.mCandidates()) {
     if (candidate.mName != mParts.mName && IsTried(candidate, now)) {
       mSourceName = candidate.mName;
@@ -415,7 +408,7 @@
   if (!mIsWatching) {
     // Passed on from one whose turn comes before; never in a circle.
     return mSourceName < mParts.mName && mSourceNumber > 0 &&
-           boot_clock::now() - mFreshAt < kAnswerTimeout;
+           Now() - mFreshAt < kAnswerTimeout;
   }
   return mDoesStoreAnswer &&
          std::all_of(mMirrors.begin(), mMirrors.end(), [](const auto& aMirror) {
@@ -424,12 +417,12 @@
 }
 
 void
-store_feed::Serve(const edge::exchange_ptr& aExchange)
+store_feed::Serve(const edge::request& aQuestion, feed_asker aAsker)
 {
-  const auto& headers = aExchange->mRequest.mHeaders;
+  const auto& headers = aQuestion.mHeaders;
   asking asked;
-  asked.mExchange = aExchange;
-  asked.mUntil = boot_clock::now() + kHold;
+  asked.mAsker = std::move(aAsker);
+  asked.mUntil = Now() + kHold;
   if (headers.ValueOr(kLifeField, "") == mLife) {
     asked.mSince = headers.Integer(kSinceField);
   }
@@ -440,21 +433,21 @@
 void
 store_feed::AnswerAll()
 {
-  const auto now = boot_clock::now();
+  const auto now = Now();
   const bool canServe = CanServe();
   std::vector<asking> kept;
   for (auto& asked : mAsking) {
-    if (asked.mExchange->IsEnded()) {
+    if (asked.mAsker.mHasLeft()) {
       continue;
     }
     if (!canServe) {
       // One that has just begun to watch will know in a moment.
       const unsigned status =
         mIsWatching && !mDoesStoreAnswer ? kUnreachable : kFollows;
-      asked.mExchange->Answer({ status, {}, {} });
+      asked.mAsker.mAnswer({ status, {}, {} });
     } else if (!asked.mSince || *asked.mSince < mState.mNewest ||
                now >= asked.mUntil) {
-      asked.mExchange->Answer(
+      asked.mAsker.mAnswer(
         { 200, {}, EncodeFeed(mState, mLife, asked.mSince) });
     } else {
       kept.push_back(std::move(asked));
@@ -474,13 +467,9 @@
   for (const auto& asked : mAsking) {
     next = std::min(next, asked.mUntil);
   }
-  mAnswerTimer.expires_after(
-    std::max(next - boot_clock::now(), std::chrono::nanoseconds(1ms)));
-  mAnswerTimer.async_wait([this](const auto& aError) {
-    if (!aError) {
-      AnswerAll();
-    }
-  });
+  const auto wait = std::chrono::ceil<milliseconds>(next - Now());
+  mNextAnswer = mParts.mScheduler.mAfter(std::max<milliseconds>(wait, 1ms),
+                                         [this] { AnswerAll(); });
 }
 
 void
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -1,12 +1,11 @@
 #pragma once
 
 #include "Duties/Feed/FeedState.h"
+#include "Libraries/Core/Scheduler.h"
 #include "Libraries/Edge/Caller.h"
 #include "Libraries/Edge/Listener.h"
 #include "Libraries/ObjectStore/Mirror.h"
 
-#include <boost/asio/steady_timer.hpp>
-
 namespace lavender::feed {
 
 struct followed_kind
@@ -33,11 +32,17 @@
 
 struct feed_parts
 {
-  boost::asio::io_context& mLoop;
+  scheduler mScheduler;
   const objects::object_store& mStore;
   /** The same store without other entries' help: whether it serves this one. */
   const objects::object_store& mDirectStore;
-  edge::client_pool& mClients;
+  /** Calls another entry; the deadline is of the whole call. */
+  std::function<void(const edge::endpoint&,
+                     const edge::request&,
+                     const edge::call_options&,
+                     milliseconds aDeadline,
+                     edge::whole_answer)>
+    mCall;
   std::string mName;
   /** An object of this entry's own, read to learn whether the store answers. */
   std::string mProbeKind;
@@ -47,6 +52,16 @@
   std::function<void(bool aIsReachable)> mOnContact;
 };
 
+/** Where the answer to another entry's question goes. */
+struct feed_asker
+{
+  std::function<void(edge::response)> mAnswer;
+  std::function<bool()> mHasLeft;
+};
+
+feed_asker
+AskerOf(const edge::exchange_ptr& aExchange);
+
 /** Keeps this entry up to date about some kinds of objects.
  *
  * The first entry by name watches the store; the others ask it, or one that
@@ -63,7 +78,7 @@
 
   void Start();
   /** Another entry's question. */
-  void Serve(const edge::exchange_ptr& aExchange);
+  void Serve(const edge::request& aQuestion, feed_asker aAsker);
   /** Every kind has been listed at least once. */
   bool HasListed() const;
   bool IsReachable() const { return mIsReachable; }
@@ -72,8 +87,7 @@
   /** How long ago what is known here was known to be the store's state. */
   milliseconds Age() const
   {
-    return std::chrono::duration_cast<milliseconds>(boot_clock::now() -
-                                                    mFreshAt);
+    return std::chrono::duration_cast<milliseconds>(Now() - mFreshAt);
   }
   /** The entry that this one hears from, unless it watches itself. */
   std::optional<edge::endpoint> Source() const
@@ -85,11 +99,12 @@
 private:
   struct asking
   {
-    edge::exchange_ptr mExchange;
+    feed_asker mAsker;
     std::optional<feed_number> mSince;
     time_point mUntil;
   };
 
+  time_point Now() const { return mParts.mScheduler.mNow(); }
   std::vector<feed_candidate> Candidates() const;
   void Choose();
   bool IsTried(const feed_candidate& aCandidate, time_point aNow) const;
@@ -120,9 +135,9 @@
   std::vector<asking> mAsking;
   std::map<std::string, time_point> mAvoidedUntil;
   std::map<std::string, bool> mIsListed;
-  boost::asio::steady_timer mTimer;
-  boost::asio::steady_timer mProbeTimer;
-  boost::asio::steady_timer mAnswerTimer;
+  planned_action mNextLook;
+  planned_action mNextProbe;
+  planned_action mNextAnswer;
   edge::endpoint mSource;
   std::string mSourceName;
   std::string mSourceLife;
@@ -130,7 +145,7 @@
   std::uint64_t mQuestion = 0;
   int mWaitsForSource = 0;
   time_point mFollowsSince;
-  time_point mFreshAt = boot_clock::now();
+  time_point mFreshAt;
   bool mIsWatching = false;
   bool mDoesStoreAnswer = true;
   bool mIsReachable = true;
--- a/Libraries/ObjectStore/Mirror.cpp
+++ b/Libraries/ObjectStore/Mirror.cpp
@@ -2,14 +2,14 @@
 
 namespace lavender::objects {
 
-mirror::mirror(boost::asio::io_context& aLoop,
+mirror::mirror(scheduler aScheduler,
                const object_store& aStore,
                mirror_options aOptions,
                mirror_events aEvents)
   : mStore(aStore)
   , mOptions(std::move(aOptions))
   , mEvents(std::move(aEvents))
-  , mTimer(aLoop)
+  , mScheduler(std::move(aScheduler))
 {
 }
 
@@ -27,7 +27,7 @@
 mirror::Stop()
 {
   mIsStopped = true;
-  mTimer.cancel();
+  mPlanned.reset();
 }
 
 void
@@ -36,7 +36,7 @@
   if (!mIsStarted || mIsStopped) {
     return;
   }
-  mTimer.cancel();
+  mPlanned.reset();
   if (mHasListed) {
     Watch();
   } else {
@@ -47,13 +47,12 @@
 void
 mirror::After(milliseconds aPause, std::function<void()> aAction)
 {
-  mTimer.expires_after(aPause);
-  mTimer.async_wait([self = shared_from_this(),
-                     action = std::move(aAction)](const auto& aError) {
-    if (!aError && !self->mIsStopped) {
-      action();
-    }
-  });
+  mPlanned = mScheduler.mAfter(
+    aPause, [self = weak_from_this(), action = std::move(aAction)] {
+      if (const auto mirror = self.lock(); mirror && !mirror->mIsStopped) {
+        action();
+      }
+    });
 }
 
 void
--- a/Libraries/ObjectStore/Mirror.h
+++ b/Libraries/ObjectStore/Mirror.h
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "Libraries/Core/Scheduler.h"
 #include "Libraries/ObjectStore/ObjectStore.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 
@@ -39,7 +38,7 @@
 class mirror : public std::enable_shared_from_this<mirror>
 {
 public:
-  mirror(boost::asio::io_context& aLoop,
+  mirror(scheduler aScheduler,
          const object_store& aStore,
          mirror_options aOptions,
          mirror_events aEvents);
@@ -67,7 +66,8 @@
   const object_store& mStore;
   const mirror_options mOptions;
   const mirror_events mEvents;
-  boost::asio::steady_timer mTimer;
+  const scheduler mScheduler;
+  planned_action mPlanned;
   std::map<std::string, stored_object> mObjects;
   revision_number mRevision = 0;
   /** Of a listing's first page: changes during the listing come again. */
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -3,6 +3,7 @@
 #include "Duties/Batches/PeerCall.h"
 #include "Duties/Site/EntryKind.h"
 #include "Libraries/Core/Identity.h"
+#include "Libraries/Edge/LoopScheduler.h"
 #include "Libraries/EventLog/EventLog.h"
 #include "platform/BatchMessages.h"
 #include "platform/Decode.h"
@@ -32,6 +33,8 @@
 /** All entries of a new site start within 0.3 s; by then each finds the others
  * in the list, and most needn't watch the store themselves. */
 constexpr milliseconds kJoinAfter = 350ms;
+/** A whole feed of the largest site planned for is a few MB. */
+constexpr std::size_t kMaximumFeed = 64 << 20;
 /** A usage report that isn't answered within this is settled by a repeat. */
 constexpr milliseconds kReportTimeout = 1200ms;
 
@@ -98,10 +101,23 @@
                     std::function<void(billing::report_outcome)> aDone) {
                SendUsage(aReport, std::move(aDone));
              } })
-  , mFeed({ mLoop,
+  , mFeed({ edge::LoopScheduler(mLoop),
             mStore,
             mDirectStore,
-            *mClients,
+            [this](const edge::endpoint& aEntry,
+                   const edge::request& aRequest,
+                   const edge::call_options& aOptions,
+                   milliseconds aDeadline,
+                   edge::whole_answer aDone) {
+              edge::FetchWhole(*mClients,
+                               mLoop,
+                               aEntry,
+                               aRequest,
+                               aOptions,
+                               aDeadline,
+                               kMaximumFeed,
+                               std::move(aDone));
+            },
             mSettings.mName,
             site::kEntryKind,
             [this] {
--- a/Services/Entry/SiteEntryServing.cpp
+++ b/Services/Entry/SiteEntryServing.cpp
@@ -127,7 +127,7 @@
     return std::string_view(target).substr(0, aPrefix.size()) == aPrefix;
   };
   if (target == feed::kFeedPath) {
-    mFeed.Serve(aExchange);
+    mFeed.Serve(aExchange->mRequest, feed::AskerOf(aExchange));
   } else if (target == platform::kHelpPath) {
     platform::ServeHelpCall(aExchange, mDirectTransport);
   } else if (startsWith(batches::kPeerPath)) {
--- a/StandIns/ObjectStore/MemoryStore.cpp
+++ b/StandIns/ObjectStore/MemoryStore.cpp
@@ -1,7 +1,5 @@
 #include "StandIns/ObjectStore/MemoryStore.h"
 
-#include "Libraries/Edge/RunAfter.h"
-
 #include <functional>
 
 namespace lavender::standin {
@@ -72,16 +70,16 @@
 }
 
 void
-Write(boost::asio::io_context& aLoop,
+Write(const scheduler& aScheduler,
       memory_store_state& aState,
       write_call aCall,
       objects::object_done aDone)
 {
   ++aState.mCalls;
-  const auto answer = [&aLoop, done = std::move(aDone)](
+  const auto answer = [aScheduler, done = std::move(aDone)](
                         milliseconds aPause, objects::object_reply aReply) {
-    edge::RunAfter(
-      aLoop, aPause, [done, reply = std::move(aReply)] { done(reply); });
+    RunAfter(
+      aScheduler, aPause, [done, reply = std::move(aReply)] { done(reply); });
   };
   const objects::object_reply unknown{ store_outcome::Unknown, {} };
   switch (aState.mFault) {
@@ -99,8 +97,9 @@
       answer(aState.mSilence, unknown);
       return;
     case store_fault::Late:
-      edge::RunAfter(
-        aLoop, aState.mLateness, [&aState, aCall] { Apply(aState, aCall); });
+      RunAfter(aScheduler, aState.mLateness, [&aState, aCall] {
+        Apply(aState, aCall);
+      });
       answer(aState.mSilence, unknown);
       return;
   }
@@ -121,7 +120,7 @@
 }
 
 void
-Watch(boost::asio::io_context& aLoop,
+Watch(const scheduler& aScheduler,
       memory_store_state& aState,
       const std::string& aKind,
       objects::revision_number aSince,
@@ -133,7 +132,7 @@
   objects::watch_reply reply;
   if (const auto fault = ReadFault(aState)) {
     reply.mOutcome = *fault;
-    edge::RunAfter(aLoop, aState.mSilence, [aDone, reply] { aDone(reply); });
+    RunAfter(aScheduler, aState.mSilence, [aDone, reply] { aDone(reply); });
     return;
   }
   reply.mOutcome = aSince < aState.mForgottenBefore ? store_outcome::HistoryGone
@@ -146,24 +145,24 @@
   reply.mStoreRevision = aState.mRevision;
   if (!reply.mEvents.empty() || aLeft <= 0ms ||
       reply.mOutcome != store_outcome::Done) {
-    edge::RunAfter(aLoop, aState.mLatency, [aDone, reply] { aDone(reply); });
+    RunAfter(aScheduler, aState.mLatency, [aDone, reply] { aDone(reply); });
     return;
   }
-  edge::RunAfter(aLoop, kLookEach, [=, &aLoop, &aState] {
-    Watch(aLoop, aState, aKind, aSince, aLeft - kLookEach, aDone);
+  RunAfter(aScheduler, kLookEach, [=, &aState] {
+    Watch(aScheduler, aState, aKind, aSince, aLeft - kLookEach, aDone);
   });
 }
 
 } // namespace
 
 objects::object_store
-MakeMemoryStore(boost::asio::io_context& aLoop, memory_store_state& aState)
+MakeMemoryStore(const scheduler& aScheduler, memory_store_state& aState)
 {
   objects::object_store store;
-  store.mGet = [&](const auto& aKind,
-                   const auto& aName,
-                   objects::freshness aFreshness,
-                   auto aDone) {
+  store.mGet = [aScheduler, &aState](const auto& aKind,
+                                     const auto& aName,
+                                     objects::freshness aFreshness,
+                                     auto aDone) {
     ++aState.mCalls;
     aState.mStaleReads += aFreshness == objects::freshness::MayBeStale;
     objects::object_reply reply{ store_outcome::NotFound, {} };
@@ -175,9 +174,10 @@
                found != aState.mKinds[aKind].end()) {
       reply = { store_outcome::Done, found->second };
     }
-    edge::RunAfter(aLoop, pause, [aDone, reply] { aDone(reply); });
+    RunAfter(aScheduler, pause, [aDone, reply] { aDone(reply); });
   };
-  store.mList = [&](const auto& aKind, const auto& aAfter, auto, auto aDone) {
+  store.mList = [aScheduler, &aState](
+                  const auto& aKind, const auto& aAfter, auto, auto aDone) {
     ++aState.mCalls;
     objects::list_reply reply;
     reply.mOutcome = ReadFault(aState).value_or(store_outcome::Done);
@@ -187,41 +187,44 @@
         reply.mObjects.push_back(object);
       }
     }
-    edge::RunAfter(aLoop, aState.mLatency, [aDone, reply] { aDone(reply); });
+    RunAfter(aScheduler, aState.mLatency, [aDone, reply] { aDone(reply); });
   };
-  store.mWatch = [&](const auto& aKind, auto aSince, auto aWait, auto aDone) {
+  store.mWatch = [aScheduler, &aState](
+                   const auto& aKind, auto aSince, auto aWait, auto aDone) {
     ++aState.mCalls;
-    Watch(aLoop, aState, aKind, aSince, aWait, aDone);
+    Watch(aScheduler, aState, aKind, aSince, aWait, aDone);
   };
   store.mCreate =
-    [&](const auto& aKind, const auto& aName, auto aJson, auto aDone) {
-      Write(aLoop,
+    [aScheduler,
+     &aState](const auto& aKind, const auto& aName, auto aJson, auto aDone) {
+      Write(aScheduler,
             aState,
             { write_kind::Create, aKind, aName, 0, aJson },
             std::move(aDone));
     };
-  store.mReplace = [&](const auto& aKind,
-                       const auto& aName,
-                       auto aExpected,
-                       auto aJson,
-                       auto aDone) {
-    Write(aLoop,
+  store.mReplace = [aScheduler, &aState](const auto& aKind,
+                                         const auto& aName,
+                                         auto aExpected,
+                                         auto aJson,
+                                         auto aDone) {
+    Write(aScheduler,
           aState,
           { write_kind::Replace, aKind, aName, aExpected, aJson },
           std::move(aDone));
   };
-  store.mReplaceStatus = [&](const auto& aKind,
-                             const auto& aName,
-                             auto aExpected,
-                             auto aJson,
-                             auto aDone) {
-    Write(aLoop,
+  store.mReplaceStatus = [aScheduler, &aState](const auto& aKind,
+                                               const auto& aName,
+                                               auto aExpected,
+                                               auto aJson,
+                                               auto aDone) {
+    Write(aScheduler,
           aState,
           { write_kind::ReplaceStatus, aKind, aName, aExpected, aJson },
           std::move(aDone));
   };
-  store.mDelete = [&](const auto& aKind, const auto& aName, auto aDone) {
-    Write(aLoop,
+  store.mDelete = [aScheduler,
+                   &aState](const auto& aKind, const auto& aName, auto aDone) {
+    Write(aScheduler,
           aState,
           { write_kind::Delete, aKind, aName, 0, "" },
           std::move(aDone));
--- a/StandIns/ObjectStore/MemoryStore.h
+++ b/StandIns/ObjectStore/MemoryStore.h
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "Libraries/Core/Scheduler.h"
 #include "Libraries/ObjectStore/ObjectStore.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <map>
 #include <memory>
@@ -50,7 +49,7 @@
 /** A store whose state the test owns and may change at any time.
  * @param aState outlives the store */
 objects::object_store
-MakeMemoryStore(boost::asio::io_context& aLoop, memory_store_state& aState);
+MakeMemoryStore(const scheduler& aScheduler, memory_store_state& aState);
 
 /** Writes as an operator would, past all faults. */
 void
--- a/StandIns/ObjectStore/StoreListener.cpp
+++ b/StandIns/ObjectStore/StoreListener.cpp
@@ -1,5 +1,7 @@
 #include "StandIns/ObjectStore/StoreListener.h"
 
+#include "Libraries/Edge/LoopScheduler.h"
+
 #include <map>
 
 namespace lavender::standin {
@@ -156,7 +158,7 @@
 
 store_listener::store_listener(boost::asio::io_context& aLoop,
                                memory_store_state& aState)
-  : mStore(MakeMemoryStore(aLoop, aState))
+  : mStore(MakeMemoryStore(edge::LoopScheduler(aLoop), aState))
   , mListener(aLoop,
               std::make_shared<edge::listener_limits>(),
               [this](const auto& aExchange) { Serve(aExchange); })
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -1,6 +1,7 @@
 #include "Tests/Site/Support/BatchEntry.h"
 
 #include "Duties/Batches/PeerCall.h"
+#include "Libraries/Edge/LoopScheduler.h"
 #include "Libraries/Edge/RunAfter.h"
 
 namespace lavender::tests {
@@ -82,7 +83,8 @@
 
 batch_entry::batch_entry(batch_site& aSite, const std::string& aName)
   : mSite(aSite)
-  , mStore(standin::MakeMemoryStore(aSite.mLoop.mLoop, aSite.mState))
+  , mStore(standin::MakeMemoryStore(edge::LoopScheduler(aSite.mLoop.mLoop),
+                                    aSite.mState))
   , mRewards({ aSite.mLoop.mLoop,
                *aSite.mClients,
                aSite.mProtocol,
@@ -136,7 +138,7 @@
   };
   heard.mOnEvent = [this](const auto& aEvent) { mService.TakeEvent(aEvent); };
   mHeads = std::make_shared<objects::mirror>(
-    aSite.mLoop.mLoop, mStore, options, heard);
+    edge::LoopScheduler(aSite.mLoop.mLoop), mStore, options, heard);
   mHeads->Start();
 }
 
--- a/Tests/Site/TestFeed.cpp
+++ b/Tests/Site/TestFeed.cpp
@@ -1,4 +1,5 @@
 #include "Duties/Feed/StoreFeed.h"
+#include "Libraries/Edge/LoopScheduler.h"
 #include "StandIns/ObjectStore/MemoryStore.h"
 #include "Tests/Site/Support/Loop.h"
 
@@ -22,12 +23,25 @@
     : mClients(std::move(aClients))
     , mName(std::move(aName))
     , mPeers(aPeers)
-    , mStore(standin::MakeMemoryStore(aLoop.mLoop, aState))
+    , mStore(standin::MakeMemoryStore(edge::LoopScheduler(aLoop.mLoop), aState))
     , mFeed(
-        { aLoop.mLoop,
+        { edge::LoopScheduler(aLoop.mLoop),
           mStore,
           mStore,
-          *mClients,
+          [this, &aLoop](const auto& aEntry,
+                         const auto& aRequest,
+                         const auto& aOptions,
+                         milliseconds aDeadline,
+                         auto aDone) {
+            edge::FetchWhole(*mClients,
+                             aLoop.mLoop,
+                             aEntry,
+                             aRequest,
+                             aOptions,
+                             aDeadline,
+                             1 << 20,
+                             std::move(aDone));
+          },
           mName,
           "entries",
           [this] {
@@ -57,7 +71,7 @@
                   if (mIsSilent) {
                     mHeld.push_back(aExchange);
                   } else {
-                    mFeed.Serve(aExchange);
+                    mFeed.Serve(aExchange->mRequest, feed::AskerOf(aExchange));
                   }
                 })
   {
--- a/Tests/Site/TestUsageDuty.cpp
+++ b/Tests/Site/TestUsageDuty.cpp
@@ -1,4 +1,5 @@
 #include "Duties/Billing/UsageDuty.h"
+#include "Libraries/Edge/LoopScheduler.h"
 #include "Libraries/Edge/RunAfter.h"
 #include "StandIns/ObjectStore/MemoryStore.h"
 #include "Tests/Site/Support/Loop.h"
@@ -75,7 +76,8 @@
 struct usage_entry
 {
   usage_entry(usage_site& aSite, const std::string& aName)
-    : mStore(standin::MakeMemoryStore(aSite.mLoop.mLoop, aSite.mState))
+    : mStore(standin::MakeMemoryStore(edge::LoopScheduler(aSite.mLoop.mLoop),
+                                      aSite.mState))
     , mDuty({ aSite.mLoop.mLoop,
               mStore,
               *aSite.mClients,
