Log: from whom a configuration came, how old its origin's knowledge was, why an entry refuses others

The record of the incident doesn't tell a dead watch from an entry that follows itself through another, nor why two entries that know the newest configuration refuse all others. New: source and known_ms_ago on configuration_in_force, one feed_refuses or feed_serves line for each change of the reason, gauges of the age of what is known and of who watches the store. No decision changes.

--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -402,18 +402,41 @@
 
 // Answering other entries
 
-bool
-store_feed::CanServe() const
+std::string
+store_feed::ReasonToRefuse() const
 {
   if (!mIsWatching) {
     // Passed on from one whose turn comes before; never in a circle.
-    return mSourceName < mParts.mName && mSourceNumber > 0 &&
-           Now() - mFreshAt < kAnswerTimeout;
+    if (mSourceName >= mParts.mName) {
+      return "follows a later entry";
+    }
+    return mSourceNumber > 0 && Now() - mFreshAt < kAnswerTimeout ? ""
+                                                                  : "no source";
+  }
+  if (!mDoesStoreAnswer) {
+    return "store doesn't answer";
+  }
+  for (const auto& mirror : mMirrors) {
+    if (!mirror->HasListed()) {
+      return "not listed: " + mirror->Kind();
+    }
+    if (!mirror->IsReachable()) {
+      return "watch lost: " + mirror->Kind();
+    }
   }
-  return mDoesStoreAnswer &&
-         std::all_of(mMirrors.begin(), mMirrors.end(), [](const auto& aMirror) {
-           return aMirror->HasListed() && aMirror->IsReachable();
-         });
+  return "";
+}
+
+void
+store_feed::NoteRefusal(const std::string& aReason)
+{
+  if (aReason == mNotedRefusal) {
+    return;
+  }
+  events::line(aReason.empty() ? "feed_serves" : "feed_refuses")
+    .With("reason", aReason)
+    .With("known_ms_ago", Age());
+  mNotedRefusal = aReason;
 }
 
 void
@@ -434,13 +457,16 @@
 store_feed::AnswerAll()
 {
   const auto now = Now();
-  const bool canServe = CanServe();
+  const auto reason = ReasonToRefuse();
+  if (!mAsking.empty()) {
+    NoteRefusal(reason);
+  }
   std::vector<asking> kept;
   for (auto& asked : mAsking) {
     if (asked.mAsker.mHasLeft()) {
       continue;
     }
-    if (!canServe) {
+    if (!reason.empty()) {
       // One that has just begun to watch will know in a moment.
       const unsigned status =
         mIsWatching && !mDoesStoreAnswer ? kUnreachable : kFollows;
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -89,6 +89,8 @@
   {
     return std::chrono::duration_cast<milliseconds>(Now() - mFreshAt);
   }
+  /** Name of the entry that this one hears from, or "store". */
+  std::string SourceName() const { return mIsWatching ? "store" : mSourceName; }
   /** The entry that this one hears from, unless it watches itself. */
   std::optional<edge::endpoint> Source() const
   {
@@ -125,7 +127,9 @@
   void AnswerAll();
   void PlanAnswer();
   void SetReachable(bool aIsReachable);
-  bool CanServe() const;
+  /** Why other entries get no answer now; empty when they do. */
+  std::string ReasonToRefuse() const;
+  void NoteRefusal(const std::string& aReason);
 
   feed_parts mParts;
   std::vector<followed_kind> mKinds;
@@ -149,6 +153,8 @@
   bool mIsWatching = false;
   bool mDoesStoreAnswer = true;
   bool mIsReachable = true;
+  /** What the log last said of it. */
+  std::string mNotedRefusal;
 };
 
 /** Path of the questions between entries. */
--- a/Libraries/ObjectStore/Mirror.h
+++ b/Libraries/ObjectStore/Mirror.h
@@ -49,6 +49,7 @@
   /** Watches anew from what is known; an answer to the present watch is
    * dropped. For a watch whose answer was lost with its connection alive. */
   void WatchAgain();
+  const std::string& Kind() const { return mOptions.mKind; }
   bool HasListed() const { return mHasListed; }
   bool IsReachable() const { return mIsReachable; }
 
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -296,6 +296,8 @@
   gauge("lavender_requests_under_way",
         static_cast<double>(mCallers.Requests()));
   gauge("lavender_store_reachable", mFeed.IsReachable() ? 1 : 0);
+  gauge("lavender_feed_age_ms", static_cast<double>(mFeed.Age().count()));
+  gauge("lavender_feed_watches", mFeed.IsWatching() ? 1 : 0);
   gauge("lavender_connections_opened",
         static_cast<double>(mClients->Counts().mOpened));
   gauge("lavender_connections_reused",
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -180,7 +180,9 @@
   mLimits->mMaximumBufferedBytes = mSettings.mMaximumBufferedBytes;
   events::line("configuration_in_force")
     .With("version", mConfiguration->mVersion)
-    .With("revision", aObject.mRevision);
+    .With("revision", aObject.mRevision)
+    .With("source", mFeed.SourceName())
+    .With("known_ms_ago", mFeed.Age());
   mAssignments.Refresh();
   mRunner.Dispatch();
 }
