Failing tests: entries that refuse all others, an entry that hears itself from its follower

What callers saw: a change that the store had confirmed wasn't in force at some entries for as long as one looked; one entry took its own old configuration, answered back by its follower, for contact with the store.

The entries run on simulated time.

--- a/StandIns/ObjectStore/MemoryStore.cpp
+++ b/StandIns/ObjectStore/MemoryStore.cpp
@@ -127,8 +127,6 @@
       milliseconds aLeft,
       const objects::watch_done& aDone)
 {
-  // A stand-in looks every few ms; that is simpler than keeping waiters.
-  constexpr milliseconds kLookEach = 2ms;
   objects::watch_reply reply;
   if (const auto fault = ReadFault(aState)) {
     reply.mOutcome = *fault;
@@ -148,8 +146,10 @@
     RunAfter(aScheduler, aState.mLatency, [aDone, reply] { aDone(reply); });
     return;
   }
-  RunAfter(aScheduler, kLookEach, [=, &aState] {
-    Watch(aScheduler, aState, aKind, aSince, aLeft - kLookEach, aDone);
+  // Looking every few ms is simpler than keeping waiters.
+  const auto pause = aState.mLookEach;
+  RunAfter(aScheduler, pause, [=, &aState] {
+    Watch(aScheduler, aState, aKind, aSince, aLeft - pause, aDone);
   });
 }
 
--- a/StandIns/ObjectStore/MemoryStore.h
+++ b/StandIns/ObjectStore/MemoryStore.h
@@ -41,6 +41,8 @@
   /** A silent call's caller learns of it after this. */
   milliseconds mSilence{ 30 };
   milliseconds mLateness{ 60 };
+  /** How often a watch that waits looks for a change. */
+  milliseconds mLookEach{ 2 };
   int mCalls = 0;
   /** Of these, reads that may be stale: the platform charges a tenth. */
   int mStaleReads = 0;
--- /dev/null
+++ b/Tests/Site/Support/SimulatedFeed.cpp
@@ -0,0 +1,326 @@
+#include "Tests/Site/Support/SimulatedFeed.h"
+
+namespace lavender::tests {
+
+using namespace std::chrono_literals;
+using objects::store_outcome;
+
+namespace {
+
+constexpr milliseconds kWayBetweenEntries = 1ms;
+constexpr milliseconds kStoreTimeout = 1500ms;
+/** A client waits for a watch's answer this much longer than its wait. */
+constexpr milliseconds kWatchSlack = 2000ms;
+constexpr char kObjectName[] = "x";
+
+} // namespace
+
+simulated_entry::simulated_entry(simulated_site& aSite, std::string aName)
+  : mName(std::move(aName))
+  , mSite(aSite)
+  , mBehind(standin::MakeMemoryStore(aSite.mClock.Scheduler(), aSite.mState))
+  , mStore(MakeStore())
+{
+  feed::feed_parts parts{ OwnScheduler(), mStore,    mStore, {},
+                          mName,          "entries", {},     {} };
+  parts.mCall = [this](const auto& aAddress,
+                       const auto& aRequest,
+                       const auto& aOptions,
+                       milliseconds aDeadline,
+                       auto aDone) {
+    mSite.CallEntry(
+      *this, aAddress, aRequest, aOptions, aDeadline, std::move(aDone));
+  };
+  parts.mCandidates = [this] {
+    std::vector<feed::feed_candidate> candidates;
+    for (const auto& [name, address] : mSite.mPeers) {
+      candidates.push_back({ name, address });
+    }
+    return candidates;
+  };
+  parts.mOnContact = [this](bool aIsReachable) {
+    if (aIsReachable) {
+      mValueAtContact = Value(kBusyKind);
+    }
+  };
+  std::vector<feed::followed_kind> kinds;
+  for (const std::string kind : { kBusyKind, kQuietKind }) {
+    kinds.push_back(
+      { kind,
+        {},
+        [this, kind](const auto& aObjects) { Hear(kind, aObjects); },
+        [this, kind](const auto& aEvent) {
+          auto objects = mObjects[kind];
+          if (aEvent.mIsDeleted) {
+            objects.erase(aEvent.mObject.mName);
+          } else {
+            objects[aEvent.mObject.mName] = aEvent.mObject;
+          }
+          Hear(kind, objects);
+        } });
+  }
+  mFeed =
+    std::make_unique<feed::store_feed>(std::move(parts), std::move(kinds));
+}
+
+simulated_entry::~simulated_entry()
+{
+  mIsAlive.reset();
+}
+
+void
+simulated_entry::Start()
+{
+  mFeed->Start();
+}
+
+std::int64_t
+simulated_entry::Value(const std::string& aKind) const
+{
+  const auto kind = mObjects.find(aKind);
+  if (kind == mObjects.end() || kind->second.count(kObjectName) == 0) {
+    return -1;
+  }
+  return json::IntegerAt(kind->second.at(kObjectName).mSpec, "value", -1);
+}
+
+void
+simulated_entry::Hear(const std::string& aKind,
+                      const feed::object_map& aObjects)
+{
+  const auto before = Value(aKind);
+  mObjects[aKind] = aObjects;
+  mHasGoneBack |= Value(aKind) < before;
+}
+
+void
+simulated_entry::Deliver(std::function<void()> aAction)
+{
+  if (mIsFrozen) {
+    mDeferred.push_back(std::move(aAction));
+  } else {
+    aAction();
+  }
+}
+
+void
+simulated_entry::Thaw()
+{
+  mIsFrozen = false;
+  for (const auto& action : std::exchange(mDeferred, {})) {
+    action();
+  }
+}
+
+void
+simulated_entry::BreakCalls()
+{
+  const auto calls = mCalls;
+  for (const auto& call : calls) {
+    call->mEnd();
+  }
+}
+
+void
+simulated_entry::SilenceWatches()
+{
+  for (const auto& call : mCalls) {
+    call->mIsLost |= call->mIsWatch;
+  }
+}
+
+scheduler
+simulated_entry::OwnScheduler()
+{
+  auto uses = mSite.mClock.Scheduler();
+  uses.mAfter = [this, planOn = uses.mAfter](milliseconds aPause,
+                                             std::function<void()> aAction) {
+    const auto plan = std::make_shared<planned_action>();
+    *plan = planOn(
+      aPause, [this, weak = std::weak_ptr(plan), action = std::move(aAction)] {
+        Deliver([weak, action] {
+          if (!weak.expired()) {
+            action();
+          }
+        });
+      });
+    return planned_action(plan);
+  };
+  return uses;
+}
+
+template<typename Reply, typename Begin>
+void
+simulated_entry::Call(bool aIsWatch,
+                      milliseconds aTimeout,
+                      std::function<void(Reply)> aDone,
+                      const Begin& aBegin)
+{
+  auto call = std::make_shared<store_call>();
+  call->mIsWatch = aIsWatch;
+  const auto end = [this,
+                    alive = std::weak_ptr(mIsAlive),
+                    weak = std::weak_ptr(call),
+                    done = std::move(aDone)](Reply aReply) {
+    const auto ended = weak.lock();
+    if (alive.expired() || !ended || ended->mHasEnded) {
+      return;
+    }
+    ended->mHasEnded = true;
+    mCalls.remove(ended);
+    Deliver([alive, done, reply = std::move(aReply)] {
+      if (!alive.expired()) {
+        done(reply);
+      }
+    });
+  };
+  call->mEnd = [end] { end({}); };
+  mCalls.push_back(call);
+  const auto uses = mSite.mClock.Scheduler();
+  RunAfter(uses, aTimeout, [call] { call->mEnd(); });
+  if (mWay == store_way::TurnedAway) {
+    Reply refused;
+    refused.mOutcome = store_outcome::Refused;
+    RunAfter(uses, 1ms, [end, refused, call] { end(refused); });
+  } else if (mWay == store_way::Open) {
+    aBegin([this, alive = std::weak_ptr(mIsAlive), call, end](Reply aReply) {
+      if (!alive.expired() && !call->mIsLost && mWay != store_way::Cut) {
+        end(std::move(aReply));
+      }
+    });
+  }
+}
+
+objects::object_store
+simulated_entry::MakeStore()
+{
+  objects::object_store store;
+  store.mGet = [this](const auto& aKind,
+                      const auto& aName,
+                      objects::freshness aFreshness,
+                      objects::object_done aDone) {
+    Call<objects::object_reply>(
+      false, kStoreTimeout, std::move(aDone), [&](auto aTake) {
+        mBehind.mGet(aKind, aName, aFreshness, std::move(aTake));
+      });
+  };
+  store.mList = [this](const auto& aKind,
+                       const auto& aAfter,
+                       objects::freshness aFreshness,
+                       objects::list_done aDone) {
+    Call<objects::list_reply>(
+      false, kStoreTimeout, std::move(aDone), [&](auto aTake) {
+        mBehind.mList(aKind, aAfter, aFreshness, std::move(aTake));
+      });
+  };
+  store.mWatch = [this](const auto& aKind,
+                        objects::revision_number aSince,
+                        milliseconds aWait,
+                        objects::watch_done aDone) {
+    Call<objects::watch_reply>(
+      true, aWait + kWatchSlack, std::move(aDone), [&](auto aTake) {
+        mBehind.mWatch(aKind, aSince, aWait, std::move(aTake));
+      });
+  };
+  return store;
+}
+
+simulated_site::simulated_site()
+{
+  mState.mLookEach = 10ms;
+  standin::PutDirectly(mState, kQuietKind, kObjectName, "{\"value\":1}");
+}
+
+simulated_entry&
+simulated_site::Add(const std::string& aName)
+{
+  mPeers.try_emplace(
+    aName,
+    edge::endpoint{ "10.0.0.1",
+                    static_cast<unsigned short>(mPeers.size() + 1) });
+  mEntries.erase(aName);
+  return *mEntries
+            .emplace(aName, std::make_unique<simulated_entry>(*this, aName))
+            .first->second;
+}
+
+void
+simulated_site::Put(std::int64_t aValue)
+{
+  standin::PutDirectly(mState,
+                       kBusyKind,
+                       kObjectName,
+                       "{\"value\":" + std::to_string(aValue) + "}");
+}
+
+void
+simulated_site::CutWatches()
+{
+  for (const auto& [name, entry] : mEntries) {
+    entry->BreakCalls();
+  }
+}
+
+void
+simulated_site::CallEntry(simulated_entry& aCaller,
+                          const edge::endpoint& aAddress,
+                          const edge::request& aRequest,
+                          const edge::call_options& aOptions,
+                          milliseconds aDeadline,
+                          edge::whole_answer aDone)
+{
+  const auto uses = mClock.Scheduler();
+  const auto hasEnded = std::make_shared<bool>(false);
+  const auto caller = aCaller.mName;
+  const auto end = [this,
+                    hasEnded,
+                    alive = std::weak_ptr(aCaller.mIsAlive),
+                    caller,
+                    done = std::move(aDone)](edge::call_end aEnd,
+                                             edge::response aAnswer) {
+    if (alive.expired() || std::exchange(*hasEnded, true)) {
+      return;
+    }
+    At(caller).Deliver([alive, done, aEnd, answer = std::move(aAnswer)] {
+      if (!alive.expired()) {
+        done(aEnd, answer);
+      }
+    });
+  };
+  RunAfter(uses, aDeadline, [end] { end(edge::call_end::TimedOut, {}); });
+  const auto target =
+    std::find_if(mEntries.begin(), mEntries.end(), [&](const auto& aEntry) {
+      return mPeers.at(aEntry.first) == aAddress;
+    });
+  if (target == mEntries.end() || target->second->mIsAlone ||
+      aCaller.mIsAlone) {
+    RunAfter(uses, aOptions.mConnectTimeout, [end] {
+      end(edge::call_end::NotSent, {});
+    });
+    return;
+  }
+  const auto answer =
+    [this, uses, end, caller, name = target->first](edge::response aAnswer) {
+      RunAfter(uses, kWayBetweenEntries, [this, end, caller, name, aAnswer] {
+        const auto isCut = [&](const std::string& aName) {
+          return mEntries.count(aName) > 0 && At(aName).mIsAlone;
+        };
+        if (!isCut(caller) && !isCut(name)) {
+          end(edge::call_end::Complete, aAnswer);
+        }
+      });
+    };
+  const feed::feed_asker asker{ answer, [hasEnded] { return *hasEnded; } };
+  auto& entry = *target->second;
+  RunAfter(uses,
+           kWayBetweenEntries,
+           [&entry, alive = std::weak_ptr(entry.mIsAlive), aRequest, asker] {
+             if (!alive.expired()) {
+               entry.Deliver([&entry, aRequest, asker] {
+                 entry.mFeed->Serve(aRequest, asker);
+               });
+             }
+           });
+}
+
+} // namespace lavender::tests
--- /dev/null
+++ b/Tests/Site/TestFeedFaults.cpp
@@ -0,0 +1,76 @@
+#include "Tests/Site/Support/SimulatedFeed.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lavender;
+using namespace lavender::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A confirmed change must be in force everywhere within this. */
+constexpr milliseconds kInForceWithin = 2000ms;
+
+/** Entries "a" to the last letter, all of which know the value 1. */
+void
+StartEntries(simulated_site& aSite, char aLast)
+{
+  aSite.Put(1);
+  for (char name = 'a'; name <= aLast; ++name) {
+    aSite.Add(std::string(1, name)).Start();
+  }
+  aSite.mClock.RunFor(2s);
+  for (const auto& [name, entry] : aSite.mEntries) {
+    BOOST_TEST(entry->Value(kBusyKind) == 1);
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestFeedFaults)
+
+// Two entries watch the store, know the newest change and refuse all others for
+// as long as a kind whose watch was cut has no event.
+BOOST_AUTO_TEST_CASE(EntriesWhoseWatchesWereCutPassChangesOn)
+{
+  simulated_site site;
+  StartEntries(site, 'd');
+  site.At("a").Freeze();
+  site.mClock.RunFor(1200ms);
+  site.At("a").Thaw();
+  BOOST_TEST(site.At("a").mFeed->IsWatching());
+  BOOST_TEST(site.At("b").mFeed->IsWatching());
+  // Entries that have just started haven't found any other one silent.
+  site.Add("c").Start();
+  site.Add("d").Start();
+  site.mClock.RunFor(100ms);
+  site.CutWatches();
+  site.mClock.RunFor(400ms);
+  site.Put(2);
+  site.mClock.RunFor(kInForceWithin);
+  for (const auto& [name, entry] : site.mEntries) {
+    BOOST_TEST(entry->Value(kBusyKind) == 2, name);
+  }
+}
+
+// An entry that is cut off from the store takes the answer of one that follows
+// it for contact with the store, and believes its old configuration current.
+BOOST_AUTO_TEST_CASE(AnEntryDoesNotHearItsOwnKnowledgeFromAFollower)
+{
+  // Whatever the distance between the one's probes and the other's questions.
+  for (auto distance = 0ms; distance < 500ms; distance += 20ms) {
+    simulated_site site;
+    StartEntries(site, 'a');
+    site.mClock.RunFor(distance);
+    site.Add("b").Start();
+    site.mClock.RunFor(2s);
+    auto& first = site.At("a");
+    first.mWay = store_way::TurnedAway;
+    first.BreakCalls();
+    site.Put(2);
+    site.mClock.RunUntil([&] { return first.mValueAtContact.has_value(); }, 5s);
+    BOOST_TEST(first.mValueAtContact.value_or(-1) == 2, distance.count());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
