--- /dev/null
+++ b/Duties/Feed/FeedOrder.cpp
@@ -0,0 +1,36 @@
+#include "Duties/Feed/FeedOrder.h"
+
+namespace lavender::feed {
+
+namespace {
+
+/** Entries that ask one other: a question each half second from so many takes
+ * one or two percent of the smallest instance's processor. 360 entries are
+ * three steps deep. */
+constexpr std::size_t kFollowersOfOne = 16;
+
+} // namespace
+
+std::vector<feed_candidate>
+FeedOrder(const std::vector<feed_candidate>& aAll, const std::string& aName)
+{
+  std::size_t own = 0;
+  while (own < aAll.size() && aAll[own].mName < aName) {
+    ++own;
+  }
+  std::vector<feed_candidate> order;
+  std::vector<bool> isTaken(own, false);
+  for (auto place = own; place > 0;) {
+    place = (place - 1) / kFollowersOfOne;
+    order.push_back(aAll[place]);
+    isTaken[place] = true;
+  }
+  for (std::size_t place = 0; place < own; ++place) {
+    if (!isTaken[place]) {
+      order.push_back(aAll[place]);
+    }
+  }
+  return order;
+}
+
+} // namespace lavender::feed
--- a/Duties/Feed/FeedState.cpp
+++ b/Duties/Feed/FeedState.cpp
@@ -86,10 +86,43 @@
   Append(aState, aKind, aEvent);
 }
 
+object_map
+MergeListing(const object_map& aKnown,
+             const object_map& aTold,
+             objects::revision_number aToldUpTo)
+{
+  auto merged = aTold;
+  for (const auto& [name, object] : aKnown) {
+    const auto told = aTold.find(name);
+    const bool isNewer = told == aTold.end()
+                           ? object.mRevision > aToldUpTo
+                           : object.mRevision > told->second.mRevision;
+    if (isNewer) {
+      merged[name] = object;
+    }
+  }
+  return merged;
+}
+
+bool
+IsNews(const feed_state& aState,
+       const std::string& aKind,
+       const objects::object_event& aEvent)
+{
+  const auto kind = aState.mKinds.find(aKind);
+  if (kind == aState.mKinds.end()) {
+    return true;
+  }
+  const auto known = kind->second.find(aEvent.mObject.mName);
+  return known == kind->second.end() ||
+         known->second.mRevision <= aEvent.mObject.mRevision;
+}
+
 std::string
 EncodeFeed(const feed_state& aState,
            const std::string& aLife,
-           std::optional<feed_number> aSince)
+           std::optional<feed_number> aSince,
+           const feed_proof& aProof)
 {
   const feed_number oldest =
     aState.mNewest - static_cast<feed_number>(aState.mChanges.size());
@@ -111,10 +144,22 @@
       }
     }
   }
-  return "{\"life\":\"" + aLife +
-         "\",\"newest\":" + std::to_string(aState.mNewest) +
-         ",\"whole\":" + (isWhole ? "true" : "false") + ",\"changes\":[" +
-         changes + "]}";
+  json::value revisions = json::object{};
+  for (const auto& [kind, revision] : aState.mRevisions) {
+    revisions.Set(kind, revision);
+  }
+  const json::value head =
+    json::object{ { "life", aLife },
+                  { "newest", aState.mNewest },
+                  { "whole", isWhole },
+                  { "origin", aProof.mOrigin },
+                  { "age_ms", static_cast<std::int64_t>(aProof.mAge.count()) },
+                  { "held_ms",
+                    static_cast<std::int64_t>(aProof.mHeld.count()) },
+                  { "revisions", revisions } };
+  auto body = json::Write(head);
+  body.pop_back();
+  return body + ",\"changes\":[" + changes + "]}";
 }
 
 std::optional<decoded_feed>
@@ -122,13 +167,21 @@
 {
   const auto body = json::Parse(aBody);
   const auto* changes = body ? body->Find("changes") : nullptr;
-  if (!changes || !changes->IsArray()) {
+  if (!changes || !changes->IsArray() || !body->Find("origin")) {
     return std::nullopt;
   }
   decoded_feed feed;
   feed.mLife = json::StringAt(*body, "life", "");
   feed.mNewest = json::IntegerAt(*body, "newest", 0);
   feed.mIsWhole = json::BooleanAt(*body, "whole", false);
+  feed.mProof = { json::StringAt(*body, "origin", ""),
+                  milliseconds(json::IntegerAt(*body, "age_ms", 0)),
+                  milliseconds(json::IntegerAt(*body, "held_ms", 0)) };
+  if (const auto* revisions = body->Find("revisions")) {
+    for (const auto& [kind, revision] : revisions->Members()) {
+      feed.mRevisions[kind] = revision.IntegerOr(0);
+    }
+  }
   for (const auto& change : changes->Elements()) {
     feed.mChanges.push_back(DecodeChange(change));
   }
--- a/Duties/Feed/FeedState.h
+++ b/Duties/Feed/FeedState.h
@@ -20,11 +20,15 @@
   std::string mJson;
 };
 
+/** Up to which revision of the store each kind is known. */
+using kind_revisions = std::map<std::string, objects::revision_number>;
+
 /** What the watching entry has heard. Changes bear numbers of its own, since
  * kinds are watched apart and their revisions come out of order. */
 struct feed_state
 {
   std::map<std::string, object_map> mKinds;
+  kind_revisions mRevisions;
   std::deque<feed_change> mChanges;
   feed_number mNewest = 0;
 };
@@ -43,13 +47,39 @@
           const std::string& aKind,
           const objects::object_event& aEvent);
 
+/** What another entry tells of a kind, put together with what is known here:
+ * nothing goes back when that entry knows less.
+ * @param aToldUpTo revision up to which the other one knows the kind */
+object_map
+MergeListing(const object_map& aKnown,
+             const object_map& aTold,
+             objects::revision_number aToldUpTo);
+
+/** Whether an event says more than what is known here. */
+bool
+IsNews(const feed_state& aState,
+       const std::string& aKind,
+       const objects::object_event& aEvent);
+
+/** From whom knowledge comes and how old it is, wherever it is passed on. */
+struct feed_proof
+{
+  /** Name of the entry that watches the store. */
+  std::string mOrigin;
+  /** How long before the answer all that is told was the store's state. */
+  milliseconds mAge{ 0 };
+  /** How long the question waited for the answer. */
+  milliseconds mHeld{ 0 };
+};
+
 /** Body for one that has everything up to a number; with everything when that
  * is unknown or too old.
  * @param aLife tells this process's numbers from those of others */
 std::string
 EncodeFeed(const feed_state& aState,
            const std::string& aLife,
-           std::optional<feed_number> aSince);
+           std::optional<feed_number> aSince,
+           const feed_proof& aProof);
 
 struct decoded_change
 {
@@ -62,6 +92,8 @@
   std::string mLife;
   feed_number mNewest = 0;
   bool mIsWhole = false;
+  feed_proof mProof;
+  kind_revisions mRevisions;
   std::vector<decoded_change> mChanges;
 };
 
--- /dev/null
+++ b/Duties/Feed/HeldQuestions.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "Duties/Feed/FeedState.h"
+#include "Libraries/Core/Scheduler.h"
+#include "Libraries/Edge/Listener.h"
+
+namespace lavender::feed {
+
+/** Where the answer to another entry's question goes. */
+struct feed_asker
+{
+  std::function<void(edge::response)> mAnswer;
+  std::function<bool()> mHasLeft;
+};
+
+feed_asker
+AskerOf(const edge::exchange_ptr& aExchange);
+
+/** What another entry asks: all changes after the last that it has from one
+ * life of this process. */
+struct feed_question
+{
+  std::string mLife;
+  feed_number mSince = 0;
+};
+
+edge::request
+EncodeQuestion(const feed_question& aQuestion);
+feed_question
+DecodeQuestion(const edge::request& aRequest);
+
+/** Path of the questions between entries. */
+constexpr char kFeedPath[] = "/feed";
+
+/** Status of a refusal by an entry that may know in a moment. */
+constexpr unsigned kNotYet = 421;
+
+/** Why an entry refuses to answer, and what the one that asks makes of it. */
+enum class refusal
+{
+  None,
+  /** It may know in a moment: ask again. */
+  NotYet,
+  /** The store doesn't answer it: ask another one. */
+  NoStore
+};
+
+/** What this entry can say at one moment. */
+struct feed_knowledge
+{
+  const feed_state& mState;
+  const std::string& mLife;
+  std::string mOrigin;
+  /** A time at which all that is known was the store's state. */
+  time_point mProvenAt;
+  refusal mRefusal = refusal::None;
+};
+
+/** Questions of other entries that wait for news. */
+class held_questions
+{
+public:
+  /** @param aAnswerAll called when a question has waited long enough */
+  held_questions(scheduler aScheduler, std::function<void()> aAnswerAll);
+
+  void Hold(const feed_question& aQuestion,
+            feed_asker aAsker,
+            const feed_knowledge& aKnown);
+  /** Answers those for which there is news, a later proof, or a refusal. */
+  void Answer(const feed_knowledge& aKnown);
+  bool IsEmpty() const { return mHeld.empty(); }
+
+private:
+  struct held
+  {
+    feed_asker mAsker;
+    /** None when all is asked for. */
+    std::optional<feed_number> mSince;
+    time_point mAskedAt;
+    time_point mProvenWhenAsked;
+  };
+
+  bool IsDue(const held& aHeld, const feed_knowledge& aKnown) const;
+  void PlanAnswer();
+
+  const scheduler mScheduler;
+  const std::function<void()> mAnswerAll;
+  std::vector<held> mHeld;
+  planned_action mNextAnswer;
+};
+
+} // namespace lavender::feed
--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -12,41 +12,33 @@
 
 namespace {
 
-constexpr char kLifeField[] = "Lavender-Life";
-constexpr char kSinceField[] = "Lavender-Since";
-/** A question is answered after this at the latest, so that silence beyond it
- * shows that the other entry is gone. */
-constexpr milliseconds kHold = 500ms;
+/** Longer than another entry holds a question. */
 constexpr milliseconds kAnswerTimeout = 900ms;
 /** A live entry accepts a connection within some ms. An instance that was taken
  * away stays in the list for twenty seconds, and is asked first when its name
  * is first; each entry that starts would wait for it. */
 constexpr milliseconds kConnectTimeout = 150ms;
 /** How often the watching entry makes sure that the store answers, and how
- * long it waits for that. Together with a listing this stays below the two
- * seconds within which a configuration must be in force. */
+ * long it waits for that. */
 constexpr milliseconds kProbeEach = 500ms;
 constexpr milliseconds kProbeTimeout = 600ms;
+/** An entry whose knowledge is older watches the store itself. With a listing
+ * this stays below the two seconds within which a configuration must be in
+ * force; in health the age stays below a probe's pause and timeout. */
+constexpr milliseconds kMostAge = 1500ms;
+/** Older knowledge isn't passed on: who gets it has time left to ask others. */
+constexpr milliseconds kMostAgePassedOn = 1200ms;
 /** An entry that was silent isn't asked again for this long. */
 constexpr milliseconds kAvoidSilent = 5000ms;
-/** One that can't reach the store itself may soon. */
-constexpr milliseconds kAvoidUnreachable = 1500ms;
+/** One that refused may know soon. Longer than it takes to ask all others, or
+ * two that refuse would be asked in turn and a third one never. */
+constexpr milliseconds kAvoidRefusing = 1500ms;
 /** How often an entry that watches out of turn looks for the one whose turn
  * it is. */
 constexpr milliseconds kLookForBetter = 3000ms;
-/** An entry that follows another one itself is asked again after this: it may
- * be about to watch in place of one that has died. */
-constexpr milliseconds kWaitForSource = 200ms;
-constexpr int kMostWaitsForSource = 3;
-/** Entries that ask one other: a question each half second from so many takes
- * one or two percent of the smallest instance's processor. 360 entries are
- * three steps deep. */
-constexpr std::size_t kFollowersOfOne = 16;
-
-/** The answer of an entry that follows another one or has just started. */
-constexpr unsigned kFollows = 421;
-/** The answer of one that doesn't know the store's state. */
-constexpr unsigned kUnreachable = 503;
+/** An entry that has just lost its own source is asked again after this. */
+constexpr milliseconds kPause = 200ms;
+constexpr int kMostPauses = 3;
 
 /** Whether the store answered a read, whatever it found. */
 bool
@@ -56,50 +48,36 @@
          aReply.mOutcome == store_outcome::NotFound;
 }
 
-} // namespace
-
-std::vector<feed_candidate>
-FeedOrder(const std::vector<feed_candidate>& aAll, const std::string& aName)
-{
-  std::size_t own = 0;
-  while (own < aAll.size() && aAll[own].mName < aName) {
-    ++own;
-  }
-  std::vector<feed_candidate> order;
-  std::vector<bool> isTaken(own, false);
-  for (auto place = own; place > 0;) {
-    place = (place - 1) / kFollowersOfOne;
-    order.push_back(aAll[place]);
-    isTaken[place] = true;
-  }
-  for (std::size_t place = 0; place < own; ++place) {
-    if (!isTaken[place]) {
-      order.push_back(aAll[place]);
-    }
+const char*
+WordFor(refusal aRefusal)
+{
+  switch (aRefusal) {
+    case refusal::None:
+      return "none";
+    case refusal::NotYet:
+      return "knowledge too old";
+    case refusal::NoStore:
+      break;
   }
-  return order;
+  return "store doesn't answer";
 }
 
-feed_asker
-AskerOf(const edge::exchange_ptr& aExchange)
-{
-  return { [aExchange](edge::response aAnswer) {
-            aExchange->Answer(std::move(aAnswer));
-          },
-           [aExchange] { return aExchange->IsEnded(); } };
-}
+} // namespace
 
 store_feed::store_feed(feed_parts aParts, std::vector<followed_kind> aKinds)
   : mParts(std::move(aParts))
   , mKinds(std::move(aKinds))
   , mLife(MakeRandomName())
-  , mFreshAt(Now())
+  , mHeld(mParts.mScheduler, [this] { AnswerAll(); })
+  , mProvenAt(Now())
 {
 }
 
 void
 store_feed::Start()
 {
+  mProvenAt = Now();
+  PlanAgeLimit();
   Choose();
 }
 
@@ -110,12 +88,56 @@
 }
 
 bool
-store_feed::IsTried(const feed_candidate& aCandidate, time_point aNow) const
+store_feed::HaveMirrorsListed() const
+{
+  return mMirrors.size() == mKinds.size() &&
+         std::all_of(mMirrors.begin(), mMirrors.end(), [](const auto& aMirror) {
+           return aMirror->HasListed();
+         });
+}
+
+time_point
+store_feed::ProvenAt() const
 {
-  const auto avoided = mAvoidedUntil.find(aCandidate.mName);
-  return avoided == mAvoidedUntil.end() || avoided->second <= aNow;
+  if (!mIsWatching || !HaveMirrorsListed()) {
+    return mProvenAt;
+  }
+  auto provenAt = Now();
+  for (std::size_t i = 0; i < mKinds.size(); ++i) {
+    const auto& mirror = *mMirrors[i];
+    if (mKinds[i].mProof == kind_proof::EachAnswer) {
+      provenAt = std::min(provenAt, mirror.ProvenAt());
+    } else if (const auto lostSince = mirror.LostSince()) {
+      provenAt = std::min(provenAt, *lostSince);
+    }
+  }
+  return provenAt;
+}
+
+void
+store_feed::PlanAgeLimit()
+{
+  const auto left =
+    std::chrono::ceil<milliseconds>(mProvenAt + kMostAge - Now());
+  mAgeLimit =
+    mParts.mScheduler.mAfter(std::max<milliseconds>(left, 1ms), [this] {
+      if (mIsWatching) {
+        return;
+      }
+      if (Age() < kMostAge) {
+        PlanAgeLimit();
+        return;
+      }
+      events::line("feed_too_old")
+        .With("entry", mSourceName)
+        .With("origin", mOrigin)
+        .With("known_ms_ago", Age());
+      WatchStore();
+    });
 }
 
+// Whom to ask
+
 void
 store_feed::Avoid(const std::string& aName, milliseconds aTime)
 {
@@ -128,102 +150,190 @@
   return FeedOrder(mParts.mCandidates(), mParts.mName);
 }
 
+std::optional<feed_candidate>
+store_feed::NextCandidate(const std::vector<feed_candidate>& aCandidates) const
+{
+  for (const auto& candidate : aCandidates) {
+    const auto avoided = mAvoidedUntil.find(candidate.mName);
+    const bool isAvoided =
+      avoided != mAvoidedUntil.end() && avoided->second > Now();
+    if (!isAvoided && candidate.mName != mParts.mName) {
+      return candidate;
+    }
+  }
+  return std::nullopt;
+}
+
 void
 store_feed::Choose()
 {
-  const auto now = Now();
-  for (const auto& candidate : Candidates()) {
-    if (!IsTried(candidate, now)) {
-      continue;
+  if (const auto candidate = NextCandidate(Candidates())) {
+    AskCandidate(*candidate);
+  } else {
+    WatchStore();
+  }
+}
+
+void
+store_feed::LookForBetter()
+{
+  mNextLook = mParts.mScheduler.mAfter(kLookForBetter, [this] {
+    if (!mIsWatching) {
+      return;
     }
-    if (mSourceName != candidate.mName) {
-      mSourceName = candidate.mName;
-      mSource = candidate.mAddress;
-      mWaitsForSource = 0;
+    if (const auto candidate = NextCandidate(Candidates())) {
+      AskCandidate(*candidate);
+    } else {
+      LookForBetter();
     }
-    Ask();
+  });
+}
+
+void
+store_feed::FollowAnyone()
+{
+  // The store may turn this instance away and serve the others.
+  if (const auto candidate = NextCandidate(mParts.mCandidates())) {
+    AskCandidate(*candidate);
     return;
   }
-  mSourceName.clear();
-  WatchStore();
+  mNextLook = mParts.mScheduler.mAfter(kPause, [this] {
+    if (mIsWatching && !mDoesStoreAnswer) {
+      FollowAnyone();
+    } else if (mIsWatching) {
+      LookForBetter();
+    }
+  });
 }
 
 // Following another entry
 
+void
+store_feed::AskCandidate(const feed_candidate& aCandidate)
+{
+  mSourceName = aCandidate.mName;
+  mSource = aCandidate.mAddress;
+  Ask();
+}
+
 void
 store_feed::Ask()
 {
-  edge::request request;
-  request.mMethod = "GET";
-  request.mTarget = kFeedPath;
-  request.mHeaders.Add(kLifeField, mSourceLife);
-  request.mHeaders.Add(kSinceField, std::to_string(mSourceNumber));
   edge::call_options options;
   options.mConnectTimeout = kConnectTimeout;
   options.mSilenceTimeout = kAnswerTimeout;
-  mParts.mCall(mSource,
-               request,
-               options,
-               kAnswerTimeout,
-               [this, question = ++mQuestion, name = mSourceName](
-                 edge::call_end aEnd, const edge::response& aAnswer) {
-                 TakeAnswer(question, name, aEnd, aAnswer);
-               });
+  const question asked{ ++mQuestion, mSourceName, Now() };
+  mParts.mCall(
+    mSource,
+    EncodeQuestion({ mSourceLife, mSourceNumber }),
+    options,
+    kAnswerTimeout,
+    [this, asked](edge::call_end aEnd, const edge::response& aAnswer) {
+      TakeAnswer(asked, aEnd, aAnswer);
+    });
 }
 
 void
-store_feed::TakeAnswer(std::uint64_t aQuestion,
-                       const std::string& aName,
+store_feed::TakeAnswer(const question& aQuestion,
                        edge::call_end aEnd,
                        const edge::response& aAnswer)
 {
-  if (aQuestion != mQuestion) {
+  if (aQuestion.mNumber != mQuestion) {
     return;
   }
-  const auto feed = aEnd == edge::call_end::Complete && aAnswer.mStatus == 200
+  const bool isComplete = aEnd == edge::call_end::Complete;
+  const auto feed = isComplete && aAnswer.mStatus == 200
                       ? DecodeFeed(aAnswer.mBody)
                       : std::nullopt;
+  std::string reason = "no answer";
   if (feed) {
-    mWaitsForSource = 0;
-    if (mIsWatching) {
-      events::line("feed_followed").With("entry", aName);
-      StopWatching();
-      mFollowsSince = Now();
-    }
-    if (aName > mParts.mName && Now() - mFollowsSince > kLookForBetter) {
-      mFollowsSince = Now();
-      LookWhetherStoreAnswers();
+    // The time on the way back isn't known, so the answer is taken to have been
+    // given as early as it can have been.
+    const auto provenAt =
+      aQuestion.mAskedAt + feed->mProof.mHeld - feed->mProof.mAge;
+    reason = ReasonToReject(*feed, provenAt);
+    if (reason.empty()) {
+      Accept(*feed, aQuestion.mEntry, provenAt);
+      return;
     }
-    Apply(*feed);
-    mFreshAt = Now();
-    SetReachable(true);
-    AnswerAll();
-    Ask();
-    return;
+  } else if (isComplete) {
+    reason = "refused";
   }
-  const bool follows =
-    aEnd == edge::call_end::Complete && aAnswer.mStatus == kFollows;
-  if (follows && !mIsWatching && mWaitsForSource++ < kMostWaitsForSource) {
-    mNextLook = mParts.mScheduler.mAfter(kWaitForSource, [this] { Choose(); });
+  const bool mayKnowSoon = isComplete && (feed || aAnswer.mStatus == kNotYet);
+  if (mayKnowSoon && !mIsWatching && mPauses < kMostPauses) {
+    ++mPauses;
+    mNextLook = mParts.mScheduler.mAfter(kPause, [this] { Choose(); });
     return;
   }
   events::line("feed_lost")
-    .With("entry", aName)
+    .With("entry", aQuestion.mEntry)
     .With("end", edge::WordFor(aEnd))
-    .With("status", static_cast<std::int64_t>(aAnswer.mStatus));
-  const bool isAlive = aEnd == edge::call_end::Complete;
-  Avoid(aName,
-        follows   ? kWaitForSource
-        : isAlive ? kAvoidUnreachable
-                  : kAvoidSilent);
-  if (mIsWatching) {
-    if (!mDoesStoreAnswer) {
-      FollowAnyone();
-    } else {
-      LookForBetter();
-    }
+    .With("status", static_cast<std::int64_t>(aAnswer.mStatus))
+    .With("reason", reason)
+    .With("known_ms_ago", Age());
+  if (!isComplete) {
+    Avoid(aQuestion.mEntry, kAvoidSilent);
+  } else if (mayKnowSoon && mIsWatching && !mDoesStoreAnswer) {
+    // It may have followed this entry and watch for itself in a moment.
+    Avoid(aQuestion.mEntry, kPause);
   } else {
+    Avoid(aQuestion.mEntry, kAvoidRefusing);
+  }
+  AskAnother();
+}
+
+std::string
+store_feed::ReasonToReject(const decoded_feed& aFeed,
+                           time_point aProvenAt) const
+{
+  if (aFeed.mProof.mOrigin == mParts.mName) {
+    return "own knowledge";
+  }
+  if (Now() - aProvenAt > kMostAge) {
+    return "knowledge too old";
+  }
+  if (mIsWatching && !mDoesStoreAnswer && aProvenAt <= ProvenAt()) {
+    return "knows no more";
+  }
+  return "";
+}
+
+void
+store_feed::Accept(const decoded_feed& aFeed,
+                   const std::string& aEntry,
+                   time_point aProvenAt)
+{
+  mPauses = 0;
+  mProvenAt = std::max(ProvenAt(), aProvenAt);
+  mOrigin = aFeed.mProof.mOrigin;
+  if (mIsWatching) {
+    events::line("feed_followed")
+      .With("entry", aEntry)
+      .With("origin", mOrigin)
+      .With("known_ms_ago", Age());
+    StopWatching();
+    mFollowsSince = Now();
+    PlanAgeLimit();
+  }
+  if (aEntry > mParts.mName && Now() - mFollowsSince > kLookForBetter) {
+    mFollowsSince = Now();
+    LookWhetherStoreAnswers();
+  }
+  Apply(aFeed);
+  SetReachable(true);
+  AnswerAll();
+  Ask();
+}
+
+void
+store_feed::AskAnother()
+{
+  if (!mIsWatching) {
     Choose();
+  } else if (mDoesStoreAnswer) {
+    LookForBetter();
+  } else {
+    FollowAnyone();
   }
 }
 
@@ -239,7 +349,6 @@
                            [this](const objects::object_reply& aReply) {
                              if (IsAnswer(aReply) && !mIsWatching) {
                                ++mQuestion;
-                               mSourceName.clear();
                                WatchStore();
                              }
                            });
@@ -251,24 +360,40 @@
   mSourceLife = aFeed.mLife;
   mSourceNumber = aFeed.mNewest;
   if (aFeed.mIsWhole) {
-    std::map<std::string, object_map> listed;
+    ApplyWhole(aFeed);
+  } else {
     for (const auto& change : aFeed.mChanges) {
-      listed[change.mKind][change.mEvent.mObject.mName] = change.mEvent.mObject;
-    }
-    for (const auto& kind : mKinds) {
-      TakeListing(mState, kind.mKind, listed[kind.mKind]);
-      mIsListed[kind.mKind] = true;
-      kind.mOnListed(listed[kind.mKind]);
+      for (const auto& kind : mKinds) {
+        if (kind.mKind == change.mKind &&
+            IsNews(mState, change.mKind, change.mEvent)) {
+          TakeEvent(mState, change.mKind, change.mEvent);
+          kind.mOnEvent(change.mEvent);
+        }
+      }
     }
-    return;
   }
+  for (const auto& [kind, revision] : aFeed.mRevisions) {
+    auto& known = mState.mRevisions[kind];
+    known = std::max(known, revision);
+  }
+}
+
+void
+store_feed::ApplyWhole(const decoded_feed& aFeed)
+{
+  std::map<std::string, object_map> told;
   for (const auto& change : aFeed.mChanges) {
-    for (const auto& kind : mKinds) {
-      if (kind.mKind == change.mKind) {
-        TakeEvent(mState, change.mKind, change.mEvent);
-        kind.mOnEvent(change.mEvent);
-      }
-    }
+    told[change.mKind][change.mEvent.mObject.mName] = change.mEvent.mObject;
+  }
+  for (const auto& kind : mKinds) {
+    const auto toldUpTo = aFeed.mRevisions.find(kind.mKind);
+    const auto merged =
+      MergeListing(mState.mKinds[kind.mKind],
+                   told[kind.mKind],
+                   toldUpTo == aFeed.mRevisions.end() ? 0 : toldUpTo->second);
+    TakeListing(mState, kind.mKind, merged);
+    mIsListed[kind.mKind] = true;
+    kind.mOnListed(merged);
   }
 }
 
@@ -282,31 +407,46 @@
   }
   mIsWatching = true;
   mDoesStoreAnswer = true;
-  events::line("feed_watches_store");
+  events::line("feed_watches_store").With("known_ms_ago", Age());
   for (const auto& kind : mKinds) {
-    objects::mirror_options options = kind.mOptions;
-    options.mKind = kind.mKind;
-    options.mMayCall = [this] { return mDoesStoreAnswer; };
-    objects::mirror_events heard;
-    heard.mOnListed = [this, &kind](const object_map& aObjects) {
-      TakeListing(mState, kind.mKind, aObjects);
-      mIsListed[kind.mKind] = true;
-      kind.mOnListed(aObjects);
-      AnswerAll();
-    };
-    heard.mOnEvent = [this, &kind](const objects::object_event& aEvent) {
-      TakeEvent(mState, kind.mKind, aEvent);
-      kind.mOnEvent(aEvent);
-      AnswerAll();
-    };
-    mMirrors.push_back(std::make_shared<objects::mirror>(
-      mParts.mScheduler, mParts.mStore, options, heard));
-    mMirrors.back()->Start();
+    AddMirror(kind);
   }
   Probe();
   LookForBetter();
 }
 
+void
+store_feed::AddMirror(const followed_kind& aKind)
+{
+  objects::mirror_options options = aKind.mOptions;
+  options.mKind = aKind.mKind;
+  options.mMayCall = [this] { return mDoesStoreAnswer; };
+  objects::mirror_events heard;
+  heard.mOnListed = [this, &aKind](const object_map& aObjects) {
+    NoteListing(aKind, aObjects);
+  };
+  heard.mOnEvent = [this, &aKind](const objects::object_event& aEvent) {
+    TakeEvent(mState, aKind.mKind, aEvent);
+    aKind.mOnEvent(aEvent);
+  };
+  heard.mOnProven = [this] { AnswerAll(); };
+  mMirrors.push_back(std::make_shared<objects::mirror>(
+    mParts.mScheduler, mParts.mStore, options, heard));
+  mMirrors.back()->Start();
+}
+
+void
+store_feed::NoteListing(const followed_kind& aKind, const object_map& aObjects)
+{
+  TakeListing(mState, aKind.mKind, aObjects);
+  mIsListed[aKind.mKind] = true;
+  if (HaveMirrorsListed()) {
+    mOrigin = mParts.mName;
+  }
+  aKind.mOnListed(aObjects);
+  AnswerAll();
+}
+
 void
 store_feed::StopWatching()
 {
@@ -316,27 +456,6 @@
   }
   mMirrors.clear();
   mNextProbe.reset();
-  AnswerAll();
-}
-
-void
-store_feed::LookForBetter()
-{
-  mNextLook = mParts.mScheduler.mAfter(kLookForBetter, [this] {
-    if (!mIsWatching) {
-      return;
-    }
-    const auto now = Now();
-    for (const auto& candidate : Candidates()) {
-      if (IsTried(candidate, now)) {
-        mSourceName = candidate.mName;
-        mSource = candidate.mAddress;
-        Ask();
-        return;
-      }
-    }
-    LookForBetter();
-  });
 }
 
 void
@@ -348,8 +467,7 @@
     }
     const auto answered = std::make_shared<bool>(false);
     const auto take = [this, answered](const objects::object_reply& aReply) {
-      if (!*answered && mIsWatching) {
-        *answered = true;
+      if (!std::exchange(*answered, true) && mIsWatching) {
         TakeProbe(aReply);
       }
     };
@@ -365,17 +483,14 @@
 store_feed::TakeProbe(const objects::object_reply& aReply)
 {
   const bool answers = IsAnswer(aReply);
-  if (answers != mDoesStoreAnswer) {
-    mDoesStoreAnswer = answers;
-    if (answers) {
-      // Watches from before the silence may never be answered.
-      for (const auto& mirror : mMirrors) {
-        mirror->WatchAgain();
-      }
+  const bool isRegained = answers && !mDoesStoreAnswer;
+  mDoesStoreAnswer = answers;
+  if (isRegained) {
+    // Watches from before the silence may never be answered.
+    for (const auto& mirror : mMirrors) {
+      mirror->ListAgain();
     }
-  }
-  if (answers) {
-    mFreshAt = Now();
+    LookForBetter();
   }
   SetReachable(answers);
   AnswerAll();
@@ -385,117 +500,63 @@
   Probe();
 }
 
-void
-store_feed::FollowAnyone()
+// Answering other entries
+
+refusal
+store_feed::Refusal() const
 {
-  // The store may turn this instance away and serve the others.
-  const auto now = Now();
-  for (const auto& candidate : mParts.mCandidates()) {
-    if (candidate.mName != mParts.mName && IsTried(candidate, now)) {
-      mSourceName = candidate.mName;
-      mSource = candidate.mAddress;
-      Ask();
-      return;
-    }
+  if (mIsWatching && !mDoesStoreAnswer) {
+    return refusal::NoStore;
   }
+  return HasListed() && Age() <= kMostAgePassedOn ? refusal::None
+                                                  : refusal::NotYet;
 }
 
-// Answering other entries
-
-std::string
-store_feed::ReasonToRefuse() const
+void
+store_feed::NoteRefusal(refusal aRefusal)
 {
-  if (!mIsWatching) {
-    // Passed on from one whose turn comes before; never in a circle.
-    if (mSourceName >= mParts.mName) {
-      return "follows a later entry";
-    }
-    return mSourceNumber > 0 && Now() - mFreshAt < kAnswerTimeout ? ""
-                                                                  : "no source";
-  }
-  if (!mDoesStoreAnswer) {
-    return "store doesn't answer";
+  if (aRefusal == mNotedRefusal) {
+    return;
   }
+  events::line line(aRefusal == refusal::None ? "feed_serves" : "feed_refuses");
+  line.With("reason", WordFor(aRefusal))
+    .With("origin", mOrigin)
+    .With("known_ms_ago", Age());
   for (const auto& mirror : mMirrors) {
-    if (!mirror->HasListed()) {
-      return "not listed: " + mirror->Kind();
-    }
-    if (!mirror->IsReachable()) {
-      return "watch lost: " + mirror->Kind();
+    if (mirror->LostSince()) {
+      line.With("lost", mirror->Kind());
     }
   }
-  return "";
+  mNotedRefusal = aRefusal;
 }
 
-void
-store_feed::NoteRefusal(const std::string& aReason)
+feed_knowledge
+store_feed::Knowledge() const
 {
-  if (aReason == mNotedRefusal) {
-    return;
-  }
-  events::line(aReason.empty() ? "feed_serves" : "feed_refuses")
-    .With("reason", aReason)
-    .With("known_ms_ago", Age());
-  mNotedRefusal = aReason;
+  return { mState, mLife, mOrigin, ProvenAt(), Refusal() };
 }
 
 void
 store_feed::Serve(const edge::request& aQuestion, feed_asker aAsker)
 {
-  const auto& headers = aQuestion.mHeaders;
-  asking asked;
-  asked.mAsker = std::move(aAsker);
-  asked.mUntil = Now() + kHold;
-  if (headers.ValueOr(kLifeField, "") == mLife) {
-    asked.mSince = headers.Integer(kSinceField);
-  }
-  mAsking.push_back(std::move(asked));
+  mHeld.Hold(DecodeQuestion(aQuestion), std::move(aAsker), Knowledge());
   AnswerAll();
 }
 
 void
 store_feed::AnswerAll()
 {
-  const auto now = Now();
-  const auto reason = ReasonToRefuse();
-  if (!mAsking.empty()) {
-    NoteRefusal(reason);
-  }
-  std::vector<asking> kept;
-  for (auto& asked : mAsking) {
-    if (asked.mAsker.mHasLeft()) {
-      continue;
-    }
-    if (!reason.empty()) {
-      // One that has just begun to watch will know in a moment.
-      const unsigned status =
-        mIsWatching && !mDoesStoreAnswer ? kUnreachable : kFollows;
-      asked.mAsker.mAnswer({ status, {}, {} });
-    } else if (!asked.mSince || *asked.mSince < mState.mNewest ||
-               now >= asked.mUntil) {
-      asked.mAsker.mAnswer(
-        { 200, {}, EncodeFeed(mState, mLife, asked.mSince) });
-    } else {
-      kept.push_back(std::move(asked));
+  if (mIsWatching) {
+    for (const auto& mirror : mMirrors) {
+      auto& known = mState.mRevisions[mirror->Kind()];
+      known = std::max(known, mirror->Revision());
     }
   }
-  mAsking = std::move(kept);
-  PlanAnswer();
-}
-
-void
-store_feed::PlanAnswer()
-{
-  if (mAsking.empty()) {
-    return;
-  }
-  auto next = mAsking.front().mUntil;
-  for (const auto& asked : mAsking) {
-    next = std::min(next, asked.mUntil);
+  const auto known = Knowledge();
+  if (!mHeld.IsEmpty()) {
+    NoteRefusal(known.mRefusal);
   }
-  const auto wait = std::chrono::ceil<milliseconds>(next - Now());
-  mNextAnswer = mParts.mScheduler.mAfter(std::max<milliseconds>(wait, 1ms),
-                                         [this] { AnswerAll(); });
+  mHeld.Answer(known);
 }
 
 void
@@ -503,7 +564,8 @@
 {
   if (mIsReachable != aIsReachable) {
     mIsReachable = aIsReachable;
-    events::line(aIsReachable ? "store_regained" : "store_lost");
+    events::line(aIsReachable ? "store_regained" : "store_lost")
+      .With("known_ms_ago", Age());
     mParts.mOnContact(aIsReachable);
   }
 }
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -1,35 +1,31 @@
 #pragma once
 
-#include "Duties/Feed/FeedState.h"
-#include "Libraries/Core/Scheduler.h"
+#include "Duties/Feed/FeedOrder.h"
+#include "Duties/Feed/HeldQuestions.h"
 #include "Libraries/Edge/Caller.h"
-#include "Libraries/Edge/Listener.h"
 #include "Libraries/ObjectStore/Mirror.h"
 
 namespace lavender::feed {
 
+/** By what an entry that watches a kind knows that it is up to date. */
+enum class kind_proof
+{
+  /** Each answer to a watch proves it anew; changes must be known in time. */
+  EachAnswer,
+  /** The watch isn't known to be lost. Its waits may be longer, as each answer
+   * is priced. */
+  WatchNotLost
+};
+
 struct followed_kind
 {
   std::string mKind;
+  kind_proof mProof = kind_proof::EachAnswer;
   objects::mirror_options mOptions;
   std::function<void(const object_map&)> mOnListed;
   std::function<void(const objects::object_event&)> mOnEvent;
 };
 
-/** An entry that may watch for others. */
-struct feed_candidate
-{
-  std::string mName;
-  edge::endpoint mAddress;
-};
-
-/** Whom an entry asks, in this order, before it watches the store itself: the
- * one above it in a tree of entries by name, those above that one up to the
- * first, then the others whose names come before its own.
- * @param aAll all entries in the order of their names */
-std::vector<feed_candidate>
-FeedOrder(const std::vector<feed_candidate>& aAll, const std::string& aName);
-
 struct feed_parts
 {
   scheduler mScheduler;
@@ -46,31 +42,21 @@
   std::string mName;
   /** An object of this entry's own, read to learn whether the store answers. */
   std::string mProbeKind;
-  /** All entries in the order in which they are asked, this one included. */
+  /** All entries in the order of their names, this one included. */
   std::function<std::vector<feed_candidate>()> mCandidates;
   /** The store's state is known again, or can't be learned from anybody. */
   std::function<void(bool aIsReachable)> mOnContact;
 };
 
-/** Where the answer to another entry's question goes. */
-struct feed_asker
-{
-  std::function<void(edge::response)> mAnswer;
-  std::function<bool()> mHasLeft;
-};
-
-feed_asker
-AskerOf(const edge::exchange_ptr& aExchange);
-
 /** Keeps this entry up to date about some kinds of objects.
  *
  * The first entry by name watches the store; the others ask it, or one that
- * asks it, and learn of a change as soon as that one does. One that gets no
- * answer asks the next, and last watches the store itself; so the loss of the
- * watching entry delays a change by about a second, and being cut off from the
- * store but not from the other entries delays nothing. The watching entry reads
- * a small object twice a second: a watch alone would not show for long that the
- * store is out of reach. */
+ * asks it, and learn of a change as soon as that one does. Each answer tells
+ * when its knowledge was last proven to be the store's state, by the entry that
+ * watches; passing it on makes it no younger. An entry whose own knowledge is
+ * older than kMostAge watches the store itself, whoever answers it. So the loss
+ * of any other entry delays a change by that much at most, and being cut off
+ * from the store but not from the other entries delays nothing. */
 class store_feed
 {
 public:
@@ -87,10 +73,12 @@
   /** How long ago what is known here was known to be the store's state. */
   milliseconds Age() const
   {
-    return std::chrono::duration_cast<milliseconds>(Now() - mFreshAt);
+    return std::chrono::duration_cast<milliseconds>(Now() - ProvenAt());
   }
   /** Name of the entry that this one hears from, or "store". */
   std::string SourceName() const { return mIsWatching ? "store" : mSourceName; }
+  /** Name of the entry whose watch tells of changes here. */
+  const std::string& Origin() const { return mOrigin; }
   /** The entry that this one hears from, unless it watches itself. */
   std::optional<edge::endpoint> Source() const
   {
@@ -99,65 +87,77 @@
   }
 
 private:
-  struct asking
+  struct question
   {
-    feed_asker mAsker;
-    std::optional<feed_number> mSince;
-    time_point mUntil;
+    std::uint64_t mNumber = 0;
+    std::string mEntry;
+    time_point mAskedAt;
   };
 
   time_point Now() const { return mParts.mScheduler.mNow(); }
+  time_point ProvenAt() const;
   std::vector<feed_candidate> Candidates() const;
-  void Choose();
-  bool IsTried(const feed_candidate& aCandidate, time_point aNow) const;
+  std::optional<feed_candidate> NextCandidate(
+    const std::vector<feed_candidate>& aCandidates) const;
   void Avoid(const std::string& aName, milliseconds aTime);
+  void Choose();
+  void AskCandidate(const feed_candidate& aCandidate);
   void Ask();
-  void TakeAnswer(std::uint64_t aQuestion,
-                  const std::string& aName,
+  void TakeAnswer(const question& aQuestion,
                   edge::call_end aEnd,
                   const edge::response& aAnswer);
+  std::string ReasonToReject(const decoded_feed& aFeed,
+                             time_point aProvenAt) const;
+  void Accept(const decoded_feed& aFeed,
+              const std::string& aEntry,
+              time_point aProvenAt);
+  void AskAnother();
   void LookWhetherStoreAnswers();
   void Apply(const decoded_feed& aFeed);
+  void ApplyWhole(const decoded_feed& aFeed);
+  void PlanAgeLimit();
   void WatchStore();
+  void AddMirror(const followed_kind& aKind);
+  void NoteListing(const followed_kind& aKind, const object_map& aObjects);
+  bool HaveMirrorsListed() const;
   void StopWatching();
   void Probe();
   void TakeProbe(const objects::object_reply& aReply);
   void LookForBetter();
   void FollowAnyone();
+  refusal Refusal() const;
+  void NoteRefusal(refusal aRefusal);
+  feed_knowledge Knowledge() const;
   void AnswerAll();
-  void PlanAnswer();
   void SetReachable(bool aIsReachable);
-  /** Why other entries get no answer now; empty when they do. */
-  std::string ReasonToRefuse() const;
-  void NoteRefusal(const std::string& aReason);
 
   feed_parts mParts;
   std::vector<followed_kind> mKinds;
   feed_state mState;
   const std::string mLife;
+  held_questions mHeld;
   std::vector<std::shared_ptr<objects::mirror>> mMirrors;
-  std::vector<asking> mAsking;
   std::map<std::string, time_point> mAvoidedUntil;
   std::map<std::string, bool> mIsListed;
   planned_action mNextLook;
   planned_action mNextProbe;
-  planned_action mNextAnswer;
+  planned_action mAgeLimit;
   edge::endpoint mSource;
   std::string mSourceName;
   std::string mSourceLife;
+  std::string mOrigin;
   feed_number mSourceNumber = 0;
   std::uint64_t mQuestion = 0;
-  int mWaitsForSource = 0;
+  /** Pauses for a source that may know in a moment, since the last answer. */
+  int mPauses = 0;
   time_point mFollowsSince;
-  time_point mFreshAt;
+  /** Of what was known when this entry last heard from another one. */
+  time_point mProvenAt;
   bool mIsWatching = false;
   bool mDoesStoreAnswer = true;
   bool mIsReachable = true;
   /** What the log last said of it. */
-  std::string mNotedRefusal;
+  refusal mNotedRefusal = refusal::None;
 };
 
-/** Path of the questions between entries. */
-constexpr char kFeedPath[] = "/feed";
-
 } // namespace lavender::feed
--- a/Libraries/ObjectStore/Mirror.cpp
+++ b/Libraries/ObjectStore/Mirror.cpp
@@ -6,10 +6,10 @@
                const object_store& aStore,
                mirror_options aOptions,
                mirror_events aEvents)
-  : mStore(aStore)
+  : mScheduler(std::move(aScheduler))
+  , mStore(aStore)
   , mOptions(std::move(aOptions))
   , mEvents(std::move(aEvents))
-  , mScheduler(std::move(aScheduler))
 {
 }
 
@@ -31,52 +31,46 @@
 }
 
 void
-mirror::WatchAgain()
+mirror::ListAgain()
 {
-  if (!mIsStarted || mIsStopped) {
-    return;
-  }
-  mPlanned.reset();
-  if (mHasListed) {
-    Watch();
-  } else {
+  if (mIsStarted && !mIsStopped) {
+    mPlanned.reset();
+    NoteLoss();
     List({}, {});
   }
 }
 
 void
-mirror::After(milliseconds aPause, std::function<void()> aAction)
+mirror::After(milliseconds aPause, void (mirror::*aAction)())
 {
-  mPlanned = mScheduler.mAfter(
-    aPause, [self = weak_from_this(), action = std::move(aAction)] {
-      if (const auto mirror = self.lock(); mirror && !mirror->mIsStopped) {
-        action();
-      }
-    });
+  mPlanned = mScheduler.mAfter(aPause, [weak = weak_from_this(), aAction] {
+    if (const auto self = weak.lock(); self && !self->mIsStopped) {
+      ((*self).*aAction)();
+    }
+  });
 }
 
 void
-mirror::SetReachable(bool aIsReachable)
+mirror::NoteLoss()
 {
-  if (mIsReachable != aIsReachable) {
-    mIsReachable = aIsReachable;
-    if (mEvents.mOnContact) {
-      mEvents.mOnContact(aIsReachable);
-    }
+  if (mHasListed && !mLostSince) {
+    mLostSince = mWatchesSince;
   }
 }
 
 void
-mirror::List(const std::string& aAfter,
-             std::map<std::string, stored_object> aGathered)
+mirror::List(const std::string& aAfter, object_map aGathered)
 {
   if (!MayCall()) {
-    After(mOptions.mRetryPause, [this] { List({}, {}); });
+    After(mOptions.mRetryPause, &mirror::ListAgain);
     return;
   }
-  const auto take = [self = shared_from_this(),
-                     gathered = std::move(aGathered),
-                     call = ++mCall](list_reply aReply) mutable {
+  if (aGathered.empty()) {
+    mListsSince = mScheduler.mNow();
+  }
+  auto take = [self = shared_from_this(),
+               gathered = std::move(aGathered),
+               call = ++mCall](list_reply aReply) mutable {
     if (!self->mIsStopped && self->mCall == call) {
       self->TakeList(std::move(aReply), std::move(gathered));
     }
@@ -86,12 +80,10 @@
 }
 
 void
-mirror::TakeList(list_reply aReply,
-                 std::map<std::string, stored_object> aGathered)
+mirror::TakeList(list_reply aReply, object_map aGathered)
 {
   if (aReply.mOutcome != store_outcome::Done) {
-    SetReachable(false);
-    After(mOptions.mRetryPause, [this] { List({}, {}); });
+    After(mOptions.mRetryPause, &mirror::ListAgain);
     return;
   }
   if (aGathered.empty()) {
@@ -106,10 +98,12 @@
     List(last, std::move(aGathered));
     return;
   }
-  SetReachable(true);
   mObjects = std::move(aGathered);
   mRevision = mListedAt;
+  mLastListing = mScheduler.mNow();
   mHasListed = true;
+  mLostSince.reset();
+  mProvenAt = mListsSince;
   if (mEvents.mOnListed) {
     mEvents.mOnListed(mObjects);
   }
@@ -119,10 +113,14 @@
 void
 mirror::Watch()
 {
+  if (mIsStopped) {
+    return;
+  }
   if (!MayCall()) {
-    After(mOptions.mRetryPause, [this] { Watch(); });
+    After(mOptions.mRetryPause, &mirror::Watch);
     return;
   }
+  mWatchesSince = mScheduler.mNow();
   mStore.mWatch(
     mOptions.mKind,
     mRevision,
@@ -132,24 +130,62 @@
         self->TakeWatch(std::move(aReply));
       }
     });
+  mPlanned = mScheduler.mAfter(mOptions.mWatchWait + mOptions.mWatchSlack,
+                               [weak = weak_from_this(), call = mCall] {
+                                 if (const auto self = weak.lock();
+                                     self && self->mCall == call) {
+                                   self->TakeWatch({});
+                                 }
+                               });
 }
 
 void
 mirror::TakeWatch(watch_reply aReply)
 {
-  if (aReply.mOutcome == store_outcome::HistoryGone) {
-    SetReachable(true);
-    List({}, {});
-    return;
-  }
-  if (aReply.mOutcome != store_outcome::Done) {
-    SetReachable(false);
-    After(mOptions.mRetryPause, [this] { Watch(); });
-    return;
+  mPlanned.reset();
+  switch (aReply.mOutcome) {
+    case store_outcome::Done:
+      break;
+    case store_outcome::Refused:
+      NoteLoss();
+      After(mOptions.mRetryPause, &mirror::ListAgain);
+      return;
+    default:
+      NoteLoss();
+      ListSoon();
+      return;
   }
-  SetReachable(true);
   mRevision = std::max(mRevision, aReply.mStoreRevision);
-  for (const auto& event : aReply.mEvents) {
+  // Without events the store has waited the whole time before it answered.
+  const auto waited =
+    aReply.mEvents.empty() ? mOptions.mWatchWait : milliseconds(0);
+  mProvenAt = mWatchesSince + waited;
+  TakeEvents(aReply.mEvents);
+  if (mEvents.mOnProven) {
+    mEvents.mOnProven();
+  }
+  if (aReply.mEvents.empty() || mOptions.mGatherFor.count() == 0) {
+    Watch();
+  } else {
+    After(mOptions.mGatherFor, &mirror::Watch);
+  }
+}
+
+void
+mirror::ListSoon()
+{
+  const auto earliest = mLastListing + mOptions.mRetryPause;
+  if (const auto now = mScheduler.mNow(); now < earliest) {
+    After(std::chrono::ceil<milliseconds>(earliest - now), &mirror::ListAgain);
+  } else {
+    List({}, {});
+  }
+}
+
+void
+mirror::TakeEvents(const std::vector<object_event>& aEvents)
+{
+  for (const auto& event : aEvents) {
     if (event.mIsDeleted) {
       mObjects.erase(event.mObject.mName);
     } else {
@@ -159,11 +195,6 @@
       mEvents.mOnEvent(event);
     }
   }
-  if (aReply.mEvents.empty() || mOptions.mGatherFor.count() == 0) {
-    Watch();
-  } else {
-    After(mOptions.mGatherFor, [this] { Watch(); });
-  }
 }
 
 } // namespace lavender::objects
--- a/Libraries/ObjectStore/Mirror.h
+++ b/Libraries/ObjectStore/Mirror.h
@@ -4,19 +4,22 @@
 #include "Libraries/ObjectStore/ObjectStore.h"
 
 #include <map>
-#include <memory>
+#include <optional>
 
 namespace lavender::objects {
 
 struct mirror_options
 {
   std::string mKind;
-  /** Longest wait of one watch. A watch is a priced call; probes find a dead
-   * connection sooner. */
-  milliseconds mWatchWait{ 25000 };
+  /** Longest wait of one watch. Each watch is a priced call, but one whose
+   * connection has died without a sign is noticed only after this. */
+  milliseconds mWatchWait{ 500 };
+  /** A watch that hasn't answered this long after its wait is given up. The
+   * store answers within 0.4 s when it is a hundred times slower than usual. */
+  milliseconds mWatchSlack{ 600 };
   /** Pause after an event, so that changes that come together are one call. */
   milliseconds mGatherFor{ 0 };
-  /** Pause after a call that failed. */
+  /** Pause after a listing that failed, and the least between two listings. */
   milliseconds mRetryPause{ 300 };
   /** False while calls would be in vain; they wait, as each is priced. */
   std::function<bool()> mMayCall;
@@ -27,14 +30,15 @@
   /** All objects, after a listing. */
   std::function<void(const std::map<std::string, stored_object>&)> mOnListed;
   std::function<void(const object_event&)> mOnEvent;
-  /** Contact with the store was lost, or is back. */
-  std::function<void(bool aIsReachable)> mOnContact;
+  /** A watch has been answered, after its events. */
+  std::function<void()> mOnProven;
 };
 
 /** Keeps a copy of all objects of one kind: lists, then watches from there.
  *
- * When the store has forgotten the history, the kind is listed again while the
- * copy goes on to serve: what was known isn't dropped meanwhile. */
+ * After a watch that ended without an answer the kind is listed again: nobody
+ * knows what was changed meanwhile, and whether the history still tells of it.
+ * The copy goes on to serve: what was known isn't dropped. */
 class mirror : public std::enable_shared_from_this<mirror>
 {
 public:
@@ -46,36 +50,50 @@
   /** Does nothing when it was started before. */
   void Start();
   void Stop();
-  /** Watches anew from what is known; an answer to the present watch is
-   * dropped. For a watch whose answer was lost with its connection alive. */
-  void WatchAgain();
+  /** Lists anew; answers to the present call are dropped. */
+  void ListAgain();
   const std::string& Kind() const { return mOptions.mKind; }
   bool HasListed() const { return mHasListed; }
-  bool IsReachable() const { return mIsReachable; }
+  /** Since when changes may have gone unheard; none while a watch is alive as
+   * far as is known. */
+  std::optional<time_point> LostSince() const { return mLostSince; }
+  /** A time up to which every change is known. */
+  time_point ProvenAt() const { return mProvenAt; }
+  /** Every change up to this one is known, but for those unheard. */
+  revision_number Revision() const { return mRevision; }
 
 private:
-  void List(const std::string& aAfter,
-            std::map<std::string, stored_object> aGathered);
-  void TakeList(list_reply aReply,
-                std::map<std::string, stored_object> aGathered);
+  using object_map = std::map<std::string, stored_object>;
+
+  void List(const std::string& aAfter, object_map aGathered);
+  void TakeList(list_reply aReply, object_map aGathered);
   void Watch();
   void TakeWatch(watch_reply aReply);
-  void After(milliseconds aPause, std::function<void()> aAction);
-  void SetReachable(bool aIsReachable);
+  void TakeEvents(const std::vector<object_event>& aEvents);
+  void NoteLoss();
+  /** At once, but for a store that cuts each watch as soon as it begins. */
+  void ListSoon();
+  void After(milliseconds aPause, void (mirror::*aAction)());
   bool MayCall() const { return !mOptions.mMayCall || mOptions.mMayCall(); }
 
+  const scheduler mScheduler;
   const object_store& mStore;
   const mirror_options mOptions;
   const mirror_events mEvents;
-  const scheduler mScheduler;
+  /** The next call, or giving up the present watch. */
   planned_action mPlanned;
-  std::map<std::string, stored_object> mObjects;
+  object_map mObjects;
   revision_number mRevision = 0;
   /** Of a listing's first page: changes during the listing come again. */
   revision_number mListedAt = 0;
+  /** When the present watch began. */
+  time_point mWatchesSince;
+  time_point mListsSince;
+  time_point mProvenAt;
+  std::optional<time_point> mLostSince;
+  time_point mLastListing;
   bool mIsStarted = false;
   bool mHasListed = false;
-  bool mIsReachable = true;
   bool mIsStopped = false;
   /** Tells the answer of the present call from those of calls given up. */
   std::uint64_t mCall = 0;
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -19,6 +19,19 @@
 /** An owner that has lost a batch learns of it within this, and goes on in
  * vain meanwhile; an end must be known within seconds. */
 constexpr milliseconds kGatherHeads = 300ms;
+/** A watch that died without a sign may delay these changes by as much. */
+constexpr milliseconds kWatchLong = 2000ms;
+
+feed::followed_kind
+KindWatchedLong(const char* aKind, milliseconds aGatherFor)
+{
+  feed::followed_kind kind;
+  kind.mKind = aKind;
+  kind.mProof = feed::kind_proof::WatchNotLost;
+  kind.mOptions.mWatchWait = kWatchLong;
+  kind.mOptions.mGatherFor = aGatherFor;
+  return kind;
+}
 
 } // namespace
 
@@ -89,9 +102,7 @@
     }
   };
 
-  feed::followed_kind servers;
-  servers.mKind = platform::kServerKind;
-  servers.mOptions.mGatherFor = kGatherServers;
+  auto servers = KindWatchedLong(platform::kServerKind, kGatherServers);
   servers.mOnListed = [this](const feed::object_map& aObjects) {
     std::map<std::string, site::backend_server> listed;
     for (const auto& [name, object] : aObjects) {
@@ -111,9 +122,7 @@
     PlanServersChanged();
   };
 
-  feed::followed_kind peers;
-  peers.mKind = site::kEntryKind;
-  peers.mOptions.mGatherFor = kGatherServers;
+  auto peers = KindWatchedLong(site::kEntryKind, kGatherServers);
   peers.mOnListed = [this](const feed::object_map& aObjects) {
     std::vector<std::string> gone;
     for (const auto& [name, known] : mPeers) {
@@ -136,9 +145,7 @@
     }
   };
 
-  feed::followed_kind heads;
-  heads.mKind = batches::kHeadKind;
-  heads.mOptions.mGatherFor = kGatherHeads;
+  auto heads = KindWatchedLong(batches::kHeadKind, kGatherHeads);
   heads.mOnListed = [this](const feed::object_map& aObjects) {
     mBatches.TakeListing(aObjects);
   };
@@ -146,9 +153,7 @@
     mBatches.TakeEvent(aEvent);
   };
 
-  feed::followed_kind versions;
-  versions.mKind = platform::kVersionKind;
-  versions.mOptions.mGatherFor = kGatherVersions;
+  auto versions = KindWatchedLong(platform::kVersionKind, kGatherVersions);
   versions.mOnListed = [this](const feed::object_map& aObjects) {
     for (const auto& [name, object] : aObjects) {
       TakeVersion(object);
@@ -182,6 +187,7 @@
     .With("version", mConfiguration->mVersion)
     .With("revision", aObject.mRevision)
     .With("source", mFeed.SourceName())
+    .With("origin", mFeed.Origin())
     .With("known_ms_ago", mFeed.Age());
   mAssignments.Refresh();
   mRunner.Dispatch();
--- a/StandIns/ObjectStore/MemoryStore.cpp
+++ b/StandIns/ObjectStore/MemoryStore.cpp
@@ -141,8 +141,9 @@
     }
   }
   reply.mStoreRevision = aState.mRevision;
-  if (!reply.mEvents.empty() || aLeft <= 0ms ||
-      reply.mOutcome != store_outcome::Done) {
+  const bool hasNews = !reply.mEvents.empty() || aLeft <= 0ms ||
+                       reply.mOutcome != store_outcome::Done;
+  if (hasNews && !aState.mAreWatchesDeaf) {
     RunAfter(aScheduler, aState.mLatency, [aDone, reply] { aDone(reply); });
     return;
   }
--- a/StandIns/ObjectStore/MemoryStore.h
+++ b/StandIns/ObjectStore/MemoryStore.h
@@ -43,6 +43,8 @@
   milliseconds mLateness{ 60 };
   /** How often a watch that waits looks for a change. */
   milliseconds mLookEach{ 2 };
+  /** Watches that wait hear of no change, nor end. */
+  bool mAreWatchesDeaf = false;
   int mCalls = 0;
   /** Of these, reads that may be stale: the platform charges a tenth. */
   int mStaleReads = 0;
--- a/Tests/Site/Support/SimulatedFeed.cpp
+++ b/Tests/Site/Support/SimulatedFeed.cpp
@@ -11,6 +11,7 @@
 constexpr milliseconds kStoreTimeout = 1500ms;
 /** A client waits for a watch's answer this much longer than its wait. */
 constexpr milliseconds kWatchSlack = 2000ms;
+constexpr milliseconds kLongWatch = 2000ms;
 constexpr char kObjectName[] = "x";
 
 } // namespace
@@ -43,26 +44,35 @@
       mValueAtContact = Value(kBusyKind);
     }
   };
-  std::vector<feed::followed_kind> kinds;
-  for (const std::string kind : { kBusyKind, kQuietKind }) {
-    kinds.push_back(
-      { kind,
-        {},
-        [this, kind](const auto& aObjects) { Hear(kind, aObjects); },
-        [this, kind](const auto& aEvent) {
-          auto objects = mObjects[kind];
-          if (aEvent.mIsDeleted) {
-            objects.erase(aEvent.mObject.mName);
-          } else {
-            objects[aEvent.mObject.mName] = aEvent.mObject;
-          }
-          Hear(kind, objects);
-        } });
-  }
+  auto busy = KindOf(kBusyKind);
+  auto quiet = KindOf(kQuietKind);
+  quiet.mProof = feed::kind_proof::WatchNotLost;
+  quiet.mOptions.mWatchWait = kLongWatch;
+  std::vector<feed::followed_kind> kinds{ busy, quiet };
   mFeed =
     std::make_unique<feed::store_feed>(std::move(parts), std::move(kinds));
 }
 
+feed::followed_kind
+simulated_entry::KindOf(const std::string& aKind)
+{
+  feed::followed_kind kind;
+  kind.mKind = aKind;
+  kind.mOnListed = [this, aKind](const auto& aObjects) {
+    Hear(aKind, aObjects);
+  };
+  kind.mOnEvent = [this, aKind](const auto& aEvent) {
+    auto objects = mObjects[aKind];
+    if (aEvent.mIsDeleted) {
+      objects.erase(aEvent.mObject.mName);
+    } else {
+      objects[aEvent.mObject.mName] = aEvent.mObject;
+    }
+    Hear(aKind, objects);
+  };
+  return kind;
+}
+
 simulated_entry::~simulated_entry()
 {
   mIsAlive.reset();
@@ -136,13 +146,17 @@
   uses.mAfter = [this, planOn = uses.mAfter](milliseconds aPause,
                                              std::function<void()> aAction) {
     const auto plan = std::make_shared<planned_action>();
-    *plan = planOn(
-      aPause, [this, weak = std::weak_ptr(plan), action = std::move(aAction)] {
-        Deliver([weak, action] {
-          if (!weak.expired()) {
-            action();
-          }
-        });
+    const auto unlessTakenBack = [weak = std::weak_ptr(plan),
+                                  action = std::move(aAction)] {
+      if (!weak.expired()) {
+        action();
+      }
+    };
+    *plan =
+      planOn(aPause, [this, alive = std::weak_ptr(mIsAlive), unlessTakenBack] {
+        if (!alive.expired()) {
+          Deliver(unlessTakenBack);
+        }
       });
     return planned_action(plan);
   };
--- a/Tests/Site/TestFeed.cpp
+++ b/Tests/Site/TestFeed.cpp
@@ -56,6 +56,7 @@
             mLosses += aIsReachable ? 0 : 1;
           } },
         { { "things",
+            feed::kind_proof::EachAnswer,
             {},
             [this](const feed::object_map& aObjects) { mThings = aObjects; },
             [this](const objects::object_event& aEvent) {
@@ -286,8 +287,8 @@
       }
       auto& [since, objects] =
         known[*rc::gen::inRange<std::size_t>(0, known.size())];
-      const auto decoded =
-        feed::DecodeFeed(feed::EncodeFeed(state, "life", since));
+      const auto decoded = feed::DecodeFeed(
+        feed::EncodeFeed(state, "life", since, { "a", 0ms, 0ms }));
       RC_ASSERT(decoded.has_value());
       if (decoded->mIsWhole) {
         objects.clear();
