An entry that the store turns away passes a silent one

An entry that the store turns away asks the others from whom it could hear. Its probe fails each half second and began the round anew, before the 0.9 s were over in which the asked one's silence shows; so it asked a frozen entry for ever.

Change: while a question is under way, a failed probe asks nobody. The new test AnEntryThatIsTurnedAwayPassesASilentOne fails before.

--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -102,7 +102,10 @@
   if (!mIsWatching || !HaveMirrorsListed()) {
     return mProvenAt;
   }
-  auto provenAt = Now();
+  auto provenAt = time_point::min();
+  for (const auto& mirror : mMirrors) {
+    provenAt = std::max(provenAt, mirror->ProvenAt());
+  }
   for (std::size_t i = 0; i < mKinds.size(); ++i) {
     const auto& mirror = *mMirrors[i];
     if (mKinds[i].mProof == kind_proof::EachAnswer) {
@@ -223,6 +226,7 @@
   options.mConnectTimeout = kConnectTimeout;
   options.mSilenceTimeout = kAnswerTimeout;
   const question asked{ ++mQuestion, mSourceName, Now() };
+  mIsAsking = true;
   mParts.mCall(
     mSource,
     EncodeQuestion({ mSourceLife, mSourceNumber }),
@@ -241,6 +245,7 @@
   if (aQuestion.mNumber != mQuestion) {
     return;
   }
+  mIsAsking = false;
   const bool isComplete = aEnd == edge::call_end::Complete;
   const auto feed = isComplete && aAnswer.mStatus == 200
                       ? DecodeFeed(aAnswer.mBody)
@@ -349,6 +354,7 @@
                            [this](const objects::object_reply& aReply) {
                              if (IsAnswer(aReply) && !mIsWatching) {
                                ++mQuestion;
+                               mIsAsking = false;
                                WatchStore();
                              }
                            });
@@ -494,7 +500,8 @@
   }
   SetReachable(answers);
   AnswerAll();
-  if (!answers) {
+  // Asking anew would hide for ever that the one asked now is silent.
+  if (!answers && !mIsAsking) {
     FollowAnyone();
   }
   Probe();
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -148,6 +148,8 @@
   std::string mOrigin;
   feed_number mSourceNumber = 0;
   std::uint64_t mQuestion = 0;
+  /** An answer to the newest question may still come. */
+  bool mIsAsking = false;
   /** Pauses for a source that may know in a moment, since the last answer. */
   int mPauses = 0;
   time_point mFollowsSince;
--- a/Tests/Site/TestFeedFaults.cpp
+++ b/Tests/Site/TestFeedFaults.cpp
@@ -73,4 +73,55 @@
   }
 }
 
+// A confirmed change is in force 27 s late everywhere: the answer to the watch
+// that waits is lost, while the store answers every other call.
+BOOST_AUTO_TEST_CASE(AWatchWhoseAnswerIsLostIsNoticed)
+{
+  simulated_site site;
+  StartEntries(site, 'c');
+  site.At("a").SilenceWatches();
+  site.Put(2);
+  site.mClock.RunFor(kInForceWithin);
+  for (const auto& [name, entry] : site.mEntries) {
+    BOOST_TEST(entry->Value(kBusyKind) == 2, name);
+  }
+}
+
+// An entry that the store turns away learns nothing from the others: it asks
+// one that is silent again and again, each time before its silence is noticed.
+BOOST_AUTO_TEST_CASE(AnEntryThatIsTurnedAwayPassesASilentOne)
+{
+  simulated_site site;
+  StartEntries(site, 'c');
+  site.At("b").Freeze();
+  site.At("a").mWay = store_way::TurnedAway;
+  site.At("a").BreakCalls();
+  site.mClock.RunFor(3s);
+  site.Put(2);
+  site.mClock.RunFor(kInForceWithin);
+  BOOST_TEST(site.At("a").Value(kBusyKind) == 2);
+}
+
+// An entry that has heard of a change forgets it when it asks another one that
+// hasn't yet.
+BOOST_AUTO_TEST_CASE(AListingOfSomebodyWhoKnowsLessTakesNothingBack)
+{
+  const auto object = [](const std::string& aName,
+                         objects::revision_number aRevision) {
+    objects::stored_object made;
+    made.mName = aName;
+    made.mRevision = aRevision;
+    return std::pair(aName, made);
+  };
+  const feed::object_map known{ object("changed", 7),
+                                object("created", 8),
+                                object("removed", 3) };
+  const feed::object_map told{ object("changed", 2), object("theirs", 5) };
+  const auto merged = feed::MergeListing(known, told, 5);
+  BOOST_TEST(merged.at("changed").mRevision == 7);
+  BOOST_TEST(merged.count("created") == 1);
+  BOOST_TEST(merged.count("removed") == 0);
+  BOOST_TEST(merged.count("theirs") == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
