In an outage of the store an entry asks eight others between two probes

Each entry that the store doesn't answer asks all others in turn whether they know more: 45 questions a second for each of 60 entries, and in proportion more at 360.

Change: eight questions between two probes.

--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -39,6 +39,9 @@
 /** An entry that has just lost its own source is asked again after this. */
 constexpr milliseconds kPause = 200ms;
 constexpr int kMostPauses = 3;
+/** Entries that one without the store asks between two probes. In an outage for
+ * all, hundreds would keep one another busy. */
+constexpr int kMostAskedAProbe = 8;
 
 /** Whether the store answered a read, whatever it found. */
 bool
@@ -196,7 +199,9 @@
 store_feed::FollowAnyone()
 {
   // The store may turn this instance away and serve the others.
-  if (const auto candidate = NextCandidate(mParts.mCandidates())) {
+  const auto candidate = NextCandidate(mParts.mCandidates());
+  if (candidate && mAskedSinceProbe < kMostAskedAProbe) {
+    ++mAskedSinceProbe;
     AskCandidate(*candidate);
     return;
   }
@@ -488,6 +493,7 @@
 void
 store_feed::TakeProbe(const objects::object_reply& aReply)
 {
+  mAskedSinceProbe = 0;
   const bool answers = IsAnswer(aReply);
   const bool isRegained = answers && !mDoesStoreAnswer;
   mDoesStoreAnswer = answers;
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -152,6 +152,7 @@
   bool mIsAsking = false;
   /** Pauses for a source that may know in a moment, since the last answer. */
   int mPauses = 0;
+  int mAskedSinceProbe = 0;
   time_point mFollowsSince;
   /** Of what was known when this entry last heard from another one. */
   time_point mProvenAt;
--- a/Tests/Site/Support/SimulatedFeed.cpp
+++ b/Tests/Site/Support/SimulatedFeed.cpp
@@ -283,6 +283,7 @@
                           milliseconds aDeadline,
                           edge::whole_answer aDone)
 {
+  ++mCallsBetweenEntries;
   const auto uses = mClock.Scheduler();
   const auto hasEnded = std::make_shared<bool>(false);
   const auto caller = aCaller.mName;
--- a/Tests/Site/Support/SimulatedFeed.h
+++ b/Tests/Site/Support/SimulatedFeed.h
@@ -92,6 +92,7 @@
   /** Known addresses; a port stands for a name. */
   std::map<std::string, edge::endpoint> mPeers;
   std::map<std::string, std::unique_ptr<simulated_entry>> mEntries;
+  int mCallsBetweenEntries = 0;
 
   simulated_site();
   /** A new process, in place of the one before if there is one. */
--- a/Tests/Site/TestFeedFaults.cpp
+++ b/Tests/Site/TestFeedFaults.cpp
@@ -102,6 +102,27 @@
   BOOST_TEST(site.At("a").Value(kBusyKind) == 2);
 }
 
+// In an outage of the store each entry asks all others in turn whether they
+// know more, so that hundreds of entries keep one another busy.
+BOOST_AUTO_TEST_CASE(AnOutageOfTheStoreDoesNotFloodTheEntries)
+{
+  constexpr int kEntries = 60;
+  constexpr int kMostCallsASecond = 20;
+  simulated_site site;
+  site.Put(1);
+  for (int i = 0; i < kEntries; ++i) {
+    site.Add("entry-" + std::to_string(100 + i)).Start();
+  }
+  site.mClock.RunFor(3s);
+  site.mState.mFault = standin::store_fault::Refuse;
+  site.CutWatches();
+  site.mClock.RunFor(3s);
+  const auto before = site.mCallsBetweenEntries;
+  site.mClock.RunFor(4s);
+  BOOST_TEST(site.mCallsBetweenEntries - before <=
+             4 * kEntries * kMostCallsASecond);
+}
+
 // An entry that has heard of a change forgets it when it asks another one that
 // hasn't yet.
 BOOST_AUTO_TEST_CASE(AListingOfSomebodyWhoKnowsLessTakesNothingBack)
