Soak: a change after the faults comes into force at every entry

The soak changed configurations and checked no entry for them, so entries that stayed behind went unseen. Each configuration now has a route of its own, which every entry must serve after the faults. Reading: the feed's handling of an answer in smaller steps.

--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -255,7 +255,7 @@
   const auto feed = isComplete && aAnswer.mStatus == 200
                       ? DecodeFeed(aAnswer.mBody)
                       : std::nullopt;
-  std::string reason = "no answer";
+  std::string reason = isComplete ? "refused" : "no answer";
   if (feed) {
     // The time on the way back isn't known, so the answer is taken to have been
     // given as early as it can have been.
@@ -266,8 +266,6 @@
       Accept(*feed, aQuestion.mEntry, provenAt);
       return;
     }
-  } else if (isComplete) {
-    reason = "refused";
   }
   const bool mayKnowSoon = isComplete && (feed || aAnswer.mStatus == kNotYet);
   if (mayKnowSoon && !mIsWatching && mPauses < kMostPauses) {
@@ -281,14 +279,12 @@
     .With("status", static_cast<std::int64_t>(aAnswer.mStatus))
     .With("reason", reason)
     .With("known_ms_ago", Age());
-  if (!isComplete) {
-    Avoid(aQuestion.mEntry, kAvoidSilent);
-  } else if (mayKnowSoon && mIsWatching && !mDoesStoreAnswer) {
-    // It may have followed this entry and watch for itself in a moment.
-    Avoid(aQuestion.mEntry, kPause);
-  } else {
-    Avoid(aQuestion.mEntry, kAvoidRefusing);
-  }
+  // One that has followed this entry may watch for itself in a moment.
+  const bool isAskedAgainSoon = mayKnowSoon && mIsWatching && !mDoesStoreAnswer;
+  Avoid(aQuestion.mEntry,
+        !isComplete        ? kAvoidSilent
+        : isAskedAgainSoon ? kPause
+                           : kAvoidRefusing);
   AskAnother();
 }
 
--- a/Tests/Soak/Clients.cpp
+++ b/Tests/Soak/Clients.cpp
@@ -114,6 +114,45 @@
     });
 }
 
+void
+soak_clients::AskForNewest()
+{
+  for (const auto& entry : mSite.mEntries) {
+    if (mServeNewest.count(entry->mName) > 0) {
+      continue;
+    }
+    edge::FetchWhole(
+      *mClients,
+      mSite.mLoop,
+      { "127.0.0.1", entry->mCallers },
+      Request("GET",
+              mSite.NewestPath(),
+              "desk.example",
+              "n" + std::to_string(mNext++)),
+      {},
+      kPatience,
+      1 << 20,
+      [this, name = entry->mName](edge::call_end aEnd,
+                                  const edge::response& aAnswer) {
+        if (aEnd == edge::call_end::Complete && aAnswer.mStatus == 200) {
+          mServeNewest.insert(name);
+        }
+      });
+  }
+}
+
+std::set<std::string>
+soak_clients::LackingNewest() const
+{
+  std::set<std::string> lacking;
+  for (const auto& entry : mSite.mEntries) {
+    if (mServeNewest.count(entry->mName) == 0) {
+      lacking.insert(entry->mName);
+    }
+  }
+  return lacking;
+}
+
 void
 soak_clients::Submit(const std::shared_ptr<submitted_batch>& aBatch)
 {
--- a/Tests/Soak/Clients.h
+++ b/Tests/Soak/Clients.h
@@ -34,6 +34,10 @@
   void Step(bool aMaySubmit);
   /** Every accepted batch has been read whole. */
   bool AreBatchesWhole() const;
+  /** Asks each entry that hasn't done so yet for the newest route. */
+  void AskForNewest();
+  /** Entries that haven't served the newest route. */
+  std::set<std::string> LackingNewest() const;
   /** What the servers ran against what callers were told. */
   void CheckRuns();
   std::string Summary() const;
@@ -55,6 +59,7 @@
   std::shared_ptr<edge::client_pool> mClients;
   std::vector<std::shared_ptr<submitted_batch>> mBatches;
   std::map<std::string, unsigned> mOnceAnswers;
+  std::set<std::string> mServeNewest;
   int mNext = 0;
   int mSent = 0;
   int mServed = 0;
--- a/Tests/Soak/Site.cpp
+++ b/Tests/Soak/Site.cpp
@@ -114,6 +114,12 @@
   WriteServers();
 }
 
+std::string
+soak_site::NewestPath() const
+{
+  return "/version-" + std::to_string(mConfigurationVersion) + "/";
+}
+
 void
 soak_site::WriteConfiguration()
 {
@@ -128,6 +134,9 @@
       {"name":"once","host":"desk.example","pathPrefix":"/once/",
        "kind":"non_idempotent","service":"desk","maxAttempts":2,
        "timeoutMs":3000},
+      {"name":"newest","host":"desk.example","pathPrefix":")" +
+    NewestPath() + R"(","kind":"safe","service":"desk","maxAttempts":2,
+       "timeoutMs":3000},
       {"name":"reward","host":"score.example","pathPrefix":"/score/",
        "kind":"safe","service":"judges","maxAttempts":4,"timeoutMs":3000,
        "targetLatencyMs":300,"authExempt":true}],
--- a/Tests/Soak/Site.h
+++ b/Tests/Soak/Site.h
@@ -75,6 +75,8 @@
   void Watch();
   void NameVersion();
   void ChangeConfiguration();
+  /** Path of a route that only the newest configuration has. */
+  std::string NewestPath() const;
   /** Undoes every fault. */
   void Heal();
 
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -207,6 +207,28 @@
   }
 }
 
+/** A change after the faults comes into force at every entry. */
+void
+CheckConfiguration(soak_site& aSite, soak_clients& aClients)
+{
+  // Much longer than a change may take, but shorter than the waits after which
+  // an entry would learn of it by chance.
+  constexpr auto kLimit = 15s;
+  aSite.ChangeConfiguration();
+  const auto limit = boot_clock::now() + kLimit;
+  while (!aClients.LackingNewest().empty() && boot_clock::now() < limit &&
+         !gIsInterrupted) {
+    aClients.AskForNewest();
+    Pass(aSite.mLoop, 200ms);
+    aSite.Watch();
+    aClients.Step(false);
+  }
+  for (const auto& name : aClients.LackingNewest()) {
+    aSite.mFindings.push_back("a changed configuration isn't in force at " +
+                              name);
+  }
+}
+
 int
 Soak(std::uint64_t aSeed,
      std::chrono::seconds aTime,
@@ -224,6 +246,7 @@
   Pass(loop, 1500ms);
   Disturb(site, clients, random, aTime);
   site.Heal();
+  CheckConfiguration(site, clients);
   // The limit ends a run that hangs; what isn't whole by then is a finding.
   constexpr auto kHealLimit = 60s;
   const auto limit = boot_clock::now() + kHealLimit;
