--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -527,15 +527,17 @@
   if (aRefusal == mNotedRefusal) {
     return;
   }
-  events::line line(aRefusal == refusal::None ? "feed_serves" : "feed_refuses");
-  line.With("reason", WordFor(aRefusal))
-    .With("origin", mOrigin)
-    .With("known_ms_ago", Age());
+  std::string lost;
   for (const auto& mirror : mMirrors) {
     if (mirror->LostSince()) {
-      line.With("lost", mirror->Kind());
+      lost += (lost.empty() ? "" : ",") + mirror->Kind();
     }
   }
+  events::line(aRefusal == refusal::None ? "feed_serves" : "feed_refuses")
+    .With("reason", WordFor(aRefusal))
+    .With("origin", mOrigin)
+    .With("known_ms_ago", Age())
+    .With("lost", lost);
   mNotedRefusal = aRefusal;
 }
 
--- a/Libraries/Edge/RunAfter.h
+++ b/Libraries/Edge/RunAfter.h
@@ -1,11 +1,6 @@
 #pragma once
 
-#include "Libraries/Core/Clock.h"
-
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <functional>
-#include <memory>
+#include "Libraries/Edge/LoopScheduler.h"
 
 namespace lavender::edge {
 
@@ -15,13 +10,7 @@
          milliseconds aPause,
          std::function<void()> aAction)
 {
-  auto timer = std::make_shared<boost::asio::steady_timer>(aLoop);
-  timer->expires_after(aPause);
-  timer->async_wait([timer, action = std::move(aAction)](const auto& aError) {
-    if (!aError) {
-      action();
-    }
-  });
+  lavender::RunAfter(LoopScheduler(aLoop), aPause, std::move(aAction));
 }
 
 } // namespace lavender::edge
--- a/Tests/Site/Support/SimulatedClock.cpp
+++ b/Tests/Site/Support/SimulatedClock.cpp
@@ -7,6 +7,15 @@
   std::function<void()> mAction;
 };
 
+simulated_clock::~simulated_clock()
+{
+  for (const auto& [at, weak] : mPlanned) {
+    if (const auto action = weak.lock()) {
+      action->mAction = nullptr;
+    }
+  }
+}
+
 scheduler
 simulated_clock::Scheduler()
 {
--- a/Tests/Site/Support/SimulatedClock.h
+++ b/Tests/Site/Support/SimulatedClock.h
@@ -11,6 +11,12 @@
 class simulated_clock
 {
 public:
+  simulated_clock() = default;
+  /** What is still planned goes, also actions that hold themselves. */
+  ~simulated_clock();
+  simulated_clock(const simulated_clock&) = delete;
+  simulated_clock& operator=(const simulated_clock&) = delete;
+
   time_point Now() const { return mNow; }
   /** @return uses of this clock, which must outlive it */
   scheduler Scheduler();
