An entry that the store turns away asks others until one helps

Ruled out: the store itself (57 of 88 entries wrote all the while); the feed (each answer named an origin that reached the store).

--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -35,6 +35,8 @@
 constexpr milliseconds kJoinAfter = 350ms;
 /** A whole feed of the largest site planned for is a few MB. */
 constexpr std::size_t kMaximumFeed = 64 << 20;
+/** Objects are 1 MB at most, a listing's page is about as large. */
+constexpr std::size_t kMaximumStoreAnswer = 8 << 20;
 /** A usage report that isn't answered within this is settled by a repeat. */
 constexpr milliseconds kReportTimeout = 1200ms;
 
@@ -45,12 +47,34 @@
   , mClients(std::make_shared<edge::client_pool>(mLoop))
   , mDirectTransport(
       platform::DirectTransport(mLoop, mClients, mSettings.mStore))
+  , mStoreAccess({ edge::LoopScheduler(mLoop),
+                   mDirectTransport,
+                   [this](const edge::endpoint& aEntry,
+                          const edge::request& aRequest,
+                          milliseconds aDeadline,
+                          edge::whole_answer aDone) {
+                     edge::call_options options;
+                     options.mSilenceTimeout = aDeadline;
+                     edge::FetchWhole(*mClients,
+                                      mLoop,
+                                      aEntry,
+                                      aRequest,
+                                      options,
+                                      aDeadline,
+                                      kMaximumStoreAnswer,
+                                      std::move(aDone));
+                   },
+                   [this] { return Helpers(); },
+                   platform::IsTurnedAway,
+                   platform::EncodeTrial(site::kEntryKind, mSettings.mName) })
   , mDirectStore(platform::MakeStore(mDirectTransport, mStoreCounts))
   , mStore(platform::MakeStore(
-      platform::HelpedTransport(mLoop,
-                                mClients,
-                                mDirectTransport,
-                                [this] { return mFeed.Source(); }),
+      [this](const edge::request& aRequest,
+             milliseconds aDeadline,
+             const edge::call_options& aOptions,
+             edge::whole_answer aDone) {
+        mStoreAccess.Call(aRequest, aDeadline, aOptions, std::move(aDone));
+      },
       mStoreCounts))
   , mProtocol(platform::MakeExchangeProtocol())
   , mLimits(std::make_shared<edge::listener_limits>())
@@ -262,6 +286,19 @@
                  });
 }
 
+storeaccess::helper_view
+site_entry::Helpers() const
+{
+  storeaccess::helper_view view{ mSettings.mName, mFeed.Origin(), {} };
+  // One that watches for itself is served, or hears of nobody who is.
+  if (mFeed.Source()) {
+    for (const auto& [name, known] : mPeers) {
+      view.mEntries.push_back({ name, known.mAddress });
+    }
+  }
+  return view;
+}
+
 std::vector<std::string>
 site_entry::EntryNames() const
 {
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -62,6 +62,8 @@
             unsigned aStatus,
             const char* aReason);
   std::optional<edge::endpoint> FindPeer(const std::string& aName) const;
+  /** Entries that may reach the store for this one. */
+  storeaccess::helper_view Helpers() const;
   std::vector<std::string> EntryNames() const;
   /** A model's batches run at one entry and can't be split, so a small instance
    * is a bad place for them: one with five times the processor gets
@@ -74,7 +76,8 @@
   boost::asio::io_context mLoop{ 1 };
   std::shared_ptr<edge::client_pool> mClients;
   platform::store_counts mStoreCounts;
-  platform::store_transport mDirectTransport;
+  storeaccess::store_transport mDirectTransport;
+  storeaccess::store_access mStoreAccess;
   /** Calls that no other entry helps with. */
   objects::object_store mDirectStore;
   objects::object_store mStore;
--- a/Services/Entry/SiteEntryServing.cpp
+++ b/Services/Entry/SiteEntryServing.cpp
@@ -128,8 +128,10 @@
   };
   if (target == feed::kFeedPath) {
     mFeed.Serve(aExchange->mRequest, feed::AskerOf(aExchange));
-  } else if (target == platform::kHelpPath) {
-    platform::ServeHelpCall(aExchange, mDirectTransport);
+  } else if (target == storeaccess::kHelpPath) {
+    mStoreAccess.Help(aExchange->mRequest, [aExchange](edge::response aAnswer) {
+      aExchange->Answer(std::move(aAnswer));
+    });
   } else if (startsWith(batches::kPeerPath)) {
     mBatches.ServePeer(aExchange);
   } else if (startsWith(batches::kPeerSubmissionPath)) {
--- a/Tests/Site/TestStoreHelp.cpp
+++ b/Tests/Site/TestStoreHelp.cpp
@@ -1,3 +1,4 @@
+#include "Libraries/Edge/LoopScheduler.h"
 #include "Tests/Site/Support/Loop.h"
 #include "platform/StoreClient.h"
 
@@ -34,14 +35,37 @@
       aDone(mDirectEnd, { mDirectStatus, {}, {} });
     };
     platform::store_counts counts;
+    storeaccess::store_access access({
+      edge::LoopScheduler(mLoop.mLoop),
+      direct,
+      [this](const edge::endpoint& aEntry,
+             const edge::request& aRequest,
+             milliseconds aDeadline,
+             edge::whole_answer aDone) {
+        edge::FetchWhole(*mClients,
+                         mLoop.mLoop,
+                         aEntry,
+                         aRequest,
+                         {},
+                         aDeadline,
+                         1 << 20,
+                         std::move(aDone));
+      },
+      [this] {
+        return storeaccess::helper_view{
+          "self", "helper", { { "helper", { "127.0.0.1", mHelperPort } } }
+        };
+      },
+      platform::IsTurnedAway,
+      {},
+    });
     const auto store = platform::MakeStore(
-      platform::HelpedTransport(
-        mLoop.mLoop,
-        mClients,
-        direct,
-        [this] {
-          return std::optional(edge::endpoint{ "127.0.0.1", mHelperPort });
-        }),
+      [&access](const edge::request& aRequest,
+                milliseconds aDeadline,
+                const edge::call_options& aOptions,
+                edge::whole_answer aDone) {
+        access.Call(aRequest, aDeadline, aOptions, std::move(aDone));
+      },
       counts);
     std::optional<objects::store_outcome> outcome;
     store.mCreate("kind", "name", "{}", [&](const auto& aReply) {
