An owner that can't store hands its batches over, and takes no new ones

Callers saw: a batch at an entry cut off from the store listed nothing more; the entry kept it, took new batches only to refuse them with "items not stored", and nobody took over before a reader met silence.

Cause: ownership changed only when the owner was silent or left. One that answers but can store nothing looked well.

Ruled out: making the entry report itself not ready: it serves plain requests and passes submissions and reads on to entries that can store, so what it says of itself is true.

Change: an entry whose calls come through by no way for a second, while others reach the store, asks the entry that shall own each batch to claim it, says "not owner" to submissions passed on to it, and passes its own callers' on, to three entries at most. When nobody reaches the store, batches stay where they are and new ones are refused at once with when to come back.

--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -115,6 +115,10 @@
       case batch_call::kind::End:
         End(aExchange, aBatch, kTries);
         return;
+      case batch_call::kind::TakeOver:
+        // It is this entry's already.
+        aExchange->Answer({ 200, {}, {} });
+        return;
     }
   });
 }
@@ -163,6 +167,10 @@
     aExchange->Answer({ 400, {}, {} });
     return;
   }
+  if (call->mKind == batch_call::kind::TakeOver) {
+    TakeOffer(aExchange, *call);
+    return;
+  }
   const auto known = mBatches.find(call->mBatchId);
   if (known == mBatches.end() || !IsMine(known->second)) {
     aExchange->Answer({ kNotOwner, {}, {} });
--- a/Duties/Batches/BatchListing.cpp
+++ b/Duties/Batches/BatchListing.cpp
@@ -144,6 +144,9 @@
     if (aBatch->mGeneration != generation || aBatch->mHead.mIsEnded) {
       return;
     }
+    if (!mParts.mCanStore()) {
+      Offer(aBatch);
+    }
     const auto unsaved =
       mParts.mRunner.Unsaved(aBatch->mHead.mId, kSaveAlone, kBlockBytes);
     if (!unsaved.empty()) {
--- a/Duties/Batches/BatchOwners.cpp
+++ b/Duties/Batches/BatchOwners.cpp
@@ -18,8 +18,12 @@
 /** One that gave no answer isn't passed a batch for this long: each try would
  * hold a trainer up. */
 constexpr milliseconds kAvoidSilent = 5000ms;
-/** One that takes no more batches is leaving. */
+/** One that takes no more batches is leaving, or cut off from the store. */
 constexpr milliseconds kAvoidLeaving = 10000ms;
+/** Entries that are asked to take one submission. */
+constexpr int kMostAsked = 3;
+/** A new owner changes the batch's head before it answers. */
+constexpr milliseconds kOfferTimeout = 1500ms;
 
 constexpr char kRetryAfter[] = "Retry-After";
 
@@ -31,13 +35,16 @@
   edge::exchange_ptr mExchange;
   submission_origin mOrigin;
   submission mSubmission;
+  /** Entries that were asked to take it. */
+  int mAsked = 0;
 };
 
 std::optional<std::string>
 batch_service::DesignatedOwner(const std::string& aCustomer,
                                const std::string& aModel) const
 {
-  if (!IsOn(mechanism::DesignatedOwners) && !mIsLeaving) {
+  const bool isUnfit = IsUnfit();
+  if (!IsOn(mechanism::DesignatedOwners) && !isUnfit) {
     return mParts.mName;
   }
   const auto now = boot_clock::now();
@@ -46,7 +53,7 @@
     const auto avoided = mAvoidedUntil.find(candidate.mName);
     const bool isAvoided =
       avoided != mAvoidedUntil.end() && now < avoided->second;
-    if (isAvoided || (mIsLeaving && candidate.mName == mParts.mName)) {
+    if (isAvoided || (isUnfit && candidate.mName == mParts.mName)) {
       candidate.mWeight = 0;
     }
   }
@@ -61,17 +68,28 @@
   if (AnswerKnown(aExchange, aOrigin, aSubmission.mId)) {
     return;
   }
-  const auto owner = DesignatedOwner(aOrigin.mCustomer, aSubmission.mModel);
+  Place(std::make_shared<placement>(
+    placement{ aExchange, aOrigin, std::move(aSubmission) }));
+}
+
+void
+batch_service::Place(const std::shared_ptr<placement>& aPlacement)
+{
+  const auto owner = DesignatedOwner(aPlacement->mOrigin.mCustomer,
+                                     aPlacement->mSubmission.mModel);
   const auto peer = owner && *owner != mParts.mName
                       ? mParts.mFindPeer(*owner)
                       : std::optional<edge::endpoint>();
-  if (peer) {
-    PassSubmission(std::make_shared<placement>(
-                     placement{ aExchange, aOrigin, std::move(aSubmission) }),
-                   *owner,
-                   *peer);
+  // An entry that isn't fit asks further ones before it tries.
+  if (peer && (aPlacement->mAsked == 0 ||
+               (IsUnfit() && aPlacement->mAsked < kMostAsked))) {
+    ++aPlacement->mAsked;
+    PassSubmission(aPlacement, *owner, *peer);
   } else {
-    Admit(aExchange, aOrigin, std::move(aSubmission), prior_try::None);
+    Admit(aPlacement->mExchange,
+          aPlacement->mOrigin,
+          std::move(aPlacement->mSubmission),
+          prior_try::None);
   }
 }
 
@@ -83,7 +101,7 @@
   if (AnswerKnown(aExchange, aOrigin, aSubmission.mId)) {
     return;
   }
-  if (mIsLeaving) {
+  if (IsUnfit()) {
     aExchange->Answer({ kNotOwner, {}, {} });
     return;
   }
@@ -143,11 +161,14 @@
         boot_clock::now() + (isAnswered ? kAvoidLeaving : kAvoidSilent);
       // The other entry may have accepted the batch all the same. The store
       // takes one head only; but "not run" can't be said any more.
-      const bool mayExist = !isAnswered && aEnd != edge::call_end::NotSent;
-      Admit(aPlacement->mExchange,
-            aPlacement->mOrigin,
-            std::move(aPlacement->mSubmission),
-            mayExist ? prior_try::MayHaveBeenAccepted : prior_try::None);
+      if (!isAnswered && aEnd != edge::call_end::NotSent) {
+        Admit(aPlacement->mExchange,
+              aPlacement->mOrigin,
+              std::move(aPlacement->mSubmission),
+              prior_try::MayHaveBeenAccepted);
+      } else {
+        Place(aPlacement);
+      }
     });
 }
 
@@ -183,4 +204,73 @@
                                });
 }
 
+void
+batch_service::Offer(const batch_ptr& aBatch)
+{
+  const auto owner =
+    DesignatedOwner(aBatch->mHead.mCustomer, aBatch->mHead.mModel);
+  const auto peer = owner && *owner != mParts.mName
+                      ? mParts.mFindPeer(*owner)
+                      : std::optional<edge::endpoint>();
+  if (aBatch->mIsOffered || !peer) {
+    return;
+  }
+  aBatch->mIsOffered = true;
+  batch_call call;
+  call.mKind = batch_call::kind::TakeOver;
+  call.mBatchId = aBatch->mHead.mId;
+  call.mCustomer = aBatch->mHead.mCustomer;
+  edge::call_options options;
+  options.mConnectTimeout = kConnectTimeout;
+  options.mSilenceTimeout = kOfferTimeout;
+  constexpr std::size_t kAnswerBytes = 4096;
+  edge::FetchWhole(
+    mParts.mClients,
+    mParts.mLoop,
+    *peer,
+    EncodePeerCall(call),
+    options,
+    kOfferTimeout,
+    kAnswerBytes,
+    [this, aBatch, owner = *owner](edge::call_end aEnd,
+                                   const edge::response& aAnswer) {
+      const bool isTaken =
+        aEnd == edge::call_end::Complete && aAnswer.mStatus == 200;
+      events::line("batch_offered")
+        .With("batch", aBatch->mHead.mId)
+        .With("to", owner)
+        .With("end", edge::WordFor(aEnd))
+        .With("status", static_cast<std::int64_t>(aAnswer.mStatus));
+      aBatch->mIsOffered = false;
+      if (!isTaken) {
+        mAvoidedUntil[owner] = boot_clock::now() + kAvoidSilent;
+      } else if (IsMine(aBatch)) {
+        // The head as the store has it comes through the feed.
+        aBatch->mHead.mOwner = owner;
+        aBatch->mOwnedSince = boot_clock::now();
+        Drop(aBatch);
+      }
+    });
+}
+
+void
+batch_service::TakeOffer(const edge::exchange_ptr& aExchange,
+                         const batch_call& aCall)
+{
+  if (IsUnfit()) {
+    aExchange->Answer({ kNotOwner, {}, {} });
+    return;
+  }
+  FindThen(aCall.mBatchId,
+           [this, aExchange](const batch_ptr& aBatch, objects::store_outcome) {
+             if (!aBatch || IsMine(aBatch)) {
+               aExchange->Answer({ aBatch ? 200u : kNotOwner, {}, {} });
+               return;
+             }
+             Claim(aBatch, [aExchange](bool aIsMine) {
+               aExchange->Answer({ aIsMine ? 200u : kNotOwner, {}, {} });
+             });
+           });
+}
+
 } // namespace lavender::batches
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -41,6 +41,9 @@
   /** Entries that may own a batch, this one included, by how much work each
    * can do. */
   std::function<std::vector<weighted_candidate>()> mEntries;
+  /** False while this entry's writes don't reach the store though others'
+   * do. */
+  std::function<bool()> mCanStore;
   /** Told once of each batch that was accepted, by whichever entry. */
   std::function<void(const batch_head&)> mOnAccepted;
 };
@@ -64,6 +67,8 @@
    * before; added to the new one it would shift every later position. */
   std::uint64_t mGeneration = 0;
   bool mIsCommitting = false;
+  /** Another entry has been asked to take it, and hasn't answered. */
+  bool mIsOffered = false;
   /** When the log was loaded from the store; none when all of it was listed
    * here. */
   std::optional<time_point> mLoadedAt;
@@ -79,14 +84,18 @@
 
 using batch_ptr = std::shared_ptr<batch_record>;
 
-/** A trainer's call on a batch that exists, as an entry passes it on. */
+/** A call on a batch that exists: a trainer's, as an entry passes it on, or an
+ * owner's. */
 struct batch_call
 {
   enum class kind
   {
     Results,
     Item,
-    End
+    End,
+    /** The owner can't store results and asks another entry to own the
+     * batch. */
+    TakeOver
   };
   kind mKind = kind::Results;
   std::string mBatchId;
@@ -146,11 +155,18 @@
   };
 
   void GiveTo(const batch_ptr& aBatch, const std::string& aOwner);
+  /** Asks another entry to take a batch whose results can't be stored here. */
+  void Offer(const batch_ptr& aBatch);
+  void TakeOffer(const edge::exchange_ptr& aExchange, const batch_call& aCall);
+  /** Whether this entry should own no more batches than it does. */
+  bool IsUnfit() const { return mIsLeaving || !mParts.mCanStore(); }
   std::optional<std::string> DesignatedOwner(const std::string& aCustomer,
                                              const std::string& aModel) const;
   bool AnswerKnown(const edge::exchange_ptr& aExchange,
                    const submission_origin& aOrigin,
                    const std::string& aBatchId);
+  /** Passes a submission to the entry that shall own it, or admits it here. */
+  void Place(const std::shared_ptr<placement>& aPlacement);
   void PassSubmission(const std::shared_ptr<placement>& aPlacement,
                       const std::string& aOwner,
                       const edge::endpoint& aPeer);
--- a/Duties/Batches/PeerCall.cpp
+++ b/Duties/Batches/PeerCall.cpp
@@ -21,6 +21,8 @@
       return "item";
     case batch_call::kind::End:
       return "end";
+    case batch_call::kind::TakeOver:
+      return "take-over";
   }
   return "results";
 }
@@ -58,7 +60,8 @@
   }
   for (const auto known : { batch_call::kind::Results,
                             batch_call::kind::Item,
-                            batch_call::kind::End }) {
+                            batch_call::kind::End,
+                            batch_call::kind::TakeOver }) {
     if (kind == WordFor(known)) {
       call.mKind = known;
       call.mCustomer = aRequest.mHeaders.ValueOr(kCustomerField, "");
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -108,6 +108,7 @@
                mSettings.mName,
                [this](const std::string& aName) { return FindPeer(aName); },
                [this] { return WeighedEntries(); },
+               [this] { return mStoreAccess.CanStore(); },
                [this](const batches::batch_head& aHead) {
                  mAssignments.TakeBatch(
                    aHead.mModel, aHead.mMinimumVersion, aHead.mExpectedTokens);
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -123,11 +123,13 @@
           }
           return entries;
         },
+        [this] { return mCanStore; },
         [](const batches::batch_head&) {} })
   , mListener(aSite.mLoop.mLoop,
               std::make_shared<edge::listener_limits>(),
               [this](const auto& aExchange) { Serve(aExchange); })
 {
+  RefuseWritesWhileCutOff();
   mListener.Open({ "127.0.0.1", 0 });
   aSite.mPeers[aName] = { "127.0.0.1", mListener.Port() };
   objects::mirror_options options;
@@ -142,6 +144,34 @@
   mHeads->Start();
 }
 
+void
+batch_entry::RefuseWritesWhileCutOff()
+{
+  mStore.mCreate = [this, create = mStore.mCreate](const std::string& aKind,
+                                                   const std::string& aName,
+                                                   std::string aSpecJson,
+                                                   objects::object_done aDone) {
+    if (mCanStore) {
+      create(aKind, aName, std::move(aSpecJson), std::move(aDone));
+    } else {
+      aDone({ objects::store_outcome::Refused, {} });
+    }
+  };
+  mStore.mReplaceStatus =
+    [this, replace = mStore.mReplaceStatus](const std::string& aKind,
+                                            const std::string& aName,
+                                            objects::revision_number aExpected,
+                                            std::string aStatusJson,
+                                            objects::object_done aDone) {
+      if (mCanStore) {
+        replace(
+          aKind, aName, aExpected, std::move(aStatusJson), std::move(aDone));
+      } else {
+        aDone({ objects::store_outcome::Refused, {} });
+      }
+    };
+}
+
 void
 batch_entry::Serve(const edge::exchange_ptr& aExchange)
 {
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -71,12 +71,15 @@
   std::shared_ptr<objects::mirror> mHeads;
   /** False stands for an entry that is cut off from callers and peers. */
   bool mIsReachable = true;
+  /** False stands for an entry whose writes don't reach the store. */
+  bool mCanStore = true;
   /** True stands for answers to other entries that are lost on their way. */
   bool mLosesAnswers = false;
   /** True stands for a narrow link: pages for other entries take 1.5 s. */
   bool mAnswersSlowly = false;
 
 private:
+  void RefuseWritesWhileCutOff();
   void Serve(const edge::exchange_ptr& aExchange);
   void AnswerSlowly(const edge::exchange_ptr& aExchange);
 
--- a/Tests/Site/TestBatchOwners.cpp
+++ b/Tests/Site/TestBatchOwners.cpp
@@ -152,6 +152,66 @@
   BOOST_TEST(OwnerOf(site, "b2") == "b");
 }
 
+// A step misses its time though others could list its results: its owner is cut
+// off from the store, keeps the results in memory, and answers readers as if
+// there were none.
+BOOST_AUTO_TEST_CASE(AnOwnerThatCantStoreHandsItsBatchesOverUnasked)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  site.Add(server);
+  site.mWeights["b"] = 0;
+  batch_entry owner(site, "a");
+  batch_entry other(site, "b");
+  BOOST_TEST(owner.Submit("b1", 4).mAnswer.mStatus == 202u);
+  BOOST_TEST(OwnerOf(site, "b1") == "a");
+  owner.mCanStore = false;
+  site.mWeights["b"] = 1;
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return OwnerOf(site, "b1") == "b"; }, 3s));
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return other.ListedIds("b1").size() == 4; }));
+  // Back again, it asks the new owner as any other entry does.
+  owner.mCanStore = true;
+  BOOST_TEST(owner.ListedIds("b1").size() == 4u);
+  BOOST_TEST(OwnerOf(site, "b1") == "b");
+}
+
+// A trainer's submission is refused for as long as the entry that it reached is
+// cut off from the store, though others would take it. The first one that is
+// asked instead may be cut off too.
+BOOST_AUTO_TEST_CASE(NewBatchesGoToAnEntryThatCanStore)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  site.Add(server);
+  constexpr double kPreferred = 1e9;
+  site.mWeights["b"] = kPreferred;
+  batch_entry asked(site, "a");
+  batch_entry cutOff(site, "b");
+  batch_entry fit(site, "c");
+  asked.mCanStore = cutOff.mCanStore = false;
+  BOOST_TEST(asked.Submit("b1", 3).mAnswer.mStatus == 202u);
+  BOOST_TEST(OwnerOf(site, "b1") == "c");
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return asked.ListedIds("b1").size() == 3; }));
+}
+
+// The store serves nobody: batches are refused at once, not sent about.
+BOOST_AUTO_TEST_CASE(ABatchThatNobodyCanStoreIsRefusedAtOnce)
+{
+  batch_site site;
+  batch_entry asked(site, "a");
+  batch_entry other(site, "b");
+  asked.mCanStore = other.mCanStore = false;
+  const auto start = boot_clock::now();
+  const auto answer = asked.Submit("b1", 3).mAnswer;
+  BOOST_TEST(answer.mStatus == 503u);
+  BOOST_TEST(answer.mHeaders.Find("Retry-After") != nullptr);
+  BOOST_TEST((boot_clock::now() - start < 1s));
+  BOOST_TEST(!IsAccepted(site, "b1"));
+}
+
 // A step ends seconds late though its entry was back at once: the one that ran
 // it was killed, and the long runs began anew. What they had made is stored now
 // and then, and the next owner goes on after the last stored event.
