--- a/Tests/Site/TestFeedFaults.cpp
+++ b/Tests/Site/TestFeedFaults.cpp
@@ -1,5 +1,6 @@
 #include "Tests/Site/Support/SimulatedFeed.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace lavender;
@@ -123,6 +124,34 @@
              4 * kEntries * kMostCallsASecond);
 }
 
+// After all entries were killed at once callers are refused for most of a
+// second though the store answers: each entry that knows nothing yet refuses the
+// next ones, which wait before they ask again, level by level.
+BOOST_AUTO_TEST_CASE(EntriesThatStartTogetherKnowTheStateAtOnce)
+{
+  constexpr int kEntries = 360;
+  simulated_site site;
+  site.mState.mLatency = 40ms;
+  site.Put(1);
+  for (int i = 0; i < kEntries; ++i) {
+    site.Add("entry-" + std::to_string(100 + i));
+  }
+  for (auto& [name, entry] : site.mEntries) {
+    entry->Start();
+    if (name.back() == '9') {
+      site.mClock.RunFor(3ms);
+    }
+  }
+  const auto allKnow = [&] {
+    return std::all_of(site.mEntries.begin(),
+                       site.mEntries.end(),
+                       [](const auto& aNamed) {
+                         return aNamed.second->Value(kBusyKind) == 1;
+                       });
+  };
+  BOOST_TEST(site.mClock.RunUntil(allKnow, 150ms));
+}
+
 // An entry that has heard of a change forgets it when it asks another one that
 // hasn't yet.
 BOOST_AUTO_TEST_CASE(AListingOfSomebodyWhoKnowsLessTakesNothingBack)
