A starting entry holds the questions of others instead of refusing them

Cause: an entry that knew nothing yet refused the ones that follow it; each waited 0.2 s before it asked again, on each level of the tree. The first entry knew the configuration 14 ms after its start, the last ones 0.68 s.

Ruled out: the list of entries (the first entry had it at once).

Change: a question to an entry that has just started waits 0.3 s at most and is answered the moment the state is known. An entry whose knowledge is too old refuses as before.

--- a/Duties/Feed/HeldQuestions.cpp
+++ b/Duties/Feed/HeldQuestions.cpp
@@ -14,6 +14,10 @@
  * shows that this entry is gone. In health the next proof comes before. */
 constexpr milliseconds kHold = 700ms;
 
+/** An entry that starts knows the state within a few tens of ms. One whose own
+ * source is gone sends those that ask it elsewhere after this. */
+constexpr milliseconds kHoldStarting = 300ms;
+
 /** The answer of one that doesn't know the store's state. */
 constexpr unsigned kNoStore = 503;
 
@@ -91,7 +95,10 @@
     if (question.mAsker.mHasLeft()) {
       continue;
     }
-    if (aKnown.mRefusal != refusal::None) {
+    if (aKnown.mRefusal == refusal::Starting &&
+        now < question.mAskedAt + kHoldStarting) {
+      kept.push_back(std::move(question));
+    } else if (aKnown.mRefusal != refusal::None) {
       const auto status =
         aKnown.mRefusal == refusal::NoStore ? kNoStore : kNotYet;
       question.mAsker.mAnswer({ status, {}, {} });
@@ -109,11 +116,11 @@
     }
   }
   mHeld = std::move(kept);
-  PlanAnswer();
+  PlanAnswer(aKnown.mRefusal == refusal::Starting ? kHoldStarting : kHold);
 }
 
 void
-held_questions::PlanAnswer()
+held_questions::PlanAnswer(milliseconds aHold)
 {
   if (mHeld.empty()) {
     mNextAnswer.reset();
@@ -123,7 +130,7 @@
     mHeld.begin(), mHeld.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.mAskedAt < aRight.mAskedAt;
     });
-  const auto wait = Between(mScheduler.mNow(), first->mAskedAt + kHold);
+  const auto wait = Between(mScheduler.mNow(), first->mAskedAt + aHold);
   mNextAnswer =
     mScheduler.mAfter(std::max<milliseconds>(wait, 1ms), mAnswerAll);
 }
--- a/Duties/Feed/HeldQuestions.h
+++ b/Duties/Feed/HeldQuestions.h
@@ -39,6 +39,9 @@
 enum class refusal
 {
   None,
+  /** It has just started and knows nothing; the question waits until it does,
+   * for a moment. */
+  Starting,
   /** It may know in a moment: ask again. */
   NotYet,
   /** The store doesn't answer it: ask another one. */
@@ -81,7 +84,7 @@
   };
 
   bool IsDue(const held& aHeld, const feed_knowledge& aKnown) const;
-  void PlanAnswer();
+  void PlanAnswer(milliseconds aHold);
 
   const scheduler mScheduler;
   const std::function<void()> mAnswerAll;
--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -57,6 +57,8 @@
   switch (aRefusal) {
     case refusal::None:
       return "none";
+    case refusal::Starting:
+      return "knows nothing yet";
     case refusal::NotYet:
       return "knowledge too old";
     case refusal::NoStore:
@@ -517,8 +519,10 @@
   if (mIsWatching && !mDoesStoreAnswer) {
     return refusal::NoStore;
   }
-  return HasListed() && Age() <= kMostAgePassedOn ? refusal::None
-                                                  : refusal::NotYet;
+  if (!HasListed()) {
+    return refusal::Starting;
+  }
+  return Age() <= kMostAgePassedOn ? refusal::None : refusal::NotYet;
 }
 
 void
--- a/Tests/Site/TestFeedFaults.cpp
+++ b/Tests/Site/TestFeedFaults.cpp
@@ -125,8 +125,8 @@
 }
 
 // After all entries were killed at once callers are refused for most of a
-// second though the store answers: each entry that knows nothing yet refuses the
-// next ones, which wait before they ask again, level by level.
+// second though the store answers: each entry that knows nothing yet refuses
+// the next ones, which wait before they ask again, level by level.
 BOOST_AUTO_TEST_CASE(EntriesThatStartTogetherKnowTheStateAtOnce)
 {
   constexpr int kEntries = 360;
@@ -143,11 +143,10 @@
     }
   }
   const auto allKnow = [&] {
-    return std::all_of(site.mEntries.begin(),
-                       site.mEntries.end(),
-                       [](const auto& aNamed) {
-                         return aNamed.second->Value(kBusyKind) == 1;
-                       });
+    return std::all_of(
+      site.mEntries.begin(), site.mEntries.end(), [](const auto& aNamed) {
+        return aNamed.second->Value(kBusyKind) == 1;
+      });
   };
   BOOST_TEST(site.mClock.RunUntil(allKnow, 150ms));
 }
