Log: changes of servers' entries are summed up

Who comes, announces its end or goes is told by the one entry that watches the store for the others. version_named is written where agents ask.

Test: TestServerChanges (1,202 changes, one line).

--- /dev/null
+++ b/Duties/Site/TestServerChanges.cpp
@@ -0,0 +1,29 @@
+#include "Duties/Site/ServerChanges.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lavender;
+using namespace lavender::site;
+
+BOOST_AUTO_TEST_SUITE(TestServerChanges)
+
+// A roll-out fills the logs of the whole fleet: each entry writes a line for
+// each server at each change.
+BOOST_AUTO_TEST_CASE(ManyChangesMakeOneLine)
+{
+  server_changes changes;
+  int lines = 0;
+  for (int i = 0; i < 1200; ++i) {
+    lines += NoteChange(changes, server_change::Ready) ? 1 : 0;
+  }
+  NoteChange(changes, server_change::Leaving);
+  NoteChange(changes, server_change::Removed);
+  BOOST_TEST(lines == 1);
+  const auto told = TakeChanges(changes);
+  BOOST_TEST(told.mReady == 1200);
+  BOOST_TEST(told.mLeaving == 1);
+  BOOST_TEST(told.mRemoved == 1);
+  BOOST_TEST(NoteChange(changes, server_change::Leaving));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -62,9 +62,12 @@
   auto& newest = mNamed[aModel];
   if (aVersion > newest) {
     newest = aVersion;
-    events::line("version_named")
-      .With("model", aModel)
-      .With("version", aVersion);
+    // Told by the entry that decides what follows.
+    if (!mWaiters.empty()) {
+      events::line("version_named")
+        .With("model", aModel)
+        .With("version", aVersion);
+    }
     Refresh();
   }
 }
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -202,6 +202,7 @@
   , mAnnounceTimer(mLoop)
   , mJoinTimer(mLoop)
   , mServerLookTimer(mLoop)
+  , mServerLogTimer(mLoop)
 {
   mLimits->mMaximumConnections = mSettings.mMaximumConnections;
   mLimits->mMaximumBufferedBytes = mSettings.mMaximumBufferedBytes;
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -4,6 +4,7 @@
 #include "Duties/Billing/UsageDuty.h"
 #include "Duties/Feed/StoreFeed.h"
 #include "Duties/Forwarding/Forwarder.h"
+#include "Duties/Site/ServerChanges.h"
 #include "Duties/Upkeep/UpkeepDuty.h"
 #include "Duties/Versions/Assignments.h"
 #include "Libraries/ObjectStore/Mirror.h"
@@ -43,6 +44,8 @@
   void TakePeer(const objects::stored_object& aObject);
   void DropPeer(const std::string& aName);
   void TakeServerObject(const objects::stored_object& aObject);
+  void TakeServerRemoval(const std::string& aId);
+  void NoteServerChange(const std::string& aId, site::server_change aChange);
   void PlanServersChanged();
   void AfterServersChanged();
   void ServeCaller(const edge::exchange_ptr& aExchange);
@@ -106,6 +109,8 @@
   boost::asio::steady_timer mAnnounceTimer;
   boost::asio::steady_timer mJoinTimer;
   boost::asio::steady_timer mServerLookTimer;
+  boost::asio::steady_timer mServerLogTimer;
+  site::server_changes mServerChanges;
   bool mIsServerLookPlanned = false;
   std::optional<time_point> mLeavingSince;
   bool mHasHandedOver = false;
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -115,7 +115,7 @@
   };
   servers.mOnEvent = [this](const objects::object_event& aEvent) {
     if (aEvent.mIsDeleted) {
-      site::TakeRemoval(mDirectory, aEvent.mObject.mName, boot_clock::now());
+      TakeServerRemoval(aEvent.mObject.mName);
     } else {
       TakeServerObject(aEvent.mObject);
     }
@@ -196,14 +196,52 @@
 void
 site_entry::TakeServerObject(const objects::stored_object& aObject)
 {
-  if (auto server = platform::DecodeServer(aObject)) {
+  auto server = platform::DecodeServer(aObject);
+  if (!server) {
+    TakeServerRemoval(aObject.mName);
+    return;
+  }
+  NoteServerChange(server->mId,
+                   server->mIsLeaving ? site::server_change::Leaving
+                                      : site::server_change::Ready);
+  site::TakeServer(mDirectory, std::move(*server));
+}
+
+void
+site_entry::TakeServerRemoval(const std::string& aId)
+{
+  NoteServerChange(aId, site::server_change::Removed);
+  site::TakeRemoval(mDirectory, aId, boot_clock::now());
+}
+
+void
+site_entry::NoteServerChange(const std::string& aId,
+                             site::server_change aChange)
+{
+  // Who comes and goes is told once, by the entry that tells the others.
+  const bool isNews =
+    aChange != site::server_change::Ready || mDirectory.mRows.count(aId) == 0;
+  if (mFeed.IsWatching() && isNews) {
     events::line("server_entry")
-      .With("server", server->mId)
-      .With("state", server->mIsLeaving ? "leaving" : "ready");
-    site::TakeServer(mDirectory, std::move(*server));
-  } else {
-    site::TakeRemoval(mDirectory, aObject.mName, boot_clock::now());
+      .With("server", aId)
+      .With("state", site::WordFor(aChange));
   }
+  if (!site::NoteChange(mServerChanges, aChange)) {
+    return;
+  }
+  mServerLogTimer.expires_after(site::kSumChangesFor);
+  mServerLogTimer.async_wait([this](const auto& aError) {
+    if (aError) {
+      return;
+    }
+    const auto changes = site::TakeChanges(mServerChanges);
+    events::line("servers_changed")
+      .With("ready", changes.mReady)
+      .With("leaving", changes.mLeaving)
+      .With("removed", changes.mRemoved)
+      .With("known", static_cast<std::int64_t>(mDirectory.mRows.size()))
+      .With("known_ms_ago", mFeed.Age());
+  });
 }
 
 void
