Orders for servers without an agent; each server's giver holds a claim in the store

Cause: orders came from agents alone.

Change: a server's giver holds an object of the store that only conditional writes change, and its revision is the epoch. An agent claims at its start, in place of the listing that gave its epoch before. The entry that watches the store claims a server that nobody has claimed for 5 s, or whose giver hasn't asked for 20 s while a load is overdue. Entries tell what is wanted to the newest claim they know alone; an answer holds for 2 s, and who takes a claim from another waits 8 s, by which all entries have heard of it. Agents go back to the preferred entry after 10 s, so that one entry knows who lives.

--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -84,7 +84,7 @@
   mBurstTimer.async_wait([this](const auto& aError) {
     mIsLookPlanned = false;
     if (!aError) {
-      AnswerChanged();
+      Look();
     }
   });
 }
@@ -236,26 +236,69 @@
 void
 assignments::Serve(const edge::exchange_ptr& aExchange)
 {
-  const auto address =
-    aExchange->mRequest.mTarget.substr(sizeof kAssignmentPath - 1);
+  const auto address = edge::ParseAddress(
+    aExchange->mRequest.mTarget.substr(sizeof kAssignmentPath - 1));
   const auto body = json::Parse(aExchange->mRequest.mBody);
-  if (!body) {
+  if (!body || !address) {
     aExchange->Answer({ 400, {}, {} });
     return;
   }
   waiter asked;
   asked.mExchange = aExchange;
-  asked.mAddress = address;
+  asked.mAddress = address->Text();
+  asked.mClaimName = ClaimName(*address);
+  asked.mClaim.mGiver = json::StringAt(*body, "giver", "");
+  asked.mClaim.mEpoch = json::IntegerAt(*body, "epoch", 0);
   asked.mHeld = DecodeVersions(body->Find("held"));
   asked.mKnown = DecodeVersions(body->Find("known"));
   asked.mUntil = boot_clock::now() + kLongestWait;
+  if (IsSuperseded(mParts.mClaims, asked.mClaimName, asked.mClaim)) {
+    aExchange->Answer({ kNotGiver, {}, {} });
+    return;
+  }
+  mLastAsked[asked.mClaimName] = boot_clock::now();
   mWaiters.push_back(std::move(asked));
   Refresh();
   PlanLook();
 }
 
 void
-assignments::AnswerChanged()
+assignments::RefuseSuperseded()
+{
+  std::vector<waiter> kept;
+  for (auto& waiting : std::exchange(mWaiters, {})) {
+    if (IsSuperseded(mParts.mClaims, waiting.mClaimName, waiting.mClaim)) {
+      waiting.mExchange->Answer({ kNotGiver, {}, {} });
+    } else {
+      kept.push_back(std::move(waiting));
+    }
+  }
+  mWaiters = std::move(kept);
+}
+
+std::optional<time_point>
+assignments::LastAsked(const std::string& aClaimName) const
+{
+  for (const auto& waiting : mWaiters) {
+    if (waiting.mClaimName == aClaimName && !waiting.mExchange->IsEnded()) {
+      return boot_clock::now();
+    }
+  }
+  const auto asked = mLastAsked.find(aClaimName);
+  return asked == mLastAsked.end() ? std::nullopt
+                                   : std::optional(asked->second);
+}
+
+std::optional<time_point>
+assignments::LoadingSince(const std::string& aServerId) const
+{
+  const auto since = mLoadingSince.find(aServerId);
+  return since == mLoadingSince.end() ? std::nullopt
+                                      : std::optional(since->second);
+}
+
+void
+assignments::Look()
 {
   const auto now = boot_clock::now();
   // Looked up each time: an agent may ask before its server's entry, or any,
@@ -305,7 +348,7 @@
     if (aError) {
       return;
     }
-    AnswerChanged();
+    Look();
     if (!mWaiters.empty()) {
       PlanLook();
     }
@@ -322,15 +365,16 @@
 }
 
 edge::request
-EncodeQuestion(const std::string& aServerAddress,
-               const std::map<std::string, std::int64_t>& aHeld,
-               const wanted_versions& aKnown)
+EncodeQuestion(const assignment_question& aQuestion)
 {
   edge::request request;
   request.mMethod = "POST";
-  request.mTarget = kAssignmentPath + aServerAddress;
-  request.mBody = json::Write(json::object{
-    { "held", EncodeVersions(aHeld) }, { "known", EncodeVersions(aKnown) } });
+  request.mTarget = kAssignmentPath + aQuestion.mServer.Text();
+  request.mBody =
+    json::Write(json::object{ { "giver", aQuestion.mClaim.mGiver },
+                              { "epoch", aQuestion.mClaim.mEpoch },
+                              { "held", EncodeVersions(aQuestion.mHeld) },
+                              { "known", EncodeVersions(aQuestion.mKnown) } });
   return request;
 }
 
--- a/Duties/Versions/Assignments.h
+++ b/Duties/Versions/Assignments.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/Versions/GiverClaim.h"
 #include "Duties/Versions/Placement.h"
 #include "Libraries/Edge/Listener.h"
 
@@ -14,15 +15,16 @@
   boost::asio::io_context& mLoop;
   const site::server_directory& mDirectory;
   const site::configuration_ptr& mConfiguration;
+  /** Whose questions are answered. */
+  const claim_table& mClaims;
 };
 
-/** Tells the agents which versions their servers shall hold.
+/** Tells those that give orders which versions their servers shall hold.
  *
- * Agents wait here for a change. What they say when they ask, namely which
+ * They wait here for a change. What they say when they ask, namely which
  * versions their server holds now, is fresher than the server's own entry, so
- * the next loads start as soon as earlier ones end. Nothing rests on it: an
- * agent is the only one that gives its server orders, and it asks another
- * entry when this one is gone. */
+ * the next loads start as soon as earlier ones end. Only the one that holds a
+ * server's claim, as far as it is known here, is told anything. */
 class assignments
 {
 public:
@@ -37,21 +39,31 @@
                  std::int64_t aExpectedTokens);
   /** Servers or configuration have changed. */
   void Refresh();
+  /** Decides what is wanted now, and answers those who wait for it. */
+  void Look();
   /** Sends all waiting agents to other entries: this one no longer hears which
    * versions are named, and would hold them for nothing. */
   void TurnAway();
-  /** An agent's question. */
+  /** A giver's question. */
   void Serve(const edge::exchange_ptr& aExchange);
+  /** Claims have changed: those who lost theirs are told. */
+  void RefuseSuperseded();
+  /** When the giver of the server with that claim last asked here. */
+  std::optional<time_point> LastAsked(const std::string& aClaimName) const;
+  /** Since when a server has been told to load what it doesn't hold. */
+  std::optional<time_point> LoadingSince(const std::string& aServerId) const;
 
 private:
   struct waiter
   {
     edge::exchange_ptr mExchange;
     std::string mAddress;
+    std::string mClaimName;
+    giver_claim mClaim;
     /** Name of the server at that address; empty while it isn't known. */
     std::string mServer;
     std::map<std::string, std::int64_t> mHeld;
-    /** What the agent was told before. */
+    /** What it was told before. */
     wanted_versions mKnown;
     time_point mUntil;
   };
@@ -60,7 +72,6 @@
   std::vector<placed_server> ServersOf(const std::string& aPool) const;
   std::vector<std::string> DueOf(const std::vector<placed_server>& aServers,
                                  const std::vector<std::string>& aModels) const;
-  void AnswerChanged();
   void Answer(const waiter& aWaiter, const wanted_versions& aWanted);
   std::unordered_map<std::string, std::string> ServersByAddress() const;
   void PlanLook();
@@ -80,20 +91,30 @@
   std::map<std::string, time_point> mLoadingSince;
   std::map<std::string, wanted_versions> mWanted;
   std::vector<waiter> mWaiters;
+  std::map<std::string, time_point> mLastAsked;
   boost::asio::steady_timer mTimer;
   boost::asio::steady_timer mBurstTimer;
   bool mIsLookPlanned = false;
 };
 
-/** Path at which agents ask; the server's address follows. */
+/** Path at which givers of orders ask; the server's address follows. */
 constexpr char kAssignmentPath[] = "/assignments/";
+/** The asker's claim isn't the newest. */
+constexpr unsigned kNotGiver = 410;
+
+/** What a giver of orders asks. */
+struct assignment_question
+{
+  edge::endpoint mServer;
+  giver_claim mClaim;
+  /** Versions that its server holds. */
+  std::map<std::string, std::int64_t> mHeld;
+  /** What it was told last. */
+  wanted_versions mKnown;
+};
 
-/** What an agent asks: versions that its server holds, and those that it was
- * told last. */
 edge::request
-EncodeQuestion(const std::string& aServerAddress,
-               const std::map<std::string, std::int64_t>& aHeld,
-               const wanted_versions& aKnown);
+EncodeQuestion(const assignment_question& aQuestion);
 
 /** None for anything but an entry's answer. */
 std::optional<wanted_versions>
--- /dev/null
+++ b/Duties/Versions/GiverClaim.cpp
@@ -0,0 +1,130 @@
+#include "Duties/Versions/GiverClaim.h"
+
+#include "Libraries/Core/Identity.h"
+#include "Libraries/Json/Value.h"
+
+#include <algorithm>
+
+namespace lavender::versions {
+
+using objects::store_outcome;
+
+namespace {
+
+/** A PUT that changes nothing gives no new revision, so each claim bears a
+ * name of its own. */
+std::string
+EncodeClaim(const std::string& aGiver, bool aIsTakenOver)
+{
+  return json::Write(json::object{ { "giver", aGiver },
+                                   { "takenOver", aIsTakenOver },
+                                   { "claim", MakeRandomName() } });
+}
+
+order_right
+RightOf(const objects::stored_object& aClaimed)
+{
+  const auto claim = DecodeClaim(aClaimed);
+  return { claim.mEpoch,
+           boot_clock::now() +
+             (claim.mIsTakenOver ? kFirstOrderAfter : milliseconds(0)) };
+}
+
+} // namespace
+
+std::string
+ClaimName(const edge::endpoint& aServer)
+{
+  auto name = aServer.Text();
+  std::replace(name.begin(), name.end(), ':', '-');
+  return name;
+}
+
+giver_claim
+DecodeClaim(const objects::stored_object& aObject)
+{
+  return { json::StringAt(aObject.mSpec, "giver", ""),
+           json::BooleanAt(aObject.mSpec, "takenOver", false),
+           aObject.mRevision };
+}
+
+void
+TakeClaimListing(claim_table& aTable,
+                 const std::map<std::string, objects::stored_object>& aListed)
+{
+  aTable.clear();
+  for (const auto& [name, object] : aListed) {
+    aTable[name] = DecodeClaim(object);
+  }
+}
+
+void
+TakeClaimEvent(claim_table& aTable, const objects::object_event& aEvent)
+{
+  if (aEvent.mIsDeleted) {
+    aTable.erase(aEvent.mObject.mName);
+  } else {
+    aTable[aEvent.mObject.mName] = DecodeClaim(aEvent.mObject);
+  }
+}
+
+bool
+IsSuperseded(const claim_table& aTable,
+             const std::string& aClaimName,
+             const giver_claim& aAsker)
+{
+  const auto known = aTable.find(aClaimName);
+  return known != aTable.end() && known->second.mEpoch > aAsker.mEpoch;
+}
+
+void
+ClaimServer(const objects::object_store& aStore,
+            const std::string& aClaimName,
+            const std::string& aGiver,
+            claim_done aDone)
+{
+  aStore.mCreate(
+    kGiverKind,
+    aClaimName,
+    EncodeClaim(aGiver, false),
+    [&aStore, aClaimName, aGiver, done = std::move(aDone)](
+      const objects::object_reply& aReply) {
+      if (aReply.mOutcome == store_outcome::Conflict) {
+        ClaimIfStill(
+          aStore, aClaimName, DecodeClaim(aReply.mObject), aGiver, done);
+      } else if (aReply.mOutcome == store_outcome::Done) {
+        done(RightOf(aReply.mObject));
+      } else {
+        done(std::nullopt);
+      }
+    });
+}
+
+void
+ClaimIfStill(const objects::object_store& aStore,
+             const std::string& aClaimName,
+             const giver_claim& aSeen,
+             const std::string& aGiver,
+             claim_done aDone)
+{
+  const auto take = [done =
+                       std::move(aDone)](const objects::object_reply& aReply) {
+    done(aReply.mOutcome == store_outcome::Done
+           ? std::optional(RightOf(aReply.mObject))
+           : std::nullopt);
+  };
+  if (aSeen.mEpoch == 0) {
+    aStore.mCreate(kGiverKind, aClaimName, EncodeClaim(aGiver, false), take);
+    return;
+  }
+  // A giver that claims again after a restart may still have to wait for the
+  // one before it.
+  const bool isTakenOver = aSeen.mIsTakenOver || aSeen.mGiver != aGiver;
+  aStore.mReplace(kGiverKind,
+                  aClaimName,
+                  aSeen.mEpoch,
+                  EncodeClaim(aGiver, isTakenOver),
+                  take);
+}
+
+} // namespace lavender::versions
--- a/Duties/Versions/OrderDuty.cpp
+++ b/Duties/Versions/OrderDuty.cpp
@@ -17,10 +17,8 @@
  * one that was dropped on the way. */
 constexpr milliseconds kAskTimeout = 10s;
 constexpr milliseconds kServerTimeout = 1s;
-/** While a load runs the server is asked this often: its report costs nothing
- * from its own instance, and the next server's load waits for the end of this
- * one. */
-constexpr milliseconds kLoadLook = 100ms;
+/** All givers should ask one entry: it knows who is alive, and all loads. */
+constexpr milliseconds kPreferredAgainAfter = 10s;
 
 bool
 HoldsAll(const server_report& aReport, const wanted_versions& aWanted)
@@ -45,7 +43,7 @@
 void
 order_duty::Start()
 {
-  FindEpoch();
+  Claim();
 }
 
 void
@@ -60,14 +58,21 @@
 }
 
 void
-order_duty::FindEpoch()
+order_duty::Claim()
 {
-  mParts.mEpoch([this](std::optional<std::int64_t> aEpoch) {
-    if (!aEpoch) {
-      After(kRetryPause, &order_duty::FindEpoch);
+  mParts.mClaim([this](std::optional<order_right> aRight) {
+    if (!aRight) {
+      After(kRetryPause, &order_duty::Claim);
       return;
     }
-    mEpoch = *aEpoch;
+    mRight = *aRight;
+    mWanted.clear();
+    events::line("server_claimed")
+      .With("server", mParts.mServer.Text())
+      .With("epoch", mRight.mEpoch)
+      .With("first_order_in_ms",
+            std::chrono::duration_cast<milliseconds>(mRight.mNotBefore -
+                                                     boot_clock::now()));
     FindEntries();
   });
 }
@@ -98,7 +103,10 @@
   edge::FetchWhole(mParts.mClients,
                    mParts.mLoop,
                    mEntries[mEntry],
-                   EncodeQuestion(mParts.mServer.Text(), mHeld, mWanted),
+                   EncodeQuestion({ mParts.mServer,
+                                    { mParts.mName, false, mRight.mEpoch },
+                                    mHeld,
+                                    mWanted }),
                    options,
                    kAskTimeout,
                    64 << 10,
@@ -110,13 +118,21 @@
 void
 order_duty::TakeAnswer(edge::call_end aEnd, const edge::response& aAnswer)
 {
-  const auto wanted =
-    aEnd == edge::call_end::Complete ? DecodeAssignment(aAnswer) : std::nullopt;
+  const bool isComplete = aEnd == edge::call_end::Complete;
+  if (isComplete && aAnswer.mStatus == kNotGiver) {
+    events::line("claim_lost")
+      .With("server", mParts.mServer.Text())
+      .With("epoch", mRight.mEpoch);
+    Claim();
+    return;
+  }
+  const auto wanted = isComplete ? DecodeAssignment(aAnswer) : std::nullopt;
   if (!wanted) {
     events::line("entry_silent")
       .With("entry", mEntries[mEntry].Text())
       .With("end", edge::WordFor(aEnd));
     ++mEntry;
+    mPreferredAgainAt = boot_clock::now() + kPreferredAgainAfter;
     if (mEntry >= mEntries.size()) {
       After(kAllSilentPause, &order_duty::FindEntries);
     } else {
@@ -125,6 +141,10 @@
     return;
   }
   mWanted = *wanted;
+  mToldAt = boot_clock::now();
+  if (mEntry != 0 && mToldAt >= mPreferredAgainAt) {
+    mEntry = 0;
+  }
   if (mWanted.empty()) {
     Ask();
   } else {
@@ -168,11 +188,24 @@
   }
   auto order = DecideOrder(aReport, mWanted);
   if (!order) {
-    After(kLoadLook, &order_duty::ReadReport);
+    After(mParts.mLoadLook, &order_duty::ReadReport);
+    return;
+  }
+  const auto now = boot_clock::now();
+  if (now < mRight.mNotBefore) {
+    // Until then another giver's last order may arrive.
+    mWanted.clear();
+    After(std::chrono::ceil<milliseconds>(mRight.mNotBefore - now),
+          &order_duty::Ask);
+    return;
+  }
+  if (now - mToldAt > kAnswerHolds) {
+    mWanted.clear();
+    Ask();
     return;
   }
   order->mHolder = mParts.mName;
-  order->mEpoch = mEpoch;
+  order->mEpoch = mRight.mEpoch;
   Give(*order);
 }
 
@@ -202,7 +235,8 @@
       // was turned down isn't sent again at once: the reason lasts.
       const bool isTurnedDown =
         aEnd == edge::call_end::Complete && aAnswer.mStatus >= 300;
-      After(isTurnedDown ? kRetryPause : kLoadLook, &order_duty::ReadReport);
+      After(isTurnedDown ? kRetryPause : mParts.mLoadLook,
+            &order_duty::ReadReport);
     });
 }
 
--- a/Duties/Versions/OrderDuty.h
+++ b/Duties/Versions/OrderDuty.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/Versions/GiverClaim.h"
 #include "Duties/Versions/OrderDecision.h"
 #include "Libraries/Edge/Caller.h"
 
@@ -18,19 +19,20 @@
   /** Entries to ask, the preferred one first; told through the callback. */
   std::function<void(std::function<void(std::vector<edge::endpoint>)>)>
     mEntries;
-  /** A number that is higher than in any earlier life of this process; none
-   * while the store can't be asked. */
-  std::function<void(std::function<void(std::optional<std::int64_t>)>)> mEpoch;
+  /** Claims the server for this giver; none while it can't be had. */
+  std::function<void(claim_done)> mClaim;
   std::function<edge::request()> mEncodeReport;
   std::function<std::optional<server_report>(const edge::response&)>
     mDecodeReport;
   std::function<edge::request(const weight_order&)> mEncodeOrder;
+  /** Pause between two looks at the server's report while it loads. */
+  milliseconds mLoadLook{ 100 };
 };
 
-/** Beside one model server: the only process that ever gives it orders, so
- * that no two holders can race and no lease is needed. Asks an entry which
- * versions are wanted, reads the server's report, and orders what is missing.
- */
+/** Gives one model server its orders. Asks an entry which versions are wanted,
+ * reads the server's report, and orders what is missing. An entry answers only
+ * the one that holds the server's claim; one that is told that it doesn't
+ * claims the server anew. */
 class order_duty
 {
 public:
@@ -39,7 +41,7 @@
   void Start();
 
 private:
-  void FindEpoch();
+  void Claim();
   void FindEntries();
   void Ask();
   void TakeAnswer(edge::call_end aEnd, const edge::response& aAnswer);
@@ -52,7 +54,11 @@
   boost::asio::steady_timer mTimer;
   std::vector<edge::endpoint> mEntries;
   std::size_t mEntry = 0;
-  std::int64_t mEpoch = 0;
+  /** When to go back to the preferred entry, while another one is asked. */
+  time_point mPreferredAgainAt;
+  order_right mRight;
+  /** When an entry last told what is wanted. */
+  time_point mToldAt;
   wanted_versions mWanted;
   std::map<std::string, std::int64_t> mHeld;
 };
--- a/Services/Agent/SiteAgent.cpp
+++ b/Services/Agent/SiteAgent.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/** A report costs nothing from the server's own instance, and the next server's
+ * load waits for the end of this one. */
+constexpr milliseconds kOwnServerLook{ 100 };
+
 settings::setting
 Text(std::string aFlag, std::string aDescription, bool aIsRequired)
 {
@@ -93,10 +97,16 @@
     *mSettings.mServer,
     mSettings.mName,
     [this](auto aDone) { ListEntries(std::move(aDone)); },
-    [this](auto aDone) { FindEpoch(std::move(aDone)); },
+    [this](auto aDone) {
+      versions::ClaimServer(mStore,
+                            versions::ClaimName(*mSettings.mServer),
+                            mSettings.mName,
+                            std::move(aDone));
+    },
     platform::EncodeReportRequest,
     platform::DecodeReport,
-    platform::EncodeOrder
+    platform::EncodeOrder,
+    kOwnServerLook
   };
   mOrders.emplace(std::move(parts));
   mOrders->Start();
@@ -128,21 +138,6 @@
                });
 }
 
-void
-site_agent::FindEpoch(std::function<void(std::optional<std::int64_t>)> aDone)
-{
-  mStore.mList(site::kEntryKind,
-               "",
-               objects::freshness::Linearizable,
-               [done = std::move(aDone)](const objects::list_reply& aReply) {
-                 if (aReply.mOutcome == objects::store_outcome::Done) {
-                   done(aReply.mStoreRevision);
-                 } else {
-                   done(std::nullopt);
-                 }
-               });
-}
-
 void
 site_agent::WaitForSignals()
 {
--- a/Services/Agent/SiteAgent.h
+++ b/Services/Agent/SiteAgent.h
@@ -42,7 +42,6 @@
   void StartOrders();
   void StartRetirement();
   void ListEntries(std::function<void(std::vector<edge::endpoint>)> aDone);
-  void FindEpoch(std::function<void(std::optional<std::int64_t>)> aDone);
   void WaitForSignals();
 
   const site_settings mSettings;
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -113,7 +113,7 @@
                  mAssignments.TakeBatch(
                    aHead.mModel, aHead.mMinimumVersion, aHead.mExpectedTokens);
                } })
-  , mAssignments({ mLoop, mDirectory, mConfiguration })
+  , mAssignments({ mLoop, mDirectory, mConfiguration, mClaims })
   , mUsage({ mLoop,
              mStore,
              *mClients,
@@ -160,6 +160,19 @@
               }
             } },
           FollowedKinds())
+  , mSubstitute({ mLoop,
+                  *mClients,
+                  mStore,
+                  mSettings.mName,
+                  mSettings.mPeers,
+                  mDirectory,
+                  mConfiguration,
+                  mClaims,
+                  mAssignments,
+                  [this] { return mFeed.IsWatching() && !mLeavingSince; },
+                  platform::EncodeReportRequest,
+                  platform::DecodeReport,
+                  platform::EncodeOrder })
   , mUpkeep({ mLoop,
               mStore,
               *mClients,
@@ -247,6 +260,7 @@
   });
   mUsage.Start();
   mUpkeep.Start();
+  mSubstitute.Start();
   mLoop.run();
   events::line("stopped");
   return 0;
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -6,7 +6,7 @@
 #include "Duties/Forwarding/Forwarder.h"
 #include "Duties/Site/ServerChanges.h"
 #include "Duties/Upkeep/UpkeepDuty.h"
-#include "Duties/Versions/Assignments.h"
+#include "Duties/Versions/SubstituteGiver.h"
 #include "Libraries/ObjectStore/Mirror.h"
 #include "Services/Entry/SiteSettings.h"
 #include "platform/StoreClient.h"
@@ -95,9 +95,11 @@
   rewards::reward_caller mRewards;
   batches::batch_runner mRunner;
   batches::batch_service mBatches;
+  versions::claim_table mClaims;
   versions::assignments mAssignments;
   billing::usage_duty mUsage;
   feed::store_feed mFeed;
+  versions::substitute_giver mSubstitute;
   upkeep::upkeep_duty mUpkeep;
   edge::listener mCallers;
   edge::listener mReadiness;
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -19,6 +19,8 @@
 /** An owner that has lost a batch learns of it within this, and goes on in
  * vain meanwhile; an end must be known within seconds. */
 constexpr milliseconds kGatherHeads = 300ms;
+/** Claims are made together when agents start. */
+constexpr milliseconds kGatherClaims = 600ms;
 /** A watch that died without a sign may delay these changes by as much. */
 constexpr milliseconds kWatchLong = 2000ms;
 
@@ -153,18 +155,28 @@
     mBatches.TakeEvent(aEvent);
   };
 
-  auto versions = KindWatchedLong(platform::kVersionKind, kGatherVersions);
-  versions.mOnListed = [this](const feed::object_map& aObjects) {
+  auto named = KindWatchedLong(platform::kVersionKind, kGatherVersions);
+  named.mOnListed = [this](const feed::object_map& aObjects) {
     for (const auto& [name, object] : aObjects) {
       TakeVersion(object);
     }
   };
-  versions.mOnEvent = [this](const objects::object_event& aEvent) {
+  named.mOnEvent = [this](const objects::object_event& aEvent) {
     if (!aEvent.mIsDeleted) {
       TakeVersion(aEvent.mObject);
     }
   };
-  return { configuration, servers, peers, heads, versions };
+
+  auto claims = KindWatchedLong(versions::kGiverKind, kGatherClaims);
+  claims.mOnListed = [this](const feed::object_map& aObjects) {
+    versions::TakeClaimListing(mClaims, aObjects);
+    mAssignments.RefuseSuperseded();
+  };
+  claims.mOnEvent = [this](const objects::object_event& aEvent) {
+    versions::TakeClaimEvent(mClaims, aEvent);
+    mAssignments.RefuseSuperseded();
+  };
+  return { configuration, servers, peers, heads, named, claims };
 }
 
 void
--- a/Tests/Site/TestVersions.cpp
+++ b/Tests/Site/TestVersions.cpp
@@ -48,23 +48,25 @@
   auto clients = std::make_shared<edge::client_pool>(loop.mLoop);
   site::server_directory directory;
   site::configuration_ptr configuration;
-  assignments assigned({ loop.mLoop, directory, configuration });
+  claim_table claims;
+  assignments assigned({ loop.mLoop, directory, configuration, claims });
   edge::listener listener(
     loop.mLoop,
     std::make_shared<edge::listener_limits>(),
     [&](const auto& aExchange) { assigned.Serve(aExchange); });
   listener.Open({ "127.0.0.1", 0 });
   std::optional<wanted_versions> wanted;
-  edge::FetchWhole(*clients,
-                   loop.mLoop,
-                   { "127.0.0.1", listener.Port() },
-                   EncodeQuestion("10.0.0.1:80", { { "m", 1 } }, {}),
-                   {},
-                   20s,
-                   1 << 20,
-                   [&](edge::call_end, const edge::response& aAnswer) {
-                     wanted = DecodeAssignment(aAnswer);
-                   });
+  edge::FetchWhole(
+    *clients,
+    loop.mLoop,
+    { "127.0.0.1", listener.Port() },
+    EncodeQuestion({ { "10.0.0.1", 80 }, {}, { { "m", 1 } }, {} }),
+    {},
+    20s,
+    1 << 20,
+    [&](edge::call_end, const edge::response& aAnswer) {
+      wanted = DecodeAssignment(aAnswer);
+    });
   loop.RunUntil([] { return false; }, 50ms);
   configuration = TwoModels();
   site::TakeServer(directory, Server("s1", 1));
@@ -83,7 +85,8 @@
   site::server_directory directory;
   site::TakeServer(directory, Server("s1", 1));
   site::configuration_ptr configuration = TwoModels();
-  assignments assigned({ loop.mLoop, directory, configuration });
+  claim_table claims;
+  assignments assigned({ loop.mLoop, directory, configuration, claims });
   int asked = 0;
   edge::listener listener(loop.mLoop,
                           std::make_shared<edge::listener_limits>(),
@@ -93,16 +96,17 @@
                           });
   listener.Open({ "127.0.0.1", 0 });
   unsigned status = 0;
-  edge::FetchWhole(*clients,
-                   loop.mLoop,
-                   { "127.0.0.1", listener.Port() },
-                   EncodeQuestion("10.0.0.1:80", { { "m", 1 } }, {}),
-                   {},
-                   20s,
-                   1 << 20,
-                   [&](edge::call_end, const edge::response& aAnswer) {
-                     status = aAnswer.mStatus;
-                   });
+  edge::FetchWhole(
+    *clients,
+    loop.mLoop,
+    { "127.0.0.1", listener.Port() },
+    EncodeQuestion({ { "10.0.0.1", 80 }, {}, { { "m", 1 } }, {} }),
+    {},
+    20s,
+    1 << 20,
+    [&](edge::call_end, const edge::response& aAnswer) {
+      status = aAnswer.mStatus;
+    });
   BOOST_TEST(loop.RunUntil([&] { return asked == 1; }));
   assigned.TurnAway();
   BOOST_TEST(loop.RunUntil([&] { return status != 0; }));
