--- a/Duties/Versions/OrderDuty.cpp
+++ b/Duties/Versions/OrderDuty.cpp
@@ -100,13 +100,16 @@
   edge::call_options options;
   options.mSilenceTimeout = kAskTimeout;
   options.mProbesConnection = true;
+  assignment_question question;
+  question.mServer = mParts.mServer;
+  question.mClaim.mGiver = mParts.mName;
+  question.mClaim.mEpoch = mRight.mEpoch;
+  question.mHeld = mHeld;
+  question.mKnown = mWanted;
   edge::FetchWhole(mParts.mClients,
                    mParts.mLoop,
                    mEntries[mEntry],
-                   EncodeQuestion({ mParts.mServer,
-                                    { mParts.mName, false, mRight.mEpoch },
-                                    mHeld,
-                                    mWanted }),
+                   EncodeQuestion(question),
                    options,
                    kAskTimeout,
                    64 << 10,
