A model's servers follow a quarter of its own part, not a tenth of all work

Cause: servers moved only when a model's part changed by a tenth of all work. With many models a part is smaller than that, so no error of the first guess was ever mended.

Ruled out: orders (each came within two seconds of its version's naming).

Change: a quarter of the model's own part. The decision is a pure function; a line model_share tells the parts.

TestVersions/ASmallModelGetsItsServers..., 17 models on 92 servers.

--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -22,8 +22,6 @@
 constexpr milliseconds kGatherChanges = 15ms;
 /** Of the newest batch in a model's work. */
 constexpr double kNewestWeight = 0.3;
-/** A model's part of the work must change by this much to move servers. */
-constexpr double kShift = 0.1;
 
 json::value
 EncodeVersions(const std::map<std::string, std::int64_t>& aVersions)
@@ -126,20 +124,22 @@
 void
 assignments::UpdateWeights()
 {
-  double sum = 0;
-  for (const auto& [model, work] : mWork) {
-    sum += work;
+  if (auto shifted = ShiftedWeights(mWork, mWeights)) {
+    mWeights = std::move(*shifted);
+    LogWeights();
   }
-  model_weights weights;
-  bool hasShifted = false;
-  for (const auto& [model, work] : mWork) {
-    weights[model] = sum > 0 ? work / sum : 0;
-    const auto before = mWeights.find(model);
-    hasShifted = hasShifted || before == mWeights.end() ||
-                 std::abs(before->second - weights[model]) > kShift;
+}
+
+void
+assignments::LogWeights() const
+{
+  if (mWaiters.empty()) {
+    return;
   }
-  if (hasShifted) {
-    mWeights = weights;
+  for (const auto& [model, weight] : mWeights) {
+    events::line("model_share")
+      .With("model", model)
+      .With("percent", std::lround(100 * weight));
   }
 }
 
--- a/Duties/Versions/Assignments.h
+++ b/Duties/Versions/Assignments.h
@@ -76,6 +76,7 @@
   std::unordered_map<std::string, std::string> ServersByAddress() const;
   void PlanLook();
   void UpdateWeights();
+  void LogWeights() const;
 
   assignment_parts mParts;
   named_versions mNamed;
--- a/Duties/Versions/Placement.cpp
+++ b/Duties/Versions/Placement.cpp
@@ -3,6 +3,7 @@
 #include "Libraries/Core/Mechanisms.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace lavender::versions {
 
@@ -74,6 +75,26 @@
   return due;
 }
 
+std::optional<model_weights>
+ShiftedWeights(const std::map<std::string, double>& aWork,
+               const model_weights& aBefore)
+{
+  double sum = 0;
+  for (const auto& [model, work] : aWork) {
+    sum += work;
+  }
+  model_weights weights;
+  bool hasShifted = false;
+  for (const auto& [model, work] : aWork) {
+    const auto weight = weights[model] = sum > 0 ? work / sum : 0;
+    const auto before = aBefore.find(model);
+    hasShifted =
+      hasShifted || before == aBefore.end() ||
+      std::abs(before->second - weight) > kShiftOfWeight * before->second;
+  }
+  return hasShifted ? std::optional(weights) : std::nullopt;
+}
+
 std::size_t
 LoadsAtOnce(std::size_t aServers)
 {
--- a/Duties/Versions/Placement.h
+++ b/Duties/Versions/Placement.h
@@ -4,6 +4,7 @@
 #include "Duties/Site/SiteConfiguration.h"
 #include "Duties/Versions/OrderDecision.h"
 
+#include <optional>
 #include <vector>
 
 namespace lavender::versions {
@@ -21,6 +22,17 @@
 /** Part of the servers' work that each model makes; the sum is one. */
 using model_weights = std::map<std::string, double>;
 
+/** A model's part of the work must change by this much of itself to move
+ * servers, which load it first: a guess of one batch's work is off by less, and
+ * with many models each one's part is small. */
+constexpr double kShiftOfWeight = 0.25;
+
+/** The weights that follow from the models' work, if they have clearly shifted.
+ * @param aWork of one batch of each model */
+std::optional<model_weights>
+ShiftedWeights(const std::map<std::string, double>& aWork,
+               const model_weights& aBefore);
+
 /** Servers for each model, by its weight; every model has one if there are
  * enough servers. */
 std::map<std::string, std::size_t>
--- a/Tests/Site/TestVersions.cpp
+++ b/Tests/Site/TestVersions.cpp
@@ -169,6 +169,32 @@
   }));
 }
 
+// One trainer of many is served too slowly for good: its first batch was
+// guessed too small, and its part of the work never changes by a tenth of all.
+BOOST_AUTO_TEST_CASE(ASmallModelGetsItsServersAfterABadFirstGuess)
+{
+  constexpr int kModels = 17;
+  constexpr std::size_t kServers = 92;
+  std::map<std::string, double> work;
+  std::vector<std::string> models;
+  for (int i = 0; i < kModels; ++i) {
+    models.push_back("m" + std::to_string(i));
+    work[models.back()] = 1000;
+  }
+  work["m3"] = 400;
+  const auto guessed = ShiftedWeights(work, {});
+  BOOST_REQUIRE(guessed);
+  BOOST_TEST(SharesOf(kServers, models, *guessed).at("m3") <= 3u);
+  work["m3"] = 1000;
+  const auto known = ShiftedWeights(work, *guessed);
+  BOOST_REQUIRE(known);
+  BOOST_TEST(SharesOf(kServers, models, *known).at("m3") >= 5u);
+  // Batches that differ a little move nothing.
+  work["m3"] = 1150;
+  work["m5"] = 900;
+  BOOST_TEST(!ShiftedWeights(work, *known));
+}
+
 /** After each naming and the loads that follow, at least one server in lag + 1
  * holds the newest version and all are fresh enough for the next batch; over
  * many versions a server loads once in lag + 1. */
