--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -357,9 +357,11 @@
         static_cast<double>(mClients->Counts().mReused));
   gauge("lavender_log_lines_dropped",
         static_cast<double>(events::DroppedLines()));
-  for (const auto& [outcome, calls] : mStoreCounts.mCalls) {
+  for (const auto& [call, calls] : mStoreCounts.mCalls) {
     mMetrics.SetGauge("lavender_store_calls",
-                      { { "outcome", outcome } },
+                      { { "operation", call.mOperation },
+                        { "kind", call.mKind },
+                        { "outcome", call.mOutcome } },
                       static_cast<double>(calls));
   }
   return mMetrics.Write();
