A recorded call is followed also while no server is known

Callers saw: 502 with an unknown outcome, at once, for a booking that another entry had recorded (the known red case of TestRunOnce).

Cause: an entry picked a server before it looked for the call's record. While all agents are silent to it (their connections froze), it knows none, and ended the request with "no_server" though the record named the attempt to follow.

Traced: the case run 84 times, 14 at once, on 8 cores with time and reason printed: two failed, each in 0 to 1 ms with reason no_server. Ruled out: the moment of the kill (35 delays of 0 to 0.92 s, all passed), the wait before the second request (four delays, passed).

Change: without a server the record is read first. Only where there is none is the outcome called unknown.

--- a/Duties/Dispatch/IdempotentCall.cpp
+++ b/Duties/Dispatch/IdempotentCall.cpp
@@ -128,7 +128,7 @@
     server = mDispatch.Pick(aCall.mPool, {});
   }
   if (!server) {
-    return dispatch::Stop(aState, ran::OutcomeUnknown, "no_server");
+    return TakeNoServer(aState);
   }
   // Issued before anybody can learn of the attempt: whoever takes it back
   // does so after the stamp, and the tombstone outlives an order of that age.
--- a/Duties/Dispatch/IdempotentDecision.cpp
+++ b/Duties/Dispatch/IdempotentDecision.cpp
@@ -7,6 +7,7 @@
 using platform::write_state;
 
 constexpr int kMaximumWrites = 6;
+constexpr const char* kNoServer = "no_server";
 
 /** The object that the platform showed decides: it is this request's own
  * record, whose write's answer was lost, or another's. */
@@ -39,6 +40,14 @@
   return record_step::WriteNew;
 }
 
+record_step
+TakeNoServer(idempotent_state& aState)
+{
+  return aState.mProgress.mAttempts == 0
+           ? record_step::ReadBack
+           : Stop(aState, ran::OutcomeUnknown, kNoServer);
+}
+
 record_step
 TakeWrite(idempotent_state& aState, const platform::write_result& aWritten)
 {
@@ -73,6 +82,10 @@
   if (aRead.mState == read_state::Found && !isOldRecord) {
     return TakeRecord(aState, aRead.mObject);
   }
+  if (aState.mOwn.mTicket.mId.empty()) {
+    // Another request's write may still be on its way.
+    return Stop(aState, ran::OutcomeUnknown, kNoServer);
+  }
   // The write may still take effect later. It names the same attempt, so
   // writing it again is harmless.
   return aState.mWrites < kMaximumWrites ? record_step::WriteAgain
--- a/Duties/Dispatch/IdempotentDecision.h
+++ b/Duties/Dispatch/IdempotentDecision.h
@@ -47,6 +47,11 @@
 record_step
 Begin(idempotent_state& aState, const std::string& aFingerprint);
 
+/** No server is known that could take an attempt. One that an earlier request
+ * recorded can be followed all the same. */
+record_step
+TakeNoServer(idempotent_state& aState);
+
 /** After a write. An unknown outcome is read back. */
 record_step
 TakeWrite(idempotent_state& aState, const platform::write_result& aWritten);
