When the watching entry is lost a few others watch the store, not all

Cause: the entry whose turn came next was cut off too, and held everybody's questions until they had reached the greatest age of knowledge together. One that follows refused those that follow it at 1.2 s, which waited 0.2 s and asked again. A fresh proof that was there when a question came was told only with the next proof, half a second later.

Change: the first six entries by name after the first watch the store at ages of 0.95 to 1.35 s. One that follows holds questions for 0.3 s instead of refusing them while its own source changes. A question tells how old its asker's knowledge is, and is answered at once by one that knows later.

--- a/Duties/Feed/HeldQuestions.cpp
+++ b/Duties/Feed/HeldQuestions.cpp
@@ -10,13 +10,16 @@
 
 constexpr char kLifeField[] = "Lavender-Life";
 constexpr char kSinceField[] = "Lavender-Since";
+constexpr char kAgeField[] = "Lavender-Age-Ms";
+/** By less a proof is the same one: the ways between entries make it older. */
+constexpr milliseconds kLaterProof = 100ms;
 /** A question is answered after this at the latest, so that silence beyond it
  * shows that this entry is gone. In health the next proof comes before. */
 constexpr milliseconds kHold = 700ms;
 
-/** An entry that starts knows the state within a few tens of ms. One whose own
- * source is gone sends those that ask it elsewhere after this. */
-constexpr milliseconds kHoldStarting = 300ms;
+/** An entry that starts, or finds another source, knows the state within some
+ * tens of ms. One that doesn't sends those that ask it elsewhere after this. */
+constexpr milliseconds kHoldWaiting = 300ms;
 
 /** The answer of one that doesn't know the store's state. */
 constexpr unsigned kNoStore = 503;
@@ -46,6 +49,7 @@
   request.mTarget = kFeedPath;
   request.mHeaders.Add(kLifeField, aQuestion.mLife);
   request.mHeaders.Add(kSinceField, std::to_string(aQuestion.mSince));
+  request.mHeaders.Add(kAgeField, std::to_string(aQuestion.mAge.count()));
   return request;
 }
 
@@ -53,7 +57,8 @@
 DecodeQuestion(const edge::request& aRequest)
 {
   return { aRequest.mHeaders.ValueOr(kLifeField, ""),
-           aRequest.mHeaders.Integer(kSinceField).value_or(0) };
+           aRequest.mHeaders.Integer(kSinceField).value_or(0),
+           milliseconds(aRequest.mHeaders.Integer(kAgeField).value_or(0)) };
 }
 
 held_questions::held_questions(scheduler aScheduler,
@@ -71,7 +76,7 @@
   held question;
   question.mAsker = std::move(aAsker);
   question.mAskedAt = mScheduler.mNow();
-  question.mProvenWhenAsked = aKnown.mProvenAt;
+  question.mProven = question.mAskedAt - aQuestion.mAge;
   if (aQuestion.mLife == aKnown.mLife) {
     question.mSince = aQuestion.mSince;
   }
@@ -82,21 +87,32 @@
 held_questions::IsDue(const held& aHeld, const feed_knowledge& aKnown) const
 {
   return !aHeld.mSince || *aHeld.mSince < aKnown.mState.mNewest ||
-         aHeld.mProvenWhenAsked < aKnown.mProvenAt ||
+         aHeld.mProven + kLaterProof < aKnown.mProvenAt ||
          mScheduler.mNow() >= aHeld.mAskedAt + kHold;
 }
 
+time_point
+held_questions::WaitsUntil(const held& aHeld) const
+{
+  return std::max(aHeld.mAskedAt, mWaitingSince.value_or(aHeld.mAskedAt)) +
+         kHoldWaiting;
+}
+
 void
 held_questions::Answer(const feed_knowledge& aKnown)
 {
   const auto now = mScheduler.mNow();
+  if (aKnown.mRefusal != refusal::Waiting) {
+    mWaitingSince.reset();
+  } else if (!mWaitingSince) {
+    mWaitingSince = now;
+  }
   std::vector<held> kept;
   for (auto& question : std::exchange(mHeld, {})) {
     if (question.mAsker.mHasLeft()) {
       continue;
     }
-    if (aKnown.mRefusal == refusal::Starting &&
-        now < question.mAskedAt + kHoldStarting) {
+    if (aKnown.mRefusal == refusal::Waiting && now < WaitsUntil(question)) {
       kept.push_back(std::move(question));
     } else if (aKnown.mRefusal != refusal::None) {
       const auto status =
@@ -116,21 +132,24 @@
     }
   }
   mHeld = std::move(kept);
-  PlanAnswer(aKnown.mRefusal == refusal::Starting ? kHoldStarting : kHold);
+  PlanAnswer(aKnown);
 }
 
 void
-held_questions::PlanAnswer(milliseconds aHold)
+held_questions::PlanAnswer(const feed_knowledge& aKnown)
 {
   if (mHeld.empty()) {
     mNextAnswer.reset();
     return;
   }
-  const auto first = std::min_element(
-    mHeld.begin(), mHeld.end(), [](const auto& aLeft, const auto& aRight) {
-      return aLeft.mAskedAt < aRight.mAskedAt;
-    });
-  const auto wait = Between(mScheduler.mNow(), first->mAskedAt + aHold);
+  auto next = time_point::max();
+  for (const auto& question : mHeld) {
+    next =
+      std::min(next,
+               aKnown.mRefusal == refusal::Waiting ? WaitsUntil(question)
+                                                   : question.mAskedAt + kHold);
+  }
+  const auto wait = Between(mScheduler.mNow(), next);
   mNextAnswer =
     mScheduler.mAfter(std::max<milliseconds>(wait, 1ms), mAnswerAll);
 }
--- a/Duties/Feed/HeldQuestions.h
+++ b/Duties/Feed/HeldQuestions.h
@@ -17,11 +17,13 @@
 AskerOf(const edge::exchange_ptr& aExchange);
 
 /** What another entry asks: all changes after the last that it has from one
- * life of this process. */
+ * life of this process, and proof that is later than its own. */
 struct feed_question
 {
   std::string mLife;
   feed_number mSince = 0;
+  /** How long ago what it knows was known to be the store's state. */
+  milliseconds mAge{ 0 };
 };
 
 edge::request
@@ -39,9 +41,9 @@
 enum class refusal
 {
   None,
-  /** It has just started and knows nothing; the question waits until it does,
-   * for a moment. */
-  Starting,
+  /** It hears from another entry and should know in a moment, until when the
+   * question waits. */
+  Waiting,
   /** It may know in a moment: ask again. */
   NotYet,
   /** The store doesn't answer it: ask another one. */
@@ -80,15 +82,20 @@
     /** None when all is asked for. */
     std::optional<feed_number> mSince;
     time_point mAskedAt;
-    time_point mProvenWhenAsked;
+    /** Of what the one that asks knows. */
+    time_point mProven;
   };
 
   bool IsDue(const held& aHeld, const feed_knowledge& aKnown) const;
-  void PlanAnswer(milliseconds aHold);
+  /** Until when a question waits for what this entry can't tell yet. */
+  time_point WaitsUntil(const held& aHeld) const;
+  void PlanAnswer(const feed_knowledge& aKnown);
 
   const scheduler mScheduler;
   const std::function<void()> mAnswerAll;
   std::vector<held> mHeld;
+  /** Since when this entry can't tell what it will know in a moment. */
+  std::optional<time_point> mWaitingSince;
   planned_action mNextAnswer;
 };
 
--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -26,6 +26,12 @@
  * this stays below the two seconds within which a configuration must be in
  * force; in health the age stays below a probe's pause and timeout. */
 constexpr milliseconds kMostAge = 1500ms;
+/** In health knowledge is younger. Past this the first entries by name watch
+ * the store one after the other, until one of them has the others' ear: all
+ * would else reach the greatest age together. */
+constexpr milliseconds kStandbyAge = 950ms;
+constexpr milliseconds kStandbyStep = 80ms;
+constexpr std::size_t kStandbys = 6;
 /** Older knowledge isn't passed on: who gets it has time left to ask others. */
 constexpr milliseconds kMostAgePassedOn = 1200ms;
 /** An entry that was silent isn't asked again for this long. */
@@ -57,8 +63,8 @@
   switch (aRefusal) {
     case refusal::None:
       return "none";
-    case refusal::Starting:
-      return "knows nothing yet";
+    case refusal::Waiting:
+      return "waits for another entry";
     case refusal::NotYet:
       return "knowledge too old";
     case refusal::NoStore:
@@ -122,17 +128,31 @@
   return provenAt;
 }
 
+milliseconds
+store_feed::AgeLimit() const
+{
+  const auto candidates = mParts.mCandidates();
+  const auto isBefore = [&](const feed_candidate& aOther) {
+    return aOther.mName < mParts.mName;
+  };
+  const auto rank = static_cast<std::size_t>(
+    std::count_if(candidates.begin(), candidates.end(), isBefore));
+  return rank == 0 || rank > kStandbys
+           ? kMostAge
+           : kStandbyAge + kStandbyStep * static_cast<int>(rank - 1);
+}
+
 void
 store_feed::PlanAgeLimit()
 {
-  const auto left =
-    std::chrono::ceil<milliseconds>(mProvenAt + kMostAge - Now());
+  const auto limit = AgeLimit();
+  const auto left = std::chrono::ceil<milliseconds>(mProvenAt + limit - Now());
   mAgeLimit =
-    mParts.mScheduler.mAfter(std::max<milliseconds>(left, 1ms), [this] {
+    mParts.mScheduler.mAfter(std::max<milliseconds>(left, 1ms), [this, limit] {
       if (mIsWatching) {
         return;
       }
-      if (Age() < kMostAge) {
+      if (Age() < limit) {
         PlanAgeLimit();
         return;
       }
@@ -236,7 +256,7 @@
   mIsAsking = true;
   mParts.mCall(
     mSource,
-    EncodeQuestion({ mSourceLife, mSourceNumber }),
+    EncodeQuestion({ mSourceLife, mSourceNumber, Age() }),
     options,
     kAnswerTimeout,
     [this, asked](edge::call_end aEnd, const edge::response& aAnswer) {
@@ -270,7 +290,8 @@
     }
   }
   const bool mayKnowSoon = isComplete && (feed || aAnswer.mStatus == kNotYet);
-  if (mayKnowSoon && !mIsWatching && mPauses < kMostPauses) {
+  if (mayKnowSoon && !mIsWatching && mPauses < kMostPauses &&
+      Age() < kStandbyAge) {
     ++mPauses;
     mNextLook = mParts.mScheduler.mAfter(kPause, [this] { Choose(); });
     return;
@@ -520,9 +541,12 @@
     return refusal::NoStore;
   }
   if (!HasListed()) {
-    return refusal::Starting;
+    return refusal::Waiting;
+  }
+  if (Age() <= kMostAgePassedOn) {
+    return refusal::None;
   }
-  return Age() <= kMostAgePassedOn ? refusal::None : refusal::NotYet;
+  return mIsWatching ? refusal::NotYet : refusal::Waiting;
 }
 
 void
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -115,6 +115,8 @@
   void LookWhetherStoreAnswers();
   void Apply(const decoded_feed& aFeed);
   void ApplyWhole(const decoded_feed& aFeed);
+  /** Age of its knowledge at which this entry watches the store itself. */
+  milliseconds AgeLimit() const;
   void PlanAgeLimit();
   void WatchStore();
   void AddMirror(const followed_kind& aKind);
--- a/Tests/Site/TestFeedFaults.cpp
+++ b/Tests/Site/TestFeedFaults.cpp
@@ -151,6 +151,45 @@
   BOOST_TEST(site.mClock.RunUntil(allKnow, 150ms));
 }
 
+// A third of a large fleet is cut off from the store, the entry that watches it
+// for all and the next one among them: all others turn to the store at once,
+// and each keeps six watches there for seconds.
+BOOST_AUTO_TEST_CASE(TheLossOfTheWatchingEntryDoesNotSendAllToTheStore)
+{
+  constexpr int kEntries = 360;
+  constexpr std::size_t kMostWatching = 12;
+  for (const auto way : { store_way::Cut, store_way::TurnedAway }) {
+    simulated_site site;
+    site.mState.mLatency = 4ms;
+    site.Put(1);
+    for (int i = 0; i < kEntries; ++i) {
+      site.Add("entry-" + std::to_string(100 + i)).Start();
+    }
+    site.mClock.RunFor(4s);
+    for (int i = 0; i < kEntries; ++i) {
+      if (i < 2 || i % 3 == 0) {
+        auto& cutOff = site.At("entry-" + std::to_string(100 + i));
+        cutOff.mWay = way;
+        cutOff.BreakCalls();
+      }
+    }
+    site.Put(2);
+    std::size_t mostWatching = 0;
+    for (int i = 0; i < 40; ++i) {
+      site.mClock.RunFor(50ms);
+      std::size_t watching = 0;
+      for (const auto& [name, entry] : site.mEntries) {
+        watching += entry->mFeed->IsWatching() ? 1 : 0;
+      }
+      mostWatching = std::max(mostWatching, watching);
+    }
+    BOOST_TEST(mostWatching <= kMostWatching);
+    for (const auto& [name, entry] : site.mEntries) {
+      BOOST_TEST(entry->Value(kBusyKind) == 2, name);
+    }
+  }
+}
+
 // An entry that has heard of a change forgets it when it asks another one that
 // hasn't yet.
 BOOST_AUTO_TEST_CASE(AListingOfSomebodyWhoKnowsLessTakesNothingBack)
