After an outage most entries hear of the state from the first ones

Cause: an entry without source watched the store itself, whatever its place.

Change: from the eighth entry on by name, one whose knowledge is too old first looks for somebody who knows, its tree first, and whether the store answers, and watches only when it alone is served or nobody knew 0.7 s after the store's return.

--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -32,6 +32,13 @@
 constexpr milliseconds kStandbyAge = 950ms;
 constexpr milliseconds kStandbyStep = 80ms;
 constexpr std::size_t kStandbys = 6;
+/** Other entries look for somebody who knows before they watch. The first
+ * probe is early, since the store may serve them and none of the others. */
+constexpr milliseconds kFirstProbe = 100ms;
+constexpr milliseconds kSeekingProbeEach = 1000ms;
+/** After an outage the first entries know the state within a probe's pause and
+ * a listing. */
+constexpr milliseconds kOthersList = 700ms;
 /** Older knowledge isn't passed on: who gets it has time left to ask others. */
 constexpr milliseconds kMostAgePassedOn = 1200ms;
 /** An entry that was silent isn't asked again for this long. */
@@ -128,15 +135,21 @@
   return provenAt;
 }
 
-milliseconds
-store_feed::AgeLimit() const
+std::size_t
+store_feed::Rank() const
 {
   const auto candidates = mParts.mCandidates();
   const auto isBefore = [&](const feed_candidate& aOther) {
     return aOther.mName < mParts.mName;
   };
-  const auto rank = static_cast<std::size_t>(
+  return static_cast<std::size_t>(
     std::count_if(candidates.begin(), candidates.end(), isBefore));
+}
+
+milliseconds
+store_feed::AgeLimit() const
+{
+  const auto rank = Rank();
   return rank == 0 || rank > kStandbys
            ? kMostAge
            : kStandbyAge + kStandbyStep * static_cast<int>(rank - 1);
@@ -160,7 +173,11 @@
         .With("entry", mSourceName)
         .With("origin", mOrigin)
         .With("known_ms_ago", Age());
-      WatchStore();
+      if (Rank() > kStandbys) {
+        SeekSource();
+      } else {
+        WatchStore();
+      }
     });
 }
 
@@ -178,6 +195,18 @@
   return FeedOrder(mParts.mCandidates(), mParts.mName);
 }
 
+std::vector<feed_candidate>
+store_feed::AllCandidates() const
+{
+  auto all = Candidates();
+  for (auto& candidate : mParts.mCandidates()) {
+    if (candidate.mName > mParts.mName) {
+      all.push_back(std::move(candidate));
+    }
+  }
+  return all;
+}
+
 std::optional<feed_candidate>
 store_feed::NextCandidate(const std::vector<feed_candidate>& aCandidates) const
 {
@@ -221,7 +250,7 @@
 store_feed::FollowAnyone()
 {
   // The store may turn this instance away and serve the others.
-  const auto candidate = NextCandidate(mParts.mCandidates());
+  const auto candidate = NextCandidate(AllCandidates());
   if (candidate && mAskedSinceProbe < kMostAskedAProbe) {
     ++mAskedSinceProbe;
     AskCandidate(*candidate);
@@ -438,11 +467,31 @@
   mIsWatching = true;
   mDoesStoreAnswer = true;
   events::line("feed_watches_store").With("known_ms_ago", Age());
+  AddMirrors();
+  Probe(kProbeEach);
+  LookForBetter();
+}
+
+void
+store_feed::SeekSource()
+{
+  mIsWatching = true;
+  mIsSeeking = true;
+  mDoesStoreAnswer = false;
+  mAskedSinceProbe = 0;
+  ++mQuestion;
+  mIsAsking = false;
+  Probe(kFirstProbe);
+  FollowAnyone();
+}
+
+void
+store_feed::AddMirrors()
+{
+  mIsSeeking = false;
   for (const auto& kind : mKinds) {
     AddMirror(kind);
   }
-  Probe();
-  LookForBetter();
 }
 
 void
@@ -481,6 +530,8 @@
 store_feed::StopWatching()
 {
   mIsWatching = false;
+  mIsSeeking = false;
+  mMirrorsSoon.reset();
   for (const auto& mirror : mMirrors) {
     mirror->Stop();
   }
@@ -489,9 +540,9 @@
 }
 
 void
-store_feed::Probe()
+store_feed::Probe(milliseconds aPause)
 {
-  mNextProbe = mParts.mScheduler.mAfter(kProbeEach, [this] {
+  mNextProbe = mParts.mScheduler.mAfter(aPause, [this] {
     if (!mIsWatching) {
       return;
     }
@@ -516,20 +567,45 @@
   const bool answers = IsAnswer(aReply);
   const bool isRegained = answers && !mDoesStoreAnswer;
   mDoesStoreAnswer = answers;
-  if (isRegained) {
+  if (isRegained && mIsSeeking) {
+    TakeFirstAnswer();
+  } else if (isRegained) {
     // Watches from before the silence may never be answered.
     for (const auto& mirror : mMirrors) {
       mirror->ListAgain();
     }
     LookForBetter();
   }
-  SetReachable(answers);
+  SetReachable(answers && !mIsSeeking);
   AnswerAll();
   // Asking anew would hide for ever that the one asked now is silent.
   if (!answers && !mIsAsking) {
     FollowAnyone();
   }
-  Probe();
+  Probe(mIsSeeking ? kSeekingProbeEach : kProbeEach);
+}
+
+void
+store_feed::TakeFirstAnswer()
+{
+  if (mIsReachable) {
+    AddMirrors();
+    LookForBetter();
+    return;
+  }
+  // The store is back for all, and the first entries by name list it now.
+  mDoesStoreAnswer = false;
+  mAvoidedUntil.clear();
+  mMirrorsSoon = mParts.mScheduler.mAfter(kOthersList, [this] {
+    if (mIsSeeking) {
+      mDoesStoreAnswer = true;
+      AddMirrors();
+      LookForBetter();
+    }
+  });
+  if (!mIsAsking) {
+    FollowAnyone();
+  }
 }
 
 // Answering other entries
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -96,7 +96,10 @@
 
   time_point Now() const { return mParts.mScheduler.mNow(); }
   time_point ProvenAt() const;
+  /** Whom this entry may follow for long, in the order in which it asks. */
   std::vector<feed_candidate> Candidates() const;
+  /** Those, then all others, for one that the store doesn't serve. */
+  std::vector<feed_candidate> AllCandidates() const;
   std::optional<feed_candidate> NextCandidate(
     const std::vector<feed_candidate>& aCandidates) const;
   void Avoid(const std::string& aName, milliseconds aTime);
@@ -115,15 +118,22 @@
   void LookWhetherStoreAnswers();
   void Apply(const decoded_feed& aFeed);
   void ApplyWhole(const decoded_feed& aFeed);
+  /** Entries whose names come before this one's. */
+  std::size_t Rank() const;
   /** Age of its knowledge at which this entry watches the store itself. */
   milliseconds AgeLimit() const;
   void PlanAgeLimit();
   void WatchStore();
+  /** Looks for somebody who knows, and whether the store answers, before it
+   * watches anything. */
+  void SeekSource();
+  void AddMirrors();
   void AddMirror(const followed_kind& aKind);
   void NoteListing(const followed_kind& aKind, const object_map& aObjects);
   bool HaveMirrorsListed() const;
   void StopWatching();
-  void Probe();
+  void Probe(milliseconds aPause);
+  void TakeFirstAnswer();
   void TakeProbe(const objects::object_reply& aReply);
   void LookForBetter();
   void FollowAnyone();
@@ -143,6 +153,7 @@
   std::map<std::string, bool> mIsListed;
   planned_action mNextLook;
   planned_action mNextProbe;
+  planned_action mMirrorsSoon;
   planned_action mAgeLimit;
   edge::endpoint mSource;
   std::string mSourceName;
@@ -159,6 +170,8 @@
   /** Of what was known when this entry last heard from another one. */
   time_point mProvenAt;
   bool mIsWatching = false;
+  /** It watches nothing yet, as others should know more. */
+  bool mIsSeeking = false;
   bool mDoesStoreAnswer = true;
   bool mIsReachable = true;
   /** What the log last said of it. */
--- a/Tests/Site/TestFeedFaults.cpp
+++ b/Tests/Site/TestFeedFaults.cpp
@@ -190,6 +190,40 @@
   }
 }
 
+// The store comes back from an outage and is flooded: each of hundreds of
+// entries lists all kinds and watches them for seconds.
+BOOST_AUTO_TEST_CASE(AnOutageOfTheStoreEndsWithFewCalls)
+{
+  constexpr int kEntries = 360;
+  constexpr int kMostCallsOfOne = 4;
+  constexpr double kStalePart = 0.1;
+  simulated_site site;
+  site.mState.mLatency = 4ms;
+  site.Put(1);
+  for (int i = 0; i < kEntries; ++i) {
+    site.Add("entry-" + std::to_string(100 + i)).Start();
+  }
+  site.mClock.RunFor(4s);
+  site.mState.mFault = standin::store_fault::Refuse;
+  site.CutWatches();
+  const auto callsBefore = site.mState.mCalls;
+  const auto staleBefore = site.mState.mStaleReads;
+  site.mClock.RunFor(3s);
+  site.mState.mFault = standin::store_fault::None;
+  site.Put(2);
+  const auto allKnow = [&] {
+    return std::all_of(
+      site.mEntries.begin(), site.mEntries.end(), [](const auto& aNamed) {
+        return aNamed.second->Value(kBusyKind) == 2;
+      });
+  };
+  BOOST_TEST(site.mClock.RunUntil(allKnow, kInForceWithin));
+  site.mClock.RunFor(4s);
+  const auto calls = site.mState.mCalls - callsBefore;
+  const auto stale = site.mState.mStaleReads - staleBefore;
+  BOOST_TEST(calls - stale + stale * kStalePart <= kEntries * kMostCallsOfOne);
+}
+
 // An entry that has heard of a change forgets it when it asks another one that
 // hasn't yet.
 BOOST_AUTO_TEST_CASE(AListingOfSomebodyWhoKnowsLessTakesNothingBack)
