--- a/Duties/Feed/FeedState.cpp
+++ b/Duties/Feed/FeedState.cpp
@@ -1,5 +1,7 @@
 #include "Duties/Feed/FeedState.h"
 
+#include <algorithm>
+
 namespace lavender::feed {
 
 namespace {
@@ -86,6 +88,15 @@
   Append(aState, aKind, aEvent);
 }
 
+void
+NoteRevision(feed_state& aState,
+             const std::string& aKind,
+             objects::revision_number aRevision)
+{
+  auto& known = aState.mRevisions[aKind];
+  known = std::max(known, aRevision);
+}
+
 object_map
 MergeListing(const object_map& aKnown,
              const object_map& aTold,
--- a/Duties/Feed/FeedState.h
+++ b/Duties/Feed/FeedState.h
@@ -47,6 +47,12 @@
           const std::string& aKind,
           const objects::object_event& aEvent);
 
+/** The kind is known up to that revision at least. */
+void
+NoteRevision(feed_state& aState,
+             const std::string& aKind,
+             objects::revision_number aRevision);
+
 /** What another entry tells of a kind, put together with what is known here:
  * nothing goes back when that entry knows less.
  * @param aToldUpTo revision up to which the other one knows the kind */
--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -8,7 +8,6 @@
 namespace lavender::feed {
 
 using namespace std::chrono_literals;
-using objects::store_outcome;
 
 namespace {
 
@@ -18,10 +17,6 @@
  * away stays in the list for twenty seconds, and is asked first when its name
  * is first; each entry that starts would wait for it. */
 constexpr milliseconds kConnectTimeout = 150ms;
-/** How often the watching entry makes sure that the store answers, and how
- * long it waits for that. */
-constexpr milliseconds kProbeEach = 500ms;
-constexpr milliseconds kProbeTimeout = 600ms;
 /** An entry whose knowledge is older watches the store itself. With a listing
  * this stays below the two seconds within which a configuration must be in
  * force; in health the age stays below a probe's pause and timeout. */
@@ -32,15 +27,6 @@
 constexpr milliseconds kStandbyAge = 950ms;
 constexpr milliseconds kStandbyStep = 80ms;
 constexpr std::size_t kStandbys = 6;
-/** Other entries look for somebody who knows before they watch. The first
- * probe is early, since the store may serve them and none of the others. */
-constexpr milliseconds kFirstProbe = 100ms;
-constexpr milliseconds kSeekingProbeEach = 1000ms;
-/** After an outage the first entries know the state within a probe's pause and
- * a listing. */
-constexpr milliseconds kOthersList = 700ms;
-/** Older knowledge isn't passed on: who gets it has time left to ask others. */
-constexpr milliseconds kMostAgePassedOn = 1200ms;
 /** An entry that was silent isn't asked again for this long. */
 constexpr milliseconds kAvoidSilent = 5000ms;
 /** One that refused may know soon. Longer than it takes to ask all others, or
@@ -56,30 +42,6 @@
  * all, hundreds would keep one another busy. */
 constexpr int kMostAskedAProbe = 8;
 
-/** Whether the store answered a read, whatever it found. */
-bool
-IsAnswer(const objects::object_reply& aReply)
-{
-  return aReply.mOutcome == store_outcome::Done ||
-         aReply.mOutcome == store_outcome::NotFound;
-}
-
-const char*
-WordFor(refusal aRefusal)
-{
-  switch (aRefusal) {
-    case refusal::None:
-      return "none";
-    case refusal::Waiting:
-      return "waits for another entry";
-    case refusal::NotYet:
-      return "knowledge too old";
-    case refusal::NoStore:
-      break;
-  }
-  return "store doesn't answer";
-}
-
 } // namespace
 
 store_feed::store_feed(feed_parts aParts, std::vector<followed_kind> aKinds)
@@ -395,24 +357,6 @@
   }
 }
 
-void
-store_feed::LookWhetherStoreAnswers()
-{
-  // This entry's turn comes before that of the one it follows, and the store
-  // may have it back. It follows on meanwhile: leaving first, an entry that is
-  // still turned away would know nothing for half a second of every three.
-  mParts.mDirectStore.mGet(mParts.mProbeKind,
-                           mParts.mName,
-                           objects::freshness::MayBeStale,
-                           [this](const objects::object_reply& aReply) {
-                             if (IsAnswer(aReply) && !mIsWatching) {
-                               ++mQuestion;
-                               mIsAsking = false;
-                               WatchStore();
-                             }
-                           });
-}
-
 void
 store_feed::Apply(const decoded_feed& aFeed)
 {
@@ -432,8 +376,7 @@
     }
   }
   for (const auto& [kind, revision] : aFeed.mRevisions) {
-    auto& known = mState.mRevisions[kind];
-    known = std::max(known, revision);
+    NoteRevision(mState, kind, revision);
   }
 }
 
@@ -456,233 +399,4 @@
   }
 }
 
-// Watching the store
-
-void
-store_feed::WatchStore()
-{
-  if (mIsWatching) {
-    return;
-  }
-  mIsWatching = true;
-  mDoesStoreAnswer = true;
-  events::line("feed_watches_store").With("known_ms_ago", Age());
-  AddMirrors();
-  Probe(kProbeEach);
-  LookForBetter();
-}
-
-void
-store_feed::SeekSource()
-{
-  mIsWatching = true;
-  mIsSeeking = true;
-  mDoesStoreAnswer = false;
-  mAskedSinceProbe = 0;
-  ++mQuestion;
-  mIsAsking = false;
-  Probe(kFirstProbe);
-  FollowAnyone();
-}
-
-void
-store_feed::AddMirrors()
-{
-  mIsSeeking = false;
-  for (const auto& kind : mKinds) {
-    AddMirror(kind);
-  }
-}
-
-void
-store_feed::AddMirror(const followed_kind& aKind)
-{
-  objects::mirror_options options = aKind.mOptions;
-  options.mKind = aKind.mKind;
-  options.mMayCall = [this] { return mDoesStoreAnswer; };
-  objects::mirror_events heard;
-  heard.mOnListed = [this, &aKind](const object_map& aObjects) {
-    NoteListing(aKind, aObjects);
-  };
-  heard.mOnEvent = [this, &aKind](const objects::object_event& aEvent) {
-    TakeEvent(mState, aKind.mKind, aEvent);
-    aKind.mOnEvent(aEvent);
-  };
-  heard.mOnProven = [this] { AnswerAll(); };
-  mMirrors.push_back(std::make_shared<objects::mirror>(
-    mParts.mScheduler, mParts.mStore, options, heard));
-  mMirrors.back()->Start();
-}
-
-void
-store_feed::NoteListing(const followed_kind& aKind, const object_map& aObjects)
-{
-  TakeListing(mState, aKind.mKind, aObjects);
-  mIsListed[aKind.mKind] = true;
-  if (HaveMirrorsListed()) {
-    mOrigin = mParts.mName;
-  }
-  aKind.mOnListed(aObjects);
-  AnswerAll();
-}
-
-void
-store_feed::StopWatching()
-{
-  mIsWatching = false;
-  mIsSeeking = false;
-  mMirrorsSoon.reset();
-  for (const auto& mirror : mMirrors) {
-    mirror->Stop();
-  }
-  mMirrors.clear();
-  mNextProbe.reset();
-}
-
-void
-store_feed::Probe(milliseconds aPause)
-{
-  mNextProbe = mParts.mScheduler.mAfter(aPause, [this] {
-    if (!mIsWatching) {
-      return;
-    }
-    const auto answered = std::make_shared<bool>(false);
-    const auto take = [this, answered](const objects::object_reply& aReply) {
-      if (!std::exchange(*answered, true) && mIsWatching) {
-        TakeProbe(aReply);
-      }
-    };
-    mParts.mStore.mGet(
-      mParts.mProbeKind, mParts.mName, objects::freshness::MayBeStale, take);
-    mNextProbe = mParts.mScheduler.mAfter(kProbeTimeout, [take] {
-      take({ store_outcome::Unknown, {} });
-    });
-  });
-}
-
-void
-store_feed::TakeProbe(const objects::object_reply& aReply)
-{
-  mAskedSinceProbe = 0;
-  const bool answers = IsAnswer(aReply);
-  const bool isRegained = answers && !mDoesStoreAnswer;
-  mDoesStoreAnswer = answers;
-  if (isRegained && mIsSeeking) {
-    TakeFirstAnswer();
-  } else if (isRegained) {
-    // Watches from before the silence may never be answered.
-    for (const auto& mirror : mMirrors) {
-      mirror->ListAgain();
-    }
-    LookForBetter();
-  }
-  SetReachable(answers && !mIsSeeking);
-  AnswerAll();
-  // Asking anew would hide for ever that the one asked now is silent.
-  if (!answers && !mIsAsking) {
-    FollowAnyone();
-  }
-  Probe(mIsSeeking ? kSeekingProbeEach : kProbeEach);
-}
-
-void
-store_feed::TakeFirstAnswer()
-{
-  if (mIsReachable) {
-    AddMirrors();
-    LookForBetter();
-    return;
-  }
-  // The store is back for all, and the first entries by name list it now.
-  mDoesStoreAnswer = false;
-  mAvoidedUntil.clear();
-  mMirrorsSoon = mParts.mScheduler.mAfter(kOthersList, [this] {
-    if (mIsSeeking) {
-      mDoesStoreAnswer = true;
-      AddMirrors();
-      LookForBetter();
-    }
-  });
-  if (!mIsAsking) {
-    FollowAnyone();
-  }
-}
-
-// Answering other entries
-
-refusal
-store_feed::Refusal() const
-{
-  if (mIsWatching && !mDoesStoreAnswer) {
-    return refusal::NoStore;
-  }
-  if (!HasListed()) {
-    return refusal::Waiting;
-  }
-  if (Age() <= kMostAgePassedOn) {
-    return refusal::None;
-  }
-  return mIsWatching ? refusal::NotYet : refusal::Waiting;
-}
-
-void
-store_feed::NoteRefusal(refusal aRefusal)
-{
-  if (aRefusal == mNotedRefusal) {
-    return;
-  }
-  std::string lost;
-  for (const auto& mirror : mMirrors) {
-    if (mirror->LostSince()) {
-      lost += (lost.empty() ? "" : ",") + mirror->Kind();
-    }
-  }
-  events::line(aRefusal == refusal::None ? "feed_serves" : "feed_refuses")
-    .With("reason", WordFor(aRefusal))
-    .With("origin", mOrigin)
-    .With("known_ms_ago", Age())
-    .With("lost", lost);
-  mNotedRefusal = aRefusal;
-}
-
-feed_knowledge
-store_feed::Knowledge() const
-{
-  return { mState, mLife, mOrigin, ProvenAt(), Refusal() };
-}
-
-void
-store_feed::Serve(const edge::request& aQuestion, feed_asker aAsker)
-{
-  mHeld.Hold(DecodeQuestion(aQuestion), std::move(aAsker), Knowledge());
-  AnswerAll();
-}
-
-void
-store_feed::AnswerAll()
-{
-  if (mIsWatching) {
-    for (const auto& mirror : mMirrors) {
-      auto& known = mState.mRevisions[mirror->Kind()];
-      known = std::max(known, mirror->Revision());
-    }
-  }
-  const auto known = Knowledge();
-  if (!mHeld.IsEmpty()) {
-    NoteRefusal(known.mRefusal);
-  }
-  mHeld.Answer(known);
-}
-
-void
-store_feed::SetReachable(bool aIsReachable)
-{
-  if (mIsReachable != aIsReachable) {
-    mIsReachable = aIsReachable;
-    events::line(aIsReachable ? "store_regained" : "store_lost")
-      .With("known_ms_ago", Age());
-    mParts.mOnContact(aIsReachable);
-  }
-}
-
 } // namespace lavender::feed
