Who watches the store for a silent source finds another one soon

Cause: an entry looked for a source once in three seconds, asked one, and met the next frozen one, as all ask in the same order.

Change: three are asked in a row, and after its tree each entry begins at another place of the list. An entry that begins to watch after seeking says so in its log.

--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Feed/StoreFeed.h"
 
 #include "Libraries/Core/Identity.h"
+#include "Libraries/Core/Rendezvous.h"
 #include "Libraries/EventLog/EventLog.h"
 
 #include <algorithm>
@@ -35,6 +36,10 @@
 /** How often an entry that watches out of turn looks for the one whose turn
  * it is. */
 constexpr milliseconds kLookForBetter = 3000ms;
+/** Others that are asked, one after the other, each time. */
+constexpr int kLooksInARow = 3;
+/** Of those whom it may follow, the tree and the first ones come first. */
+constexpr std::size_t kSameForAll = 3;
 /** An entry that has just lost its own source is asked again after this. */
 constexpr milliseconds kPause = 200ms;
 constexpr int kMostPauses = 3;
@@ -196,18 +201,36 @@
 void
 store_feed::LookForBetter()
 {
+  mLooksLeft = kLooksInARow;
   mNextLook = mParts.mScheduler.mAfter(kLookForBetter, [this] {
-    if (!mIsWatching) {
-      return;
-    }
-    if (const auto candidate = NextCandidate(Candidates())) {
-      AskCandidate(*candidate);
-    } else {
-      LookForBetter();
+    if (mIsWatching) {
+      LookNow();
     }
   });
 }
 
+void
+store_feed::LookNow()
+{
+  auto candidates = Candidates();
+  const auto isTaken =
+    static_cast<std::ptrdiff_t>(std::min(kSameForAll, candidates.size()));
+  if (const auto rest = candidates.begin() + same; rest != candidates.end()) {
+    // Each begins at another one: the first by name may all be silent.
+    const auto places = static_cast<std::uint64_t>(candidates.end() - rest);
+    const auto shift = RendezvousHash(mParts.mName, mLife) % places;
+    std::rotate(
+      rest, rest + static_cast<std::ptrdiff_t>(shift), candidates.end());
+  }
+  const auto candidate = NextCandidate(candidates);
+  if (candidate && mLooksLeft > 0) {
+    --mLooksLeft;
+    AskCandidate(*candidate);
+  } else {
+    LookForBetter();
+  }
+}
+
 void
 store_feed::FollowAnyone()
 {
@@ -351,7 +374,7 @@
   if (!mIsWatching) {
     Choose();
   } else if (mDoesStoreAnswer) {
-    LookForBetter();
+    LookNow();
   } else {
     FollowAnyone();
   }
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -135,7 +135,9 @@
   void Probe(milliseconds aPause);
   void TakeFirstAnswer();
   void TakeProbe(const objects::object_reply& aReply);
+  /** Plans to look for an entry to follow, while this one watches. */
   void LookForBetter();
+  void LookNow();
   void FollowAnyone();
   refusal Refusal() const;
   void NoteRefusal(refusal aRefusal);
@@ -166,6 +168,7 @@
   /** Pauses for a source that may know in a moment, since the last answer. */
   int mPauses = 0;
   int mAskedSinceProbe = 0;
+  int mLooksLeft = 0;
   time_point mFollowsSince;
   /** Of what was known when this entry last heard from another one. */
   time_point mProvenAt;
--- a/Duties/Feed/StoreFeedWatching.cpp
+++ b/Duties/Feed/StoreFeedWatching.cpp
@@ -40,7 +40,6 @@
   }
   mIsWatching = true;
   mDoesStoreAnswer = true;
-  events::line("feed_watches_store").With("known_ms_ago", Age());
   AddMirrors();
   Probe(kProbeEach);
   LookForBetter();
@@ -63,6 +62,7 @@
 store_feed::AddMirrors()
 {
   mIsSeeking = false;
+  events::line("feed_watches_store").With("known_ms_ago", Age());
   for (const auto& kind : mKinds) {
     AddMirror(kind);
   }
--- a/Tests/Site/TestFeedFaults.cpp
+++ b/Tests/Site/TestFeedFaults.cpp
@@ -190,6 +190,37 @@
   }
 }
 
+// The first entries by name freeze, and those that followed them watch the
+// store for ten seconds and more: each looks for a source once in three
+// seconds, and finds another frozen one.
+BOOST_AUTO_TEST_CASE(WhoWatchesForASilentSourceFindsAnotherSoon)
+{
+  constexpr int kEntries = 360;
+  constexpr int kFrozen = 6;
+  constexpr std::size_t kMostWatching = 12;
+  simulated_site site;
+  site.mState.mLatency = 4ms;
+  site.Put(1);
+  for (int i = 0; i < kEntries; ++i) {
+    site.Add("entry-" + std::to_string(100 + i)).Start();
+  }
+  site.mClock.RunFor(4s);
+  for (int i = 0; i < kFrozen; ++i) {
+    site.At("entry-" + std::to_string(100 + i)).Freeze();
+  }
+  site.mClock.RunFor(2s);
+  site.Put(2);
+  site.mClock.RunFor(5s);
+  std::size_t watching = 0;
+  for (const auto& [name, entry] : site.mEntries) {
+    if (!entry->mIsFrozen) {
+      BOOST_TEST(entry->Value(kBusyKind) == 2, name);
+      watching += entry->mFeed->IsWatching() ? 1 : 0;
+    }
+  }
+  BOOST_TEST(watching <= kMostWatching);
+}
+
 // The store comes back from an outage and is flooded: each of hundreds of
 // entries lists all kinds and watches them for seconds.
 BOOST_AUTO_TEST_CASE(AnOutageOfTheStoreEndsWithFewCalls)
