--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -213,7 +213,7 @@
 store_feed::LookNow()
 {
   auto candidates = Candidates();
-  const auto isTaken =
+  const auto same =
     static_cast<std::ptrdiff_t>(std::min(kSameForAll, candidates.size()));
   if (const auto rest = candidates.begin() + same; rest != candidates.end()) {
     // Each begins at another one: the first by name may all be silent.
