--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -22,9 +22,9 @@
  * this stays below the two seconds within which a configuration must be in
  * force; in health the age stays below a probe's pause and timeout. */
 constexpr milliseconds kMostAge = 1500ms;
-/** In health knowledge is younger. Past this the first entries by name watch
- * the store one after the other, until one of them has the others' ear: all
- * would else reach the greatest age together. */
+/** In health knowledge is younger. Past this the first entries by name begin to
+ * watch the store, one step after the other, so that the rest hears from one of
+ * them before it reaches the greatest age. */
 constexpr milliseconds kStandbyAge = 950ms;
 constexpr milliseconds kStandbyStep = 80ms;
 constexpr std::size_t kStandbys = 6;
