--- a/Tests/Site/TestStoreAccess.cpp
+++ b/Tests/Site/TestStoreAccess.cpp
@@ -205,7 +205,7 @@
 }
 
 // A third of a large fleet is cut off at once, and all of it writes through the
-// one entry that everybody hears of: that one is overloaded and its callers wait.
+// one entry that everybody hears of: that one is overloaded, its callers wait.
 BOOST_AUTO_TEST_CASE(ManyThatAreCutOffSpreadOverTheOthers)
 {
   constexpr int kEntries = 360;
