The feed encodes its changes once for all that ask together; one count of places

The changes are now a value of their own, made once for each number asked from; the bytes of an answer are the same. How many names come before one stood in FeedOrder and in Rank; both call PlaceOf.

Behaviour stays.

--- a/Duties/Feed/FeedOrder.cpp
+++ b/Duties/Feed/FeedOrder.cpp
@@ -11,13 +11,20 @@
 
 } // namespace
 
+std::size_t
+PlaceOf(const std::vector<feed_candidate>& aAll, const std::string& aName)
+{
+  std::size_t place = 0;
+  while (place < aAll.size() && aAll[place].mName < aName) {
+    ++place;
+  }
+  return place;
+}
+
 std::vector<feed_candidate>
 FeedOrder(const std::vector<feed_candidate>& aAll, const std::string& aName)
 {
-  std::size_t own = 0;
-  while (own < aAll.size() && aAll[own].mName < aName) {
-    ++own;
-  }
+  const auto own = PlaceOf(aAll, aName);
   std::vector<feed_candidate> order;
   std::vector<bool> isTaken(own, false);
   for (auto place = own; place > 0;) {
--- a/Duties/Feed/FeedOrder.h
+++ b/Duties/Feed/FeedOrder.h
@@ -14,6 +14,11 @@
   edge::endpoint mAddress;
 };
 
+/** Entries whose names come before that one.
+ * @param aAll all entries in the order of their names */
+std::size_t
+PlaceOf(const std::vector<feed_candidate>& aAll, const std::string& aName);
+
 /** Whom an entry asks, in this order, before it watches the store itself: the
  * one above it in a tree of entries by name, those above that one up to the
  * first, then the others whose names come before its own.
--- a/Duties/Feed/FeedState.cpp
+++ b/Duties/Feed/FeedState.cpp
@@ -129,20 +129,17 @@
          known->second.mRevision <= aEvent.mObject.mRevision;
 }
 
-std::string
-EncodeFeed(const feed_state& aState,
-           const std::string& aLife,
-           std::optional<feed_number> aSince,
-           const feed_proof& aProof)
+encoded_changes
+EncodeChanges(const feed_state& aState, std::optional<feed_number> aSince)
 {
   const feed_number oldest =
     aState.mNewest - static_cast<feed_number>(aState.mChanges.size());
-  const bool isWhole = !aSince || *aSince < oldest || *aSince > aState.mNewest;
-  std::string changes;
+  encoded_changes changes;
+  changes.mIsWhole = !aSince || *aSince < oldest || *aSince > aState.mNewest;
   const auto add = [&](const std::string& aJson) {
-    changes += changes.empty() ? aJson : "," + aJson;
+    changes.mJson += changes.mJson.empty() ? aJson : "," + aJson;
   };
-  if (isWhole) {
+  if (changes.mIsWhole) {
     for (const auto& [kind, known] : aState.mKinds) {
       for (const auto& [name, object] : known) {
         add(EncodeChange(kind, { object, false }));
@@ -155,6 +152,15 @@
       }
     }
   }
+  return changes;
+}
+
+std::string
+EncodeFeed(const feed_state& aState,
+           const std::string& aLife,
+           const encoded_changes& aChanges,
+           const feed_proof& aProof)
+{
   json::value revisions = json::object{};
   for (const auto& [kind, revision] : aState.mRevisions) {
     revisions.Set(kind, revision);
@@ -162,7 +168,7 @@
   const json::value head =
     json::object{ { "life", aLife },
                   { "newest", aState.mNewest },
-                  { "whole", isWhole },
+                  { "whole", aChanges.mIsWhole },
                   { "origin", aProof.mOrigin },
                   { "age_ms", static_cast<std::int64_t>(aProof.mAge.count()) },
                   { "held_ms",
@@ -170,7 +176,7 @@
                   { "revisions", revisions } };
   auto body = json::Write(head);
   body.pop_back();
-  return body + ",\"changes\":[" + changes + "]}";
+  return body + ",\"changes\":[" + aChanges.mJson + "]}";
 }
 
 std::optional<decoded_feed>
--- a/Duties/Feed/FeedState.h
+++ b/Duties/Feed/FeedState.h
@@ -78,13 +78,25 @@
   milliseconds mHeld{ 0 };
 };
 
-/** Body for one that has everything up to a number; with everything when that
- * is unknown or too old.
+/** Changes as they are written into a body: the same for all that have
+ * everything up to one number. */
+struct encoded_changes
+{
+  bool mIsWhole = false;
+  /** Elements of a JSON array. */
+  std::string mJson;
+};
+
+/** Changes after a number; everything when it is unknown or too old. */
+encoded_changes
+EncodeChanges(const feed_state& aState, std::optional<feed_number> aSince);
+
+/** Body of an answer.
  * @param aLife tells this process's numbers from those of others */
 std::string
 EncodeFeed(const feed_state& aState,
            const std::string& aLife,
-           std::optional<feed_number> aSince,
+           const encoded_changes& aChanges,
            const feed_proof& aProof);
 
 struct decoded_change
--- a/Duties/Feed/HeldQuestions.cpp
+++ b/Duties/Feed/HeldQuestions.cpp
@@ -108,6 +108,8 @@
     mWaitingSince = now;
   }
   std::vector<held> kept;
+  // Many that have just started ask for everything at once.
+  std::map<std::optional<feed_number>, encoded_changes> encoded;
   for (auto& question : std::exchange(mHeld, {})) {
     if (question.mAsker.mHasLeft()) {
       continue;
@@ -123,10 +125,17 @@
                               Between(aKnown.mProvenAt, now),
                               std::chrono::floor<milliseconds>(
                                 now - question.mAskedAt) };
+      auto changes = encoded.find(question.mSince);
+      if (changes == encoded.end()) {
+        changes = encoded
+                    .emplace(question.mSince,
+                             EncodeChanges(aKnown.mState, question.mSince))
+                    .first;
+      }
       question.mAsker.mAnswer(
         { 200,
           {},
-          EncodeFeed(aKnown.mState, aKnown.mLife, question.mSince, proof) });
+          EncodeFeed(aKnown.mState, aKnown.mLife, changes->second, proof) });
     } else {
       kept.push_back(std::move(question));
     }
--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -105,12 +105,7 @@
 std::size_t
 store_feed::Rank() const
 {
-  const auto candidates = mParts.mCandidates();
-  const auto isBefore = [&](const feed_candidate& aOther) {
-    return aOther.mName < mParts.mName;
-  };
-  return static_cast<std::size_t>(
-    std::count_if(candidates.begin(), candidates.end(), isBefore));
+  return PlaceOf(mParts.mCandidates(), mParts.mName);
 }
 
 milliseconds
--- a/Tests/Site/TestFeed.cpp
+++ b/Tests/Site/TestFeed.cpp
@@ -287,8 +287,8 @@
       }
       auto& [since, objects] =
         known[*rc::gen::inRange<std::size_t>(0, known.size())];
-      const auto decoded = feed::DecodeFeed(
-        feed::EncodeFeed(state, "life", since, { "a", 0ms, 0ms }));
+      const auto decoded = feed::DecodeFeed(feed::EncodeFeed(
+        state, "life", feed::EncodeChanges(state, since), { "a", 0ms, 0ms }));
       RC_ASSERT(decoded.has_value());
       if (decoded->mIsWhole) {
         objects.clear();
