--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -116,7 +116,7 @@
         End(aExchange, aBatch, kTries);
         return;
       case batch_call::kind::TakeOver:
-        // It is this entry's already.
+        // Answered before the batch is loaded, in TakeOffer.
         aExchange->Answer({ 200, {}, {} });
         return;
     }
--- a/Duties/Batches/BatchOwners.cpp
+++ b/Duties/Batches/BatchOwners.cpp
@@ -60,6 +60,39 @@
   return ChooseByRendezvous(aCustomer + "/" + aModel, candidates);
 }
 
+std::optional<batch_service::other_entry>
+batch_service::OtherOwner(const std::string& aCustomer,
+                          const std::string& aModel) const
+{
+  const auto owner = DesignatedOwner(aCustomer, aModel);
+  if (!owner || *owner == mParts.mName) {
+    return std::nullopt;
+  }
+  const auto address = mParts.mFindPeer(*owner);
+  return address ? std::optional(other_entry{ *owner, *address })
+                 : std::nullopt;
+}
+
+void
+batch_service::CallPeer(const edge::endpoint& aPeer,
+                        const edge::request& aRequest,
+                        milliseconds aTimeout,
+                        edge::whole_answer aDone)
+{
+  edge::call_options options;
+  options.mConnectTimeout = kConnectTimeout;
+  options.mSilenceTimeout = aTimeout;
+  constexpr std::size_t kAnswerBytes = 4096;
+  edge::FetchWhole(mParts.mClients,
+                   mParts.mLoop,
+                   aPeer,
+                   aRequest,
+                   options,
+                   aTimeout,
+                   kAnswerBytes,
+                   std::move(aDone));
+}
+
 void
 batch_service::Submit(const edge::exchange_ptr& aExchange,
                       const submission_origin& aOrigin,
@@ -75,16 +108,13 @@
 void
 batch_service::Place(const std::shared_ptr<placement>& aPlacement)
 {
-  const auto owner = DesignatedOwner(aPlacement->mOrigin.mCustomer,
-                                     aPlacement->mSubmission.mModel);
-  const auto peer = owner && *owner != mParts.mName
-                      ? mParts.mFindPeer(*owner)
-                      : std::optional<edge::endpoint>();
+  const auto owner =
+    OtherOwner(aPlacement->mOrigin.mCustomer, aPlacement->mSubmission.mModel);
   // An entry that isn't fit asks further ones before it tries.
-  if (peer && (aPlacement->mAsked == 0 ||
-               (IsUnfit() && aPlacement->mAsked < kMostAsked))) {
+  if (owner && (aPlacement->mAsked == 0 ||
+                (IsUnfit() && aPlacement->mAsked < kMostAsked))) {
     ++aPlacement->mAsked;
-    PassSubmission(aPlacement, *owner, *peer);
+    PassSubmission(aPlacement, *owner);
   } else {
     Admit(aPlacement->mExchange,
           aPlacement->mOrigin,
@@ -124,52 +154,42 @@
 
 void
 batch_service::PassSubmission(const std::shared_ptr<placement>& aPlacement,
-                              const std::string& aOwner,
-                              const edge::endpoint& aPeer)
+                              const other_entry& aOwner)
 {
-  edge::call_options options;
-  options.mConnectTimeout = kConnectTimeout;
-  options.mSilenceTimeout = kAcceptTimeout;
-  constexpr std::size_t kAnswerBytes = 4096;
-  edge::FetchWhole(
-    mParts.mClients,
-    mParts.mLoop,
-    aPeer,
-    EncodePeerSubmission({ aPlacement->mSubmission.mId,
-                           aPlacement->mOrigin,
-                           aPlacement->mExchange->mRequest.mBody }),
-    options,
-    kAcceptTimeout,
-    kAnswerBytes,
-    [this, aPlacement, aOwner](edge::call_end aEnd,
-                               const edge::response& aAnswer) {
-      const bool isAnswered = aEnd == edge::call_end::Complete;
-      if (isAnswered && aAnswer.mStatus != kNotOwner) {
-        edge::response answer{ aAnswer.mStatus, {}, {} };
-        if (const auto* after = aAnswer.mHeaders.Find(kRetryAfter)) {
-          answer.mHeaders.Add(kRetryAfter, *after);
-        }
-        aPlacement->mExchange->Answer(std::move(answer));
-        return;
-      }
-      events::line("designated_owner_silent")
-        .With("batch", aPlacement->mSubmission.mId)
-        .With("owner", aOwner)
-        .With("end", edge::WordFor(aEnd))
-        .With("status", static_cast<std::int64_t>(aAnswer.mStatus));
-      mAvoidedUntil[aOwner] =
-        boot_clock::now() + (isAnswered ? kAvoidLeaving : kAvoidSilent);
-      // The other entry may have accepted the batch all the same. The store
-      // takes one head only; but "not run" can't be said any more.
-      if (!isAnswered && aEnd != edge::call_end::NotSent) {
-        Admit(aPlacement->mExchange,
-              aPlacement->mOrigin,
-              std::move(aPlacement->mSubmission),
-              prior_try::MayHaveBeenAccepted);
-      } else {
-        Place(aPlacement);
-      }
-    });
+  CallPeer(aOwner.mAddress,
+           EncodePeerSubmission({ aPlacement->mSubmission.mId,
+                                  aPlacement->mOrigin,
+                                  aPlacement->mExchange->mRequest.mBody }),
+           kAcceptTimeout,
+           [this, aPlacement, owner = aOwner.mName](
+             edge::call_end aEnd, const edge::response& aAnswer) {
+             const bool isAnswered = aEnd == edge::call_end::Complete;
+             if (isAnswered && aAnswer.mStatus != kNotOwner) {
+               edge::response answer{ aAnswer.mStatus, {}, {} };
+               if (const auto* after = aAnswer.mHeaders.Find(kRetryAfter)) {
+                 answer.mHeaders.Add(kRetryAfter, *after);
+               }
+               aPlacement->mExchange->Answer(std::move(answer));
+               return;
+             }
+             events::line("designated_owner_silent")
+               .With("batch", aPlacement->mSubmission.mId)
+               .With("owner", owner)
+               .With("end", edge::WordFor(aEnd))
+               .With("status", static_cast<std::int64_t>(aAnswer.mStatus));
+             mAvoidedUntil[owner] =
+               boot_clock::now() + (isAnswered ? kAvoidLeaving : kAvoidSilent);
+             // The other entry may have accepted the batch all the same. The
+             // store takes one head only; but "not run" can't be said any more.
+             if (!isAnswered && aEnd != edge::call_end::NotSent) {
+               Admit(aPlacement->mExchange,
+                     aPlacement->mOrigin,
+                     std::move(aPlacement->mSubmission),
+                     prior_try::MayHaveBeenAccepted);
+             } else {
+               Place(aPlacement);
+             }
+           });
 }
 
 void
@@ -207,12 +227,8 @@
 void
 batch_service::Offer(const batch_ptr& aBatch)
 {
-  const auto owner =
-    DesignatedOwner(aBatch->mHead.mCustomer, aBatch->mHead.mModel);
-  const auto peer = owner && *owner != mParts.mName
-                      ? mParts.mFindPeer(*owner)
-                      : std::optional<edge::endpoint>();
-  if (aBatch->mIsOffered || !peer) {
+  const auto owner = OtherOwner(aBatch->mHead.mCustomer, aBatch->mHead.mModel);
+  if (aBatch->mIsOffered || !owner) {
     return;
   }
   aBatch->mIsOffered = true;
@@ -220,37 +236,28 @@
   call.mKind = batch_call::kind::TakeOver;
   call.mBatchId = aBatch->mHead.mId;
   call.mCustomer = aBatch->mHead.mCustomer;
-  edge::call_options options;
-  options.mConnectTimeout = kConnectTimeout;
-  options.mSilenceTimeout = kOfferTimeout;
-  constexpr std::size_t kAnswerBytes = 4096;
-  edge::FetchWhole(
-    mParts.mClients,
-    mParts.mLoop,
-    *peer,
-    EncodePeerCall(call),
-    options,
-    kOfferTimeout,
-    kAnswerBytes,
-    [this, aBatch, owner = *owner](edge::call_end aEnd,
-                                   const edge::response& aAnswer) {
-      const bool isTaken =
-        aEnd == edge::call_end::Complete && aAnswer.mStatus == 200;
-      events::line("batch_offered")
-        .With("batch", aBatch->mHead.mId)
-        .With("to", owner)
-        .With("end", edge::WordFor(aEnd))
-        .With("status", static_cast<std::int64_t>(aAnswer.mStatus));
-      aBatch->mIsOffered = false;
-      if (!isTaken) {
-        mAvoidedUntil[owner] = boot_clock::now() + kAvoidSilent;
-      } else if (IsMine(aBatch)) {
-        // The head as the store has it comes through the feed.
-        aBatch->mHead.mOwner = owner;
-        aBatch->mOwnedSince = boot_clock::now();
-        Drop(aBatch);
-      }
-    });
+  CallPeer(owner->mAddress,
+           EncodePeerCall(call),
+           kOfferTimeout,
+           [this, aBatch, owner = owner->mName](edge::call_end aEnd,
+                                                const edge::response& aAnswer) {
+             const bool isTaken =
+               aEnd == edge::call_end::Complete && aAnswer.mStatus == 200;
+             events::line("batch_offered")
+               .With("batch", aBatch->mHead.mId)
+               .With("to", owner)
+               .With("end", edge::WordFor(aEnd))
+               .With("status", static_cast<std::int64_t>(aAnswer.mStatus));
+             aBatch->mIsOffered = false;
+             if (!isTaken) {
+               mAvoidedUntil[owner] = boot_clock::now() + kAvoidSilent;
+             } else if (IsMine(aBatch)) {
+               // The head as the store has it comes through the feed.
+               aBatch->mHead.mOwner = owner;
+               aBatch->mOwnedSince = boot_clock::now();
+               Drop(aBatch);
+             }
+           });
 }
 
 void
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -162,14 +162,28 @@
   bool IsUnfit() const { return mIsLeaving || !mParts.mCanStore(); }
   std::optional<std::string> DesignatedOwner(const std::string& aCustomer,
                                              const std::string& aModel) const;
+  /** Another entry, and where it takes calls. */
+  struct other_entry
+  {
+    std::string mName;
+    edge::endpoint mAddress;
+  };
+
+  /** The designated owner, unless that is this entry or nobody. */
+  std::optional<other_entry> OtherOwner(const std::string& aCustomer,
+                                        const std::string& aModel) const;
+  /** A call whose answer has a status alone. */
+  void CallPeer(const edge::endpoint& aPeer,
+                const edge::request& aRequest,
+                milliseconds aTimeout,
+                edge::whole_answer aDone);
   bool AnswerKnown(const edge::exchange_ptr& aExchange,
                    const submission_origin& aOrigin,
                    const std::string& aBatchId);
   /** Passes a submission to the entry that shall own it, or admits it here. */
   void Place(const std::shared_ptr<placement>& aPlacement);
   void PassSubmission(const std::shared_ptr<placement>& aPlacement,
-                      const std::string& aOwner,
-                      const edge::endpoint& aPeer);
+                      const other_entry& aOwner);
   void Admit(const edge::exchange_ptr& aExchange,
              const submission_origin& aOrigin,
              submission aSubmission,
--- a/Duties/Versions/SubstituteGiver.cpp
+++ b/Duties/Versions/SubstituteGiver.cpp
@@ -106,10 +106,11 @@
     const auto name = ClaimName(row.mServer.mAddress);
     const auto view = ViewOf(name, id, now);
     const bool isOwn = view.mClaim && view.mClaim->mGiver == mParts.mName;
-    if (NeedsSubstitute(view, mParts.mName, now)) {
+    const bool needsSubstitute = NeedsSubstitute(view, mParts.mName, now);
+    if (needsSubstitute) {
       mReplaceable[name] = view.mClaim.value_or(giver_claim{});
-      GiveOrdersOf(row.mServer.mAddress);
-    } else if (isOwn) {
+    }
+    if (isOwn || needsSubstitute) {
       GiveOrdersOf(row.mServer.mAddress);
     }
   }
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -35,8 +35,6 @@
 constexpr milliseconds kJoinAfter = 350ms;
 /** A whole feed of the largest site planned for is a few MB. */
 constexpr std::size_t kMaximumFeed = 64 << 20;
-/** Objects are 1 MB at most, a listing's page is about as large. */
-constexpr std::size_t kMaximumStoreAnswer = 8 << 20;
 /** A usage report that isn't answered within this is settled by a repeat. */
 constexpr milliseconds kReportTimeout = 1200ms;
 
@@ -61,7 +59,7 @@
                                       aRequest,
                                       options,
                                       aDeadline,
-                                      kMaximumStoreAnswer,
+                                      platform::kMaximumAnswer,
                                       std::move(aDone));
                    },
                    [this] { return Helpers(); },
