Tests of the feed and of givers set up with one function each

The start of a large fleet stood four times, the look whether all know twice, a giver's question twice. Assertions, bounds and sizes are unchanged; both suites pass.

--- a/Tests/Site/TestFeedFaults.cpp
+++ b/Tests/Site/TestFeedFaults.cpp
@@ -26,6 +26,30 @@
   }
 }
 
+/** Names of a large fleet, in the order of their numbers. */
+std::string
+FleetName(int aNumber)
+{
+  return "entry-" + std::to_string(100 + aNumber);
+}
+
+void
+StartFleet(simulated_site& aSite, int aEntries)
+{
+  for (int i = 0; i < aEntries; ++i) {
+    aSite.Add(FleetName(i)).Start();
+  }
+}
+
+bool
+KnowAll(const simulated_site& aSite, std::int64_t aValue)
+{
+  return std::all_of(
+    aSite.mEntries.begin(), aSite.mEntries.end(), [&](const auto& aNamed) {
+      return aNamed.second->Value(kBusyKind) == aValue;
+    });
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(TestFeedFaults)
@@ -111,9 +135,7 @@
   constexpr int kMostCallsASecond = 20;
   simulated_site site;
   site.Put(1);
-  for (int i = 0; i < kEntries; ++i) {
-    site.Add("entry-" + std::to_string(100 + i)).Start();
-  }
+  StartFleet(site, kEntries);
   site.mClock.RunFor(3s);
   site.mState.mFault = standin::store_fault::Refuse;
   site.CutWatches();
@@ -134,7 +156,7 @@
   site.mState.mLatency = 40ms;
   site.Put(1);
   for (int i = 0; i < kEntries; ++i) {
-    site.Add("entry-" + std::to_string(100 + i));
+    site.Add(FleetName(i));
   }
   for (auto& [name, entry] : site.mEntries) {
     entry->Start();
@@ -142,13 +164,7 @@
       site.mClock.RunFor(3ms);
     }
   }
-  const auto allKnow = [&] {
-    return std::all_of(
-      site.mEntries.begin(), site.mEntries.end(), [](const auto& aNamed) {
-        return aNamed.second->Value(kBusyKind) == 1;
-      });
-  };
-  BOOST_TEST(site.mClock.RunUntil(allKnow, 150ms));
+  BOOST_TEST(site.mClock.RunUntil([&] { return KnowAll(site, 1); }, 150ms));
 }
 
 // A third of a large fleet is cut off from the store, the entry that watches it
@@ -162,13 +178,11 @@
     simulated_site site;
     site.mState.mLatency = 4ms;
     site.Put(1);
-    for (int i = 0; i < kEntries; ++i) {
-      site.Add("entry-" + std::to_string(100 + i)).Start();
-    }
+    StartFleet(site, kEntries);
     site.mClock.RunFor(4s);
     for (int i = 0; i < kEntries; ++i) {
       if (i < 2 || i % 3 == 0) {
-        auto& cutOff = site.At("entry-" + std::to_string(100 + i));
+        auto& cutOff = site.At(FleetName(i));
         cutOff.mWay = way;
         cutOff.BreakCalls();
       }
@@ -201,12 +215,10 @@
   simulated_site site;
   site.mState.mLatency = 4ms;
   site.Put(1);
-  for (int i = 0; i < kEntries; ++i) {
-    site.Add("entry-" + std::to_string(100 + i)).Start();
-  }
+  StartFleet(site, kEntries);
   site.mClock.RunFor(4s);
   for (int i = 0; i < kFrozen; ++i) {
-    site.At("entry-" + std::to_string(100 + i)).Freeze();
+    site.At(FleetName(i)).Freeze();
   }
   site.mClock.RunFor(2s);
   site.Put(2);
@@ -231,9 +243,7 @@
   simulated_site site;
   site.mState.mLatency = 4ms;
   site.Put(1);
-  for (int i = 0; i < kEntries; ++i) {
-    site.Add("entry-" + std::to_string(100 + i)).Start();
-  }
+  StartFleet(site, kEntries);
   site.mClock.RunFor(4s);
   site.mState.mFault = standin::store_fault::Refuse;
   site.CutWatches();
@@ -242,13 +252,8 @@
   site.mClock.RunFor(3s);
   site.mState.mFault = standin::store_fault::None;
   site.Put(2);
-  const auto allKnow = [&] {
-    return std::all_of(
-      site.mEntries.begin(), site.mEntries.end(), [](const auto& aNamed) {
-        return aNamed.second->Value(kBusyKind) == 2;
-      });
-  };
-  BOOST_TEST(site.mClock.RunUntil(allKnow, kInForceWithin));
+  BOOST_TEST(
+    site.mClock.RunUntil([&] { return KnowAll(site, 2); }, kInForceWithin));
   site.mClock.RunFor(4s);
   const auto calls = site.mState.mCalls - callsBefore;
   const auto stale = site.mState.mStaleReads - staleBefore;
--- a/Tests/Site/TestGivers.cpp
+++ b/Tests/Site/TestGivers.cpp
@@ -110,27 +110,37 @@
   return right;
 }
 
-/** Status of the answer to a giver's question. */
-unsigned
-Ask(giver_site& aSite, giving_entry& aEntry, const giver_claim& aClaim)
+/** Asks what the server shall hold; the answer's status comes later. */
+std::shared_ptr<unsigned>
+StartAsking(giver_site& aSite,
+            giving_entry& aEntry,
+            const giver_claim& aClaim,
+            const std::map<std::string, std::int64_t>& aHeld)
 {
-  unsigned status = 0;
+  const auto status = std::make_shared<unsigned>(0);
   edge::FetchWhole(
     *aSite.mClients,
     aSite.mLoop.mLoop,
     { "127.0.0.1", aEntry.mListener.Port() },
-    EncodeQuestion(
-      { aSite.mServer.Entry().mAddress, aClaim, { { "model", 1 } }, {} }),
+    EncodeQuestion({ aSite.mServer.Entry().mAddress, aClaim, aHeld, {} }),
     {},
     20s,
     1 << 20,
-    [&](edge::call_end, const edge::response& aAnswer) {
-      status = aAnswer.mStatus;
+    [status](edge::call_end, const edge::response& aAnswer) {
+      *status = aAnswer.mStatus;
     });
-  BOOST_TEST(aSite.mLoop.RunUntil([&] { return status != 0; }));
   return status;
 }
 
+/** Status of the answer to a giver's question. */
+unsigned
+Ask(giver_site& aSite, giving_entry& aEntry, const giver_claim& aClaim)
+{
+  const auto status = StartAsking(aSite, aEntry, aClaim, { { "model", 1 } });
+  BOOST_TEST(aSite.mLoop.RunUntil([&] { return *status != 0; }));
+  return *status;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(TestGivers)
@@ -199,23 +209,11 @@
   BOOST_REQUIRE(entry);
   giving_entry asked(site, "front-9");
   asked.mMayClaim = false;
-  unsigned status = 0;
-  edge::FetchWhole(*site.mClients,
-                   site.mLoop.mLoop,
-                   { "127.0.0.1", asked.mListener.Port() },
-                   EncodeQuestion({ site.mServer.Entry().mAddress,
-                                    { "front-1", false, entry->mEpoch },
-                                    {},
-                                    {} }),
-                   {},
-                   20s,
-                   1 << 20,
-                   [&](edge::call_end, const edge::response& aAnswer) {
-                     status = aAnswer.mStatus;
-                   });
+  const auto status =
+    StartAsking(site, asked, { "front-1", false, entry->mEpoch }, {});
   const auto agent = Claim(site, "side-1");
   BOOST_REQUIRE(agent);
-  BOOST_TEST(site.mLoop.RunUntil([&] { return status == kNotGiver; }, 5s));
+  BOOST_TEST(site.mLoop.RunUntil([&] { return *status == kNotGiver; }, 5s));
   BOOST_TEST(Ask(site, asked, { "front-1", false, entry->mEpoch }) ==
              kNotGiver);
   asked.mAssignments.TakeNamed("model", 2);
