Slow start of servers that warm up; evacuated zones get no work

Cause: nothing knew that a server is cold, and each owner of a batch took a restarted server for empty: four owners sent 32 runs in 30 ms to a server that bears 11 requests a second, which crashed.

Change: the record's remaining warm-up time and the pool's limit are decoded. Warm servers with room go first. evacuations/ZONE is fed like the other kinds; servers of an evacuated zone take no requests and no orders, and count as warming when the zone returns.

--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Batches/BatchRunner.h"
 
+#include "Duties/Site/Evacuation.h"
 #include "Libraries/Core/Mechanisms.h"
 #include "Libraries/EventLog/EventLog.h"
 
@@ -54,7 +55,7 @@
   const auto now = boot_clock::now();
   const double median = MedianEventTime(mHealths);
   for (const auto& [id, row] : mDependencies.mDirectory.mRows) {
-    if (row.mServer.mIsLeaving ||
+    if (!site::AcceptsWork(mDependencies.mDirectory, row.mServer) ||
         (IsOn(mechanism::RunBreakers) &&
          !IsUsable(mHealths, id, mDependencies.mDirectory.mRows.size(), now))) {
       continue;
@@ -64,6 +65,8 @@
     engine.mPool = row.mServer.mPool;
     engine.mAvailabilityZone = row.mServer.mAvailabilityZone;
     engine.mSlots = row.mServer.mSlots;
+    engine.mIsWarming = now < site::WarmAt(row);
+    engine.mRunsLeft = mDependencies.mLimits.RequestsLeft(row, now);
     engine.mVersions = row.mServer.mVersions;
     if (const auto seen = mSeenVersions.find(id); seen != mSeenVersions.end()) {
       for (const auto& [model, version] : seen->second) {
@@ -145,6 +148,7 @@
       engines, RequirementsOf(*next.mBatch, item, *route), mAffinities, now);
     if (chosen) {
       ++engines[*chosen].mOwnRuns;
+      --engines[*chosen].mRunsLeft;
       StartRun(*next.mBatch, next.mIndex, engines[*chosen], *route);
     }
   }
@@ -215,6 +219,7 @@
       ++item.mMoves;
       ++moves;
       ++aEngines[*chosen].mOwnRuns;
+      --aEngines[*chosen].mRunsLeft;
       StartRun(batch, i, aEngines[*chosen], *route);
     }
   }
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -7,6 +7,7 @@
 #include "Duties/Batches/MadeText.h"
 #include "Duties/Batches/Schedule.h"
 #include "Duties/Rewards/RewardCaller.h"
+#include "Duties/Site/SendLimits.h"
 #include "Duties/Site/ServerProtocol.h"
 #include "Duties/Site/SiteConfiguration.h"
 #include "Libraries/Edge/Caller.h"
@@ -73,6 +74,7 @@
   const site::exchange_protocol& mProtocol;
   const site::server_directory& mDirectory;
   const site::configuration_ptr& mConfiguration;
+  site::send_limits& mLimits;
   metrics::registry& mMetrics;
   rewards::reward_client& mRewards;
   std::function<void(const std::string& aBatchId, item_result)> mOnResult;
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -69,6 +69,7 @@
   item.mLastEventAt = boot_clock::now();
   routing::RecordSent(mHealths[aEngine.mId].mBreaker, item.mLastEventAt);
   ++mRunsByServer[aEngine.mId];
+  mDependencies.mLimits.RecordSent(server->second.mServer, item.mLastEventAt);
   if (!item.mItem->mGroup.empty()) {
     mAffinities[item.mItem->mGroup] = { aEngine.mId, item.mLastEventAt };
   }
--- a/Duties/Batches/BatchService.cpp
+++ b/Duties/Batches/BatchService.cpp
@@ -69,6 +69,18 @@
   return batches;
 }
 
+std::set<std::string>
+batch_service::OwnersOfOpenBatches() const
+{
+  std::set<std::string> owners;
+  for (const auto& [id, batch] : mBatches) {
+    if (!batch->mMetadata.mIsEnded) {
+      owners.insert(batch->mMetadata.mOwner);
+    }
+  }
+  return owners;
+}
+
 void
 batch_service::After(milliseconds aDelay, std::function<void()> aAction)
 {
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -141,6 +141,8 @@
   void Serve(const edge::exchange_ptr& aExchange, const batch_call& aCall);
   /** Metadata of all batches that this entry knows. */
   std::vector<batch_metadata> ListBatches() const;
+  /** Names of the entries that run batches, as known here. */
+  std::set<std::string> OwnersOfOpenBatches() const;
   /** Handles a call that another entry forwarded. */
   void ServePeer(const edge::exchange_ptr& aExchange);
   void AddResult(const std::string& aBatchId, item_result aResult);
--- a/Duties/Batches/Schedule.cpp
+++ b/Duties/Batches/Schedule.cpp
@@ -3,6 +3,7 @@
 #include "Libraries/Core/Mechanisms.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lavender::batches {
 
@@ -14,6 +15,19 @@
  * thirtieth, so only a small difference in load is worth it. */
 constexpr int kAffinitySlack = 2;
 
+int
+Runs(const engine_view& aEngine)
+{
+  return aEngine.mOwnRuns + aEngine.mOtherRuns;
+}
+
+/** Servers of the same rank differ only in load; lower ranks are better. */
+int
+Rank(const engine_view& aEngine)
+{
+  return (aEngine.mIsWarming ? 2 : 0) + (aEngine.mIsSlow ? 1 : 0);
+}
+
 bool
 MayRun(const engine_view& aEngine,
        const item_requirements& aNeed,
@@ -23,7 +37,7 @@
   const bool hasModel =
     aNeed.mModel.empty() || (version != aEngine.mVersions.end() &&
                              version->second >= aNeed.mMinimumVersion);
-  return hasModel && aEngine.mOwnRuns < aEngine.mSlots &&
+  return hasModel && Runs(aEngine) < aEngine.mSlots && aEngine.mRunsLeft > 0 &&
          aNow >= aEngine.mBlockedUntil &&
          std::find(aNeed.mPools.begin(), aNeed.mPools.end(), aEngine.mPool) !=
            aNeed.mPools.end();
@@ -49,8 +63,8 @@
 {
   const auto isBetter = [&](const engine_view& aLeft,
                             const engine_view& aRight) {
-    return aLeft.mIsSlow != aRight.mIsSlow ? aRight.mIsSlow
-                                           : aLeft.mOwnRuns < aRight.mOwnRuns;
+    return std::pair(Rank(aLeft), Runs(aLeft)) <
+           std::pair(Rank(aRight), Runs(aRight));
   };
   std::optional<std::size_t> best;
   std::optional<std::size_t> preferred;
@@ -74,9 +88,8 @@
     }
   }
   if (preferred && IsOn(mechanism::GroupHomes) &&
-      aEngines[*preferred].mIsSlow == aEngines[*best].mIsSlow &&
-      aEngines[*preferred].mOwnRuns <=
-        aEngines[*best].mOwnRuns + kAffinitySlack) {
+      Rank(aEngines[*preferred]) == Rank(aEngines[*best]) &&
+      Runs(aEngines[*preferred]) <= Runs(aEngines[*best]) + kAffinitySlack) {
     return preferred;
   }
   return best ? best : avoided;
--- a/Duties/Batches/Schedule.h
+++ b/Duties/Batches/Schedule.h
@@ -3,6 +3,7 @@
 #include "Libraries/Core/Clock.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -20,6 +21,12 @@
   int mSlots = 1;
   /** Number of runs of this entry on the server. */
   int mOwnRuns = 0;
+  /** Estimated number of runs of other entries on the server. */
+  int mOtherRuns = 0;
+  /** Number of runs that may be sent to the server now. */
+  int mRunsLeft = std::numeric_limits<int>::max();
+  /** The server has just started; chosen only if no warm one has room. */
+  bool mIsWarming = false;
   std::map<std::string, std::int64_t> mVersions;
   /** The server gets no new run before this time, because it rejected or failed
    * one. */
--- /dev/null
+++ b/Duties/Batches/TestSchedule.cpp
@@ -0,0 +1,63 @@
+#include "Duties/Batches/Schedule.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lavender;
+using namespace lavender::batches;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point kNow{ 1h };
+
+engine_view
+Engine(const std::string& aId, int aOwnRuns, int aOtherRuns = 0)
+{
+  engine_view engine;
+  engine.mId = aId;
+  engine.mPool = "pool";
+  engine.mSlots = 8;
+  engine.mOwnRuns = aOwnRuns;
+  engine.mOtherRuns = aOtherRuns;
+  return engine;
+}
+
+std::string
+Choose(const std::vector<engine_view>& aEngines,
+       const group_affinities& aAffinities = {})
+{
+  item_requirements need;
+  need.mPools = { "pool" };
+  need.mGroup = "group";
+  const auto chosen = ChooseEngine(aEngines, need, aAffinities, kNow);
+  return chosen ? aEngines[*chosen].mId : "none";
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestSchedule)
+
+/** Several owners fill one server that each of them takes for empty. */
+BOOST_AUTO_TEST_CASE(RunsOfOtherEntriesCountAsLoad)
+{
+  BOOST_TEST(Choose({ Engine("a", 0, 5), Engine("b", 4) }) == "b");
+  BOOST_TEST(Choose({ Engine("a", 0, 8), Engine("b", 8) }) == "none");
+  const group_affinities group{ { "group", { "a", kNow } } };
+  BOOST_TEST(Choose({ Engine("a", 2, 3), Engine("b", 2) }, group) == "b");
+  BOOST_TEST(Choose({ Engine("a", 2, 2), Engine("b", 2) }, group) == "a");
+}
+
+/** A server that has just started looks empty and draws all waiting items. */
+BOOST_AUTO_TEST_CASE(AWarmingServerIsChosenOnlyIfNoWarmOneHasRoom)
+{
+  auto warming = Engine("warming", 0);
+  warming.mIsWarming = true;
+  BOOST_TEST(Choose({ warming, Engine("warm", 7) }) == "warm");
+  const group_affinities group{ { "group", { "warming", kNow } } };
+  BOOST_TEST(Choose({ warming, Engine("warm", 2) }, group) == "warm");
+  BOOST_TEST(Choose({ warming, Engine("warm", 8) }) == "warming");
+  warming.mRunsLeft = 0;
+  BOOST_TEST(Choose({ warming, Engine("warm", 8) }) == "none");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Duties/Forwarding/PoolRouter.cpp
+++ b/Duties/Forwarding/PoolRouter.cpp
@@ -1,5 +1,7 @@
 #include "Duties/Forwarding/PoolRouter.h"
 
+#include "Duties/Site/Evacuation.h"
+
 namespace lavender::forwarding {
 
 namespace {
@@ -37,8 +39,10 @@
 } // namespace
 
 pool_router::pool_router(const site::server_directory& aDirectory,
+                         site::send_limits& aLimits,
                          std::string aAvailabilityZone)
   : mDirectory(aDirectory)
+  , mLimits(aLimits)
   , mAvailabilityZone(std::move(aAvailabilityZone))
 {
 }
@@ -49,7 +53,8 @@
   for (auto& [pool, table] : mTables) {
     for (const auto& row : table.mRows) {
       const auto found = mDirectory.mRows.find(row.mReport.mName);
-      if (found == mDirectory.mRows.end() || found->second.mServer.mIsLeaving ||
+      if (found == mDirectory.mRows.end() ||
+          !site::AcceptsWork(mDirectory, found->second.mServer) ||
           found->second.mServer.mPool != pool) {
         routing::MarkUnavailable(table, row.mReport.mName);
       }
@@ -60,7 +65,7 @@
     auto& table = mTables[server.mPool];
     table.mLimits.mHeartbeat = kNoHeartbeat;
     const auto known = table.mIndex.find(id);
-    if (server.mIsLeaving ||
+    if (!site::AcceptsWork(mDirectory, server) ||
         (known != table.mIndex.end() &&
          table.mRows[known->second].mReport.mAcceptsRequests)) {
       continue;
@@ -73,6 +78,27 @@
     report.mGeneratedAt = aNow;
     routing::ApplyReport(table, report, aNow);
   }
+  mLimits.RemoveStaleState();
+}
+
+pool_router::limited_servers
+pool_router::LimitedServers(const std::string& aPool, time_point aNow) const
+{
+  limited_servers limited;
+  if (!mLimits.IsLimited(aPool)) {
+    return limited;
+  }
+  for (const auto& [id, row] : mDirectory.mRows) {
+    if (row.mServer.mPool != aPool) {
+      continue;
+    }
+    if (mLimits.RequestsLeft(row, aNow) == 0) {
+      limited.mExhausted.push_back(id);
+    } else if (aNow < site::WarmAt(row)) {
+      limited.mWarming.push_back(id);
+    }
+  }
+  return limited;
 }
 
 std::optional<selected_server>
@@ -87,8 +113,19 @@
   routing::route_request request;
   request.mLocalZone = mAvailabilityZone;
   request.mExcluded = aTriedServers;
-  const auto chosen =
-    routing::ChooseServer(table->second, request, mRandom, boot_clock::now());
+  const auto now = boot_clock::now();
+  const auto limited = LimitedServers(pool, now);
+  auto& excluded = request.mExcluded;
+  excluded.insert(
+    excluded.end(), limited.mExhausted.begin(), limited.mExhausted.end());
+  const auto withWarming = excluded.size();
+  excluded.insert(
+    excluded.end(), limited.mWarming.begin(), limited.mWarming.end());
+  auto chosen = routing::ChooseServer(table->second, request, mRandom, now);
+  if (!chosen && !limited.mWarming.empty()) {
+    excluded.resize(withWarming);
+    chosen = routing::ChooseServer(table->second, request, mRandom, now);
+  }
   if (!chosen) {
     return std::nullopt;
   }
@@ -106,6 +143,7 @@
 pool_router::RecordSent(const selected_server& aSelected, time_point aNow)
 {
   routing::RecordSent(mTables[aSelected.mPool], aSelected.mServer.mId, 0, aNow);
+  mLimits.RecordSent(aSelected.mServer, aNow);
 }
 
 void
@@ -134,7 +172,8 @@
 {
   int slots = 0;
   for (const auto& [id, row] : mDirectory.mRows) {
-    if (row.mServer.mPool == aPool && !row.mServer.mIsLeaving) {
+    if (row.mServer.mPool == aPool &&
+        site::AcceptsWork(mDirectory, row.mServer)) {
       slots += row.mServer.mSlots;
     }
   }
--- a/Duties/Forwarding/PoolRouter.h
+++ b/Duties/Forwarding/PoolRouter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Duties/Routing/PoolTable.h"
+#include "Duties/Site/SendLimits.h"
 #include "Duties/Site/ServerProtocol.h"
 #include "Duties/Site/SiteConfiguration.h"
 
@@ -24,12 +25,14 @@
 {
 public:
   pool_router(const site::server_directory& aDirectory,
+              site::send_limits& aLimits,
               std::string aAvailabilityZone);
 
   /** Updates the routing tables from the current state of the directory. */
   void SyncServers(time_point aNow);
   /** Selects a server of one of the route's pools; none when no untried server
-   * accepts requests. */
+   * accepts requests. A server that warms up is selected only if no warm one
+   * is. */
   std::optional<selected_server> SelectServer(
     const site::route& aRoute,
     const std::vector<std::string>& aTriedServers);
@@ -47,7 +50,19 @@
   int SlotsOf(const std::string& aPool) const;
 
 private:
+  /** Servers of the pool that may get no request now, and those that warm up.
+   */
+  struct limited_servers
+  {
+    std::vector<std::string> mExhausted;
+    std::vector<std::string> mWarming;
+  };
+
+  limited_servers LimitedServers(const std::string& aPool,
+                                 time_point aNow) const;
+
   const site::server_directory& mDirectory;
+  site::send_limits& mLimits;
   const std::string mAvailabilityZone;
   std::map<std::string, routing::pool_table> mTables;
   std::mt19937_64 mRandom{ std::random_device{}() };
--- a/Duties/Site/ServerDirectory.cpp
+++ b/Duties/Site/ServerDirectory.cpp
@@ -5,9 +5,15 @@
 namespace lavender::site {
 
 void
-ApplyServer(server_directory& aDirectory, backend_server aServer)
+ApplyServer(server_directory& aDirectory,
+            backend_server aServer,
+            time_point aNow)
 {
   auto& row = aDirectory.mRows[aServer.mId];
+  // A record that is only listed again was written at an unknown time before.
+  if (row.mServer.mRecordRevision != aServer.mRecordRevision) {
+    row.mWarmAt = aNow + aServer.mWarmUpLeft;
+  }
   row.mServer = std::move(aServer);
   row.mRemoveAt.reset();
 }
@@ -46,7 +52,7 @@
     ApplyRemoval(aDirectory, id, aNow);
   }
   for (const auto& [id, server] : aListed) {
-    ApplyServer(aDirectory, server);
+    ApplyServer(aDirectory, server, aNow);
   }
 }
 
--- a/Duties/Site/ServerDirectory.h
+++ b/Duties/Site/ServerDirectory.h
@@ -3,9 +3,11 @@
 #include "Libraries/Core/Clock.h"
 #include "Libraries/Edge/Message.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace lavender::site {
@@ -24,6 +26,10 @@
   bool mIsLeaving = false;
   /** Version of the weights that the server holds, by model. */
   std::map<std::string, std::int64_t> mVersions;
+  /** How much longer the server warms up, as of the writing of its record. */
+  milliseconds mWarmUpLeft{ 0 };
+  /** Revision of the server's record; grows with each change of it. */
+  std::int64_t mRecordRevision = 0;
 };
 
 /** A server and when it is dropped from the directory. */
@@ -33,6 +39,11 @@
   /** When the server is dropped. Set while its record is missing from the list
    * though the server may only have been unable to renew it. */
   std::optional<time_point> mRemoveAt;
+  /** When the server is warm, by its record. */
+  time_point mWarmAt;
+  /** Until when the server counts as warming whatever its record says, because
+   * the record may be older than the server's start. */
+  time_point mAssumedWarmAt;
 };
 
 struct server_directory
@@ -41,14 +52,25 @@
   /** Until when a missing record doesn't mean that its server is gone. After an
    * outage of the store servers renew their records within two seconds. */
   std::optional<time_point> mGraceUntil;
+  /** Zones whose servers get no requests and no orders. */
+  std::set<std::string> mEvacuatedZones;
 };
 
+/** When the server has warmed up; in the past for a warm server. */
+inline time_point
+WarmAt(const directory_row& aRow)
+{
+  return std::max(aRow.mWarmAt, aRow.mAssumedWarmAt);
+}
+
 /** Records that expired during an outage of the store are renewed within this
  * time after its end, as the platform specifies. */
 constexpr milliseconds kRenewalAfterOutage{ 2000 };
 
 void
-ApplyServer(server_directory& aDirectory, backend_server aServer);
+ApplyServer(server_directory& aDirectory,
+            backend_server aServer,
+            time_point aNow);
 
 /** Handles the removal of a server's record. Drops the server at once, except
  * right after an outage, when a server that isn't leaving is kept until
--- a/Duties/Site/SiteConfiguration.h
+++ b/Duties/Site/SiteConfiguration.h
@@ -74,6 +74,11 @@
 {
   std::string mName;
   int mMaximumConnections = 100;
+  /** How long a server is slow after its start. */
+  milliseconds mWarmUpTime{ 0 };
+  /** Requests per second that a server bears while it warms up, over all
+   * entries; 0 if unlimited. */
+  double mWarmUpRequestsPerSecond = 0;
   /** None if the pool's servers are no model engines. */
   std::optional<engine_pool> mEngine;
 };
--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Versions/Assignments.h"
 
+#include "Duties/Site/Evacuation.h"
 #include "Libraries/EventLog/EventLog.h"
 #include "Libraries/Json/Value.h"
 
@@ -152,7 +153,8 @@
 {
   std::vector<server_versions> servers;
   for (const auto& [id, row] : mDependencies.mDirectory.mRows) {
-    if (row.mServer.mPool != aPool || row.mServer.mIsLeaving) {
+    if (row.mServer.mPool != aPool ||
+        !site::AcceptsWork(mDependencies.mDirectory, row.mServer)) {
       continue;
     }
     server_versions server{ id, row.mServer.mVersions };
--- a/Duties/Versions/SubstituteGiver.cpp
+++ b/Duties/Versions/SubstituteGiver.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Versions/SubstituteGiver.h"
 
+#include "Duties/Site/Evacuation.h"
 #include "Libraries/EventLog/EventLog.h"
 
 namespace lavender::versions {
@@ -101,7 +102,8 @@
   mDependencies.mAssignments.Evaluate();
   const auto now = boot_clock::now();
   for (const auto& [id, row] : mDependencies.mDirectory.mRows) {
-    if (row.mServer.mIsLeaving || !HasEngine(row.mServer)) {
+    if (!site::AcceptsWork(mDependencies.mDirectory, row.mServer) ||
+        !HasEngine(row.mServer)) {
       continue;
     }
     const auto name = ClaimName(row.mServer.mAddress);
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -79,7 +79,12 @@
       mStoreCounts))
   , mProtocol(platform::MakeExchangeProtocol())
   , mLimits(std::make_shared<edge::listener_limits>())
-  , mRouter(mDirectory, mSettings.mAvailabilityZone)
+  , mLimitsOfServers(mDirectory,
+                     mConfiguration,
+                     [this](const site::backend_server& aServer) {
+                       return IsDesignatedSender(aServer);
+                     })
+  , mRouter(mDirectory, mLimitsOfServers, mSettings.mAvailabilityZone)
   , mForwarder({ mLoop,
                  *mClients,
                  mProtocol,
@@ -95,6 +100,7 @@
         mProtocol,
         mDirectory,
         mConfiguration,
+        mLimitsOfServers,
         mMetrics,
         mRewards,
         [this](const std::string& aBatchId, batches::item_result aResult) {
@@ -340,6 +346,21 @@
   return entries;
 }
 
+bool
+site_entry::IsDesignatedSender(const site::backend_server& aServer) const
+{
+  std::vector<weighted_candidate> candidates;
+  for (const auto& owner : mBatches.OwnersOfOpenBatches()) {
+    candidates.push_back({ owner, 1 });
+  }
+  if (candidates.empty()) {
+    for (const auto& [name, known] : mPeers) {
+      candidates.push_back({ name, 1 });
+    }
+  }
+  return ChooseByRendezvous(aServer.mId, candidates) == mSettings.mName;
+}
+
 std::string
 site_entry::MetricsText()
 {
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -4,6 +4,8 @@
 #include "Duties/Billing/UsageDuty.h"
 #include "Duties/Feed/StoreFeed.h"
 #include "Duties/Forwarding/Forwarder.h"
+#include "Duties/Site/Evacuation.h"
+#include "Duties/Site/SendLimits.h"
 #include "Duties/Site/ServerChanges.h"
 #include "Duties/Upkeep/UpkeepDuty.h"
 #include "Duties/Versions/SubstituteGiver.h"
@@ -46,6 +48,7 @@
   void ApplyServerObject(const objects::stored_object& aObject);
   void ApplyServerRemoval(const std::string& aId);
   void RecordServerChange(const std::string& aId, site::server_change aChange);
+  void ApplyEvacuations(site::evacuated_zones aZones);
   void ScheduleServerUpdate();
   void HandleServersChanged();
   void ServeCaller(const edge::exchange_ptr& aExchange);
@@ -72,6 +75,9 @@
    * run at one entry and can't be split, so small instances should get few: an
    * entry with five times the processor share gets 25 times as many. */
   std::vector<weighted_candidate> WeightedEntries() const;
+  /** Whether this entry is the one that sends to the server while it warms up:
+   * of the entries that run batches, or of all entries if there are none. */
+  bool IsDesignatedSender(const site::backend_server& aServer) const;
   std::string MetricsText();
   bool IsReady() const;
 
@@ -90,6 +96,7 @@
   site::server_directory mDirectory;
   std::shared_ptr<edge::listener_limits> mLimits;
   std::map<std::string, peer> mPeers;
+  site::send_limits mLimitsOfServers;
   forwarding::pool_router mRouter;
   forwarding::forwarder mForwarder;
   rewards::reward_client mRewards;
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -13,6 +13,7 @@
 
 /** Events that arrive within these times are delivered in one call. */
 constexpr milliseconds kServerCoalesceDelay = 600ms;
+constexpr milliseconds kEvacuationCoalesceDelay = 30ms;
 constexpr milliseconds kVersionCoalesceDelay = 30ms;
 /** Short compared with the seconds within which requests must stop going to a
  * leaving server. */
@@ -128,6 +129,25 @@
     ScheduleServerUpdate();
   };
 
+  auto evacuations =
+    MakeWatchedKind(platform::kEvacuationKind, kEvacuationCoalesceDelay);
+  evacuations.mOnListed = [this](const feed::object_map& aObjects) {
+    site::evacuated_zones zones;
+    for (const auto& [zone, object] : aObjects) {
+      zones.insert(zone);
+    }
+    ApplyEvacuations(std::move(zones));
+  };
+  evacuations.mOnEvent = [this](const objects::object_event& aEvent) {
+    auto zones = mDirectory.mEvacuatedZones;
+    if (aEvent.mIsDeleted) {
+      zones.erase(aEvent.mObject.mName);
+    } else {
+      zones.insert(aEvent.mObject.mName);
+    }
+    ApplyEvacuations(std::move(zones));
+  };
+
   auto peers = MakeWatchedKind(site::kEntryKind, kServerCoalesceDelay);
   peers.mOnListed = [this](const feed::object_map& aObjects) {
     std::vector<std::string> removed;
@@ -182,7 +202,8 @@
     versions::ApplyClaimEvent(mClaims, aEvent);
     mAssignments.RejectSuperseded();
   };
-  return { configuration, servers, peers, metadata, announced, claims };
+  return { configuration, servers,   evacuations, peers,
+           metadata,      announced, claims };
 }
 
 void
@@ -222,7 +243,7 @@
   RecordServerChange(server->mId,
                      server->mIsLeaving ? site::server_change::Leaving
                                         : site::server_change::Ready);
-  site::ApplyServer(mDirectory, std::move(*server));
+  site::ApplyServer(mDirectory, std::move(*server), boot_clock::now());
 }
 
 void
@@ -263,6 +284,25 @@
   });
 }
 
+void
+site_entry::ApplyEvacuations(site::evacuated_zones aZones)
+{
+  const auto change = site::ApplyEvacuations(
+    mDirectory, mConfiguration.get(), std::move(aZones), boot_clock::now());
+  const auto log = [this](const char* aEvent, const std::string& aZone) {
+    events::line(aEvent).With("zone", aZone).With("known_ms_ago", mFeed.Age());
+  };
+  for (const auto& zone : change.mBegun) {
+    log("zone_evacuated", zone);
+  }
+  for (const auto& zone : change.mEnded) {
+    log("zone_returned", zone);
+  }
+  if (!change.mBegun.empty() || !change.mEnded.empty()) {
+    HandleServersChanged();
+  }
+}
+
 void
 site_entry::ScheduleServerUpdate()
 {
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -42,7 +42,7 @@
 void
 batch_site::Add(const model_server& aServer)
 {
-  site::ApplyServer(mDirectory, aServer.Entry());
+  site::ApplyServer(mDirectory, aServer.Entry(), boot_clock::now());
 }
 
 void
@@ -50,7 +50,7 @@
                 const std::string& aId,
                 const std::string& aPool)
 {
-  site::ApplyServer(mDirectory, aServer.Entry(aId, aPool));
+  site::ApplyServer(mDirectory, aServer.Entry(aId, aPool), boot_clock::now());
   mRouter.SyncServers(boot_clock::now());
 }
 
@@ -96,6 +96,7 @@
               aSite.mProtocol,
               aSite.mDirectory,
               aSite.mConfiguration,
+              aSite.mLimits,
               aSite.mMetrics,
               mRewards,
               [this](const auto& aBatchId, auto aResult) {
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -21,7 +21,10 @@
   site::exchange_protocol mProtocol = platform::MakeExchangeProtocol();
   site::configuration_ptr mConfiguration;
   site::server_directory mDirectory;
-  forwarding::pool_router mRouter{ mDirectory, "zone" };
+  site::send_limits mLimits{ mDirectory, mConfiguration, [](const auto&) {
+                              return true;
+                            } };
+  forwarding::pool_router mRouter{ mDirectory, mLimits, "zone" };
   metrics::registry mMetrics;
   /** Addresses of the reachable entries, by name. */
   std::map<std::string, edge::endpoint> mPeers;
--- a/Tests/Site/TestDecisions.cpp
+++ b/Tests/Site/TestDecisions.cpp
@@ -238,12 +238,12 @@
 {
   const auto start = boot_clock::now();
   site::server_directory directory;
-  site::ApplyServer(directory, Server("back"));
-  site::ApplyServer(directory, Server("gone"));
+  site::ApplyServer(directory, Server("back"), start);
+  site::ApplyServer(directory, Server("gone"), start);
   site::RecordOutageEnd(directory, start);
   site::TakeListing(directory, {}, start + 10ms);
   BOOST_TEST(directory.mRows.size() == 2u);
-  site::ApplyServer(directory, Server("back"));
+  site::ApplyServer(directory, Server("back"), start);
   BOOST_TEST(site::RemoveExpired(directory, start + 1900ms).has_value());
   BOOST_TEST(directory.mRows.size() == 2u);
   site::RemoveExpired(directory, start + 2000ms);
--- a/Tests/Site/TestForwarding.cpp
+++ b/Tests/Site/TestForwarding.cpp
@@ -36,7 +36,8 @@
 
   void Add(const std::string& aId, const plain_server& aServer)
   {
-    site::ApplyServer(mDirectory, aServer.Entry(aId, "pool"));
+    site::ApplyServer(
+      mDirectory, aServer.Entry(aId, "pool"), boot_clock::now());
     mRouter.SyncServers(boot_clock::now());
   }
 
@@ -60,7 +61,11 @@
     std::make_shared<edge::client_pool>(mLoop.mLoop);
   site::exchange_protocol mProtocol = platform::MakeExchangeProtocol();
   site::server_directory mDirectory;
-  forwarding::pool_router mRouter{ mDirectory, "zone" };
+  site::configuration_ptr mConfiguration;
+  site::send_limits mLimits{ mDirectory, mConfiguration, [](const auto&) {
+                              return true;
+                            } };
+  forwarding::pool_router mRouter{ mDirectory, mLimits, "zone" };
   metrics::registry mMetrics;
   std::map<std::string, int> mStarts;
   std::shared_ptr<site::route> mRoute = std::make_shared<site::route>();
--- a/Tests/Site/TestGivers.cpp
+++ b/Tests/Site/TestGivers.cpp
@@ -29,7 +29,7 @@
     pool.mEngine = site::engine_pool{ 12, { "model" } };
     known->mPools["pool"] = pool;
     mConfiguration = known;
-    site::ApplyServer(mDirectory, mServer.Entry());
+    site::ApplyServer(mDirectory, mServer.Entry(), boot_clock::now());
   }
 
   std::string Name() const { return ClaimName(mServer.Entry().mAddress); }
--- a/Tests/Site/TestVersions.cpp
+++ b/Tests/Site/TestVersions.cpp
@@ -69,7 +69,7 @@
     });
   loop.RunUntil([] { return false; }, 50ms);
   configuration = TwoModels();
-  site::ApplyServer(directory, Server("s1", 1));
+  site::ApplyServer(directory, Server("s1", 1), boot_clock::now());
   assigned.HandleVersionAnnounced("m", 2);
   BOOST_TEST(loop.RunUntil([&] { return wanted.has_value(); }));
   // Without a second look-up of the server the hold ends with an empty
@@ -85,7 +85,7 @@
   test_loop loop;
   auto clients = std::make_shared<edge::client_pool>(loop.mLoop);
   site::server_directory directory;
-  site::ApplyServer(directory, Server("s1", 1));
+  site::ApplyServer(directory, Server("s1", 1), boot_clock::now());
   site::configuration_ptr configuration = TwoModels();
   claim_table claims;
   assignments assigned({ loop.mLoop, directory, configuration, claims });
