Orders of weights: an entry that holds claims and is gone is replaced within seconds

Change: a claim says that an entry holds it. The entry that watches the store pings the entries that hold claims each second and replaces one that answers nothing for 2 s. An entry reads its claim from the store right before each order, so a takeover from an entry waits 3 s instead of 8. An entry that starts again takes its own claims up whether it watches or not.

--- a/Duties/Versions/GiverClaim.cpp
+++ b/Duties/Versions/GiverClaim.cpp
@@ -14,20 +14,34 @@
 /** Each claim contains a new random name, because a PUT that changes nothing
  * creates no new revision. */
 std::string
-EncodeClaim(const std::string& aController, bool aIsTakenOver)
+EncodeClaim(const claimant& aClaimant, bool aIsTakenOver)
 {
-  return json::Write(json::object{ { "giver", aController },
-                                   { "takenOver", aIsTakenOver },
-                                   { "claim", MakeRandomName() } });
+  return json::Write(
+    json::object{ { "giver", aClaimant.mName },
+                  { "takenOver", aIsTakenOver },
+                  { "entry", aClaimant.mKind == controller_kind::Entry },
+                  { "claim", MakeRandomName() } });
 }
 
-order_permission
-GrantOf(const objects::stored_object& aClaimed)
+/** Converts the store's reply to the write of a claim. */
+std::optional<order_permission>
+PermissionOf(const objects::object_reply& aReply, milliseconds aDelay)
 {
-  const auto claim = DecodeClaim(aClaimed);
-  return { claim.mEpoch,
-           boot_clock::now() +
-             (claim.mIsTakenOver ? kTakeoverDelay : milliseconds(0)) };
+  if (aReply.mOutcome != store_outcome::Done) {
+    return std::nullopt;
+  }
+  return order_permission{ DecodeClaim(aReply.mObject).mEpoch,
+                           boot_clock::now() + aDelay };
+}
+
+/** Whether an agent's last order may still be in transit when the claim is
+ * replaced. A controller that restarts and claims again may still have to wait
+ * for the one before it. */
+bool
+MayHaveAgentsOrder(const controller_claim& aSeen, const claimant& aClaimant)
+{
+  return aSeen.mIsTakenOver || (aSeen.mKind == controller_kind::Agent &&
+                                aSeen.mController != aClaimant.mName);
 }
 
 } // namespace
@@ -45,7 +59,10 @@
 {
   return { json::StringAt(aObject.mSpec, "giver", ""),
            json::BooleanAt(aObject.mSpec, "takenOver", false),
-           aObject.mRevision };
+           aObject.mRevision,
+           json::BooleanAt(aObject.mSpec, "entry", false)
+             ? controller_kind::Entry
+             : controller_kind::Agent };
 }
 
 void
@@ -77,25 +94,33 @@
   return known != aTable.end() && known->second.mEpoch > aRequester.mEpoch;
 }
 
+milliseconds
+TakeoverDelay(const controller_claim& aSeen, const claimant& aClaimant)
+{
+  if (MayHaveAgentsOrder(aSeen, aClaimant)) {
+    return kTakeoverDelay;
+  }
+  return aSeen.mKind == controller_kind::Entry ? kEntryTakeoverDelay
+                                               : milliseconds(0);
+}
+
 void
 ClaimServer(const objects::object_store& aStore,
             const std::string& aClaimName,
-            const std::string& aController,
+            const claimant& aClaimant,
             claim_done aDone)
 {
   aStore.mCreate(
     kControllerKind,
     aClaimName,
-    EncodeClaim(aController, false),
-    [&aStore, aClaimName, aController, done = std::move(aDone)](
+    EncodeClaim(aClaimant, false),
+    [&aStore, aClaimName, aClaimant, done = std::move(aDone)](
       const objects::object_reply& aReply) {
       if (aReply.mOutcome == store_outcome::Conflict) {
         ClaimIfUnchanged(
-          aStore, aClaimName, DecodeClaim(aReply.mObject), aController, done);
-      } else if (aReply.mOutcome == store_outcome::Done) {
-        done(GrantOf(aReply.mObject));
+          aStore, aClaimName, DecodeClaim(aReply.mObject), aClaimant, done);
       } else {
-        done(std::nullopt);
+        done(PermissionOf(aReply, milliseconds(0)));
       }
     });
 }
@@ -104,29 +129,47 @@
 ClaimIfUnchanged(const objects::object_store& aStore,
                  const std::string& aClaimName,
                  const controller_claim& aSeen,
-                 const std::string& aController,
+                 const claimant& aClaimant,
                  claim_done aDone)
 {
-  const auto take = [done =
-                       std::move(aDone)](const objects::object_reply& aReply) {
-    done(aReply.mOutcome == store_outcome::Done
-           ? std::optional(GrantOf(aReply.mObject))
-           : std::nullopt);
-  };
   if (aSeen.mEpoch == 0) {
-    aStore.mCreate(
-      kControllerKind, aClaimName, EncodeClaim(aController, false), take);
+    aStore.mCreate(kControllerKind,
+                   aClaimName,
+                   EncodeClaim(aClaimant, false),
+                   [done = std::move(aDone)](const auto& aReply) {
+                     done(PermissionOf(aReply, milliseconds(0)));
+                   });
     return;
   }
-  // A controller that restarts and claims again may still have to wait for the
-  // last order of the controller before it.
-  const bool isTakenOver =
-    aSeen.mIsTakenOver || aSeen.mController != aController;
   aStore.mReplace(kControllerKind,
                   aClaimName,
                   aSeen.mEpoch,
-                  EncodeClaim(aController, isTakenOver),
-                  take);
+                  EncodeClaim(aClaimant, MayHaveAgentsOrder(aSeen, aClaimant)),
+                  [delay = TakeoverDelay(aSeen, aClaimant),
+                   done = std::move(aDone)](const auto& aReply) {
+                    done(PermissionOf(aReply, delay));
+                  });
+}
+
+void
+CheckClaim(const objects::object_store& aStore,
+           const std::string& aClaimName,
+           objects::revision_number aEpoch,
+           std::function<void(claim_check)> aDone)
+{
+  aStore.mGet(
+    kControllerKind,
+    aClaimName,
+    objects::freshness::Linearizable,
+    [aEpoch, done = std::move(aDone)](const objects::object_reply& aReply) {
+      const bool isRead = aReply.mOutcome == store_outcome::Done;
+      if (!isRead && aReply.mOutcome != store_outcome::NotFound) {
+        done(claim_check::Unknown);
+        return;
+      }
+      done(isRead && aReply.mObject.mRevision == aEpoch ? claim_check::Held
+                                                        : claim_check::Lost);
+    });
 }
 
 } // namespace lavender::versions
--- a/Duties/Versions/GiverClaim.h
+++ b/Duties/Versions/GiverClaim.h
@@ -21,13 +21,29 @@
 std::string
 ClaimName(const edge::endpoint& aServer);
 
+enum class controller_kind
+{
+  /** The agent on the server's instance. */
+  Agent,
+  /** An entry, which reads the claim from the store before each order. */
+  Entry
+};
+
 struct controller_claim
 {
   std::string mController;
-  /** Another controller held the claim before, and its last order may still be
-   * in transit. */
+  /** An agent held the claim before, and its last order may still be in
+   * transit. */
   bool mIsTakenOver = false;
   objects::revision_number mEpoch = 0;
+  controller_kind mKind = controller_kind::Agent;
+};
+
+/** Who claims a server. */
+struct claimant
+{
+  std::string mName;
+  controller_kind mKind = controller_kind::Agent;
 };
 
 /** All claims known to this process, by name of the claim object. */
@@ -51,10 +67,18 @@
 /** A controller may send orders for this long after it received target
  * versions. Entries send them only to the holder of the claim. */
 constexpr milliseconds kAssignmentValidity{ 2000 };
-/** A controller that took a claim over waits this long before its first order.
- * By then all entries know of the new claim (losing a watch and listing again
- * takes 4.6 s), assignments to the previous controller have expired, and its
- * last order has arrived or is lost. */
+/** An entry sends an order within this time after it has asked the store
+ * whether it still holds the claim. */
+constexpr milliseconds kClaimCheckValidity{ 500 };
+/** A controller that took a claim over from an entry waits this long before its
+ * first order: the entry's last order has arrived or is lost by then, and a
+ * server that checks no epochs sees no two controllers in turn within a lease.
+ */
+constexpr milliseconds kEntryTakeoverDelay{ 3000 };
+/** A controller that took a claim over from an agent waits this long before its
+ * first order. By then all entries know of the new claim (losing a watch and
+ * listing again takes 4.6 s), assignments to the previous controller have
+ * expired, and its last order has arrived or is lost. */
 constexpr milliseconds kTakeoverDelay{ 8000 };
 
 /** Permission to send orders with that epoch, from some time on. */
@@ -66,12 +90,17 @@
 
 using claim_done = std::function<void(std::optional<order_permission>)>;
 
+/** How long a claimant waits before its first order.
+ * @param aSeen the claim that it replaces */
+milliseconds
+TakeoverDelay(const controller_claim& aSeen, const claimant& aClaimant);
+
 /** Claims a server, whoever holds its claim. Passes none to the callback if the
  * store gave no answer or the claim was changed concurrently. */
 void
 ClaimServer(const objects::object_store& aStore,
             const std::string& aClaimName,
-            const std::string& aController,
+            const claimant& aClaimant,
             claim_done aDone);
 
 /** Claims a server if its claim is still the one that was seen.
@@ -80,7 +109,22 @@
 ClaimIfUnchanged(const objects::object_store& aStore,
                  const std::string& aClaimName,
                  const controller_claim& aSeen,
-                 const std::string& aController,
+                 const claimant& aClaimant,
                  claim_done aDone);
 
+enum class claim_check
+{
+  Held,
+  Lost,
+  /** The store gave no answer. */
+  Unknown
+};
+
+/** Reads from the store whether the claim with that epoch is still in force. */
+void
+CheckClaim(const objects::object_store& aStore,
+           const std::string& aClaimName,
+           objects::revision_number aEpoch,
+           std::function<void(claim_check)> aDone);
+
 } // namespace lavender::versions
--- a/Duties/Versions/OrderDuty.cpp
+++ b/Duties/Versions/OrderDuty.cpp
@@ -127,10 +127,7 @@
 {
   const bool isComplete = aEnd == edge::call_end::Complete;
   if (isComplete && aResponse.mStatus == kNotController) {
-    events::line("claim_lost")
-      .With("server", mDependencies.mServer.Text())
-      .With("epoch", mGrant.mEpoch);
-    Claim();
+    HandleClaimLost();
     return;
   }
   const auto target =
@@ -216,7 +213,40 @@
   }
   order->mHolder = mDependencies.mName;
   order->mEpoch = mGrant.mEpoch;
-  SendOrder(*order);
+  CheckAndSendOrder(*order);
+}
+
+void
+order_duty::HandleClaimLost()
+{
+  events::line("claim_lost")
+    .With("server", mDependencies.mServer.Text())
+    .With("epoch", mGrant.mEpoch);
+  Claim();
+}
+
+void
+order_duty::CheckAndSendOrder(const weight_order& aOrder)
+{
+  if (!mDependencies.mCheckClaim) {
+    SendOrder(aOrder);
+    return;
+  }
+  mDependencies.mCheckClaim(
+    mGrant.mEpoch,
+    [this, aOrder, askedAt = boot_clock::now()](claim_check aCheck) {
+      if (aCheck == claim_check::Lost) {
+        HandleClaimLost();
+        return;
+      }
+      if (aCheck == claim_check::Unknown ||
+          boot_clock::now() - askedAt > kClaimCheckValidity) {
+        mTargetVersions.clear();
+        ScheduleStep(kRetryDelay, &order_duty::RequestAssignment);
+        return;
+      }
+      SendOrder(aOrder);
+    });
 }
 
 void
--- a/Duties/Versions/OrderDuty.h
+++ b/Duties/Versions/OrderDuty.h
@@ -23,6 +23,10 @@
   /** Claims the server for this controller; passes none to the callback if the
    * claim failed. */
   std::function<void(claim_done)> mClaim;
+  /** Asks the store whether the claim with that epoch is still held; null if
+   * orders are sent without asking. */
+  std::function<void(std::int64_t aEpoch, std::function<void(claim_check)>)>
+    mCheckClaim;
   std::function<edge::request()> mEncodeReport;
   std::function<std::optional<server_report>(const edge::response&)>
     mDecodeReport;
@@ -50,6 +54,9 @@
                                 const edge::response& aResponse);
   void ReadReport();
   void HandleReport(const server_report& aReport);
+  /** Sends the order once the store has confirmed the claim. */
+  void CheckAndSendOrder(const weight_order& aOrder);
+  void HandleClaimLost();
   void SendOrder(const weight_order& aOrder);
   void ScheduleStep(milliseconds aDelay, void (order_duty::*aStep)());
 
--- a/Duties/Versions/SubstituteGiver.cpp
+++ b/Duties/Versions/SubstituteGiver.cpp
@@ -3,6 +3,8 @@
 #include "Duties/Site/Evacuation.h"
 #include "Libraries/EventLog/EventLog.h"
 
+#include <set>
+
 namespace lavender::versions {
 
 using namespace std::chrono_literals;
@@ -13,6 +15,8 @@
 /** Longer than an agent's interval, because each report that is read from a
  * server on another instance is billed. */
 constexpr milliseconds kRemotePollInterval = 400ms;
+/** Shorter than kCheckInterval, so that each ping ends before the next. */
+constexpr milliseconds kPingTimeout = 700ms;
 
 bool
 HasLastedFor(const std::optional<time_point>& aSince,
@@ -35,6 +39,9 @@
   if (aView.mClaim->mController == aSelf) {
     return false;
   }
+  if (aView.mClaim->mKind == controller_kind::Entry) {
+    return HasLastedFor(aView.mHolderSilentSince, kEntryTimeout, aNow);
+  }
   const auto lastHeard = aView.mLastRequestAt.value_or(aView.mKnownSince);
   return aNow - lastHeard >= kControllerTimeout &&
          HasLastedFor(aView.mLoadingSince, kLoadOverdue, aNow);
@@ -88,36 +95,92 @@
   view.mKnownSince = mKnownSince.emplace(aClaimName, aNow).first->second;
   view.mLastRequestAt = mDependencies.mAssignments.LastRequestAt(aClaimName);
   view.mLoadingSince = mDependencies.mAssignments.LoadingSince(aServerId);
+  if (view.mClaim) {
+    if (const auto silent = mSilentSince.find(view.mClaim->mController);
+        silent != mSilentSince.end()) {
+      view.mHolderSilentSince = silent->second;
+    }
+  }
   return view;
 }
 
 void
 fallback_controller::CheckServers()
 {
-  if (!mDependencies.mMayClaim()) {
+  if (mDependencies.mMayClaim()) {
+    mDependencies.mAssignments.Evaluate();
+    PingHolders();
+  } else {
     mKnownSince.clear();
     mReplaceable.clear();
-    return;
+    mSilentSince.clear();
   }
-  mDependencies.mAssignments.Evaluate();
   const auto now = boot_clock::now();
   for (const auto& [id, row] : mDependencies.mDirectory.mRows) {
-    if (!site::AcceptsWork(mDependencies.mDirectory, row.mServer) ||
-        !HasEngine(row.mServer)) {
-      continue;
+    if (site::AcceptsWork(mDependencies.mDirectory, row.mServer) &&
+        HasEngine(row.mServer)) {
+      CheckServer(id, row.mServer, now);
     }
-    const auto name = ClaimName(row.mServer.mAddress);
-    const auto view = StatusOf(name, id, now);
-    const bool isOwn =
-      view.mClaim && view.mClaim->mController == mDependencies.mName;
-    const bool needsSubstitute =
-      NeedsFallbackController(view, mDependencies.mName, now);
-    if (needsSubstitute) {
-      mReplaceable[name] = view.mClaim.value_or(controller_claim{});
+  }
+}
+
+void
+fallback_controller::CheckServer(const std::string& aId,
+                                 const site::backend_server& aServer,
+                                 time_point aNow)
+{
+  const auto name = ClaimName(aServer.mAddress);
+  const auto claim = mDependencies.mClaims.find(name);
+  // An entry that starts again takes up the claims that it already held.
+  if (claim != mDependencies.mClaims.end() &&
+      claim->second.mController == mDependencies.mName) {
+    StartController(aServer.mAddress);
+    return;
+  }
+  if (!mDependencies.mMayClaim()) {
+    return;
+  }
+  const auto view = StatusOf(name, aId, aNow);
+  if (NeedsFallbackController(view, mDependencies.mName, aNow)) {
+    mReplaceable[name] = view.mClaim.value_or(controller_claim{});
+    StartController(aServer.mAddress);
+  }
+}
+
+void
+fallback_controller::PingHolders()
+{
+  std::set<std::string> holders;
+  for (const auto& [name, claim] : mDependencies.mClaims) {
+    if (claim.mKind == controller_kind::Entry &&
+        claim.mController != mDependencies.mName) {
+      holders.insert(claim.mController);
     }
-    if (isOwn || needsSubstitute) {
-      StartController(row.mServer.mAddress);
+  }
+  for (const auto& holder : holders) {
+    const auto address = mDependencies.mFindEntry(holder);
+    const auto sentAt = boot_clock::now();
+    if (!address) {
+      mSilentSince.emplace(holder, sentAt);
+      continue;
     }
+    edge::call_options options;
+    options.mConnectTimeout = kPingTimeout;
+    edge::FetchWhole(
+      mDependencies.mClients,
+      mDependencies.mLoop,
+      *address,
+      mDependencies.mPing(),
+      options,
+      kPingTimeout,
+      64 << 10,
+      [this, holder, sentAt](edge::call_end aEnd, const edge::response&) {
+        if (aEnd == edge::call_end::Complete) {
+          mSilentSince.erase(holder);
+        } else {
+          mSilentSince.emplace(holder, sentAt);
+        }
+      });
   }
 }
 
@@ -140,6 +203,9 @@
       aDone({ self });
     },
     [this, name](const claim_done& aDone) { Claim(name, aDone); },
+    [&store = mDependencies.mStore, name](std::int64_t aEpoch, auto aDone) {
+      CheckClaim(store, name, aEpoch, std::move(aDone));
+    },
     mDependencies.mEncodeReport,
     mDependencies.mDecodeReport,
     mDependencies.mEncodeOrder,
@@ -157,7 +223,7 @@
     ClaimIfUnchanged(mDependencies.mStore,
                      aClaimName,
                      known->second,
-                     mDependencies.mName,
+                     { mDependencies.mName, controller_kind::Entry },
                      aDone);
     return;
   }
@@ -169,8 +235,11 @@
   }
   const auto seen = replaceable->second;
   mReplaceable.erase(replaceable);
-  ClaimIfUnchanged(
-    mDependencies.mStore, aClaimName, seen, mDependencies.mName, aDone);
+  ClaimIfUnchanged(mDependencies.mStore,
+                   aClaimName,
+                   seen,
+                   { mDependencies.mName, controller_kind::Entry },
+                   aDone);
 }
 
 } // namespace lavender::versions
--- a/Duties/Versions/SubstituteGiver.h
+++ b/Duties/Versions/SubstituteGiver.h
@@ -18,20 +18,26 @@
   /** Since when the server has been due to load a version that it doesn't
    * hold. */
   std::optional<time_point> mLoadingSince;
+  /** Since when the entry that holds the claim has answered no ping. */
+  std::optional<time_point> mHolderSilentSince;
 };
 
 /** A server without a claim is left to its agent for this long. An agent claims
  * its server within a second of its start. */
 constexpr milliseconds kAgentStartTime{ 5000 };
-/** A controller that sent no request for this long counts as silent; a live one
+/** An agent that sent no request for this long counts as silent; a live one
  * asks this entry more often. */
 constexpr milliseconds kControllerTimeout{ 20000 };
+/** An entry that holds claims and answers no ping for this long is replaced. */
+constexpr milliseconds kEntryTimeout{ 2000 };
 /** A load that takes longer is overdue. A load takes about a second, or a few
  * seconds if runs finish first. */
 constexpr milliseconds kLoadOverdue{ 10000 };
 
 /** Whether the entry should claim the server, because the server has no
- * controller, or a silent one and an overdue load. */
+ * controller, a silent agent and an overdue load, or a silent entry as its
+ * controller. An entry is replaced sooner: it holds the claims of many servers,
+ * and nothing starts it again beside them. */
 bool
 NeedsFallbackController(const controller_status& aView,
                         const std::string& aSelf,
@@ -52,6 +58,10 @@
   /** Whether this entry may claim servers: it watches the store for the other
    * entries. */
   std::function<bool()> mMayClaim;
+  /** Address of an entry; none if it isn't listed. */
+  std::function<std::optional<edge::endpoint>(const std::string&)> mFindEntry;
+  /** A request that each entry answers at once. */
+  std::function<edge::request()> mPing;
   std::function<edge::request()> mEncodeReport;
   std::function<std::optional<server_report>(const edge::response&)>
     mDecodeReport;
@@ -73,6 +83,11 @@
 private:
   void ScheduleCheck();
   void CheckServers();
+  void CheckServer(const std::string& aId,
+                   const site::backend_server& aServer,
+                   time_point aNow);
+  /** Checks whether the entries that hold claims are alive. */
+  void PingHolders();
   bool HasEngine(const site::backend_server& aServer) const;
   controller_status StatusOf(const std::string& aClaimName,
                              const std::string& aServerId,
@@ -87,6 +102,8 @@
   /** Claims that this entry may replace, as seen at the last check, by claim
    * name. */
   std::map<std::string, controller_claim> mReplaceable;
+  /** By entry. */
+  std::map<std::string, time_point> mSilentSince;
   /** By claim name. */
   std::map<std::string, std::unique_ptr<order_duty>> mControllers;
 };
--- a/Services/Agent/SiteAgent.cpp
+++ b/Services/Agent/SiteAgent.cpp
@@ -102,9 +102,10 @@
     [this](auto aDone) {
       versions::ClaimServer(mStore,
                             versions::ClaimName(*mSettings.mServer),
-                            mSettings.mName,
+                            { mSettings.mName },
                             std::move(aDone));
     },
+    nullptr,
     platform::EncodeReportRequest,
     platform::DecodeReport,
     platform::EncodeOrder,
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -41,6 +41,16 @@
 /** A usage report without a response within this time is sent again. */
 constexpr milliseconds kReportTimeout = 1200ms;
 
+/** A request that each entry answers at once. */
+edge::request
+MakePing()
+{
+  edge::request ping;
+  ping.mMethod = "GET";
+  ping.mTarget = std::string(billing::kUsagePath) + "0";
+  return ping;
+}
+
 } // namespace
 
 site_entry::site_entry(site_settings aSettings)
@@ -178,6 +188,8 @@
                 mClaims,
                 mAssignments,
                 [this] { return mFeed.IsWatching() && !mDrainStart; },
+                [this](const std::string& aName) { return FindPeer(aName); },
+                MakePing,
                 platform::EncodeReportRequest,
                 platform::DecodeReport,
                 platform::EncodeOrder })
@@ -195,12 +207,7 @@
                 return entries;
               },
               [this] { return mBatches.ListBatches(); },
-              [] {
-                edge::request ping;
-                ping.mMethod = "GET";
-                ping.mTarget = std::string(billing::kUsagePath) + "0";
-                return ping;
-              } })
+              MakePing })
   , mCallers(mLoop,
              mLimits,
              [this](const auto& aExchange) { ServeCaller(aExchange); })
--- a/Tests/Site/TestGivers.cpp
+++ b/Tests/Site/TestGivers.cpp
@@ -32,6 +32,13 @@
     site::ApplyServer(mDirectory, mServer.Entry(), boot_clock::now());
   }
 
+  std::optional<edge::endpoint> FindEntry(const std::string& aName) const
+  {
+    const auto found = mEntries.find(aName);
+    return found == mEntries.end() ? std::nullopt
+                                   : std::optional(found->second);
+  }
+
   std::string Name() const { return ClaimName(mServer.Entry().mAddress); }
 
   test_loop mLoop;
@@ -43,6 +50,7 @@
   model_server mServer{ mLoop.mLoop, "s1" };
   site::server_directory mDirectory;
   site::configuration_ptr mConfiguration;
+  std::map<std::string, edge::endpoint> mEntries;
 };
 
 /** The part of an entry that answers controllers and acts as one. */
@@ -57,6 +65,7 @@
         [this](const auto& aExchange) { mAssignments.Serve(aExchange); })
   {
     mListener.Open({ "127.0.0.1", 0 });
+    aSite.mEntries[aName] = { "127.0.0.1", mListener.Port() };
     objects::mirror_options options;
     options.mKind = kControllerKind;
     objects::mirror_events callbacks;
@@ -71,20 +80,27 @@
     mMirror = std::make_shared<objects::mirror>(
       edge::LoopScheduler(aSite.mLoop.mLoop), aSite.mStore, options, callbacks);
     mMirror->Start();
-    mFallback.emplace(
-      controller_dependencies{ aSite.mLoop.mLoop,
-                               *aSite.mClients,
-                               aSite.mStore,
-                               aName,
-                               { "127.0.0.1", mListener.Port() },
-                               aSite.mDirectory,
-                               aSite.mConfiguration,
-                               mClaims,
-                               mAssignments,
-                               [this] { return mMayClaim; },
-                               platform::EncodeReportRequest,
-                               platform::DecodeReport,
-                               platform::EncodeOrder });
+    mFallback.emplace(controller_dependencies{
+      aSite.mLoop.mLoop,
+      *aSite.mClients,
+      aSite.mStore,
+      aName,
+      { "127.0.0.1", mListener.Port() },
+      aSite.mDirectory,
+      aSite.mConfiguration,
+      mClaims,
+      mAssignments,
+      [this] { return mMayClaim; },
+      [&aSite](const std::string& aEntry) { return aSite.FindEntry(aEntry); },
+      [] {
+        edge::request ping;
+        ping.mMethod = "GET";
+        ping.mTarget = "/";
+        return ping;
+      },
+      platform::EncodeReportRequest,
+      platform::DecodeReport,
+      platform::EncodeOrder });
     mFallback->Start();
   }
 
@@ -99,13 +115,15 @@
 };
 
 std::optional<order_permission>
-Claim(controller_site& aSite, const std::string& aController)
+Claim(controller_site& aSite,
+      const std::string& aController,
+      controller_kind aKind = controller_kind::Agent)
 {
   std::optional<order_permission> grant;
   bool isDone = false;
   ClaimServer(aSite.mStore,
               aSite.Name(),
-              aController,
+              { aController, aKind },
               [&](std::optional<order_permission> aGrant) {
                 grant = aGrant;
                 isDone = true;
@@ -255,4 +273,66 @@
   BOOST_TEST(!NeedsFallbackController(view, "front-1", now));
 }
 
+// Guards against servers whose orders end for good: the entry that controlled
+// them is gone, and each entry that watches the store in its place waits for
+// long without an order.
+BOOST_AUTO_TEST_CASE(AnEntryThatIsGoneIsReplacedWithinSeconds)
+{
+  const auto now = boot_clock::now();
+  controller_status view;
+  view.mKnownSince = now - 1s;
+  view.mClaim = controller_claim{ "front-1", false, 7, controller_kind::Entry };
+  BOOST_TEST(!NeedsFallbackController(view, "front-2", now));
+  view.mHolderSilentSince = now - 1900ms;
+  BOOST_TEST(!NeedsFallbackController(view, "front-2", now));
+  view.mHolderSilentSince = now - 2000ms;
+  BOOST_TEST(NeedsFallbackController(view, "front-2", now));
+  BOOST_TEST(!NeedsFallbackController(view, "front-1", now));
+
+  controller_site site;
+  site.mState.mRevision = 100;
+  BOOST_REQUIRE(Claim(site, "front-1", controller_kind::Entry));
+  controlling_entry second(site, "front-2");
+  second.mAssignments.HandleVersionAnnounced("model", 2);
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return site.mServer.mVersion == 2; }, 9s));
+}
+
+// Guards against orders of two entries in turn: the one that lost its claim
+// learns of it from the store right before its order.
+BOOST_AUTO_TEST_CASE(AnEntryThatLostItsClaimSendsNoOrder)
+{
+  controller_site site;
+  const auto before = Claim(site, "front-1", controller_kind::Entry);
+  const auto after = Claim(site, "front-2", controller_kind::Entry);
+  BOOST_REQUIRE(before);
+  BOOST_REQUIRE(after);
+  BOOST_TEST((after->mNotBefore > boot_clock::now() + 2s));
+  BOOST_TEST((after->mNotBefore < boot_clock::now() + 4s));
+  const auto check = [&](std::int64_t aEpoch) {
+    std::optional<claim_check> result;
+    CheckClaim(site.mStore, site.Name(), aEpoch, [&](claim_check aCheck) {
+      result = aCheck;
+    });
+    BOOST_TEST(site.mLoop.RunUntil([&] { return result.has_value(); }));
+    return *result;
+  };
+  BOOST_TEST((check(before->mEpoch) == claim_check::Lost));
+  BOOST_TEST((check(after->mEpoch) == claim_check::Held));
+  site.mState.mFault = standin::store_fault::Refuse;
+  BOOST_TEST((check(after->mEpoch) == claim_check::Unknown));
+}
+
+// Guards against an agent's last order that arrives after the first one of its
+// successor's successor: the longer wait stays in force.
+BOOST_AUTO_TEST_CASE(ATakeoverFromAnAgentKeepsItsLongerWait)
+{
+  controller_site site;
+  Claim(site, "side-1");
+  Claim(site, "front-1", controller_kind::Entry);
+  const auto last = Claim(site, "front-2", controller_kind::Entry);
+  BOOST_REQUIRE(last);
+  BOOST_TEST((last->mNotBefore > boot_clock::now() + 7s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
