Batches: groups that can be finished in time run first; load of other entries counts

Cause: on a fleet with more work than it bears, items ran longest first over all groups of a step, so at the due time each group lacked some. Each owner counted its own runs only; four owners kept up to 400 runs on servers with 128 places.

Change: Duties/Batches/GroupOrder ranks the groups of a batch: those that the servers can finish until the due time, by the runs' usual time and the places of the servers that hold the version, share the first rank and compete by length; the others follow one by one, those that are not waited for last. The load in a response's head, less the own runs, counts as load of others for 0.6 s.

--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -19,7 +19,10 @@
   running_batch batch;
   batch.mMetadata = aMetadata;
   batch.mSubmission = std::move(aSubmission);
+  std::unordered_map<std::string, std::size_t> groups;
   for (const auto& item : batch.mSubmission->mItems) {
+    batch.mGroupOf.push_back(
+      groups.emplace(item.mGroup, groups.size()).first->second);
     item_progress progress;
     progress.mItem = &item;
     if (aHasResult(item.mId)) {
@@ -29,6 +32,7 @@
     }
     batch.mItems.push_back(std::move(progress));
   }
+  batch.mGroupCount = groups.size();
   Remove(aMetadata.mId);
   mBatches[aMetadata.mId] = std::move(batch);
   RestoreTexts(mBatches[aMetadata.mId], std::move(aStored));
@@ -66,6 +70,7 @@
   forget(mProbes, always);
   forget(mSeenVersions, always);
   forget(mHealths, always);
+  forget(mOtherLoads, always);
 }
 
 milliseconds
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -3,8 +3,10 @@
 #include "Duties/Batches/Batch.h"
 #include "Duties/Batches/EngineHealth.h"
 #include "Duties/Batches/EventStream.h"
+#include "Duties/Batches/GroupOrder.h"
 #include "Duties/Batches/GroupProgress.h"
 #include "Duties/Batches/MadeText.h"
+#include "Duties/Batches/OtherLoad.h"
 #include "Duties/Batches/Schedule.h"
 #include "Duties/Rewards/RewardCaller.h"
 #include "Duties/Site/SendLimits.h"
@@ -64,6 +66,9 @@
   batch_metadata mMetadata;
   std::shared_ptr<const submission> mSubmission;
   std::vector<item_progress> mItems;
+  /** Group of each item, by its place in the order of submission. */
+  std::vector<std::size_t> mGroupOf;
+  std::size_t mGroupCount = 0;
   group_progress mGroups;
 };
 
@@ -139,6 +144,10 @@
                                           const item_progress& aItem,
                                           const site::route& aRoute);
   void DispatchNow();
+  /** Returns the rank of each of the batch's groups. */
+  std::vector<std::size_t> GroupRanks(
+    const running_batch& aBatch,
+    const std::vector<engine_view>& aEngines) const;
   /** Removes the state of servers that are gone from the directory and of old
    * groups. Restarted servers mostly have a new name, so the state would grow
    * without bound. */
@@ -174,6 +183,7 @@
                   item_progress& aItem,
                   item_end aEnd,
                   std::optional<std::string> aScore = std::nullopt);
+  void RecordRunTime(boot_clock::duration aTime);
   void BlockServer(const std::string& aServer, milliseconds aDelay);
   void LogRunEnd(const item_progress& aItem,
                  const running_batch& aBatch,
@@ -192,6 +202,10 @@
    * versions in the server directory. */
   std::map<std::string, std::map<std::string, std::int64_t>> mSeenVersions;
   engine_healths mHealths;
+  other_loads mOtherLoads;
+  /** Moving average of the time that a completed run took; 0 before the first.
+   */
+  double mRunSeconds = 0;
   group_affinities mAffinities;
   boost::asio::steady_timer mTimer;
   std::uint64_t mLastRunNumber = 0;
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -30,12 +30,15 @@
  * each error. */
 constexpr int kMaximumErrorsPerAttempt = 2;
 constexpr unsigned kUnprocessable = 422;
+/** Weight of the newest run in the moving average of the runs' time. */
+constexpr double kNewestRunWeight = 0.02;
 
 } // namespace
 
 /** State of the response to one run. */
 struct batch_runner::run_state
 {
+  time_point mStartedAt;
   edge::response mHead;
   site::response_metadata mFacts;
   event_stream mStream;
@@ -91,6 +94,7 @@
 
   const run_ref ref{ aBatch.mMetadata.mId, aIndex, item.mRunNumber };
   auto run = std::make_shared<run_state>();
+  run->mStartedAt = item.mLastEventAt;
   edge::call_options options;
   options.mConnectTimeout = kConnectTimeout;
   options.mSilenceTimeout = kRunIdleTimeout;
@@ -99,6 +103,13 @@
     run->mHead = aHead;
     run->mFacts = mDependencies.mProtocol.mReadResponseMetadata(aHead);
     run->mVersion = run->mFacts.mVersion.value_or(0);
+    if (const auto* item = Find(ref); item && run->mFacts.mLoad) {
+      RecordLoad(mOtherLoads,
+                 item->mServer,
+                 *run->mFacts.mLoad,
+                 mRunsByServer[item->mServer],
+                 boot_clock::now());
+    }
   };
   events.mOnBody = [this, ref, run](std::string_view aChunk) {
     if (run->mHead.mStatus != 200 || run->mIsStale || run->mIsBroken) {
@@ -200,6 +211,7 @@
       outcome = "mixed_versions";
     } else {
       LogRunEnd(*item, batch, "completed", aEnd, status);
+      RecordRunTime(boot_clock::now() - aRun->mStartedAt);
       ScoreOrFinishItem(batch, aRef.mIndex);
       Dispatch();
       return;
@@ -234,6 +246,15 @@
   Dispatch();
 }
 
+void
+batch_runner::RecordRunTime(boot_clock::duration aTime)
+{
+  const double seconds = std::chrono::duration<double>(aTime).count();
+  mRunSeconds = mRunSeconds == 0
+                  ? seconds
+                  : mRunSeconds + kNewestRunWeight * (seconds - mRunSeconds);
+}
+
 void
 batch_runner::LogRunEnd(const item_progress& aItem,
                         const running_batch& aBatch,
--- a/Duties/Batches/Schedule.cpp
+++ b/Duties/Batches/Schedule.cpp
@@ -37,7 +37,7 @@
   const bool hasModel =
     aNeed.mModel.empty() || (version != aEngine.mVersions.end() &&
                              version->second >= aNeed.mMinimumVersion);
-  return hasModel && Runs(aEngine) < aEngine.mSlots && aEngine.mRunsLeft > 0 &&
+  return hasModel && aEngine.mRunsLeft > 0 && Runs(aEngine) < aEngine.mSlots &&
          aNow >= aEngine.mBlockedUntil &&
          std::find(aNeed.mPools.begin(), aNeed.mPools.end(), aEngine.mPool) !=
            aNeed.mPools.end();
--- a/Duties/Batches/Schedule.h
+++ b/Duties/Batches/Schedule.h
@@ -68,6 +68,8 @@
 {
   /** Older batches run first. */
   std::int64_t mSubmittedMs = 0;
+  /** Rank of the item's group in its batch. */
+  std::size_t mGroupRank = 0;
   /** Long items run first: a long run that starts late ends last and delays its
    * group, and a step waits for its last groups. */
   std::int64_t mExpectedTokens = 0;
@@ -77,6 +79,9 @@
     if (mSubmittedMs != aOther.mSubmittedMs) {
       return mSubmittedMs < aOther.mSubmittedMs;
     }
+    if (mGroupRank != aOther.mGroupRank) {
+      return mGroupRank < aOther.mGroupRank;
+    }
     return mExpectedTokens > aOther.mExpectedTokens;
   }
 };
--- a/Libraries/Core/Mechanisms.cpp
+++ b/Libraries/Core/Mechanisms.cpp
@@ -23,6 +23,8 @@
     { "reward-order", mechanism::RewardOrder },
     { "reward-limit", mechanism::RewardLimit },
     { "version-spread", mechanism::VersionSpread },
+    { "other-load", mechanism::OtherLoad },
+    { "group-order", mechanism::GroupOrder },
   };
   return names;
 }
--- a/Libraries/Core/Mechanisms.h
+++ b/Libraries/Core/Mechanisms.h
@@ -36,7 +36,11 @@
   /** Reward calls are limited so that slots remain for other calls. */
   RewardLimit,
   /** Each version is loaded by half of the model's servers. */
-  VersionSpread
+  VersionSpread,
+  /** Runs of other entries on a server count as its load. */
+  OtherLoad,
+  /** Groups that can be finished in time run before the others. */
+  GroupOrder
 };
 
 /** False once an experiment has switched it off. */
