Regions that a route or a customer allows bind runs, requests, reward calls and owners

Cause: the allowed regions of routes and customers were not read.

Servers outside get no request, run or reward call. A batch is owned by an entry in an allowed region: submissions are passed on, and an entry elsewhere that finds the owner gone asks an allowed one to take the batch over instead of reading its items. The regions of the zones come from the settings (--regions).

--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -49,6 +49,10 @@
 const std::string*
 GroupOf(const submission& aSubmission, const std::string& aItemId);
 
+/** Returns the path of the first item; empty if there is none. */
+std::string
+FirstPath(const submission& aSubmission);
+
 /** The customer that sent a submission, and the host that it was sent to. */
 struct submission_origin
 {
@@ -56,6 +60,16 @@
   std::string mHost;
 };
 
+/** What decides which entry runs a batch. */
+struct batch_affiliation
+{
+  std::string mCustomer;
+  std::string mModel;
+  std::string mHost;
+  /** Path of the first item, which with the host decides the route. */
+  std::string mPath;
+};
+
 /** Metadata of an accepted batch, including its owner. Stored as an object of
  * its own, separate from the items and the results. */
 struct batch_metadata
@@ -63,6 +77,8 @@
   std::string mId;
   std::string mCustomer;
   std::string mHost;
+  /** Path of the first item. */
+  std::string mPath;
   std::string mModel;
   std::int64_t mMinimumVersion = 0;
   int mTargetGroups = 0;
@@ -84,6 +100,9 @@
 milliseconds
 AgeOf(const batch_metadata& aMetadata);
 
+batch_affiliation
+AffiliationOf(const batch_metadata& aMetadata);
+
 /** Result of one item. */
 struct item_result
 {
--- a/Duties/Batches/BatchAdmission.cpp
+++ b/Duties/Batches/BatchAdmission.cpp
@@ -51,6 +51,7 @@
   metadata.mId = aSubmission.mId;
   metadata.mCustomer = aOrigin.mCustomer;
   metadata.mHost = aOrigin.mHost;
+  metadata.mPath = FirstPath(aSubmission);
   metadata.mModel = aSubmission.mModel;
   metadata.mMinimumVersion = aSubmission.mMinimumVersion;
   metadata.mTargetGroups = aSubmission.mTargetGroups;
--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -193,6 +193,13 @@
     edge::AnswerOwn(aExchange, 503, kLoadingRetryAfter);
     return;
   }
+  if (!IsAllowedHere(AffiliationOf(aBatch->mMetadata))) {
+    // The items may not be read here; an entry in an allowed region takes the
+    // batch over, and answers the trainer's next call.
+    OfferBatch(aBatch);
+    edge::AnswerOwn(aExchange, 503, kLoadingRetryAfter);
+    return;
+  }
   Claim(aBatch, [this, aExchange, aCall, aBatch](bool aIsOwnedHere) {
     if (aIsOwnedHere) {
       ServeOwned(aExchange, aCall, aBatch);
--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Batches/BatchRunner.h"
 
 #include "Duties/Site/Evacuation.h"
+#include "Duties/Site/Regions.h"
 #include "Libraries/Core/Mechanisms.h"
 #include "Libraries/EventLog/EventLog.h"
 
@@ -267,7 +268,7 @@
 item_requirements
 batch_runner::RequirementsOf(const running_batch& aBatch,
                              const item_progress& aItem,
-                             const site::route& aRoute)
+                             const site::route& aRoute) const
 {
   item_requirements need;
   for (const auto& pool : aRoute.mPools) {
@@ -277,6 +278,15 @@
   need.mMinimumVersion = aBatch.mMetadata.mMinimumVersion;
   need.mGroup = aItem.mItem->mGroup;
   need.mAvoidedServer = aItem.mAvoidedServer;
+  const auto* customer = site::FindCustomer(*mDependencies.mConfiguration,
+                                            aBatch.mMetadata.mCustomer);
+  if (!aRoute.mAllowedRegions.empty() ||
+      (customer && !customer->mAllowedRegions.empty())) {
+    need.mIsZoneAllowed = [this, &aRoute, customer](const std::string& aZone) {
+      return site::IsZoneAllowed(
+        mDependencies.mDirectory.mRegions, &aRoute, customer, aZone);
+    };
+  }
   return need;
 }
 
--- a/Duties/Batches/BatchOwners.cpp
+++ b/Duties/Batches/BatchOwners.cpp
@@ -43,15 +43,15 @@
 };
 
 std::optional<std::string>
-batch_service::DesignatedOwner(const std::string& aCustomer,
-                               const std::string& aModel) const
+batch_service::DesignatedOwner(const batch_affiliation& aBatch) const
 {
   const bool isUnableToOwn = IsUnableToOwn();
-  if (!IsOn(mechanism::DesignatedOwners) && !isUnableToOwn) {
+  if (!IsOn(mechanism::DesignatedOwners) && !isUnableToOwn &&
+      IsAllowedHere(aBatch)) {
     return mDependencies.mName;
   }
   const auto now = boot_clock::now();
-  auto candidates = mDependencies.mEntries();
+  auto candidates = mDependencies.mEntries(aBatch);
   for (auto& candidate : candidates) {
     const auto avoided = mAvoidedUntil.find(candidate.mName);
     const bool isAvoided =
@@ -61,14 +61,24 @@
       candidate.mWeight = 0;
     }
   }
-  return ChooseByRendezvous(aCustomer + "/" + aModel, candidates);
+  return ChooseByRendezvous(aBatch.mCustomer + "/" + aBatch.mModel, candidates);
+}
+
+bool
+batch_service::IsAllowedHere(const batch_affiliation& aBatch) const
+{
+  const auto entries = mDependencies.mEntries(aBatch);
+  return entries.empty() ||
+         std::any_of(
+           entries.begin(), entries.end(), [this](const auto& aEntry) {
+             return aEntry.mName == mDependencies.mName;
+           });
 }
 
 std::optional<batch_service::peer_entry>
-batch_service::DesignatedPeer(const std::string& aCustomer,
-                              const std::string& aModel) const
+batch_service::DesignatedPeer(const batch_affiliation& aBatch) const
 {
-  const auto owner = DesignatedOwner(aCustomer, aModel);
+  const auto owner = DesignatedOwner(aBatch);
   if (!owner || *owner == mDependencies.mName) {
     return std::nullopt;
   }
@@ -112,8 +122,10 @@
 batch_service::ForwardOrAdmit(
   const std::shared_ptr<pending_submission>& aPending)
 {
-  const auto owner =
-    DesignatedPeer(aPending->mOrigin.mCustomer, aPending->mSubmission.mModel);
+  const auto owner = DesignatedPeer({ aPending->mOrigin.mCustomer,
+                                      aPending->mSubmission.mModel,
+                                      aPending->mOrigin.mHost,
+                                      FirstPath(aPending->mSubmission) });
   // An entry that can't own batches itself asks further entries before it tries
   // to accept the batch.
   if (owner &&
@@ -207,8 +219,7 @@
 {
   mIsShuttingDown = true;
   for (const auto& [id, batch] : mBatches) {
-    const auto successor =
-      DesignatedOwner(batch->mMetadata.mCustomer, batch->mMetadata.mModel);
+    const auto successor = DesignatedOwner(AffiliationOf(batch->mMetadata));
     if (!IsOwnedHere(batch) || batch->mMetadata.mIsEnded || !successor) {
       continue;
     }
@@ -237,8 +248,7 @@
 void
 batch_service::OfferBatch(const batch_ptr& aBatch)
 {
-  const auto owner =
-    DesignatedPeer(aBatch->mMetadata.mCustomer, aBatch->mMetadata.mModel);
+  const auto owner = DesignatedPeer(AffiliationOf(aBatch->mMetadata));
   if (aBatch->mIsOffered || !owner) {
     return;
   }
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -140,9 +140,9 @@
   std::shared_ptr<const site::route> RouteOf(const running_batch& aBatch,
                                              const batch_item& aItem) const;
   std::vector<engine_view> Engines() const;
-  static item_requirements RequirementsOf(const running_batch& aBatch,
-                                          const item_progress& aItem,
-                                          const site::route& aRoute);
+  item_requirements RequirementsOf(const running_batch& aBatch,
+                                   const item_progress& aItem,
+                                   const site::route& aRoute) const;
   void DispatchNow();
   /** Returns the rank of each of the batch's groups. */
   std::vector<std::size_t> GroupRanks(
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -42,8 +42,10 @@
   /** Address at which another entry accepts forwarded calls; none if unknown.
    */
   std::function<std::optional<edge::endpoint>(const std::string&)> mFindPeer;
-  /** Entries that may own a batch, including this one, weighted by capacity. */
-  std::function<std::vector<weighted_candidate>()> mEntries;
+  /** Entries in regions where the batch may be processed, weighted by capacity.
+   */
+  std::function<std::vector<weighted_candidate>(const batch_affiliation&)>
+    mEntries;
   /** False while this entry's writes don't reach the store although those of
    * other entries do. */
   std::function<bool()> mCanReachStore;
@@ -177,8 +179,11 @@
   {
     return mIsShuttingDown || !mDependencies.mCanReachStore();
   }
-  std::optional<std::string> DesignatedOwner(const std::string& aCustomer,
-                                             const std::string& aModel) const;
+  std::optional<std::string> DesignatedOwner(
+    const batch_affiliation& aBatch) const;
+  /** Whether this entry lies in a region where the batch may be processed, or
+   * no other entry does. */
+  bool IsAllowedHere(const batch_affiliation& aBatch) const;
   /** Another entry and its address for forwarded calls. */
   struct peer_entry
   {
@@ -188,8 +193,8 @@
 
   /** The designated owner, or none if that is this entry, if there is no
    * candidate or if its address is unknown. */
-  std::optional<peer_entry> DesignatedPeer(const std::string& aCustomer,
-                                           const std::string& aModel) const;
+  std::optional<peer_entry> DesignatedPeer(
+    const batch_affiliation& aBatch) const;
   /** Sends a request to another entry; the response is at most a few kB. */
   void CallPeer(const edge::endpoint& aPeer,
                 const edge::request& aRequest,
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -132,6 +132,21 @@
     std::chrono::system_clock::now() - aMetadata.mSubmittedAt);
 }
 
+std::string
+FirstPath(const submission& aSubmission)
+{
+  return aSubmission.mItems.empty() ? std::string()
+                                    : aSubmission.mItems.front().mPath;
+}
+
+batch_affiliation
+AffiliationOf(const batch_metadata& aMetadata)
+{
+  return {
+    aMetadata.mCustomer, aMetadata.mModel, aMetadata.mHost, aMetadata.mPath
+  };
+}
+
 std::string
 EncodeMetadata(const batch_metadata& aMetadata)
 {
@@ -140,6 +155,7 @@
   return json::Write(
     json::object{ { "customer", aMetadata.mCustomer },
                   { "host", aMetadata.mHost },
+                  { "path", aMetadata.mPath },
                   { "model", aMetadata.mModel },
                   { "minimumVersion", aMetadata.mMinimumVersion },
                   { "targetGroups", aMetadata.mTargetGroups },
@@ -169,6 +185,7 @@
   metadata.mRevision = aObject.mRevision;
   metadata.mCustomer = json::StringAt(spec, "customer", "");
   metadata.mHost = json::StringAt(spec, "host", "");
+  metadata.mPath = json::StringAt(spec, "path", "");
   metadata.mModel = json::StringAt(spec, "model", "");
   metadata.mMinimumVersion = json::IntegerAt(spec, "minimumVersion", 0);
   metadata.mTargetGroups =
--- a/Duties/Batches/Schedule.cpp
+++ b/Duties/Batches/Schedule.cpp
@@ -39,6 +39,8 @@
                              version->second >= aNeed.mMinimumVersion);
   return hasModel && aEngine.mRunsLeft > 0 && Runs(aEngine) < aEngine.mSlots &&
          aNow >= aEngine.mBlockedUntil &&
+         (!aNeed.mIsZoneAllowed ||
+          aNeed.mIsZoneAllowed(aEngine.mAvailabilityZone)) &&
          std::find(aNeed.mPools.begin(), aNeed.mPools.end(), aEngine.mPool) !=
            aNeed.mPools.end();
 }
--- a/Duties/Batches/Schedule.h
+++ b/Duties/Batches/Schedule.h
@@ -3,6 +3,7 @@
 #include "Libraries/Core/Clock.h"
 
 #include <cstdint>
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
@@ -45,6 +46,9 @@
   /** Server on which the item's last run failed; chosen only if no other server
    * has room. */
   std::string mAvoidedServer;
+  /** Whether the item may be processed in an availability zone; null if in all.
+   */
+  std::function<bool(const std::string& aZone)> mIsZoneAllowed;
 };
 
 /** Maximum difference between the wall clocks of the entry that accepted a
--- a/Duties/Batches/TestSchedule.cpp
+++ b/Duties/Batches/TestSchedule.cpp
@@ -60,4 +60,17 @@
   BOOST_TEST(Choose({ warming, Engine("warm", 8) }) == "none");
 }
 
+BOOST_AUTO_TEST_CASE(AnItemRunsOnlyInAllowedZones)
+{
+  auto near = Engine("near", 7);
+  near.mAvailabilityZone = "near";
+  auto far = Engine("far", 0);
+  far.mAvailabilityZone = "far";
+  item_requirements need;
+  need.mPools = { "pool" };
+  need.mIsZoneAllowed = [](const auto& aZone) { return aZone == "near"; };
+  BOOST_TEST(*ChooseEngine({ far, near }, need, {}, kNow) == 1u);
+  BOOST_TEST(!ChooseEngine({ far }, need, {}, kNow));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Duties/Forwarding/ForwardedRequest.cpp
+++ b/Duties/Forwarding/ForwardedRequest.cpp
@@ -103,8 +103,8 @@
 void
 forwarded_request::TryNext()
 {
-  const auto selected =
-    mForwarder.mDependencies.mRouter.SelectServer(*mRoute, mTriedServers);
+  const auto selected = mForwarder.mDependencies.mRouter.SelectServer(
+    *mRoute, mCustomer.get(), mTriedServers);
   if (!selected) {
     if (mMayHaveRun) {
       FailUnknown("no other server");
--- a/Duties/Forwarding/PoolRouter.cpp
+++ b/Duties/Forwarding/PoolRouter.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Forwarding/PoolRouter.h"
 
 #include "Duties/Site/Evacuation.h"
+#include "Duties/Site/Regions.h"
 
 namespace lavender::forwarding {
 
@@ -81,6 +82,28 @@
   mLimits.RemoveStaleState();
 }
 
+std::vector<std::string>
+pool_router::ServersOutsideAllowedRegions(const std::string& aPool,
+                                          const site::route& aRoute,
+                                          const site::customer* aCustomer) const
+{
+  std::vector<std::string> outside;
+  if (aRoute.mAllowedRegions.empty() &&
+      (!aCustomer || aCustomer->mAllowedRegions.empty())) {
+    return outside;
+  }
+  for (const auto& [id, row] : mDirectory.mRows) {
+    if (row.mServer.mPool == aPool &&
+        !site::IsZoneAllowed(mDirectory.mRegions,
+                             &aRoute,
+                             aCustomer,
+                             row.mServer.mAvailabilityZone)) {
+      outside.push_back(id);
+    }
+  }
+  return outside;
+}
+
 pool_router::limited_servers
 pool_router::LimitedServers(const std::string& aPool, time_point aNow) const
 {
@@ -103,6 +126,7 @@
 
 std::optional<selected_server>
 pool_router::SelectServer(const site::route& aRoute,
+                          const site::customer* aCustomer,
                           const std::vector<std::string>& aTriedServers)
 {
   const auto& pool = SelectPool(aRoute, mRandom);
@@ -116,6 +140,8 @@
   const auto now = boot_clock::now();
   const auto limited = LimitedServers(pool, now);
   auto& excluded = request.mExcluded;
+  const auto outside = ServersOutsideAllowedRegions(pool, aRoute, aCustomer);
+  excluded.insert(excluded.end(), outside.begin(), outside.end());
   excluded.insert(
     excluded.end(), limited.mExhausted.begin(), limited.mExhausted.end());
   const auto withWarming = excluded.size();
--- a/Duties/Forwarding/PoolRouter.h
+++ b/Duties/Forwarding/PoolRouter.h
@@ -31,10 +31,13 @@
   /** Updates the routing tables from the current state of the directory. */
   void SyncServers(time_point aNow);
   /** Selects a server of one of the route's pools; none when no untried server
-   * accepts requests. A server that warms up is selected only if no warm one
-   * is. */
+   * accepts requests. Only regions that the route and the customer allow are
+   * considered. A server that warms up is selected only if no warm one
+   * is.
+   * @param aCustomer null if there is none */
   std::optional<selected_server> SelectServer(
     const site::route& aRoute,
+    const site::customer* aCustomer,
     const std::vector<std::string>& aTriedServers);
   void RecordSent(const selected_server& aSelected, time_point aNow);
   /** @param aSentAt time passed to RecordSent for this request */
@@ -58,6 +61,11 @@
     std::vector<std::string> mWarming;
   };
 
+  /** Servers of the pool in regions that the route or the customer excludes. */
+  std::vector<std::string> ServersOutsideAllowedRegions(
+    const std::string& aPool,
+    const site::route& aRoute,
+    const site::customer* aCustomer) const;
   limited_servers LimitedServers(const std::string& aPool,
                                  time_point aNow) const;
 
--- a/Duties/Rewards/RewardCaller.cpp
+++ b/Duties/Rewards/RewardCaller.cpp
@@ -145,7 +145,10 @@
 std::optional<forwarding::selected_server>
 reward_client::PickServer(const call_ptr& aCall, const site::route& aRoute)
 {
-  auto pick = mDependencies.mRouter.SelectServer(aRoute, aCall->mTriedServers);
+  const auto* customer = site::FindCustomer(*mDependencies.mConfiguration,
+                                            aCall->mRequest.mCustomer);
+  auto pick =
+    mDependencies.mRouter.SelectServer(aRoute, customer, aCall->mTriedServers);
   if (!pick) {
     // All servers have been tried. They may be tried again, except for those
     // that are processing the call.
@@ -153,7 +156,8 @@
     for (const auto& open : aCall->mOpenAttempts) {
       aCall->mTriedServers.push_back(open->mPick.mServer.mId);
     }
-    pick = mDependencies.mRouter.SelectServer(aRoute, aCall->mTriedServers);
+    pick = mDependencies.mRouter.SelectServer(
+      aRoute, customer, aCall->mTriedServers);
   }
   return pick;
 }
--- a/Duties/Site/ServerDirectory.h
+++ b/Duties/Site/ServerDirectory.h
@@ -54,6 +54,9 @@
   std::optional<time_point> mGraceUntil;
   /** Zones whose servers get no requests and no orders. */
   std::set<std::string> mEvacuatedZones;
+  /** Region of each availability zone; doesn't change while the process runs.
+   */
+  std::map<std::string, std::string> mRegions;
 };
 
 /** When the server has warmed up; in the past for a warm server. */
--- a/Duties/Site/SiteConfiguration.cpp
+++ b/Duties/Site/SiteConfiguration.cpp
@@ -54,6 +54,14 @@
            nullptr };
 }
 
+const customer*
+FindCustomer(const site_configuration& aConfiguration, const std::string& aName)
+{
+  const auto found = aConfiguration.mCustomers.find(aName);
+  return found == aConfiguration.mCustomers.end() ? nullptr
+                                                  : found->second.get();
+}
+
 bool
 ApplyConfiguration(configuration_ptr& aInForce, configuration_ptr aArrived)
 {
--- a/Duties/Site/SiteConfiguration.h
+++ b/Duties/Site/SiteConfiguration.h
@@ -61,6 +61,8 @@
   milliseconds mMaximumQueueTime{ 60000 };
   /** Time from a batch's submission within which all results are due. */
   milliseconds mResultsDueAfter{ 60000 };
+  /** Regions in which requests may be processed; empty if in all. */
+  std::vector<std::string> mAllowedRegions;
 };
 
 /** Properties of a pool of model engines. */
@@ -88,6 +90,8 @@
   std::string mName;
   /** Overrides the route's priority if set. */
   std::optional<int> mPriority;
+  /** Regions in which requests may be processed; empty if in all. */
+  std::vector<std::string> mAllowedRegions;
 };
 
 /** One version of the operator's configuration, indexed for look-ups. */
@@ -103,6 +107,8 @@
   bool mHasCustomers = false;
   /** By hash of the customer's key; the keys themselves are not kept. */
   std::unordered_map<std::string, std::shared_ptr<const customer>> mKeys;
+  /** By name. */
+  std::unordered_map<std::string, std::shared_ptr<const customer>> mCustomers;
   edge::listener_limits mLimits;
 };
 
@@ -135,6 +141,11 @@
          const route& aRoute,
          const std::string* aAuthorization);
 
+/** Returns the customer with that name; null if there is none. */
+const customer*
+FindCustomer(const site_configuration& aConfiguration,
+             const std::string& aName);
+
 /** Puts a configuration into force unless it is null or no newer than the one
  * in force. Versions only grow, so a delayed response can't restore an old
  * configuration.
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -2,6 +2,7 @@
 
 #include "Duties/Batches/PeerCall.h"
 #include "Duties/Site/EntryKind.h"
+#include "Duties/Site/Regions.h"
 #include "Libraries/Core/Identity.h"
 #include "Libraries/Edge/LoopScheduler.h"
 #include "Libraries/EventLog/EventLog.h"
@@ -124,7 +125,9 @@
                platform::MakePageFormat(),
                mSettings.mName,
                [this](const std::string& aName) { return FindPeer(aName); },
-               [this] { return WeightedEntries(); },
+               [this](const batches::batch_affiliation& aBatch) {
+                 return WeightedEntries(aBatch);
+               },
                [this] { return mStoreAccess.CanReachStore(); },
                [this](const batches::batch_metadata& aMetadata) {
                  mAssignments.HandleBatchSubmitted(aMetadata.mModel,
@@ -232,6 +235,7 @@
   , mServerUpdateTimer(mLoop)
   , mServerSummaryTimer(mLoop)
 {
+  mDirectory.mRegions = mSettings.mRegions;
   mLimits->mMaximumConnections = mSettings.mMaximumConnections;
   mLimits->mMaximumBufferedBytes = mSettings.mMaximumBufferedBytes;
 }
@@ -264,7 +268,9 @@
     .With("zone", mSettings.mAvailabilityZone)
     .With("callers", mSettings.mCallers.Text())
     .With("peers", mSettings.mPeers.Text());
-  mPeers[mSettings.mName] = { mSettings.mPeers, mSettings.mProcessorShare };
+  mPeers[mSettings.mName] = { mSettings.mPeers,
+                              mSettings.mAvailabilityZone,
+                              mSettings.mProcessorShare };
   WaitForSignals();
   Announce();
   mJoinTimer.expires_after(kJoinDelay);
@@ -344,11 +350,24 @@
 }
 
 std::vector<weighted_candidate>
-site_entry::WeightedEntries() const
+site_entry::WeightedEntries(const batches::batch_affiliation& aBatch) const
 {
+  const auto route =
+    mConfiguration
+      ? site::FindRoute(*mConfiguration, aBatch.mHost, aBatch.mPath)
+      : nullptr;
+  const auto* customer =
+    mConfiguration ? site::FindCustomer(*mConfiguration, aBatch.mCustomer)
+                   : nullptr;
   std::vector<weighted_candidate> entries;
   for (const auto& [name, known] : mPeers) {
-    entries.push_back({ name, known.mProcessorShare * known.mProcessorShare });
+    if (site::IsZoneAllowed(mDirectory.mRegions,
+                            route.get(),
+                            customer,
+                            known.mAvailabilityZone)) {
+      entries.push_back(
+        { name, known.mProcessorShare * known.mProcessorShare });
+    }
   }
   return entries;
 }
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -33,6 +33,7 @@
   struct peer
   {
     edge::endpoint mAddress;
+    std::string mAvailabilityZone;
     /** Processor cores that the peer may use. */
     double mProcessorShare = 1;
   };
@@ -71,10 +72,12 @@
   /** Entries that can relay store calls for this entry. */
   storeaccess::helper_candidates HelperCandidates() const;
   std::vector<std::string> EntryNames() const;
-  /** Entries weighted by the square of their processor share. A model's batches
-   * run at one entry and can't be split, so small instances should get few: an
-   * entry with five times the processor share gets 25 times as many. */
-  std::vector<weighted_candidate> WeightedEntries() const;
+  /** Entries in regions where the batch may be processed, weighted by the
+   * square of their processor share. A model's batches run at one entry and
+   * can't be split, so small instances should get few: an entry with five times
+   * the processor share gets 25 times as many. */
+  std::vector<weighted_candidate> WeightedEntries(
+    const batches::batch_affiliation& aBatch) const;
   /** Whether this entry is the one that sends to the server while it warms up:
    * of the entries that run batches, or of all entries if there are none. */
   bool IsDesignatedSender(const site::backend_server& aServer) const;
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -55,6 +55,7 @@
   if (const auto address =
         edge::ParseAddress(json::StringAt(aObject.mSpec, "address", ""))) {
     mPeers[aObject.mName] = { *address,
+                              json::StringAt(aObject.mSpec, "zone", ""),
                               json::NumberAt(aObject.mSpec, "cores", 1) };
   }
 }
--- a/Services/Entry/SiteSettings.cpp
+++ b/Services/Entry/SiteSettings.cpp
@@ -1,5 +1,7 @@
 #include "Services/Entry/SiteSettings.h"
 
+#include <sstream>
+
 namespace lavender::entry {
 
 namespace {
@@ -37,6 +39,23 @@
   return declared;
 }
 
+std::map<std::string, std::string>
+RegionsOf(const settings::values& aValues, findings& aFindings)
+{
+  std::map<std::string, std::string> regions;
+  std::istringstream input(aValues.Text("regions"));
+  for (std::string part; std::getline(input, part, ',');) {
+    const auto equals = part.find('=');
+    if (equals == 0 || equals == std::string::npos ||
+        equals + 1 == part.size()) {
+      aFindings.Add("--regions", "must be ZONE=REGION, not \"" + part + "\"");
+    } else {
+      regions[part.substr(0, equals)] = part.substr(equals + 1);
+    }
+  }
+  return regions;
+}
+
 edge::endpoint
 EndpointOf(const settings::values& aValues,
            const char* aFlag,
@@ -65,6 +84,11 @@
   without.mDescription =
     "Comma-separated names of mechanisms to disable; for experiments only, "
     "never in production.";
+  setting regions;
+  regions.mFlag = "regions";
+  regions.mDescription = "Region of each availability zone, as comma-separated "
+                         "ZONE=REGION; a route or a customer may allow some "
+                         "regions only.";
   setting share;
   share.mFlag = "processor-share";
   share.mDescription = "Processor cores that this process may use; entries "
@@ -89,6 +113,7 @@
     Required("reports",
              "Address of the interface that accepts usage reports.",
              setting_kind::Endpoint),
+    regions,
     metrics,
     Number("usage-window", "Length of a usage window.", "s", 5, 1, 3600),
     Number("lease-duration",
@@ -131,6 +156,7 @@
   site_settings read;
   read.mName = aValues.Text("name");
   read.mAvailabilityZone = aValues.Text("zone");
+  read.mRegions = RegionsOf(aValues, aFindings);
   read.mCallers = EndpointOf(aValues, "caller-listen", aFindings);
   read.mReadiness = EndpointOf(aValues, "ready-listen", aFindings);
   read.mPeers = EndpointOf(aValues, "peer-listen", aFindings);
--- a/Services/Entry/SiteSettings.h
+++ b/Services/Entry/SiteSettings.h
@@ -5,6 +5,8 @@
 #include "Libraries/Edge/Message.h"
 #include "Libraries/Settings/Settings.h"
 
+#include <map>
+
 namespace lavender::entry {
 
 /** Settings of an entry on the users' platform. */
@@ -12,6 +14,8 @@
 {
   std::string mName;
   std::string mAvailabilityZone;
+  /** Region of each availability zone. */
+  std::map<std::string, std::string> mRegions;
   edge::endpoint mCallers;
   edge::endpoint mReadiness;
   /** Listening address for other entries and agents. */
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -115,9 +115,12 @@
           return found == mSite.mPeers.end() ? std::optional<edge::endpoint>()
                                              : std::optional(found->second);
         },
-        [this] {
+        [this](const batches::batch_affiliation&) {
           std::vector<weighted_candidate> entries;
           for (const auto& [name, address] : mSite.mPeers) {
+            if (mSite.mForbiddenOwners.count(name) > 0) {
+              continue;
+            }
             const auto weight = mSite.mWeights.find(name);
             entries.push_back(
               { name, weight == mSite.mWeights.end() ? 1 : weight->second });
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -28,6 +28,8 @@
   metrics::registry mMetrics;
   /** Addresses of the reachable entries, by name. */
   std::map<std::string, edge::endpoint> mPeers;
+  /** Entries in regions where no batch may be processed. */
+  std::set<std::string> mForbiddenOwners;
   /** Relative share of the batches that each entry owns; 1 for an entry
    * that is not listed. */
   std::map<std::string, double> mWeights;
--- a/Tests/Site/TestBatchOwners.cpp
+++ b/Tests/Site/TestBatchOwners.cpp
@@ -52,6 +52,30 @@
   BOOST_TEST(owners.size() == 1u);
 }
 
+// Guards against a batch whose items are read in a region that its customer or
+// route excludes: the entry that a trainer reaches there passes the submission
+// on, and has a batch whose owner is gone taken over elsewhere.
+BOOST_AUTO_TEST_CASE(AnEntryInAnExcludedRegionOwnsNoBatch)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  server.mEvents = 40;
+  site.Add(server);
+  site.mForbiddenOwners = { "far" };
+  site.mWeights["b"] = 0;
+  batch_entry first(site, "a");
+  batch_entry second(site, "b");
+  batch_entry far(site, "far");
+  BOOST_TEST(far.Submit("b1", 3).mAnswer.mStatus == 202u);
+  BOOST_TEST(OwnerOf(site, "b1") == "a");
+  first.mIsReachable = false;
+  first.StopListening();
+  site.mWeights = { { "a", 0 }, { "b", 1 } };
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return far.ListedIds("b1").size() == 3; }, 20s));
+  BOOST_TEST(OwnerOf(site, "b1") == "b");
+}
+
 // Guards against submissions that fail or take seconds while their designated
 // owner is dead. The entry that received the submission accepts it, and avoids
 // the dead entry for a while.
--- a/Tests/Site/TestForwarding.cpp
+++ b/Tests/Site/TestForwarding.cpp
@@ -117,6 +117,34 @@
   BOOST_TEST(site.mStarts["customer"] == 0);
 }
 
+// Guards against a request that leaves the regions of its customer: it is sent
+// to no server elsewhere, not even if no other one is left.
+BOOST_AUTO_TEST_CASE(ARequestStaysInTheRegionsOfItsCustomer)
+{
+  forwarding_site site(site::retry_policy::Idempotent);
+  plain_server near(site.mLoop);
+  plain_server far(site.mLoop);
+  for (auto* server : { &near, &far }) {
+    server->mServe = [](const auto& aExchange) {
+      aExchange->Answer(plain_server::Answer(aExchange, 200));
+    };
+  }
+  site.Add("near", near);
+  site.Add("far", far);
+  site.mDirectory.mRows.at("near").mServer.mAvailabilityZone = "north-1";
+  site.mDirectory.mRows.at("far").mServer.mAvailabilityZone = "south-1";
+  site.mDirectory.mRegions = { { "north-1", "north" }, { "south-1", "south" } };
+  site.mCustomer->mAllowedRegions = { "north" };
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST(site.Send().mAnswer.mStatus == 200u);
+  }
+  BOOST_TEST(near.mRequests == 6);
+  site.mDirectory.mRows.erase("near");
+  site.mRouter.SyncServers(boot_clock::now());
+  BOOST_TEST(site.Send().mAnswer.mStatus == 503u);
+  BOOST_TEST(far.mRequests == 0);
+}
+
 // On a reused connection, a late response to an earlier request could be
 // forwarded to the wrong caller.
 BOOST_AUTO_TEST_CASE(AResponseToAnotherAttemptIsNeverForwarded)
