--- a/Duties/Site/Evacuation.cpp
+++ b/Duties/Site/Evacuation.cpp
@@ -1,9 +1,5 @@
 #include "Duties/Site/Evacuation.h"
 
-#include <algorithm>
-#include <iterator>
-#include <utility>
-
 namespace lavender::site {
 
 namespace {
@@ -28,23 +24,24 @@
 evacuation_change
 ApplyEvacuations(server_directory& aDirectory,
                  const site_configuration* aConfiguration,
-                 evacuated_zones aZones,
+                 const evacuated_zones& aZones,
                  time_point aNow)
 {
-  const auto before =
-    std::exchange(aDirectory.mEvacuatedZones, std::move(aZones));
-  const auto& after = aDirectory.mEvacuatedZones;
+  auto& inForce = aDirectory.mEvacuatedZones;
   evacuation_change change;
-  std::set_difference(after.begin(),
-                      after.end(),
-                      before.begin(),
-                      before.end(),
-                      std::back_inserter(change.mBegun));
-  std::set_difference(before.begin(),
-                      before.end(),
-                      after.begin(),
-                      after.end(),
-                      std::back_inserter(change.mEnded));
+  for (const auto& zone : aZones) {
+    if (inForce.emplace(zone, aNow).second) {
+      change.mBegun.push_back(zone);
+    }
+  }
+  for (auto zone = inForce.begin(); zone != inForce.end();) {
+    if (aZones.count(zone->first) > 0) {
+      ++zone;
+      continue;
+    }
+    change.mEnded.push_back(zone->first);
+    zone = inForce.erase(zone);
+  }
   for (const auto& zone : change.mEnded) {
     if (aConfiguration) {
       AssumeWarming(aDirectory, *aConfiguration, zone, aNow);
--- a/Duties/Site/Evacuation.h
+++ b/Duties/Site/Evacuation.h
@@ -28,7 +28,7 @@
 evacuation_change
 ApplyEvacuations(server_directory& aDirectory,
                  const site_configuration* aConfiguration,
-                 evacuated_zones aZones,
+                 const evacuated_zones& aZones,
                  time_point aNow);
 
 /** Whether the server takes new work: it isn't about to leave, and its zone is
--- a/Duties/Site/ServerDirectory.h
+++ b/Duties/Site/ServerDirectory.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace lavender::site {
@@ -52,8 +51,8 @@
   /** Until when a missing record doesn't mean that its server is gone. After an
    * outage of the store servers renew their records within two seconds. */
   std::optional<time_point> mGraceUntil;
-  /** Zones whose servers get no requests and no orders. */
-  std::set<std::string> mEvacuatedZones;
+  /** Zones whose servers get no requests and no orders, and since when. */
+  std::map<std::string, time_point> mEvacuatedZones;
   /** Region of each availability zone; doesn't change while the process runs.
    */
   std::map<std::string, std::string> mRegions;
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -12,6 +12,7 @@
 #include "platform/Names.h"
 #include "platform/Orders.h"
 
+#include <algorithm>
 #include <csignal>
 
 namespace lavender::entry {
@@ -396,6 +397,19 @@
   gauge("lavender_configuration_version",
         mConfiguration ? static_cast<double>(mConfiguration->mVersion) : -1);
   gauge("lavender_servers_known", static_cast<double>(mDirectory.mRows.size()));
+  const auto now = boot_clock::now();
+  for (const auto& [zone, since] : mDirectory.mEvacuatedZones) {
+    mMetrics.SetGauge("lavender_zone_evacuated_seconds",
+                      { { "zone", zone } },
+                      std::chrono::duration<double>(now - since).count());
+  }
+  gauge("lavender_servers_warming",
+        static_cast<double>(std::count_if(mDirectory.mRows.begin(),
+                                          mDirectory.mRows.end(),
+                                          [now](const auto& aRow) {
+                                            return now <
+                                                   site::WarmAt(aRow.second);
+                                          })));
   gauge("lavender_open_batches", static_cast<double>(mBatches.OpenBatches()));
   gauge("lavender_rewards_open", static_cast<double>(mRewards.Open()));
   gauge("lavender_requests_under_way",
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -49,7 +49,7 @@
   void ApplyServerObject(const objects::stored_object& aObject);
   void ApplyServerRemoval(const std::string& aId);
   void RecordServerChange(const std::string& aId, site::server_change aChange);
-  void ApplyEvacuations(site::evacuated_zones aZones);
+  void ApplyEvacuations(const site::evacuated_zones& aZones);
   void ScheduleServerUpdate();
   void HandleServersChanged();
   void ServeCaller(const edge::exchange_ptr& aExchange);
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -137,16 +137,19 @@
     for (const auto& [zone, object] : aObjects) {
       zones.insert(zone);
     }
-    ApplyEvacuations(std::move(zones));
+    ApplyEvacuations(zones);
   };
   evacuations.mOnEvent = [this](const objects::object_event& aEvent) {
-    auto zones = mDirectory.mEvacuatedZones;
+    site::evacuated_zones zones;
+    for (const auto& [zone, since] : mDirectory.mEvacuatedZones) {
+      zones.insert(zone);
+    }
     if (aEvent.mIsDeleted) {
       zones.erase(aEvent.mObject.mName);
     } else {
       zones.insert(aEvent.mObject.mName);
     }
-    ApplyEvacuations(std::move(zones));
+    ApplyEvacuations(zones);
   };
 
   auto peers = MakeWatchedKind(site::kEntryKind, kServerCoalesceDelay);
@@ -286,10 +289,10 @@
 }
 
 void
-site_entry::ApplyEvacuations(site::evacuated_zones aZones)
+site_entry::ApplyEvacuations(const site::evacuated_zones& aZones)
 {
   const auto change = site::ApplyEvacuations(
-    mDirectory, mConfiguration.get(), std::move(aZones), boot_clock::now());
+    mDirectory, mConfiguration.get(), aZones, boot_clock::now());
   const auto log = [this](const char* aEvent, const std::string& aZone) {
     events::line(aEvent).With("zone", aZone).With("known_ms_ago", mFeed.Age());
   };
@@ -298,6 +301,8 @@
   }
   for (const auto& zone : change.mEnded) {
     log("zone_returned", zone);
+    mMetrics.SetGauge(
+      "lavender_zone_evacuated_seconds", { { "zone", zone } }, 0);
   }
   if (!change.mBegun.empty() || !change.mEnded.empty()) {
     HandleServersChanged();
