--- a/Bench/BatchOrder.cpp
+++ b/Bench/BatchOrder.cpp
@@ -97,7 +97,7 @@
   std::shuffle(aOrder.begin(), aOrder.end(), aRandom);
 }
 
-/** The order that the production scheduler uses. */
+/** The order within the groups that the production scheduler runs first. */
 void
 LongestFirst(std::vector<std::size_t>& aOrder,
              const std::vector<sample>& aSamples,
@@ -108,7 +108,7 @@
     aOrder.begin(), aOrder.end(), [&](std::size_t aLeft, std::size_t aRight) {
       const auto rank = [&](std::size_t aIndex) {
         return batches::item_priority{
-          0, std::llround(aSamples[aIndex].mEstimate * kTokensPerEvent)
+          0, 0, std::llround(aSamples[aIndex].mEstimate * kTokensPerEvent)
         };
       };
       return rank(aLeft) < rank(aRight);
--- a/Duties/Site/SendLimits.cpp
+++ b/Duties/Site/SendLimits.cpp
@@ -39,10 +39,9 @@
   view.mIsWarming = aNow < WarmAt(aRow);
   view.mIsDesignated = view.mIsWarming && mIsDesignated(server);
   const auto window = mWindows.find(server.mId);
-  return routing::RequestsLeft(window == mWindows.end() ? routing::send_window()
-                                                        : window->second,
-                               view,
-                               aNow);
+  return window == mWindows.end()
+           ? routing::RequestsPerSecond(view)
+           : routing::RequestsLeft(window->second, view, aNow);
 }
 
 void
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -91,12 +91,12 @@
       mStoreCounts))
   , mProtocol(platform::MakeExchangeProtocol())
   , mLimits(std::make_shared<edge::listener_limits>())
-  , mLimitsOfServers(mDirectory,
-                     mConfiguration,
-                     [this](const site::backend_server& aServer) {
-                       return IsDesignatedSender(aServer);
-                     })
-  , mRouter(mDirectory, mLimitsOfServers, mSettings.mAvailabilityZone)
+  , mSendLimits(mDirectory,
+                mConfiguration,
+                [this](const site::backend_server& aServer) {
+                  return IsDesignatedSender(aServer);
+                })
+  , mRouter(mDirectory, mSendLimits, mSettings.mAvailabilityZone)
   , mForwarder({ mLoop,
                  *mClients,
                  mProtocol,
@@ -112,7 +112,7 @@
         mProtocol,
         mDirectory,
         mConfiguration,
-        mLimitsOfServers,
+        mSendLimits,
         mMetrics,
         mRewards,
         [this](const std::string& aBatchId, batches::item_result aResult) {
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -99,7 +99,7 @@
   site::server_directory mDirectory;
   std::shared_ptr<edge::listener_limits> mLimits;
   std::map<std::string, peer> mPeers;
-  site::send_limits mLimitsOfServers;
+  site::send_limits mSendLimits;
   forwarding::pool_router mRouter;
   forwarding::forwarder mForwarder;
   rewards::reward_client mRewards;
