Group order: complete groups take no place among those that are waited for

Cause: complete groups were counted among the groups that share the first rank, so that after half of a step the others ran one by one instead of longest first.

Change: groups without open items are passed over; two tests that failed before.

--- a/Duties/Batches/GroupOrder.cpp
+++ b/Duties/Batches/GroupOrder.cpp
@@ -20,6 +20,9 @@
   double items = 0;
   std::size_t next = 0;
   for (const auto group : order) {
+    if (aGroups[group].mOpenItems == 0) {
+      continue;
+    }
     items += aGroups[group].mOpenItems;
     // The first group is taken even if it is late: some group must be first.
     const bool isFeasible = next == 0 && taken < aTargetGroups &&
--- a/Duties/Batches/TestGroupOrder.cpp
+++ b/Duties/Batches/TestGroupOrder.cpp
@@ -43,6 +43,18 @@
              boost::test_tools::per_element());
 }
 
+/** Guards against complete groups that use up the number of groups that the
+ * trainer still waits for: the others would run one by one, and the longest
+ * items of the last one would start last. */
+BOOST_AUTO_TEST_CASE(CompleteGroupsTakeNoPlace)
+{
+  auto groups = Groups(4, 16);
+  groups[0] = { 0, 16 };
+  groups[1] = { 0, 16 };
+  BOOST_TEST(RankGroups(groups, 2, 40) == (ranks{ 0, 0, 0, 0 }),
+             boost::test_tools::per_element());
+}
+
 /** A step that is late already still gets its groups one by one. */
 BOOST_AUTO_TEST_CASE(WithoutTimeLeftGroupsFollowOneByOne)
 {
@@ -64,12 +76,16 @@
     std::size_t shared = 0;
     double items = 0;
     for (std::size_t i = 0; i < groups.size(); ++i) {
-      shared += ranked[i] == 0 ? 1 : 0;
+      shared += ranked[i] == 0 && groups[i].mOpenItems > 0 ? 1 : 0;
       items += ranked[i] == 0 ? groups[i].mOpenItems : 0;
     }
     RC_ASSERT(shared <= target);
     RC_ASSERT(shared <= 1 || items <= feasible);
-    RC_ASSERT(shared >= 1 || target == 0 || groups.empty());
+    const bool hasOpen =
+      std::any_of(groups.begin(), groups.end(), [](const auto& aGroup) {
+        return aGroup.mOpenItems > 0;
+      });
+    RC_ASSERT(shared >= 1 || target == 0 || !hasOpen);
   }));
 }
 
