Orders: a takeover waits for the lease in force, not for one sheet's figure

Cause: an entry that took a claim over from another entry waited 3 s, which is the lease of the deployments at hand. With a longer lease two controllers could order in turn within it. An agent, which knows no lease, waited as short.

Change: the wait is the lease of the settings, at least the time of an order's way; an agent waits 8 s again. A test with a lease of 5 s. With a lease of 3 s nothing changes for entries.

--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -42,8 +42,8 @@
   /** Address at which another entry accepts forwarded calls; none if unknown.
    */
   std::function<std::optional<edge::endpoint>(const std::string&)> mFindPeer;
-  /** Entries in regions where the batch may be processed, weighted by capacity.
-   */
+  /** Entries in regions where the batch may be processed, this one included if
+   * it lies there, weighted by capacity. */
   std::function<std::vector<weighted_candidate>(const batch_affiliation&)>
     mEntries;
   /** False while this entry's writes don't reach the store although those of
--- a/Duties/Versions/GiverClaim.cpp
+++ b/Duties/Versions/GiverClaim.cpp
@@ -100,8 +100,12 @@
   if (MayHaveAgentsOrder(aSeen, aClaimant)) {
     return kTakeoverDelay;
   }
-  return aSeen.mKind == controller_kind::Entry ? kEntryTakeoverDelay
-                                               : milliseconds(0);
+  if (aSeen.mKind == controller_kind::Agent) {
+    return milliseconds(0);
+  }
+  return aClaimant.mKind == controller_kind::Entry
+           ? std::max(kEntryTakeoverDelay, aClaimant.mLeaseDuration)
+           : kTakeoverDelay;
 }
 
 void
--- a/Duties/Versions/GiverClaim.h
+++ b/Duties/Versions/GiverClaim.h
@@ -44,6 +44,9 @@
 {
   std::string mName;
   controller_kind mKind = controller_kind::Agent;
+  /** Time within which a server that checks no epochs may not get orders of two
+   * controllers in turn. Known to entries only. */
+  milliseconds mLeaseDuration{ 0 };
 };
 
 /** All claims known to this process, by name of the claim object. */
@@ -70,14 +73,13 @@
 /** An entry sends an order within this time after it has asked the store
  * whether it still holds the claim. */
 constexpr milliseconds kClaimCheckValidity{ 500 };
-/** A controller that took a claim over from an entry waits this long before its
- * first order: the entry's last order has arrived or is lost by then, and a
- * server that checks no epochs sees no two controllers in turn within a lease.
- */
-constexpr milliseconds kEntryTakeoverDelay{ 3000 };
-/** A controller that took a claim over from an agent waits this long before its
- * first order. By then all entries know of the new claim (losing a watch and
- * listing again takes 4.6 s), assignments to the previous controller have
+/** An entry that took a claim over from another entry waits at least this long
+ * before its first order: the other entry's last order has arrived or is lost
+ * by then. If the lease is longer, it waits for the lease. */
+constexpr milliseconds kEntryTakeoverDelay{ 1500 };
+/** A controller that took a claim over in any other way waits this long before
+ * its first order. By then all entries know of the new claim (losing a watch
+ * and listing again takes 4.6 s), assignments to the previous controller have
  * expired, and its last order has arrived or is lost. */
 constexpr milliseconds kTakeoverDelay{ 8000 };
 
--- a/Duties/Versions/SubstituteGiver.cpp
+++ b/Duties/Versions/SubstituteGiver.cpp
@@ -213,6 +213,14 @@
   controller->Start();
 }
 
+claimant
+fallback_controller::Self() const
+{
+  return { mDependencies.mName,
+           controller_kind::Entry,
+           mDependencies.mLeaseDuration };
+}
+
 void
 fallback_controller::Claim(const std::string& aClaimName,
                            const claim_done& aDone)
@@ -220,11 +228,8 @@
   const auto known = mDependencies.mClaims.find(aClaimName);
   if (known != mDependencies.mClaims.end() &&
       known->second.mController == mDependencies.mName) {
-    ClaimIfUnchanged(mDependencies.mStore,
-                     aClaimName,
-                     known->second,
-                     { mDependencies.mName, controller_kind::Entry },
-                     aDone);
+    ClaimIfUnchanged(
+      mDependencies.mStore, aClaimName, known->second, Self(), aDone);
     return;
   }
   // The claim is replaced only if a check has found that it may be.
@@ -235,11 +240,7 @@
   }
   const auto seen = replaceable->second;
   mReplaceable.erase(replaceable);
-  ClaimIfUnchanged(mDependencies.mStore,
-                   aClaimName,
-                   seen,
-                   { mDependencies.mName, controller_kind::Entry },
-                   aDone);
+  ClaimIfUnchanged(mDependencies.mStore, aClaimName, seen, Self(), aDone);
 }
 
 } // namespace lavender::versions
--- a/Duties/Versions/SubstituteGiver.h
+++ b/Duties/Versions/SubstituteGiver.h
@@ -49,6 +49,9 @@
   edge::client_pool& mClients;
   const objects::object_store& mStore;
   std::string mName;
+  /** Time within which a server may not get orders of two controllers in turn.
+   */
+  milliseconds mLeaseDuration{ 0 };
   /** Address at which this entry serves controllers' requests. */
   edge::endpoint mSelf;
   const site::server_directory& mDirectory;
@@ -93,6 +96,7 @@
                              const std::string& aServerId,
                              time_point aNow);
   void StartController(const edge::endpoint& aServer);
+  claimant Self() const;
   void Claim(const std::string& aClaimName, const claim_done& aDone);
 
   controller_dependencies mDependencies;
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -186,6 +186,7 @@
                 *mClients,
                 mStore,
                 mSettings.mName,
+                mSettings.mLeaseDuration,
                 mSettings.mPeers,
                 mDirectory,
                 mConfiguration,
--- a/Tests/Site/TestGivers.cpp
+++ b/Tests/Site/TestGivers.cpp
@@ -85,6 +85,7 @@
       *aSite.mClients,
       aSite.mStore,
       aName,
+      3s,
       { "127.0.0.1", mListener.Port() },
       aSite.mDirectory,
       aSite.mConfiguration,
@@ -123,7 +124,7 @@
   bool isDone = false;
   ClaimServer(aSite.mStore,
               aSite.Name(),
-              { aController, aKind },
+              { aController, aKind, 3s },
               [&](std::optional<order_permission> aGrant) {
                 grant = aGrant;
                 isDone = true;
@@ -323,6 +324,20 @@
   BOOST_TEST((check(after->mEpoch) == claim_check::Unknown));
 }
 
+// Guards against two controllers that order in turn within a lease that is
+// longer than an order's way to the server.
+BOOST_AUTO_TEST_CASE(ATakeoverWaitsForTheLeaseInForce)
+{
+  const controller_claim entry{ "front-1", false, 7, controller_kind::Entry };
+  const auto delay = [&](milliseconds aLease) {
+    return TakeoverDelay(entry, { "front-2", controller_kind::Entry, aLease });
+  };
+  BOOST_TEST((delay(5s) == 5s));
+  BOOST_TEST((delay(0ms) == kEntryTakeoverDelay));
+  BOOST_TEST((TakeoverDelay(entry, { "side-1", controller_kind::Agent, 0ms }) ==
+              kTakeoverDelay));
+}
+
 // Guards against an agent's last order that arrives after the first one of its
 // successor's successor: the longer wait stays in force.
 BOOST_AUTO_TEST_CASE(ATakeoverFromAnAgentKeepsItsLongerWait)
