Batches: an entry in an excluded region declines a batch that is offered to it

Cause: the entry that offers a batch decides by its own configuration, which may be older than that of the entry asked; that one would have read the items.

Change: the asked entry checks its own region.

--- a/Duties/Batches/BatchOwners.cpp
+++ b/Duties/Batches/BatchOwners.cpp
@@ -296,6 +296,11 @@
                 aExchange->Answer({ aBatch ? 200u : kNotOwner, {}, {} });
                 return;
               }
+              // The asking entry's configuration may be older.
+              if (!IsAllowedHere(AffiliationOf(aBatch->mMetadata))) {
+                aExchange->Answer({ kNotOwner, {}, {} });
+                return;
+              }
               Claim(aBatch, [aExchange](bool aIsOwnedHere) {
                 aExchange->Answer({ aIsOwnedHere ? 200u : kNotOwner, {}, {} });
               });
