--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Duties/Rewards/RewardCall.h"
+#include "Duties/Scheduling/ServerSpeed.h"
 #include "Libraries/Core/Clock.h"
 #include "Libraries/Edge/Message.h"
 #include "Libraries/ObjectStore/ObjectStore.h"
@@ -85,6 +86,11 @@
   int mTotal = 0;
   /** Estimated output tokens of all items: a measure of the batch's work. */
   std::int64_t mExpectedTokens = 0;
+  /** Estimated output tokens of the items that take so long that only a fast
+   * server is likely to finish them when they are due. */
+  std::int64_t mLongItemTokens = 0;
+  /** Speeds of servers as the entry that accepted the batch knew them. */
+  std::vector<scheduling::told_speed> mServerSpeeds;
   /** Number of stored objects that hold the items. */
   int mParts = 0;
   /** Wall-clock time of the entry that accepted the batch. */
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -102,6 +102,28 @@
   return part;
 }
 
+json::value
+EncodeSpeeds(const std::vector<scheduling::told_speed>& aSpeeds)
+{
+  json::value object = json::object{};
+  for (const auto& speed : aSpeeds) {
+    object.Set(speed.mServer, speed.mEventTime.count());
+  }
+  return object;
+}
+
+std::vector<scheduling::told_speed>
+DecodeSpeeds(const json::value* aObject)
+{
+  std::vector<scheduling::told_speed> speeds;
+  if (aObject) {
+    for (const auto& [server, time] : aObject->Members()) {
+      speeds.push_back({ server, scheduling::event_time(time.NumberOr(0)) });
+    }
+  }
+  return speeds;
+}
+
 } // namespace
 
 bool
@@ -152,7 +174,7 @@
 {
   const auto submitted = std::chrono::duration_cast<milliseconds>(
     aMetadata.mSubmittedAt.time_since_epoch());
-  return json::Write(
+  json::value spec =
     json::object{ { "customer", aMetadata.mCustomer },
                   { "host", aMetadata.mHost },
                   { "path", aMetadata.mPath },
@@ -163,7 +185,14 @@
                   { "expected", aMetadata.mExpectedTokens },
                   { "parts", aMetadata.mParts },
                   { "submittedMs", std::int64_t{ submitted.count() } },
-                  { "owner", aMetadata.mOwner } });
+                  { "owner", aMetadata.mOwner } };
+  if (aMetadata.mLongItemTokens > 0) {
+    spec.Set("longTokens", aMetadata.mLongItemTokens);
+  }
+  if (!aMetadata.mServerSpeeds.empty()) {
+    spec.Set("eventMs", EncodeSpeeds(aMetadata.mServerSpeeds));
+  }
+  return json::Write(spec);
 }
 
 std::string
@@ -192,6 +221,8 @@
     static_cast<int>(json::IntegerAt(spec, "targetGroups", 0));
   metadata.mTotal = static_cast<int>(json::IntegerAt(spec, "total", 0));
   metadata.mExpectedTokens = json::IntegerAt(spec, "expected", 0);
+  metadata.mLongItemTokens = json::IntegerAt(spec, "longTokens", 0);
+  metadata.mServerSpeeds = DecodeSpeeds(spec.Find("eventMs"));
   metadata.mParts = static_cast<int>(json::IntegerAt(spec, "parts", 0));
   metadata.mSubmittedAt = std::chrono::system_clock::time_point(
     milliseconds(json::IntegerAt(spec, "submittedMs", 0)));
--- /dev/null
+++ b/Duties/Scheduling/ServerSpeed.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "Libraries/Core/Clock.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/** Learns how fast each model server generates events. Servers of one pool may
+ * differ in speed, and a server's machine may be slow for a moment because
+ * others use it too. No I/O. */
+namespace lavender::scheduling {
+
+/** Time between two events of a run. */
+using event_time = std::chrono::duration<double, std::milli>;
+
+struct server_speed
+{
+  /** Moving average of the time between two events at the usual speed of the
+   * server's machine; zero while unknown. */
+  event_time mEventTime{ 0 };
+  /** Number of events that the average rests on; zero if another entry told the
+   * figure. */
+  int mEvents = 0;
+  /** Factor by which work took longer than usual on the server's machine when
+   * the server last told it. */
+  double mSlowdown = 1;
+  time_point mSlowdownSeenAt;
+};
+
+/** By server id. A server that starts again under its old id is forgotten by
+ * the owner of the map. */
+using server_speeds = std::map<std::string, server_speed>;
+
+/** @param aParallelRuns runs of this entry on the server, whose events all
+ * count, so that the average covers the same time whatever their number is */
+void
+RecordEventTime(server_speed& aSpeed,
+                event_time aSinceLast,
+                int aParallelRuns,
+                time_point aNow);
+
+/** Records the slowdown that a server told. Figures that no server can mean are
+ * ignored.
+ * @return false if the figure was ignored */
+bool
+RecordSlowdown(server_speed& aSpeed, double aSlowdown, time_point aNow);
+
+/** Returns the time between two events to be expected of a run that goes on for
+ * longer than a slow moment lasts; none if the server's speed isn't known. */
+std::optional<event_time>
+ExpectedEventTime(const server_speed& aSpeed);
+
+/** Median over the servers whose speed is known; none if there is no such
+ * server. */
+std::optional<event_time>
+MedianEventTime(const server_speeds& aSpeeds);
+
+/** A server's speed as one entry tells it to the others with the metadata of a
+ * batch. */
+struct told_speed
+{
+  std::string mServer;
+  event_time mEventTime{ 0 };
+};
+
+/** Speeds that this entry has measured itself and that differ clearly from the
+ * median; empty if the servers are alike. */
+std::vector<told_speed>
+SpeedsToTell(const server_speeds& aSpeeds);
+
+/** Applies what another entry tells. Own measurements are kept. */
+void
+ApplyToldSpeeds(server_speeds& aSpeeds,
+                const std::vector<told_speed>& aTold,
+                time_point aNow);
+
+} // namespace lavender::scheduling
--- a/Duties/Site/ServerProtocol.h
+++ b/Duties/Site/ServerProtocol.h
@@ -38,6 +38,9 @@
   int mRunning = 0;
   int mWaiting = 0;
   int mSlots = 0;
+  /** Factor by which work takes longer than usual on the server's machine at
+   * the moment; none if the server doesn't tell it. */
+  std::optional<double> mSlowdown;
 };
 
 /** Metadata in the header fields of a server's response. */
