Batches: servers' measured speeds and runs' expected lengths decide where items run and which move

The schedule counted places: an item ten times as long as its neighbour went to any server with the fewest runs, and stayed there. Speeds that differ are told with a batch's metadata, so that an entry that starts or takes a batch over knows them. Not measured yet.

--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -29,6 +29,8 @@
   std::string mGroup;
   /** Estimated number of output tokens. */
   std::int64_t mExpectedTokens = 0;
+  /** Number of tokens of the prompt; 0 if unknown. */
+  std::int64_t mPromptTokens = 0;
   /** Scores the item's text once the text is complete. */
   std::optional<rewards::reward_call> mReward;
 };
--- a/Duties/Batches/BatchAdmission.cpp
+++ b/Duties/Batches/BatchAdmission.cpp
@@ -59,6 +59,9 @@
   for (const auto& item : aSubmission.mItems) {
     metadata.mExpectedTokens += item.mExpectedTokens;
   }
+  metadata.mLongItemTokens =
+    mDependencies.mRunner.LongItemTokens(aSubmission, aOrigin.mHost);
+  metadata.mServerSpeeds = mDependencies.mRunner.MeasuredSpeeds();
   metadata.mParts = static_cast<int>(admitted->mItems.size());
   metadata.mSubmittedAt = std::chrono::system_clock::now();
   metadata.mOwner = mDependencies.mName;
--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -18,13 +18,6 @@
  * dispatch. */
 constexpr milliseconds kDispatchInterval = 100ms;
 
-/** Maximum number of runs moved away from slow servers at once, and of moves
- * per item. Each move makes the new server process the item's tokens again. */
-constexpr int kMaximumMovesAtOnce = 8;
-constexpr int kMaximumMovesPerItem = 2;
-/** Results must be listed and read before a step is due. */
-constexpr milliseconds kListingTime = 500ms;
-
 } // namespace
 
 void
@@ -56,7 +49,7 @@
 {
   std::vector<engine_view> engines;
   const auto now = boot_clock::now();
-  const double median = MedianEventTime(mHealths);
+  const auto median = UsualEventTime();
   for (const auto& [id, row] : mDependencies.mDirectory.mRows) {
     if (!site::AcceptsWork(mDependencies.mDirectory, row.mServer) ||
         (IsOn(mechanism::RunBreakers) &&
@@ -89,8 +82,17 @@
     if (const auto blocked = mBlocked.find(id); blocked != mBlocked.end()) {
       engine.mBlockedUntil = blocked->second;
     }
-    if (const auto health = mHealths.find(id); health != mHealths.end()) {
-      engine.mIsSlow = IsSlow(health->second, median);
+    if (const auto speed = mSpeeds.find(id);
+        speed != mSpeeds.end() && IsOn(mechanism::ServerSpeeds)) {
+      engine.mRelativeTime =
+        scheduling::RelativeTime(ExpectedEventTime(speed->second), median);
+    }
+    if (mDependencies.mConfiguration) {
+      const auto& pools = mDependencies.mConfiguration->mPools;
+      if (const auto pool = pools.find(engine.mPool);
+          pool != pools.end() && pool->second.mEngine) {
+        engine.mMemoryTokens = pool->second.mEngine->mMemoryTokens;
+      }
     }
     engines.push_back(std::move(engine));
   }
@@ -145,11 +147,30 @@
   return RankGroups(groups, target, slots * timeLeft.count() / mRunSeconds);
 }
 
+double
+batch_runner::LongestWaiting()
+{
+  double longest = 0;
+  for (auto& [id, batch] : mBatches) {
+    for (auto& item : batch.mItems) {
+      if (item.mPhase != item_phase::Waiting) {
+        continue;
+      }
+      if (const auto route = RouteOf(batch, *item.mItem)) {
+        longest = std::max(longest, EventsLeft(batch, item, *route).mMean);
+      }
+    }
+  }
+  return longest;
+}
+
 void
 batch_runner::DispatchNow()
 {
   const auto now = boot_clock::now();
+  ForgetRestartedServers();
   auto engines = Engines();
+  AddRunMemory(engines);
   struct candidate
   {
     item_priority mRank;
@@ -178,22 +199,26 @@
     waiting.begin(), waiting.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.mRank < aRight.mRank;
     });
+  // A long run that goes to a faster server leaves its place to an item that
+  // waits. An item that waits and is longer goes first.
+  MoveRuns(engines, LongestWaiting(), now);
   for (const auto& next : waiting) {
     auto& item = next.mBatch->mItems[next.mIndex];
     const auto route = RouteOf(*next.mBatch, *item.mItem);
     if (!route) {
       continue;
     }
-    const auto chosen = ChooseEngine(
-      engines, RequirementsOf(*next.mBatch, item, *route), mAffinities, now);
+    const auto need = RequirementsOf(*next.mBatch, item, *route);
+    const auto chosen = ChooseEngine(engines, need, mAffinities, now);
     if (chosen) {
       ++engines[*chosen].mOwnRuns;
       --engines[*chosen].mRunsLeft;
+      engines[*chosen].mRunMemory.push_back(need.mMemory);
       StartRun(*next.mBatch, next.mIndex, engines[*chosen], *route);
     }
   }
-  if (waiting.empty() && IsOn(mechanism::SlowServerMoves)) {
-    MoveRunsFromSlowServers(engines, now);
+  if (!waiting.empty()) {
+    MoveRuns(engines, 0, now);
   }
   ScheduleDispatch();
 }
@@ -219,56 +244,10 @@
   });
 }
 
-void
-batch_runner::MoveRunsFromSlowServers(std::vector<engine_view>& aEngines,
-                                      time_point aNow)
-{
-  int moves = 0;
-  for (auto& [id, batch] : mBatches) {
-    for (std::size_t i = 0; i < batch.mItems.size(); ++i) {
-      auto& item = batch.mItems[i];
-      const auto at = std::find_if(
-        aEngines.begin(), aEngines.end(), [&](const auto& aEngine) {
-          return aEngine.mId == item.mServer;
-        });
-      if (item.mPhase != item_phase::Running || at == aEngines.end() ||
-          !at->mIsSlow || item.mMoves >= kMaximumMovesPerItem ||
-          moves >= kMaximumMovesAtOnce) {
-        continue;
-      }
-      const auto route = RouteOf(batch, *item.mItem);
-      if (!route || !route->mIsResumable) {
-        continue;
-      }
-      const auto chosen = ChooseEngine(
-        aEngines, RequirementsOf(batch, item, *route), mAffinities, aNow);
-      if (!chosen || aEngines[*chosen].mIsSlow) {
-        continue;
-      }
-      events::line("item_moved")
-        .With("request", item.mItem->mId)
-        .With("batch", id)
-        .With("server", item.mServer)
-        .With("to", aEngines[*chosen].mId)
-        .With(
-          "event_ms",
-          static_cast<std::int64_t>(mHealths[item.mServer].mEventMilliseconds));
-      mDependencies.mMetrics.Count("lavender_batch_moves_total", {});
-      --at->mOwnRuns;
-      StopRun(item);
-      ++item.mMoves;
-      ++moves;
-      ++aEngines[*chosen].mOwnRuns;
-      --aEngines[*chosen].mRunsLeft;
-      StartRun(batch, i, aEngines[*chosen], *route);
-    }
-  }
-}
-
 item_requirements
 batch_runner::RequirementsOf(const running_batch& aBatch,
-                             const item_progress& aItem,
-                             const site::route& aRoute) const
+                             item_progress& aItem,
+                             const site::route& aRoute)
 {
   item_requirements need;
   for (const auto& pool : aRoute.mPools) {
@@ -278,6 +257,7 @@
   need.mMinimumVersion = aBatch.mMetadata.mMinimumVersion;
   need.mGroup = aItem.mItem->mGroup;
   need.mAvoidedServer = aItem.mAvoidedServer;
+  need.mMemory = MemoryOf(aBatch, aItem, aRoute);
   const auto* customer = site::FindCustomer(*mDependencies.mConfiguration,
                                             aBatch.mMetadata.mCustomer);
   if (!aRoute.mAllowedRegions.empty() ||
--- /dev/null
+++ b/Duties/Batches/BatchMoves.cpp
@@ -0,0 +1,242 @@
+#include "Duties/Batches/BatchRunner.h"
+
+#include "Libraries/Core/Mechanisms.h"
+#include "Libraries/EventLog/EventLog.h"
+
+#include <algorithm>
+
+namespace lavender::batches {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/** An estimate is renewed when the item has grown by this many events, or by an
+ * eighth. */
+constexpr int kEstimateStep = 4;
+/** Time of an event while no server's speed is known. */
+constexpr scheduling::event_time kAssumedEventTime{ 50 };
+
+int
+EventsOf(const item_progress& aItem)
+{
+  return static_cast<int>(aItem.mGenerated.mLastEvent.value_or(-1)) + 1;
+}
+
+} // namespace
+
+void
+batch_runner::ForgetRestartedServers()
+{
+  for (const auto& [id, row] : mDependencies.mDirectory.mRows) {
+    auto& startedAt = mStartTimes[id];
+    if (startedAt != row.mServer.mStartedAt) {
+      startedAt = row.mServer.mStartedAt;
+      mSpeeds.erase(id);
+    }
+  }
+}
+
+void
+batch_runner::LearnSpeeds(const std::vector<scheduling::told_speed>& aSpeeds)
+{
+  scheduling::ApplyToldSpeeds(mSpeeds, aSpeeds, boot_clock::now());
+}
+
+std::vector<scheduling::told_speed>
+batch_runner::MeasuredSpeeds() const
+{
+  return scheduling::SpeedsToTell(mSpeeds);
+}
+
+scheduling::event_time
+batch_runner::UsualEventTime() const
+{
+  return scheduling::MedianEventTime(mSpeeds).value_or(kAssumedEventTime);
+}
+
+const site::engine_pool*
+batch_runner::EnginePoolOf(const site::route& aRoute) const
+{
+  if (!mDependencies.mConfiguration) {
+    return nullptr;
+  }
+  const auto& pools = mDependencies.mConfiguration->mPools;
+  for (const auto& weighted : aRoute.mPools) {
+    if (const auto pool = pools.find(weighted.mPool);
+        pool != pools.end() && pool->second.mEngine) {
+      return &*pool->second.mEngine;
+    }
+  }
+  return nullptr;
+}
+
+double
+batch_runner::HintedEvents(const batch_item& aItem,
+                           const site::route& aRoute) const
+{
+  const auto* pool = EnginePoolOf(aRoute);
+  const auto tokensPerEvent =
+    pool ? std::max<std::int64_t>(1, pool->mTokensPerEvent) : 1;
+  return static_cast<double>(aItem.mExpectedTokens) /
+         static_cast<double>(tokensPerEvent);
+}
+
+std::int64_t
+batch_runner::LongItemTokens(const submission& aSubmission,
+                             const std::string& aHost) const
+{
+  const auto route = mDependencies.mConfiguration
+                       ? site::FindRoute(*mDependencies.mConfiguration,
+                                         aHost,
+                                         FirstPath(aSubmission))
+                       : nullptr;
+  if (!route) {
+    return 0;
+  }
+  const auto lengths = mLengths.find(aSubmission.mModel);
+  const auto statistics = lengths == mLengths.end()
+                            ? scheduling::length_statistics()
+                            : lengths->second;
+  const double eventsUntilDue =
+    scheduling::event_time(route->mResultsDueAfter - kListingTime) /
+    UsualEventTime();
+  std::int64_t tokens = 0;
+  for (const auto& item : aSubmission.mItems) {
+    const auto left =
+      scheduling::EstimateRemaining(statistics, HintedEvents(item, *route), 0);
+    tokens += left.mUpper > eventsUntilDue ? item.mExpectedTokens : 0;
+  }
+  return tokens;
+}
+
+scheduling::remaining_events
+batch_runner::EventsLeft(const running_batch& aBatch,
+                         item_progress& aItem,
+                         const site::route& aRoute)
+{
+  const int events = EventsOf(aItem);
+  const bool hasGrown =
+    events >= aItem.mEstimatedAt + kEstimateStep + aItem.mEstimatedAt / 8 ||
+    events < aItem.mEstimatedAt;
+  if (!aItem.mLeft || hasGrown) {
+    aItem.mLeft =
+      scheduling::EstimateRemaining(mLengths[aBatch.mMetadata.mModel],
+                                    HintedEvents(*aItem.mItem, aRoute),
+                                    events);
+    aItem.mEstimatedAt = events;
+  }
+  return *aItem.mLeft;
+}
+
+scheduling::run_memory
+batch_runner::MemoryOf(const running_batch& aBatch,
+                       item_progress& aItem,
+                       const site::route& aRoute)
+{
+  const auto* pool = EnginePoolOf(aRoute);
+  if (!pool || pool->mMemoryTokens <= 0 || pool->mTokensPerEvent <= 0) {
+    return {};
+  }
+  const auto left = EventsLeft(aBatch, aItem, aRoute);
+  const auto now =
+    aItem.mItem->mPromptTokens + EventsOf(aItem) * pool->mTokensPerEvent;
+  const auto growth = static_cast<std::int64_t>(
+    left.mMean * static_cast<double>(pool->mTokensPerEvent));
+  return { now, now + growth, left.mMean };
+}
+
+void
+batch_runner::AddRunMemory(std::vector<engine_view>& aEngines)
+{
+  if (!IsOn(mechanism::MemoryFit)) {
+    return;
+  }
+  std::map<std::string, engine_view*> byId;
+  for (auto& engine : aEngines) {
+    byId[engine.mId] = &engine;
+  }
+  for (auto& [id, batch] : mBatches) {
+    for (auto& item : batch.mItems) {
+      const auto engine = byId.find(item.mServer);
+      if (item.mPhase != item_phase::Running || engine == byId.end()) {
+        continue;
+      }
+      if (const auto route = RouteOf(batch, *item.mItem)) {
+        engine->second->mRunMemory.push_back(MemoryOf(batch, item, *route));
+      }
+    }
+  }
+}
+
+std::vector<movable_run>
+batch_runner::MovableRuns(
+  const std::vector<engine_view>& aEngines,
+  std::vector<std::pair<running_batch*, std::size_t>>& aItems)
+{
+  std::map<std::string, std::size_t> byId;
+  for (std::size_t i = 0; i < aEngines.size(); ++i) {
+    byId[aEngines[i].mId] = i;
+  }
+  std::vector<movable_run> runs;
+  for (auto& [id, batch] : mBatches) {
+    for (std::size_t i = 0; i < batch.mItems.size(); ++i) {
+      auto& item = batch.mItems[i];
+      const auto server = byId.find(item.mServer);
+      if (item.mPhase != item_phase::Running || server == byId.end()) {
+        continue;
+      }
+      const auto route = RouteOf(batch, *item.mItem);
+      if (!route || !route->mIsResumable) {
+        continue;
+      }
+      runs.push_back({ server->second,
+                       EventsLeft(batch, item, *route),
+                       item.mMoves,
+                       RequirementsOf(batch, item, *route) });
+      aItems.emplace_back(&batch, i);
+    }
+  }
+  return runs;
+}
+
+void
+batch_runner::MoveRuns(std::vector<engine_view>& aEngines,
+                       double aMinimumEvents,
+                       time_point aNow)
+{
+  if (!IsOn(mechanism::SlowServerMoves) || !HasFasterServer(aEngines, aNow)) {
+    return;
+  }
+  std::vector<std::pair<running_batch*, std::size_t>> items;
+  const auto runs = MovableRuns(aEngines, items);
+  for (const auto& move :
+       ChooseMoves(aEngines, runs, UsualEventTime(), aMinimumEvents, aNow)) {
+    auto& [batch, index] = items[move.mRun];
+    auto& item = batch->mItems[index];
+    events::line("item_moved")
+      .With("request", item.mItem->mId)
+      .With("batch", batch->mMetadata.mId)
+      .With("server", item.mServer)
+      .With("to", aEngines[move.mServer].mId)
+      .With("events_left",
+            static_cast<std::int64_t>(runs[move.mRun].mLeft.mMean))
+      .With("gain_ms", static_cast<std::int64_t>(move.mGain.count()));
+    mDependencies.mMetrics.Count("lavender_batch_moves_total", {});
+    const auto route = RouteOf(*batch, *item.mItem);
+    StopRun(item);
+    ++item.mMoves;
+    StartRun(*batch, index, aEngines[move.mServer], *route);
+  }
+}
+
+void
+batch_runner::RecordEstimate(const item_progress& aItem) const
+{
+  const bool isLate = boot_clock::now() > aItem.mExpectedEnd;
+  mDependencies.mMetrics.Count(
+    "lavender_run_estimates_total",
+    { { "result", isLate ? "later_than_expected" : "in_time" } });
+}
+
+} // namespace lavender::batches
--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -71,6 +71,8 @@
   forget(mSeenVersions, always);
   forget(mHealths, always);
   forget(mOtherLoads, always);
+  forget(mSpeeds, always);
+  forget(mStartTimes, always);
 }
 
 milliseconds
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -7,6 +7,7 @@
 #include "Duties/Batches/GroupProgress.h"
 #include "Duties/Batches/MadeText.h"
 #include "Duties/Batches/OtherLoad.h"
+#include "Duties/Batches/RunMoves.h"
 #include "Duties/Batches/Schedule.h"
 #include "Duties/Rewards/RewardCaller.h"
 #include "Duties/Site/SendLimits.h"
@@ -20,6 +21,9 @@
 
 namespace lavender::batches {
 
+/** Results must be listed and read before a step is due. */
+constexpr milliseconds kListingTime{ 500 };
+
 enum class item_phase
 {
   Waiting,
@@ -55,6 +59,12 @@
   /** Time of the last event, or of the start of the run. */
   time_point mLastEventAt;
   int mMoves = 0;
+  /** Estimate of what is left of the item, made when it had mEstimatedAt
+   * events; none before the first estimate. */
+  std::optional<scheduling::remaining_events> mLeft;
+  int mEstimatedAt = 0;
+  /** When the current run is expected to have ended at the latest. */
+  time_point mExpectedEnd;
   /** Number of the current run or reward call; callbacks of earlier ones carry
    * another number and are ignored. 0 while there is none. */
   std::uint64_t mRunNumber = 0;
@@ -124,6 +134,14 @@
   /** Schedules a dispatch of waiting items. Called when servers or the
    * configuration have changed. */
   void Dispatch();
+  /** Learns speeds of servers that another entry tells. */
+  void LearnSpeeds(const std::vector<scheduling::told_speed>& aSpeeds);
+  /** Speeds of servers that are worth telling to other entries. */
+  std::vector<scheduling::told_speed> MeasuredSpeeds() const;
+  /** Estimated tokens of the items that a server of median speed is likely to
+   * finish only after they are due. */
+  std::int64_t LongItemTokens(const submission& aSubmission,
+                              const std::string& aHost) const;
   /** Number of servers for which the runner holds state. */
   std::size_t KnownServers() const;
 
@@ -141,9 +159,11 @@
                                              const batch_item& aItem) const;
   std::vector<engine_view> Engines() const;
   item_requirements RequirementsOf(const running_batch& aBatch,
-                                   const item_progress& aItem,
-                                   const site::route& aRoute) const;
+                                   item_progress& aItem,
+                                   const site::route& aRoute);
   void DispatchNow();
+  /** Events left of the longest waiting item. */
+  double LongestWaiting();
   /** Returns the rank of each of the batch's groups. */
   std::vector<std::size_t> GroupRanks(
     const running_batch& aBatch,
@@ -152,8 +172,34 @@
    * groups. Restarted servers mostly have a new name, so the state would grow
    * without bound. */
   void RemoveStaleState();
-  void MoveRunsFromSlowServers(std::vector<engine_view>& aEngines,
-                               time_point aNow);
+  /** Removes what was learned of servers that have started again since. */
+  void ForgetRestartedServers();
+  /** The pool of model servers that the route's items run on; null if none. */
+  const site::engine_pool* EnginePoolOf(const site::route& aRoute) const;
+  /** Length that the item's hint makes expected, in events. */
+  double HintedEvents(const batch_item& aItem, const site::route& aRoute) const;
+  /** Returns the estimate of what is left of the item. Renews it when the item
+   * has grown since the last one. */
+  scheduling::remaining_events EventsLeft(const running_batch& aBatch,
+                                          item_progress& aItem,
+                                          const site::route& aRoute);
+  /** Memory that the item's run occupies on its server. */
+  scheduling::run_memory MemoryOf(const running_batch& aBatch,
+                                  item_progress& aItem,
+                                  const site::route& aRoute);
+  /** Fills in what the runs of this entry occupy of the servers' memory. */
+  void AddRunMemory(std::vector<engine_view>& aEngines);
+  /** Time of an event on a server of median speed, if it is known. */
+  scheduling::event_time UsualEventTime() const;
+  /** Moves runs to servers that end them clearly sooner.
+   * @param aMinimumEvents runs with fewer events left stay */
+  void MoveRuns(std::vector<engine_view>& aEngines,
+                double aMinimumEvents,
+                time_point aNow);
+  std::vector<movable_run> MovableRuns(
+    const std::vector<engine_view>& aEngines,
+    std::vector<std::pair<running_batch*, std::size_t>>& aItems);
+  void RecordEstimate(const item_progress& aItem) const;
   void ScheduleDispatch();
   void GiveUpOverdueItems(running_batch& aBatch);
   void StartRun(running_batch& aBatch,
@@ -184,6 +230,8 @@
                   item_end aEnd,
                   std::optional<std::string> aScore = std::nullopt);
   void RecordRunTime(boot_clock::duration aTime);
+  void RecordSlowdown(const std::string& aServer,
+                      const site::server_load& aLoad);
   void BlockServer(const std::string& aServer, milliseconds aDelay);
   void LogRunEnd(const item_progress& aItem,
                  const running_batch& aBatch,
@@ -203,6 +251,10 @@
   std::map<std::string, std::map<std::string, std::int64_t>> mSeenVersions;
   engine_healths mHealths;
   other_loads mOtherLoads;
+  scheduling::server_speeds mSpeeds;
+  /** Start times of the servers whose speed is known. */
+  std::map<std::string, std::int64_t> mStartTimes;
+  scheduling::length_statistics_by_model mLengths;
   /** Moving average of the time that a completed run took; 0 before the first.
    */
   double mRunSeconds = 0;
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -70,6 +70,11 @@
     probe->second = item.mRunNumber;
   }
   item.mLastEventAt = boot_clock::now();
+  const auto left = EventsLeft(aBatch, item, aRoute);
+  const auto expected =
+    left.mUpper * ExpectedEventTime(aEngine) * UsualEventTime();
+  item.mExpectedEnd =
+    item.mLastEventAt + std::chrono::duration_cast<milliseconds>(expected);
   routing::RecordSent(mHealths[aEngine.mId].mBreaker, item.mLastEventAt);
   ++mRunsByServer[aEngine.mId];
   mDependencies.mLimits.RecordSent(server->second.mServer, item.mLastEventAt);
@@ -104,6 +109,7 @@
     run->mFacts = mDependencies.mProtocol.mReadResponseMetadata(aHead);
     run->mVersion = run->mFacts.mVersion.value_or(0);
     if (const auto* item = Find(ref); item && run->mFacts.mLoad) {
+      RecordSlowdown(item->mServer, *run->mFacts.mLoad);
       RecordLoad(mOtherLoads,
                  item->mServer,
                  *run->mFacts.mLoad,
@@ -129,6 +135,10 @@
     .With("batch", aBatch.mMetadata.mId)
     .With("server", aEngine.mId)
     .With("own_runs", static_cast<std::int64_t>(aEngine.mOwnRuns))
+    .With("relative_time_percent",
+          static_cast<std::int64_t>(100 * aEngine.mRelativeTime))
+    .With("events_left", static_cast<std::int64_t>(left.mMean))
+    .With("expected_ms", static_cast<std::int64_t>(expected.count()))
     .With("after_event", item.mGenerated.mLastEvent.value_or(-1));
   item.mCall = mDependencies.mClients.Start(
     server->second.mServer.mAddress,
@@ -165,9 +175,10 @@
   }
   const auto now = boot_clock::now();
   if (aRun->mHasEvents) {
-    RecordEvent(
-      mHealths[item->mServer],
-      std::chrono::duration_cast<milliseconds>(now - item->mLastEventAt));
+    scheduling::RecordEventTime(mSpeeds[item->mServer],
+                                now - item->mLastEventAt,
+                                mRunsByServer[item->mServer],
+                                now);
   }
   aRun->mHasEvents = true;
   item->mLastEventAt = now;
@@ -212,6 +223,13 @@
     } else {
       LogRunEnd(*item, batch, "completed", aEnd, status);
       RecordRunTime(boot_clock::now() - aRun->mStartedAt);
+      RecordEstimate(*item);
+      if (route) {
+        scheduling::RecordLength(
+          mLengths[batch.mMetadata.mModel],
+          HintedEvents(*item->mItem, *route),
+          static_cast<int>(*item->mGenerated.mLastEvent) + 1);
+      }
       ScoreOrFinishItem(batch, aRef.mIndex);
       Dispatch();
       return;
@@ -246,6 +264,20 @@
   Dispatch();
 }
 
+void
+batch_runner::RecordSlowdown(const std::string& aServer,
+                             const site::server_load& aLoad)
+{
+  if (aLoad.mSlowdown && !scheduling::RecordSlowdown(mSpeeds[aServer],
+                                                     *aLoad.mSlowdown,
+                                                     boot_clock::now())) {
+    events::line("server_slowdown_ignored")
+      .With("server", aServer)
+      .With("percent", static_cast<std::int64_t>(*aLoad.mSlowdown * 100));
+    mDependencies.mMetrics.Count("lavender_server_load_ignored_total", {});
+  }
+}
+
 void
 batch_runner::RecordRunTime(boot_clock::duration aTime)
 {
--- a/Duties/Batches/EngineHealth.cpp
+++ b/Duties/Batches/EngineHealth.cpp
@@ -1,19 +1,9 @@
 #include "Duties/Batches/EngineHealth.h"
 
 #include <algorithm>
-#include <vector>
 
 namespace lavender::batches {
 
-namespace {
-/** Weight of the newest event in the moving average: about the last twenty
- * events count. */
-constexpr double kNewestWeight = 0.05;
-/** Minimum number of events for an estimate of a server's speed. */
-constexpr int kMinimumEvents = 10;
-constexpr double kSlowFactor = 2.0;
-} // namespace
-
 routing::breaker_limits
 RunBreakerLimits()
 {
@@ -25,39 +15,6 @@
   return limits;
 }
 
-void
-RecordEvent(engine_health& aHealth, milliseconds aSinceLast)
-{
-  const auto time = static_cast<double>(aSinceLast.count());
-  const double weight = std::max(kNewestWeight, 1.0 / (aHealth.mEvents + 1));
-  aHealth.mEventMilliseconds += weight * (time - aHealth.mEventMilliseconds);
-  ++aHealth.mEvents;
-}
-
-double
-MedianEventTime(const engine_healths& aHealths)
-{
-  std::vector<double> times;
-  for (const auto& [id, health] : aHealths) {
-    if (health.mEvents >= kMinimumEvents) {
-      times.push_back(health.mEventMilliseconds);
-    }
-  }
-  if (times.empty()) {
-    return 0;
-  }
-  const auto middle = times.begin() + static_cast<long>((times.size() - 1) / 2);
-  std::nth_element(times.begin(), middle, times.end());
-  return *middle;
-}
-
-bool
-IsSlow(const engine_health& aHealth, double aMedian)
-{
-  return aMedian > 0 && aHealth.mEvents >= kMinimumEvents &&
-         aHealth.mEventMilliseconds > kSlowFactor * aMedian;
-}
-
 bool
 IsUsable(const engine_healths& aHealths,
          const std::string& aServer,
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -30,7 +30,8 @@
                                    { "headers", std::move(headers) },
                                    { "body", aItem.mBodyBase64 },
                                    { "group", aItem.mGroup },
-                                   { "expected", aItem.mExpectedTokens } };
+                                   { "expected", aItem.mExpectedTokens },
+                                   { "prompt", aItem.mPromptTokens } };
   if (const auto& reward = aItem.mReward) {
     item.Set("reward",
              json::object{ { "id", reward->mId },
@@ -55,6 +56,7 @@
   item.mBodyBase64 = json::StringAt(aValue, "body", "");
   item.mGroup = json::StringAt(aValue, "group", "");
   item.mExpectedTokens = json::IntegerAt(aValue, "expected", 0);
+  item.mPromptTokens = json::IntegerAt(aValue, "prompt", 0);
   if (const auto* reward = aValue.Find("reward")) {
     item.mReward = rewards::reward_call{ json::StringAt(*reward, "id", ""),
                                          json::StringAt(*reward, "host", ""),
--- /dev/null
+++ b/Duties/Batches/RunMoves.cpp
@@ -0,0 +1,92 @@
+#include "Duties/Batches/RunMoves.h"
+
+#include <algorithm>
+#include <numeric>
+
+namespace lavender::batches {
+
+namespace {
+
+/** Maximum number of runs moved at once, and of moves per item. Each move makes
+ * the new server process the item's tokens again, and a trainer's item is worth
+ * no endless tries. */
+constexpr std::size_t kMaximumMovesAtOnce = 8;
+constexpr int kMaximumMovesPerItem = 3;
+/** Processing the tokens again and opening a connection take some tens of ms;
+ * a move must clearly save more. */
+constexpr scheduling::event_time kMinimumGain{ 300 };
+/** Servers whose speeds differ by less are alike: measured speeds are off by
+ * about as much. */
+constexpr double kClearlyFaster = 1.2;
+
+bool
+HasRoom(const engine_view& aEngine, time_point aNow)
+{
+  return aEngine.mOwnRuns + aEngine.mOtherRuns < aEngine.mSlots &&
+         aEngine.mRunsLeft > 0 && aNow >= aEngine.mBlockedUntil;
+}
+
+} // namespace
+
+bool
+HasFasterServer(const std::vector<engine_view>& aEngines, time_point aNow)
+{
+  double fastest = std::numeric_limits<double>::max();
+  double slowest = 0;
+  for (const auto& engine : aEngines) {
+    if (HasRoom(engine, aNow)) {
+      fastest = std::min(fastest, ExpectedEventTime(engine));
+    }
+    if (engine.mOwnRuns > 0) {
+      slowest = std::max(slowest, ExpectedEventTime(engine));
+    }
+  }
+  return slowest > kClearlyFaster * fastest;
+}
+
+std::vector<run_move>
+ChooseMoves(std::vector<engine_view>& aEngines,
+            const std::vector<movable_run>& aRuns,
+            scheduling::event_time aMedian,
+            double aMinimumEvents,
+            time_point aNow)
+{
+  const auto timeLeft = [&](const movable_run& aRun) {
+    return aRun.mLeft.mMean * ExpectedEventTime(aEngines[aRun.mServer]);
+  };
+  std::vector<std::size_t> order(aRuns.size());
+  std::iota(order.begin(), order.end(), std::size_t(0));
+  std::stable_sort(order.begin(), order.end(), [&](auto aLeft, auto aRight) {
+    return timeLeft(aRuns[aLeft]) > timeLeft(aRuns[aRight]);
+  });
+  std::vector<run_move> moves;
+  for (const auto index : order) {
+    const auto& run = aRuns[index];
+    auto& from = aEngines[run.mServer];
+    if (moves.size() >= kMaximumMovesAtOnce) {
+      break;
+    }
+    if (run.mMoves >= kMaximumMovesPerItem ||
+        run.mLeft.mMean < aMinimumEvents) {
+      continue;
+    }
+    const auto to = ChooseEngine(aEngines, run.mNeed, {}, aNow);
+    if (!to || *to == run.mServer) {
+      continue;
+    }
+    const double here = ExpectedEventTime(from);
+    const double there = ExpectedEventTime(aEngines[*to]);
+    const auto gain = run.mLeft.mMean * (here - there) * aMedian;
+    if (here < kClearlyFaster * there || gain < kMinimumGain) {
+      continue;
+    }
+    --from.mOwnRuns;
+    ++aEngines[*to].mOwnRuns;
+    --aEngines[*to].mRunsLeft;
+    aEngines[*to].mRunMemory.push_back(run.mNeed.mMemory);
+    moves.push_back({ index, *to, gain });
+  }
+  return moves;
+}
+
+} // namespace lavender::batches
--- a/Duties/Batches/Schedule.cpp
+++ b/Duties/Batches/Schedule.cpp
@@ -14,6 +14,8 @@
  * takes about 2 ms, and one more run slows the others on a server by a
  * thirtieth, so only a small difference in load is worth it. */
 constexpr int kAffinitySlack = 2;
+/** Share by which one more run on a server slows the others. */
+constexpr double kSlowdownPerRun = 1.0 / 30;
 
 int
 Runs(const engine_view& aEngine)
@@ -21,11 +23,15 @@
   return aEngine.mOwnRuns + aEngine.mOtherRuns;
 }
 
-/** Servers of the same rank differ only in load; lower ranks are better. */
+/** Servers of the same rank differ only in speed and load; lower ranks are
+ * better. */
 int
-Rank(const engine_view& aEngine)
+Rank(const engine_view& aEngine, const item_requirements& aNeed)
 {
-  return (aEngine.mIsWarming ? 2 : 0) + (aEngine.mIsSlow ? 1 : 0);
+  const bool fits = !IsOn(mechanism::MemoryFit) ||
+                    scheduling::FitsInMemory(
+                      aEngine.mRunMemory, aNeed.mMemory, aEngine.mMemoryTokens);
+  return (aEngine.mIsWarming ? 2 : 0) + (fits ? 0 : 1);
 }
 
 bool
@@ -47,6 +53,12 @@
 
 } // namespace
 
+double
+ExpectedEventTime(const engine_view& aEngine)
+{
+  return aEngine.mRelativeTime * (1 + kSlowdownPerRun * Runs(aEngine));
+}
+
 void
 ExpireAffinities(group_affinities& aAffinities, time_point aNow)
 {
@@ -63,10 +75,8 @@
              const group_affinities& aAffinities,
              time_point aNow)
 {
-  const auto isBetter = [&](const engine_view& aLeft,
-                            const engine_view& aRight) {
-    return std::pair(Rank(aLeft), Runs(aLeft)) <
-           std::pair(Rank(aRight), Runs(aRight));
+  const auto key = [&](const engine_view& aEngine) {
+    return std::pair(Rank(aEngine, aNeed), ExpectedEventTime(aEngine));
   };
   std::optional<std::size_t> best;
   std::optional<std::size_t> preferred;
@@ -85,13 +95,16 @@
         affinity->second.mServer == engine.mId) {
       preferred = i;
     }
-    if (!best || isBetter(engine, aEngines[*best])) {
+    if (!best || key(engine) < key(aEngines[*best])) {
       best = i;
     }
   }
   if (preferred && IsOn(mechanism::GroupHomes) &&
-      Rank(aEngines[*preferred]) == Rank(aEngines[*best]) &&
-      Runs(aEngines[*preferred]) <= Runs(aEngines[*best]) + kAffinitySlack) {
+      Rank(aEngines[*preferred], aNeed) == Rank(aEngines[*best], aNeed) &&
+      ExpectedEventTime(aEngines[*preferred]) <
+        ExpectedEventTime(aEngines[*best]) + (kAffinitySlack + 0.5) *
+                                               kSlowdownPerRun *
+                                               aEngines[*best].mRelativeTime) {
     return preferred;
   }
   return best ? best : avoided;
--- a/Duties/Batches/Schedule.h
+++ b/Duties/Batches/Schedule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/Scheduling/MemoryFit.h"
 #include "Libraries/Core/Clock.h"
 
 #include <cstdint>
@@ -32,8 +33,13 @@
   /** The server gets no new run before this time, because it rejected or failed
    * one. */
   time_point mBlockedUntil;
-  /** True if the server is much slower than the others; chosen last. */
-  bool mIsSlow = false;
+  /** Expected time of an event of a run, relative to the median server; 1 if
+   * the server's speed isn't known. */
+  double mRelativeTime = 1;
+  /** Memory for runs, in tokens; 0 if unknown. */
+  std::int64_t mMemoryTokens = 0;
+  /** Memory of the runs of this entry on the server. */
+  std::vector<scheduling::run_memory> mRunMemory;
 };
 
 /** What an item requires of a server. */
@@ -49,6 +55,7 @@
   /** Whether the item may be processed in an availability zone; null if in all.
    */
   std::function<bool(const std::string& aZone)> mIsZoneAllowed;
+  scheduling::run_memory mMemory;
 };
 
 /** Maximum difference between the wall clocks of the entry that accepted a
@@ -109,8 +116,14 @@
 void
 ExpireAffinities(group_affinities& aAffinities, time_point aNow);
 
-/** Chooses the least loaded server that may run the item, or the server of the
- * item's group if that has at most a few more runs. None if all servers are
+/** Time that an event of one more run is expected to take, relative to an idle
+ * server of median speed. */
+double
+ExpectedEventTime(const engine_view& aEngine);
+
+/** Chooses the server on which the run is expected to end first, or the server
+ * of the item's group if that is about as good. Servers whose memory the run
+ * would exhaust are chosen only if no other has room. None if all servers are
  * full. */
 std::optional<std::size_t>
 ChooseEngine(const std::vector<engine_view>& aEngines,
--- a/Duties/Scheduling/MemoryFit.cpp
+++ b/Duties/Scheduling/MemoryFit.cpp
@@ -28,6 +28,13 @@
   if (aCapacity <= 0) {
     return true;
   }
+  std::int64_t atEnd = aNext.mAtEnd;
+  for (const auto& run : aRuns) {
+    atEnd += run.mAtEnd;
+  }
+  if (atEnd <= aCapacity) {
+    return true;
+  }
   auto runs = aRuns;
   runs.push_back(aNext);
   // The sum is largest at the moment before some run ends.
--- a/Duties/Scheduling/ServerSpeed.cpp
+++ b/Duties/Scheduling/ServerSpeed.cpp
@@ -18,7 +18,7 @@
 /** Bounds of a slowdown that a server can mean. */
 constexpr double kMinimumSlowdown = 0.1;
 constexpr double kMaximumSlowdown = 100;
-/** Speeds within this ratio of the median aren't worth telling. */
+/** Speeds within this ratio of the median count as equal. */
 constexpr double kClearDifference = 1.15;
 
 } // namespace
@@ -77,6 +77,16 @@
   return *middle;
 }
 
+double
+RelativeTime(std::optional<event_time> aEventTime, event_time aMedian)
+{
+  if (!aEventTime || aMedian <= event_time(0)) {
+    return 1;
+  }
+  const double ratio = *aEventTime / aMedian;
+  return std::max(ratio, 1 / ratio) > kClearDifference ? ratio : 1;
+}
+
 std::vector<told_speed>
 SpeedsToTell(const server_speeds& aSpeeds)
 {
@@ -84,8 +94,7 @@
   const auto median = MedianEventTime(aSpeeds);
   for (const auto& [id, speed] : aSpeeds) {
     const auto time = ExpectedEventTime(speed);
-    if (time && speed.mEvents > 0 &&
-        std::max(*time / *median, *median / *time) > kClearDifference) {
+    if (time && speed.mEvents > 0 && RelativeTime(time, *median) != 1) {
       told.push_back({ id, *time });
     }
   }
--- a/Duties/Scheduling/ServerSpeed.h
+++ b/Duties/Scheduling/ServerSpeed.h
@@ -57,6 +57,11 @@
 std::optional<event_time>
 MedianEventTime(const server_speeds& aSpeeds);
 
+/** Time of an event relative to the median server; 1 if the speed isn't known
+ * or about the median: measured speeds of equal servers differ a little. */
+double
+RelativeTime(std::optional<event_time> aEventTime, event_time aMedian);
+
 /** A server's speed as one entry tells it to the others with the metadata of a
  * batch. */
 struct told_speed
--- a/Duties/Site/ServerProtocol.h
+++ b/Duties/Site/ServerProtocol.h
@@ -40,7 +40,7 @@
   int mSlots = 0;
   /** Factor by which work takes longer than usual on the server's machine at
    * the moment; none if the server doesn't tell it. */
-  std::optional<double> mSlowdown;
+  std::optional<double> mSlowdown = std::nullopt;
 };
 
 /** Metadata in the header fields of a server's response. */
--- a/Libraries/Core/Mechanisms.cpp
+++ b/Libraries/Core/Mechanisms.cpp
@@ -25,6 +25,8 @@
     { "version-spread", mechanism::VersionSpread },
     { "other-load", mechanism::OtherLoad },
     { "group-order", mechanism::GroupOrder },
+    { "server-speeds", mechanism::ServerSpeeds },
+    { "memory-fit", mechanism::MemoryFit },
   };
   return names;
 }
--- a/Libraries/Core/Mechanisms.h
+++ b/Libraries/Core/Mechanisms.h
@@ -40,7 +40,11 @@
   /** Runs of other entries on a server count as its load. */
   OtherLoad,
   /** Groups that can be finished in time run before the others. */
-  GroupOrder
+  GroupOrder,
+  /** The measured speeds of servers decide which runs they get. */
+  ServerSpeeds,
+  /** Runs that together would outgrow a server's memory are kept apart. */
+  MemoryFit
 };
 
 /** False once an experiment has switched it off. */
--- a/Tests/Site/TestDecisions.cpp
+++ b/Tests/Site/TestDecisions.cpp
@@ -146,7 +146,7 @@
       engine.mSlots = *rc::gen::inRange(1, 4);
       engine.mOwnRuns = *rc::gen::inRange(0, 5);
       engine.mVersions["m"] = *rc::gen::inRange(1, 4);
-      engine.mIsSlow = *rc::gen::arbitrary<bool>();
+      engine.mRelativeTime = *rc::gen::element(1.0, 2.0);
       engine.mBlockedUntil = now + milliseconds(*rc::gen::inRange(-5, 5));
       engines.push_back(engine);
     }
@@ -173,7 +173,7 @@
     for (const auto& other : engines) {
       if (mayRun(other) && other.mId != "s0") {
         RC_ASSERT(engines[*chosen].mId != "s0");
-        RC_ASSERT(!engines[*chosen].mIsSlow || other.mIsSlow);
+        RC_ASSERT(engines[*chosen].mRelativeTime <= other.mRelativeTime);
       }
     }
   }));
