Scheduling: tests of speed, length and memory, and what they found

A machine that was slow for 600 ms made a server look 1.5 to 1.7 times slower; a server that turned 3.5 times slower showed as 2.6 after two seconds, and not at all if it told its slowdown all the time. The event time is now the median over intervals of the averaging time, weighted by what they cover; a told slowdown is taken out only while it is shorter than that time. Times and told speeds that no server can mean, ignored only in part, are ignored.

A run that had outgrown its hint by far was expected to end after one event, an item without a hint to have one event in all, and of runs longer than most only seven in ten ended within the upper estimate. Deviations from the expected length are now kept by class, the assumptions fade as items end, and an item without a hint counts like one with the mean hint.

A run whose end isn't known (no number), or that has outgrown its expected size, was left out of a server's memory, and an item larger than the memory never fitted anywhere; alone on a server it now fits.

--- a/Duties/Scheduling/MemoryFit.cpp
+++ b/Duties/Scheduling/MemoryFit.cpp
@@ -1,20 +1,37 @@
 #include "Duties/Scheduling/MemoryFit.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <limits>
 
 namespace lavender::scheduling {
 
 namespace {
 
+/** The run with figures that can be added up: it never shrinks, and one whose
+ * end isn't known takes all its memory at once and stays. */
+run_memory
+MakePossible(run_memory aRun)
+{
+  aRun.mNow = std::max<std::int64_t>(aRun.mNow, 0);
+  aRun.mAtEnd = std::max(aRun.mAtEnd, aRun.mNow);
+  if (!std::isfinite(aRun.mEventsLeft)) {
+    aRun.mNow = aRun.mAtEnd;
+    aRun.mEventsLeft = std::numeric_limits<double>::infinity();
+  }
+  return aRun;
+}
+
 /** Tokens that the run occupies after a number of events, counted from now. */
 double
 MemoryAfter(const run_memory& aRun, double aEvents)
 {
-  if (aRun.mEventsLeft <= 0) {
+  if (aEvents >= aRun.mEventsLeft) {
     return static_cast<double>(aRun.mAtEnd);
   }
   const double grown = static_cast<double>(aRun.mAtEnd - aRun.mNow) *
-                       std::min(1.0, aEvents / aRun.mEventsLeft);
+                       std::max(0.0, aEvents / aRun.mEventsLeft);
   return static_cast<double>(aRun.mNow) + grown;
 }
 
@@ -25,11 +42,13 @@
              const run_memory& aNext,
              std::int64_t aCapacity)
 {
-  if (aCapacity <= 0) {
+  if (aCapacity <= 0 || aRuns.empty()) {
     return true;
   }
-  auto runs = aRuns;
-  runs.push_back(aNext);
+  std::vector<run_memory> runs;
+  std::transform(
+    aRuns.begin(), aRuns.end(), std::back_inserter(runs), MakePossible);
+  runs.push_back(MakePossible(aNext));
   // The sum is largest at the moment before some run ends.
   return std::all_of(runs.begin(), runs.end(), [&](const auto& aEnding) {
     double used = 0;
--- a/Duties/Scheduling/MemoryFit.h
+++ b/Duties/Scheduling/MemoryFit.h
@@ -20,7 +20,8 @@
 };
 
 /** Whether the runs together stay within the memory until they have ended. Runs
- * that end earlier free their memory for those that go on.
+ * that end earlier free their memory for those that go on. On an empty server
+ * every run fits; otherwise one that is larger than the memory never started.
  * @param aCapacity 0 if unknown; then everything fits */
 bool
 FitsInMemory(const std::vector<run_memory>& aRuns,
--- a/Duties/Scheduling/RunLength.h
+++ b/Duties/Scheduling/RunLength.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <map>
 #include <string>
 
@@ -8,6 +10,11 @@
  * far. No I/O. */
 namespace lavender::scheduling {
 
+/** Number of classes of kDeviationStep by which lengths deviate from the
+ * expected ones, as logarithms; the expected length is in the middle. */
+constexpr std::size_t kDeviationClasses = 80;
+constexpr double kDeviationStep = 0.1;
+
 /** Running statistics of finished items: how their true lengths relate to their
  * hints. Lengths are compared as logarithms, because hints are off by factors.
  */
@@ -17,8 +24,10 @@
   double mHintMean = 0;
   double mLengthMean = 0;
   double mHintVariance = 0;
-  double mLengthVariance = 0;
   double mCovariance = 0;
+  /** Share of the items in each class. Kept by class, because a few items may
+   * be several times as long as all others. */
+  std::array<double, kDeviationClasses> mDeviations{};
 };
 
 /** By model. */
@@ -33,7 +42,7 @@
 };
 
 /** @param aHintedEvents length to expect by the caller's hint; zero or less if
- * there is none
+ * there is none; such an item counts like one with the mean hint
  * @param aEvents events that the item had in the end */
 void
 RecordLength(length_statistics& aStatistics, double aHintedEvents, int aEvents);
--- a/Duties/Scheduling/ServerSpeed.cpp
+++ b/Duties/Scheduling/ServerSpeed.cpp
@@ -1,16 +1,19 @@
 #include "Duties/Scheduling/ServerSpeed.h"
 
 #include <algorithm>
-#include <cmath>
+#include <limits>
 
 namespace lavender::scheduling {
 
 namespace {
 
-/** Time over which a server's events are averaged: longer than a machine is
- * slow because of others, and short enough to notice a server that has become
- * slow while a step is due. */
+/** Time over which a server's events are averaged. A machine that others use
+ * is slow for less than half of it; a server that has become slow is noticed
+ * after half of it, while a step is due. */
 constexpr event_time kAveragingTime{ 2000 };
+/** Long enough for several events, so that events that arrive together with the
+ * next ones don't count as fast. */
+constexpr event_time kIntervalTime{ 100 };
 /** Minimum number of events for an estimate of a server's speed. */
 constexpr int kMinimumEvents = 10;
 /** For how long a told slowdown describes the server's machine. */
@@ -18,9 +21,70 @@
 /** Bounds of a slowdown that a server can mean. */
 constexpr double kMinimumSlowdown = 0.1;
 constexpr double kMaximumSlowdown = 100;
+/** Longest time between two events that a server can mean; a run that takes
+ * longer is waiting. */
+constexpr event_time kMaximumEventTime{ 60000 };
 /** Speeds within this ratio of the median aren't worth telling. */
 constexpr double kClearDifference = 1.15;
 
+/** Also false if the time is no number. */
+bool
+IsPossible(event_time aTime)
+{
+  return aTime > event_time(0) && aTime <= kMaximumEventTime;
+}
+
+bool
+IsSlowdown(double aSlowdown)
+{
+  return std::max(aSlowdown, 1 / aSlowdown) > kClearDifference;
+}
+
+bool
+IsFresh(const server_speed& aSpeed, time_point aNow)
+{
+  return aNow - aSpeed.mSlowdownSeenAt <= kSlowdownLifetime;
+}
+
+/** Factor by which the machine's events take longer for the moment. */
+double
+MomentarySlowdown(const server_speed& aSpeed, time_point aNow)
+{
+  const bool isMoment = aNow - aSpeed.mSlowSince <= kAveragingTime;
+  return IsFresh(aSpeed, aNow) && isMoment ? aSpeed.mSlowdown : 1.0;
+}
+
+void
+RemoveOldIntervals(std::vector<speed_interval>& aIntervals)
+{
+  event_time covered{ 0 };
+  auto first = aIntervals.end();
+  while (first != aIntervals.begin() && covered < kAveragingTime) {
+    covered += (--first)->mCovered;
+  }
+  aIntervals.erase(aIntervals.begin(), first);
+}
+
+/** Median of the intervals' mean event times, weighted by the time they cover.
+ */
+event_time
+MedianOf(const std::vector<speed_interval>& aIntervals)
+{
+  std::vector<std::pair<event_time, event_time>> means;
+  event_time covered{ 0 };
+  for (const auto& interval : aIntervals) {
+    means.emplace_back(interval.mUsualSum / interval.mEvents,
+                       interval.mCovered);
+    covered += interval.mCovered;
+  }
+  std::sort(means.begin(), means.end());
+  auto median = means.begin();
+  for (event_time below = median->second; below < covered / 2;) {
+    below += (++median)->second;
+  }
+  return median->first;
+}
+
 } // namespace
 
 void
@@ -29,14 +93,22 @@
                 int aParallelRuns,
                 time_point aNow)
 {
-  const bool isSlowdownFresh =
-    aNow - aSpeed.mSlowdownSeenAt <= kSlowdownLifetime;
-  const auto usual = aSinceLast / (isSlowdownFresh ? aSpeed.mSlowdown : 1.0);
-  const double weight =
-    1 - std::exp(-aSinceLast / (kAveragingTime * std::max(aParallelRuns, 1)));
-  const double share = std::max(weight, 1.0 / (aSpeed.mEvents + 1));
-  aSpeed.mEventTime += share * (usual - aSpeed.mEventTime);
-  ++aSpeed.mEvents;
+  if (!IsPossible(aSinceLast)) {
+    return;
+  }
+  auto& intervals = aSpeed.mIntervals;
+  if (intervals.empty() || intervals.back().mCovered >= kIntervalTime) {
+    RemoveOldIntervals(intervals);
+    intervals.emplace_back();
+  }
+  auto& interval = intervals.back();
+  interval.mCovered += aSinceLast / std::max(aParallelRuns, 1);
+  interval.mUsualSum += aSinceLast / MomentarySlowdown(aSpeed, aNow);
+  ++interval.mEvents;
+  aSpeed.mEvents += aSpeed.mEvents < std::numeric_limits<int>::max() ? 1 : 0;
+  if (aSpeed.mEvents >= kMinimumEvents) {
+    aSpeed.mEventTime = MedianOf(intervals);
+  }
 }
 
 bool
@@ -46,6 +118,10 @@
   if (!(aSlowdown >= kMinimumSlowdown && aSlowdown <= kMaximumSlowdown)) {
     return false;
   }
+  const bool goesOn = IsFresh(aSpeed, aNow) && IsSlowdown(aSpeed.mSlowdown);
+  if (!goesOn) {
+    aSpeed.mSlowSince = aNow;
+  }
   aSpeed.mSlowdown = aSlowdown;
   aSpeed.mSlowdownSeenAt = aNow;
   return true;
@@ -54,10 +130,8 @@
 std::optional<event_time>
 ExpectedEventTime(const server_speed& aSpeed)
 {
-  const bool isKnown =
-    aSpeed.mEventTime > event_time(0) &&
-    (aSpeed.mEvents == 0 || aSpeed.mEvents >= kMinimumEvents);
-  return isKnown ? std::optional(aSpeed.mEventTime) : std::nullopt;
+  return aSpeed.mEventTime > event_time(0) ? std::optional(aSpeed.mEventTime)
+                                           : std::nullopt;
 }
 
 std::optional<event_time>
@@ -84,7 +158,7 @@
   const auto median = MedianEventTime(aSpeeds);
   for (const auto& [id, speed] : aSpeeds) {
     const auto time = ExpectedEventTime(speed);
-    if (time && speed.mEvents > 0 &&
+    if (time && speed.mEvents >= kMinimumEvents &&
         std::max(*time / *median, *median / *time) > kClearDifference) {
       told.push_back({ id, *time });
     }
@@ -98,8 +172,11 @@
                 time_point)
 {
   for (const auto& told : aTold) {
+    if (!IsPossible(told.mEventTime) || told.mServer.empty()) {
+      continue;
+    }
     auto& speed = aSpeeds[told.mServer];
-    if (speed.mEvents == 0 && told.mEventTime > event_time(0)) {
+    if (speed.mEvents < kMinimumEvents) {
       speed.mEventTime = told.mEventTime;
     }
   }
--- a/Duties/Scheduling/ServerSpeed.h
+++ b/Duties/Scheduling/ServerSpeed.h
@@ -15,25 +15,45 @@
 /** Time between two events of a run. */
 using event_time = std::chrono::duration<double, std::milli>;
 
+/** Events of a part of the averaging time. */
+struct speed_interval
+{
+  /** Time that the events cover, with parallel runs counted once. */
+  event_time mCovered{ 0 };
+  /** Sum of the times between events at the machine's usual speed. */
+  event_time mUsualSum{ 0 };
+  int mEvents = 0;
+};
+
 struct server_speed
 {
-  /** Moving average of the time between two events at the usual speed of the
-   * server's machine; zero while unknown. */
+  /** Time between two events at the usual speed of the server's machine; zero
+   * while unknown. Told by another entry while mEvents is too small for an
+   * estimate of its own. */
   event_time mEventTime{ 0 };
-  /** Number of events that the average rests on; zero if another entry told the
-   * figure. */
+  /** Number of events that this entry has measured. */
   int mEvents = 0;
   /** Factor by which work took longer than usual on the server's machine when
    * the server last told it. */
   double mSlowdown = 1;
   time_point mSlowdownSeenAt;
+  /** Since when the server has told a slowdown without a pause. */
+  time_point mSlowSince;
+  /** Newest last; the last one still grows. */
+  std::vector<speed_interval> mIntervals;
 };
 
 /** By server id. A server that starts again under its old id is forgotten by
  * the owner of the map. */
 using server_speeds = std::map<std::string, server_speed>;
 
-/** @param aParallelRuns runs of this entry on the server, whose events all
+/** Applies a measured time. Times that no server can mean are ignored.
+ *
+ * The estimate is the median over short intervals of the averaging time, which
+ * a machine that is slow for less than half of that time doesn't change. A
+ * slowdown that the server tells is taken out, too, unless it has lasted for
+ * the whole averaging time: then it is the server's speed.
+ * @param aParallelRuns runs of this entry on the server, whose events all
  * count, so that the average covers the same time whatever their number is */
 void
 RecordEventTime(server_speed& aSpeed,
@@ -70,7 +90,8 @@
 std::vector<told_speed>
 SpeedsToTell(const server_speeds& aSpeeds);
 
-/** Applies what another entry tells. Own measurements are kept. */
+/** Applies what another entry tells. Own measurements are kept, and figures
+ * that no server can mean are ignored. */
 void
 ApplyToldSpeeds(server_speeds& aSpeeds,
                 const std::vector<told_speed>& aTold,
