--- a/Duties/Site/SiteConfiguration.h
+++ b/Duties/Site/SiteConfiguration.h
@@ -69,11 +69,11 @@
 struct engine_pool
 {
   int mSlots = 1;
+  std::vector<std::string> mModels;
   /** Memory of a server, in tokens of its runs; 0 if unknown. */
   std::int64_t mMemoryTokens = 0;
   /** Tokens that one event of a run holds; 0 if unknown. */
   std::int64_t mTokensPerEvent = 0;
-  std::vector<std::string> mModels;
 };
 
 struct server_pool
--- a/Tests/Site/TestDecisions.cpp
+++ b/Tests/Site/TestDecisions.cpp
@@ -59,6 +59,14 @@
   return server;
 }
 
+std::optional<site::server_load>
+ReadLoad(const std::string& aText)
+{
+  edge::response response;
+  response.mHeaders.Set("X-Server-Load", aText);
+  return platform::MakeExchangeProtocol().mReadResponseMetadata(response).mLoad;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(TestDecisions)
@@ -325,4 +333,44 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ServersThatTellThreeOrFourFiguresAreBothRead)
+{
+  for (const auto* text : { "5,2,8", "5,2,8,350" }) {
+    const auto load = ReadLoad(text);
+    BOOST_REQUIRE(load);
+    BOOST_TEST(load->mRunning == 5);
+    BOOST_TEST(load->mWaiting == 2);
+    BOOST_TEST(load->mSlots == 8);
+  }
+  BOOST_TEST(!ReadLoad("5,2,8")->mSlowdown);
+  BOOST_TEST(ReadLoad("5,2,8,350")->mSlowdown.value() == 3.5);
+  BOOST_TEST(ReadLoad("5,2,8,100,7")->mSlowdown.value() == 1.0);
+}
+
+// Guards against a server's load being lost with a figure that is garbled.
+BOOST_AUTO_TEST_CASE(AFourthFigureThatIsNoNumberIsIgnored)
+{
+  for (const auto* text : { "5,2,8,", "5,2,8,slow", "5,2,8,1e9", "5,2,8,,3" }) {
+    const auto load = ReadLoad(text);
+    BOOST_REQUIRE(load);
+    BOOST_TEST(load->mRunning == 5);
+    BOOST_TEST(load->mSlots == 8);
+    BOOST_TEST(!load->mSlowdown);
+  }
+}
+
+// Guards against figures that wrap into a small load.
+BOOST_AUTO_TEST_CASE(ALoadThatIsNoLoadIsNotRead)
+{
+  for (const auto* text : { "",
+                            "5",
+                            "5,2",
+                            "5,,8",
+                            "a,2,8",
+                            "4294967297,2,8",
+                            "5,2,-4294967288" }) {
+    BOOST_TEST(!ReadLoad(text));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
