Site: one view of the servers' load

Runs of batches kept one view of a server's load and the router another, so a caller's request went to a server that this entry's runs had just found full, and neither knew of a machine that is slow for the moment. server_loads records the load of every response, whoever sent the request; the batch runner, the router and with it the reward calls read it. The router counts a slowdown as lower speed while it is fresh. A server that starts again under its old id is taken for empty.

Tests/Site only constructs the new collaborator.

--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -79,9 +79,9 @@
     if (const auto runs = mRunsByServer.find(id); runs != mRunsByServer.end()) {
       engine.mOwnRuns = runs->second;
     }
-    if (const auto* load = FindLoad(mOtherLoads, id, now);
+    if (const auto* load = mDependencies.mLoads.Find(id, now);
         load && IsOn(mechanism::OtherLoad)) {
-      engine.mOtherRuns = load->mRequests;
+      engine.mOtherRuns = load->mOtherRequests;
     }
     if (const auto probe = mProbes.find(id); probe != mProbes.end()) {
       engine.mRunsLeft = probe->second == 0 ? std::min(engine.mRunsLeft, 1) : 0;
--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -70,7 +70,6 @@
   forget(mProbes, always);
   forget(mSeenVersions, always);
   forget(mHealths, always);
-  forget(mOtherLoads, always);
 }
 
 milliseconds
@@ -86,6 +85,13 @@
          AgeOf(running.mMetadata);
 }
 
+int
+batch_runner::RunsOn(const std::string& aServer) const
+{
+  const auto runs = mRunsByServer.find(aServer);
+  return runs == mRunsByServer.end() ? 0 : runs->second;
+}
+
 std::size_t
 batch_runner::KnownServers() const
 {
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -6,10 +6,10 @@
 #include "Duties/Batches/GroupOrder.h"
 #include "Duties/Batches/GroupProgress.h"
 #include "Duties/Batches/MadeText.h"
-#include "Duties/Batches/OtherLoad.h"
 #include "Duties/Batches/Schedule.h"
 #include "Duties/Rewards/RewardCaller.h"
 #include "Duties/Site/SendLimits.h"
+#include "Duties/Site/ServerLoads.h"
 #include "Duties/Site/ServerProtocol.h"
 #include "Duties/Site/SiteConfiguration.h"
 #include "Libraries/Edge/Caller.h"
@@ -80,6 +80,7 @@
   const site::server_directory& mDirectory;
   const site::configuration_ptr& mConfiguration;
   site::send_limits& mLimits;
+  site::server_loads& mLoads;
   metrics::registry& mMetrics;
   rewards::reward_client& mRewards;
   std::function<void(const std::string& aBatchId, item_result)> mOnResult;
@@ -124,6 +125,8 @@
   /** Schedules a dispatch of waiting items. Called when servers or the
    * configuration have changed. */
   void Dispatch();
+  /** Number of this entry's runs on a server. */
+  int RunsOn(const std::string& aServer) const;
   /** Number of servers for which the runner holds state. */
   std::size_t KnownServers() const;
 
@@ -202,7 +205,6 @@
    * versions in the server directory. */
   std::map<std::string, std::map<std::string, std::int64_t>> mSeenVersions;
   engine_healths mHealths;
-  other_loads mOtherLoads;
   /** Moving average of the time that a completed run took; 0 before the first.
    */
   double mRunSeconds = 0;
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -104,11 +104,8 @@
     run->mFacts = mDependencies.mProtocol.mReadResponseMetadata(aHead);
     run->mVersion = run->mFacts.mVersion.value_or(0);
     if (const auto* item = Find(ref); item && run->mFacts.mLoad) {
-      RecordLoad(mOtherLoads,
-                 item->mServer,
-                 *run->mFacts.mLoad,
-                 mRunsByServer[item->mServer],
-                 boot_clock::now());
+      mDependencies.mLoads.Record(
+        item->mServer, *run->mFacts.mLoad, boot_clock::now());
     }
   };
   events.mOnBody = [this, ref, run](std::string_view aChunk) {
--- a/Duties/Forwarding/PoolRouter.cpp
+++ b/Duties/Forwarding/PoolRouter.cpp
@@ -41,11 +41,16 @@
 
 pool_router::pool_router(const site::server_directory& aDirectory,
                          site::send_limits& aLimits,
+                         site::server_loads& aLoads,
                          std::string aAvailabilityZone)
   : mDirectory(aDirectory)
   , mLimits(aLimits)
+  , mLoads(aLoads)
   , mAvailabilityZone(std::move(aAvailabilityZone))
 {
+  mLoads.SetHandler([this](const auto& aServer, const auto& aLoad) {
+    ApplyLoad(aServer, aLoad);
+  });
 }
 
 void
@@ -68,7 +73,8 @@
     const auto known = table.mIndex.find(id);
     if (!site::AcceptsWork(mDirectory, server) ||
         (known != table.mIndex.end() &&
-         table.mRows[known->second].mReport.mAcceptsRequests)) {
+         table.mRows[known->second].mReport.mAcceptsRequests &&
+         table.mRows[known->second].mReport.mStartedAt == server.mStartedAt)) {
       continue;
     }
     routing::server_report report;
@@ -76,10 +82,12 @@
     report.mAvailabilityZone = server.mAvailabilityZone;
     report.mSlots = server.mSlots;
     report.mAcceptsRequests = true;
+    report.mStartedAt = server.mStartedAt;
     report.mGeneratedAt = aNow;
     routing::ApplyReport(table, report, aNow);
   }
   mLimits.RemoveStaleState();
+  mLoads.RemoveStaleState();
 }
 
 std::vector<std::string>
@@ -187,10 +195,22 @@
                         const site::server_load& aLoad,
                         time_point aNow)
 {
-  routing::ApplyRequestCount(mTables[aSelected.mPool],
-                             aSelected.mServer.mId,
-                             aLoad.mRunning + aLoad.mWaiting,
-                             aNow);
+  mLoads.Record(aSelected.mServer.mId, aLoad, aNow);
+}
+
+void
+pool_router::ApplyLoad(const std::string& aServer, const site::told_load& aLoad)
+{
+  const auto row = mDirectory.mRows.find(aServer);
+  if (row == mDirectory.mRows.end()) {
+    return;
+  }
+  auto& table = mTables[row->second.mServer.mPool];
+  routing::ApplyRequestCount(table, aServer, aLoad.mRequests, aLoad.mSeenAt);
+  routing::ApplySlowdown(table,
+                         aServer,
+                         aLoad.mSlowdown,
+                         aLoad.mSlowdownSeenAt + site::kSlowdownLifetime);
 }
 
 int
--- a/Duties/Forwarding/PoolRouter.h
+++ b/Duties/Forwarding/PoolRouter.h
@@ -2,6 +2,7 @@
 
 #include "Duties/Routing/PoolTable.h"
 #include "Duties/Site/SendLimits.h"
+#include "Duties/Site/ServerLoads.h"
 #include "Duties/Site/ServerProtocol.h"
 #include "Duties/Site/SiteConfiguration.h"
 
@@ -24,8 +25,11 @@
 class pool_router
 {
 public:
+  /** @param aLoads its handler is set here, so that the tables have every load
+   * that the entry learns */
   pool_router(const site::server_directory& aDirectory,
               site::send_limits& aLimits,
+              site::server_loads& aLoads,
               std::string aAvailabilityZone);
 
   /** Updates the routing tables from the current state of the directory. */
@@ -53,6 +57,7 @@
   int SlotsOf(const std::string& aPool) const;
 
 private:
+  void ApplyLoad(const std::string& aServer, const site::told_load& aLoad);
   /** Servers of the pool that may get no request now, and those that warm up.
    */
   struct limited_servers
@@ -71,6 +76,7 @@
 
   const site::server_directory& mDirectory;
   site::send_limits& mLimits;
+  site::server_loads& mLoads;
   const std::string mAvailabilityZone;
   std::map<std::string, routing::pool_table> mTables;
   std::mt19937_64 mRandom{ std::random_device{}() };
--- a/Duties/Routing/PoolTable.cpp
+++ b/Duties/Routing/PoolTable.cpp
@@ -34,6 +34,24 @@
   return std::clamp(rate / mean, kMinimumRelativeSpeed, kMaximumRelativeSpeed);
 }
 
+/** Factor by which the server is slower than usual at the moment, bounded like
+ * its speed. */
+double
+SlowdownAt(const server_row& aRow, time_point aNow)
+{
+  return aNow <= aRow.mSlowUntil ? std::clamp(aRow.mSlowdown,
+                                              1 / kMaximumRelativeSpeed,
+                                              1 / kMinimumRelativeSpeed)
+                                 : 1;
+}
+
+/** The row's load at the speed that its machine has at the moment. */
+double
+LoadAt(const server_row& aRow, time_point aNow)
+{
+  return aRow.mLoad * SlowdownAt(aRow, aNow);
+}
+
 int
 EstimateRequests(const server_row& aRow)
 {
@@ -101,9 +119,11 @@
   for (const auto& holder :
        FindHolders(aTable.mPrefixes, aRequest.mPrefix, aNow)) {
     const auto* row = FindRow(aTable, holder.mServer);
-    if (row && IsUsable(aTable, *row, aRequest, aNow) && row->mLoad <= bound &&
-        RelativeSpeed(aTable, *row) >= kMinimumAffinitySpeed &&
-        (!best || row->mLoad < best->mLoad)) {
+    if (row && IsUsable(aTable, *row, aRequest, aNow) &&
+        LoadAt(*row, aNow) <= bound &&
+        RelativeSpeed(aTable, *row) >=
+          kMinimumAffinitySpeed * SlowdownAt(*row, aNow) &&
+        (!best || LoadAt(*row, aNow) < LoadAt(*best, aNow))) {
       best = row;
     }
   }
@@ -161,8 +181,10 @@
     return nullptr;
   }
   const auto* second = SelectRandom(aTable, aRequest, aRandom, aNow);
-  if (first->mLoad != second->mLoad) {
-    return first->mLoad < second->mLoad ? first : second;
+  const double firstLoad = LoadAt(*first, aNow);
+  const double secondLoad = LoadAt(*second, aNow);
+  if (firstLoad != secondLoad) {
+    return firstLoad < secondLoad ? first : second;
   }
   const auto isNear = [&](const server_row* aRow) {
     return aRow->mReport.mAvailabilityZone == aRequest.mLocalZone;
@@ -219,6 +241,9 @@
     return;
   }
   AddToSums(aTable, row, -1);
+  if (row.mReport.mStartedAt != aReport.mStartedAt) {
+    row.mSlowUntil = {};
+  }
   row.mReport = aReport;
   row.mReport.mCachedPrefixes.clear();
   AddToSums(aTable, row, 1);
@@ -242,6 +267,18 @@
   UpdateLoad(aTable, *row);
 }
 
+void
+ApplySlowdown(pool_table& aTable,
+              const std::string& aServer,
+              double aSlowdown,
+              time_point aUntil)
+{
+  if (auto* row = FindRow(aTable, aServer)) {
+    row->mSlowdown = aSlowdown;
+    row->mSlowUntil = aUntil;
+  }
+}
+
 void
 MarkUnavailable(pool_table& aTable, const std::string& aServer)
 {
--- a/Duties/Routing/PoolTable.h
+++ b/Duties/Routing/PoolTable.h
@@ -35,6 +35,8 @@
    * 0 while unknown. */
   double mTokensPerSecond = 0;
   bool mAcceptsRequests = false;
+  /** Start time of the server; distinguishes two starts under the same name. */
+  std::int64_t mStartedAt = 0;
   /** When the report was generated, or an earlier time, by the clock of this
    * process. */
   time_point mGeneratedAt;
@@ -49,6 +51,10 @@
   /** Estimated requests per slot, divided by the server's relative speed and
    * success ratio; updated on each change. */
   double mLoad = 0;
+  /** Factor by which work takes longer than usual on the server's machine, and
+   * until when that counts. */
+  double mSlowdown = 1;
+  time_point mSlowUntil;
 };
 
 struct table_limits
@@ -104,6 +110,14 @@
                   int aRequests,
                   time_point aMadeAt);
 
+/** Applies a slowdown of the server's machine. It counts as lower speed until
+ * the given time. */
+void
+ApplySlowdown(pool_table& aTable,
+              const std::string& aServer,
+              double aSlowdown,
+              time_point aUntil);
+
 /** Sends no requests to a server until its next report, because it has left
  * or has stopped responding. */
 void
--- a/Duties/Routing/TestPoolTable.cpp
+++ b/Duties/Routing/TestPoolTable.cpp
@@ -290,4 +290,24 @@
   BOOST_TEST(sent["s1"] > 0);
 }
 
+// Guards against requests sent to a machine that others use at the moment, and
+// against a slowdown that goes on counting when nothing is told any more.
+BOOST_AUTO_TEST_CASE(ASlowMachineIsAvoidedUntilItsSlowdownIsOld)
+{
+  auto table = MakeTable(2, kStart);
+  ApplySlowdown(table, "s0", 4, kStart + 300ms);
+  ApplySlowdown(table, "gone", 4, kStart + 300ms);
+  std::mt19937_64 random(1);
+  const auto count = [&](time_point aNow) {
+    int chosen = 0;
+    for (int i = 0; i < 200; ++i) {
+      chosen += ChooseServer(table, {}, random, aNow) == "s0" ? 1 : 0;
+    }
+    return chosen;
+  };
+  // Both draws fall on the slow one in a quarter of the cases.
+  BOOST_TEST(count(kStart + 300ms) < 80);
+  BOOST_TEST(count(kStart + 301ms) == 100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Duties/Scheduling/ServerSpeed.cpp
+++ b/Duties/Scheduling/ServerSpeed.cpp
@@ -1,5 +1,7 @@
 #include "Duties/Scheduling/ServerSpeed.h"
 
+#include "Duties/Site/ServerLoads.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -16,11 +18,6 @@
 constexpr event_time kIntervalTime{ 100 };
 /** Minimum number of events for an estimate of a server's speed. */
 constexpr int kMinimumEvents = 10;
-/** For how long a told slowdown describes the server's machine. */
-constexpr milliseconds kSlowdownLifetime{ 300 };
-/** Bounds of a slowdown that a server can mean. */
-constexpr double kMinimumSlowdown = 0.1;
-constexpr double kMaximumSlowdown = 100;
 /** Longest time between two events that a server can mean; a run that takes
  * longer is waiting. */
 constexpr event_time kMaximumEventTime{ 60000 };
@@ -43,7 +40,7 @@
 bool
 IsFresh(const server_speed& aSpeed, time_point aNow)
 {
-  return aNow - aSpeed.mSlowdownSeenAt <= kSlowdownLifetime;
+  return aNow - aSpeed.mSlowdownSeenAt <= site::kSlowdownLifetime;
 }
 
 /** Factor by which the machine's events take longer for the moment. */
@@ -114,8 +111,7 @@
 bool
 RecordSlowdown(server_speed& aSpeed, double aSlowdown, time_point aNow)
 {
-  // Also false if the figure is no number.
-  if (!(aSlowdown >= kMinimumSlowdown && aSlowdown <= kMaximumSlowdown)) {
+  if (!site::IsPossibleSlowdown(aSlowdown)) {
     return false;
   }
   const bool goesOn = IsFresh(aSpeed, aNow) && IsSlowdown(aSpeed.mSlowdown);
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -96,7 +96,11 @@
                 [this](const site::backend_server& aServer) {
                   return IsDesignatedSender(aServer);
                 })
-  , mRouter(mDirectory, mSendLimits, mSettings.mAvailabilityZone)
+  , mLoads(
+      mDirectory,
+      mMetrics,
+      [this](const std::string& aServer) { return mRunner.RunsOn(aServer); })
+  , mRouter(mDirectory, mSendLimits, mLoads, mSettings.mAvailabilityZone)
   , mForwarder({ mLoop,
                  *mClients,
                  mProtocol,
@@ -113,6 +117,7 @@
         mDirectory,
         mConfiguration,
         mSendLimits,
+        mLoads,
         mMetrics,
         mRewards,
         [this](const std::string& aBatchId, batches::item_result aResult) {
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -100,6 +100,7 @@
   std::shared_ptr<edge::listener_limits> mLimits;
   std::map<std::string, peer> mPeers;
   site::send_limits mSendLimits;
+  site::server_loads mLoads;
   forwarding::pool_router mRouter;
   forwarding::forwarder mForwarder;
   rewards::reward_client mRewards;
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -91,12 +91,17 @@
                aSite.mConfiguration,
                aSite.mRouter,
                aSite.mMetrics })
+  , mLoads(
+      aSite.mDirectory,
+      aSite.mMetrics,
+      [this](const std::string& aServer) { return mRunner.RunsOn(aServer); })
   , mRunner({ aSite.mLoop.mLoop,
               *aSite.mClients,
               aSite.mProtocol,
               aSite.mDirectory,
               aSite.mConfiguration,
               aSite.mLimits,
+              mLoads,
               aSite.mMetrics,
               mRewards,
               [this](const auto& aBatchId, auto aResult) {
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -24,8 +24,11 @@
   site::send_limits mLimits{ mDirectory, mConfiguration, [](const auto&) {
                               return true;
                             } };
-  forwarding::pool_router mRouter{ mDirectory, mLimits, "zone" };
   metrics::registry mMetrics;
+  site::server_loads mLoads{ mDirectory, mMetrics, [](const auto&) {
+                              return 0;
+                            } };
+  forwarding::pool_router mRouter{ mDirectory, mLimits, mLoads, "zone" };
   /** Addresses of the reachable entries, by name. */
   std::map<std::string, edge::endpoint> mPeers;
   /** Entries in regions where no batch may be processed. */
@@ -72,6 +75,7 @@
   batch_site& mSite;
   objects::object_store mStore;
   rewards::reward_client mRewards;
+  site::server_loads mLoads;
   batches::batch_runner mRunner;
   batches::batch_service mService;
   std::shared_ptr<objects::mirror> mMetadataMirror;
--- a/Tests/Site/TestForwarding.cpp
+++ b/Tests/Site/TestForwarding.cpp
@@ -65,8 +65,11 @@
   site::send_limits mLimits{ mDirectory, mConfiguration, [](const auto&) {
                               return true;
                             } };
-  forwarding::pool_router mRouter{ mDirectory, mLimits, "zone" };
   metrics::registry mMetrics;
+  site::server_loads mLoads{ mDirectory, mMetrics, [](const auto&) {
+                              return 0;
+                            } };
+  forwarding::pool_router mRouter{ mDirectory, mLimits, mLoads, "zone" };
   std::map<std::string, int> mStarts;
   std::shared_ptr<site::route> mRoute = std::make_shared<site::route>();
   std::shared_ptr<site::customer> mCustomer =
