--- a/Tests/Site/Support/ModelServer.cpp
+++ b/Tests/Site/Support/ModelServer.cpp
@@ -116,6 +116,9 @@
   }
   headers.Add("Content-Type", "text/event-stream");
   headers.Add("X-Weight-Versions", std::to_string(mVersion));
+  if (!mLoad.empty()) {
+    headers.Add("X-Server-Load", mLoad);
+  }
   const auto after = request.mHeaders.Integer("Last-Event-Id").value_or(0);
   mAfterEvents[started->mItem].push_back(after);
   started->mNext = static_cast<int>(after) + 1;
--- a/Tests/Site/Support/ModelServer.h
+++ b/Tests/Site/Support/ModelServer.h
@@ -43,6 +43,8 @@
   /** Whether new runs are refused as not executed. */
   bool mIsFull = false;
   int mTurnedAway = 0;
+  /** Load that the response to a run tells; empty if it tells none. */
+  std::string mLoad;
 
 private:
   struct run;
--- a/Tests/Site/TestForwarding.cpp
+++ b/Tests/Site/TestForwarding.cpp
@@ -201,4 +201,32 @@
   BOOST_TEST(dark.mRequests > 0);
 }
 
+// Guards against callers' requests sent to a server by an old load of it, and
+// against a server that tells what can't be true.
+BOOST_AUTO_TEST_CASE(TheLoadThatAResponseTellsIsRecorded)
+{
+  forwarding_site site({});
+  plain_server server(site.mLoop);
+  site.Add("s1", server);
+  std::string load = "3,2,4,250";
+  server.mServe = [&](const edge::exchange_ptr& aExchange) {
+    auto answer = plain_server::Answer(aExchange, 200);
+    answer.mHeaders.Add("X-Server-Load", load);
+    aExchange->Answer(std::move(answer));
+  };
+  const auto requests = [&] {
+    BOOST_TEST(site.Send().mAnswer.mStatus == 200u);
+    const auto* known = site.mLoads.Find("s1", boot_clock::now());
+    return known ? known->mRequests : -1;
+  };
+  BOOST_TEST(requests() == 5);
+  BOOST_TEST(site.mLoads.SlowdownOf("s1", boot_clock::now()) == 2.5);
+  load = "4000,0,4";
+  BOOST_TEST(requests() == 5);
+  BOOST_TEST(site.mMetrics.Counter("lavender_server_load_ignored_total",
+                                   { { "figure", "running" } }) == 1u);
+  load = "1,0,4";
+  BOOST_TEST(requests() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Site/TestRewards.cpp
+++ b/Tests/Site/TestRewards.cpp
@@ -267,4 +267,32 @@
   BOOST_TEST(service.mRequests == 6);
 }
 
+// Guards against runs and reward calls that each learn a load of their own.
+BOOST_AUTO_TEST_CASE(RunsAndRewardCallsTellTheLoadOfTheirServers)
+{
+  reward_site site;
+  site.mEngine.mLoad = "3,2,4,250";
+  plain_server service(site.mLoop);
+  site.Add(service, "p1");
+  service.mServe = [](const edge::exchange_ptr& aExchange) {
+    auto answer = plain_server::Answer(aExchange, 200);
+    answer.mHeaders.Add("X-Server-Load", "2,0,4");
+    aExchange->Answer(std::move(answer));
+  };
+  batch_entry entry(site, "a");
+  BOOST_TEST(entry.Submit("b1", 1).mAnswer.mStatus == 202u);
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return entry.mLoads.Find("s1", boot_clock::now()) != nullptr; }));
+  const auto* engine = entry.mLoads.Find("s1", boot_clock::now());
+  BOOST_REQUIRE(engine);
+  BOOST_TEST(engine->mRequests == 5);
+  BOOST_TEST(engine->mOtherRequests == 4);
+  BOOST_TEST(engine->mSlowdown == 2.5);
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return site.mLoads.Find("p1", boot_clock::now()) != nullptr; }));
+  BOOST_REQUIRE(site.mLoads.Find("p1", boot_clock::now()));
+  BOOST_TEST(site.mLoads.Find("p1", boot_clock::now())->mRequests == 2);
+  BOOST_TEST(CountScored(site.Results(entry, "b1", 1)) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
