--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -6,11 +6,11 @@
 #include "Duties/Batches/GroupOrder.h"
 #include "Duties/Batches/GroupProgress.h"
 #include "Duties/Batches/MadeText.h"
-#include "Duties/Batches/OtherLoad.h"
 #include "Duties/Batches/RunMoves.h"
 #include "Duties/Batches/Schedule.h"
 #include "Duties/Rewards/RewardCaller.h"
 #include "Duties/Site/SendLimits.h"
+#include "Duties/Site/ServerLoads.h"
 #include "Duties/Site/ServerProtocol.h"
 #include "Duties/Site/SiteConfiguration.h"
 #include "Libraries/Edge/Caller.h"
@@ -90,6 +90,7 @@
   const site::server_directory& mDirectory;
   const site::configuration_ptr& mConfiguration;
   site::send_limits& mLimits;
+  site::server_loads& mLoads;
   metrics::registry& mMetrics;
   rewards::reward_client& mRewards;
   std::function<void(const std::string& aBatchId, item_result)> mOnResult;
@@ -142,6 +143,8 @@
    * finish only after they are due. */
   std::int64_t LongItemTokens(const submission& aSubmission,
                               const std::string& aHost) const;
+  /** Number of this entry's runs on a server. */
+  int RunsOn(const std::string& aServer) const;
   /** Number of servers for which the runner holds state. */
   std::size_t KnownServers() const;
 
@@ -230,8 +233,6 @@
                   item_end aEnd,
                   std::optional<std::string> aScore = std::nullopt);
   void RecordRunTime(boot_clock::duration aTime);
-  void RecordSlowdown(const std::string& aServer,
-                      const site::server_load& aLoad);
   void BlockServer(const std::string& aServer, milliseconds aDelay);
   void LogRunEnd(const item_progress& aItem,
                  const running_batch& aBatch,
@@ -250,7 +251,6 @@
    * versions in the server directory. */
   std::map<std::string, std::map<std::string, std::int64_t>> mSeenVersions;
   engine_healths mHealths;
-  other_loads mOtherLoads;
   scheduling::server_speeds mSpeeds;
   /** Start times of the servers whose speed is known. */
   std::map<std::string, std::int64_t> mStartTimes;
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -109,12 +109,11 @@
     run->mFacts = mDependencies.mProtocol.mReadResponseMetadata(aHead);
     run->mVersion = run->mFacts.mVersion.value_or(0);
     if (const auto* item = Find(ref); item && run->mFacts.mLoad) {
-      RecordSlowdown(item->mServer, *run->mFacts.mLoad);
-      RecordLoad(mOtherLoads,
-                 item->mServer,
-                 *run->mFacts.mLoad,
-                 mRunsByServer[item->mServer],
-                 boot_clock::now());
+      const auto now = boot_clock::now();
+      if (const auto slowdown = run->mFacts.mLoad->mSlowdown) {
+        scheduling::RecordSlowdown(mSpeeds[item->mServer], *slowdown, now);
+      }
+      mDependencies.mLoads.Record(item->mServer, *run->mFacts.mLoad, now);
     }
   };
   events.mOnBody = [this, ref, run](std::string_view aChunk) {
@@ -264,20 +263,6 @@
   Dispatch();
 }
 
-void
-batch_runner::RecordSlowdown(const std::string& aServer,
-                             const site::server_load& aLoad)
-{
-  if (aLoad.mSlowdown && !scheduling::RecordSlowdown(mSpeeds[aServer],
-                                                     *aLoad.mSlowdown,
-                                                     boot_clock::now())) {
-    events::line("server_slowdown_ignored")
-      .With("server", aServer)
-      .With("percent", static_cast<std::int64_t>(*aLoad.mSlowdown * 100));
-    mDependencies.mMetrics.Count("lavender_server_load_ignored_total", {});
-  }
-}
-
 void
 batch_runner::RecordRunTime(boot_clock::duration aTime)
 {
