Keys: the first answers after a pause don't show that the store is down

An entry that resumes from a pause has an old verification. The first process that answered it, half of the others at a small site, made the judgement 'platform_down', and a change that it told of counted only 2 s later; until the watch answered, withdrawn keys were accepted. The watch that was open at the pause usually delivers the change first, which is why the listed test seldom failed.

Now a process counts as reachable for this judgement only once it has answered without a gap for the catch-up time or since the entry joined, and an entry without a recent verification is behind as soon as a later change is known.

--- a/Duties/Configuration/PeerExchange.cpp
+++ b/Duties/Configuration/PeerExchange.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Configuration/PeerExchange.h"
 
+#include "Duties/Membership/Reachability.h"
 #include "Libraries/Core/Log.h"
 
 #include <algorithm>
@@ -9,8 +10,6 @@
 
 using membership::poll_outcome;
 
-/** A peer that answered within this time counts as reachable. */
-constexpr milliseconds kReachableWithin{ 4000 };
 constexpr std::size_t kThreads = 4;
 /** Poll target that stands for no peer: polling it updates the set of peers
  * from the instance list. */
@@ -128,7 +127,10 @@
         found != mPeers.end() && found->second.mConnections == connections) {
       found->second.mRequestedAt = requestedAt;
       if (isPeer) {
-        found->second.mLastResponseAt = boot_clock::now();
+        const auto now = boot_clock::now();
+        found->second.mReachableSince = membership::ReachableSince(
+          found->second.mReachableSince, found->second.mLastResponseAt, now);
+        found->second.mLastResponseAt = now;
         found->second.mDigest = digest;
       }
     }
@@ -198,8 +200,9 @@
     if (!peer.mLastResponseAt) {
       continue;
     }
-    if (now - *peer.mLastResponseAt <= kReachableWithin) {
+    if (membership::IsReachable(peer.mLastResponseAt, now)) {
       ++report.mReachable;
+      report.mReachableSince.push_back(*peer.mReachableSince);
       report.mNames.push_back(name);
       lowest = std::min(lowest, peer.mDigest.mKnownRevision);
     }
--- a/Duties/Configuration/PeerExchange.h
+++ b/Duties/Configuration/PeerExchange.h
@@ -37,6 +37,8 @@
   std::size_t mKnown = 0;
   std::size_t mPolled = 0;
   std::size_t mReachable = 0;
+  /** For each reachable peer, since when it has been so without a gap. */
+  std::vector<time_point> mReachableSince;
   std::int64_t mHighestChangedRevision = 0;
   std::optional<time_point> mLatestVerifiedAt;
   /** Every peer knows all changes up to this revision; 0 while any peer is
@@ -67,6 +69,7 @@
     std::string mAddress;
     std::shared_ptr<peer_pool> mConnections;
     std::optional<time_point> mLastResponseAt;
+    std::optional<time_point> mReachableSince;
     std::optional<time_point> mRequestedAt;
     state_digest mDigest;
   };
--- a/Duties/Keys/FreshnessGate.cpp
+++ b/Duties/Keys/FreshnessGate.cpp
@@ -2,6 +2,8 @@
 
 #include "Libraries/Core/HasLasted.h"
 
+#include <algorithm>
+
 namespace lavender::keys {
 namespace {
 
@@ -13,14 +15,26 @@
   return aAt && aNow - *aAt <= aLimit;
 }
 
-/** True when at least half of the other processes answer. In an availability
- * zone that is cut off from the platform and from all other zones, every
- * process that still answers is as stale as this one. Only the missing answers
- * of the other zones distinguish this case from an outage of the store. */
+/** True when at least half of the other processes have answered for
+ * mCatchUpTime, or since this entry joined. In an availability zone that is cut
+ * off from the platform and from all other zones, every process that still
+ * answers is as stale as this one. Only the missing answers of the other zones
+ * distinguish this case from an outage of the store. The first answers after a
+ * pause of this process distinguish nothing: they may come before the watch has
+ * delivered what changed during the pause. A joining entry compares revisions
+ * with all of them first. */
 bool
-ReachesAtLeastHalf(const remote_freshness& aRemote)
+ReachesAtLeastHalf(const remote_freshness& aRemote,
+                   const freshness_limits& aLimits,
+                   time_point aJoinedAt,
+                   time_point aNow)
 {
-  return aRemote.mReachable * 2 >= aRemote.mKnown.value_or(0);
+  const auto latest = std::max(aJoinedAt, aNow - aLimits.mCatchUpTime);
+  const auto reachable =
+    std::count_if(aRemote.mReachableSince.begin(),
+                  aRemote.mReachableSince.end(),
+                  [&](time_point aSince) { return aSince <= latest; });
+  return static_cast<std::size_t>(reachable) * 2 >= aRemote.mKnown.value_or(0);
 }
 
 /** True when the store recently answered another entry, at least mMinimumLead
@@ -54,7 +68,8 @@
     return false;
   }
   return IsRecent(aLocal.mVerifiedAt, aLimits.mMaximumVerificationAge, aNow) ||
-         (*aRemote.mKnown > 0 && ReachesAtLeastHalf(aRemote));
+         (*aRemote.mKnown > 0 &&
+          ReachesAtLeastHalf(aRemote, aLimits, aNow, aNow));
 }
 
 } // namespace
@@ -66,33 +81,37 @@
                   const freshness_limits& aLimits,
                   time_point aNow)
 {
+  const bool isVerified =
+    IsRecent(aLocal.mVerifiedAt, aLimits.mMaximumVerificationAge, aNow);
+  const bool knowsLess =
+    aLocal.mKnownRevision < aRemote.mHighestChangedRevision;
+  // Without a recent verification the change may be old.
   const bool isBehind =
-    HasLasted(aState.mBehindSince,
-              aLocal.mKnownRevision < aRemote.mHighestChangedRevision,
-              aLimits.mCatchUpTime,
-              aNow);
+    HasLasted(aState.mBehindSince, knowsLess, aLimits.mCatchUpTime, aNow) ||
+    (knowsLess && !isVerified);
   const bool isCutOff =
     HasLasted(aState.mCutOffSince,
               IsStoreReachableByOthers(aLocal, aRemote, aLimits, aNow),
               aLimits.mCatchUpTime,
               aNow);
-  if (!aState.mHasJoined) {
+  if (!aState.mJoinedAt) {
     if (!MayJoin(aLocal, aRemote, aLimits, aNow)) {
       return freshness::Joining;
     }
-    aState.mHasJoined = true;
+    aState.mJoinedAt = aNow;
   }
   if (isBehind) {
     return freshness::Behind;
   }
-  if (IsRecent(aLocal.mVerifiedAt, aLimits.mMaximumVerificationAge, aNow)) {
+  if (isVerified) {
     return freshness::Current;
   }
   if (isCutOff) {
     return freshness::CutOff;
   }
-  return ReachesAtLeastHalf(aRemote) ? freshness::PlatformDown
-                                     : freshness::Isolated;
+  return ReachesAtLeastHalf(aRemote, aLimits, *aState.mJoinedAt, aNow)
+           ? freshness::PlatformDown
+           : freshness::Isolated;
 }
 
 bool
--- a/Duties/Keys/FreshnessGate.h
+++ b/Duties/Keys/FreshnessGate.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 /** Decides whether this entry's copy of the configuration is recent enough to
  * accept customer keys. */
@@ -25,11 +26,12 @@
 struct remote_freshness
 {
   /** Number of processes on the last instance list (none before the first
-   * list), how many of them were polled since the start, and how many answered
-   * recently. */
+   * list), and how many of them were polled since the start. */
   std::optional<std::size_t> mKnown;
   std::size_t mPolled = 0;
-  std::size_t mReachable = 0;
+  /** For each process that answered recently, since when it has done so without
+   * a gap. */
+  std::vector<time_point> mReachableSince;
   /** Revision of the latest configuration change that any of them knows. */
   std::int64_t mHighestChangedRevision = 0;
   /** Latest time at which any entry's copy was verified as the newest. */
@@ -52,9 +54,10 @@
    * same time: otherwise each would conclude that the store still answers the
    * other, and refuse keys. */
   milliseconds mMinimumLead{ 3000 };
-  /** Time allowed for fetching a change that another process knows, and for
-   * this entry's watch to resume after an outage that ended slightly earlier
-   * for other entries. */
+  /** Time allowed for fetching a change that another process knows, for this
+   * entry's watch to resume after an outage that ended slightly earlier for
+   * other entries, and for the other processes to tell of a change after a
+   * pause of this one. */
   milliseconds mCatchUpTime{ 2000 };
 };
 
@@ -63,7 +66,8 @@
 {
   std::optional<time_point> mBehindSince;
   std::optional<time_point> mCutOffSince;
-  bool mHasJoined = false;
+  /** None while the entry is joining. */
+  std::optional<time_point> mJoinedAt;
 };
 
 enum class freshness
@@ -81,7 +85,7 @@
    * of the store. */
   Isolated,
   /** Another process knows a later change, which couldn't be fetched within
-   * mCatchUpTime. */
+   * mCatchUpTime, or this entry's own verification isn't recent. */
   Behind
 };
 
--- a/Duties/Keys/TestFreshnessGate.cpp
+++ b/Duties/Keys/TestFreshnessGate.cpp
@@ -15,14 +15,22 @@
 Joined()
 {
   freshness_state state;
-  state.mHasJoined = true;
+  state.mJoinedAt = kStart - 60s;
   return state;
 }
 
+/** Returns the times of aCount processes that at kStart have been reachable for
+ * aTime. */
+std::vector<time_point>
+ReachableFor(std::size_t aCount, milliseconds aTime)
+{
+  return std::vector<time_point>(aCount, kStart - aTime);
+}
+
 remote_freshness
 AllReachable(std::int64_t aChanged, std::optional<time_point> aProof)
 {
-  return { 4u, 4u, 4u, aChanged, aProof };
+  return { 4u, 4u, ReachableFor(4, 60s), aChanged, aProof };
 }
 
 } // namespace
@@ -112,18 +120,56 @@
   const local_freshness fromDisk{ 7, std::nullopt };
   BOOST_TEST((EvaluateFreshness(state, fromDisk, summary, {}, kStart) ==
               freshness::Joining));
-  summary = { 4u, 3u, 3u, 7, std::nullopt };
+  summary = { 4u, 3u, ReachableFor(3, 60s), 7, std::nullopt };
   BOOST_TEST((EvaluateFreshness(state, fromDisk, summary, {}, kStart) ==
               freshness::Joining));
-  summary = { 4u, 4u, 1u, 7, std::nullopt };
+  summary = { 4u, 4u, ReachableFor(1, 60s), 7, std::nullopt };
   BOOST_TEST((EvaluateFreshness(state, fromDisk, summary, {}, kStart) ==
               freshness::Joining));
-  summary = { 4u, 4u, 2u, 8, std::nullopt };
+  summary = { 4u, 4u, ReachableFor(2, 60s), 8, std::nullopt };
   BOOST_TEST((EvaluateFreshness(state, fromDisk, summary, {}, kStart) ==
               freshness::Joining));
-  summary = { 4u, 4u, 2u, 7, std::nullopt };
+  summary = { 4u, 4u, ReachableFor(2, 60s), 7, std::nullopt };
   BOOST_TEST((EvaluateFreshness(state, fromDisk, summary, {}, kStart) ==
               freshness::PlatformDown));
 }
 
+// Guards against stale keys after a pause of the process. The first process to
+// answer afterwards is half of the others, and tells of a change that this
+// entry's watch hasn't delivered yet.
+BOOST_AUTO_TEST_CASE(AcceptsNoKeyAtTheFirstAnswerAfterAPause)
+{
+  auto state = Joined();
+  const freshness_limits limits;
+  const local_freshness own{ 7, kStart };
+  const auto evaluate = [&](remote_freshness aRemote, time_point aNow) {
+    return EvaluateFreshness(state, own, aRemote, limits, aNow);
+  };
+  BOOST_TEST(IsFreshEnough(
+    evaluate({ 2u, 2u, ReachableFor(2, 60s), 7, kStart }, kStart)));
+  const auto resumed = kStart + 8s;
+  const auto caughtUp = resumed + limits.mCatchUpTime;
+  for (auto now = resumed; now < caughtUp; now += 100ms) {
+    BOOST_TEST(!IsFreshEnough(evaluate({ 2u, 2u, { resumed }, 8, now }, now)));
+  }
+  BOOST_TEST(
+    !IsFreshEnough(evaluate({ 2u, 2u, { resumed }, 8, caughtUp }, caughtUp)));
+}
+
+// Guards against 503 responses for longer than the catch-up time when an entry
+// resumes from a pause during an outage of the store.
+BOOST_AUTO_TEST_CASE(EntryAcceptsKeysAgainAfterAPauseInAnOutage)
+{
+  auto state = Joined();
+  const freshness_limits limits;
+  const auto resumed = kStart + 60s;
+  const auto evaluate = [&](time_point aNow) {
+    const remote_freshness remote{ 2u, 2u, { resumed }, 7, kStart };
+    return EvaluateFreshness(state, { 7, kStart }, remote, limits, aNow);
+  };
+  BOOST_TEST((evaluate(resumed) == freshness::Isolated));
+  BOOST_TEST(
+    (evaluate(resumed + limits.mCatchUpTime) == freshness::PlatformDown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Duties/Keys/TestFreshnessHistories.cpp
+++ b/Duties/Keys/TestFreshnessHistories.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Configuration/ConfigurationState.h"
 #include "Duties/Keys/Authorize.h"
 #include "Duties/Keys/FreshnessGate.h"
+#include "Duties/Membership/Reachability.h"
 
 #include <array>
 #include <boost/test/unit_test.hpp>
@@ -72,6 +73,7 @@
 struct process_view
 {
   std::optional<time_point> mLastResponseAt;
+  std::optional<time_point> mReachableSince;
   bool mIsAsked = false;
   std::int64_t mChangedRevision = 0;
   std::optional<time_point> mVerifiedAt;
@@ -206,6 +208,14 @@
   ApplyWatchBatch(aEntry.mState, batch, aSimulation.mNow);
 }
 
+void
+RecordResponse(process_view& aView, time_point aNow)
+{
+  aView.mReachableSince = membership::ReachableSince(
+    aView.mReachableSince, aView.mLastResponseAt, aNow);
+  aView.mLastResponseAt = aNow;
+}
+
 void
 ExchangeWithPeers(simulation& aSimulation, std::size_t aIndex)
 {
@@ -222,7 +232,7 @@
       continue;
     }
     const auto digest = DigestOf(peer.mState);
-    view.mLastResponseAt = aSimulation.mNow;
+    RecordResponse(view, aSimulation.mNow);
     view.mChangedRevision = digest.mChangedRevision;
     view.mVerifiedAt = digest.mVerifiedAt;
     if (ApplyDigest(entry.mState, digest) == apply_outcome::NeedsFullCopy) {
@@ -246,7 +256,7 @@
     }
     agent.mChangedRevision =
       std::max(agent.mChangedRevision, aEntry.mState.mChangedRevision);
-    view.mLastResponseAt = aSimulation.mNow;
+    RecordResponse(view, aSimulation.mNow);
     view.mChangedRevision = agent.mChangedRevision;
     view.mVerifiedAt = agent.mFreshAt;
   }
@@ -261,7 +271,9 @@
     if (!view.mLastResponseAt) {
       continue;
     }
-    aSummary.mReachable += aNow - *view.mLastResponseAt <= 4s ? 1 : 0;
+    if (membership::IsReachable(view.mLastResponseAt, aNow)) {
+      aSummary.mReachableSince.push_back(*view.mReachableSince);
+    }
     aSummary.mHighestChangedRevision =
       std::max(aSummary.mHighestChangedRevision, view.mChangedRevision);
     aSummary.mLatestVerifiedAt =
@@ -290,7 +302,7 @@
 void
 EvaluateEntry(simulation& aSimulation, model_entry& aEntry)
 {
-  const bool hadJoined = aEntry.mFreshnessState.mHasJoined;
+  const bool hadJoined = aEntry.mFreshnessState.mJoinedAt.has_value();
   keys::remote_freshness summary;
   summary.mKnown = kAgents + kEntries - 1;
   AddViews(aEntry.mAgents, summary, aSimulation.mNow);
@@ -301,7 +313,7 @@
     summary,
     {},
     aSimulation.mNow);
-  if (!hadJoined && aEntry.mFreshnessState.mHasJoined) {
+  if (!hadJoined && aEntry.mFreshnessState.mJoinedAt) {
     CheckJoining(aSimulation, aEntry);
   }
 }
--- a/Duties/Membership/DirectoryState.cpp
+++ b/Duties/Membership/DirectoryState.cpp
@@ -1,5 +1,7 @@
 #include "Duties/Membership/DirectoryState.h"
 
+#include "Duties/Membership/Reachability.h"
+
 #include <set>
 
 namespace lavender::membership {
@@ -162,6 +164,8 @@
   view.mReportedVerificationAge = milliseconds(aReport.witnessed_fresh_age_ms);
   view.mAgentClock = milliseconds(aReport.clock_ms);
   view.mReportRequestedAt = aRequestedAt;
+  view.mReachableSince =
+    ReachableSince(view.mReachableSince, view.mLastResponseAt, aNow);
   view.mLastResponseAt = aNow;
   return apply_report_outcome::Applied;
 }
--- a/Duties/Membership/DirectoryState.h
+++ b/Duties/Membership/DirectoryState.h
@@ -38,6 +38,8 @@
   std::int64_t mReportedRevision = 0;
   milliseconds mReportedVerificationAge{ 0 };
   std::optional<time_point> mLastResponseAt;
+  /** Since when the agent has been reachable without a gap. */
+  std::optional<time_point> mReachableSince;
   /** Start of the last poll that got no answer. */
   std::optional<time_point> mLastFailedPollAt;
   /** When the last answered poll was sent; its report is at least as recent. */
--- a/Duties/Membership/ServerDirectory.cpp
+++ b/Duties/Membership/ServerDirectory.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Membership/ServerDirectory.h"
 
+#include "Duties/Membership/Reachability.h"
 #include "Libraries/Core/CheckedFile.h"
 #include "Libraries/Core/Log.h"
 #include "Libraries/Wire/Document.h"
@@ -9,9 +10,6 @@
 namespace lavender::membership {
 namespace {
 
-/** An agent that answered within this time counts as reachable when the
- * freshness of the configuration is evaluated. */
-constexpr milliseconds kReachableWithin{ 4000 };
 constexpr const char* kListFile = "/instances";
 
 wire::instance_list
@@ -244,8 +242,9 @@
     if (!view.mLastResponseAt) {
       continue;
     }
-    report.mReachable +=
-      now - *view.mLastResponseAt <= kReachableWithin ? 1 : 0;
+    if (IsReachable(view.mLastResponseAt, now) && view.mReachableSince) {
+      report.mReachableSince.push_back(*view.mReachableSince);
+    }
     report.mHighestChangedRevision =
       std::max(report.mHighestChangedRevision, view.mReportedRevision);
     // Computed from the time at which the request was sent, so the verification
--- a/Duties/Membership/ServerDirectory.h
+++ b/Duties/Membership/ServerDirectory.h
@@ -44,13 +44,14 @@
   metrics::registry* mMetrics = nullptr;
 };
 
-/** How many agents were polled and answered, and the most recent state of the
+/** How many agents were polled, since when each reachable one has been
+ * reachable without a gap, and the most recent state of the
  * configuration that they know of. */
 struct agent_freshness
 {
   std::optional<std::size_t> mKnown;
   std::size_t mPolled = 0;
-  std::size_t mReachable = 0;
+  std::vector<time_point> mReachableSince;
   std::int64_t mHighestChangedRevision = 0;
   std::optional<time_point> mLatestVerifiedAt;
 };
--- a/Services/Entry/EntryDuties.cpp
+++ b/Services/Entry/EntryDuties.cpp
@@ -20,7 +20,10 @@
     summary.mKnown = *aAgents.mKnown + aPeers.mKnown;
   }
   summary.mPolled = aAgents.mPolled + aPeers.mPolled;
-  summary.mReachable = aAgents.mReachable + aPeers.mReachable;
+  summary.mReachableSince = aAgents.mReachableSince;
+  summary.mReachableSince.insert(summary.mReachableSince.end(),
+                                 aPeers.mReachableSince.begin(),
+                                 aPeers.mReachableSince.end());
   summary.mHighestChangedRevision =
     std::max(aAgents.mHighestChangedRevision, aPeers.mHighestChangedRevision);
   summary.mLatestVerifiedAt =
