Soak: servers of uneven and changing speed, items of uneven length, competing trainers

The soak's servers were alike and its one trainer submitted groups of one size, so that nothing which depends on speed or length was exercised. Every second server is twice as fast; two faults make a server slow, which it tells as 250 in the load field, or make it tell a figure that is none. One item in twelve is five times as long, with a hint off by up to a factor of two, and two or three trainers with keys of their own submit groups of 4, 8 and 2 at the same time. The promises are checked as before; a text is complete with the length of its item. The configuration names the size of an event, as hints count tokens.

--- a/Tests/Site/Support/ModelServer.cpp
+++ b/Tests/Site/Support/ModelServer.cpp
@@ -100,6 +100,7 @@
     busy.mHeaders.Add("X-Attempt-Id",
                       request.mHeaders.ValueOr("X-Attempt-Id", ""));
     busy.mHeaders.Add("X-Not-Executed", "1");
+    AddLoad(busy.mHeaders);
     aExchange->Answer(std::move(busy));
     return;
   }
@@ -115,6 +116,7 @@
     return;
   }
   headers.Add("Content-Type", "text/event-stream");
+  AddLoad(headers);
   headers.Add("X-Weight-Versions", std::to_string(mVersion));
   const auto after = request.mHeaders.Integer("Last-Event-Id").value_or(0);
   mAfterEvents[started->mItem].push_back(after);
@@ -134,6 +136,15 @@
   WriteNext(started);
 }
 
+void
+model_server::AddLoad(edge::header_list& aHeaders) const
+{
+  if (!mToldSlowdown.empty()) {
+    aHeaders.Add("X-Server-Load",
+                 std::to_string(mOpenRuns) + ",0,8," + mToldSlowdown);
+  }
+}
+
 void
 model_server::WriteNext(const std::shared_ptr<run>& aRun)
 {
@@ -142,7 +153,8 @@
   }
   const bool resetsConnection =
     mBreakAfter > 0 && aRun->mNext > mBreakAfter && mRuns[aRun->mItem] == 1;
-  if (resetsConnection || aRun->mNext > mEvents) {
+  const int events = mEventsOf ? mEventsOf(aRun->mItem) : mEvents;
+  if (resetsConnection || aRun->mNext > events) {
     aRun->mIsOpen = false;
     --mOpenRuns;
     if (resetsConnection) {
@@ -162,7 +174,9 @@
   }
   aRun->mExchange->Write("id: " + number + "\ndata: " + aRun->mItem + "-" +
                          number + "\n\n");
-  aRun->mTimer->expires_after(mEventPause);
+  aRun->mTimer->expires_after(
+    std::chrono::duration_cast<std::chrono::microseconds>(mEventPause *
+                                                          mSlowdown));
   aRun->mTimer->async_wait([this, aRun](const auto& aError) {
     if (!aError) {
       WriteNext(aRun);
--- a/Tests/Site/Support/ModelServer.h
+++ b/Tests/Site/Support/ModelServer.h
@@ -4,6 +4,7 @@
 #include "Libraries/Edge/Listener.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -24,6 +25,12 @@
   /** Number of events in the stream of an item. */
   int mEvents = 4;
   milliseconds mEventPause{ 2 };
+  /** Number of events by item; null if each item has mEvents. */
+  std::function<int(const std::string&)> mEventsOf;
+  /** Factor by which events take longer than mEventPause at the moment. */
+  double mSlowdown = 1;
+  /** Fourth figure of the load that responses tell; empty to tell no load. */
+  std::string mToldSlowdown;
   /** The first run of each item resets its connection after this many events;
    * 0 for never. */
   int mBreakAfter = 0;
@@ -50,6 +57,7 @@
   void Serve(const edge::exchange_ptr& aExchange);
   void ServeReport(const edge::exchange_ptr& aExchange);
   void ServeOrder(const edge::exchange_ptr& aExchange);
+  void AddLoad(edge::header_list& aHeaders) const;
   void WriteNext(const std::shared_ptr<run>& aRun);
 
   boost::asio::io_context& mLoop;
--- a/Tests/Soak/Clients.cpp
+++ b/Tests/Soak/Clients.cpp
@@ -1,25 +1,32 @@
 #include "Tests/Soak/Clients.h"
 
+#include "platform/Names.h"
+
+#include <cmath>
+
 namespace lavender::soak {
 
 namespace {
 
 constexpr milliseconds kTimeout{ 2500 };
 constexpr int kMaximumTries = 8;
-/** Maximum number of batches that aren't ended at a time. */
-constexpr int kOpenBatches = 4;
+/** Maximum number of batches of a trainer that aren't ended at a time. */
+constexpr int kOpenBatches = 2;
+/** Items of a group, by trainer. */
+constexpr int kGroupSizes[kMaximumTrainers] = { 4, 8, 2 };
 
 edge::request
 Request(const char* aMethod,
         const std::string& aTarget,
         const char* aHost,
-        const std::string& aId)
+        const std::string& aId,
+        const std::string& aKey = "key")
 {
   edge::request request;
   request.mMethod = aMethod;
   request.mTarget = aTarget;
   request.mHeaders.Add("Host", aHost);
-  request.mHeaders.Add("Authorization", "Token key");
+  request.mHeaders.Add("Authorization", "Token " + aKey);
   if (!aId.empty()) {
     request.mHeaders.Add("X-Attempt-Id", aId);
   }
@@ -42,6 +49,7 @@
 soak_clients::soak_clients(soak_site& aSite, std::uint64_t aSeed)
   : mSite(aSite)
   , mRandom(aSeed)
+  , mTrainers(std::uniform_int_distribution<int>(2, kMaximumTrainers)(mRandom))
   , mClients(std::make_shared<edge::client_pool>(aSite.mLoop))
 {
 }
@@ -64,24 +72,40 @@
 {
   SendPlain(true);
   SendPlain(false);
-  int open = 0;
+  std::map<int, int> open;
   for (const auto& batch : mBatches) {
-    open += batch->mIsEnded ? 0 : 1;
+    open[batch->mTrainer] += batch->mIsEnded ? 0 : 1;
     if (batch->mIsAccepted && !batch->mIsReading) {
       Read(batch);
     }
   }
-  if (aMaySubmit && open < kOpenBatches) {
-    auto batch = std::make_shared<submitted_batch>();
-    batch->mId = "b" + std::to_string(mNext++);
-    batch->mItems = std::uniform_int_distribution<int>(1, 24)(mRandom);
-    batch->mIsScored = std::uniform_int_distribution<int>(0, 1)(mRandom) == 1;
-    batch->mMinimumVersion = std::max<std::int64_t>(1, mSite.mVersion - 1);
-    mBatches.push_back(batch);
-    Submit(batch);
+  for (int trainer = 0; aMaySubmit && trainer < mTrainers; ++trainer) {
+    if (open[trainer] < kOpenBatches) {
+      StartBatch(trainer);
+    }
   }
 }
 
+void
+soak_clients::StartBatch(int aTrainer)
+{
+  auto batch = std::make_shared<submitted_batch>();
+  batch->mId = "b" + std::to_string(mNext++);
+  batch->mTrainer = aTrainer;
+  batch->mItems = std::uniform_int_distribution<int>(1, 24)(mRandom);
+  batch->mGroupSize = kGroupSizes[aTrainer];
+  batch->mIsScored = std::uniform_int_distribution<int>(0, 1)(mRandom) == 1;
+  batch->mMinimumVersion = std::max<std::int64_t>(1, mSite.mVersion - 1);
+  for (int i = 0; i < batch->mItems; ++i) {
+    const double factor =
+      std::exp2(std::uniform_real_distribution<>(-1, 1)(mRandom));
+    batch->mLengthHints.push_back(static_cast<int>(
+      std::lround(EventsOf(batch->mId + "i" + std::to_string(i)) * factor)));
+  }
+  mBatches.push_back(batch);
+  Submit(batch);
+}
+
 void
 soak_clients::SendPlain(bool aIsSafe)
 {
@@ -162,11 +186,15 @@
   json::array items;
   for (int i = 0; i < aBatch->mItems; ++i) {
     const auto id = aBatch->mId + "i" + std::to_string(i);
-    json::value item = json::object{ { "id", id },
-                                     { "path", "/r/x" },
-                                     { "headers", json::object{} },
-                                     { "body", "aGVsbG8=" },
-                                     { "group", "g" + std::to_string(i / 4) } };
+    const int hint = aBatch->mLengthHints[static_cast<std::size_t>(i)];
+    json::value item = json::object{
+      { "id", id },
+      { "path", "/r/x" },
+      { "headers",
+        json::object{ { platform::kLengthHint, std::to_string(hint) } } },
+      { "body", "aGVsbG8=" },
+      { "group", "g" + std::to_string(i / aBatch->mGroupSize) }
+    };
     if (aBatch->mIsScored) {
       item.Set("scorer",
                json::object{ { "id", "r" + id },
@@ -176,8 +204,11 @@
     }
     items.push_back(std::move(item));
   }
-  auto request =
-    Request("POST", "/r/" + aBatch->mId, "train.example", aBatch->mId);
+  auto request = Request("POST",
+                         "/r/" + aBatch->mId,
+                         "train.example",
+                         aBatch->mId,
+                         TrainerName(aBatch->mTrainer));
   request.mBody =
     json::Write(json::object{ { "model", "model" },
                               { "minVersion", aBatch->mMinimumVersion },
@@ -220,7 +251,8 @@
     Request("GET",
             "/lots/" + aBatch->mId + "?after=" + std::to_string(after),
             "train.example",
-            "");
+            "",
+            TrainerName(aBatch->mTrainer));
   edge::FetchWhole(
     *mClients,
     mSite.mLoop,
@@ -280,7 +312,6 @@
                           const json::value& aResult)
 {
   const auto id = json::StringAt(aResult, "id", "");
-  const auto events = mSite.mAgents.front()->mServer->mEvents;
   int listed = 0;
   for (const auto& known : aBatch.mResults) {
     listed += known.find("\"" + id + "\"") != std::string::npos ? 1 : 0;
@@ -290,7 +321,7 @@
                " times in batch " + aBatch.mId);
   }
   if (json::StringAt(aResult, "state", "") == "completed" &&
-      json::StringAt(aResult, "text", "") != ExpectedText(id, events)) {
+      json::StringAt(aResult, "text", "") != ExpectedText(id, EventsOf(id))) {
     AddFinding("item " + id + ": its text isn't complete");
   }
   if (aBatch.mIsScored) {
@@ -387,8 +418,9 @@
   for (const auto& batch : mBatches) {
     accepted += batch->mIsAccepted ? 1 : 0;
   }
-  return std::to_string(mSent) + " requests, " + std::to_string(mServed) +
-         " served, " + std::to_string(mBatches.size()) + " batches, " +
+  return std::to_string(mTrainers) + " trainers, " + std::to_string(mSent) +
+         " requests, " + std::to_string(mServed) + " served, " +
+         std::to_string(mBatches.size()) + " batches, " +
          std::to_string(accepted) + " accepted, " +
          std::to_string(mSite.mReports.size()) + " usage windows";
 }
--- a/Tests/Soak/Clients.h
+++ b/Tests/Soak/Clients.h
@@ -8,7 +8,12 @@
 struct submitted_batch
 {
   std::string mId;
+  int mTrainer = 0;
   int mItems = 0;
+  /** Items of a group. */
+  int mGroupSize = 0;
+  /** Number of events to expect by item, off by up to a factor of two. */
+  std::vector<int> mLengthHints;
   std::int64_t mMinimumVersion = 1;
   bool mIsAccepted = false;
   /** Whether its items name calls to the reward server. */
@@ -45,6 +50,7 @@
 
 private:
   entry_instance& AnyEntry();
+  void StartBatch(int aTrainer);
   void SendPlain(bool aIsSafe);
   void Submit(const std::shared_ptr<submitted_batch>& aBatch);
   void Read(const std::shared_ptr<submitted_batch>& aBatch);
@@ -57,6 +63,8 @@
 
   soak_site& mSite;
   std::mt19937_64 mRandom;
+  /** Two or three trainers submit at the same time. */
+  const int mTrainers;
   std::shared_ptr<edge::client_pool> mClients;
   std::vector<std::shared_ptr<submitted_batch>> mBatches;
   std::map<std::string, unsigned> mOnceStatuses;
--- a/Tests/Soak/Site.cpp
+++ b/Tests/Soak/Site.cpp
@@ -46,8 +46,31 @@
   return std::string(LAVENDER_BUILD) + "/Services/" + aName;
 }
 
+/** Model servers of a site differ in speed. */
+milliseconds
+EventPauseOf(int aServer)
+{
+  return milliseconds(aServer % 2 == 0 ? 25 : 12);
+}
+
 } // namespace
 
+int
+EventsOf(const std::string& aItem)
+{
+  constexpr int kEvents = 6;
+  constexpr int kLongTimes = 5;
+  constexpr std::size_t kLongInterval = 12;
+  const bool isLong = std::hash<std::string>()(aItem) % kLongInterval == 0;
+  return isLong ? kLongTimes * kEvents : kEvents;
+}
+
+std::string
+TrainerName(int aTrainer)
+{
+  return "trainer-" + std::to_string(aTrainer);
+}
+
 plain_server::plain_server(boost::asio::io_context& aLoop)
   : mLoop(aLoop)
   , mListener(aLoop,
@@ -104,8 +127,9 @@
     agent->mName = "agent-" + std::to_string(i);
     agent->mServer = std::make_unique<tests::model_server>(
       aLoop, "server-" + std::to_string(i));
-    agent->mServer->mEvents = 6;
-    agent->mServer->mEventPause = milliseconds(25);
+    agent->mServer->mEventsOf = EventsOf;
+    agent->mServer->mEventPause = EventPauseOf(i);
+    agent->mServer->mToldSlowdown = kUsualSpeed;
     agent->mServerLink =
       std::make_unique<fault_proxy>(aLoop, agent->mServer->Port());
     mAgents.push_back(std::move(agent));
@@ -123,6 +147,11 @@
 void
 soak_site::WriteConfiguration()
 {
+  std::string customers = R"({"name":"customer","apiKeys":["key"]})";
+  for (int i = 0; i < kMaximumTrainers; ++i) {
+    const auto name = TrainerName(i);
+    customers += R"(,{"name":")" + name + R"(","apiKeys":[")" + name + "\"]}";
+  }
   const std::string spec =
     R"({"version":)" + std::to_string(mConfigurationVersion) + R"(,
     "routes":[
@@ -141,10 +170,11 @@
        "kind":"safe","service":"judges","maxAttempts":4,"timeoutMs":3000,
        "targetLatencyMs":300,"authExempt":true}],
     "services":[
-      {"name":"models","engine":{"slots":8,"models":[{"name":"model"}]}},
+      {"name":"models","engine":{"slots":8,"stride":1,"models":[{"name":"model"}]}},
       {"name":"desk"},
       {"name":"judges"}],
-    "tenants":[{"name":"customer","apiKeys":["key"]}]})";
+    "tenants":[)" +
+    customers + "]}";
   standin::PutDirectly(mState, "config", "main", spec);
 }
 
@@ -304,6 +334,7 @@
   for (auto& agent : mAgents) {
     agent->mServerLink->SetFault(link_fault::None);
     agent->mServer->mBreakAfter = 0;
+    agent->SetSpeed(1, kUsualSpeed);
     agent->mProcess.Signal(SIGCONT);
   }
 }
--- a/Tests/Soak/Site.h
+++ b/Tests/Soak/Site.h
@@ -54,8 +54,28 @@
   std::unique_ptr<tests::model_server> mServer;
   std::unique_ptr<fault_proxy> mServerLink;
   process mProcess;
+
+  void SetSpeed(double aSlowdown, const char* aTold) const
+  {
+    mServer->mSlowdown = aSlowdown;
+    mServer->mToldSlowdown = aTold;
+  }
 };
 
+/** What a model server tells of its machine's speed, in percent. */
+constexpr const char* kUsualSpeed = "100";
+
+/** Number of events of an item's text; one item in twelve is five times as long
+ * as the others. */
+int
+EventsOf(const std::string& aItem);
+
+/** Name and key of a trainer's customer. */
+std::string
+TrainerName(int aTrainer);
+
+constexpr int kMaximumTrainers = 3;
+
 struct site_options
 {
   int mEntries = 3;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -85,6 +85,26 @@
            } };
 }
 
+/** The machine of a model server works at that speed, and the server tells one
+ * of these figures. */
+fault_action
+ServerSpeed(const char* aName,
+            double aSlowdown,
+            const std::vector<const char*>& aTold)
+{
+  return { aName,
+           [=](soak_site& aSite, std::mt19937_64& aRandom) {
+             const auto told = std::uniform_int_distribution<std::size_t>(
+               0, aTold.size() - 1)(aRandom);
+             Pick(aSite.mAgents, aRandom).SetSpeed(aSlowdown, aTold[told]);
+           },
+           [](soak_site& aSite) {
+             for (auto& agent : aSite.mAgents) {
+               agent->SetSpeed(1, kUsualSpeed);
+             }
+           } };
+}
+
 std::vector<fault_action>
 AllFaults()
 {
@@ -139,6 +159,10 @@
           agent->mServer->mBreakAfter = 0;
         }
       } },
+    ServerSpeed("server slow", 2.5, { "250" }),
+    ServerSpeed("server tells no speed",
+                1,
+                { "x", "-5", "0", "1e9", ",", "99999999999999999999" }),
     { "version named",
       [](soak_site& aSite, std::mt19937_64&) { aSite.PublishVersion(); },
       nothing },
