Batches: list waiting results as soon as a silent store answers again

Cause: a write of results that a silent store left open was read back only after its time-out of 1.5 s, with a read of the same time-out. After an outage of 4.5 s the owners of all five open batches wrote nothing in the 0.46 s for which the store was back before all processes were killed, and runs that had ended seconds before began anew.

Change: a write without a response for 0.5 s is read back, each 0.2 s, until the store answers; the first answer decides. Responses to an earlier write don't count. What a position holds is still decided by the store alone: a block is written again only at the same position after a read found nothing there, and a late write then shows as a conflict.

WaitingResultsAreListedAsSoonAsASilentStoreReturns fails on the code before (after outages of 0.3 s and 2.4 s).

--- a/Duties/Batches/BatchAdmission.cpp
+++ b/Duties/Batches/BatchAdmission.cpp
@@ -198,6 +198,7 @@
   batch->mOwnerChangedAt = boot_clock::now();
   batch->mSubmission = aAdmission->mSubmission;
   batch->mLog = {};
+  EndWrite(batch->mWrite);
   ++batch->mGeneration;
   batch->mIsLoading = false;
   batch->mIsLoaded = true;
--- a/Duties/Batches/BatchListing.cpp
+++ b/Duties/Batches/BatchListing.cpp
@@ -117,40 +117,54 @@
     return;
   }
   aBatch->mIsCommitting = true;
+  const auto number = BeginWrite(aBatch->mWrite);
+  After(kSilentWriteAge, [this, aBatch, number] {
+    if (IsOpen(aBatch->mWrite, number) && !aBatch->mWrite.mIsReadBack) {
+      events::line("block_write_unanswered")
+        .With("batch", aBatch->mMetadata.mId);
+      mDependencies.mRunner.MarkAllUnsaved(aBatch->mMetadata.mId);
+      ReadBackCommit(aBatch);
+    }
+  });
   mDependencies.mStore.mCreate(
     kBatchResultsKind,
     ResultsObjectName(aBatch->mMetadata.mId, aBatch->mLog.mNextBlock),
     EncodeBlock(*block),
-    [this,
-     aBatch,
-     block,
-     generation = aBatch->mGeneration,
-     done = std::move(aDone)](const objects::object_reply& aResponse) {
-      if (aBatch->mGeneration != generation) {
-        done();
-        return;
+    [this, aBatch, block, number, done = std::move(aDone)](
+      const objects::object_reply& aResponse) {
+      if (IsOpen(aBatch->mWrite, number)) {
+        HandleWriteResponse(aBatch, *block, aResponse.mOutcome);
       }
+      done();
+    });
+}
+
+void
+batch_service::HandleWriteResponse(const batch_ptr& aBatch,
+                                   const result_block& aBlock,
+                                   store_outcome aOutcome)
+{
+  switch (StepAfterWrite(aOutcome)) {
+    case write_step::Apply:
+      EndWrite(aBatch->mWrite);
       aBatch->mIsCommitting = false;
-      if (aResponse.mOutcome == store_outcome::Done) {
-        mDependencies.mRunner.MarkPartsSaved(aBatch->mMetadata.mId,
-                                             block->mParts);
-        ApplyListedBlock(aBatch, *block);
-        // Results that arrived during the write have no commit scheduled.
-        const auto dueIn = mDependencies.mRunner.DueIn(aBatch->mMetadata.mId);
-        ScheduleCommit(aBatch,
-                       CommitDelay(aBatch->mGroups,
-                                   aBatch->mMetadata.mTargetGroups,
-                                   dueIn,
-                                   true,
-                                   PendingCounts(*aBatch)));
-      } else if (aResponse.mOutcome == store_outcome::Refused) {
-        ScheduleCommit(aBatch, kRetryDelay);
-      } else {
+      mDependencies.mRunner.MarkPartsSaved(aBatch->mMetadata.mId,
+                                           aBlock.mParts);
+      ApplyListedBlock(aBatch, aBlock);
+      ScheduleNextCommit(aBatch);
+      return;
+    case write_step::WriteAgain:
+      EndWrite(aBatch->mWrite);
+      aBatch->mIsCommitting = false;
+      ScheduleCommit(aBatch, kRetryDelay);
+      return;
+    case write_step::ReadBack:
+      if (!aBatch->mWrite.mIsReadBack) {
         mDependencies.mRunner.MarkAllUnsaved(aBatch->mMetadata.mId);
         ReadBackCommit(aBatch);
       }
-      done();
-    });
+      return;
+  }
 }
 
 void
@@ -190,21 +204,59 @@
 void
 batch_service::ReadBackCommit(const batch_ptr& aBatch)
 {
-  aBatch->mIsCommitting = true;
+  aBatch->mWrite.mIsReadBack = true;
+  const auto number = aBatch->mWrite.mNumber;
   mDependencies.mStore.mGet(
     kBatchResultsKind,
     ResultsObjectName(aBatch->mMetadata.mId, aBatch->mLog.mNextBlock),
     objects::freshness::Linearizable,
-    IfSameGeneration(
-      aBatch, [this, aBatch](const objects::object_reply& aResponse) {
-        aBatch->mIsCommitting = false;
-        if (aResponse.mOutcome == store_outcome::Done) {
-          if (const auto block = DecodeBlock(aResponse.mObject)) {
-            ApplyListedBlock(aBatch, *block);
-          }
-        }
-        ScheduleCommit(aBatch, kRetryDelay);
-      }));
+    [this, aBatch, number](const objects::object_reply& aResponse) {
+      if (IsOpen(aBatch->mWrite, number)) {
+        HandleReadBack(aBatch, aResponse);
+      }
+    });
+  After(kReadBackInterval, [this, aBatch, number] {
+    if (IsOpen(aBatch->mWrite, number) && !aBatch->mMetadata.mIsEnded) {
+      ReadBackCommit(aBatch);
+    }
+  });
+}
+
+void
+batch_service::HandleReadBack(const batch_ptr& aBatch,
+                              const objects::object_reply& aResponse)
+{
+  const auto step = StepAfterReadBack(aResponse.mOutcome);
+  if (step == write_step::ReadBack && !aBatch->mMetadata.mIsEnded) {
+    // The next read follows at its interval.
+    return;
+  }
+  EndWrite(aBatch->mWrite);
+  aBatch->mIsCommitting = false;
+  switch (step) {
+    case write_step::Apply:
+      if (const auto block = DecodeBlock(aResponse.mObject)) {
+        ApplyListedBlock(aBatch, *block);
+      }
+      ScheduleNextCommit(aBatch);
+      return;
+    case write_step::WriteAgain:
+      ScheduleCommit(aBatch, milliseconds(0));
+      return;
+    case write_step::ReadBack:
+      return;
+  }
+}
+
+void
+batch_service::ScheduleNextCommit(const batch_ptr& aBatch)
+{
+  ScheduleCommit(aBatch,
+                 CommitDelay(aBatch->mGroups,
+                             aBatch->mMetadata.mTargetGroups,
+                             mDependencies.mRunner.DueIn(aBatch->mMetadata.mId),
+                             true,
+                             PendingCounts(*aBatch)));
 }
 
 void
--- a/Duties/Batches/BatchLoading.cpp
+++ b/Duties/Batches/BatchLoading.cpp
@@ -38,6 +38,7 @@
 batch_service::StartLoad(const batch_ptr& aBatch)
 {
   aBatch->mIsLoading = true;
+  EndWrite(aBatch->mWrite);
   aBatch->mLog = {};
   aBatch->mStored.clear();
   ++aBatch->mGeneration;
@@ -172,6 +173,7 @@
   aBatch->mIsLoaded = false;
   aBatch->mIsLoading = false;
   aBatch->mIsCommitting = false;
+  EndWrite(aBatch->mWrite);
   ++aBatch->mGeneration;
   aBatch->mLog = {};
   aBatch->mSubmission.reset();
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Duties/Batches/BatchRunner.h"
+#include "Duties/Batches/BlockWrite.h"
 #include "Duties/Batches/ResultLog.h"
 #include "Libraries/Core/Rendezvous.h"
 #include "Libraries/Edge/Listener.h"
@@ -72,6 +73,8 @@
    * generation; applied to the new log they would shift all later positions. */
   std::uint64_t mGeneration = 0;
   bool mIsCommitting = false;
+  /** The block that is being written, and its read-backs. */
+  block_write mWrite;
   /** True while a request to another entry to take over the batch is pending.
    */
   bool mIsOffered = false;
@@ -290,8 +293,18 @@
                    milliseconds aMinimumUnsavedTime,
                    std::function<void()> aDone);
   void ScheduleCommit(const batch_ptr& aBatch, milliseconds aDelay);
+  /** Schedules the write of results that arrived during the previous write. */
+  void ScheduleNextCommit(const batch_ptr& aBatch);
   void Commit(const batch_ptr& aBatch);
+  void HandleWriteResponse(const batch_ptr& aBatch,
+                           const result_block& aBlock,
+                           objects::store_outcome aOutcome);
+  /** Reads the block that a write without a usable response should have
+   * created, again and again until the store answers: a call that a silent
+   * store left open tells nothing of its return. */
   void ReadBackCommit(const batch_ptr& aBatch);
+  void HandleReadBack(const batch_ptr& aBatch,
+                      const objects::object_reply& aResponse);
   void ApplyListedBlock(const batch_ptr& aBatch, const result_block& aBlock);
   void After(milliseconds aDelay, std::function<void()> aAction);
 
--- a/Tests/Site/TestBatchPositions.cpp
+++ b/Tests/Site/TestBatchPositions.cpp
@@ -368,4 +368,50 @@
   }
 }
 
+// Guards against a store that was silent for seconds and is back: results of
+// steps that were due stayed in memory until the calls of the outage timed out.
+BOOST_AUTO_TEST_CASE(WaitingResultsAreListedAsSoonAsASilentStoreReturns)
+{
+  for (const auto outage : { 300ms, 1200ms, 2400ms }) {
+    batch_site site;
+    model_server server(site.mLoop.mLoop, "s1");
+    site.Add(server);
+    site.mState.mTimeoutDelay = 1500ms;
+    batch_entry entry(site, "a");
+    BOOST_TEST(entry.Submit("b1", 4).mAnswer.mStatus == 202u);
+    site.mState.mFault = standin::store_fault::Silent;
+    site.mLoop.RunUntil([] { return false; }, outage);
+    site.mState.mFault = standin::store_fault::None;
+    BOOST_TEST(site.mLoop.RunUntil(
+                 [&] { return entry.ListedIds("b1").size() == 4; }, 600ms),
+               outage.count());
+  }
+}
+
+// Guards against a write that takes effect after it was read back as missing
+// and written again: its results must not be listed at two positions.
+BOOST_AUTO_TEST_CASE(AWriteThatTakesEffectAfterItsReadBackIsListedOnce)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  site.Add(server);
+  site.mState.mTimeoutDelay = 1500ms;
+  site.mState.mLateWriteDelay = 900ms;
+  batch_entry entry(site, "a");
+  BOOST_TEST(entry.Submit("b1", 4).mAnswer.mStatus == 202u);
+  site.mState.mFault = standin::store_fault::Late;
+  site.mLoop.RunUntil([] { return false; }, 2000ms);
+  site.mState.mFault = standin::store_fault::None;
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return entry.ListedIds("b1").size() == 4; }));
+  site.mLoop.RunUntil([] { return false; }, 1000ms);
+  const auto ids = entry.ListedIds("b1");
+  BOOST_TEST(std::set<std::string>(ids.begin(), ids.end()).size() == 4u);
+  // A log that is loaded from the store has the same positions.
+  ChangeOwner(site, "b1", "c");
+  batch_entry reader(site, "c");
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return reader.ListedIds("b1") == ids; }, 5s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
