Batches: a batch's metadata tells the median event time of its entry

The speeds that an entry tells are those that differ from its median. Without the median a reader can't know whether a told server is fast or slow.

--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -91,6 +91,9 @@
   std::int64_t mLongItemTokens = 0;
   /** Speeds of servers as the entry that accepted the batch knew them. */
   std::vector<scheduling::told_speed> mServerSpeeds;
+  /** Median of the event times that this entry knew, with which those speeds
+   * are compared; zero if unknown. */
+  scheduling::event_time mMedianEventTime{ 0 };
   /** Number of stored objects that hold the items. */
   int mParts = 0;
   /** Wall-clock time of the entry that accepted the batch. */
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -192,6 +192,9 @@
   if (!aMetadata.mServerSpeeds.empty()) {
     spec.Set("eventMs", EncodeSpeeds(aMetadata.mServerSpeeds));
   }
+  if (aMetadata.mMedianEventTime > scheduling::event_time(0)) {
+    spec.Set("medianEventMs", aMetadata.mMedianEventTime.count());
+  }
   return json::Write(spec);
 }
 
@@ -223,6 +226,9 @@
   metadata.mExpectedTokens = json::IntegerAt(spec, "expected", 0);
   metadata.mLongItemTokens = json::IntegerAt(spec, "longTokens", 0);
   metadata.mServerSpeeds = DecodeSpeeds(spec.Find("eventMs"));
+  if (const auto* median = spec.Find("medianEventMs")) {
+    metadata.mMedianEventTime = scheduling::event_time(median->NumberOr(0));
+  }
   metadata.mParts = static_cast<int>(json::IntegerAt(spec, "parts", 0));
   metadata.mSubmittedAt = std::chrono::system_clock::time_point(
     milliseconds(json::IntegerAt(spec, "submittedMs", 0)));
