Versions: servers go to models by capacity, fast ones to models with long items

Cause: models got numbers of servers. Where servers differ in speed, their capacity then misses the work, and long items run on servers that can't finish them when due. Change: a batch tells its model's long items and servers' speeds. Where speeds differ, capacity is divided by work and fast servers by long items' tokens; a move must pay clearly. Alike servers are assigned by number as before.

--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Versions/Assignments.h"
 
 #include "Duties/Site/Evacuation.h"
+#include "Duties/Versions/ModelCapacity.h"
 #include "Libraries/EventLog/EventLog.h"
 #include "Libraries/Json/Value.h"
 
@@ -48,6 +49,15 @@
   return versions;
 }
 
+void
+AddToAverage(double& aAverage, std::int64_t aNewest)
+{
+  const auto newest = static_cast<double>(aNewest);
+  aAverage = aAverage == 0
+               ? newest
+               : aAverage + kNewestBatchWeight * (newest - aAverage);
+}
+
 } // namespace
 
 assignments::assignments(assignment_dependencies aParts)
@@ -103,26 +113,24 @@
 }
 
 void
-assignments::HandleBatchSubmitted(const std::string& aModel,
-                                  std::int64_t aMinimumVersion,
-                                  std::int64_t aExpectedTokens)
+assignments::HandleBatchSubmitted(const submitted_work& aWork)
 {
-  auto& work = mWork[aModel];
-  work = work == 0 ? static_cast<double>(aExpectedTokens)
-                   : work + kNewestBatchWeight *
-                              (static_cast<double>(aExpectedTokens) - work);
+  const auto& model = aWork.mSpeeds.mModel;
+  AddToAverage(mWork[model], aWork.mExpectedTokens);
+  AddToAverage(mLongWork[model], aWork.mLongItemTokens);
+  RecordToldSpeeds(mSpeeds, aWork.mSpeeds, mPlaced, mDependencies.mDirectory);
   UpdateModelShares();
   // A larger difference means that the trainer has fallen behind, not that it
   // allows such a lag.
   constexpr std::int64_t kMaximumLag = 3;
-  const auto announced = mAnnounced.find(aModel);
+  const auto announced = mAnnounced.find(model);
   if (announced != mAnnounced.end()) {
     // A batch may become known here before the version that was announced with
     // it; its lag then comes out too small. Hence the last two batches count.
-    auto& [before, last] = mLags[aModel];
+    auto& [before, last] = mLags[model];
     before = last;
     last = std::clamp<std::int64_t>(
-      announced->second - aMinimumVersion, 0, kMaximumLag);
+      announced->second - aWork.mMinimumVersion, 0, kMaximumLag);
   }
 }
 
@@ -133,6 +141,9 @@
     mModelShares = std::move(*shifted);
     LogModelShares();
   }
+  if (auto shifted = UpdatedLongShares(mWork, mLongWork, mLongShares)) {
+    mLongShares = std::move(*shifted);
+  }
 }
 
 void
@@ -158,6 +169,7 @@
       continue;
     }
     server_versions server{ id, row.mServer.mVersions };
+    server.mSlots = row.mServer.mSlots;
     if (const auto reported = mReported.find(id); reported != mReported.end()) {
       for (const auto& [model, version] : reported->second) {
         server.mVersions[model] = std::max(server.mVersions[model], version);
@@ -175,14 +187,17 @@
   if (!mDependencies.mConfiguration) {
     return targets;
   }
+  ForgetPlacesOfGoneServers();
+  std::map<std::string, double> capacities;
   for (const auto& [name, pool] : mDependencies.mConfiguration->mPools) {
     if (!pool.mEngine || pool.mEngine->mModels.empty()) {
       continue;
     }
-    const auto servers = ServersOf(name);
-    const auto placed =
-      AssignModels(servers, pool.mEngine->mModels, mAnnounced, mModelShares);
-    const auto due = ServersDueToLoad(servers, pool.mEngine->mModels);
+    auto servers = ServersOf(name);
+    ApplySpeeds(servers);
+    const auto placed = Place(servers, pool.mEngine->mModels);
+    AddCapacities(servers, placed, capacities);
+    const auto due = ServersDueToLoad(servers, pool.mEngine->mModels, placed);
     std::size_t loading = 0;
     for (const auto& server : servers) {
       const bool isDue =
@@ -209,14 +224,86 @@
       targets[id][model] = mAnnounced.at(model);
     }
   }
+  for (const auto& [model, capacity] : capacities) {
+    if (mDependencies.mMetrics) {
+      mDependencies.mMetrics->SetGauge(
+        "lavender_model_capacity", { { "model", model } }, capacity);
+    }
+  }
   return targets;
 }
 
+void
+assignments::ApplySpeeds(std::vector<server_versions>& aServers)
+{
+  std::vector<std::string> ids;
+  for (const auto& server : aServers) {
+    ids.push_back(server.mId);
+  }
+  UpdateRelativeSpeeds(mSpeeds, ids, mPlaced);
+  for (auto& server : aServers) {
+    if (const auto speed = mSpeeds.mRelative.find(server.mId);
+        speed != mSpeeds.mRelative.end()) {
+      server.mSpeed = speed->second;
+    }
+    if (const auto placed = mPlaced.find(server.mId); placed != mPlaced.end()) {
+      server.mAssigned = placed->second;
+    }
+  }
+}
+
+model_placement
+assignments::Place(const std::vector<server_versions>& aServers,
+                   const std::vector<std::string>& aModels)
+{
+  auto placed =
+    AssignModels(aServers, aModels, mAnnounced, mModelShares, mLongShares);
+  for (const auto& server : aServers) {
+    const auto& model = placed.at(server.mId);
+    auto& before = mPlaced[server.mId];
+    if (!before.empty() && before != model) {
+      events::line("model_assigned")
+        .With("model", model)
+        .With("before", before)
+        .With("server", server.mId)
+        .With("speed_percent", std::lround(100 * server.mSpeed))
+        .With("reason", server.mSpeed >= kFastSpeed ? "long_items" : "work");
+    }
+    before = model;
+  }
+  return placed;
+}
+
+void
+assignments::ForgetPlacesOfGoneServers()
+{
+  ForgetGoneServers(mSpeeds, mDependencies.mDirectory);
+  const auto& rows = mDependencies.mDirectory.mRows;
+  for (auto place = mPlaced.begin(); place != mPlaced.end();) {
+    place = rows.count(place->first) ? std::next(place) : mPlaced.erase(place);
+  }
+}
+
+void
+assignments::AddCapacities(const std::vector<server_versions>& aServers,
+                           const model_placement& aPlaced,
+                           std::map<std::string, double>& aCapacities) const
+{
+  std::vector<server_capacity> servers;
+  for (const auto& server : aServers) {
+    servers.push_back(
+      { server.mId, server.mSpeed, server.mSlots, aPlaced.at(server.mId) });
+  }
+  for (const auto& [model, capacity] : CapacityPerModel(servers)) {
+    aCapacities[model] += capacity;
+  }
+}
+
 std::vector<std::string>
 assignments::ServersDueToLoad(const std::vector<server_versions>& aServers,
-                              const std::vector<std::string>& aModels) const
+                              const std::vector<std::string>& aModels,
+                              const model_placement& aPlaced) const
 {
-  const auto placed = AssignModels(aServers, aModels, mAnnounced, mModelShares);
   std::vector<std::string> due;
   for (const auto& model : aModels) {
     const auto announced = mAnnounced.find(model);
@@ -225,7 +312,7 @@
     }
     std::vector<server_versions> share;
     for (const auto& server : aServers) {
-      if (placed.at(server.mId) == model) {
+      if (aPlaced.at(server.mId) == model) {
         share.push_back(server);
       }
     }
--- a/Duties/Versions/Assignments.h
+++ b/Duties/Versions/Assignments.h
@@ -2,7 +2,9 @@
 
 #include "Duties/Versions/GiverClaim.h"
 #include "Duties/Versions/Placement.h"
+#include "Duties/Versions/ToldSpeeds.h"
 #include "Libraries/Edge/Listener.h"
+#include "Libraries/Metrics/Metrics.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -17,6 +19,19 @@
   const site::configuration_ptr& mConfiguration;
   /** Only the controllers that hold these claims are answered. */
   const claim_table& mClaims;
+  /** Gets the capacity of each model; null to write none. */
+  metrics::registry* mMetrics = nullptr;
+};
+
+/** What decides, of a submitted batch, which servers serve its model. */
+struct submitted_work
+{
+  std::int64_t mMinimumVersion = 0;
+  std::int64_t mExpectedTokens = 0;
+  /** Those of the expected tokens that are in items which only a fast server
+   * is likely to finish when they are due. */
+  std::int64_t mLongItemTokens = 0;
+  batch_speeds mSpeeds;
 };
 
 /** Answers the long polls of the servers' controllers for target versions.
@@ -35,9 +50,7 @@
   /** Handles a trainer's submission of a batch. The lag that the batch allows
    * behind the newest version decides how many servers must load the next
    * version. */
-  void HandleBatchSubmitted(const std::string& aModel,
-                            std::int64_t aMinimumVersion,
-                            std::int64_t aExpectedTokens);
+  void HandleBatchSubmitted(const submitted_work& aWork);
   /** Schedules an evaluation after servers, the configuration or the announced
    * versions have changed. */
   void Refresh();
@@ -78,9 +91,19 @@
 
   std::map<std::string, target_versions> Decide(time_point aNow);
   std::vector<server_versions> ServersOf(const std::string& aPool) const;
+  /** Fills in what the placement needs beyond the versions. */
+  void ApplySpeeds(std::vector<server_versions>& aServers);
+  model_placement Place(const std::vector<server_versions>& aServers,
+                        const std::vector<std::string>& aModels);
   std::vector<std::string> ServersDueToLoad(
     const std::vector<server_versions>& aServers,
-    const std::vector<std::string>& aModels) const;
+    const std::vector<std::string>& aModels,
+    const model_placement& aPlaced) const;
+  void ForgetPlacesOfGoneServers();
+  /** Adds the capacities of one pool's servers. */
+  void AddCapacities(const std::vector<server_versions>& aServers,
+                     const model_placement& aPlaced,
+                     std::map<std::string, double>& aCapacities) const;
   void Answer(const held_request& aHeldRequest,
               const target_versions& aTargetVersions);
   std::unordered_map<std::string, std::string> ServersByAddress() const;
@@ -100,6 +123,12 @@
   /** Derived from mWork, but changed only when the work has clearly shifted,
    * because a server that is moved to another model must load it first. */
   model_shares mModelShares;
+  /** Moving average of the expected tokens in a model's long items. */
+  std::map<std::string, double> mLongWork;
+  /** Derived from mLongWork and changed rarely like mModelShares. */
+  model_shares mLongShares;
+  told_speeds mSpeeds;
+  model_placement mPlaced;
   /** Since when a server has been due to load a version that it doesn't
    * hold. */
   std::map<std::string, time_point> mLoadingSince;
--- a/Duties/Versions/Placement.cpp
+++ b/Duties/Versions/Placement.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Versions/Placement.h"
 
+#include "Duties/Versions/ModelCapacity.h"
 #include "Libraries/Core/Mechanisms.h"
 
 #include <algorithm>
@@ -9,6 +10,16 @@
 
 namespace {
 
+double
+WantedShare(const std::string& aModel,
+            const std::vector<std::string>& aModels,
+            const model_shares& aWeights)
+{
+  const auto weight = aWeights.find(aModel);
+  return weight == aWeights.end() ? 1.0 / static_cast<double>(aModels.size())
+                                  : weight->second;
+}
+
 /** Returns the model of which the server holds the most recent announced
  * version. Every server holds version 1 of all models from its start, so
  * version 1 is ignored. */
@@ -35,6 +46,33 @@
   return held;
 }
 
+std::map<std::string, std::string>
+AssignBySpeed(const std::vector<server_versions>& aServers,
+              const std::vector<std::string>& aModels,
+              const announced_versions& aAnnounced,
+              const model_shares& aWeights,
+              const model_shares& aLongShares)
+{
+  std::vector<model_work> work;
+  for (const auto& model : aModels) {
+    const auto isLong = aLongShares.find(model);
+    work.push_back({ model,
+                     WantedShare(model, aModels, aWeights),
+                     isLong == aLongShares.end() ? 0 : isLong->second });
+  }
+  std::vector<server_capacity> servers;
+  for (const auto& server : aServers) {
+    const auto before =
+      std::find(aModels.begin(), aModels.end(), server.mAssigned);
+    const auto model = before != aModels.end()
+                         ? server.mAssigned
+                         : HeldModel(server, aModels, aAnnounced);
+    servers.push_back(
+      { server.mId, server.mSpeed, server.mSlots, model.value_or("") });
+  }
+  return AssignByCapacity(std::move(servers), work);
+}
+
 } // namespace
 
 std::vector<std::string>
@@ -111,10 +149,7 @@
   std::map<std::string, std::size_t> shares;
   std::map<std::string, double> wanted;
   for (const auto& model : aModels) {
-    const auto weight = aWeights.find(model);
-    wanted[model] = weight == aWeights.end()
-                      ? 1.0 / static_cast<double>(aModels.size())
-                      : weight->second;
+    wanted[model] = WantedShare(model, aModels, aWeights);
     shares[model] = 0;
   }
   // Give each server to the model that is furthest below its share. Models
@@ -141,12 +176,18 @@
 AssignModels(const std::vector<server_versions>& aServers,
              const std::vector<std::string>& aModels,
              const announced_versions& aAnnounced,
-             const model_shares& aWeights)
+             const model_shares& aWeights,
+             const model_shares& aLongShares)
 {
   std::map<std::string, std::string> placed;
   if (aModels.empty()) {
     return placed;
   }
+  if (std::any_of(aServers.begin(), aServers.end(), [](const auto& aServer) {
+        return aServer.mSpeed != 1;
+      })) {
+    return AssignBySpeed(aServers, aModels, aAnnounced, aWeights, aLongShares);
+  }
   const auto shares = ServersPerModel(aServers.size(), aModels, aWeights);
   std::map<std::string, std::vector<std::string>> byModel;
   std::vector<std::string> free;
--- a/Duties/Versions/Placement.h
+++ b/Duties/Versions/Placement.h
@@ -17,6 +17,12 @@
 {
   std::string mId;
   std::map<std::string, std::int64_t> mVersions;
+  /** Relative to a usual server of the pool. */
+  double mSpeed = 1;
+  int mSlots = 1;
+  /** Model that the server was assigned to before; none if unknown. Counts
+   * only where speeds differ. */
+  std::optional<std::string> mAssigned = std::nullopt;
 };
 
 /** Fraction of the servers' work that each model causes; the sum is one. */
@@ -47,13 +53,16 @@
  * Each model has its own servers: loading every model on every server would
  * multiply the loads by the number of models. A server keeps the model of which
  * it holds an announced version, unless that model has more servers than its
- * share. The result depends on the arguments alone, so entries with the same
- * state agree. */
+ * share. If the servers' speeds differ, capacity is divided instead of the
+ * number of servers; see AssignByCapacity. The result depends on the arguments
+ * alone, so entries with the same state agree.
+ * @param aLongShares part of each model's weight that is in long items */
 std::map<std::string, std::string>
 AssignModels(const std::vector<server_versions>& aServers,
              const std::vector<std::string>& aModels,
              const announced_versions& aAnnounced,
-             const model_shares& aWeights);
+             const model_shares& aWeights,
+             const model_shares& aLongShares = {});
 
 /** Returns those of one model's servers that shall load the newest version, the
  * most outdated first.
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -131,11 +131,15 @@
                },
                [this] { return mStoreAccess.CanReachStore(); },
                [this](const batches::batch_metadata& aMetadata) {
-                 mAssignments.HandleBatchSubmitted(aMetadata.mModel,
-                                                   aMetadata.mMinimumVersion,
-                                                   aMetadata.mExpectedTokens);
+                 mAssignments.HandleBatchSubmitted(
+                   { aMetadata.mMinimumVersion,
+                     aMetadata.mExpectedTokens,
+                     aMetadata.mLongItemTokens,
+                     { aMetadata.mModel,
+                       aMetadata.mServerSpeeds,
+                       aMetadata.mMedianEventTime } });
                } })
-  , mAssignments({ mLoop, mDirectory, mConfiguration, mClaims })
+  , mAssignments({ mLoop, mDirectory, mConfiguration, mClaims, &mMetrics })
   , mUsage({ mLoop,
              mStore,
              *mClients,
