--- a/Duties/Batches/BatchAdmission.cpp
+++ b/Duties/Batches/BatchAdmission.cpp
@@ -62,6 +62,7 @@
   metadata.mLongItemTokens =
     mDependencies.mRunner.LongItemTokens(aSubmission, aOrigin.mHost);
   metadata.mServerSpeeds = mDependencies.mRunner.MeasuredSpeeds();
+  metadata.mMedianEventTime = mDependencies.mRunner.MedianOfSpeeds();
   metadata.mParts = static_cast<int>(admitted->mItems.size());
   metadata.mSubmittedAt = std::chrono::system_clock::now();
   metadata.mOwner = mDependencies.mName;
--- a/Duties/Batches/BatchMoves.cpp
+++ b/Duties/Batches/BatchMoves.cpp
@@ -49,6 +49,13 @@
   return scheduling::SpeedsToTell(mSpeeds);
 }
 
+scheduling::event_time
+batch_runner::MedianOfSpeeds() const
+{
+  return scheduling::MedianEventTime(mSpeeds).value_or(
+    scheduling::event_time(0));
+}
+
 scheduling::event_time
 batch_runner::UsualEventTime() const
 {
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -138,6 +138,8 @@
   void LearnSpeeds(const std::vector<scheduling::told_speed>& aSpeeds);
   /** Speeds of servers that are worth telling to other entries. */
   std::vector<scheduling::told_speed> MeasuredSpeeds() const;
+  /** Median with which those speeds are compared; zero if unknown. */
+  scheduling::event_time MedianOfSpeeds() const;
   /** Estimated tokens of the items that a server of median speed is likely to
    * finish only after they are due. */
   std::int64_t LongItemTokens(const submission& aSubmission,
