--- a/Tests/Site/TestGivers.cpp
+++ b/Tests/Site/TestGivers.cpp
@@ -26,7 +26,7 @@
     known->mVersion = 1;
     site::server_pool pool;
     pool.mName = "pool";
-    pool.mEngine = site::engine_pool{ 12, 0, 0, { "model" } };
+    pool.mEngine = site::engine_pool{ 12, { "model" } };
     known->mPools["pool"] = pool;
     mConfiguration = known;
     site::ApplyServer(mDirectory, mServer.Entry(), boot_clock::now());
--- a/Tests/Site/TestModelCapacity.cpp
+++ b/Tests/Site/TestModelCapacity.cpp
@@ -295,7 +295,7 @@
   test_loop loop;
   const auto directory = Directory(12);
   auto sites = std::make_shared<site::site_configuration>();
-  sites->mPools["pool"].mEngine = site::engine_pool{ 12, 0, 0, { "m", "n" } };
+  sites->mPools["pool"].mEngine = site::engine_pool{ 12, { "m", "n" } };
   const site::configuration_ptr configuration = sites;
   const claim_table claims;
   metrics::registry metrics;
--- a/Tests/Site/TestVersions.cpp
+++ b/Tests/Site/TestVersions.cpp
@@ -19,7 +19,7 @@
   configuration->mVersion = 1;
   site::server_pool pool;
   pool.mName = "pool";
-  pool.mEngine = site::engine_pool{ 12, 0, 0, { "m", "n" } };
+  pool.mEngine = site::engine_pool{ 12, { "m", "n" } };
   configuration->mPools["pool"] = pool;
   return configuration;
 }
