Batches: groups of all open batches of a model are ranked together

Cause: batches ran in the order of submission even where the older one couldn't be in time any more. Change: GroupRanks builds steps from the runner's batches and takes the ranks of RankSteps; rank comes before submission time. StepOrder replaces GroupOrder, whose tests are in TestStepOrder. A change of standing is counted, and a group's first deferral is logged. The histories of TestStepOrder count in whole ticks: rounding made items a tick longer than their estimate.

--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -22,8 +22,6 @@
  * per item. Each move makes the new server process the item's tokens again. */
 constexpr int kMaximumMovesAtOnce = 8;
 constexpr int kMaximumMovesPerItem = 2;
-/** Results must be listed and read before a step is due. */
-constexpr milliseconds kListingTime = 500ms;
 
 } // namespace
 
@@ -113,38 +111,6 @@
   }
 }
 
-std::vector<std::size_t>
-batch_runner::GroupRanks(const running_batch& aBatch,
-                         const std::vector<engine_view>& aEngines) const
-{
-  if (!IsOn(mechanism::GroupOrder) || mRunSeconds <= 0) {
-    return std::vector<std::size_t>(aBatch.mGroupCount);
-  }
-  std::vector<open_group> groups(aBatch.mGroupCount);
-  for (std::size_t i = 0; i < aBatch.mItems.size(); ++i) {
-    auto& group = groups[aBatch.mGroupOf[i]];
-    const auto phase = aBatch.mItems[i].mPhase;
-    const bool isOpen =
-      phase == item_phase::Waiting || phase == item_phase::Running;
-    group.mOpenItems += isOpen ? 1 : 0;
-    group.mStartedItems += phase == item_phase::Waiting ? 0 : 1;
-  }
-  const auto& model = aBatch.mMetadata.mModel;
-  int slots = 0;
-  for (const auto& engine : aEngines) {
-    const auto version = engine.mVersions.find(model);
-    if (version != engine.mVersions.end() &&
-        version->second >= aBatch.mMetadata.mMinimumVersion) {
-      slots += engine.mSlots;
-    }
-  }
-  const auto timeLeft =
-    std::chrono::duration<double>(DueIn(aBatch.mMetadata.mId) - kListingTime);
-  const auto target = static_cast<std::size_t>(std::max(
-    0, aBatch.mMetadata.mTargetGroups - aBatch.mGroups.mCompleteGroups));
-  return RankGroups(groups, target, slots * timeLeft.count() / mRunSeconds);
-}
-
 void
 batch_runner::DispatchNow()
 {
@@ -159,13 +125,15 @@
   std::vector<candidate> waiting;
   for (auto& [id, batch] : mBatches) {
     GiveUpOverdueItems(batch);
-    const auto ranks = GroupRanks(batch, engines);
+  }
+  const auto ranks = GroupRanks(engines);
+  for (auto& [id, batch] : mBatches) {
     const auto submitted = std::chrono::duration_cast<milliseconds>(
       batch.mMetadata.mSubmittedAt.time_since_epoch());
     for (std::size_t i = 0; i < batch.mItems.size(); ++i) {
       if (batch.mItems[i].mPhase == item_phase::Waiting) {
-        waiting.push_back({ { submitted.count(),
-                              ranks[batch.mGroupOf[i]],
+        waiting.push_back({ { ranks.at(id)[batch.mGroupOf[i]],
+                              submitted.count(),
                               IsOn(mechanism::LongestFirst)
                                 ? batch.mItems[i].mItem->mExpectedTokens
                                 : 0 },
--- /dev/null
+++ b/Duties/Batches/BatchRanks.cpp
@@ -0,0 +1,182 @@
+#include "Duties/Batches/BatchRunner.h"
+
+#include "Libraries/Core/Mechanisms.h"
+#include "Libraries/EventLog/EventLog.h"
+
+#include <algorithm>
+
+namespace lavender::batches {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+/** Results must be listed and read before a step is due. */
+constexpr milliseconds kListingTime = 500ms;
+/** Part of the mean run that a run is taken to need at least: one that outgrows
+ * the mean isn't about to end for that. */
+constexpr double kLeastPartLeft = 0.25;
+
+const char*
+ToString(scheduling::group_standing aStanding)
+{
+  switch (aStanding) {
+    case scheduling::group_standing::InTime:
+      return "in_time";
+    case scheduling::group_standing::NoRoom:
+      return "no_room";
+    case scheduling::group_standing::Surplus:
+      return "surplus";
+    case scheduling::group_standing::Late:
+      return "late";
+    case scheduling::group_standing::Complete:
+      return "complete";
+  }
+  return "";
+}
+
+bool
+IsDeferred(scheduling::group_standing aStanding)
+{
+  return aStanding == scheduling::group_standing::NoRoom ||
+         aStanding == scheduling::group_standing::Late;
+}
+
+/** Number of runs that the servers hold for batches of the model. Servers that
+ * hold a version which is new enough for one of the batches count. */
+int
+PlacesOf(const std::vector<engine_view>& aEngines,
+         const std::string& aModel,
+         std::int64_t aMinimumVersion)
+{
+  int places = 0;
+  for (const auto& engine : aEngines) {
+    const auto version = engine.mVersions.find(aModel);
+    const bool isUsable =
+      aModel.empty() ||
+      (version != engine.mVersions.end() && version->second >= aMinimumVersion);
+    places += isUsable ? std::max(0, engine.mSlots - engine.mOtherRuns) : 0;
+  }
+  return places;
+}
+
+} // namespace
+
+seconds
+batch_runner::TimeLeftOf(const item_progress& aItem) const
+{
+  const auto events = aItem.mGenerated.mLastEvent.value_or(-1) + 1;
+  const double made =
+    static_cast<double>(events) * MedianEventTime(mHealths) / 1000;
+  return seconds(std::max(mRunSeconds - made, mRunSeconds * kLeastPartLeft));
+}
+
+scheduling::open_step
+batch_runner::StepOf(const running_batch& aBatch) const
+{
+  scheduling::open_step step;
+  step.mTimeLeft = DueIn(aBatch.mMetadata.mId) - kListingTime;
+  step.mGroups.resize(aBatch.mGroupCount);
+  for (std::size_t i = 0; i < aBatch.mItems.size(); ++i) {
+    const auto& item = aBatch.mItems[i];
+    if (item.mPhase != item_phase::Waiting &&
+        item.mPhase != item_phase::Running) {
+      continue;
+    }
+    auto& group = step.mGroups[aBatch.mGroupOf[i]];
+    const auto left = TimeLeftOf(item);
+    ++group.mOpenItems;
+    group.mWork += left;
+    group.mLongest = std::max(group.mLongest, left);
+  }
+  int target = aBatch.mMetadata.mTargetGroups;
+  for (std::size_t i = 0; i < step.mGroups.size(); ++i) {
+    step.mGroups[i].mLastStanding = aBatch.mStandings[i];
+    target -= step.mGroups[i].mOpenItems == 0 ? 1 : 0;
+  }
+  step.mTargetGroups = static_cast<std::size_t>(std::max(0, target));
+  return step;
+}
+
+void
+batch_runner::RecordStandings(
+  running_batch& aBatch,
+  const scheduling::open_step& aStep,
+  const std::vector<scheduling::ranked_group>& aRanks)
+{
+  for (std::size_t i = 0; i < aRanks.size(); ++i) {
+    const auto before =
+      std::exchange(aBatch.mStandings[i], aRanks[i].mStanding);
+    if (before == aRanks[i].mStanding) {
+      continue;
+    }
+    mDependencies.mMetrics.Count("lavender_batch_groups_total",
+                                 { { "standing", ToString(before) },
+                                   { "to", ToString(aRanks[i].mStanding) } });
+    if (!IsDeferred(aRanks[i].mStanding) || aBatch.mWasDeferred[i]) {
+      continue;
+    }
+    aBatch.mWasDeferred[i] = true;
+    const auto inMs = [](seconds aTime) {
+      return std::chrono::duration_cast<milliseconds>(aTime).count();
+    };
+    events::line("group_deferred")
+      .With("batch", aBatch.mMetadata.mId)
+      .With("group", static_cast<std::int64_t>(i))
+      .With("standing", ToString(aRanks[i].mStanding))
+      .With("time_left_ms", inMs(aStep.mTimeLeft))
+      .With("work_left_ms", inMs(aStep.mGroups[i].mWork))
+      .With("longest_ms", inMs(aStep.mGroups[i].mLongest));
+  }
+}
+
+void
+batch_runner::RankModel(const std::vector<running_batch*>& aBatches,
+                        const std::vector<engine_view>& aEngines,
+                        group_ranks& aRanks)
+{
+  std::vector<scheduling::open_step> steps;
+  auto version = aBatches.front()->mMetadata.mMinimumVersion;
+  for (const auto* batch : aBatches) {
+    steps.push_back(StepOf(*batch));
+    version = std::min(version, batch->mMetadata.mMinimumVersion);
+  }
+  const auto places =
+    PlacesOf(aEngines, aBatches.front()->mMetadata.mModel, version);
+  const auto ranked = scheduling::RankSteps(steps, places);
+  for (std::size_t i = 0; i < aBatches.size(); ++i) {
+    RecordStandings(*aBatches[i], steps[i], ranked[i]);
+    auto& ranks = aRanks[aBatches[i]->mMetadata.mId];
+    for (const auto& group : ranked[i]) {
+      ranks.push_back(group.mRank);
+    }
+  }
+}
+
+batch_runner::group_ranks
+batch_runner::GroupRanks(const std::vector<engine_view>& aEngines)
+{
+  group_ranks ranks;
+  std::map<std::string, std::vector<running_batch*>> models;
+  for (auto& [id, batch] : mBatches) {
+    models[batch.mMetadata.mModel].push_back(&batch);
+    ranks[id].clear();
+  }
+  if (!IsOn(mechanism::GroupOrder) || mRunSeconds <= 0) {
+    for (const auto& [id, batch] : mBatches) {
+      ranks[id].assign(batch.mGroupCount, 0);
+    }
+    return ranks;
+  }
+  for (auto& [model, batches] : models) {
+    std::sort(batches.begin(), batches.end(), [](auto* aLeft, auto* aRight) {
+      return aLeft->mMetadata.mSubmittedAt < aRight->mMetadata.mSubmittedAt;
+    });
+    RankModel(batches, aEngines, ranks);
+  }
+  return ranks;
+}
+
+} // namespace lavender::batches
--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -33,6 +33,8 @@
     batch.mItems.push_back(std::move(progress));
   }
   batch.mGroupCount = groups.size();
+  batch.mStandings.resize(groups.size(), scheduling::group_standing::Complete);
+  batch.mWasDeferred.resize(groups.size());
   Remove(aMetadata.mId);
   mBatches[aMetadata.mId] = std::move(batch);
   RestoreTexts(mBatches[aMetadata.mId], std::move(aStored));
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -3,12 +3,12 @@
 #include "Duties/Batches/Batch.h"
 #include "Duties/Batches/EngineHealth.h"
 #include "Duties/Batches/EventStream.h"
-#include "Duties/Batches/GroupOrder.h"
 #include "Duties/Batches/GroupProgress.h"
 #include "Duties/Batches/MadeText.h"
 #include "Duties/Batches/OtherLoad.h"
 #include "Duties/Batches/Schedule.h"
 #include "Duties/Rewards/RewardCaller.h"
+#include "Duties/Scheduling/StepOrder.h"
 #include "Duties/Site/SendLimits.h"
 #include "Duties/Site/ServerProtocol.h"
 #include "Duties/Site/SiteConfiguration.h"
@@ -69,6 +69,10 @@
   /** Group of each item, by its place in the order of submission. */
   std::vector<std::size_t> mGroupOf;
   std::size_t mGroupCount = 0;
+  /** Standing of each group at the last dispatch. */
+  std::vector<scheduling::group_standing> mStandings;
+  /** Groups that were deferred once; only the first time is logged. */
+  std::vector<bool> mWasDeferred;
   group_progress mGroups;
 };
 
@@ -144,10 +148,21 @@
                                    const item_progress& aItem,
                                    const site::route& aRoute) const;
   void DispatchNow();
-  /** Returns the rank of each of the batch's groups. */
-  std::vector<std::size_t> GroupRanks(
-    const running_batch& aBatch,
-    const std::vector<engine_view>& aEngines) const;
+  /** Ranks of a batch's groups, by batch. */
+  using group_ranks = std::map<std::string, std::vector<std::size_t>>;
+  /** Ranks the groups of all batches. Batches of a model compete with one
+   * another only. */
+  group_ranks GroupRanks(const std::vector<engine_view>& aEngines);
+  void RankModel(const std::vector<running_batch*>& aBatches,
+                 const std::vector<engine_view>& aEngines,
+                 group_ranks& aRanks);
+  /** Time that a run of the item will still take; none if it isn't known how
+   * fast the servers are. */
+  std::chrono::duration<double> TimeLeftOf(const item_progress& aItem) const;
+  scheduling::open_step StepOf(const running_batch& aBatch) const;
+  void RecordStandings(running_batch& aBatch,
+                       const scheduling::open_step& aStep,
+                       const std::vector<scheduling::ranked_group>& aRanks);
   /** Removes the state of servers that are gone from the directory and of old
    * groups. Restarted servers mostly have a new name, so the state would grow
    * without bound. */
--- a/Duties/Batches/Schedule.h
+++ b/Duties/Batches/Schedule.h
@@ -70,22 +70,22 @@
 /** Scheduling order of items; the lesser one runs first. */
 struct item_priority
 {
+  /** Rank of the item's group among all open groups of the model. */
+  std::size_t mGroupRank = 0;
   /** Older batches run first. */
   std::int64_t mSubmittedMs = 0;
-  /** Rank of the item's group in its batch. */
-  std::size_t mGroupRank = 0;
   /** Long items run first: a long run that starts late ends last and delays its
    * group, and a step waits for its last groups. */
   std::int64_t mExpectedTokens = 0;
 
   bool operator<(const item_priority& aOther) const
   {
-    if (mSubmittedMs != aOther.mSubmittedMs) {
-      return mSubmittedMs < aOther.mSubmittedMs;
-    }
     if (mGroupRank != aOther.mGroupRank) {
       return mGroupRank < aOther.mGroupRank;
     }
+    if (mSubmittedMs != aOther.mSubmittedMs) {
+      return mSubmittedMs < aOther.mSubmittedMs;
+    }
     return mExpectedTokens > aOther.mExpectedTokens;
   }
 };
--- a/Duties/Scheduling/TestStepOrder.cpp
+++ b/Duties/Scheduling/TestStepOrder.cpp
@@ -65,8 +65,8 @@
   double mSubmittedAt = 0;
   std::size_t mTarget = 0;
   bool mIsPatient = false;
-  /** Time that each item still needs, by group. */
-  std::vector<std::vector<double>> mItems;
+  /** Ticks that each item still needs, by group. */
+  std::vector<std::vector<int>> mItems;
   std::vector<group_standing> mStandings;
   /** Number of times that each group was deferred. */
   std::vector<int> mDeferrals;
@@ -111,8 +111,9 @@
       open_group group;
       for (const auto left : aStep.mItems[i]) {
         group.mOpenItems += left > 0 ? 1 : 0;
-        group.mWork += seconds(std::max(0.0, left) * Error());
-        group.mLongest = std::max(group.mLongest, seconds(left * Error()));
+        group.mWork += seconds(left * kTick * Error());
+        group.mLongest =
+          std::max(group.mLongest, seconds(left * kTick * Error()));
       }
       group.mLastStanding = aStep.mStandings[i];
       view.mGroups.push_back(group);
@@ -159,7 +160,7 @@
       }
     }
     auto ranked = RankSteps(views, mPlaces);
-    std::vector<std::tuple<std::size_t, double, double*>> items;
+    std::vector<std::tuple<std::size_t, int, int*>> items;
     bool hasFirst = false;
     for (std::size_t s = 0; s < open.size(); ++s) {
       NoteStandings(*open[s], ranked[s]);
@@ -178,15 +179,14 @@
     }
     std::sort(items.begin(), items.end());
     for (std::size_t i = 0; i < items.size() && int(i) < mPlaces; ++i) {
-      *std::get<2>(items[i]) -= kTick;
+      --*std::get<2>(items[i]);
     }
     mNow += kTick;
     for (auto* step : open) {
       const auto complete = static_cast<std::size_t>(std::count_if(
         step->mItems.begin(), step->mItems.end(), [](const auto& aItems) {
-          return std::all_of(aItems.begin(), aItems.end(), [](double aLeft) {
-            return aLeft <= 0;
-          });
+          return std::all_of(
+            aItems.begin(), aItems.end(), [](int aLeft) { return aLeft == 0; });
         }));
       step->mComplete = complete;
       step->mInTime =
@@ -225,10 +225,11 @@
   step.mSubmittedAt = aSubmittedAt;
   step.mTarget = (aGroups * 9 + 9) / 10;
   for (std::size_t g = 0; g < aGroups; ++g) {
-    std::vector<double> items;
+    std::vector<int> items;
     for (int i = 0; i < aItems; ++i) {
       const double part = double((g * 7 + i * 5) % 16) / 15;
-      items.push_back(aShortest + part * (aLongest - aShortest));
+      items.push_back(static_cast<int>(
+        (aShortest + part * (aLongest - aShortest)) / kTick + 0.5));
     }
     step.mItems.push_back(std::move(items));
   }
