--- a/Duties/Batches/BatchRanks.cpp
+++ b/Duties/Batches/BatchRanks.cpp
@@ -7,18 +7,10 @@
 
 namespace lavender::batches {
 
-using namespace std::chrono_literals;
-
 namespace {
 
 using seconds = std::chrono::duration<double>;
 
-/** Results must be listed and read before a step is due. */
-constexpr milliseconds kListingTime = 500ms;
-/** Part of the mean run that a run is taken to need at least: one that outgrows
- * the mean isn't about to end for that. */
-constexpr double kLeastPartLeft = 0.25;
-
 const char*
 ToString(scheduling::group_standing aStanding)
 {
@@ -65,28 +57,34 @@
 } // namespace
 
 seconds
-batch_runner::TimeLeftOf(const item_progress& aItem) const
+batch_runner::TimeLeftOf(const running_batch& aBatch, item_progress& aItem)
 {
-  const auto events = aItem.mGenerated.mLastEvent.value_or(-1) + 1;
-  const double made =
-    static_cast<double>(events) * MedianEventTime(mHealths) / 1000;
-  return seconds(std::max(mRunSeconds - made, mRunSeconds * kLeastPartLeft));
+  const auto route = RouteOf(aBatch, *aItem.mItem);
+  if (!route) {
+    return seconds(0);
+  }
+  auto eventTime = UsualEventTime();
+  if (const auto speed = mSpeeds.find(aItem.mServer);
+      speed != mSpeeds.end() && aItem.mPhase == item_phase::Running) {
+    eventTime = ExpectedEventTime(speed->second).value_or(eventTime);
+  }
+  return EventsLeft(aBatch, aItem, *route).mMean * eventTime;
 }
 
 scheduling::open_step
-batch_runner::StepOf(const running_batch& aBatch) const
+batch_runner::StepOf(running_batch& aBatch)
 {
   scheduling::open_step step;
   step.mTimeLeft = DueIn(aBatch.mMetadata.mId) - kListingTime;
   step.mGroups.resize(aBatch.mGroupCount);
   for (std::size_t i = 0; i < aBatch.mItems.size(); ++i) {
-    const auto& item = aBatch.mItems[i];
+    auto& item = aBatch.mItems[i];
     if (item.mPhase != item_phase::Waiting &&
         item.mPhase != item_phase::Running) {
       continue;
     }
     auto& group = step.mGroups[aBatch.mGroupOf[i]];
-    const auto left = TimeLeftOf(item);
+    const auto left = TimeLeftOf(aBatch, item);
     ++group.mOpenItems;
     group.mWork += left;
     group.mLongest = std::max(group.mLongest, left);
@@ -139,7 +137,7 @@
 {
   std::vector<scheduling::open_step> steps;
   auto version = aBatches.front()->mMetadata.mMinimumVersion;
-  for (const auto* batch : aBatches) {
+  for (auto* batch : aBatches) {
     steps.push_back(StepOf(*batch));
     version = std::min(version, batch->mMetadata.mMinimumVersion);
   }
@@ -164,7 +162,7 @@
     models[batch.mMetadata.mModel].push_back(&batch);
     ranks[id].clear();
   }
-  if (!IsOn(mechanism::GroupOrder) || mRunSeconds <= 0) {
+  if (!IsOn(mechanism::GroupOrder) || !scheduling::MedianEventTime(mSpeeds)) {
     for (const auto& [id, batch] : mBatches) {
       ranks[id].assign(batch.mGroupCount, 0);
     }
