--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -3,12 +3,12 @@
 #include "Duties/Batches/Batch.h"
 #include "Duties/Batches/EngineHealth.h"
 #include "Duties/Batches/EventStream.h"
-#include "Duties/Batches/GroupOrder.h"
 #include "Duties/Batches/GroupProgress.h"
 #include "Duties/Batches/MadeText.h"
 #include "Duties/Batches/RunMoves.h"
 #include "Duties/Batches/Schedule.h"
 #include "Duties/Rewards/RewardCaller.h"
+#include "Duties/Scheduling/StepOrder.h"
 #include "Duties/Site/SendLimits.h"
 #include "Duties/Site/ServerLoads.h"
 #include "Duties/Site/ServerProtocol.h"
@@ -79,6 +79,10 @@
   /** Group of each item, by its place in the order of submission. */
   std::vector<std::size_t> mGroupOf;
   std::size_t mGroupCount = 0;
+  /** Standing of each group at the last dispatch. */
+  std::vector<scheduling::group_standing> mStandings;
+  /** Groups that were deferred once; only the first time is logged. */
+  std::vector<bool> mWasDeferred;
   group_progress mGroups;
 };
 
@@ -167,12 +171,24 @@
                                    item_progress& aItem,
                                    const site::route& aRoute);
   void DispatchNow();
+  /** Ranks of a batch's groups, by batch. */
+  using group_ranks = std::map<std::string, std::vector<std::size_t>>;
+  /** Ranks the groups of all batches. Batches of a model compete with one
+   * another only. */
+  group_ranks GroupRanks(const std::vector<engine_view>& aEngines);
+  void RankModel(const std::vector<running_batch*>& aBatches,
+                 const std::vector<engine_view>& aEngines,
+                 group_ranks& aRanks);
+  /** Time that a run of the item will still take, at its server or at a usual
+   * one. */
+  std::chrono::duration<double> TimeLeftOf(const running_batch& aBatch,
+                                           item_progress& aItem);
+  scheduling::open_step StepOf(running_batch& aBatch);
+  void RecordStandings(running_batch& aBatch,
+                       const scheduling::open_step& aStep,
+                       const std::vector<scheduling::ranked_group>& aRanks);
   /** Events left of the longest waiting item. */
   double LongestWaiting();
-  /** Returns the rank of each of the batch's groups. */
-  std::vector<std::size_t> GroupRanks(
-    const running_batch& aBatch,
-    const std::vector<engine_view>& aEngines) const;
   /** Removes the state of servers that are gone from the directory and of old
    * groups. Restarted servers mostly have a new name, so the state would grow
    * without bound. */
@@ -234,7 +250,6 @@
                   item_progress& aItem,
                   item_end aEnd,
                   std::optional<std::string> aScore = std::nullopt);
-  void RecordRunTime(boot_clock::duration aTime);
   void BlockServer(const std::string& aServer, milliseconds aDelay);
   void LogRunEnd(const item_progress& aItem,
                  const running_batch& aBatch,
@@ -257,9 +272,6 @@
   /** Start times of the servers whose speed is known. */
   std::map<std::string, std::int64_t> mStartTimes;
   scheduling::length_statistics_by_model mLengths;
-  /** Moving average of the time that a completed run took; 0 before the first.
-   */
-  double mRunSeconds = 0;
   group_affinities mAffinities;
   boost::asio::steady_timer mTimer;
   std::uint64_t mLastRunNumber = 0;
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -30,15 +30,12 @@
  * each error. */
 constexpr int kMaximumErrorsPerAttempt = 2;
 constexpr unsigned kUnprocessable = 422;
-/** Weight of the newest run in the moving average of the runs' time. */
-constexpr double kNewestRunWeight = 0.02;
 
 } // namespace
 
 /** State of the response to one run. */
 struct batch_runner::run_state
 {
-  time_point mStartedAt;
   edge::response mHead;
   site::response_metadata mFacts;
   event_stream mStream;
@@ -99,7 +96,6 @@
 
   const run_ref ref{ aBatch.mMetadata.mId, aIndex, item.mRunNumber };
   auto run = std::make_shared<run_state>();
-  run->mStartedAt = item.mLastEventAt;
   edge::call_options options;
   options.mConnectTimeout = kConnectTimeout;
   options.mSilenceTimeout = kRunIdleTimeout;
@@ -221,7 +217,6 @@
       outcome = "mixed_versions";
     } else {
       LogRunEnd(*item, batch, "completed", aEnd, status);
-      RecordRunTime(boot_clock::now() - aRun->mStartedAt);
       RecordEstimate(*item);
       if (route) {
         scheduling::RecordLength(
@@ -263,15 +258,6 @@
   Dispatch();
 }
 
-void
-batch_runner::RecordRunTime(boot_clock::duration aTime)
-{
-  const double seconds = std::chrono::duration<double>(aTime).count();
-  mRunSeconds = mRunSeconds == 0
-                  ? seconds
-                  : mRunSeconds + kNewestRunWeight * (seconds - mRunSeconds);
-}
-
 void
 batch_runner::LogRunEnd(const item_progress& aItem,
                         const running_batch& aBatch,
