--- a/Duties/Batches/TestSchedule.cpp
+++ b/Duties/Batches/TestSchedule.cpp
@@ -60,6 +60,36 @@
   BOOST_TEST(Choose({ warming, Engine("warm", 8) }) == "none");
 }
 
+/** A long item that comes first is sent to a slow server as long as that one
+ * has the fewest runs. */
+BOOST_AUTO_TEST_CASE(ItemsFillTheFastServersFirst)
+{
+  auto fast = Engine("fast", 0);
+  fast.mRelativeTime = 0.5;
+  std::vector engines{ Engine("slow", 0), fast };
+  for (int run = 0; run < engines[1].mSlots; ++run) {
+    BOOST_TEST(Choose(engines) == "fast");
+    ++engines[1].mOwnRuns;
+  }
+  BOOST_TEST(Choose(engines) == "slow");
+}
+
+/** Long items that meet on one server outgrow its memory although each of them
+ * fits now. */
+BOOST_AUTO_TEST_CASE(AServerWithoutMemoryIsChosenLast)
+{
+  auto tight = Engine("tight", 1);
+  tight.mMemoryTokens = 1000;
+  tight.mRunMemory = { { 100, 900, 10 } };
+  item_requirements need;
+  need.mPools = { "pool" };
+  need.mMemory = { 100, 900, 10 };
+  BOOST_TEST(*ChooseEngine({ tight, Engine("other", 7) }, need, {}, kNow) ==
+             1u);
+  BOOST_TEST(*ChooseEngine({ tight, Engine("other", 8) }, need, {}, kNow) ==
+             0u);
+}
+
 BOOST_AUTO_TEST_CASE(AnItemRunsOnlyInAllowedZones)
 {
   auto near = Engine("near", 7);
