Batches: a reader's check that meets a silent store holds up no writes

Cause: the read that looks for results of an earlier owner shuts out writes of the batch until it ends, 1.5 s if the store was silent when it began, however soon the store is back.

A later response is used only if nothing else reads or writes that position meanwhile.

Result: ACheckThatASilentStoreLeftOpenHoldsUpNoResults fails on the commit before.

--- a/Duties/Batches/BatchListing.cpp
+++ b/Duties/Batches/BatchListing.cpp
@@ -310,17 +310,39 @@
     return;
   }
   aBatch->mIsCommitting = true;
+  const auto number = BeginWrite(aBatch->mWrite);
+  const auto position = aBatch->mLog.mNextBlock;
+  // A read that a silent store left open must not keep results from being
+  // written when the store is back.
+  After(kSilentWriteAge, [this, aBatch, number] {
+    if (IsOpen(aBatch->mWrite, number)) {
+      EndWrite(aBatch->mWrite);
+      aBatch->mIsCommitting = false;
+      ScheduleCommit(aBatch, kRetryDelay);
+    }
+  });
   mDependencies.mStore.mGet(
     kBatchResultsKind,
-    ResultsObjectName(aBatch->mMetadata.mId, aBatch->mLog.mNextBlock),
+    ResultsObjectName(aBatch->mMetadata.mId, position),
     objects::freshness::Linearizable,
-    [this, aBatch, generation = aBatch->mGeneration, done = std::move(aDone)](
-      const objects::object_reply& aResponse) {
+    [this,
+     aBatch,
+     number,
+     position,
+     generation = aBatch->mGeneration,
+     done = std::move(aDone)](const objects::object_reply& aResponse) {
       if (aBatch->mGeneration != generation) {
         done(false);
         return;
       }
-      aBatch->mIsCommitting = false;
+      if (IsOpen(aBatch->mWrite, number)) {
+        EndWrite(aBatch->mWrite);
+        aBatch->mIsCommitting = false;
+      } else if (aBatch->mIsCommitting || aBatch->mLog.mNextBlock != position) {
+        // Another call reads or writes this position meanwhile, or has done so.
+        done(false);
+        return;
+      }
       const auto block = aResponse.mOutcome == store_outcome::Done
                            ? DecodeBlock(aResponse.mObject)
                            : std::nullopt;
--- a/Tests/Site/TestBatchPositions.cpp
+++ b/Tests/Site/TestBatchPositions.cpp
@@ -388,6 +388,32 @@
   }
 }
 
+// Guards against a reader whose check for an earlier owner's results meets a
+// silent store and holds up the writes of the batch after the store's return.
+BOOST_AUTO_TEST_CASE(ACheckThatASilentStoreLeftOpenHoldsUpNoResults)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  server.mEventPause = 250ms;
+  site.Add(server);
+  site.mState.mTimeoutDelay = 1500ms;
+  batch_entry first(site, "a");
+  BOOST_TEST(first.Submit("b1", 4).mAnswer.mStatus == 202u);
+  ChangeOwner(site, "b1", "b");
+  batch_entry owner(site, "b");
+  BOOST_TEST(owner.ListedIds("b1").empty());
+  site.mLoop.RunUntil([] { return false; }, 600ms);
+  site.mState.mFault = standin::store_fault::Silent;
+  owner.StartReading("b1");
+  site.mLoop.RunUntil([] { return false; }, 300ms);
+  site.mState.mFault = standin::store_fault::None;
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return !site.mState.mKinds[batches::kBatchResultsKind].empty(); },
+    1000ms));
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return owner.ListedIds("b1").size() == 4; }));
+}
+
 // Guards against a write that takes effect after it was read back as missing
 // and written again: its results must not be listed at two positions.
 BOOST_AUTO_TEST_CASE(AWriteThatTakesEffectAfterItsReadBackIsListedOnce)
