Batches: a group is given up only if it can't be in time even with short runs

Cause: lengths are estimated from hints that are off by factors; by the mean, whole fresh steps were late at their submission and yielded to newer ones. Change: the longest item counts with the bound that hardly any run falls below.

--- a/Duties/Batches/BatchRanks.cpp
+++ b/Duties/Batches/BatchRanks.cpp
@@ -56,19 +56,23 @@
 
 } // namespace
 
-seconds
+batch_runner::run_time
 batch_runner::TimeLeftOf(const running_batch& aBatch, item_progress& aItem)
 {
   const auto route = RouteOf(aBatch, *aItem.mItem);
   if (!route) {
-    return seconds(0);
+    return {};
   }
   auto eventTime = UsualEventTime();
   if (const auto speed = mSpeeds.find(aItem.mServer);
       speed != mSpeeds.end() && aItem.mPhase == item_phase::Running) {
     eventTime = ExpectedEventTime(speed->second).value_or(eventTime);
   }
-  return EventsLeft(aBatch, aItem, *route).mMean * eventTime;
+  const auto left = EventsLeft(aBatch, aItem, *route);
+  // Lengths are off by factors: the bound below the mean is as far off as the
+  // one above it.
+  const double least = left.mMean * left.mMean / left.mUpper;
+  return { left.mMean * eventTime, least * eventTime };
 }
 
 scheduling::open_step
@@ -86,8 +90,8 @@
     auto& group = step.mGroups[aBatch.mGroupOf[i]];
     const auto left = TimeLeftOf(aBatch, item);
     ++group.mOpenItems;
-    group.mWork += left;
-    group.mLongest = std::max(group.mLongest, left);
+    group.mWork += left.mMean;
+    group.mLongest = std::max(group.mLongest, left.mLeast);
   }
   int target = aBatch.mMetadata.mTargetGroups;
   for (std::size_t i = 0; i < step.mGroups.size(); ++i) {
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -174,10 +174,17 @@
   void RankModel(const std::vector<running_batch*>& aBatches,
                  const std::vector<engine_view>& aEngines,
                  group_ranks& aRanks);
+  struct run_time
+  {
+    std::chrono::duration<double> mMean{ 0 };
+    /** Hardly any run ends within this time. A group is given up only if it
+     * can't be in time even so: one that is given up by mistake is lost, one
+     * that is kept by mistake costs places until the next decision. */
+    std::chrono::duration<double> mLeast{ 0 };
+  };
   /** Time that a run of the item will still take, at its server or at a usual
    * one. */
-  std::chrono::duration<double> TimeLeftOf(const running_batch& aBatch,
-                                           item_progress& aItem);
+  run_time TimeLeftOf(const running_batch& aBatch, item_progress& aItem);
   scheduling::open_step StepOf(running_batch& aBatch);
   void RecordStandings(running_batch& aBatch,
                        const scheduling::open_step& aStep,
--- a/Duties/Scheduling/StepOrder.h
+++ b/Duties/Scheduling/StepOrder.h
@@ -31,7 +31,8 @@
   int mOpenItems = 0;
   /** Time for which the open items will still occupy a place, in sum. */
   std::chrono::duration<double> mWork{ 0 };
-  /** Time that the longest open item still needs. */
+  /** Time that the longest open item still needs; if that is uncertain, the
+   * least that it may need. */
   std::chrono::duration<double> mLongest{ 0 };
   /** The result of the last decision; Complete if there is none. A group that
    * wasn't in time returns only if it fits clearly, so that estimates that vary
