Versions: an entry forgets its assignments when it hasn't decided for a while

Cause: while the store is away agents ask several entries in turn, and an entry would go on from an assignment that another has replaced since. Change: assignments older than three seconds aren't kept to; assignments by number are no longer logged. Result: test_site_duties without a failure. No test covers the three seconds.

--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -24,6 +24,9 @@
 /** Changes within this time share one evaluation. Short compared with a load of
  * about a second. */
 constexpr milliseconds kChangeDebounce = 15ms;
+/** Assignments older than this aren't kept to, because another entry may have
+ * decided since. Long compared with the evaluation interval. */
+constexpr milliseconds kPlacesLifetime = 3s;
 /** Weight of the newest batch in the moving average of a model's work. */
 constexpr double kNewestBatchWeight = 0.3;
 
@@ -187,7 +190,7 @@
   if (!mDependencies.mConfiguration) {
     return targets;
   }
-  ForgetPlacesOfGoneServers();
+  ForgetOldPlaces(aNow);
   std::map<std::string, double> capacities;
   for (const auto& [name, pool] : mDependencies.mConfiguration->mPools) {
     if (!pool.mEngine || pool.mEngine->mModels.empty()) {
@@ -258,10 +261,11 @@
 {
   auto placed =
     AssignModels(aServers, aModels, mAnnounced, mModelShares, mLongShares);
+  const bool isByCapacity = DifferInSpeed(aServers);
   for (const auto& server : aServers) {
     const auto& model = placed.at(server.mId);
     auto& before = mPlaced[server.mId];
-    if (!before.empty() && before != model) {
+    if (isByCapacity && !before.empty() && before != model) {
       events::line("model_assigned")
         .With("model", model)
         .With("before", before)
@@ -275,8 +279,12 @@
 }
 
 void
-assignments::ForgetPlacesOfGoneServers()
+assignments::ForgetOldPlaces(time_point aNow)
 {
+  if (aNow - mPlacedAt > kPlacesLifetime) {
+    mPlaced.clear();
+  }
+  mPlacedAt = aNow;
   ForgetGoneServers(mSpeeds, mDependencies.mDirectory);
   const auto& rows = mDependencies.mDirectory.mRows;
   for (auto place = mPlaced.begin(); place != mPlaced.end();) {
--- a/Duties/Versions/Assignments.h
+++ b/Duties/Versions/Assignments.h
@@ -99,7 +99,8 @@
     const std::vector<server_versions>& aServers,
     const std::vector<std::string>& aModels,
     const model_placement& aPlaced) const;
-  void ForgetPlacesOfGoneServers();
+  /** Forgets assignments of servers that are gone, and all if they are old. */
+  void ForgetOldPlaces(time_point aNow);
   /** Adds the capacities of one pool's servers. */
   void AddCapacities(const std::vector<server_versions>& aServers,
                      const model_placement& aPlaced,
@@ -129,6 +130,7 @@
   model_shares mLongShares;
   told_speeds mSpeeds;
   model_placement mPlaced;
+  time_point mPlacedAt;
   /** Since when a server has been due to load a version that it doesn't
    * hold. */
   std::map<std::string, time_point> mLoadingSince;
--- a/Duties/Versions/Placement.cpp
+++ b/Duties/Versions/Placement.cpp
@@ -172,6 +172,14 @@
   return shares;
 }
 
+bool
+DifferInSpeed(const std::vector<server_versions>& aServers)
+{
+  return std::any_of(aServers.begin(), aServers.end(), [](const auto& aServer) {
+    return aServer.mSpeed != 1;
+  });
+}
+
 std::map<std::string, std::string>
 AssignModels(const std::vector<server_versions>& aServers,
              const std::vector<std::string>& aModels,
@@ -183,9 +191,7 @@
   if (aModels.empty()) {
     return placed;
   }
-  if (std::any_of(aServers.begin(), aServers.end(), [](const auto& aServer) {
-        return aServer.mSpeed != 1;
-      })) {
+  if (DifferInSpeed(aServers)) {
     return AssignBySpeed(aServers, aModels, aAnnounced, aWeights, aLongShares);
   }
   const auto shares = ServersPerModel(aServers.size(), aModels, aWeights);
--- a/Duties/Versions/Placement.h
+++ b/Duties/Versions/Placement.h
@@ -48,6 +48,10 @@
                 const std::vector<std::string>& aModels,
                 const model_shares& aWeights);
 
+/** Whether some server has another speed than the usual one. */
+bool
+DifferInSpeed(const std::vector<server_versions>& aServers);
+
 /** Returns the model that each server serves, by server.
  *
  * Each model has its own servers: loading every model on every server would
