Scheduling: where there is room, the groups submitted first are chosen

Groups with the least work were chosen for the number that the trainer waits for, so that a group that comes again and holds long items was left for last, and a long item was judged by the usual server although it may move to the fastest. Change: where a step has room, its groups are chosen in the order of submission and share a rank; a group is late only if the fastest server can't end it. The moved property of GroupOrder is as strict again as it was: no group has the first rank if none is wanted, times in tenths.

--- a/Duties/Batches/BatchRanks.cpp
+++ b/Duties/Batches/BatchRanks.cpp
@@ -54,10 +54,24 @@
   return places;
 }
 
+/** Time of an event on the fastest of the servers, relative to a usual one; a
+ * long run may move there. */
+double
+FastestEventTime(const std::vector<engine_view>& aEngines)
+{
+  double fastest = 1;
+  for (const auto& engine : aEngines) {
+    fastest = std::min(fastest, engine.mRelativeTime);
+  }
+  return fastest;
+}
+
 } // namespace
 
 batch_runner::run_time
-batch_runner::TimeLeftOf(const running_batch& aBatch, item_progress& aItem)
+batch_runner::TimeLeftOf(const running_batch& aBatch,
+                         item_progress& aItem,
+                         scheduling::event_time aFastest)
 {
   const auto route = RouteOf(aBatch, *aItem.mItem);
   if (!route) {
@@ -72,11 +86,11 @@
   // Lengths are off by factors: the bound below the mean is as far off as the
   // one above it.
   const double least = left.mMean * left.mMean / left.mUpper;
-  return { left.mMean * eventTime, least * eventTime };
+  return { left.mMean * eventTime, least * aFastest };
 }
 
 scheduling::open_step
-batch_runner::StepOf(running_batch& aBatch)
+batch_runner::StepOf(running_batch& aBatch, scheduling::event_time aFastest)
 {
   scheduling::open_step step;
   step.mTimeLeft = DueIn(aBatch.mMetadata.mId) - kListingTime;
@@ -88,7 +102,7 @@
       continue;
     }
     auto& group = step.mGroups[aBatch.mGroupOf[i]];
-    const auto left = TimeLeftOf(aBatch, item);
+    const auto left = TimeLeftOf(aBatch, item, aFastest);
     ++group.mOpenItems;
     group.mWork += left.mMean;
     group.mLongest = std::max(group.mLongest, left.mLeast);
@@ -139,10 +153,11 @@
                         const std::vector<engine_view>& aEngines,
                         group_ranks& aRanks)
 {
+  const auto fastest = FastestEventTime(aEngines) * UsualEventTime();
   std::vector<scheduling::open_step> steps;
   auto version = aBatches.front()->mMetadata.mMinimumVersion;
   for (auto* batch : aBatches) {
-    steps.push_back(StepOf(*batch));
+    steps.push_back(StepOf(*batch, fastest));
     version = std::min(version, batch->mMetadata.mMinimumVersion);
   }
   const auto places =
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -189,8 +189,12 @@
   };
   /** Time that a run of the item will still take, at its server or at a usual
    * one. */
-  run_time TimeLeftOf(const running_batch& aBatch, item_progress& aItem);
-  scheduling::open_step StepOf(running_batch& aBatch);
+  run_time TimeLeftOf(const running_batch& aBatch,
+                      item_progress& aItem,
+                      scheduling::event_time aFastest);
+  /** @param aFastest time of an event on the fastest server */
+  scheduling::open_step StepOf(running_batch& aBatch,
+                               scheduling::event_time aFastest);
   void RecordStandings(running_batch& aBatch,
                        const scheduling::open_step& aStep,
                        const std::vector<scheduling::ranked_group>& aRanks);
--- a/Duties/Scheduling/StepOrder.cpp
+++ b/Duties/Scheduling/StepOrder.cpp
@@ -64,16 +64,40 @@
   return groups;
 }
 
+/** Open groups of a step in the order in which they are chosen for the number
+ * that the trainer waits for. Where there is room for all, that is the order of
+ * submission: a trainer puts those first that it won't do without. */
+std::vector<group_place>
+GroupsToChoose(const std::vector<open_step>& aSteps,
+               std::size_t aStep,
+               int aPlaces)
+{
+  auto groups = OpenGroups(aSteps, aStep);
+  const auto work = std::accumulate(
+    groups.begin(),
+    groups.end(),
+    seconds(0),
+    [](seconds aSum, const auto& aGroup) { return aSum + aGroup.mWork; });
+  if (work <= aSteps[aStep].mTimeLeft * aPlaces * kSharedRoom) {
+    std::sort(
+      groups.begin(), groups.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.mGroup < aRight.mGroup;
+      });
+  }
+  return groups;
+}
+
 /** Sets the standing of a step's groups by its own due time and target only.
  * @return the groups that are in time by that, least work first */
 std::vector<group_place>
 WantedGroups(const std::vector<open_step>& aSteps,
              std::size_t aStep,
+             int aPlaces,
              step_ranks& aRanks)
 {
   const auto& step = aSteps[aStep];
   std::vector<group_place> wanted;
-  for (const auto& place : OpenGroups(aSteps, aStep)) {
+  for (const auto& place : GroupsToChoose(aSteps, aStep, aPlaces)) {
     const auto& group = step.mGroups[place.mGroup];
     auto& standing = aRanks[aStep][place.mGroup].mStanding;
     if (step.mTimeLeft <= seconds(0) ||
@@ -86,6 +110,7 @@
       wanted.push_back(place);
     }
   }
+  std::stable_sort(wanted.begin(), wanted.end(), HasLessWork);
   return wanted;
 }
 
@@ -122,7 +147,7 @@
   seconds work = aWorkBefore;
   bool hasFirstStep = false;
   for (const auto step : StepsByDueTime(aSteps)) {
-    const auto wanted = WantedGroups(aSteps, step, aRanks);
+    const auto wanted = WantedGroups(aSteps, step, aPlaces, aRanks);
     const auto room = aSteps[step].mTimeLeft * aPlaces;
     const auto kept = hasFirstStep ? 0 : ProtectedGroups(wanted, room);
     hasFirstStep = hasFirstStep || !wanted.empty();
@@ -215,12 +240,11 @@
   const bool isWhole =
     GroupsOfStanding(aSteps, aStep, aRanks, group_standing::NoRoom).empty();
   const auto safe = SafeGroups(step, groups, aPlaces, aWork);
-  const std::size_t first = isWhole && safe < groups.size() ? 1 : safe;
   const auto sharedRoom = step.mTimeLeft * aPlaces * kSharedRoom;
   for (std::size_t i = 0; i < groups.size(); ++i) {
     aWork += groups[i].mWork;
     const bool sharesRank =
-      i < first ? i > 0 : i > first && isWhole && aWork <= sharedRoom;
+      i > 0 && (i < safe || (isWhole && aWork <= sharedRoom));
     aNext += sharesRank ? 0 : 1;
     aRanks[aStep][groups[i].mGroup].mRank = aNext - 1;
   }
@@ -246,6 +270,12 @@
   for (const auto step : order) {
     next = RankGroupsInTime(aSteps, step, aPlaces, work, next, ranks);
   }
+  // The first rank is for groups that some trainer waits for.
+  const bool isAnyWanted =
+    std::any_of(aSteps.begin(), aSteps.end(), [](const auto& aStep) {
+      return aStep.mTargetGroups > 0;
+    });
+  next = std::max<std::size_t>(next, isAnyWanted ? 0 : 1);
   for (const auto standing : { group_standing::NoRoom,
                                group_standing::Surplus,
                                group_standing::Late }) {
--- a/Duties/Scheduling/StepOrder.h
+++ b/Duties/Scheduling/StepOrder.h
@@ -78,11 +78,13 @@
  * are deferred, whatever step they belong to.
  * Groups of one step share a rank as long as they are in time in any order of
  * their items. Beyond that, groups that share a rank may be late together, so
- * a step of which groups are deferred gets the others one by one. A step that
- * is tight but whole gets one group first; the others share the next rank,
- * except for the last eighth of the room, because work is an estimate.
- * All figures are places and times, so a group's
- * service doesn't depend on the number of items that its work is cut into.
+ * a step of which groups are deferred gets the others one by one. The groups of
+ * a step that is tight but whole share a rank, except for the last eighth of
+ * the room, because work is an estimate. Where there is room for all groups of
+ * a step, those submitted first are the ones that the trainer waits for: it
+ * puts those first that it won't do without. All figures are places and times,
+ * so a group's service doesn't depend on the number of items that its work is
+ * cut into.
  *
  * No step starves: of the step that is due first, groups that need up to a
  * quarter of the room until then aren't deferred, and at least one isn't if it
--- a/Duties/Scheduling/TestStepOrder.cpp
+++ b/Duties/Scheduling/TestStepOrder.cpp
@@ -279,6 +279,17 @@
              boost::test_tools::per_element());
 }
 
+/** A group that comes again from an earlier step is the one that the trainer
+ * won't do without: left for last because of its long items, it ends its step
+ * late. */
+BOOST_AUTO_TEST_CASE(WithRoomTheGroupsSubmittedFirstAreChosen)
+{
+  auto step = Step(3, 16, 2, 20);
+  step.mGroups[0] = Group(16, 3);
+  BOOST_TEST(RanksOf(RankSteps({ step }, 10)[0]) == (ranks{ 0, 0, 1 }),
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_CASE(GroupsThatAreFurtherOnComeFirst)
 {
   auto step = Step(4, 16, 4, 3.2);
@@ -315,7 +326,7 @@
     }
     step.mTargetGroups = *rc::gen::inRange<std::size_t>(0, 30);
     const int places = *rc::gen::inRange(1, 40);
-    step.mTimeLeft = seconds(*rc::gen::inRange(-5, 11));
+    step.mTimeLeft = seconds(*rc::gen::inRange(-50, 111) / 10.0);
     const double feasible = places * step.mTimeLeft.count();
     const auto ranked = RankSteps({ step }, places)[0];
     RC_ASSERT(ranked.size() == step.mGroups.size());
@@ -328,9 +339,9 @@
       shared += ranked[i].mRank == 0 && open > 0 ? 1 : 0;
       items += ranked[i].mRank == 0 ? open : 0;
     }
-    RC_ASSERT(shared <= std::max<std::size_t>(1, step.mTargetGroups));
+    RC_ASSERT(shared <= step.mTargetGroups);
     RC_ASSERT(shared <= 1 || items <= feasible);
-    RC_ASSERT(shared >= 1 || !hasOpen);
+    RC_ASSERT(shared >= 1 || step.mTargetGroups == 0 || !hasOpen);
   }));
 }
 
