--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -88,8 +88,8 @@
   int mTotal = 0;
   /** Estimated output tokens of all items: a measure of the batch's work. */
   std::int64_t mExpectedTokens = 0;
-  /** Estimated output tokens of the items that take so long that only a fast
-   * server is likely to finish them when they are due. */
+  /** Expected tokens of the items that a usual server finishes after they are
+   * due with a probability above a tenth. */
   std::int64_t mLongItemTokens = 0;
   /** Speeds of servers as the entry that accepted the batch knew them. */
   std::vector<scheduling::told_speed> mServerSpeeds;
--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -136,7 +136,7 @@
 batch_runner::DispatchNow()
 {
   const auto now = boot_clock::now();
-  ForgetRestartedServers();
+  ForgetOldSpeeds();
   auto engines = Engines();
   AddRunMemory(engines);
   struct candidate
@@ -169,9 +169,11 @@
     waiting.begin(), waiting.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.mRank < aRight.mRank;
     });
-  // A long run that goes to a faster server leaves its place to an item that
-  // waits. An item that waits and is longer goes first.
-  MoveRuns(engines, LongestWaiting(), now);
+  // Runs longer than every waiting item move first, which frees places for
+  // these items; shorter runs move after the waiting items are placed.
+  if (HasFasterServer(engines, now)) {
+    MoveRuns(engines, LongestWaiting(), now);
+  }
   for (const auto& next : waiting) {
     auto& item = next.mBatch->mItems[next.mIndex];
     const auto route = RouteOf(*next.mBatch, *item.mItem);
--- a/Duties/Batches/BatchListing.cpp
+++ b/Duties/Batches/BatchListing.cpp
@@ -147,6 +147,7 @@
   switch (StepAfterWrite(aOutcome)) {
     case write_step::Apply:
       EndWrite(aBatch->mWrite);
+      aBatch->mWrite.mRepeats = 0;
       aBatch->mIsCommitting = false;
       mDependencies.mRunner.MarkPartsSaved(aBatch->mMetadata.mId,
                                            aBlock.mParts);
@@ -236,12 +237,15 @@
   switch (step) {
     case write_step::Apply:
       if (const auto block = DecodeBlock(aResponse.mObject)) {
+        aBatch->mWrite.mRepeats = 0;
         ApplyListedBlock(aBatch, *block);
+        ScheduleNextCommit(aBatch);
+      } else {
+        ScheduleCommit(aBatch, kRetryDelay);
       }
-      ScheduleNextCommit(aBatch);
       return;
     case write_step::WriteAgain:
-      ScheduleCommit(aBatch, milliseconds(0));
+      ScheduleCommit(aBatch, DelayOfRepeat(aBatch->mWrite));
       return;
     case write_step::ReadBack:
       return;
--- a/Duties/Batches/BatchMoves.cpp
+++ b/Duties/Batches/BatchMoves.cpp
@@ -26,21 +26,39 @@
 } // namespace
 
 void
-batch_runner::ForgetRestartedServers()
+batch_runner::ForgetOldSpeeds()
 {
-  for (const auto& [id, row] : mDependencies.mDirectory.mRows) {
-    auto& startedAt = mStartTimes[id];
-    if (startedAt != row.mServer.mStartedAt) {
-      startedAt = row.mServer.mStartedAt;
-      mSpeeds.erase(id);
+  const auto& rows = mDependencies.mDirectory.mRows;
+  for (auto start = mStartTimes.begin(); start != mStartTimes.end();) {
+    const auto row = rows.find(start->first);
+    if (row != rows.end() && row->second.mServer.mStartedAt == start->second) {
+      ++start;
+      continue;
     }
+    mSpeeds.erase(start->first);
+    start = mStartTimes.erase(start);
+  }
+  for (const auto& [id, row] : rows) {
+    mStartTimes.emplace(id, row.mServer.mStartedAt);
   }
 }
 
 void
-batch_runner::LearnSpeeds(const std::vector<scheduling::told_speed>& aSpeeds)
+batch_runner::LearnSpeeds(const batch_metadata& aMetadata)
 {
-  scheduling::ApplyToldSpeeds(mSpeeds, aSpeeds, boot_clock::now());
+  if (!scheduling::IsPossible(aMetadata.mMedianEventTime)) {
+    return;
+  }
+  mToldMedians[aMetadata.mModel] = aMetadata.mMedianEventTime;
+  auto listed = aMetadata.mServerSpeeds;
+  listed.erase(std::remove_if(listed.begin(),
+                              listed.end(),
+                              [this](const auto& aSpeed) {
+                                return mDependencies.mDirectory.mRows.count(
+                                         aSpeed.mServer) == 0;
+                              }),
+               listed.end());
+  scheduling::ApplyToldSpeeds(mSpeeds, listed);
 }
 
 std::vector<scheduling::told_speed>
@@ -59,7 +77,11 @@
 scheduling::event_time
 batch_runner::UsualEventTime() const
 {
-  return scheduling::MedianEventTime(mSpeeds).value_or(kAssumedEventTime);
+  if (const auto measured = scheduling::MedianEventTime(mSpeeds)) {
+    return *measured;
+  }
+  return mToldMedians.empty() ? kAssumedEventTime
+                              : mToldMedians.begin()->second;
 }
 
 const site::engine_pool*
@@ -89,6 +111,14 @@
          static_cast<double>(tokensPerEvent);
 }
 
+scheduling::length_statistics
+batch_runner::LengthsOf(const std::string& aModel) const
+{
+  const auto lengths = mLengths.find(aModel);
+  return lengths == mLengths.end() ? scheduling::length_statistics()
+                                   : lengths->second;
+}
+
 std::int64_t
 batch_runner::LongItemTokens(const submission& aSubmission,
                              const std::string& aHost) const
@@ -101,13 +131,15 @@
   if (!route) {
     return 0;
   }
-  const auto lengths = mLengths.find(aSubmission.mModel);
-  const auto statistics = lengths == mLengths.end()
-                            ? scheduling::length_statistics()
-                            : lengths->second;
+  const auto statistics = LengthsOf(aSubmission.mModel);
+  // A model that has mostly fast servers keeps them only if its items count as
+  // long by the servers that it would get instead.
+  auto usual = UsualEventTime();
+  for (const auto& [model, median] : mToldMedians) {
+    usual = std::max(usual, median);
+  }
   const double eventsUntilDue =
-    scheduling::event_time(route->mResultsDueAfter - kListingTime) /
-    UsualEventTime();
+    scheduling::event_time(route->mResultsDueAfter - kListingTime) / usual;
   std::int64_t tokens = 0;
   for (const auto& item : aSubmission.mItems) {
     const auto left =
@@ -128,7 +160,7 @@
     events < aItem.mEstimatedAt;
   if (!aItem.mLeft || hasGrown) {
     aItem.mLeft =
-      scheduling::EstimateRemaining(mLengths[aBatch.mMetadata.mModel],
+      scheduling::EstimateRemaining(LengthsOf(aBatch.mMetadata.mModel),
                                     HintedEvents(*aItem.mItem, aRoute),
                                     events);
     aItem.mEstimatedAt = events;
@@ -212,7 +244,7 @@
                        double aMinimumEvents,
                        time_point aNow)
 {
-  if (!IsOn(mechanism::SlowServerMoves) || !HasFasterServer(aEngines, aNow)) {
+  if (!HasFasterServer(aEngines, aNow)) {
     return;
   }
   std::vector<std::pair<running_batch*, std::size_t>> items;
--- a/Duties/Batches/BatchRanks.cpp
+++ b/Duties/Batches/BatchRanks.cpp
@@ -11,6 +11,9 @@
 
 using seconds = std::chrono::duration<double>;
 
+/** Time that an item needs which no route takes now. */
+constexpr seconds kNever = std::chrono::hours(24);
+
 const char*
 ToString(scheduling::group_standing aStanding)
 {
@@ -71,13 +74,14 @@
 batch_runner::run_time
 batch_runner::TimeLeftOf(const running_batch& aBatch,
                          item_progress& aItem,
+                         scheduling::event_time aUsual,
                          scheduling::event_time aFastest)
 {
   const auto route = RouteOf(aBatch, *aItem.mItem);
   if (!route) {
-    return {};
+    return { seconds(0), kNever };
   }
-  auto eventTime = UsualEventTime();
+  auto eventTime = aUsual;
   if (const auto speed = mSpeeds.find(aItem.mServer);
       speed != mSpeeds.end() && aItem.mPhase == item_phase::Running) {
     eventTime = ExpectedEventTime(speed->second).value_or(eventTime);
@@ -85,12 +89,14 @@
   const auto left = EventsLeft(aBatch, aItem, *route);
   // Lengths are off by factors: the bound below the mean is as far off as the
   // one above it.
-  const double least = left.mMean * left.mMean / left.mUpper;
+  const double least = left.mMean * std::min(1.0, left.mMean / left.mUpper);
   return { left.mMean * eventTime, least * aFastest };
 }
 
 scheduling::open_step
-batch_runner::StepOf(running_batch& aBatch, scheduling::event_time aFastest)
+batch_runner::StepOf(running_batch& aBatch,
+                     scheduling::event_time aUsual,
+                     scheduling::event_time aFastest)
 {
   scheduling::open_step step;
   step.mTimeLeft = DueIn(aBatch.mMetadata.mId) - kListingTime;
@@ -102,7 +108,7 @@
       continue;
     }
     auto& group = step.mGroups[aBatch.mGroupOf[i]];
-    const auto left = TimeLeftOf(aBatch, item, aFastest);
+    const auto left = TimeLeftOf(aBatch, item, aUsual, aFastest);
     ++group.mOpenItems;
     group.mWork += left.mMean;
     group.mLongest = std::max(group.mLongest, left.mLeast);
@@ -153,15 +159,23 @@
                         const std::vector<engine_view>& aEngines,
                         group_ranks& aRanks)
 {
-  const auto fastest = FastestEventTime(aEngines) * UsualEventTime();
+  const auto usual = UsualEventTime();
+  const auto fastest = FastestEventTime(aEngines) * usual;
   std::vector<scheduling::open_step> steps;
   auto version = aBatches.front()->mMetadata.mMinimumVersion;
   for (auto* batch : aBatches) {
-    steps.push_back(StepOf(*batch, fastest));
+    steps.push_back(StepOf(*batch, usual, fastest));
     version = std::min(version, batch->mMetadata.mMinimumVersion);
   }
   const auto places =
     PlacesOf(aEngines, aBatches.front()->mMetadata.mModel, version);
+  if (places <= 0) {
+    // No server holds the model yet.
+    for (const auto* batch : aBatches) {
+      aRanks[batch->mMetadata.mId].assign(batch->mGroupCount, 0);
+    }
+    return;
+  }
   const auto ranked = scheduling::RankSteps(steps, places);
   for (std::size_t i = 0; i < aBatches.size(); ++i) {
     RecordStandings(*aBatches[i], steps[i], ranked[i]);
--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -102,7 +102,9 @@
   return std::max({ mRunsByServer.size(),
                     mBlocked.size(),
                     mSeenVersions.size(),
-                    mHealths.size() });
+                    mHealths.size(),
+                    mSpeeds.size(),
+                    mStartTimes.size() });
 }
 
 void
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -140,13 +140,13 @@
    * configuration have changed. */
   void Dispatch();
   /** Learns speeds of servers that another entry tells. */
-  void LearnSpeeds(const std::vector<scheduling::told_speed>& aSpeeds);
+  void LearnSpeeds(const batch_metadata& aMetadata);
   /** Speeds of servers that are worth telling to other entries. */
   std::vector<scheduling::told_speed> MeasuredSpeeds() const;
   /** Median with which those speeds are compared; zero if unknown. */
   scheduling::event_time MedianOfSpeeds() const;
-  /** Estimated tokens of the items that a server of median speed is likely to
-   * finish only after they are due. */
+  /** Expected tokens of the items that a usual server finishes after they are
+   * due with a probability above a tenth. */
   std::int64_t LongItemTokens(const submission& aSubmission,
                               const std::string& aHost) const;
   /** Number of this entry's runs on a server. */
@@ -191,9 +191,12 @@
    * one. */
   run_time TimeLeftOf(const running_batch& aBatch,
                       item_progress& aItem,
+                      scheduling::event_time aUsual,
                       scheduling::event_time aFastest);
-  /** @param aFastest time of an event on the fastest server */
+  /** @param aUsual time of an event on a usual server
+   * @param aFastest time of an event on the fastest server */
   scheduling::open_step StepOf(running_batch& aBatch,
+                               scheduling::event_time aUsual,
                                scheduling::event_time aFastest);
   void RecordStandings(running_batch& aBatch,
                        const scheduling::open_step& aStep,
@@ -204,12 +207,15 @@
    * groups. Restarted servers mostly have a new name, so the state would grow
    * without bound. */
   void RemoveStaleState();
-  /** Removes what was learned of servers that have started again since. */
-  void ForgetRestartedServers();
+  /** Removes what was learned of servers that are gone or have started again
+   * since. */
+  void ForgetOldSpeeds();
   /** The pool of model servers that the route's items run on; null if none. */
   const site::engine_pool* EnginePoolOf(const site::route& aRoute) const;
   /** Length that the item's hint makes expected, in events. */
   double HintedEvents(const batch_item& aItem, const site::route& aRoute) const;
+  /** What is known of the lengths of the model's items. */
+  scheduling::length_statistics LengthsOf(const std::string& aModel) const;
   /** Returns the estimate of what is left of the item. Renews it when the item
    * has grown since the last one. */
   scheduling::remaining_events EventsLeft(const running_batch& aBatch,
@@ -221,7 +227,8 @@
                                   const site::route& aRoute);
   /** Fills in what the runs of this entry occupy of the servers' memory. */
   void AddRunMemory(std::vector<engine_view>& aEngines);
-  /** Time of an event on a server of median speed, if it is known. */
+  /** Time of an event on a server of median speed; an assumption while no
+   * speed is known. */
   scheduling::event_time UsualEventTime() const;
   /** Moves runs to servers that end them clearly sooner.
    * @param aMinimumEvents runs with fewer events left stay */
@@ -282,6 +289,8 @@
   scheduling::server_speeds mSpeeds;
   /** Start times of the servers whose speed is known. */
   std::map<std::string, std::int64_t> mStartTimes;
+  /** Median event time that the latest batch of each model told. */
+  std::map<std::string, scheduling::event_time> mToldMedians;
   scheduling::length_statistics_by_model mLengths;
   group_affinities mAffinities;
   boost::asio::steady_timer mTimer;
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -69,7 +69,7 @@
   item.mLastEventAt = boot_clock::now();
   const auto left = EventsLeft(aBatch, item, aRoute);
   const auto expected =
-    left.mUpper * ExpectedEventTime(aEngine) * UsualEventTime();
+    left.mUpper * RelativeEventTime(aEngine) * UsualEventTime();
   item.mExpectedEnd =
     item.mLastEventAt + std::chrono::duration_cast<milliseconds>(expected);
   routing::RecordSent(mHealths[aEngine.mId].mBreaker, item.mLastEventAt);
--- a/Duties/Batches/BatchService.cpp
+++ b/Duties/Batches/BatchService.cpp
@@ -101,7 +101,7 @@
     batch = std::make_shared<batch_record>();
     batch->mMetadata = aMetadata;
     batch->mOwnerChangedAt = boot_clock::now();
-    mDependencies.mRunner.LearnSpeeds(aMetadata.mServerSpeeds);
+    mDependencies.mRunner.LearnSpeeds(aMetadata);
     mDependencies.mOnAccepted(aMetadata);
     return;
   }
--- a/Duties/Batches/BlockWrite.cpp
+++ b/Duties/Batches/BlockWrite.cpp
@@ -7,10 +7,16 @@
 std::uint64_t
 BeginWrite(block_write& aWrite)
 {
-  aWrite = { aWrite.mNumber + 1, true, false };
+  aWrite = { aWrite.mNumber + 1, true, false, aWrite.mRepeats };
   return aWrite.mNumber;
 }
 
+milliseconds
+DelayOfRepeat(block_write& aWrite)
+{
+  return aWrite.mRepeats++ == 0 ? milliseconds(0) : kRepeatDelay;
+}
+
 void
 EndWrite(block_write& aWrite)
 {
--- a/Duties/Batches/BlockWrite.h
+++ b/Duties/Batches/BlockWrite.h
@@ -12,12 +12,16 @@
 
 /** A write that has had no response for this long is read back without waiting
  * for its time-out: the call may belong to an outage that is over, and the
- * results that it holds up may be due. A slow store answers within 0.4 s. */
+ * results that it holds up may be due. A store that answers at all, if slowly,
+ * does so sooner. */
 constexpr milliseconds kSilentWriteAge{ 500 };
 /** Interval at which read-backs start while the earlier ones have no response.
  */
 constexpr milliseconds kReadBackInterval{ 200 };
 
+/** Delay before a block is written once more while nothing gets stored. */
+constexpr milliseconds kRepeatDelay{ 250 };
+
 /** The latest write of a batch's block, including its read-backs. */
 struct block_write
 {
@@ -25,6 +29,8 @@
   std::uint64_t mNumber = 0;
   bool mIsOpen = false;
   bool mIsReadBack = false;
+  /** Number of writes in a row after which nothing was stored. */
+  int mRepeats = 0;
 };
 
 enum class write_step
@@ -37,6 +43,11 @@
   ReadBack
 };
 
+/** Time until a block is written again after nothing was stored: none after the
+ * first time, when the store has just returned. */
+milliseconds
+DelayOfRepeat(block_write& aWrite);
+
 /** @return the number of the new write */
 std::uint64_t
 BeginWrite(block_write& aWrite);
--- a/Duties/Batches/RunMoves.cpp
+++ b/Duties/Batches/RunMoves.cpp
@@ -1,15 +1,17 @@
 #include "Duties/Batches/RunMoves.h"
 
+#include "Libraries/Core/Mechanisms.h"
+
 #include <algorithm>
+#include <limits>
 #include <numeric>
 
 namespace lavender::batches {
 
 namespace {
 
-/** Maximum number of runs moved at once, and of moves per item. Each move makes
- * the new server process the item's tokens again, and a trainer's item is worth
- * no endless tries. */
+/** Maximum number of runs moved in one pass, and of moves per item. Each move
+ * makes the new server read the item's tokens again. */
 constexpr std::size_t kMaximumMovesAtOnce = 8;
 constexpr int kMaximumMovesPerItem = 3;
 /** Processing the tokens again and opening a connection take some tens of ms;
@@ -26,6 +28,16 @@
          aEngine.mRunsLeft > 0 && aNow >= aEngine.mBlockedUntil;
 }
 
+/** Whether the server is a better place for a run that goes on elsewhere. */
+bool
+MayMoveTo(const engine_view& aEngine, const item_requirements& aNeed)
+{
+  return !aEngine.mIsWarming && aEngine.mId != aNeed.mAvoidedServer &&
+         (!IsOn(mechanism::MemoryFit) ||
+          scheduling::FitsInMemory(
+            aEngine.mRunMemory, aNeed.mMemory, aEngine.mMemoryTokens));
+}
+
 } // namespace
 
 bool
@@ -35,10 +47,10 @@
   double slowest = 0;
   for (const auto& engine : aEngines) {
     if (HasRoom(engine, aNow)) {
-      fastest = std::min(fastest, ExpectedEventTime(engine));
+      fastest = std::min(fastest, engine.mRelativeTime);
     }
     if (engine.mOwnRuns > 0) {
-      slowest = std::max(slowest, ExpectedEventTime(engine));
+      slowest = std::max(slowest, engine.mRelativeTime);
     }
   }
   return slowest > kClearlyFaster * fastest;
@@ -52,7 +64,7 @@
             time_point aNow)
 {
   const auto timeLeft = [&](const movable_run& aRun) {
-    return aRun.mLeft.mMean * ExpectedEventTime(aEngines[aRun.mServer]);
+    return aRun.mLeft.mMean * RelativeEventTime(aEngines[aRun.mServer]);
   };
   std::vector<std::size_t> order(aRuns.size());
   std::iota(order.begin(), order.end(), std::size_t(0));
@@ -71,13 +83,14 @@
       continue;
     }
     const auto to = ChooseEngine(aEngines, run.mNeed, {}, aNow);
-    if (!to || *to == run.mServer) {
+    if (!to || *to == run.mServer || !MayMoveTo(aEngines[*to], run.mNeed)) {
       continue;
     }
-    const double here = ExpectedEventTime(from);
-    const double there = ExpectedEventTime(aEngines[*to]);
-    const auto gain = run.mLeft.mMean * (here - there) * aMedian;
-    if (here < kClearlyFaster * there || gain < kMinimumGain) {
+    const auto gain =
+      run.mLeft.mMean *
+      (RelativeEventTime(from) - RelativeEventTime(aEngines[*to])) * aMedian;
+    if (from.mRelativeTime < kClearlyFaster * aEngines[*to].mRelativeTime ||
+        gain < kMinimumGain) {
       continue;
     }
     --from.mOwnRuns;
--- a/Duties/Batches/Schedule.cpp
+++ b/Duties/Batches/Schedule.cpp
@@ -54,7 +54,7 @@
 } // namespace
 
 double
-ExpectedEventTime(const engine_view& aEngine)
+RelativeEventTime(const engine_view& aEngine)
 {
   return aEngine.mRelativeTime * (1 + kSlowdownPerRun * Runs(aEngine));
 }
@@ -76,8 +76,9 @@
              time_point aNow)
 {
   const auto key = [&](const engine_view& aEngine) {
-    return std::pair(Rank(aEngine, aNeed), ExpectedEventTime(aEngine));
+    return std::pair(Rank(aEngine, aNeed), RelativeEventTime(aEngine));
   };
+  std::pair<int, double> bestKey;
   std::optional<std::size_t> best;
   std::optional<std::size_t> preferred;
   std::optional<std::size_t> avoided;
@@ -95,14 +96,16 @@
         affinity->second.mServer == engine.mId) {
       preferred = i;
     }
-    if (!best || key(engine) < key(aEngines[*best])) {
+    const auto engineKey = key(engine);
+    if (!best || engineKey < bestKey) {
+      bestKey = engineKey;
       best = i;
     }
   }
   if (preferred && IsOn(mechanism::GroupHomes) &&
       Rank(aEngines[*preferred], aNeed) == Rank(aEngines[*best], aNeed) &&
-      ExpectedEventTime(aEngines[*preferred]) <
-        ExpectedEventTime(aEngines[*best]) + (kAffinitySlack + 0.5) *
+      RelativeEventTime(aEngines[*preferred]) <
+        RelativeEventTime(aEngines[*best]) + (kAffinitySlack + 0.5) *
                                                kSlowdownPerRun *
                                                aEngines[*best].mRelativeTime) {
     return preferred;
--- a/Duties/Batches/Schedule.h
+++ b/Duties/Batches/Schedule.h
@@ -79,7 +79,7 @@
 {
   /** Rank of the item's group among all open groups of the model. */
   std::size_t mGroupRank = 0;
-  /** Older batches run first. */
+  /** Among equal group ranks, older batches run first. */
   std::int64_t mSubmittedMs = 0;
   /** Long items run first: a long run that starts late ends last and delays its
    * group, and a step waits for its last groups. */
@@ -116,10 +116,10 @@
 void
 ExpireAffinities(group_affinities& aAffinities, time_point aNow);
 
-/** Time that an event of one more run is expected to take, relative to an idle
- * server of median speed. */
+/** Expected time of an event with the runs that are there now, relative to an
+ * idle server of median speed. */
 double
-ExpectedEventTime(const engine_view& aEngine);
+RelativeEventTime(const engine_view& aEngine);
 
 /** Chooses the server on which the run is expected to end first, or the server
  * of the item's group if that is about as good. Servers whose memory the run
--- a/Duties/Batches/TestRunMoves.cpp
+++ b/Duties/Batches/TestRunMoves.cpp
@@ -72,6 +72,26 @@
   BOOST_TEST(Choose(engines, { Run(0, 100) }).size() == 1u);
 }
 
+/** Runs move to and fro between servers that are alike, because the one with
+ * fewer runs is a little faster. */
+BOOST_AUTO_TEST_CASE(LoadAloneMovesNoRun)
+{
+  std::vector engines{ Engine("a", 1, 8), Engine("b", 1, 0) };
+  BOOST_TEST(Choose(engines, { Run(0, 100) }).empty());
+}
+
+/** A run leaves a slow server for one that failed it or that has just started.
+ */
+BOOST_AUTO_TEST_CASE(ARunMovesToNoBadServer)
+{
+  std::vector engines{ Engine("slow", 1, 8), Engine("fast", 0.5, 0) };
+  auto run = Run(0, 100);
+  run.mNeed.mAvoidedServer = "fast";
+  BOOST_TEST(Choose(engines, { run }).empty());
+  engines[1].mIsWarming = true;
+  BOOST_TEST(Choose(engines, { Run(0, 100) }).empty());
+}
+
 /** Runs take the fast places that longer items wait for. */
 BOOST_AUTO_TEST_CASE(LongerItemsThatWaitGoFirst)
 {
@@ -91,6 +111,9 @@
   auto run = Run(0, 60);
   run.mNeed.mMemory = { 3000, 7500, 60 };
   BOOST_TEST(Choose(engines, { run }).empty());
+  engines[0].mOwnRuns = engines[0].mSlots;
+  BOOST_TEST(Choose(engines, { run }).empty());
+  engines[0].mOwnRuns = 1;
   run.mNeed.mMemory = { 1000, 2500, 60 };
   BOOST_TEST(Choose(engines, { run }).size() == 1u);
 }
@@ -114,17 +137,24 @@
 {
   BOOST_TEST(rc::check("moves settle", [] {
     std::vector<engine_view> engines;
-    for (int i = 0; i < *rc::gen::inRange(2, 6); ++i) {
+    const int servers = *rc::gen::inRange(2, 6);
+    for (int i = 0; i < servers; ++i) {
       engines.push_back(
         Engine("s" + std::to_string(i), *rc::gen::inRange(3, 30) / 10.0, 0));
     }
     std::vector<movable_run> runs;
-    for (int i = 0; i < *rc::gen::inRange(0, 8); ++i) {
+    const int count = *rc::gen::inRange(0, 24);
+    for (int i = 0; i < count; ++i) {
       const auto server = *rc::gen::inRange<std::size_t>(0, engines.size());
+      if (engines[server].mOwnRuns == engines[server].mSlots) {
+        continue;
+      }
       runs.push_back(Run(server, *rc::gen::inRange(1, 150)));
       ++engines[server].mOwnRuns;
     }
-    for (int round = 0; round < 4; ++round) {
+    // Each run moves three times at most, and some runs wait for their turn.
+    const std::size_t rounds = 3 * runs.size() + 1;
+    for (std::size_t round = 0; round < rounds; ++round) {
       for (const auto& move : Choose(engines, runs)) {
         RC_ASSERT(engines[move.mServer].mRelativeTime <
                   engines[runs[move.mRun].mServer].mRelativeTime);
--- a/Duties/Keys/FreshnessGate.cpp
+++ b/Duties/Keys/FreshnessGate.cpp
@@ -15,14 +15,12 @@
   return aAt && aNow - *aAt <= aLimit;
 }
 
-/** True when at least half of the other processes have answered for
- * mCatchUpTime, or since this entry joined. In an availability zone that is cut
- * off from the platform and from all other zones, every process that still
- * answers is as stale as this one. Only the missing answers of the other zones
- * distinguish this case from an outage of the store. The first answers after a
- * pause of this process distinguish nothing: they may come before the watch has
- * delivered what changed during the pause. A joining entry compares revisions
- * with all of them first. */
+/** True when at least half of the other processes have answered without a gap
+ * for mCatchUpTime or since this entry joined. Fewer answers mean that this
+ * availability zone may be cut off, where every process that answers is as
+ * stale as this one. Answers that began just after a pause of this process
+ * don't count: they may arrive before the watch has delivered what changed
+ * during the pause. */
 bool
 ReachesAtLeastHalf(const remote_freshness& aRemote,
                    const freshness_limits& aLimits,
--- a/Duties/Keys/FreshnessGate.h
+++ b/Duties/Keys/FreshnessGate.h
@@ -84,8 +84,8 @@
   /** Too few processes answer to distinguish a network partition from an outage
    * of the store. */
   Isolated,
-  /** Another process knows a later change, which couldn't be fetched within
-   * mCatchUpTime, or this entry's own verification isn't recent. */
+  /** Another process knows a later change, and either the change couldn't be
+   * fetched within mCatchUpTime or this entry's last verification is old. */
   Behind
 };
 
--- a/Duties/Scheduling/ServerSpeed.cpp
+++ b/Duties/Scheduling/ServerSpeed.cpp
@@ -24,13 +24,6 @@
 /** Speeds within this ratio of the median count as equal. */
 constexpr double kClearDifference = 1.15;
 
-/** Also false if the time is no number. */
-bool
-IsPossible(event_time aTime)
-{
-  return aTime > event_time(0) && aTime <= kMaximumEventTime;
-}
-
 bool
 IsSlowdown(double aSlowdown)
 {
@@ -84,6 +77,12 @@
 
 } // namespace
 
+bool
+IsPossible(event_time aTime)
+{
+  return aTime > event_time(0) && aTime <= kMaximumEventTime;
+}
+
 void
 RecordEventTime(server_speed& aSpeed,
                 event_time aSinceLast,
@@ -135,7 +134,8 @@
 {
   std::vector<event_time> times;
   for (const auto& [id, speed] : aSpeeds) {
-    if (const auto time = ExpectedEventTime(speed)) {
+    const auto time = ExpectedEventTime(speed);
+    if (time && speed.mEvents >= kMinimumEvents) {
       times.push_back(*time);
     }
   }
@@ -164,7 +164,7 @@
   const auto median = MedianEventTime(aSpeeds);
   for (const auto& [id, speed] : aSpeeds) {
     const auto time = ExpectedEventTime(speed);
-    if (time && speed.mEvents >= kMinimumEvents &&
+    if (time && median && speed.mEvents >= kMinimumEvents &&
         RelativeTime(time, *median) != 1) {
       told.push_back({ id, *time });
     }
@@ -173,9 +173,7 @@
 }
 
 void
-ApplyToldSpeeds(server_speeds& aSpeeds,
-                const std::vector<told_speed>& aTold,
-                time_point)
+ApplyToldSpeeds(server_speeds& aSpeeds, const std::vector<told_speed>& aTold)
 {
   for (const auto& told : aTold) {
     if (!IsPossible(told.mEventTime) || told.mServer.empty()) {
--- a/Duties/Scheduling/ServerSpeed.h
+++ b/Duties/Scheduling/ServerSpeed.h
@@ -25,6 +25,10 @@
   int mEvents = 0;
 };
 
+/** Whether a server can mean the time; also false if it is not a number. */
+bool
+IsPossible(event_time aTime);
+
 struct server_speed
 {
   /** Time between two events at the usual speed of the server's machine; zero
@@ -72,8 +76,9 @@
 std::optional<event_time>
 ExpectedEventTime(const server_speed& aSpeed);
 
-/** Median over the servers whose speed is known; none if there is no such
- * server. */
+/** Median over the servers that this entry has measured; none if there is no
+ * such server. Told speeds don't count, because only those that differ from the
+ * median are told. */
 std::optional<event_time>
 MedianEventTime(const server_speeds& aSpeeds);
 
@@ -95,11 +100,8 @@
 std::vector<told_speed>
 SpeedsToTell(const server_speeds& aSpeeds);
 
-/** Applies what another entry tells. Own measurements are kept, and figures
- * that no server can mean are ignored. */
+/** Applies what another entry tells. Own measurements are kept. */
 void
-ApplyToldSpeeds(server_speeds& aSpeeds,
-                const std::vector<told_speed>& aTold,
-                time_point aNow);
+ApplyToldSpeeds(server_speeds& aSpeeds, const std::vector<told_speed>& aTold);
 
 } // namespace lavender::scheduling
--- a/Duties/Scheduling/StepOrder.cpp
+++ b/Duties/Scheduling/StepOrder.cpp
@@ -66,7 +66,7 @@
 
 /** Open groups of a step in the order in which they are chosen for the number
  * that the trainer waits for. Where there is room for all, that is the order of
- * submission: a trainer puts those first that it won't do without. */
+ * submission: a trainer submits its most important groups first. */
 std::vector<group_place>
 GroupsToChoose(const std::vector<open_step>& aSteps,
                std::size_t aStep,
--- a/Duties/Scheduling/StepOrder.h
+++ b/Duties/Scheduling/StepOrder.h
@@ -80,9 +80,11 @@
  * their items. Beyond that, groups that share a rank may be late together, so
  * a step of which groups are deferred gets the others one by one. The groups of
  * a step that is tight but whole share a rank, except for the last eighth of
- * the room, because work is an estimate. Where there is room for all groups of
- * a step, those submitted first are the ones that the trainer waits for: it
- * puts those first that it won't do without. All figures are places and times,
+ * the room, because work is an estimate.
+ * Where there is room for all groups of a step, those submitted first are the
+ * ones that the trainer waits for: a trainer submits its most important groups
+ * first.
+ * All figures are places and times,
  * so a group's service doesn't depend on the number of items that its work is
  * cut into.
  *
--- a/Duties/Scheduling/TestServerSpeed.cpp
+++ b/Duties/Scheduling/TestServerSpeed.cpp
@@ -182,7 +182,7 @@
       RecordEventTime(
         speed, event_time(*AnyFigure()), *rc::gen::arbitrary<int>(), now);
       RecordSlowdown(speed, *AnyFigure(), now);
-      ApplyToldSpeeds(speeds, { { "c", event_time(*AnyFigure()) } }, now);
+      ApplyToldSpeeds(speeds, { { "c", event_time(*AnyFigure()) } });
       for (const auto& [id, row] : speeds) {
         const auto time = ExpectedEventTime(row);
         RC_ASSERT(!time || (std::isfinite(time->count()) && time->count() > 0));
@@ -198,7 +198,7 @@
   server_speeds speeds{ { "own", Measured(kUsual) } };
   const std::vector<told_speed> told{ { "own", 5 * kUsual },
                                       { "other", 5 * kUsual } };
-  ApplyToldSpeeds(speeds, told, kStart);
+  ApplyToldSpeeds(speeds, told);
   BOOST_TEST(Factor(speeds["own"]) == 1.0);
   BOOST_TEST(Factor(speeds["other"]) == 5.0);
   // What was told holds until the own measurement stands.
@@ -214,9 +214,9 @@
 {
   server_speeds speeds;
   for (const double wrong : { 0.0, -5.0, 1e9, kInfinite, kNoNumber }) {
-    ApplyToldSpeeds(speeds, { { "s", event_time(wrong) } }, kStart);
+    ApplyToldSpeeds(speeds, { { "s", event_time(wrong) } });
   }
-  ApplyToldSpeeds(speeds, { { "", kUsual } }, kStart);
+  ApplyToldSpeeds(speeds, { { "", kUsual } });
   BOOST_TEST(speeds.empty());
 }
 
@@ -228,7 +228,7 @@
   }
   BOOST_TEST(SpeedsToTell(speeds).empty());
   speeds["slow"] = Measured(3 * kUsual);
-  ApplyToldSpeeds(speeds, { { "told", 9 * kUsual } }, kStart);
+  ApplyToldSpeeds(speeds, { { "told", 9 * kUsual } });
   const auto told = SpeedsToTell(speeds);
   BOOST_REQUIRE(told.size() == 1u);
   BOOST_TEST(told.front().mServer == "slow");
--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -53,12 +53,15 @@
 }
 
 void
-AddToAverage(double& aAverage, std::int64_t aNewest)
+AddToAverage(std::map<std::string, double>& aAverages,
+             const std::string& aModel,
+             std::int64_t aNewest)
 {
   const auto newest = static_cast<double>(aNewest);
-  aAverage = aAverage == 0
-               ? newest
-               : aAverage + kNewestBatchWeight * (newest - aAverage);
+  const auto [average, isFirst] = aAverages.try_emplace(aModel, newest);
+  if (!isFirst) {
+    average->second += kNewestBatchWeight * (newest - average->second);
+  }
 }
 
 } // namespace
@@ -119,8 +122,8 @@
 assignments::HandleBatchSubmitted(const submitted_work& aWork)
 {
   const auto& model = aWork.mSpeeds.mModel;
-  AddToAverage(mWork[model], aWork.mExpectedTokens);
-  AddToAverage(mLongWork[model], aWork.mLongItemTokens);
+  AddToAverage(mWork, model, aWork.mExpectedTokens);
+  AddToAverage(mLongWork, model, aWork.mLongItemTokens);
   RecordToldSpeeds(mSpeeds, aWork.mSpeeds, mPlaced, mDependencies.mDirectory);
   UpdateModelShares();
   // A larger difference means that the trainer has fallen behind, not that it
@@ -262,6 +265,10 @@
   auto placed =
     AssignModels(aServers, aModels, mAnnounced, mModelShares, mLongShares);
   const bool isByCapacity = DifferInSpeed(aServers);
+  const bool hasLongItems =
+    std::any_of(mLongShares.begin(), mLongShares.end(), [](const auto& aShare) {
+      return aShare.second > 0;
+    });
   for (const auto& server : aServers) {
     const auto& model = placed.at(server.mId);
     auto& before = mPlaced[server.mId];
@@ -271,7 +278,9 @@
         .With("before", before)
         .With("server", server.mId)
         .With("speed_percent", std::lround(100 * server.mSpeed))
-        .With("reason", server.mSpeed >= kFastSpeed ? "long_items" : "work");
+        .With("reason",
+              server.mSpeed >= kFastSpeed && hasLongItems ? "long_items"
+                                                          : "work");
     }
     before = model;
   }
--- a/Duties/Versions/ToldSpeeds.cpp
+++ b/Duties/Versions/ToldSpeeds.cpp
@@ -61,8 +61,7 @@
                  const model_placement& aPlaced,
                  const site::server_directory& aDirectory)
 {
-  // Also false if a figure is no number.
-  if (!(aBatch.mMedian > event_time(0)) || std::isinf(aBatch.mMedian.count())) {
+  if (!scheduling::IsPossible(aBatch.mMedian)) {
     return;
   }
   aSpeeds.mMedians[aBatch.mModel] = aBatch.mMedian;
@@ -75,7 +74,8 @@
   }
   for (const auto& told : aBatch.mServers) {
     const auto row = aDirectory.mRows.find(told.mServer);
-    if (row != aDirectory.mRows.end() && told.mEventTime > event_time(0)) {
+    if (row != aDirectory.mRows.end() &&
+        scheduling::IsPossible(told.mEventTime)) {
       aSpeeds.mServers[told.mServer] = { row->second.mServer.mStartedAt,
                                          told.mEventTime,
                                          0 };
--- a/Libraries/Core/Mechanisms.h
+++ b/Libraries/Core/Mechanisms.h
@@ -16,7 +16,7 @@
   GroupHomes,
   /** Items whose runs are expected to be long start first. */
   LongestFirst,
-  /** Runs move away from servers that generate much more slowly than others. */
+  /** Runs move to servers that are clearly faster. */
   SlowServerMoves,
   /** A circuit breaker limits the runs sent to a server that fails many. */
   RunBreakers,
