TestPausedEntry: the store's fault is known to be in force

The response of /control/faults was ignored: had the platform refused the fault, the test would have gone on with a store that is up, and not tested what its name says. A status other than 200 now ends the test.

--- a/Tests/TestPausedEntry.cpp
+++ b/Tests/TestPausedEntry.cpp
@@ -91,10 +91,11 @@
   std::this_thread::sleep_for(1500ms);
   Withdraw();
   std::this_thread::sleep_for(8s);
-  Send(mFleet.PlatformPort(),
-       "POST",
-       "/control/faults",
-       json::object{ { "down", true } });
+  const auto down = Send(mFleet.PlatformPort(),
+                         "POST",
+                         "/control/faults",
+                         json::object{ { "down", true } });
+  BOOST_REQUIRE_EQUAL(down.mStatus, 200);
   informed.mProcess->Signal(SIGSTOP);
   Paused().mProcess->Signal(SIGCONT);
   const auto end = std::chrono::steady_clock::now() + 4s;
