--- a/Duties/Batches/TestBlockWrite.cpp
+++ b/Duties/Batches/TestBlockWrite.cpp
@@ -35,4 +35,14 @@
     (StepAfterReadBack(store_outcome::NotFound) == write_step::WriteAgain));
 }
 
+// Guards against results that stay unlisted, or are read back for nothing,
+// although the store has told whether it carried the write out.
+BOOST_AUTO_TEST_CASE(AKnownOutcomeNeedsNoReadBack)
+{
+  BOOST_TEST((StepAfterWrite(store_outcome::Done) == write_step::Apply));
+  BOOST_TEST(
+    (StepAfterWrite(store_outcome::Refused) == write_step::WriteAgain));
+  BOOST_TEST((StepAfterReadBack(store_outcome::Done) == write_step::Apply));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
