Scheduling: tests of RankSteps without steps, groups and places

None of them crashes. Without places each group has a rank of its own; if a step is long overdue, its first group takes rank 0 and its own rank stays unused.

--- a/Duties/Scheduling/TestStepOrder.cpp
+++ b/Duties/Scheduling/TestStepOrder.cpp
@@ -526,4 +526,52 @@
   }
 }
 
+/** Guards against a crash of an entry without a batch. */
+BOOST_AUTO_TEST_CASE(WithoutStepsThereAreNoRanks)
+{
+  BOOST_TEST(RankSteps({}, 10).empty());
+  BOOST_TEST(RankSteps({}, 0).empty());
+}
+
+/** Guards against a step without groups that shifts the ranks of the others. */
+BOOST_AUTO_TEST_CASE(AStepWithoutGroupsChangesNoRankOfOthers)
+{
+  const auto older = Step(3, 8, 3, 3.5);
+  const auto newer = Step(3, 8, 3, 7.5);
+  for (const std::size_t target : { 0, 3 }) {
+    for (const double timeLeft : { -20.0, 0.0, 5.0 }) {
+      const auto ranked =
+        RankSteps({ older, Step(0, 8, target, timeLeft), newer }, 48);
+      BOOST_REQUIRE_EQUAL(ranked.size(), 3U);
+      BOOST_TEST(RanksOf(ranked[0]) == (ranks{ 0, 0, 0 }),
+                 boost::test_tools::per_element());
+      BOOST_TEST(ranked[1].empty());
+      BOOST_TEST(RanksOf(ranked[2]) == (ranks{ 1, 1, 1 }),
+                 boost::test_tools::per_element());
+    }
+  }
+  BOOST_REQUIRE_EQUAL(RankSteps({ Step(0, 8, 3, 5) }, 48).size(), 1U);
+}
+
+/** All servers gone: guards against a division by no places, and against
+ * groups that get the rank of another one. */
+BOOST_AUTO_TEST_CASE(WithoutPlacesEachGroupHasARank)
+{
+  for (const double timeLeft : { -20.0, -1.0, 0.0, 7.5 }) {
+    const auto ranked =
+      RankSteps({ Step(3, 8, 2, timeLeft), Step(2, 16, 2, 7.5) }, 0);
+    BOOST_REQUIRE_EQUAL(ranked.size(), 2U);
+    BOOST_REQUIRE_EQUAL(ranked[0].size(), 3U);
+    BOOST_REQUIRE_EQUAL(ranked[1].size(), 2U);
+    auto found = RanksOf(ranked[0]);
+    const auto second = RanksOf(ranked[1]);
+    found.insert(found.end(), second.begin(), second.end());
+    std::sort(found.begin(), found.end());
+    BOOST_TEST(found.front() == 0U);
+    BOOST_TEST((std::adjacent_find(found.begin(), found.end()) == found.end()));
+    BOOST_TEST(Count(ranked[0], group_standing::Complete) == 0U);
+    BOOST_TEST(Count(ranked[1], group_standing::Complete) == 0U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
