Soak: a known seed draws its faults and load in the earlier order again

Trainers, hints and speed faults had been drawn from the generators of the faults and of the load, and the list of faults had grown, so the seeds listed in CMakeLists.txt chose other faults. A second generator, seeded from the same seed, now draws the number of trainers, the hints, and all that the second and third trainer do. The speed faults have a list and a series of their own, one each 1 to 4 s, beside the others. The first trainer may have four open batches again, as the only one had. Item lengths and server speeds draw nothing: they follow from the item's id and the server's number.

Not restored: the time of things. Servers of other speeds and more load change when batches end and thus how the load's draws interleave; the first trainer's customer is trainer-0.

--- a/Tests/Soak/Clients.cpp
+++ b/Tests/Soak/Clients.cpp
@@ -10,8 +10,8 @@
 
 constexpr milliseconds kTimeout{ 2500 };
 constexpr int kMaximumTries = 8;
-/** Maximum number of batches of a trainer that aren't ended at a time. */
-constexpr int kOpenBatches = 2;
+/** Maximum number of batches that aren't ended at a time, by trainer. */
+constexpr int kOpenBatches[kMaximumTrainers] = { 4, 2, 2 };
 /** Items of a group, by trainer. */
 constexpr int kGroupSizes[kMaximumTrainers] = { 4, 8, 2 };
 
@@ -49,7 +49,9 @@
 soak_clients::soak_clients(soak_site& aSite, std::uint64_t aSeed)
   : mSite(aSite)
   , mRandom(aSeed)
-  , mTrainers(std::uniform_int_distribution<int>(2, kMaximumTrainers)(mRandom))
+  , mSecondRandom(SecondSeed(aSeed))
+  , mTrainers(
+      std::uniform_int_distribution<int>(2, kMaximumTrainers)(mSecondRandom))
   , mClients(std::make_shared<edge::client_pool>(aSite.mLoop))
 {
 }
@@ -60,11 +62,17 @@
   mSite.mFindings.push_back(std::move(aFinding));
 }
 
+std::mt19937_64&
+soak_clients::RandomOf(int aTrainer)
+{
+  return aTrainer == 0 ? mRandom : mSecondRandom;
+}
+
 entry_instance&
-soak_clients::AnyEntry()
+soak_clients::AnyEntry(std::mt19937_64& aRandom)
 {
   return *mSite.mEntries[std::uniform_int_distribution<std::size_t>(
-    0, mSite.mEntries.size() - 1)(mRandom)];
+    0, mSite.mEntries.size() - 1)(aRandom)];
 }
 
 void
@@ -80,7 +88,7 @@
     }
   }
   for (int trainer = 0; aMaySubmit && trainer < mTrainers; ++trainer) {
-    if (open[trainer] < kOpenBatches) {
+    if (open[trainer] < kOpenBatches[trainer]) {
       StartBatch(trainer);
     }
   }
@@ -90,15 +98,17 @@
 soak_clients::StartBatch(int aTrainer)
 {
   auto batch = std::make_shared<submitted_batch>();
-  batch->mId = "b" + std::to_string(mNext++);
+  auto& random = RandomOf(aTrainer);
+  batch->mId = aTrainer == 0 ? "b" + std::to_string(mNext++)
+                             : "o" + std::to_string(mOtherBatches++);
   batch->mTrainer = aTrainer;
-  batch->mItems = std::uniform_int_distribution<int>(1, 24)(mRandom);
+  batch->mItems = std::uniform_int_distribution<int>(1, 24)(random);
   batch->mGroupSize = kGroupSizes[aTrainer];
-  batch->mIsScored = std::uniform_int_distribution<int>(0, 1)(mRandom) == 1;
+  batch->mIsScored = std::uniform_int_distribution<int>(0, 1)(random) == 1;
   batch->mMinimumVersion = std::max<std::int64_t>(1, mSite.mVersion - 1);
   for (int i = 0; i < batch->mItems; ++i) {
     const double factor =
-      std::exp2(std::uniform_real_distribution<>(-1, 1)(mRandom));
+      std::exp2(std::uniform_real_distribution<>(-1, 1)(mSecondRandom));
     batch->mLengthHints.push_back(static_cast<int>(
       std::lround(EventsOf(batch->mId + "i" + std::to_string(i)) * factor)));
   }
@@ -114,7 +124,7 @@
   edge::FetchWhole(
     *mClients,
     mSite.mLoop,
-    { "127.0.0.1", AnyEntry().mCallers },
+    { "127.0.0.1", AnyEntry(mRandom).mCallers },
     Request("POST", aIsSafe ? "/safe/x" : "/once/x", "desk.example", id),
     {},
     kTimeout,
@@ -218,7 +228,7 @@
   edge::FetchWhole(
     *mClients,
     mSite.mLoop,
-    { "127.0.0.1", AnyEntry().mCallers },
+    { "127.0.0.1", AnyEntry(RandomOf(aBatch->mTrainer)).mCallers },
     request,
     {},
     kTimeout,
@@ -244,7 +254,8 @@
 {
   // Sometimes reads from the start, to check that no earlier result has
   // changed.
-  const bool again = std::uniform_int_distribution<int>(0, 3)(mRandom) == 0;
+  auto& random = RandomOf(aBatch->mTrainer);
+  const bool again = std::uniform_int_distribution<int>(0, 3)(random) == 0;
   const auto after = again ? 0 : aBatch->mResults.size();
   aBatch->mIsReading = true;
   auto request =
@@ -256,7 +267,7 @@
   edge::FetchWhole(
     *mClients,
     mSite.mLoop,
-    { "127.0.0.1", AnyEntry().mCallers },
+    { "127.0.0.1", AnyEntry(random).mCallers },
     request,
     {},
     kTimeout,
--- a/Tests/Soak/Clients.h
+++ b/Tests/Soak/Clients.h
@@ -49,7 +49,9 @@
   std::string Summary() const;
 
 private:
-  entry_instance& AnyEntry();
+  /** Generator of what the trainer draws. */
+  std::mt19937_64& RandomOf(int aTrainer);
+  entry_instance& AnyEntry(std::mt19937_64& aRandom);
   void StartBatch(int aTrainer);
   void SendPlain(bool aIsSafe);
   void Submit(const std::shared_ptr<submitted_batch>& aBatch);
@@ -62,7 +64,10 @@
   void AddFinding(std::string aFinding);
 
   soak_site& mSite;
+  /** Draws for the callers and the first trainer. */
   std::mt19937_64 mRandom;
+  /** Draws for the other trainers, and for the hints of all. */
+  std::mt19937_64 mSecondRandom;
   /** Two or three trainers submit at the same time. */
   const int mTrainers;
   std::shared_ptr<edge::client_pool> mClients;
@@ -70,6 +75,8 @@
   std::map<std::string, unsigned> mOnceStatuses;
   std::set<std::string> mServingNewest;
   int mNext = 0;
+  /** Number of batches of the other trainers. */
+  int mOtherBatches = 0;
   int mSent = 0;
   int mServed = 0;
 };
--- a/Tests/Soak/Site.h
+++ b/Tests/Soak/Site.h
@@ -76,6 +76,14 @@
 
 constexpr int kMaximumTrainers = 3;
 
+/** Seed of a second generator. What draws from the first one keeps its order of
+ * draws, so that a known seed replays its scenario when the soak grows. */
+constexpr std::uint64_t
+SecondSeed(std::uint64_t aSeed)
+{
+  return ~aSeed;
+}
+
 struct site_options
 {
   int mEntries = 3;
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -106,7 +106,20 @@
 }
 
 std::vector<fault_action>
-AllFaults()
+SpeedFaults()
+{
+  return {
+    ServerSpeed("server slow", 2.5, { "250" }),
+    ServerSpeed("server tells no speed",
+                1,
+                { "x", "-5", "0", "1e9", ",", "99999999999999999999" }),
+  };
+}
+
+/** Faults of which the choice by a seed is to remain; a fault of another kind
+ * gets a list of its own. */
+std::vector<fault_action>
+OtherFaults()
 {
   const auto nothing = [](soak_site&) {};
   return {
@@ -159,10 +172,6 @@
           agent->mServer->mBreakAfter = 0;
         }
       } },
-    ServerSpeed("server slow", 2.5, { "250" }),
-    ServerSpeed("server tells no speed",
-                1,
-                { "x", "-5", "0", "1e9", ",", "99999999999999999999" }),
     { "version named",
       [](soak_site& aSite, std::mt19937_64&) { aSite.PublishVersion(); },
       nothing },
@@ -196,42 +205,63 @@
   std::size_t mFault = 0;
 };
 
-/** Injects random faults every few hundred ms. Each lasts up to two seconds,
- * and they overlap. */
+/** Faults of one list, one after another at random intervals. Each lasts up to
+ * two seconds, and they overlap. */
+struct fault_series
+{
+  std::vector<fault_action> mFaults;
+  std::mt19937_64 mRandom;
+  milliseconds mShortestPause{ 0 };
+  milliseconds mLongestPause{ 0 };
+  time_point mNext = boot_clock::now() + 1500ms;
+  std::vector<planned_end> mPlanned{};
+};
+
+void
+Advance(fault_series& aSeries, soak_site& aSite)
+{
+  const auto now = boot_clock::now();
+  for (auto& item : aSeries.mPlanned) {
+    if (item.mAt <= now) {
+      aSeries.mFaults[item.mFault].mEnd(aSite);
+      item.mAt = time_point::max();
+    }
+  }
+  if (now < aSeries.mNext) {
+    return;
+  }
+  auto& random = aSeries.mRandom;
+  const auto chosen = std::uniform_int_distribution<std::size_t>(
+    0, aSeries.mFaults.size() - 1)(random);
+  const milliseconds lasts(
+    std::uniform_int_distribution<int>(100, 2000)(random));
+  std::cout << "fault: " << aSeries.mFaults[chosen].mName << " for "
+            << lasts.count() << " ms" << std::endl;
+  aSeries.mFaults[chosen].mBegin(aSite, random);
+  aSeries.mPlanned.push_back({ now + lasts, chosen });
+  aSeries.mNext =
+    now +
+    milliseconds(std::uniform_int_distribution<milliseconds::rep>(
+      aSeries.mShortestPause.count(), aSeries.mLongestPause.count())(random));
+}
+
 void
 InjectFaults(soak_site& aSite,
              soak_clients& aClients,
-             std::mt19937_64& aRandom,
+             std::uint64_t aSeed,
              std::chrono::seconds aTime)
 {
-  const auto faults = AllFaults();
+  fault_series others{ OtherFaults(), std::mt19937_64(aSeed), 150ms, 900ms };
+  fault_series speeds{
+    SpeedFaults(), std::mt19937_64(SecondSeed(aSeed)), 1000ms, 4000ms
+  };
   const auto end = boot_clock::now() + aTime;
-  auto nextFault = boot_clock::now() + 1500ms;
-  std::vector<planned_end> planned;
   while (boot_clock::now() < end && !gIsInterrupted) {
     RunLoop(aSite.mLoop, 60ms);
     aSite.RestartEnded();
     aClients.Step(true);
-    const auto now = boot_clock::now();
-    for (auto& item : planned) {
-      if (item.mAt <= now) {
-        faults[item.mFault].mEnd(aSite);
-        item.mAt = time_point::max();
-      }
-    }
-    if (now < nextFault) {
-      continue;
-    }
-    const auto chosen =
-      std::uniform_int_distribution<std::size_t>(0, faults.size() - 1)(aRandom);
-    const milliseconds lasts(
-      std::uniform_int_distribution<int>(100, 2000)(aRandom));
-    std::cout << "fault: " << faults[chosen].mName << " for " << lasts.count()
-              << " ms" << std::endl;
-    faults[chosen].mBegin(aSite, aRandom);
-    planned.push_back({ now + lasts, chosen });
-    nextFault =
-      now + milliseconds(std::uniform_int_distribution<int>(150, 900)(aRandom));
+    Advance(others, aSite);
+    Advance(speeds, aSite);
   }
 }
 
@@ -270,10 +300,9 @@
   boost::asio::io_context loop{ 1 };
   soak_site site(loop, aOptions);
   soak_clients clients(site, aSeed);
-  std::mt19937_64 random(aSeed);
   site.StartAll();
   RunLoop(loop, 1500ms);
-  InjectFaults(site, clients, random, aTime);
+  InjectFaults(site, clients, aSeed, aTime);
   site.ClearFaults();
   CheckConfiguration(site, clients);
   // The limit ends a run that hangs; a batch that isn't complete by then is a
