--- a/Duties/Batches/BatchMoves.cpp
+++ b/Duties/Batches/BatchMoves.cpp
@@ -244,7 +244,7 @@
                        double aMinimumEvents,
                        time_point aNow)
 {
-  if (!HasFasterServer(aEngines, aNow)) {
+  if (!IsOn(mechanism::SlowServerMoves) || !HasFasterServer(aEngines, aNow)) {
     return;
   }
   std::vector<std::pair<running_batch*, std::size_t>> items;
--- a/Duties/Batches/BatchRanks.cpp
+++ b/Duties/Batches/BatchRanks.cpp
@@ -11,7 +11,7 @@
 
 using seconds = std::chrono::duration<double>;
 
-/** Time that an item needs which no route takes now. */
+/** Stands for the time of an item that no route of the configuration takes. */
 constexpr seconds kNever = std::chrono::hours(24);
 
 const char*
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -287,7 +287,7 @@
   std::map<std::string, std::map<std::string, std::int64_t>> mSeenVersions;
   engine_healths mHealths;
   scheduling::server_speeds mSpeeds;
-  /** Start times of the servers whose speed is known. */
+  /** Start times of the listed servers. */
   std::map<std::string, std::int64_t> mStartTimes;
   /** Median event time that the latest batch of each model told. */
   std::map<std::string, scheduling::event_time> mToldMedians;
--- a/Duties/Batches/RunMoves.cpp
+++ b/Duties/Batches/RunMoves.cpp
@@ -18,7 +18,9 @@
  * a move must clearly save more. */
 constexpr scheduling::event_time kMinimumGain{ 300 };
 /** Servers whose speeds differ by less are alike: measured speeds are off by
- * about as much. */
+ * about as much. A measured speed includes the server's load, and a busy server
+ * is up to 1.4 times slower than an idle one, so a run may also move to an
+ * equal server that is idle. */
 constexpr double kClearlyFaster = 1.2;
 
 bool
--- a/Duties/Keys/FreshnessGate.cpp
+++ b/Duties/Keys/FreshnessGate.cpp
@@ -16,11 +16,13 @@
 }
 
 /** True when at least half of the other processes have answered without a gap
- * for mCatchUpTime or since this entry joined. Fewer answers mean that this
- * availability zone may be cut off, where every process that answers is as
- * stale as this one. Answers that began just after a pause of this process
- * don't count: they may arrive before the watch has delivered what changed
- * during the pause. */
+ * for mCatchUpTime or since this entry joined. In an availability zone that is
+ * cut off from the platform and from all other zones, every process that
+ * answers is as stale as this one. The missing answers of the other zones are
+ * all that distinguishes this case from an outage of the store. Answers that
+ * began just after a pause of this process don't count: they may arrive before
+ * the watch has delivered what changed during the pause. A joining entry needs
+ * no such wait, because it compares revisions with all processes first. */
 bool
 ReachesAtLeastHalf(const remote_freshness& aRemote,
                    const freshness_limits& aLimits,
--- a/Duties/Scheduling/ServerSpeed.h
+++ b/Duties/Scheduling/ServerSpeed.h
@@ -77,8 +77,8 @@
 ExpectedEventTime(const server_speed& aSpeed);
 
 /** Median over the servers that this entry has measured; none if there is no
- * such server. Told speeds don't count, because only those that differ from the
- * median are told. */
+ * such server. A few slow servers don't change the median. Told speeds don't
+ * count, because only those that differ from the median are told. */
 std::optional<event_time>
 MedianEventTime(const server_speeds& aSpeeds);
 
--- a/Duties/Site/ServerLoads.cpp
+++ b/Duties/Site/ServerLoads.cpp
@@ -9,8 +9,8 @@
 /** Bounds of a slowdown that a server can mean. */
 constexpr double kMinimumSlowdown = 0.1;
 constexpr double kMaximumSlowdown = 100;
-/** A server that tells a load between two changes of its own may run somewhat
- * more than it has slots for. */
+/** Running requests per slot above which the figure is a fault. A server may
+ * briefly run more requests than it has slots. */
 constexpr int kMaximumRunningPerSlot = 4;
 /** More than any server queues. */
 constexpr int kMaximumRequests = 1'000'000;
