Connections: an idle one keeps 2 KB, not the buffers of its largest message

Cause: each connection kept a read buffer of 16 KB and the full write buffer of the largest response that it had carried. Change: reads begin with 2 KB and double while they are filled; buffers are given back after each message; gauges for peers' connections and buffers.

--- a/Libraries/Edge/Caller.cpp
+++ b/Libraries/Edge/Caller.cpp
@@ -142,6 +142,31 @@
   }
 }
 
+int
+client_pool::UsableConnections(const endpoint& aServer, time_point aNow) const
+{
+  const auto found = mIdle.find(aServer);
+  return found == mIdle.end() ? 0
+                              : static_cast<int>(std::count_if(
+                                  found->second.begin(),
+                                  found->second.end(),
+                                  [aNow](const auto& aConnection) {
+                                    return aConnection->IsUsable(aNow);
+                                  }));
+}
+
+std::size_t
+client_pool::IdleBytes() const
+{
+  std::size_t bytes = 0;
+  for (const auto& [server, idle] : mIdle) {
+    for (const auto& connection : idle) {
+      bytes += connection->HeldBytes();
+    }
+  }
+  return bytes;
+}
+
 namespace {
 
 /** Buffers the response to one call. */
--- a/Libraries/Edge/Caller.h
+++ b/Libraries/Edge/Caller.h
@@ -95,7 +95,11 @@
                     call_events aEvents);
   /** Closes the idle connections to a server. */
   void Forget(const endpoint& aServer);
+  /** Number of idle connections to a server that the next calls can use. */
+  int UsableConnections(const endpoint& aServer, time_point aNow) const;
   const client_counts& Counts() const { return mCounts; }
+  /** Memory of the idle connections' buffers, in bytes. */
+  std::size_t IdleBytes() const;
 
 private:
   friend class client_connection;
--- a/Libraries/Edge/ClientConnection.cpp
+++ b/Libraries/Edge/ClientConnection.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 16384;
 /** How long an idle connection is assumed to stay open when the server doesn't
  * state a time. */
 constexpr milliseconds kDefaultKeepAlive{ 4000 };
@@ -168,7 +167,7 @@
     boost::asio::buffer(mOutgoing),
     [self = shared_from_this()](error_code aError, std::size_t) {
       self->mIsWriting = false;
-      self->mOutgoing.clear();
+      std::string().swap(self->mOutgoing);
       // A failed write also fails the read, which first delivers a response
       // that the server may have sent before it stopped reading.
       if (!aError && self->mIsBusy) {
@@ -186,7 +185,7 @@
   }
   mIsReading = true;
   mSocket.async_read_some(
-    mBuffer.prepare(kReadBytes),
+    PrepareRead(mBuffer, mReadSize),
     [self = shared_from_this()](error_code aError, std::size_t aSize) {
       self->mIsReading = false;
       self->HandleBytes(aError, aSize);
@@ -213,6 +212,7 @@
     return;
   }
   mBuffer.commit(aSize);
+  mReadSize = NextReadSize(mReadSize, aSize);
   SetTimer(mOptions.mSilenceTimeout);
   Parse();
   if (!mIsClosed) {
@@ -319,6 +319,8 @@
     // The server's idle time begins at the end of its response, which may be a
     // long stream.
     mUsableUntil = boot_clock::now() + mKeepAliveTimeout - kKeepAliveMargin;
+    mParser.reset();
+    mReadSize = kIdleReadBytes;
     pool->Keep(self);
     Read();
   } else {
--- a/Libraries/Edge/ClientConnection.h
+++ b/Libraries/Edge/ClientConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Libraries/Edge/Caller.h"
+#include "Libraries/Edge/ReadSize.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -21,6 +22,11 @@
 
   const endpoint& Server() const { return mServer; }
   bool IsUsable(time_point aNow) const;
+  /** Memory of the connection's buffers, in bytes. */
+  std::size_t HeldBytes() const
+  {
+    return mBuffer.capacity() + mOutgoing.capacity();
+  }
   /** @return the call's number on this connection */
   std::uint64_t Start(const request& aRequest,
                       const call_options& aOptions,
@@ -51,6 +57,7 @@
   std::weak_ptr<client_pool> mPool;
   const endpoint mServer;
   boost::beast::flat_buffer mBuffer;
+  std::size_t mReadSize = kIdleReadBytes;
   std::optional<parser> mParser;
   call_options mOptions;
   call_events mEvents;
--- a/Libraries/Edge/Listener.cpp
+++ b/Libraries/Edge/Listener.cpp
@@ -143,6 +143,16 @@
   return mImplementation->mShared->mRequests;
 }
 
+std::size_t
+listener::HeldBytes() const
+{
+  std::size_t bytes = 0;
+  for (const auto* connection : mImplementation->mShared->mConnections) {
+    bytes += connection->HeldBytes();
+  }
+  return bytes;
+}
+
 void
 AnswerOwn(const exchange_ptr& aExchange,
           unsigned aStatus,
--- a/Libraries/Edge/Listener.h
+++ b/Libraries/Edge/Listener.h
@@ -105,6 +105,8 @@
   std::size_t Connections() const;
   /** Number of requests whose response is not complete. */
   std::size_t Requests() const;
+  /** Memory of the connections' buffers, in bytes. */
+  std::size_t HeldBytes() const;
 
 private:
   struct implementation;
--- a/Libraries/Edge/ServerConnection.cpp
+++ b/Libraries/Edge/ServerConnection.cpp
@@ -1,6 +1,7 @@
 #include "Libraries/Edge/ServerConnection.h"
 
 #include <boost/asio/write.hpp>
+#include <utility>
 
 namespace lavender::edge {
 
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 16384;
 /** Maximum number of bytes read ahead while a request is in flight; further
  * bytes stay in the kernel, which slows the sender down. */
 constexpr std::size_t kReadAheadBytes = 65536;
@@ -83,7 +83,8 @@
                          aResponse.mHeaders,
                          aResponse.mBody.size(),
                          connection->IsClosing());
-  connection->Send(bytes + aResponse.mBody, true);
+  bytes += aResponse.mBody;
+  connection->Send(std::move(bytes), true);
 }
 
 void
@@ -225,7 +226,7 @@
   }
   mIsReading = true;
   mSocket.async_read_some(
-    mBuffer.prepare(kReadBytes),
+    PrepareRead(mBuffer, mReadSize),
     [self = shared_from_this()](error_code aError, std::size_t aSize) {
       self->mIsReading = false;
       self->HandleBytes(aError, aSize);
@@ -244,6 +245,7 @@
     return;
   }
   mBuffer.commit(aSize);
+  mReadSize = NextReadSize(mReadSize, aSize);
   if (mIsLingering) {
     mBuffer.consume(mBuffer.size());
     mLingered += aSize;
@@ -301,6 +303,12 @@
   mCountedBytes = aBytes;
 }
 
+std::size_t
+server_connection::HeldBytes() const
+{
+  return mBuffer.capacity() + mQueued.capacity() + mWriting.capacity();
+}
+
 std::size_t
 server_connection::BodyBytes() const
 {
@@ -316,6 +324,7 @@
 server_connection::HandleRequest()
 {
   mTimer.cancel();
+  mReadSize = kIdleReadBytes;
   auto message = mParser->release();
   request received;
   received.mMethod = std::string(message.method_string());
@@ -354,7 +363,11 @@
     return;
   }
   mUnsent += aBytes.size();
-  mQueued += aBytes;
+  if (mQueued.empty()) {
+    mQueued = std::move(aBytes);
+  } else {
+    mQueued += aBytes;
+  }
   mIsLastQueued = mIsLastQueued || aIsLast;
   if (!mIsWriting) {
     Flush();
@@ -365,8 +378,7 @@
 server_connection::Flush()
 {
   mIsWriting = true;
-  mWriting.swap(mQueued);
-  mQueued.clear();
+  mWriting = std::exchange(mQueued, {});
   boost::asio::async_write(
     mSocket,
     boost::asio::buffer(mWriting),
@@ -388,7 +400,7 @@
     return;
   }
   mUnsent -= mWriting.size();
-  mWriting.clear();
+  std::string().swap(mWriting);
   if (!mQueued.empty()) {
     Flush();
   } else if (mIsLastQueued) {
--- a/Libraries/Edge/ServerConnection.h
+++ b/Libraries/Edge/ServerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Libraries/Edge/Listener.h"
+#include "Libraries/Edge/ReadSize.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -40,6 +41,8 @@
   /** Closes the connection after a short time unless a request begins. */
   void Drain();
   std::size_t Unsent() const { return mUnsent; }
+  /** Memory of the connection's buffers, in bytes. */
+  std::size_t HeldBytes() const;
   /** Whether the connection closes after the current response. */
   bool IsClosing() const;
 
@@ -69,6 +72,7 @@
   boost::asio::steady_timer mTimer;
   std::shared_ptr<listener_state> mShared;
   boost::beast::flat_buffer mBuffer;
+  std::size_t mReadSize = kIdleReadBytes;
   std::optional<parser> mParser;
   /** Owned by the handler. An exchange destroyed without a response resets the
    * connection, so that the caller doesn't wait in vain. */
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -424,6 +424,11 @@
   gauge("lavender_rewards_open", static_cast<double>(mRewards.Open()));
   gauge("lavender_requests_under_way",
         static_cast<double>(mCallers.Requests()));
+  gauge("lavender_peer_connections",
+        static_cast<double>(mPeerListener.Connections()));
+  gauge("lavender_connection_buffer_bytes",
+        static_cast<double>(mCallers.HeldBytes() + mPeerListener.HeldBytes() +
+                            mClients->IdleBytes()));
   gauge("lavender_store_reachable", mFeed.IsReachable() ? 1 : 0);
   gauge("lavender_feed_age_ms", static_cast<double>(mFeed.Age().count()));
   gauge("lavender_feed_watches", mFeed.IsWatching() ? 1 : 0);
