Feed: an entry that changes its source is sent what it lacks, not all objects

Cause: sequence numbers belong to one process, so each entry that lost its source was sent the full state, 280 KB here: entries times objects, the square of the fleet, over links of 60 Mbit/s. Transfers ran into the response's timeout, so more entries turned to the store. Change: requests tell up to which revision of the store each kind is known; a source answers with its changes since then. Listings hide objects that came and went between them, so their revisions are kept as gaps, and a requester within one gets the full state. Responses under way share the encoded changes. Changes kept follow the number of objects. Test: loss of the watching entry at 360 and 720 entries, bytes for each; a property over sources that lead, lag, watch and list.

--- a/Duties/Feed/FeedState.cpp
+++ b/Duties/Feed/FeedState.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+constexpr std::size_t kMinimumKeptChanges = 512;
+/** Number of gaps kept for a kind. A requester whose state is older than the
+ * last gap that was dropped gets the full state. */
+constexpr std::size_t kMaximumGaps = 4;
+
 std::string
 EncodeChange(const std::string& aKind, const objects::object_event& aEvent)
 {
@@ -47,13 +52,89 @@
        const objects::object_event& aEvent)
 {
   aState.mChanges.push_back({ ++aState.mNewest, EncodeChange(aKind, aEvent) });
-  while (aState.mChanges.size() > kKeptChanges) {
+  const auto kept = KeptChanges(aState);
+  while (aState.mChanges.size() > kept) {
     aState.mChanges.pop_front();
   }
 }
 
+/** Sequence number after which all changes are kept. */
+feed_sequence
+OldestKnown(const feed_state& aState)
+{
+  return aState.mNewest - static_cast<feed_sequence>(aState.mChanges.size());
+}
+
+/** Marks that the changes of the kind up to the revision are known, and drops
+ * the marks of changes that aren't kept any more. */
+void
+AddMark(feed_state& aState,
+        const std::string& aKind,
+        objects::revision_number aRevision)
+{
+  auto& marks = aState.mMarks[aKind];
+  // A requester that knows the lower revision lacks nothing more.
+  if (marks.empty() || marks.back().mNumber < aState.mNewest) {
+    marks.push_back({ aState.mNewest, aRevision });
+  }
+  while (marks.front().mNumber < OldestKnown(aState)) {
+    marks.pop_front();
+  }
+}
+
+bool
+IsInGap(const feed_state& aState,
+        const std::string& aKind,
+        objects::revision_number aRevision)
+{
+  const auto gaps = aState.mGaps.find(aKind);
+  return gaps != aState.mGaps.end() &&
+         std::any_of(
+           gaps->second.begin(), gaps->second.end(), [&](const auto& aGap) {
+             return aGap.mBefore < aRevision && aRevision < aGap.mUntil;
+           });
+}
+
+json::value
+EncodeGaps(const std::map<std::string, revision_gaps>& aGaps)
+{
+  json::value encoded = json::object{};
+  for (const auto& [kind, gaps] : aGaps) {
+    json::array list;
+    for (const auto& gap : gaps) {
+      list.push_back(json::array{ gap.mBefore, gap.mUntil });
+    }
+    encoded.Set(kind, list);
+  }
+  return encoded;
+}
+
+std::map<std::string, revision_gaps>
+DecodeGaps(const json::value& aEncoded)
+{
+  std::map<std::string, revision_gaps> decoded;
+  for (const auto& [kind, gaps] : aEncoded.Members()) {
+    for (const auto& gap : gaps.Elements()) {
+      if (const auto& ends = gap.Elements(); ends.size() == 2) {
+        decoded[kind].push_back({ ends[0].IntegerOr(0), ends[1].IntegerOr(0) });
+      }
+    }
+  }
+  return decoded;
+}
+
 } // namespace
 
+std::size_t
+KeptChanges(const feed_state& aState)
+{
+  std::size_t objects = 0;
+  for (const auto& [kind, known] : aState.mKinds) {
+    objects += known.size();
+  }
+  return std::max(kMinimumKeptChanges, objects / 2);
+}
+
 void
 ApplyListing(feed_state& aState,
              const std::string& aKind,
@@ -72,6 +153,7 @@
     }
   }
   known = aListed;
+  aState.mListedKinds.insert(aKind);
 }
 
 void
@@ -94,7 +176,60 @@
                objects::revision_number aRevision)
 {
   auto& known = aState.mRevisions[aKind];
-  known = std::max(known, aRevision);
+  const bool wasListed = aState.mListedKinds.erase(aKind) > 0;
+  if (aRevision <= known) {
+    return;
+  }
+  if (wasListed) {
+    AddGap(aState, aKind, { known, aRevision });
+  }
+  known = aRevision;
+  AddMark(aState, aKind, aRevision);
+}
+
+void
+AddGap(feed_state& aState, const std::string& aKind, const revision_gap& aGap)
+{
+  auto& gaps = aState.mGaps[aKind];
+  const bool isKnown =
+    std::any_of(gaps.begin(), gaps.end(), [&](const auto& aKnown) {
+      return aKnown.mBefore <= aGap.mBefore && aGap.mUntil <= aKnown.mUntil;
+    });
+  if (isKnown) {
+    return;
+  }
+  gaps.push_back(aGap);
+  if (gaps.size() <= kMaximumGaps) {
+    return;
+  }
+  auto& marks = aState.mMarks[aKind];
+  while (!marks.empty() && marks.front().mRevision < gaps.front().mUntil) {
+    marks.pop_front();
+  }
+  gaps.erase(gaps.begin());
+}
+
+std::optional<feed_sequence>
+FindSequence(const feed_state& aState, const kind_revisions& aKnown)
+{
+  auto since = aState.mNewest;
+  for (const auto& [kind, known] : aState.mKinds) {
+    const auto revision = aKnown.find(kind);
+    const auto marks = aState.mMarks.find(kind);
+    if (revision == aKnown.end() || marks == aState.mMarks.end() ||
+        IsInGap(aState, kind, revision->second)) {
+      return std::nullopt;
+    }
+    const auto mark = std::find_if(
+      marks->second.rbegin(), marks->second.rend(), [&](const auto& aMark) {
+        return aMark.mRevision <= revision->second;
+      });
+    if (mark == marks->second.rend() || mark->mNumber < OldestKnown(aState)) {
+      return std::nullopt;
+    }
+    since = std::min(since, mark->mNumber);
+  }
+  return since;
 }
 
 object_map
@@ -125,19 +260,25 @@
     return true;
   }
   const auto known = kind->second.find(aEvent.mObject.mName);
-  return known == kind->second.end() ||
-         known->second.mRevision <= aEvent.mObject.mRevision;
+  if (known != kind->second.end()) {
+    return known->second.mRevision <= aEvent.mObject.mRevision;
+  }
+  // An object that isn't known, though all changes up to its revision are, was
+  // deleted later than the source knows.
+  const auto revision = aState.mRevisions.find(aKind);
+  return aEvent.mIsDeleted || revision == aState.mRevisions.end() ||
+         aEvent.mObject.mRevision > revision->second;
 }
 
 encoded_changes
 EncodeChanges(const feed_state& aState, std::optional<feed_sequence> aSince)
 {
-  const feed_sequence oldest =
-    aState.mNewest - static_cast<feed_sequence>(aState.mChanges.size());
   encoded_changes changes;
-  changes.mIsComplete = !aSince || *aSince < oldest || *aSince > aState.mNewest;
+  changes.mIsComplete =
+    !aSince || *aSince < OldestKnown(aState) || *aSince > aState.mNewest;
+  std::string json;
   const auto add = [&](const std::string& aJson) {
-    changes.mJson += changes.mJson.empty() ? aJson : "," + aJson;
+    json += json.empty() ? aJson : "," + aJson;
   };
   if (changes.mIsComplete) {
     for (const auto& [kind, known] : aState.mKinds) {
@@ -152,10 +293,11 @@
       }
     }
   }
+  changes.mJson = std::make_shared<const std::string>(json + "]}");
   return changes;
 }
 
-std::string
+encoded_feed
 EncodeFeed(const feed_state& aState,
            const std::string& aIncarnation,
            const encoded_changes& aChanges,
@@ -173,10 +315,11 @@
                   { "age_ms", static_cast<std::int64_t>(aProof.mAge.count()) },
                   { "held_ms",
                     static_cast<std::int64_t>(aProof.mHeld.count()) },
-                  { "revisions", revisions } };
+                  { "revisions", revisions },
+                  { "gaps", EncodeGaps(aState.mGaps) } };
   auto body = json::Write(head);
   body.pop_back();
-  return body + ",\"changes\":[" + aChanges.mJson + "]}";
+  return { body + ",\"changes\":[", aChanges.mJson };
 }
 
 std::optional<decoded_feed>
@@ -199,6 +342,9 @@
       feed.mRevisions[kind] = revision.IntegerOr(0);
     }
   }
+  if (const auto* gaps = body->Find("gaps")) {
+    feed.mGaps = DecodeGaps(*gaps);
+  }
   for (const auto& change : changes->Elements()) {
     feed.mChanges.push_back(DecodeChange(change));
   }
--- a/Duties/Feed/HeldQuestions.cpp
+++ b/Duties/Feed/HeldQuestions.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Feed/HeldQuestions.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace lavender::feed {
 
@@ -11,6 +12,8 @@
 constexpr char kLifeField[] = "Lavender-Life";
 constexpr char kSinceField[] = "Lavender-Since";
 constexpr char kAgeField[] = "Lavender-Age-Ms";
+/** KIND=REVISION, separated by commas. */
+constexpr char kRevisionsField[] = "Lavender-Revisions";
 /** A verification that is later by less counts as the same one, because the
  * transfer between entries makes a verification appear older. */
 constexpr milliseconds kMinimumProofAdvance = 100ms;
@@ -27,6 +30,32 @@
 /** Status of a rejection by an entry that the store doesn't answer. */
 constexpr unsigned kStoreUnavailable = 503;
 
+std::string
+EncodeRevisions(const kind_revisions& aRevisions)
+{
+  std::string text;
+  for (const auto& [kind, revision] : aRevisions) {
+    text += (text.empty() ? "" : ",") + kind + "=" + std::to_string(revision);
+  }
+  return text;
+}
+
+kind_revisions
+DecodeRevisions(const std::string& aText)
+{
+  kind_revisions revisions;
+  std::istringstream input(aText);
+  for (std::string part; std::getline(input, part, ',');) {
+    const auto equals = std::min(part.find('='), part.size());
+    const auto revision = edge::ParseInteger(
+      std::string_view(part).substr(std::min(equals + 1, part.size())));
+    if (revision) {
+      revisions[part.substr(0, equals)] = *revision;
+    }
+  }
+  return revisions;
+}
+
 milliseconds
 Between(time_point aFrom, time_point aTo)
 {
@@ -53,6 +82,8 @@
   request.mHeaders.Add(kLifeField, aFeedRequest.mIncarnation);
   request.mHeaders.Add(kSinceField, std::to_string(aFeedRequest.mSince));
   request.mHeaders.Add(kAgeField, std::to_string(aFeedRequest.mAge.count()));
+  request.mHeaders.Add(kRevisionsField,
+                       EncodeRevisions(aFeedRequest.mRevisions));
   return request;
 }
 
@@ -61,7 +92,8 @@
 {
   return { aRequest.mHeaders.ValueOr(kLifeField, ""),
            aRequest.mHeaders.Integer(kSinceField).value_or(0),
-           milliseconds(aRequest.mHeaders.Integer(kAgeField).value_or(0)) };
+           milliseconds(aRequest.mHeaders.Integer(kAgeField).value_or(0)),
+           DecodeRevisions(aRequest.mHeaders.ValueOr(kRevisionsField, "")) };
 }
 
 pending_requests::pending_requests(scheduler aScheduler,
@@ -83,9 +115,21 @@
   if (aFeedRequest.mIncarnation == aSnapshot.mIncarnation) {
     held.mSince = aFeedRequest.mSince;
   }
+  held.mRevisions = aFeedRequest.mRevisions;
   mHeld.push_back(std::move(held));
 }
 
+std::optional<feed_sequence>
+pending_requests::SinceOf(const held_request& aHeld,
+                          const feed_snapshot& aSnapshot)
+{
+  // A requester that changes its source keeps what it knows. If each had to get
+  // the full state, the loss of a source would cost bytes in the square of the
+  // fleet, just when its changes are missing.
+  return aHeld.mSince ? aHeld.mSince
+                      : FindSequence(aSnapshot.mState, aHeld.mRevisions);
+}
+
 bool
 pending_requests::IsDue(const held_request& aHeld,
                         const feed_snapshot& aSnapshot) const
@@ -134,19 +178,16 @@
                                    Between(aSnapshot.mVerifiedAt, now),
                                    std::chrono::floor<milliseconds>(
                                      now - held.mReceivedAt) };
-      auto changes = encoded.find(held.mSince);
+      const auto since = SinceOf(held, aSnapshot);
+      auto changes = encoded.find(since);
       if (changes == encoded.end()) {
         changes =
-          encoded
-            .emplace(held.mSince, EncodeChanges(aSnapshot.mState, held.mSince))
-            .first;
+          encoded.emplace(since, EncodeChanges(aSnapshot.mState, since)).first;
       }
-      held.mRequester.mAnswer({ 200,
-                                {},
-                                EncodeFeed(aSnapshot.mState,
-                                           aSnapshot.mIncarnation,
-                                           changes->second,
-                                           proof) });
+      auto body = EncodeFeed(
+        aSnapshot.mState, aSnapshot.mIncarnation, changes->second, proof);
+      held.mRequester.mAnswer(
+        { 200, {}, std::move(body.mHead), std::move(body.mSharedTail) });
     } else {
       kept.push_back(std::move(held));
     }
--- a/Duties/Feed/HeldQuestions.h
+++ b/Duties/Feed/HeldQuestions.h
@@ -26,6 +26,9 @@
   feed_sequence mSince = 0;
   /** How long ago the requester's state was verified to match the store. */
   milliseconds mAge{ 0 };
+  /** Revisions up to which the requester knows each kind, from whatever source;
+   * empty if it lacks some kind. */
+  kind_revisions mRevisions;
 };
 
 edge::request
@@ -85,13 +88,18 @@
   struct held_request
   {
     feed_requester mRequester;
-    /** None if the full state is needed. */
+    /** None if the requester has a number of another process. */
     std::optional<feed_sequence> mSince;
+    kind_revisions mRevisions;
     time_point mReceivedAt;
     /** When the requester's state was last verified to match the store. */
     time_point mRequesterVerifiedAt;
   };
 
+  /** Number after which the requester lacks changes; none if it needs the full
+   * state. */
+  static std::optional<feed_sequence> SinceOf(const held_request& aHeld,
+                                              const feed_snapshot& aSnapshot);
   bool IsDue(const held_request& aHeld, const feed_snapshot& aSnapshot) const;
   /** Until when a request is held while this entry waits for its own source. */
   time_point WaitDeadline(const held_request& aHeld) const;
--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -274,7 +274,10 @@
   mIsRequestOutstanding = true;
   mDependencies.mCall(
     mSource,
-    EncodeFeedRequest({ mSourceIncarnation, mSourceNumber, Age() }),
+    EncodeFeedRequest({ mSourceIncarnation,
+                        mSourceNumber,
+                        Age(),
+                        HasListed() ? mState.mRevisions : kind_revisions{} }),
     options,
     kResponseTimeout,
     [this, sent](edge::call_end aEnd, const edge::response& aResponse) {
@@ -405,6 +408,11 @@
       }
     }
   }
+  for (const auto& [kind, gaps] : aFeed.mGaps) {
+    for (const auto& gap : gaps) {
+      AddGap(mState, kind, gap);
+    }
+  }
   for (const auto& [kind, revision] : aFeed.mRevisions) {
     RecordRevision(mState, kind, revision);
   }
--- a/Libraries/Edge/Message.h
+++ b/Libraries/Edge/Message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -52,6 +53,9 @@
   unsigned mStatus = 0;
   header_list mHeaders;
   std::string mBody;
+  /** Follows mBody in a response that is sent; null if there is no more. Many
+   * responses under way at the same time can share it. */
+  std::shared_ptr<const std::string> mSharedBody = nullptr;
 };
 
 /** Standard reason phrase of a status code. */
--- a/Libraries/Edge/ServerConnection.cpp
+++ b/Libraries/Edge/ServerConnection.cpp
@@ -1,5 +1,6 @@
 #include "Libraries/Edge/ServerConnection.h"
 
+#include <array>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -79,12 +80,13 @@
     return;
   }
   mHasBegun = mIsEnded = true;
+  const auto& shared = aResponse.mSharedBody;
   auto bytes = WriteHead(aResponse.mStatus,
                          aResponse.mHeaders,
-                         aResponse.mBody.size(),
+                         aResponse.mBody.size() + (shared ? shared->size() : 0),
                          connection->IsClosing());
   bytes += aResponse.mBody;
-  connection->Send(std::move(bytes), true);
+  connection->SendLast(std::move(bytes), shared);
 }
 
 void
@@ -374,14 +376,31 @@
   }
 }
 
+void
+server_connection::SendLast(std::string aBytes,
+                            std::shared_ptr<const std::string> aSharedBytes)
+{
+  if (!mIsClosed && aSharedBytes) {
+    mUnsent += aSharedBytes->size();
+    mQueuedShared = std::move(aSharedBytes);
+  }
+  Send(std::move(aBytes), true);
+}
+
 void
 server_connection::Flush()
 {
   mIsWriting = true;
   mWriting = std::exchange(mQueued, {});
+  mWritingShared = std::exchange(mQueuedShared, nullptr);
+  const std::array<boost::asio::const_buffer, 2> buffers{
+    boost::asio::buffer(mWriting),
+    mWritingShared ? boost::asio::buffer(*mWritingShared)
+                   : boost::asio::const_buffer()
+  };
   boost::asio::async_write(
     mSocket,
-    boost::asio::buffer(mWriting),
+    buffers,
     [self = shared_from_this()](error_code aError, std::size_t) {
       self->HandleWritten(aError);
     });
@@ -399,8 +418,9 @@
     Close();
     return;
   }
-  mUnsent -= mWriting.size();
+  mUnsent -= mWriting.size() + (mWritingShared ? mWritingShared->size() : 0);
   std::string().swap(mWriting);
+  mWritingShared.reset();
   if (!mQueued.empty()) {
     Flush();
   } else if (mIsLastQueued) {
--- a/Libraries/Edge/ServerConnection.h
+++ b/Libraries/Edge/ServerConnection.h
@@ -37,6 +37,10 @@
 
   void Start();
   void Send(std::string aBytes, bool aIsLast);
+  /** Ends a response.
+   * @param aSharedBytes sent after aBytes; may be null */
+  void SendLast(std::string aBytes,
+                std::shared_ptr<const std::string> aSharedBytes);
   void Reset();
   /** Closes the connection after a short time unless a request begins. */
   void Drain();
@@ -79,7 +83,10 @@
   std::weak_ptr<exchange> mExchange;
   bool mHasRequest = false;
   std::string mQueued;
+  /** End of the response, sent after mQueued. */
+  std::shared_ptr<const std::string> mQueuedShared;
   std::string mWriting;
+  std::shared_ptr<const std::string> mWritingShared;
   std::size_t mUnsent = 0;
   /** This connection's share of listener_state::mBodyBytes. */
   std::size_t mCountedBytes = 0;
--- a/Tests/Site/Support/SimulatedFeed.cpp
+++ b/Tests/Site/Support/SimulatedFeed.cpp
@@ -318,6 +318,10 @@
   }
   const auto answer =
     [this, timers, end, caller, name = target->first](edge::response aAnswer) {
+      if (const auto shared = std::move(aAnswer.mSharedBody)) {
+        aAnswer.mBody += *shared;
+      }
+      mBytesBetweenEntries += aAnswer.mBody.size();
       RunAfter(timers, kEntryLatency, [this, end, caller, name, aAnswer] {
         const auto isCut = [&](const std::string& aName) {
           return mEntries.count(aName) > 0 && At(aName).mIsAlone;
--- a/Tests/Site/Support/SimulatedFeed.h
+++ b/Tests/Site/Support/SimulatedFeed.h
@@ -94,6 +94,8 @@
   std::map<std::string, edge::endpoint> mPeers;
   std::map<std::string, std::unique_ptr<simulated_entry>> mEntries;
   int mCallsBetweenEntries = 0;
+  /** Bodies of responses. */
+  std::size_t mBytesBetweenEntries = 0;
 
   simulated_site();
   /** Creates a new process for an entry and destroys its previous one, if any.
--- a/Tests/Site/TestFeed.cpp
+++ b/Tests/Site/TestFeed.cpp
@@ -267,6 +267,83 @@
   BOOST_TEST(site.mLoop.RunUntil([&] { return only.Value("x") == 2; }));
 }
 
+// Guards against lost or reverted changes when an entry that changes its source
+// is sent only what it lacks by revision: the new source may know more or less
+// than the entry, and may have learned it by listings.
+BOOST_AUTO_TEST_CASE(ChangesSinceARevisionGiveTheNewestObjects)
+{
+  BOOST_TEST(rc::check("feeds agree after a change of source", [] {
+    feed::feed_state source;
+    feed::feed_state requester;
+    feed::object_map store;
+    std::vector<objects::object_event> history;
+    objects::revision_number revision = 1;
+    const auto list = [&](feed::feed_state& aState) {
+      feed::ApplyListing(aState, "k", store);
+      feed::RecordRevision(aState, "k", revision);
+    };
+    const auto watch = [&](feed::feed_state& aState) {
+      const auto known = static_cast<std::size_t>(aState.mRevisions["k"]) - 1;
+      for (std::size_t i = known; i < history.size(); ++i) {
+        feed::ApplyEvent(aState, "k", history[i]);
+      }
+      feed::RecordRevision(aState, "k", revision);
+    };
+    const auto learn = [&](feed::feed_state& aState) {
+      if (*rc::gen::inRange(0, 3) == 0) {
+        list(aState);
+      } else {
+        watch(aState);
+      }
+    };
+    list(source);
+    list(requester);
+    const int steps = *rc::gen::inRange(1, 60);
+    for (int step = 0; step < steps; ++step) {
+      objects::object_event event;
+      event.mObject.mName = std::string(1, *rc::gen::inRange<char>('a', 'f'));
+      event.mObject.mRevision = ++revision;
+      const auto known = store.find(event.mObject.mName);
+      if (known != store.end() && *rc::gen::inRange(0, 3) == 0) {
+        event = { known->second, true };
+        store.erase(known);
+      } else {
+        store[event.mObject.mName] = event.mObject;
+      }
+      history.push_back(event);
+      if (*rc::gen::inRange(0, 3) == 0) {
+        learn(source);
+      }
+      if (*rc::gen::inRange(0, 5) == 0) {
+        learn(requester);
+      }
+    }
+    const bool isSourceAhead =
+      requester.mRevisions["k"] <= source.mRevisions["k"];
+    const auto before = requester.mKinds["k"];
+    const auto since = feed::FindSequence(source, requester.mRevisions);
+    if (!since) {
+      return;
+    }
+    const auto changes = feed::EncodeChanges(source, since);
+    RC_ASSERT(!changes.mIsComplete);
+    const auto body =
+      feed::EncodeFeed(source, "life", changes, { "a", 0ms, 0ms });
+    const auto decoded = feed::DecodeFeed(body.mHead + *body.mSharedTail);
+    RC_ASSERT(decoded.has_value());
+    for (const auto& change : decoded->mChanges) {
+      if (feed::IsNewer(requester, "k", change.mEvent)) {
+        feed::ApplyEvent(requester, "k", change.mEvent);
+      }
+    }
+    const auto& expected = isSourceAhead ? source.mKinds["k"] : before;
+    RC_ASSERT(requester.mKinds["k"].size() == expected.size());
+    for (const auto& [name, object] : expected) {
+      RC_ASSERT(requester.mKinds["k"].at(name).mRevision == object.mRevision);
+    }
+  }));
+}
+
 /** For any listings, changes and removals, a requester ends up with the same
  * objects from whichever sequence number it requests changes. */
 BOOST_AUTO_TEST_CASE(ChangesSinceAnyNumberGiveTheSameObjects)
@@ -292,8 +369,10 @@
       }
       auto& [since, objects] =
         known[*rc::gen::inRange<std::size_t>(0, known.size())];
-      const auto decoded = feed::DecodeFeed(feed::EncodeFeed(
-        state, "life", feed::EncodeChanges(state, since), { "a", 0ms, 0ms }));
+      const auto encoded = feed::EncodeFeed(
+        state, "life", feed::EncodeChanges(state, since), { "a", 0ms, 0ms });
+      const auto decoded =
+        feed::DecodeFeed(encoded.mHead + *encoded.mSharedTail);
       RC_ASSERT(decoded.has_value());
       if (decoded->mIsComplete) {
         objects.clear();
--- a/Tests/Site/TestFeedFaults.cpp
+++ b/Tests/Site/TestFeedFaults.cpp
@@ -211,6 +211,34 @@
   }
 }
 
+// Guards against a fleet that falls behind, and links and memory that are full
+// of whole states, when the watching entry is lost: each entry that changed its
+// source was sent all objects again.
+BOOST_AUTO_TEST_CASE(TheLossOfTheWatchingEntrySendsOnlyWhatChanged)
+{
+  for (const int entries : { 360, 720 }) {
+    simulated_site site;
+    site.mState.mLatency = 4ms;
+    for (int i = 0; i < 2 * entries; ++i) {
+      standin::PutDirectly(
+        site.mState, kQuietKind, FleetName(i), "{\"value\":1}");
+    }
+    site.Put(1);
+    StartFleet(site, entries);
+    site.mClock.RunFor(4s);
+    const auto before = site.mBytesBetweenEntries;
+    site.Kill(FleetName(0));
+    site.Put(2);
+    site.mClock.RunFor(4s);
+    BOOST_TEST(KnowAll(site, 2));
+    // Eight responses of one change and a verification each, and as much again
+    // for sources that are tried in vain.
+    constexpr std::size_t kMostBytesPerEntry = 16 * 400;
+    BOOST_TEST((site.mBytesBetweenEntries - before) / entries <=
+               kMostBytesPerEntry);
+  }
+}
+
 // Guards against entries that watch the store for ten seconds and more after
 // the first entries by name, their sources, have frozen: each searches for a
 // source once in three seconds and tries another frozen entry.
