Routing: open connections first where they cost no place

Change: a plain request goes to the latest server with an open connection while that is at most half full and answered as fast as usual; of equally good model servers a run takes one with an open connection. The first turn over a pool's servers begins at a random one.

--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -63,6 +63,8 @@
     engine.mSlots = row.mServer.mSlots;
     engine.mIsWarming = now < site::WarmAt(row);
     engine.mRunsLeft = mDependencies.mLimits.RequestsLeft(row, now);
+    engine.mIdleConnections =
+      mDependencies.mClients.UsableConnections(row.mServer.mAddress, now);
     engine.mVersions = row.mServer.mVersions;
     if (const auto seen = mSeenVersions.find(id); seen != mSeenVersions.end()) {
       for (const auto& [model, version] : seen->second) {
@@ -184,6 +186,7 @@
     const auto chosen = ChooseEngine(engines, need, mAffinities, now);
     if (chosen) {
       ++engines[*chosen].mOwnRuns;
+      --engines[*chosen].mIdleConnections;
       --engines[*chosen].mRunsLeft;
       engines[*chosen].mRunMemory.push_back(need.mMemory);
       StartRun(*next.mBatch, next.mIndex, engines[*chosen], *route);
--- a/Duties/Batches/Schedule.cpp
+++ b/Duties/Batches/Schedule.cpp
@@ -3,7 +3,7 @@
 #include "Libraries/Core/Mechanisms.h"
 
 #include <algorithm>
-#include <utility>
+#include <tuple>
 
 namespace lavender::batches {
 
@@ -76,9 +76,11 @@
              time_point aNow)
 {
   const auto key = [&](const engine_view& aEngine) {
-    return std::pair(Rank(aEngine, aNeed), RelativeEventTime(aEngine));
+    return std::tuple(Rank(aEngine, aNeed),
+                      RelativeEventTime(aEngine),
+                      aEngine.mIdleConnections > 0 ? 0 : 1);
   };
-  std::pair<int, double> bestKey;
+  std::tuple<int, double, int> bestKey;
   std::optional<std::size_t> best;
   std::optional<std::size_t> preferred;
   std::optional<std::size_t> avoided;
--- a/Duties/Batches/TestSchedule.cpp
+++ b/Duties/Batches/TestSchedule.cpp
@@ -60,6 +60,41 @@
   BOOST_TEST(Choose({ warming, Engine("warm", 8) }) == "none");
 }
 
+// Guards against a connection set up for most runs, although the owner keeps
+// enough open ones to other servers that are as good.
+BOOST_AUTO_TEST_CASE(ABurstUsesTheOpenConnectionsFirst)
+{
+  constexpr int kServers = 67;
+  constexpr int kConnected = 34;
+  std::vector<engine_view> engines;
+  for (int i = 0; i < kServers; ++i) {
+    engines.push_back(Engine("server" + std::to_string(i), 0));
+    engines.back().mIdleConnections = i < kServers - kConnected ? 0 : 1;
+  }
+  item_requirements need;
+  need.mPools = { "pool" };
+  int opened = 0;
+  for (int item = 0; item < kConnected; ++item) {
+    const auto chosen = ChooseEngine(engines, need, {}, kNow);
+    BOOST_REQUIRE(chosen);
+    opened += engines[*chosen].mIdleConnections-- > 0 ? 0 : 1;
+    ++engines[*chosen].mOwnRuns;
+  }
+  BOOST_TEST(opened == 0);
+}
+
+// Guards against runs that crowd on a few servers for their open connections.
+BOOST_AUTO_TEST_CASE(AnEmptierServerGoesBeforeAnOpenConnection)
+{
+  auto connected = Engine("connected", 1);
+  connected.mIdleConnections = 3;
+  BOOST_TEST(Choose({ connected, Engine("empty", 0) }) == "empty");
+  auto slow = Engine("slow", 0);
+  slow.mIdleConnections = 3;
+  slow.mRelativeTime = 1.5;
+  BOOST_TEST(Choose({ slow, Engine("usual", 0) }) == "usual");
+}
+
 /** A long item that comes first is sent to a slow server as long as that one
  * has the fewest runs. */
 BOOST_AUTO_TEST_CASE(ItemsFillTheFastServersFirst)
--- a/Duties/Forwarding/ForwardedRequest.cpp
+++ b/Duties/Forwarding/ForwardedRequest.cpp
@@ -103,8 +103,12 @@
 void
 forwarded_request::TryNext()
 {
+  const bool mayReuse = mRoute->mRetryPolicy == site::retry_policy::Idempotent;
   const auto selected = mForwarder.mDependencies.mRouter.SelectServer(
-    *mRoute, mCustomer.get(), mTriedServers);
+    *mRoute,
+    mCustomer.get(),
+    mTriedServers,
+    mayReuse ? connection_use::Any : connection_use::New);
   if (!selected) {
     if (mMayHaveRun) {
       FailUnknown("no other server");
--- a/Duties/Forwarding/PoolRouter.cpp
+++ b/Duties/Forwarding/PoolRouter.cpp
@@ -42,10 +42,12 @@
 pool_router::pool_router(const site::server_directory& aDirectory,
                          site::send_limits& aLimits,
                          site::server_loads& aLoads,
+                         const edge::client_pool& aClients,
                          std::string aAvailabilityZone)
   : mDirectory(aDirectory)
   , mLimits(aLimits)
   , mLoads(aLoads)
+  , mClients(aClients)
   , mAvailabilityZone(std::move(aAvailabilityZone))
 {
   mLoads.SetHandler([this](const auto& aServer, const auto& aLoad) {
@@ -132,10 +134,19 @@
   return limited;
 }
 
+bool
+pool_router::IsConnected(const std::string& aServer, time_point aNow) const
+{
+  const auto row = mDirectory.mRows.find(aServer);
+  return row != mDirectory.mRows.end() &&
+         mClients.UsableConnections(row->second.mServer.mAddress, aNow) > 0;
+}
+
 std::optional<selected_server>
 pool_router::SelectServer(const site::route& aRoute,
                           const site::customer* aCustomer,
-                          const std::vector<std::string>& aTriedServers)
+                          const std::vector<std::string>& aTriedServers,
+                          connection_use aConnection)
 {
   const auto& pool = SelectPool(aRoute, mRandom);
   const auto table = mTables.find(pool);
@@ -146,6 +157,11 @@
   request.mLocalZone = mAvailabilityZone;
   request.mExcluded = aTriedServers;
   const auto now = boot_clock::now();
+  if (aConnection == connection_use::Any) {
+    request.mIsConnected = [this, now](const std::string& aServer) {
+      return IsConnected(aServer, now);
+    };
+  }
   const auto limited = LimitedServers(pool, now);
   auto& excluded = request.mExcluded;
   const auto outside = ServersOutsideAllowedRegions(pool, aRoute, aCustomer);
--- a/Duties/Forwarding/PoolRouter.h
+++ b/Duties/Forwarding/PoolRouter.h
@@ -5,6 +5,7 @@
 #include "Duties/Site/ServerLoads.h"
 #include "Duties/Site/ServerProtocol.h"
 #include "Duties/Site/SiteConfiguration.h"
+#include "Libraries/Edge/Caller.h"
 
 #include <random>
 
@@ -19,6 +20,15 @@
   int mRequests = 0;
 };
 
+/** Whether a request may go over a connection that is open already. */
+enum class connection_use
+{
+  Any,
+  /** An open connection can be broken without notice, so a request that must
+   * not be repeated needs a new one. */
+  New
+};
+
 /** Load and health of the servers of each pool, as known to this entry. All
  * requests to plain servers use the same router, so that callers' requests and
  * the entry's own requests share what they learn about the servers. */
@@ -26,10 +36,12 @@
 {
 public:
   /** @param aLoads its handler is set here, so that the tables have every load
-   * that the entry learns */
+   * that the entry learns
+   * @param aClients its connections are preferred */
   pool_router(const site::server_directory& aDirectory,
               site::send_limits& aLimits,
               site::server_loads& aLoads,
+              const edge::client_pool& aClients,
               std::string aAvailabilityZone);
 
   /** Updates the routing tables from the current state of the directory. */
@@ -42,7 +54,8 @@
   std::optional<selected_server> SelectServer(
     const site::route& aRoute,
     const site::customer* aCustomer,
-    const std::vector<std::string>& aTriedServers);
+    const std::vector<std::string>& aTriedServers,
+    connection_use aConnection = connection_use::Any);
   void RecordSent(const selected_server& aSelected, time_point aNow);
   /** @param aSentAt time passed to RecordSent for this request */
   void RecordEnd(const selected_server& aSelected,
@@ -71,12 +84,14 @@
     const std::string& aPool,
     const site::route& aRoute,
     const site::customer* aCustomer) const;
+  bool IsConnected(const std::string& aServer, time_point aNow) const;
   limited_servers LimitedServers(const std::string& aPool,
                                  time_point aNow) const;
 
   const site::server_directory& mDirectory;
   site::send_limits& mLimits;
   site::server_loads& mLoads;
+  const edge::client_pool& mClients;
   const std::string mAvailabilityZone;
   std::map<std::string, routing::pool_table> mTables;
   std::mt19937_64 mRandom{ std::random_device{}() };
--- a/Duties/Forwarding/TestPoolRouter.cpp
+++ b/Duties/Forwarding/TestPoolRouter.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Forwarding/PoolRouter.h"
 
+#include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace lavender;
@@ -49,7 +50,13 @@
   site::server_loads mLoads{ mDirectory, mMetrics, [](const auto&) {
                               return 0;
                             } };
-  forwarding::pool_router mRouter{ mDirectory, mLimits, mLoads, "zone" };
+  boost::asio::io_context mLoop;
+  edge::client_pool mClients{ mLoop };
+  forwarding::pool_router mRouter{ mDirectory,
+                                   mLimits,
+                                   mLoads,
+                                   mClients,
+                                   "zone" };
 };
 
 } // namespace
--- a/Duties/Routing/PoolTable.cpp
+++ b/Duties/Routing/PoolTable.cpp
@@ -130,6 +130,26 @@
   return best;
 }
 
+const server_row*
+SelectConnected(pool_table& aTable,
+                const route_request& aRequest,
+                time_point aNow)
+{
+  if (!aRequest.mIsConnected) {
+    return nullptr;
+  }
+  for (const auto& recent : aTable.mRecent.mNewestFirst) {
+    const auto* row = FindRow(aTable, recent.mName);
+    if (row && IsUsable(aTable, *row, aRequest, aNow) &&
+        LoadAt(*row, aNow) <= aTable.mLimits.mFreeLoad &&
+        WasAsFastAsUsual(aTable.mRecent, recent) &&
+        aRequest.mIsConnected(recent.mName)) {
+      return row;
+    }
+  }
+  return nullptr;
+}
+
 /** Random usable row; when the draws find none, the first usable one at or
  * after a random position. */
 const server_row*
@@ -159,10 +179,15 @@
 const server_row*
 SelectNextInTurn(pool_table& aTable,
                  const route_request& aRequest,
+                 std::mt19937_64& aRandom,
                  time_point aNow)
 {
+  if (!aTable.mNextRow) {
+    aTable.mNextRow = std::uniform_int_distribution<std::size_t>(
+      0, aTable.mRows.size() - 1)(aRandom);
+  }
   for (std::size_t i = 0; i < aTable.mRows.size(); ++i) {
-    const auto& row = aTable.mRows[aTable.mNextRow++ % aTable.mRows.size()];
+    const auto& row = aTable.mRows[(*aTable.mNextRow)++ % aTable.mRows.size()];
     if (IsUsable(aTable, row, aRequest, aNow)) {
       return &row;
     }
@@ -176,7 +201,7 @@
             std::mt19937_64& aRandom,
             time_point aNow)
 {
-  const auto* first = SelectNextInTurn(aTable, aRequest, aNow);
+  const auto* first = SelectNextInTurn(aTable, aRequest, aRandom, aNow);
   if (!first) {
     return nullptr;
   }
@@ -302,11 +327,14 @@
       chosen = SelectRandom(aTable, aRequest, aRandom, aNow);
       break;
     case routing_policy::RoundRobin:
-      chosen = SelectNextInTurn(aTable, aRequest, aNow);
+      chosen = SelectNextInTurn(aTable, aRequest, aRandom, aNow);
       break;
     case routing_policy::TwoChoices:
       chosen = aRequest.mPrefix == 0 ? nullptr
                                      : SelectByPrefix(aTable, aRequest, aNow);
+      if (!chosen) {
+        chosen = SelectConnected(aTable, aRequest, aNow);
+      }
       if (!chosen) {
         chosen = SelectOfTwo(aTable, aRequest, aRandom, aNow);
       }
@@ -340,6 +368,13 @@
   if (!row) {
     return;
   }
+  if (aEvidence == evidence::Success) {
+    RecordAnswered(aTable.mRecent,
+                   aServer,
+                   std::chrono::duration_cast<milliseconds>(aNow - aSentAt));
+  } else {
+    Forget(aTable.mRecent, aServer);
+  }
   const bool wasClosed = row->mBreaker.mState == breaker_state::Closed;
   RecordEnd(row->mOwnRequests, aSentAt, aNow);
   RecordEnd(row->mBreaker, aEvidence, aTable.mLimits.mBreaker, aNow);
--- a/Duties/Routing/PoolTable.h
+++ b/Duties/Routing/PoolTable.h
@@ -3,8 +3,10 @@
 #include "Duties/Routing/Breaker.h"
 #include "Duties/Routing/OwnRequests.h"
 #include "Duties/Routing/PrefixMemory.h"
+#include "Duties/Routing/RecentServers.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -67,8 +69,8 @@
   milliseconds mExpireAfter{ 600000 };
   /** Prefix affinity applies up to this multiple of the mean load. */
   double mAffinityLoadFactor = 1.25;
-  /** Prefix affinity always applies up to this load, because the request finds
-   * a free slot there. */
+  /** Up to this load, servers that cache the prefix or to which a connection is
+   * open are always preferred, because the request finds a free slot there. */
   double mFreeLoad = 0.5;
 };
 
@@ -81,11 +83,14 @@
   std::vector<server_row> mRows;
   std::unordered_map<std::string, std::size_t> mIndex;
   prefix_index mPrefixes;
+  recent_servers mRecent;
   double mLoadSum = 0;
   double mRatePerSlotSum = 0;
   std::size_t mMeasuredServers = 0;
   std::size_t mOpenBreakers = 0;
-  std::size_t mNextRow = 0;
+  /** Row whose turn is next. The first one is drawn, or the first requests of
+   * all entries would meet on the same server. */
+  std::optional<std::size_t> mNextRow;
 };
 
 struct route_request
@@ -94,6 +99,9 @@
   std::string mLocalZone;
   /** Servers that earlier attempts of this request were sent to. */
   std::vector<std::string> mExcluded;
+  /** Whether the request can use an open connection to a server; null if it
+   * needs one of its own. */
+  std::function<bool(const std::string& aServer)> mIsConnected;
 };
 
 /** Applies a server's report. Of a report older than the last one, only the
@@ -126,8 +134,10 @@
 /** Selects a server; none when no server can take the request.
  *
  * With policy TwoChoices, a server that caches the prompt's prefix is selected
- * while its load is within a bound relative to the mean. Otherwise the less
- * loaded of two servers is selected, the next one in turn and a random one; on
+ * while its load is within a bound relative to the mean. Otherwise, the server
+ * of the latest requests to which a connection is open is selected, unless it
+ * is half full or its last response was slow. Otherwise the less loaded of two
+ * servers is selected, the next one in turn and a random one; on
  * a tie, one in the local availability zone is preferred. Both may be the same
  * server, so that a server measured as slow still gets a request occasionally
  * and is measured again. When more than half of all breakers are open, the
--- a/Duties/Routing/TestPoolTable.cpp
+++ b/Duties/Routing/TestPoolTable.cpp
@@ -265,6 +265,78 @@
   }));
 }
 
+/** Requests of one entry, one after the other, over connections that stay open
+ * as long as the next request comes soon. */
+struct connected_entry
+{
+  void Send(pool_table& aTable, time_point aAt, milliseconds aTime)
+  {
+    route_request request;
+    request.mIsConnected = [&](const std::string& aServer) {
+      const auto used = mUsedAt.find(aServer);
+      return used != mUsedAt.end() && aAt - used->second < 4s;
+    };
+    mServer = *ChooseServer(aTable, request, mRandom, aAt);
+    mOpened += request.mIsConnected(mServer) ? 0 : 1;
+    RecordSent(aTable, mServer, 0, aAt);
+    RecordEnd(aTable, mServer, aAt, evidence::Success, aAt + aTime);
+    mUsedAt[mServer] = aAt + aTime;
+  }
+
+  std::mt19937_64 mRandom{ 5 };
+  std::map<std::string, time_point> mUsedAt;
+  std::string mServer;
+  int mOpened = 0;
+};
+
+// Guards against a connection set up for nearly every request when many entries
+// share few callers: each meets another server every time.
+BOOST_AUTO_TEST_CASE(AnEntryWithFewCallersKeepsToItsOpenConnections)
+{
+  constexpr int kEntries = 384;
+  constexpr int kServers = 20;
+  constexpr int kRequests = 16;
+  int opened = 0;
+  std::map<std::string, int> entriesByServer;
+  for (int i = 0; i < kEntries; ++i) {
+    auto table = MakeTable(kServers, kStart);
+    table.mLimits.mHeartbeat = 1h;
+    connected_entry entry;
+    entry.mRandom.seed(static_cast<std::uint64_t>(i));
+    for (int j = 0; j < kRequests; ++j) {
+      entry.Send(table, kStart + j * 1500ms, 25ms);
+    }
+    opened += entry.mOpened;
+    ++entriesByServer[entry.mServer];
+  }
+  BOOST_TEST(opened <= kEntries * kRequests / 8);
+  // The entries spread over all servers.
+  BOOST_TEST(entriesByServer.size() == static_cast<std::size_t>(kServers));
+  for (const auto& [server, entries] : entriesByServer) {
+    BOOST_TEST(entries < 3 * kEntries / kServers, server);
+  }
+}
+
+// Guards against an entry that keeps to a server which has become slow or full,
+// only because a connection to it is open.
+BOOST_AUTO_TEST_CASE(ASlowOrFullServerIsLeftInSpiteOfItsOpenConnection)
+{
+  auto table = MakeTable(10, kStart);
+  connected_entry entry;
+  for (int i = 0; i < 5; ++i) {
+    entry.Send(table, kStart + i * 100ms, 25ms);
+  }
+  const auto slow = entry.mServer;
+  entry.Send(table, kStart + 500ms, 100ms);
+  BOOST_TEST(entry.mServer == slow);
+  entry.Send(table, kStart + 700ms, 25ms);
+  BOOST_TEST(entry.mServer != slow);
+  const auto full = entry.mServer;
+  ApplyRequestCount(table, full, 12, kStart + 800ms);
+  entry.Send(table, kStart + 900ms, 25ms);
+  BOOST_TEST(entry.mServer != full);
+}
+
 // If only requests were counted, a server five times slower would get as many
 // requests as the others, and each would take five times as long.
 BOOST_AUTO_TEST_CASE(ASlowServerGetsFewerRequests)
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -100,7 +100,11 @@
       mDirectory,
       mMetrics,
       [this](const std::string& aServer) { return mRunner.RunsOn(aServer); })
-  , mRouter(mDirectory, mSendLimits, mLoads, mSettings.mAvailabilityZone)
+  , mRouter(mDirectory,
+            mSendLimits,
+            mLoads,
+            *mClients,
+            mSettings.mAvailabilityZone)
   , mForwarder({ mLoop,
                  *mClients,
                  mProtocol,
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -28,7 +28,11 @@
   site::server_loads mLoads{ mDirectory, mMetrics, [](const auto&) {
                               return 0;
                             } };
-  forwarding::pool_router mRouter{ mDirectory, mLimits, mLoads, "zone" };
+  forwarding::pool_router mRouter{ mDirectory,
+                                   mLimits,
+                                   mLoads,
+                                   *mClients,
+                                   "zone" };
   /** Addresses of the reachable entries, by name. */
   std::map<std::string, edge::endpoint> mPeers;
   /** Entries in regions where no batch may be processed. */
--- a/Tests/Site/TestForwarding.cpp
+++ b/Tests/Site/TestForwarding.cpp
@@ -69,7 +69,11 @@
   site::server_loads mLoads{ mDirectory, mMetrics, [](const auto&) {
                               return 0;
                             } };
-  forwarding::pool_router mRouter{ mDirectory, mLimits, mLoads, "zone" };
+  forwarding::pool_router mRouter{ mDirectory,
+                                   mLimits,
+                                   mLoads,
+                                   *mClients,
+                                   "zone" };
   std::map<std::string, int> mStarts;
   std::shared_ptr<site::route> mRoute = std::make_shared<site::route>();
   std::shared_ptr<site::customer> mCustomer =
