Registration: a start costs one write at most and stale listings

The listing ended with its first page. Change: an entry lists at its start, stale, writes only if its own object is missing or differs, and repeats a listing that lacks itself. Listings follow all pages. The announcer is cut out of site_entry. Test: starts and second starts at 360 and 720 entries, billed calls.

--- a/Duties/Dispatch/EntryDispatch.cpp
+++ b/Duties/Dispatch/EntryDispatch.cpp
@@ -152,9 +152,9 @@
                              const std::vector<std::string>& aExcluded,
                              std::int64_t aPrefix)
 {
-  const routing::route_request request{ aPrefix,
-                                        mOptions.mLocalZone,
-                                        aExcluded };
+  const routing::route_request request{
+    aPrefix, mOptions.mLocalZone, aExcluded, nullptr
+  };
   while (true) {
     std::optional<std::string> chosen;
     {
--- a/Services/Agent/SiteAgent.cpp
+++ b/Services/Agent/SiteAgent.cpp
@@ -2,6 +2,7 @@
 
 #include "Duties/Site/EntryKind.h"
 #include "Libraries/EventLog/EventLog.h"
+#include "Libraries/ObjectStore/ListAll.h"
 #include "platform/Names.h"
 #include "platform/Orders.h"
 
@@ -126,19 +127,19 @@
 void
 site_agent::ListEntries(std::function<void(std::vector<edge::endpoint>)> aDone)
 {
-  mStore.mList(site::kEntryKind,
-               "",
-               objects::freshness::MayBeStale,
-               [done = std::move(aDone)](const objects::list_reply& aReply) {
-                 std::vector<edge::endpoint> entries;
-                 for (const auto& object : aReply.mObjects) {
-                   if (const auto address = edge::ParseAddress(
-                         json::StringAt(object.mSpec, "address", ""))) {
-                     entries.push_back(*address);
-                   }
-                 }
-                 done(std::move(entries));
-               });
+  objects::ListAll(mStore,
+                   site::kEntryKind,
+                   objects::freshness::MayBeStale,
+                   [done = std::move(aDone)](bool, const auto& aObjects) {
+                     std::vector<edge::endpoint> entries;
+                     for (const auto& object : aObjects) {
+                       if (const auto address = edge::ParseAddress(
+                             json::StringAt(object.mSpec, "address", ""))) {
+                         entries.push_back(*address);
+                       }
+                     }
+                     done(std::move(entries));
+                   });
 }
 
 void
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -18,7 +18,6 @@
 namespace lavender::entry {
 
 using namespace std::chrono_literals;
-using objects::store_outcome;
 
 namespace {
 
@@ -34,15 +33,20 @@
  * entry loses the text generated so far. */
 constexpr milliseconds kHandOverLead = 2000ms;
 constexpr milliseconds kDrainCheckInterval = 100ms;
-constexpr milliseconds kAnnounceRetryDelay = 1000ms;
-/** All entries of a new site start within 0.3 s. After this delay each finds
- * the others in the list, and most needn't watch the store themselves. */
-constexpr milliseconds kJoinDelay = 350ms;
 /** A complete feed of the largest supported site has a few MB. */
 constexpr std::size_t kMaximumFeedBytes = 64 << 20;
 /** A usage report without a response within this time is sent again. */
 constexpr milliseconds kReportTimeout = 1200ms;
 
+/** What an entry publishes of itself. */
+std::string
+EncodeEntry(const site_settings& aSettings)
+{
+  return json::Write(json::object{ { "address", aSettings.mPeers.Text() },
+                                   { "zone", aSettings.mAvailabilityZone },
+                                   { "cores", aSettings.mProcessorShare } });
+}
+
 /** A request that each entry answers at once. */
 edge::request
 MakePing()
@@ -161,6 +165,12 @@
                     std::function<void(billing::report_outcome)> aDone) {
                SendUsage(aReport, std::move(aDone));
              } })
+  , mAnnouncer({ edge::LoopScheduler(mLoop),
+                 mStore,
+                 site::kEntryKind,
+                 mSettings.mName,
+                 EncodeEntry(mSettings),
+                 [this](const auto& aEntries) { JoinPeers(aEntries); } })
   , mFeed({ edge::LoopScheduler(mLoop),
             mStore,
             mDirectStore,
@@ -245,8 +255,6 @@
   , mSignals(mLoop, SIGTERM, SIGINT, SIGHUP)
   , mDrainTimer(mLoop)
   , mDirectoryTimer(mLoop)
-  , mAnnounceTimer(mLoop)
-  , mJoinTimer(mLoop)
   , mServerUpdateTimer(mLoop)
   , mServerSummaryTimer(mLoop)
 {
@@ -287,13 +295,7 @@
                               mSettings.mAvailabilityZone,
                               mSettings.mProcessorShare };
   WaitForSignals();
-  Announce();
-  mJoinTimer.expires_after(kJoinDelay);
-  mJoinTimer.async_wait([this](const auto& aError) {
-    if (!aError) {
-      JoinPeers();
-    }
-  });
+  mAnnouncer.Start();
   mUsage.Start();
   mUpkeep.Start();
   mFallback.Start();
@@ -302,42 +304,6 @@
   return 0;
 }
 
-void
-site_entry::Announce()
-{
-  const auto spec =
-    json::Write(json::object{ { "address", mSettings.mPeers.Text() },
-                              { "zone", mSettings.mAvailabilityZone },
-                              { "cores", mSettings.mProcessorShare } });
-  const auto retry = [this](const objects::object_reply& aReply) {
-    if (aReply.mOutcome == store_outcome::Done) {
-      return;
-    }
-    mAnnounceTimer.expires_after(kAnnounceRetryDelay);
-    mAnnounceTimer.async_wait([this](const auto& aError) {
-      if (!aError) {
-        Announce();
-      }
-    });
-  };
-  mStore.mCreate(site::kEntryKind,
-                 mSettings.mName,
-                 spec,
-                 [this, spec, retry](const objects::object_reply& aReply) {
-                   if (aReply.mOutcome != store_outcome::Conflict) {
-                     retry(aReply);
-                     return;
-                   }
-                   // The entry was announced by an earlier incarnation, so the
-                   // other entries are listed too and needn't be waited for.
-                   JoinPeers();
-                   if (json::Write(aReply.mObject.mSpec) != spec) {
-                     mStore.mReplace(
-                       site::kEntryKind, mSettings.mName, 0, spec, retry);
-                   }
-                 });
-}
-
 storeaccess::helper_candidates
 site_entry::HelperCandidates() const
 {
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -4,6 +4,7 @@
 #include "Duties/Billing/UsageDuty.h"
 #include "Duties/Feed/StoreFeed.h"
 #include "Duties/Forwarding/Forwarder.h"
+#include "Duties/Registration/Announcer.h"
 #include "Duties/Site/Evacuation.h"
 #include "Duties/Site/SendLimits.h"
 #include "Duties/Site/ServerChanges.h"
@@ -40,8 +41,8 @@
 
   std::string Open();
   std::vector<feed::watched_kind> WatchedKinds();
-  void Announce();
-  void JoinPeers();
+  /** Follows the store's changes, through one of these entries if possible. */
+  void JoinPeers(const std::vector<objects::stored_object>& aEntries);
   void ApplyConfiguration(const objects::stored_object& aObject);
   void ApplyVersion(const objects::stored_object& aObject);
   void ApplyPeer(const objects::stored_object& aObject);
@@ -109,6 +110,7 @@
   versions::claim_table mClaims;
   versions::assignments mAssignments;
   billing::usage_duty mUsage;
+  registration::announcer mAnnouncer;
   feed::store_feed mFeed;
   versions::fallback_controller mFallback;
   upkeep::upkeep_duty mUpkeep;
@@ -119,15 +121,12 @@
   boost::asio::signal_set mSignals;
   boost::asio::steady_timer mDrainTimer;
   boost::asio::steady_timer mDirectoryTimer;
-  boost::asio::steady_timer mAnnounceTimer;
-  boost::asio::steady_timer mJoinTimer;
   boost::asio::steady_timer mServerUpdateTimer;
   boost::asio::steady_timer mServerSummaryTimer;
   site::server_changes mServerChanges;
   bool mIsServerUpdateScheduled = false;
   std::optional<time_point> mDrainStart;
   bool mHasHandedOver = false;
-  bool mHasJoined = false;
 };
 
 } // namespace lavender::entry
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -61,23 +61,14 @@
 }
 
 void
-site_entry::JoinPeers()
+site_entry::JoinPeers(const std::vector<objects::stored_object>& aEntries)
 {
-  if (mHasJoined) {
-    return;
-  }
-  mHasJoined = true;
   // The list of entries determines which entry watches the store, so it is read
   // first. Without the list this entry watches the store itself.
-  mStore.mList(site::kEntryKind,
-               "",
-               objects::freshness::Linearizable,
-               [this](const objects::list_reply& aReply) {
-                 for (const auto& object : aReply.mObjects) {
-                   ApplyPeer(object);
-                 }
-                 mFeed.Start();
-               });
+  for (const auto& object : aEntries) {
+    ApplyPeer(object);
+  }
+  mFeed.Start();
 }
 
 void
@@ -86,7 +77,7 @@
   if (aName == mSettings.mName) {
     // The other entries removed this one because it did not respond for long,
     // or it is not announced yet.
-    Announce();
+    mAnnouncer.Announce();
   } else {
     mPeers.erase(aName);
   }
--- a/StandIns/ObjectStore/MemoryStore.cpp
+++ b/StandIns/ObjectStore/MemoryStore.cpp
@@ -179,9 +179,12 @@
     }
     RunAfter(aScheduler, delay, [aDone, reply] { aDone(reply); });
   };
-  store.mList = [aScheduler, &aState](
-                  const auto& aKind, const auto& aAfter, auto, auto aDone) {
+  store.mList = [aScheduler, &aState](const auto& aKind,
+                                      const auto& aAfter,
+                                      objects::freshness aFreshness,
+                                      auto aDone) {
     ++aState.mCalls;
+    aState.mStaleReads += aFreshness == objects::freshness::MayBeStale;
     objects::list_reply reply;
     reply.mOutcome = ReadFault(aState).value_or(store_outcome::Done);
     reply.mStoreRevision = aState.mRevision;
