Entries: the largest instances work for the others, not the first by name

Cause: who watches the store, forwards its changes to sixteen others, reports usage and answers all controllers went by name, so an instance with 0.09 of a core and 60 Mbit/s could be any of them, beside 65 with a whole core and 1,000 Mbit/s. Change: one order of all entries, by processor share and then by name, for the tree, the standbys, the reporter and the agents.

--- a/Duties/Billing/UsageDuty.cpp
+++ b/Duties/Billing/UsageDuty.cpp
@@ -107,10 +107,8 @@
 usage_duty::Rank() const
 {
   const auto names = mDependencies.mEntryNames();
-  return static_cast<std::size_t>(
-    std::count_if(names.begin(), names.end(), [&](const auto& aName) {
-      return aName < mDependencies.mName;
-    }));
+  return static_cast<std::size_t>(std::distance(
+    names.begin(), std::find(names.begin(), names.end(), mDependencies.mName)));
 }
 
 std::chrono::system_clock::time_point
--- a/Duties/Billing/UsageDuty.h
+++ b/Duties/Billing/UsageDuty.h
@@ -39,7 +39,8 @@
   milliseconds mWindowLength{ 5000 };
   /** Time within which two entries must not alternate as the reporter. */
   milliseconds mLease{ 3000 };
-  /** Returns the names of all entries, including this one. */
+  /** Returns the names of all entries, including this one, in an order that is
+   * the same at all of them: the first one reports. */
   std::function<std::vector<std::string>()> mEntryNames;
   std::function<std::optional<edge::endpoint>(const std::string&)> mFindPeer;
   std::function<void(const usage_report&, std::function<void(report_outcome)>)>
--- a/Duties/Feed/FeedOrder.cpp
+++ b/Duties/Feed/FeedOrder.cpp
@@ -15,7 +15,7 @@
 RankOf(const std::vector<feed_candidate>& aAll, const std::string& aName)
 {
   std::size_t rank = 0;
-  while (rank < aAll.size() && aAll[rank].mName < aName) {
+  while (rank < aAll.size() && aAll[rank].mName != aName) {
     ++rank;
   }
   return rank;
--- a/Duties/Feed/FeedOrder.h
+++ b/Duties/Feed/FeedOrder.h
@@ -14,15 +14,16 @@
   edge::endpoint mAddress;
 };
 
-/** Returns the number of entries whose names sort before that one.
- * @param aAll all entries, sorted by name */
+/** Returns an entry's place in the order; the number of entries if it isn't
+ * listed.
+ * @param aAll all entries, those first that work for the others */
 std::size_t
 RankOf(const std::vector<feed_candidate>& aAll, const std::string& aName);
 
 /** Returns the entries that an entry tries to follow, in this order, before it
- * watches the store itself: its ancestors in a tree of the entries sorted by
- * name, parent first, then the other entries whose names sort before its own.
- * @param aAll all entries, sorted by name */
+ * watches the store itself: its ancestors in a tree of the entries in their
+ * order, parent first, then the other entries before it.
+ * @param aAll all entries, those first that work for the others */
 std::vector<feed_candidate>
 SourcePreference(const std::vector<feed_candidate>& aAll,
                  const std::string& aName);
--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -24,7 +24,7 @@
  * timeout. */
 constexpr milliseconds kMaximumAge = 1500ms;
 /** Normally the state is more recent. At this age the first kStandbys entries
- * by name start to watch the store, each kStandbyStep after the one before, so
+ * start to watch the store, each kStandbyStep after the one before, so
  * that the other entries can follow one of them before they reach kMaximumAge.
  */
 constexpr milliseconds kStandbyAge = 950ms;
@@ -114,6 +114,13 @@
   return RankOf(mDependencies.mCandidates(), mDependencies.mName);
 }
 
+bool
+store_feed::IsLater(const std::string& aEntry) const
+{
+  const auto all = mDependencies.mCandidates();
+  return RankOf(all, aEntry) > RankOf(all, mDependencies.mName);
+}
+
 milliseconds
 store_feed::AgeLimit() const
 {
@@ -167,13 +174,13 @@
 std::vector<feed_candidate>
 store_feed::AllCandidates() const
 {
-  auto all = Candidates();
-  for (auto& candidate : mDependencies.mCandidates()) {
-    if (candidate.mName > mDependencies.mName) {
-      all.push_back(std::move(candidate));
-    }
+  auto candidates = Candidates();
+  const auto all = mDependencies.mCandidates();
+  const auto next = RankOf(all, mDependencies.mName) + 1;
+  for (auto rank = next; rank < all.size(); ++rank) {
+    candidates.push_back(all[rank]);
   }
-  return all;
+  return candidates;
 }
 
 std::optional<feed_candidate>
@@ -218,8 +225,8 @@
   const auto same =
     static_cast<std::ptrdiff_t>(std::min(kCommonCandidates, candidates.size()));
   if (const auto rest = candidates.begin() + same; rest != candidates.end()) {
-    // Each entry begins at another candidate, because the first ones by name
-    // may all be unresponsive.
+    // Each entry begins at another candidate, because the first ones may all be
+    // unresponsive.
     const auto count = static_cast<std::uint64_t>(candidates.end() - rest);
     const auto shift =
       RendezvousHash(mDependencies.mName, mIncarnation) % count;
@@ -367,10 +374,11 @@
     mFollowingSince = Now();
     ScheduleAgeCheck();
   }
-  if (aEntry > mDependencies.mName &&
-      Now() - mFollowingSince > kSourceSearchInterval) {
+  if (Now() - mFollowingSince > kSourceSearchInterval) {
     mFollowingSince = Now();
-    CheckDirectAccess();
+    if (IsLater(aEntry)) {
+      CheckDirectAccess();
+    }
   }
   ApplyFeed(aFeed);
   SetReachable(true);
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -45,7 +45,8 @@
   /** Kind of this entry's own object, which is read to check whether the store
    * answers. */
   std::string mProbeKind;
-  /** Returns all entries sorted by name, including this one. */
+  /** Returns all entries, including this one, in an order that is the same at
+   * all of them: those first that are best suited to work for the others. */
   std::function<std::vector<feed_candidate>()> mCandidates;
   /** Called when the store's state becomes known again, or can no longer be
    * obtained from the store or any entry. */
@@ -54,14 +55,14 @@
 
 /** Keeps this entry's copy of some kinds of objects up to date.
  *
- * The first entry by name watches the store. The others follow it, directly or
- * through other entries, by long polls, and receive a change as soon as their
- * source does. Each response tells when the entry that watches last verified
- * the state; forwarding doesn't change that time. An entry whose state was last
- * verified more than kMaximumAge ago watches the store itself, even if its
- * source still answers. The loss of any other entry thus delays a change by
- * kMaximumAge at most, and an entry that reaches the other entries but not the
- * store has no delay. */
+ * The first entry in the order watches the store. The others follow it,
+ * directly or through other entries, by long polls, and receive a change as
+ * soon as their source does. Each response tells when the entry that watches
+ * last verified the state; forwarding doesn't change that time. An entry whose
+ * state was last verified more than kMaximumAge ago watches the store itself,
+ * even if its source still answers. The loss of any other entry thus delays a
+ * change by kMaximumAge at most, and an entry that reaches the other entries
+ * but not the store has no delay. */
 class store_feed
 {
 public:
@@ -129,8 +130,10 @@
   void CheckDirectAccess();
   void ApplyFeed(const decoded_feed& aFeed);
   void ApplyFullState(const decoded_feed& aFeed);
-  /** Returns the number of entries whose names sort before this one's. */
+  /** Returns this entry's place in the order of all. */
   std::size_t Rank() const;
+  /** Whether an entry comes after this one in the order of all. */
+  bool IsLater(const std::string& aEntry) const;
   /** Returns the age of the state at which this entry watches the store
    * itself. */
   milliseconds AgeLimit() const;
--- a/Duties/Feed/StoreFeedWatching.cpp
+++ b/Duties/Feed/StoreFeedWatching.cpp
@@ -18,7 +18,7 @@
  * probe is early, because the store may serve only them. */
 constexpr milliseconds kFirstProbe = 100ms;
 constexpr milliseconds kSeekingProbeInterval = 1000ms;
-/** Time that the first entries by name need after an outage to have the state:
+/** Time that the first entries need after an outage to have the state:
  * a probe's interval and a listing. */
 constexpr milliseconds kOthersListingTime = 700ms;
 
@@ -170,7 +170,7 @@
     ScheduleSourceSearch();
     return;
   }
-  // The store is back for all entries, and the first ones by name are listing
+  // The store is back for all entries, and the first entries are listing
   // it now. Wait for them instead of listing as well.
   mDoesStoreAnswer = false;
   mAvoidedUntil.clear();
@@ -191,7 +191,7 @@
 store_feed::CheckDirectAccess()
 {
   // The store may serve this entry again, which then should watch rather than
-  // follow an entry whose name sorts after its own. It keeps following during
+  // follow an entry that comes after it. It keeps following during
   // the check: otherwise an entry that the store still refuses would get no
   // changes for half a second out of every three.
   mDependencies.mDirectStore.mGet(mDependencies.mProbeKind,
--- a/Services/Agent/SiteAgent.cpp
+++ b/Services/Agent/SiteAgent.cpp
@@ -1,6 +1,7 @@
 #include "Services/Agent/SiteAgent.h"
 
 #include "Duties/Site/EntryKind.h"
+#include "Duties/Site/EntryOrder.h"
 #include "Libraries/EventLog/EventLog.h"
 #include "Libraries/ObjectStore/ListAll.h"
 #include "platform/Names.h"
@@ -26,6 +27,28 @@
   return declared;
 }
 
+/** Addresses of the entries in their order, so that all agents ask the same
+ * one. */
+std::vector<edge::endpoint>
+AddressesInOrder(const std::vector<objects::stored_object>& aEntries)
+{
+  std::map<std::string, edge::endpoint> addresses;
+  std::vector<site::listed_entry> entries;
+  for (const auto& object : aEntries) {
+    if (const auto address =
+          edge::ParseAddress(json::StringAt(object.mSpec, "address", ""))) {
+      addresses[object.mName] = *address;
+      entries.push_back(
+        { object.mName, json::NumberAt(object.mSpec, "cores", 1) });
+    }
+  }
+  std::vector<edge::endpoint> ordered;
+  for (const auto& name : site::OrderEntries(std::move(entries))) {
+    ordered.push_back(addresses.at(name));
+  }
+  return ordered;
+}
+
 } // namespace
 
 std::vector<settings::setting>
@@ -130,15 +153,8 @@
   objects::ListAll(mStore,
                    site::kEntryKind,
                    objects::freshness::MayBeStale,
-                   [done = std::move(aDone)](bool, const auto& aObjects) {
-                     std::vector<edge::endpoint> entries;
-                     for (const auto& object : aObjects) {
-                       if (const auto address = edge::ParseAddress(
-                             json::StringAt(object.mSpec, "address", ""))) {
-                         entries.push_back(*address);
-                       }
-                     }
-                     done(std::move(entries));
+                   [done = std::move(aDone)](bool, const auto& aEntries) {
+                     done(AddressesInOrder(aEntries));
                    });
 }
 
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -2,6 +2,7 @@
 
 #include "Duties/Batches/PeerCall.h"
 #include "Duties/Site/EntryKind.h"
+#include "Duties/Site/EntryOrder.h"
 #include "Duties/Site/Regions.h"
 #include "Libraries/Core/Identity.h"
 #include "Libraries/Edge/LoopScheduler.h"
@@ -159,7 +160,7 @@
              mSettings.mName,
              mSettings.mUsageWindow,
              mSettings.mLeaseDuration,
-             [this] { return EntryNames(); },
+             [this] { return EntryOrder(); },
              [this](const std::string& aName) { return FindPeer(aName); },
              [this](const billing::usage_report& aReport,
                     std::function<void(billing::report_outcome)> aDone) {
@@ -192,8 +193,8 @@
             site::kEntryKind,
             [this] {
               std::vector<feed::feed_candidate> candidates;
-              for (const auto& [name, known] : mPeers) {
-                candidates.push_back({ name, known.mAddress });
+              for (const auto& name : EntryOrder()) {
+                candidates.push_back({ name, mPeers.at(name).mAddress });
               }
               return candidates;
             },
@@ -320,14 +321,17 @@
   return candidates;
 }
 
-std::vector<std::string>
-site_entry::EntryNames() const
+const std::vector<std::string>&
+site_entry::EntryOrder()
 {
-  std::vector<std::string> names;
-  for (const auto& [name, known] : mPeers) {
-    names.push_back(name);
+  if (mEntryOrder.empty()) {
+    std::vector<site::listed_entry> entries;
+    for (const auto& [name, known] : mPeers) {
+      entries.push_back({ name, known.mProcessorShare });
+    }
+    mEntryOrder = site::OrderEntries(std::move(entries));
   }
-  return names;
+  return mEntryOrder;
 }
 
 std::vector<weighted_candidate>
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -47,6 +47,8 @@
   void ApplyVersion(const objects::stored_object& aObject);
   void ApplyPeer(const objects::stored_object& aObject);
   void RemovePeer(const std::string& aName);
+  /** Names of all entries, those first that work for the others. */
+  const std::vector<std::string>& EntryOrder();
   void ApplyServerObject(const objects::stored_object& aObject);
   void ApplyServerRemoval(const std::string& aId);
   void RecordServerChange(const std::string& aId, site::server_change aChange);
@@ -72,7 +74,6 @@
   std::optional<edge::endpoint> FindPeer(const std::string& aName) const;
   /** Entries that can relay store calls for this entry. */
   storeaccess::helper_candidates HelperCandidates() const;
-  std::vector<std::string> EntryNames() const;
   /** Entries in regions where the batch may be processed, weighted by the
    * square of their processor share. A model's batches run at one entry and
    * can't be split, so small instances should get few: an entry with five times
@@ -100,6 +101,8 @@
   site::server_directory mDirectory;
   std::shared_ptr<edge::listener_limits> mLimits;
   std::map<std::string, peer> mPeers;
+  /** Empty if mPeers has changed since it was derived. */
+  std::vector<std::string> mEntryOrder;
   site::send_limits mSendLimits;
   site::server_loads mLoads;
   forwarding::pool_router mRouter;
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -57,6 +57,7 @@
     mPeers[aObject.mName] = { *address,
                               json::StringAt(aObject.mSpec, "zone", ""),
                               json::NumberAt(aObject.mSpec, "cores", 1) };
+    mEntryOrder.clear();
   }
 }
 
@@ -80,6 +81,7 @@
     mAnnouncer.Announce();
   } else {
     mPeers.erase(aName);
+    mEntryOrder.clear();
   }
 }
 
