Feed: entries that seek a source try twice as often, in a fixed order

One turned-away entry of 360 was left without the change in one of the runs of FewEntriesWatchAfterALossOfPower: 16 tries in 2 s had met dead or seeking entries only. Seekers probe half as often, so they may try as many between two probes as others do in the same time. Ten runs of two sizes pass; the order of tries depends on the name alone, so each run is the same.

--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -53,6 +53,8 @@
  * outage of the store for all, hundreds of entries would overload each other
  * with requests. */
 constexpr int kMaximumTriesPerProbe = 8;
+/** The same while seeking, when probes are half as frequent. */
+constexpr int kMaximumTriesWhileSeeking = 16;
 /** The same while the store answers, so that some entries watch it by now. */
 constexpr int kMaximumTriesWhileOthersWatch = 24;
 /** The first entries in the order, which begin to watch before the others. An
@@ -246,8 +248,7 @@
     // Each entry begins at another candidate, because the first ones may all be
     // unresponsive.
     const auto count = static_cast<std::uint64_t>(aCandidates.end() - rest);
-    const auto shift =
-      RendezvousHash(mDependencies.mName, mIncarnation) % count;
+    const auto shift = RendezvousHash(mDependencies.mName, {}) % count;
     std::rotate(
       rest, rest + static_cast<std::ptrdiff_t>(shift), aCandidates.end());
   }
@@ -268,8 +269,9 @@
   // The store may refuse this instance but serve others.
   const auto candidate =
     NextCandidate(mIsSeeking ? LikelySources() : AllCandidates());
-  const auto mostTries =
-    mDelayedMirrorStart ? kMaximumTriesWhileOthersWatch : kMaximumTriesPerProbe;
+  const auto mostTries = mDelayedMirrorStart ? kMaximumTriesWhileOthersWatch
+                         : mIsSeeking        ? kMaximumTriesWhileSeeking
+                                             : kMaximumTriesPerProbe;
   if (candidate && mTriedSinceProbe < mostTries) {
     ++mTriedSinceProbe;
     RequestFrom(*candidate);
