Runs: owners that start together spread over all servers

Cause: servers that are equal were taken in the order of their ids, the same at all owners, which know of each other's runs only by answers. Change: each entry has its own order among equal servers. Assignments: a look-up of due servers and of waiting controllers was linear in the servers for each server; what is known of gone servers is forgotten. Test: six owners with 200 items each over 403 servers; none gets more runs than places.

--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -3,6 +3,7 @@
 #include "Duties/Site/Evacuation.h"
 #include "Duties/Site/Regions.h"
 #include "Libraries/Core/Mechanisms.h"
+#include "Libraries/Core/Rendezvous.h"
 #include "Libraries/EventLog/EventLog.h"
 
 #include <algorithm>
@@ -63,6 +64,7 @@
     engine.mSlots = row.mServer.mSlots;
     engine.mIsWarming = now < site::WarmAt(row);
     engine.mRunsLeft = mDependencies.mLimits.RequestsLeft(row, now);
+    engine.mTieBreak = RendezvousHash(id, mDependencies.mName);
     engine.mIdleConnections =
       mDependencies.mClients.UsableConnections(row.mServer.mAddress, now);
     engine.mVersions = row.mServer.mVersions;
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -98,6 +98,8 @@
   metrics::registry& mMetrics;
   rewards::reward_client& mRewards;
   std::function<void(const std::string& aBatchId, item_result)> mOnResult;
+  /** Name of this entry. */
+  std::string mName;
 };
 
 /** Schedules and runs the items of the batches that this entry owns. */
--- a/Duties/Batches/Schedule.cpp
+++ b/Duties/Batches/Schedule.cpp
@@ -78,9 +78,10 @@
   const auto key = [&](const engine_view& aEngine) {
     return std::tuple(Rank(aEngine, aNeed),
                       RelativeEventTime(aEngine),
-                      aEngine.mIdleConnections > 0 ? 0 : 1);
+                      aEngine.mIdleConnections > 0 ? 0 : 1,
+                      aEngine.mTieBreak);
   };
-  std::tuple<int, double, int> bestKey;
+  std::tuple<int, double, int, std::uint64_t> bestKey;
   std::optional<std::size_t> best;
   std::optional<std::size_t> preferred;
   std::optional<std::size_t> avoided;
--- a/Duties/Batches/Schedule.h
+++ b/Duties/Batches/Schedule.h
@@ -25,6 +25,10 @@
   int mOwnRuns = 0;
   /** Estimated number of runs of other entries on the server. */
   int mOtherRuns = 0;
+  /** Place of the server among equal ones, the least first. Each entry has
+   * another order: in the same one, the first runs of all entries would meet on
+   * the same servers, which know nothing of each other yet. */
+  std::uint64_t mTieBreak = 0;
   /** Number of idle connections to the server that new runs can use. */
   int mIdleConnections = 0;
   /** Number of runs that may be sent to the server now. */
@@ -125,9 +129,10 @@
 
 /** Chooses the server on which the run is expected to end first, or the server
  * of the item's group if that is about as good. Of equal servers, one to which
- * a connection is open is chosen, since the run needn't wait for a new one.
- * Servers whose memory the run would exhaust are chosen only if no other has
- * room. None if all servers are full. */
+ * a connection is open is chosen, since the run needn't wait for a new one,
+ * then the first in this entry's own order. Servers whose memory the run would
+ * exhaust are chosen only if no other has room. None if all servers are full.
+ */
 std::optional<std::size_t>
 ChooseEngine(const std::vector<engine_view>& aEngines,
              const item_requirements& aNeed,
--- a/Duties/Batches/TestSchedule.cpp
+++ b/Duties/Batches/TestSchedule.cpp
@@ -1,5 +1,7 @@
 #include "Duties/Batches/Schedule.h"
 
+#include "Libraries/Core/Rendezvous.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace lavender;
@@ -83,6 +85,41 @@
   BOOST_TEST(opened == 0);
 }
 
+// Guards against steps of several trainers that start together and meet on the
+// first servers by name, three times as many runs as these have places, while
+// most servers are idle: owners know of each other's runs only by answers.
+BOOST_AUTO_TEST_CASE(OwnersThatStartTogetherSpreadOverAllServers)
+{
+  constexpr int kOwners = 6;
+  constexpr int kItems = 200;
+  constexpr int kServers = 403;
+  constexpr int kSlots = 6;
+  item_requirements need;
+  need.mPools = { "pool" };
+  std::map<std::string, int> runs;
+  for (int owner = 0; owner < kOwners; ++owner) {
+    std::vector<engine_view> engines;
+    for (int i = 0; i < kServers; ++i) {
+      engines.push_back(Engine("server" + std::to_string(i), 0));
+      engines.back().mSlots = kSlots;
+      engines.back().mTieBreak =
+        RendezvousHash(engines.back().mId, "owner" + std::to_string(owner));
+    }
+    for (int item = 0; item < kItems; ++item) {
+      const auto chosen = ChooseEngine(engines, need, {}, kNow);
+      BOOST_REQUIRE(chosen);
+      ++engines[*chosen].mOwnRuns;
+      ++runs[engines[*chosen].mId];
+    }
+  }
+  int beyondPlaces = 0;
+  for (const auto& [server, count] : runs) {
+    beyondPlaces += std::max(0, count - kSlots);
+  }
+  BOOST_TEST(runs.size() > kServers * 9 / 10);
+  BOOST_TEST(beyondPlaces == 0);
+}
+
 // Guards against runs that crowd on a few servers for their open connections.
 BOOST_AUTO_TEST_CASE(AnEmptierServerGoesBeforeAnOpenConnection)
 {
--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace lavender::versions {
 
@@ -27,6 +28,8 @@
 /** Assignments older than this aren't kept to, because another entry may have
  * decided since. Long compared with the evaluation interval. */
 constexpr milliseconds kPlacesLifetime = 3s;
+/** A controller that sent no request for this long counts as never heard of. */
+constexpr milliseconds kRequestMemory = 60s;
 /** Weight of the newest batch in the moving average of a model's work. */
 constexpr double kNewestBatchWeight = 0.3;
 
@@ -204,11 +207,10 @@
     const auto placed = Place(servers, pool.mEngine->mModels);
     AddCapacities(servers, placed, capacities);
     const auto due = ServersDueToLoad(servers, pool.mEngine->mModels, placed);
+    const std::set<std::string> isDue(due.begin(), due.end());
     std::size_t loading = 0;
     for (const auto& server : servers) {
-      const bool isDue =
-        std::find(due.begin(), due.end(), server.mId) != due.end();
-      if (!isDue) {
+      if (isDue.count(server.mId) == 0) {
         mLoadingSince.erase(server.mId);
       } else if (const auto since = mLoadingSince.find(server.mId);
                  since != mLoadingSince.end() &&
@@ -299,6 +301,14 @@
   for (auto place = mPlaced.begin(); place != mPlaced.end();) {
     place = rows.count(place->first) ? std::next(place) : mPlaced.erase(place);
   }
+  for (auto report = mReported.begin(); report != mReported.end();) {
+    report =
+      rows.count(report->first) ? std::next(report) : mReported.erase(report);
+  }
+  for (auto asked = mLastRequestAt.begin(); asked != mLastRequestAt.end();) {
+    asked = aNow - asked->second < kRequestMemory ? std::next(asked)
+                                                  : mLastRequestAt.erase(asked);
+  }
 }
 
 void
@@ -390,11 +400,6 @@
 std::optional<time_point>
 assignments::LastRequestAt(const std::string& aClaimName) const
 {
-  for (const auto& request : mHeldRequests) {
-    if (request.mClaimName == aClaimName && !request.mExchange->IsEnded()) {
-      return boot_clock::now();
-    }
-  }
   const auto asked = mLastRequestAt.find(aClaimName);
   return asked == mLastRequestAt.end() ? std::nullopt
                                        : std::optional(asked->second);
@@ -416,6 +421,9 @@
   // before its server is known here.
   const auto servers = ServersByAddress();
   for (auto& request : mHeldRequests) {
+    if (!request.mExchange->IsEnded()) {
+      mLastRequestAt[request.mClaimName] = now;
+    }
     const auto found = servers.find(request.mAddress);
     request.mServer = found == servers.end() ? std::string() : found->second;
     if (!request.mServer.empty()) {
--- a/Duties/Versions/Assignments.h
+++ b/Duties/Versions/Assignments.h
@@ -65,8 +65,9 @@
   /** Rejects the waiting requests of controllers whose claims have been
    * superseded. */
   void RejectSuperseded();
-  /** Returns when the controller with that claim last sent a request here, now
-   * if one is waiting; none if it never did. */
+  /** Returns when the controller with that claim was last heard of: at its
+   * request, or at the last evaluation if one is waiting. None if it wasn't in
+   * the last minute. */
   std::optional<time_point> LastRequestAt(const std::string& aClaimName) const;
   /** Returns since when the server has been due to load a version that it
    * doesn't hold. */
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -131,7 +131,8 @@
         mRewards,
         [this](const std::string& aBatchId, batches::item_result aResult) {
           mBatches.AddResult(aBatchId, std::move(aResult));
-        } })
+        },
+        mSettings.mName })
   , mBatches({ mLoop,
                mStore,
                *mClients,
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -106,7 +106,8 @@
               mRewards,
               [this](const auto& aBatchId, auto aResult) {
                 mService.AddResult(aBatchId, std::move(aResult));
-              } })
+              },
+              aName })
   , mService(
       { aSite.mLoop.mLoop,
         mStore,
