--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -1,6 +1,7 @@
 #include "Services/Entry/SiteEntry.h"
 
 #include "Duties/Batches/PeerCall.h"
+#include "Duties/Site/DescriptorBudget.h"
 #include "Duties/Site/EntryKind.h"
 #include "Duties/Site/EntryOrder.h"
 #include "Duties/Site/Regions.h"
@@ -261,7 +262,7 @@
   , mServerSummaryTimer(mLoop)
 {
   mDirectory.mRegions = mSettings.mRegions;
-  mLimits->mMaximumConnections = mSettings.mMaximumConnections;
+  UpdateConnectionLimit();
   mLimits->mMaximumBufferedBytes = mSettings.mMaximumBufferedBytes;
 }
 
@@ -306,6 +307,13 @@
   return 0;
 }
 
+void
+site_entry::UpdateConnectionLimit()
+{
+  mLimits->mMaximumConnections = site::MaximumCallerConnections(
+    mSettings.mDescriptors, { mPeers.size(), mDirectory.mRows.size() });
+}
+
 storeaccess::helper_candidates
 site_entry::HelperCandidates() const
 {
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -53,6 +53,8 @@
   void ApplyServerRemoval(const std::string& aId);
   void RecordServerChange(const std::string& aId, site::server_change aChange);
   void ApplyEvacuations(const site::evacuated_zones& aZones);
+  /** Adapts the number of callers' connections to the size of the fleet. */
+  void UpdateConnectionLimit();
   void ScheduleServerUpdate();
   void HandleServersChanged();
   void ServeCaller(const edge::exchange_ptr& aExchange);
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -215,9 +215,8 @@
   if (!site::ApplyConfiguration(mConfiguration, *decoded)) {
     return;
   }
-  const auto connections = mLimits->mMaximumConnections;
   *mLimits = mConfiguration->mLimits;
-  mLimits->mMaximumConnections = connections;
+  UpdateConnectionLimit();
   mLimits->mMaximumBufferedBytes = mSettings.mMaximumBufferedBytes;
   events::line("configuration_in_force")
     .With("version", mConfiguration->mVersion)
@@ -332,6 +331,7 @@
       }
     });
   }
+  UpdateConnectionLimit();
   mRouter.SyncServers(now);
   mAssignments.Refresh();
   mRunner.Dispatch();
--- a/Services/Entry/SiteSettings.cpp
+++ b/Services/Entry/SiteSettings.cpp
@@ -1,5 +1,7 @@
 #include "Services/Entry/SiteSettings.h"
 
+#include "Duties/Site/DescriptorBudget.h"
+
 #include <sstream>
 
 namespace lavender::entry {
@@ -150,9 +152,6 @@
 site_settings
 ReadSiteSettings(const settings::values& aValues, findings& aFindings)
 {
-  // Descriptors that callers can't use: connections to servers, peers and the
-  // store, files and logs.
-  constexpr std::size_t kReservedDescriptors = 600;
   site_settings read;
   read.mName = aValues.Text("name");
   read.mAvailabilityZone = aValues.Text("zone");
@@ -177,14 +176,11 @@
   constexpr std::size_t kBodyShare = 4;
   read.mMaximumBufferedBytes =
     (static_cast<std::size_t>(aValues.Integer("memory")) << 20) / kBodyShare;
-  const auto descriptors =
-    static_cast<std::size_t>(aValues.Integer("descriptors"));
-  if (descriptors <= kReservedDescriptors) {
+  read.mDescriptors = static_cast<std::size_t>(aValues.Integer("descriptors"));
+  if (read.mDescriptors <= site::kMinimumReserved) {
     aFindings.Add("--descriptors",
                   "must be more than 600: 600 are reserved for connections to "
                   "servers, peers and the store, for files and for logs");
-  } else {
-    read.mMaximumConnections = descriptors - kReservedDescriptors;
   }
   return read;
 }
--- a/Services/Entry/SiteSettings.h
+++ b/Services/Entry/SiteSettings.h
@@ -36,7 +36,8 @@
   double mProcessorShare = 1;
   /** Mechanisms disabled for an experiment. */
   std::set<mechanism> mDisabledMechanisms;
-  std::size_t mMaximumConnections = 1000;
+  /** Maximum number of open file descriptors. */
+  std::size_t mDescriptors = 4096;
   /** Maximum total size of the request bodies held in memory. */
   std::size_t mMaximumBufferedBytes = 64 << 20;
 };
