Names: files are named after the types that they hold

PendingRequests, FallbackController, ControllerClaim, GeneratedText and TestControllers in the place of HeldQuestions, SubstituteGiver, GiverClaim, MadeText and TestGivers.

--- a/Duties/Batches/MadeText.cpp
+++ b/Duties/Batches/GeneratedText.cpp
@@ -1,4 +1,4 @@
-#include "Duties/Batches/MadeText.h"
+#include "Duties/Batches/GeneratedText.h"
 
 namespace lavender::batches {
 
--- a/Duties/Batches/Records.h
+++ b/Duties/Batches/Records.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Duties/Batches/Batch.h"
-#include "Duties/Batches/MadeText.h"
+#include "Duties/Batches/GeneratedText.h"
 
 #include <optional>
 
--- a/Duties/Batches/TestMadeText.cpp
+++ b/Duties/Batches/TestGeneratedText.cpp
@@ -1,4 +1,4 @@
-#include "Duties/Batches/MadeText.h"
+#include "Duties/Batches/GeneratedText.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -31,7 +31,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(TestMadeText)
+BOOST_AUTO_TEST_SUITE(TestGeneratedText)
 
 BOOST_AUTO_TEST_CASE(PartsMakeTheWholeText)
 {
--- a/Duties/Feed/HeldQuestions.cpp
+++ b/Duties/Feed/PendingRequests.cpp
@@ -1,4 +1,4 @@
-#include "Duties/Feed/HeldQuestions.h"
+#include "Duties/Feed/PendingRequests.h"
 
 #include <algorithm>
 #include <sstream>
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Duties/Feed/FeedOrder.h"
-#include "Duties/Feed/HeldQuestions.h"
+#include "Duties/Feed/PendingRequests.h"
 #include "Libraries/Edge/Caller.h"
 #include "Libraries/ObjectStore/Mirror.h"
 
--- a/Duties/Versions/Assignments.h
+++ b/Duties/Versions/Assignments.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Duties/Versions/GiverClaim.h"
+#include "Duties/Versions/ControllerClaim.h"
 #include "Duties/Versions/Placement.h"
 #include "Duties/Versions/ToldSpeeds.h"
 #include "Libraries/Edge/Listener.h"
--- a/Duties/Versions/GiverClaim.cpp
+++ b/Duties/Versions/ControllerClaim.cpp
@@ -1,4 +1,4 @@
-#include "Duties/Versions/GiverClaim.h"
+#include "Duties/Versions/ControllerClaim.h"
 
 #include "Libraries/Core/Identity.h"
 #include "Libraries/Json/Value.h"
--- a/Duties/Versions/SubstituteGiver.cpp
+++ b/Duties/Versions/FallbackController.cpp
@@ -1,4 +1,4 @@
-#include "Duties/Versions/SubstituteGiver.h"
+#include "Duties/Versions/FallbackController.h"
 
 #include "Duties/Site/Evacuation.h"
 #include "Libraries/EventLog/EventLog.h"
--- a/Duties/Versions/OrderDuty.h
+++ b/Duties/Versions/OrderDuty.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Duties/Versions/GiverClaim.h"
+#include "Duties/Versions/ControllerClaim.h"
 #include "Duties/Versions/OrderDecision.h"
 #include "Libraries/Edge/Caller.h"
 
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -9,7 +9,7 @@
 #include "Duties/Site/SendLimits.h"
 #include "Duties/Site/ServerChanges.h"
 #include "Duties/Upkeep/UpkeepDuty.h"
-#include "Duties/Versions/SubstituteGiver.h"
+#include "Duties/Versions/FallbackController.h"
 #include "Libraries/ObjectStore/Mirror.h"
 #include "Services/Entry/SiteSettings.h"
 #include "platform/StoreClient.h"
--- a/Tests/Site/TestGivers.cpp
+++ b/Tests/Site/TestControllers.cpp
@@ -1,4 +1,4 @@
-#include "Duties/Versions/SubstituteGiver.h"
+#include "Duties/Versions/FallbackController.h"
 #include "Libraries/Edge/LoopScheduler.h"
 #include "Libraries/ObjectStore/Mirror.h"
 #include "StandIns/ObjectStore/MemoryStore.h"
@@ -169,7 +169,7 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_SUITE(TestGivers)
+BOOST_AUTO_TEST_SUITE(TestControllers)
 
 // Guards against servers without an agent getting no orders: they would never
 // load a version after the first one, and training would stop after three
