Registration: one entry announces many

An entry's own object goes before what others say; a removal rewrites the object that announces it. Agents wait 2 s after a server's first claim, or they would find a part of the entries and ask different ones.

--- a/Duties/Registration/Announcer.cpp
+++ b/Duties/Registration/Announcer.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Registration/Announcer.h"
 
-#include "Libraries/Json/Value.h"
+#include "Libraries/Core/Rendezvous.h"
+#include "Libraries/EventLog/EventLog.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,9 +15,14 @@
 namespace {
 
 constexpr milliseconds kRetryDelay = 1000ms;
-/** All processes of a new site start within 0.3 s. After this delay each finds
- * the others in the listing. */
-constexpr milliseconds kJoinDelay = 350ms;
+/** Entries that aren't announced yet take turns within this time, so that later
+ * ones find some that can announce them. */
+constexpr milliseconds kTurns = 700ms;
+/** All entries of a new site start within 0.3 s. After this delay, with the
+ * turns and a registrar's write, each finds the others. */
+constexpr milliseconds kJoinDelay = 1300ms;
+/** Registrars that are asked before the entry writes an object itself. */
+constexpr std::size_t kMaximumAsked = 3;
 
 } // namespace
 
@@ -29,56 +35,119 @@
 announcer::Start()
 {
   mJoin = mDependencies.mScheduler.mAfter(kJoinDelay, [this] { JoinOthers(); });
-  List(freshness::MayBeStale, [this](bool aIsComplete, auto aListed) {
-    if (aIsComplete && IsAnnouncedIn(aListed)) {
-      Join(std::move(aListed));
-    } else {
+  List(freshness::MayBeStale, [this](bool aIsComplete, const auto& aListed) {
+    if (!aIsComplete) {
       Announce();
+      JoinOthers();
+      return;
+    }
+    if (IsAnnouncedIn(aListed)) {
+      Join(aListed);
+      return;
+    }
+    const auto turn = RendezvousHash(mDependencies.mSelf.mName, {}) %
+                      static_cast<std::uint64_t>(kTurns.count());
+    mTurn = mDependencies.mScheduler.mAfter(
+      milliseconds(turn), [this] { AnnounceThroughOthers(); });
+  });
+}
+
+void
+announcer::AnnounceThroughOthers()
+{
+  List(freshness::MayBeStale, [this](bool, const auto& aListed) {
+    const auto& self = mDependencies.mSelf.mName;
+    const auto listed = CollectEntries(aListed);
+    if (listed.count(self) > 0 || aListed.count(self) > 0) {
+      // Announced with other content, which only the own object overrides.
+      Announce();
+      return;
     }
+    std::vector<announced_entry> registrars;
+    for (const auto& [name, object] : aListed) {
+      if (const auto writer = listed.find(name); writer != listed.end()) {
+        registrars.push_back(writer->second);
+      }
+    }
+    const auto place = [&](const announced_entry& aEntry) {
+      return RendezvousHash(self, aEntry.mName);
+    };
+    std::sort(registrars.begin(),
+              registrars.end(),
+              [&](const auto& aLeft, const auto& aRight) {
+                return place(aLeft) < place(aRight);
+              });
+    registrars.resize(std::min(registrars.size(), kMaximumAsked));
+    AskNext(std::move(registrars));
   });
 }
 
+void
+announcer::AskNext(std::vector<announced_entry> aRegistrars)
+{
+  if (aRegistrars.empty()) {
+    Announce();
+    return;
+  }
+  const auto asked = aRegistrars.back();
+  aRegistrars.pop_back();
+  mDependencies.mAsk(
+    asked.mAddress,
+    mDependencies.mSelf,
+    [this, asked, left = std::move(aRegistrars)](bool aIsAnnounced) {
+      if (aIsAnnounced) {
+        events::line("announced").With("by", asked.mName);
+      } else {
+        AskNext(left);
+      }
+    });
+}
+
 void
 announcer::JoinOthers()
 {
   if (mHasJoined) {
     return;
   }
-  List(freshness::MayBeStale, [this](bool aIsComplete, auto aListed) {
+  List(freshness::MayBeStale, [this](bool aIsComplete, const auto& aListed) {
     if (!aIsComplete || IsAnnouncedIn(aListed)) {
-      Join(std::move(aListed));
+      Join(aListed);
       return;
     }
     List(freshness::Linearizable,
-         [this](bool, auto aNewest) { Join(std::move(aNewest)); });
+         [this](bool, const auto& aNewest) { Join(aNewest); });
   });
 }
 
 void
-announcer::Join(std::vector<objects::stored_object> aListed)
+announcer::Join(const announcements& aListed)
 {
   if (!std::exchange(mHasJoined, true)) {
-    mDependencies.mOnJoined(std::move(aListed));
+    mDependencies.mOnJoined(aListed);
   }
 }
 
 void
 announcer::Announce()
 {
+  const auto spec = json::Write(
+    EncodeAnnouncement(mDependencies.mSelf.mName, { mDependencies.mSelf }));
   mDependencies.mStore.mCreate(
     mDependencies.mKind,
-    mDependencies.mName,
-    mDependencies.mSpec,
-    [this](const objects::object_reply& aReply) {
+    mDependencies.mSelf.mName,
+    spec,
+    [this, spec](const objects::object_reply& aReply) {
+      const auto& self = mDependencies.mSelf.mName;
       if (aReply.mOutcome != store_outcome::Conflict) {
         HandleAnnounced(aReply);
-      } else if (!IsAnnouncedIn({ aReply.mObject })) {
+        return;
+      }
+      mDependencies.mOnOwnObject(aReply.mObject);
+      if (!IsAnnouncedIn({ { self, aReply.mObject } })) {
         mDependencies.mStore.mReplace(
-          mDependencies.mKind,
-          mDependencies.mName,
-          0,
-          mDependencies.mSpec,
-          [this](const auto& aReplaced) { HandleAnnounced(aReplaced); });
+          mDependencies.mKind, self, 0, spec, [this](const auto& aReplaced) {
+            HandleAnnounced(aReplaced);
+          });
       }
     });
 }
@@ -89,24 +158,42 @@
   if (aReply.mOutcome != store_outcome::Done) {
     mRetry =
       mDependencies.mScheduler.mAfter(kRetryDelay, [this] { Announce(); });
+    return;
   }
+  auto own = aReply.mObject;
+  own.mName = mDependencies.mSelf.mName;
+  own.mSpec = EncodeAnnouncement(own.mName, { mDependencies.mSelf });
+  mDependencies.mOnOwnObject(own);
 }
 
 void
-announcer::List(freshness aFreshness, objects::listing_done aDone)
+announcer::List(freshness aFreshness, objects_done aDone)
 {
   objects::ListAll(
-    mDependencies.mStore, mDependencies.mKind, aFreshness, std::move(aDone));
+    mDependencies.mStore,
+    mDependencies.mKind,
+    aFreshness,
+    [this, done = std::move(aDone)](
+      bool aIsComplete, std::vector<objects::stored_object> aObjects) {
+      announcements listed;
+      for (auto& object : aObjects) {
+        auto name = object.mName;
+        listed[std::move(name)] = std::move(object);
+      }
+      const auto& self = mDependencies.mSelf.mName;
+      if (const auto own = listed.find(self); own != listed.end()) {
+        mDependencies.mOnOwnObject(own->second);
+      }
+      done(aIsComplete, listed);
+    });
 }
 
 bool
-announcer::IsAnnouncedIn(
-  const std::vector<objects::stored_object>& aListed) const
+announcer::IsAnnouncedIn(const announcements& aListed) const
 {
-  return std::any_of(aListed.begin(), aListed.end(), [&](const auto& aObject) {
-    return aObject.mName == mDependencies.mName &&
-           json::Write(aObject.mSpec) == mDependencies.mSpec;
-  });
+  const auto entries = CollectEntries(aListed);
+  const auto self = entries.find(mDependencies.mSelf.mName);
+  return self != entries.end() && IsSame(self->second, mDependencies.mSelf);
 }
 
 } // namespace lavender::registration
--- a/Duties/Registration/Announcer.h
+++ b/Duties/Registration/Announcer.h
@@ -1,12 +1,8 @@
 #pragma once
 
-#include "Libraries/Core/Scheduler.h"
+#include "Duties/Registration/Registrar.h"
 #include "Libraries/ObjectStore/ListAll.h"
 
-#include <functional>
-#include <string>
-#include <vector>
-
 namespace lavender::registration {
 
 struct announcer_dependencies
@@ -14,38 +10,49 @@
   scheduler mScheduler;
   const objects::object_store& mStore;
   std::string mKind;
-  std::string mName;
-  /** What the process publishes of itself, as JSON. */
-  std::string mSpec;
-  /** Called once with all announced processes; with none if the store gave no
-   * answer. */
-  std::function<void(std::vector<objects::stored_object>)> mOnJoined;
+  announced_entry mSelf;
+  /** Asks another entry to announce this one. */
+  std::function<
+    void(const edge::endpoint&, const announced_entry&, announce_done)>
+    mAsk;
+  /** Called with this entry's own object whenever it is read or created. */
+  std::function<void(const objects::stored_object&)> mOnOwnObject;
+  /** Called once with the objects that announce the entries; with none if the
+   * store gave no answer. */
+  std::function<void(announcements)> mOnJoined;
 };
 
-/** Announces a process to the others by an object under its name, and lists the
- * others at its start.
+/** Announces an entry to the others, and lists them at its start.
  *
- * Hundreds of processes may start at the same moment, and the store limits and
- * bills their calls. A process that starts again is still announced and writes
- * nothing. Listings may be stale, which is cheap; one that lacks this process's
- * own object is too old and is repeated. */
+ * Hundreds of entries may start at the same moment, and the store limits and
+ * bills their calls. An entry that starts again is still announced and writes
+ * nothing. The first ones of a fleet create an object each; later ones ask one
+ * of them, which announces many in one write. Listings may be stale, which is
+ * cheap; one that lacks this entry is too old and is repeated. */
 class announcer
 {
 public:
   explicit announcer(announcer_dependencies aDependencies);
 
   void Start();
-  /** Creates or corrects the object; repeats until the store has it. */
+  /** Creates or corrects this entry's own object; repeats until the store has
+   * it. */
   void Announce();
 
 private:
-  void List(objects::freshness aFreshness, objects::listing_done aDone);
-  bool IsAnnouncedIn(const std::vector<objects::stored_object>& aListed) const;
-  void HandleAnnounced(const objects::object_reply& aReply);
-  void Join(std::vector<objects::stored_object> aListed);
+  using objects_done =
+    std::function<void(bool aIsComplete, announcements aListed)>;
+
+  void List(objects::freshness aFreshness, objects_done aDone);
+  bool IsAnnouncedIn(const announcements& aListed) const;
+  void AnnounceThroughOthers();
+  void AskNext(std::vector<announced_entry> aRegistrars);
   void JoinOthers();
+  void Join(const announcements& aListed);
+  void HandleAnnounced(const objects::object_reply& aReply);
 
   const announcer_dependencies mDependencies;
+  planned_action mTurn;
   planned_action mJoin;
   planned_action mRetry;
   bool mHasJoined = false;
--- a/Duties/Upkeep/UpkeepDuty.cpp
+++ b/Duties/Upkeep/UpkeepDuty.cpp
@@ -1,7 +1,6 @@
 #include "Duties/Upkeep/UpkeepDuty.h"
 
 #include "Duties/Batches/Records.h"
-#include "Duties/Site/EntryKind.h"
 #include "Libraries/EventLog/EventLog.h"
 
 namespace lavender::upkeep {
@@ -94,12 +93,9 @@
       64 << 10,
       [this, name = name](edge::call_end aEnd, const edge::response&) {
         const bool answered = aEnd == edge::call_end::Complete;
-        if (!RecordPing(mUnresponsive, name, answered, boot_clock::now())) {
-          return;
+        if (RecordPing(mUnresponsive, name, answered, boot_clock::now())) {
+          mDependencies.mRemoveEntry(name);
         }
-        events::line("entry_removed").With("entry", name);
-        mDependencies.mStore.mDelete(
-          site::kEntryKind, name, [](const objects::object_reply&) {});
       });
   }
 }
--- a/Duties/Upkeep/UpkeepDuty.h
+++ b/Duties/Upkeep/UpkeepDuty.h
@@ -48,6 +48,8 @@
   /** Returns whether this entry is responsible for the store's upkeep. */
   std::function<bool()> mIsResponsible;
   std::function<std::map<std::string, edge::endpoint>()> mEntries;
+  /** Removes an entry from the list. */
+  std::function<void(const std::string& aName)> mRemoveEntry;
   std::function<std::vector<batches::batch_metadata>()> mListBatches;
   /** Creates a request that every entry answers. */
   std::function<edge::request()> mPing;
--- a/Duties/Versions/ControllerClaim.cpp
+++ b/Duties/Versions/ControllerClaim.cpp
@@ -25,13 +25,16 @@
 
 /** Converts the store's reply to the write of a claim. */
 std::optional<order_permission>
-PermissionOf(const objects::object_reply& aReply, milliseconds aDelay)
+PermissionOf(const objects::object_reply& aReply,
+             milliseconds aDelay,
+             bool aIsFirstClaim = false)
 {
   if (aReply.mOutcome != store_outcome::Done) {
     return std::nullopt;
   }
   return order_permission{ DecodeClaim(aReply.mObject).mEpoch,
-                           boot_clock::now() + aDelay };
+                           boot_clock::now() + aDelay,
+                           aIsFirstClaim };
 }
 
 /** Whether an agent's last order may still be in transit when the claim is
@@ -124,7 +127,7 @@
         ClaimIfUnchanged(
           aStore, aClaimName, DecodeClaim(aReply.mObject), aClaimant, done);
       } else {
-        done(PermissionOf(aReply, milliseconds(0)));
+        done(PermissionOf(aReply, milliseconds(0), true));
       }
     });
 }
@@ -141,7 +144,7 @@
                    aClaimName,
                    EncodeClaim(aClaimant, false),
                    [done = std::move(aDone)](const auto& aReply) {
-                     done(PermissionOf(aReply, milliseconds(0)));
+                     done(PermissionOf(aReply, milliseconds(0), true));
                    });
     return;
   }
--- a/Duties/Versions/ControllerClaim.h
+++ b/Duties/Versions/ControllerClaim.h
@@ -88,6 +88,8 @@
 {
   std::int64_t mEpoch = 0;
   time_point mNotBefore;
+  /** The server had no claim before, so the whole site may be new. */
+  bool mIsFirstClaim = false;
 };
 
 using claim_done = std::function<void(std::optional<order_permission>)>;
--- a/Duties/Versions/FallbackController.cpp
+++ b/Duties/Versions/FallbackController.cpp
@@ -209,6 +209,7 @@
     mDependencies.mEncodeReport,
     mDependencies.mDecodeReport,
     mDependencies.mEncodeOrder,
+    milliseconds(0),
     kRemotePollInterval });
   controller->Start();
 }
--- a/Duties/Versions/OrderDuty.cpp
+++ b/Duties/Versions/OrderDuty.cpp
@@ -75,7 +75,11 @@
       .With("first_order_in_ms",
             std::chrono::duration_cast<milliseconds>(mGrant.mNotBefore -
                                                      boot_clock::now()));
-    FindEntries();
+    if (mGrant.mIsFirstClaim) {
+      ScheduleStep(mDependencies.mNewSiteDelay, &order_duty::FindEntries);
+    } else {
+      FindEntries();
+    }
   });
 }
 
--- a/Duties/Versions/OrderDuty.h
+++ b/Duties/Versions/OrderDuty.h
@@ -31,6 +31,10 @@
   std::function<std::optional<server_report>(const edge::response&)>
     mDecodeReport;
   std::function<edge::request(const weight_order&)> mEncodeOrder;
+  /** Pause between a server's first claim and the look-up of the entries. Those
+   * of a new site announce themselves meanwhile; a controller that finds only
+   * some of them would ask another entry than the rest. */
+  milliseconds mNewSiteDelay{ 0 };
   /** Pause between two reads of the server's report while it loads. */
   milliseconds mLoadPollInterval{ 100 };
 };
--- a/Services/Agent/SiteAgent.cpp
+++ b/Services/Agent/SiteAgent.cpp
@@ -1,5 +1,6 @@
 #include "Services/Agent/SiteAgent.h"
 
+#include "Duties/Registration/Announcement.h"
 #include "Duties/Site/EntryKind.h"
 #include "Duties/Site/EntryOrder.h"
 #include "Libraries/EventLog/EventLog.h"
@@ -16,6 +17,8 @@
 /** Polling a server on the same instance is free, and the next server's load
  * starts only after this server's load has ended. */
 constexpr milliseconds kOwnServerCheckInterval{ 100 };
+/** Entries of a new site are announced within 1.3 s of their start. */
+constexpr milliseconds kNewSiteDelay{ 2000 };
 
 settings::setting
 Text(std::string aFlag, std::string aDescription, bool aIsRequired)
@@ -30,21 +33,20 @@
 /** Addresses of the entries in their order, so that all agents ask the same
  * one. */
 std::vector<edge::endpoint>
-AddressesInOrder(const std::vector<objects::stored_object>& aEntries)
+AddressesInOrder(const std::vector<objects::stored_object>& aObjects)
 {
-  std::map<std::string, edge::endpoint> addresses;
+  registration::announcements objects;
+  for (const auto& object : aObjects) {
+    objects[object.mName] = object;
+  }
+  const auto announced = registration::CollectEntries(objects);
   std::vector<site::listed_entry> entries;
-  for (const auto& object : aEntries) {
-    if (const auto address =
-          edge::ParseAddress(json::StringAt(object.mSpec, "address", ""))) {
-      addresses[object.mName] = *address;
-      entries.push_back(
-        { object.mName, json::NumberAt(object.mSpec, "cores", 1) });
-    }
+  for (const auto& [name, entry] : announced) {
+    entries.push_back({ name, entry.mProcessorShare });
   }
   std::vector<edge::endpoint> ordered;
   for (const auto& name : site::OrderEntries(std::move(entries))) {
-    ordered.push_back(addresses.at(name));
+    ordered.push_back(announced.at(name).mAddress);
   }
   return ordered;
 }
@@ -133,6 +135,7 @@
     platform::EncodeReportRequest,
     platform::DecodeReport,
     platform::EncodeOrder,
+    kNewSiteDelay,
     kOwnServerCheckInterval
   };
   mOrders.emplace(std::move(dependencies));
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -37,18 +37,12 @@
 constexpr milliseconds kDrainCheckInterval = 100ms;
 /** A complete feed of the largest supported site has a few MB. */
 constexpr std::size_t kMaximumFeedBytes = 64 << 20;
+/** A registrar's write of what it has gathered takes some tenths of a second.
+ */
+constexpr milliseconds kAnnounceTimeout = 1500ms;
 /** A usage report without a response within this time is sent again. */
 constexpr milliseconds kReportTimeout = 1200ms;
 
-/** What an entry publishes of itself. */
-std::string
-EncodeEntry(const site_settings& aSettings)
-{
-  return json::Write(json::object{ { "address", aSettings.mPeers.Text() },
-                                   { "zone", aSettings.mAvailabilityZone },
-                                   { "cores", aSettings.mProcessorShare } });
-}
-
 /** A request that each entry answers at once. */
 edge::request
 MakePing()
@@ -168,12 +162,21 @@
                     std::function<void(billing::report_outcome)> aDone) {
                SendUsage(aReport, std::move(aDone));
              } })
+  , mRegistrar(
+      { edge::LoopScheduler(mLoop), mStore, site::kEntryKind, mSettings.mName })
   , mAnnouncer({ edge::LoopScheduler(mLoop),
                  mStore,
                  site::kEntryKind,
-                 mSettings.mName,
-                 EncodeEntry(mSettings),
-                 [this](const auto& aEntries) { JoinPeers(aEntries); } })
+                 Self(),
+                 [this](const edge::endpoint& aEntry,
+                        const registration::announced_entry& aSelf,
+                        registration::announce_done aDone) {
+                   AskToAnnounce(aEntry, aSelf, std::move(aDone));
+                 },
+                 [this](const objects::stored_object& aOwn) {
+                   mRegistrar.SetOwnObject(aOwn);
+                 },
+                 [this](const auto& aListed) { JoinPeers(aListed); } })
   , mFeed({ edge::LoopScheduler(mLoop),
             mStore,
             mDirectStore,
@@ -237,6 +240,7 @@
                 }
                 return entries;
               },
+              [this](const std::string& aEntry) { RemovePeer(aEntry); },
               [this] { return mBatches.ListBatches(); },
               MakePing })
   , mCallers(mLoop,
@@ -294,9 +298,7 @@
     .With("zone", mSettings.mAvailabilityZone)
     .With("callers", mSettings.mCallers.Text())
     .With("peers", mSettings.mPeers.Text());
-  mPeers[mSettings.mName] = { mSettings.mPeers,
-                              mSettings.mAvailabilityZone,
-                              mSettings.mProcessorShare };
+  UpdatePeers();
   WaitForSignals();
   mAnnouncer.Start();
   mUsage.Start();
@@ -307,6 +309,40 @@
   return 0;
 }
 
+registration::announced_entry
+site_entry::Self() const
+{
+  return { mSettings.mName,
+           mSettings.mPeers,
+           mSettings.mAvailabilityZone,
+           mSettings.mProcessorShare };
+}
+
+void
+site_entry::AskToAnnounce(const edge::endpoint& aEntry,
+                          const registration::announced_entry& aSelf,
+                          registration::announce_done aDone)
+{
+  edge::request request;
+  request.mMethod = "POST";
+  request.mTarget = registration::kAnnouncePath;
+  request.mBody = json::Write(registration::EncodeEntry(aSelf));
+  edge::call_options options;
+  options.mSilenceTimeout = kAnnounceTimeout;
+  edge::FetchWhole(*mClients,
+                   mLoop,
+                   aEntry,
+                   request,
+                   options,
+                   kAnnounceTimeout,
+                   64 << 10,
+                   [done = std::move(aDone)](edge::call_end aEnd,
+                                             const edge::response& aResponse) {
+                     done(aEnd == edge::call_end::Complete &&
+                          aResponse.mStatus == 200);
+                   });
+}
+
 void
 site_entry::UpdateConnectionLimit()
 {
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -31,21 +31,18 @@
   int Run();
 
 private:
-  struct peer
-  {
-    edge::endpoint mAddress;
-    std::string mAvailabilityZone;
-    /** Processor cores that the peer may use. */
-    double mProcessorShare = 1;
-  };
-
   std::string Open();
   std::vector<feed::watched_kind> WatchedKinds();
+  registration::announced_entry Self() const;
+  void AskToAnnounce(const edge::endpoint& aEntry,
+                     const registration::announced_entry& aSelf,
+                     registration::announce_done aDone);
   /** Follows the store's changes, through one of these entries if possible. */
-  void JoinPeers(const std::vector<objects::stored_object>& aEntries);
+  void JoinPeers(const registration::announcements& aListed);
   void ApplyConfiguration(const objects::stored_object& aObject);
   void ApplyVersion(const objects::stored_object& aObject);
-  void ApplyPeer(const objects::stored_object& aObject);
+  void UpdatePeers();
+  /** Ends the announcement of an entry that is gone. */
   void RemovePeer(const std::string& aName);
   /** Names of all entries, those first that work for the others. */
   const std::vector<std::string>& EntryOrder();
@@ -63,6 +60,7 @@
   void ServeSubmission(const edge::exchange_ptr& aExchange,
                        const std::string& aCustomer);
   void ServeForwardedSubmission(const edge::exchange_ptr& aExchange);
+  void ServeAnnouncement(const edge::exchange_ptr& aExchange);
   void ServePeer(const edge::exchange_ptr& aExchange);
   void ServeReadiness(const edge::exchange_ptr& aExchange);
   void SendUsage(const billing::usage_report& aReport,
@@ -102,7 +100,9 @@
   site::configuration_ptr mConfiguration;
   site::server_directory mDirectory;
   std::shared_ptr<edge::listener_limits> mLimits;
-  std::map<std::string, peer> mPeers;
+  registration::announcements mAnnouncements;
+  /** All entries, this one included. */
+  std::map<std::string, registration::announced_entry> mPeers;
   /** Empty if mPeers has changed since it was derived. */
   std::vector<std::string> mEntryOrder;
   site::send_limits mSendLimits;
@@ -115,6 +115,7 @@
   versions::claim_table mClaims;
   versions::assignments mAssignments;
   billing::usage_duty mUsage;
+  registration::registrar mRegistrar;
   registration::announcer mAnnouncer;
   feed::store_feed mFeed;
   versions::fallback_controller mFallback;
@@ -130,6 +131,8 @@
   boost::asio::steady_timer mServerSummaryTimer;
   site::server_changes mServerChanges;
   bool mIsServerUpdateScheduled = false;
+  /** Whether the store, as known here, announces this entry. */
+  bool mIsAnnounced = false;
   std::optional<time_point> mDrainStart;
   bool mHasHandedOver = false;
 };
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -50,38 +50,49 @@
 }
 
 void
-site_entry::ApplyPeer(const objects::stored_object& aObject)
+site_entry::JoinPeers(const registration::announcements& aListed)
 {
-  if (const auto address =
-        edge::ParseAddress(json::StringAt(aObject.mSpec, "address", ""))) {
-    mPeers[aObject.mName] = { *address,
-                              json::StringAt(aObject.mSpec, "zone", ""),
-                              json::NumberAt(aObject.mSpec, "cores", 1) };
-    mEntryOrder.clear();
-  }
+  // The list of entries determines which entry watches the store, so it is read
+  // first. Without the list this entry watches the store itself.
+  mAnnouncements = aListed;
+  UpdatePeers();
+  mFeed.Start();
 }
 
 void
-site_entry::JoinPeers(const std::vector<objects::stored_object>& aEntries)
+site_entry::UpdatePeers()
 {
-  // The list of entries determines which entry watches the store, so it is read
-  // first. Without the list this entry watches the store itself.
-  for (const auto& object : aEntries) {
-    ApplyPeer(object);
+  mPeers = registration::CollectEntries(mAnnouncements);
+  mEntryOrder.clear();
+  const bool wasAnnounced = mIsAnnounced;
+  mIsAnnounced = mPeers.count(mSettings.mName) > 0;
+  mPeers[mSettings.mName] = Self();
+  if (const auto own = mAnnouncements.find(mSettings.mName);
+      own != mAnnouncements.end()) {
+    mRegistrar.SetOwnObject(own->second);
+  }
+  if (wasAnnounced && !mIsAnnounced) {
+    // The other entries removed this one because it did not respond for long,
+    // or the entry that announced it is gone.
+    mAnnouncer.Announce();
   }
-  mFeed.Start();
 }
 
 void
 site_entry::RemovePeer(const std::string& aName)
 {
-  if (aName == mSettings.mName) {
-    // The other entries removed this one because it did not respond for long,
-    // or it is not announced yet.
-    mAnnouncer.Announce();
-  } else {
-    mPeers.erase(aName);
-    mEntryOrder.clear();
+  events::line("entry_removed").With("entry", aName);
+  const auto ignored = [](const objects::object_reply&) {};
+  for (const auto& write : registration::RemovalsOf(mAnnouncements, aName)) {
+    if (write.mSpec) {
+      mStore.mReplace(site::kEntryKind,
+                      write.mObject,
+                      write.mRevision,
+                      *write.mSpec,
+                      ignored);
+    } else {
+      mStore.mDelete(site::kEntryKind, write.mObject, ignored);
+    }
   }
 }
 
@@ -147,25 +158,16 @@
 
   auto peers = MakeWatchedKind(site::kEntryKind, kServerCoalesceDelay);
   peers.mOnListed = [this](const feed::object_map& aObjects) {
-    std::vector<std::string> removed;
-    for (const auto& [name, known] : mPeers) {
-      if (aObjects.count(name) == 0) {
-        removed.push_back(name);
-      }
-    }
-    for (const auto& name : removed) {
-      RemovePeer(name);
-    }
-    for (const auto& [name, object] : aObjects) {
-      ApplyPeer(object);
-    }
+    mAnnouncements = aObjects;
+    UpdatePeers();
   };
   peers.mOnEvent = [this](const objects::object_event& aEvent) {
     if (aEvent.mIsDeleted) {
-      RemovePeer(aEvent.mObject.mName);
+      mAnnouncements.erase(aEvent.mObject.mName);
     } else {
-      ApplyPeer(aEvent.mObject);
+      mAnnouncements[aEvent.mObject.mName] = aEvent.mObject;
     }
+    UpdatePeers();
   };
 
   auto metadata =
--- a/Services/Entry/SiteEntryServing.cpp
+++ b/Services/Entry/SiteEntryServing.cpp
@@ -122,6 +122,21 @@
   mBatches.SubmitLocally(aExchange, forwarded->mOrigin, std::move(*submission));
 }
 
+void
+site_entry::ServeAnnouncement(const edge::exchange_ptr& aExchange)
+{
+  const auto body = json::Parse(aExchange->mRequest.mBody);
+  const auto entry = body ? registration::DecodeEntry(*body) : std::nullopt;
+  if (!entry) {
+    aExchange->Answer({ 400, {}, {} });
+    return;
+  }
+  mRegistrar.Announce(*entry, [aExchange](bool aIsAnnounced) {
+    aExchange->Answer(
+      { aIsAnnounced ? 200u : registration::kNotAnnounced, {}, {} });
+  });
+}
+
 void
 site_entry::ServePeer(const edge::exchange_ptr& aExchange)
 {
@@ -136,6 +151,8 @@
                       [aExchange](edge::response aResponse) {
                         aExchange->Answer(std::move(aResponse));
                       });
+  } else if (target == registration::kAnnouncePath) {
+    ServeAnnouncement(aExchange);
   } else if (startsWith(batches::kPeerPath)) {
     mBatches.ServePeer(aExchange);
   } else if (startsWith(batches::kPeerSubmissionPath)) {
--- a/Tests/Site/TestUpkeep.cpp
+++ b/Tests/Site/TestUpkeep.cpp
@@ -62,6 +62,7 @@
       1ms,
       [] { return true; },
       [] { return std::map<std::string, edge::endpoint>{}; },
+      [](const auto&) {},
       [&] { return entry.mService.ListBatches(); },
       [] { return edge::request{}; } });
   duty.Start();
