--- a/Tests/Site/TestForwarding.cpp
+++ b/Tests/Site/TestForwarding.cpp
@@ -193,7 +193,11 @@
   plain_server sound(site.mLoop);
   dark.mServe = [](const auto&) {};
   sound.mServe = [](const auto& aExchange) {
-    aExchange->Answer(plain_server::Answer(aExchange, 200));
+    auto answer = plain_server::Answer(aExchange, 200);
+    // With a connection kept open to this server, the other one would get no
+    // request.
+    answer.mHeaders.Add("Connection", "close");
+    aExchange->Answer(std::move(answer));
   };
   site.Add("s1", dark);
   site.Add("s2", sound);
