--- a/Duties/Feed/StoreFeedWatching.cpp
+++ b/Duties/Feed/StoreFeedWatching.cpp
@@ -183,6 +183,7 @@
   }
   mDoesStoreAnswer = false;
   mDelayedMirrorStart = mDependencies.mScheduler.mAfter(delay, [this] {
+    // The handle holds this action, so it is kept until the end.
     const auto ended = std::exchange(mDelayedMirrorStart, nullptr);
     if (mIsSeeking) {
       mDoesStoreAnswer = true;
@@ -198,8 +199,8 @@
 milliseconds
 store_feed::SeekingTime() const
 {
-  // Logarithmic, so that the next entries in the order begin one by one, and as
-  // many as there are before them follow while the news of them spreads.
+  // Logarithmic: the first entries begin far apart and have time to answer the
+  // many after them.
   const auto first = static_cast<double>(kStandbys);
   const auto last = static_cast<double>(mDependencies.mCandidates().size());
   const auto rank = static_cast<double>(Rank());
