--- a/Duties/Routing/RecentServers.h
+++ b/Duties/Routing/RecentServers.h
@@ -35,8 +35,8 @@
 Forget(recent_servers& aRecent, const std::string& aServer);
 
 /** Whether the server's last response didn't take clearly longer than usual. If
- * it did, others are tried: an entry that keeps to a few servers would else not
- * notice that one of them has become slow. */
+ * it did, others are tried: an entry that keeps to a few servers would
+ * otherwise not notice that one of them has become slow. */
 bool
 WasAsFastAsUsual(const recent_servers& aRecent, const recent_server& aServer);
 
--- a/Duties/Versions/Assignments.cpp
+++ b/Duties/Versions/Assignments.cpp
@@ -207,10 +207,10 @@
     const auto placed = Place(servers, pool.mEngine->mModels);
     AddCapacities(servers, placed, capacities);
     const auto due = ServersDueToLoad(servers, pool.mEngine->mModels, placed);
-    const std::set<std::string> isDue(due.begin(), due.end());
+    const std::set<std::string> dueIds(due.begin(), due.end());
     std::size_t loading = 0;
     for (const auto& server : servers) {
-      if (isDue.count(server.mId) == 0) {
+      if (dueIds.count(server.mId) == 0) {
         mLoadingSince.erase(server.mId);
       } else if (const auto since = mLoadingSince.find(server.mId);
                  since != mLoadingSince.end() &&
--- a/Services/Entry/SiteEntryFeed.cpp
+++ b/Services/Entry/SiteEntryFeed.cpp
@@ -82,6 +82,8 @@
 site_entry::RemovePeer(const std::string& aName)
 {
   events::line("entry_removed").With("entry", aName);
+  // A removal that fails is repeated when the entry has been silent for as long
+  // again.
   const auto ignored = [](const objects::object_reply&) {};
   for (const auto& write : registration::RemovalsOf(mAnnouncements, aName)) {
     if (write.mSpec) {
