--- a/Duties/Feed/FeedState.h
+++ b/Duties/Feed/FeedState.h
@@ -45,7 +45,7 @@
   objects::revision_number mUntil = 0;
 };
 
-/** Oldest first. */
+/** In the order in which they became known. */
 using revision_gaps = std::vector<revision_gap>;
 
 /** All objects of the followed kinds and the latest changes. Changes have
--- a/Duties/Feed/StoreFeed.cpp
+++ b/Duties/Feed/StoreFeed.cpp
@@ -19,7 +19,7 @@
  * first, each entry that starts would wait for it. */
 constexpr milliseconds kConnectTimeout = 150ms;
 /** An entry that seeks a source tries many, of which a large part may be gone.
- * A connection between regions takes 40 ms. */
+ * Longer than a connection between regions takes. */
 constexpr milliseconds kSeekingConnectTimeout = 60ms;
 /** An entry whose state is older watches the store itself. Including the time
  * of a listing this stays below the two seconds within which a configuration
@@ -58,7 +58,7 @@
 /** The same while the store answers, so that some entries watch it by now. */
 constexpr int kMaximumTriesWhileOthersWatch = 24;
 /** The first entries in the order, which begin to watch before the others. An
- * entry that seeks a source tries only these. */
+ * entry that seeks a source tries these before the rest. */
 constexpr std::size_t kLikelySources = 48;
 
 } // namespace
@@ -258,9 +258,12 @@
 std::vector<feed_candidate>
 store_feed::LikelySources() const
 {
-  auto all = mDependencies.mCandidates();
-  all.resize(std::min(all.size(), kLikelySources));
-  return Rotate(std::move(all));
+  const auto all = mDependencies.mCandidates();
+  const auto count = std::min(all.size(), kLikelySources);
+  const auto rest = all.begin() + static_cast<std::ptrdiff_t>(count);
+  auto sources = Rotate({ all.begin(), rest });
+  sources.insert(sources.end(), rest, all.end());
+  return sources;
 }
 
 void
--- a/Duties/Feed/StoreFeed.h
+++ b/Duties/Feed/StoreFeed.h
@@ -59,10 +59,11 @@
  * directly or through other entries, by long polls, and receive a change as
  * soon as their source does. Each response tells when the entry that watches
  * last verified the state; forwarding doesn't change that time. An entry whose
- * state was last verified more than kMaximumAge ago watches the store itself,
- * even if its source still answers. The loss of any other entry thus delays a
- * change by kMaximumAge at most, and an entry that reaches the other entries
- * but not the store has no delay. */
+ * state was last verified more than kMaximumAge ago seeks another source, even
+ * if its own still answers, and watches the store itself if it finds none
+ * within SeekingTime(). The loss of other entries thus delays a change by these
+ * two times at most, and an entry that reaches the other entries but not the
+ * store has no delay. */
 class store_feed
 {
 public:
@@ -163,7 +164,8 @@
    * the first ones. */
   std::vector<feed_candidate> Rotate(
     std::vector<feed_candidate> aCandidates) const;
-  /** Returns the entries that watch the store first when all seek a source. */
+  /** Returns all entries, those first that watch the store first when all seek
+   * a source. */
   std::vector<feed_candidate> LikelySources() const;
   void TryAnySource();
   refusal CurrentRefusal() const;
--- a/Duties/Feed/StoreFeedWatching.cpp
+++ b/Duties/Feed/StoreFeedWatching.cpp
@@ -183,7 +183,7 @@
   }
   mDoesStoreAnswer = false;
   mDelayedMirrorStart = mDependencies.mScheduler.mAfter(delay, [this] {
-    // The handle holds this action, so it is kept until the end.
+    // Destroying the handle would destroy this action while it runs.
     const auto ended = std::exchange(mDelayedMirrorStart, nullptr);
     if (mIsSeeking) {
       mDoesStoreAnswer = true;
--- a/Duties/Registration/Announcer.cpp
+++ b/Duties/Registration/Announcer.cpp
@@ -130,30 +130,49 @@
 void
 announcer::Announce()
 {
-  const auto spec = json::Write(
-    EncodeAnnouncement(mDependencies.mSelf.mName, { mDependencies.mSelf }));
+  const auto& self = mDependencies.mSelf;
+  const auto content = EncodeAnnouncement(self.mName, { self });
   mDependencies.mStore.mCreate(
     mDependencies.mKind,
-    mDependencies.mSelf.mName,
-    spec,
-    [this, spec](const objects::object_reply& aReply) {
-      const auto& self = mDependencies.mSelf.mName;
-      if (aReply.mOutcome != store_outcome::Conflict) {
-        HandleAnnounced(aReply);
-        return;
-      }
-      mDependencies.mOnOwnObject(aReply.mObject);
-      if (!IsAnnouncedIn({ { self, aReply.mObject } })) {
-        mDependencies.mStore.mReplace(
-          mDependencies.mKind, self, 0, spec, [this](const auto& aReplaced) {
-            HandleAnnounced(aReplaced);
-          });
+    self.mName,
+    json::Write(content),
+    [this, content](const objects::object_reply& aReply) {
+      if (aReply.mOutcome == store_outcome::Conflict) {
+        CorrectOwnObject(aReply.mObject);
+      } else {
+        HandleAnnounced(aReply, content);
       }
     });
 }
 
 void
-announcer::HandleAnnounced(const objects::object_reply& aReply)
+announcer::CorrectOwnObject(const objects::stored_object& aObject)
+{
+  const auto& self = mDependencies.mSelf;
+  mDependencies.mOnOwnObject(aObject);
+  if (IsAnnouncedIn({ { self.mName, aObject } })) {
+    return;
+  }
+  // The object may announce others, who would be unknown without it.
+  auto entries = DecodeAnnouncement(aObject);
+  const auto isSelf = [&](const auto& aEntry) {
+    return aEntry.mName == self.mName;
+  };
+  entries.erase(std::remove_if(entries.begin(), entries.end(), isSelf),
+                entries.end());
+  entries.push_back(self);
+  const auto content = EncodeAnnouncement(self.mName, entries);
+  mDependencies.mStore.mReplace(
+    mDependencies.mKind,
+    self.mName,
+    aObject.mRevision,
+    json::Write(content),
+    [this, content](const auto& aReply) { HandleAnnounced(aReply, content); });
+}
+
+void
+announcer::HandleAnnounced(const objects::object_reply& aReply,
+                           const json::value& aContent)
 {
   if (aReply.mOutcome != store_outcome::Done) {
     mRetry =
@@ -162,7 +181,7 @@
   }
   auto own = aReply.mObject;
   own.mName = mDependencies.mSelf.mName;
-  own.mSpec = EncodeAnnouncement(own.mName, { mDependencies.mSelf });
+  own.mSpec = aContent;
   mDependencies.mOnOwnObject(own);
 }
 
--- a/Duties/Registration/Announcer.h
+++ b/Duties/Registration/Announcer.h
@@ -49,7 +49,10 @@
   void AskNext(std::vector<announced_entry> aRegistrars);
   void JoinOthers();
   void Join(const announcements& aListed);
-  void HandleAnnounced(const objects::object_reply& aReply);
+  /** Announces this entry in its own object, which has other content. */
+  void CorrectOwnObject(const objects::stored_object& aObject);
+  void HandleAnnounced(const objects::object_reply& aReply,
+                       const json::value& aContent);
 
   const announcer_dependencies mDependencies;
   planned_action mTurn;
--- a/Duties/Site/TestEntryOrder.cpp
+++ b/Duties/Site/TestEntryOrder.cpp
@@ -7,9 +7,8 @@
 
 BOOST_AUTO_TEST_SUITE(TestEntryOrder)
 
-// Guards against the smallest instances, with a tenth of a processor and a
-// sixteenth of the bandwidth, forwarding every change to sixteen others because
-// their names sort first.
+// Guards against the smallest instances forwarding every change to sixteen
+// others because their names sort first.
 BOOST_AUTO_TEST_CASE(LargeInstancesWorkForTheSmallOnes)
 {
   for (const int count : { 384, 768 }) {
--- a/Tests/Site/TestAnnouncer.cpp
+++ b/Tests/Site/TestAnnouncer.cpp
@@ -188,6 +188,22 @@
   BOOST_TEST(IsSame(fleet.Entries().at(self.mName), self));
 }
 
+// Guards against entries that vanish from the list when the one that announces
+// them was removed while it was away, and comes back.
+BOOST_AUTO_TEST_CASE(AWriterThatComesBackKeepsTheOthers)
+{
+  announced_fleet fleet;
+  const auto self = announced_fleet::Describe(0);
+  const auto other = announced_fleet::Describe(7);
+  standin::PutDirectly(fleet.mState,
+                       kKind,
+                       self.mName,
+                       json::Write(EncodeAnnouncement(self.mName, { other })));
+  fleet.Start(1);
+  BOOST_TEST(fleet.Entries().count(self.mName) == 1u);
+  BOOST_TEST(fleet.Entries().count(other.mName) == 1u);
+}
+
 // Guards against entries that vanish from the list when an entry that is gone
 // is removed from the object that announces them too.
 BOOST_AUTO_TEST_CASE(ARemovalEndsOneAnnouncementOnly)
--- a/Tests/Site/TestFeedFaults.cpp
+++ b/Tests/Site/TestFeedFaults.cpp
@@ -212,6 +212,28 @@
   }
 }
 
+// Guards against a turned-away entry that stays without changes although most
+// entries would answer it: all that it tries first are gone.
+BOOST_AUTO_TEST_CASE(ATurnedAwayEntryFindsASourceBeyondTheFirstOnes)
+{
+  constexpr int kEntries = 120;
+  constexpr int kGone = 60;
+  simulated_site site;
+  site.mState.mLatency = 4ms;
+  site.Put(1);
+  StartFleet(site, kEntries);
+  site.mClock.RunFor(4s);
+  for (int i = 0; i < kGone; ++i) {
+    site.Kill(FleetName(i));
+  }
+  auto& turnedAway = site.At(FleetName(kEntries - 1));
+  turnedAway.mWay = store_way::TurnedAway;
+  turnedAway.BreakCalls();
+  site.Put(2);
+  BOOST_TEST(
+    site.mClock.RunUntil([&] { return turnedAway.Value(kBusyKind) == 2; }, 8s));
+}
+
 // Guards against a fleet that falls behind, and links and memory that are full
 // of whole states, when the entries that forward changes are lost: each entry
 // that changed its source was sent all objects again.
