--- a/Duties/Batches/TestSchedule.cpp
+++ b/Duties/Batches/TestSchedule.cpp
@@ -86,8 +86,9 @@
 }
 
 // Guards against steps of several trainers that start together and meet on the
-// first servers by name, three times as many runs as these have places, while
-// most servers are idle: owners know of each other's runs only by answers.
+// first servers by name, with several times as many runs as these have places,
+// while most servers are idle: owners know of each other's runs only by
+// answers.
 BOOST_AUTO_TEST_CASE(OwnersThatStartTogetherSpreadOverAllServers)
 {
   constexpr int kOwners = 6;
--- a/Duties/Registration/Registrar.cpp
+++ b/Duties/Registration/Registrar.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/** Entries announced by one object. If its writer is removed by mistake, so
- * many announce themselves again. */
+/** Entries announced by one object. If the object is lost, each of these writes
+ * one of its own. */
 constexpr std::size_t kMaximumEntries = 32;
 constexpr milliseconds kGatherTime = 150ms;
 constexpr int kMaximumRetries = 2;
@@ -51,6 +51,7 @@
     return;
   }
   mNextWrite = mDependencies.mScheduler.mAfter(kGatherTime, [this] {
+    // Destroying the handle would destroy this action while it runs.
     const auto ended = std::exchange(mNextWrite, nullptr);
     mWriting = std::exchange(mWaiting, {});
     Write(kMaximumRetries);
