Servers: a broken run asks whether its server has ended

Callers saw items sent to one ended server after the other. Log lines couldn't tell a reset connection from an ended server, and so not the hypotheses of the incident from each other. Nothing else depends on it yet, and nothing is sent while no run breaks.

--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -10,6 +10,7 @@
 #include "Duties/Rewards/RewardCaller.h"
 #include "Duties/Scheduling/StepOrder.h"
 #include "Duties/Site/SendLimits.h"
+#include "Duties/Site/ServerChecks.h"
 #include "Duties/Site/ServerLoads.h"
 #include "Duties/Site/ServerProtocol.h"
 #include "Duties/Site/SiteConfiguration.h"
@@ -52,6 +53,9 @@
   int mErrors = 0;
   /** Server of the current or most recent run. */
   std::string mServer;
+  /** Start time of that server when the run was sent. */
+  std::int64_t mServerStartedAt = 0;
+  edge::endpoint mServerAddress;
   std::string mAvoidedServer;
   edge::call_handle mCall;
   /** Number of the reward call in progress; 0 if there is none. */
@@ -97,6 +101,7 @@
   site::server_loads& mLoads;
   metrics::registry& mMetrics;
   rewards::reward_client& mRewards;
+  site::server_checks& mChecks;
   std::function<void(const std::string& aBatchId, item_result)> mOnResult;
   /** Name of this entry. */
   std::string mName;
@@ -271,6 +276,8 @@
                   item_end aEnd,
                   std::optional<std::string> aScore = std::nullopt);
   void BlockServer(const std::string& aServer, milliseconds aDelay);
+  /** Finds out whether the server of a run that broke off has ended. */
+  void CheckServer(const item_progress& aItem);
   void LogRunEnd(const item_progress& aItem,
                  const running_batch& aBatch,
                  const char* aOutcome,
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -62,6 +62,8 @@
   }
   item.mPhase = item_phase::Running;
   item.mServer = aEngine.mId;
+  item.mServerStartedAt = server->second.mServer.mStartedAt;
+  item.mServerAddress = server->second.mServer.mAddress;
   item.mRunNumber = ++mLastRunNumber;
   if (const auto probe = mProbes.find(aEngine.mId); probe != mProbes.end()) {
     probe->second = item.mRunNumber;
@@ -204,6 +206,10 @@
   const auto status = aRun->mHead.mStatus;
   const bool isForeign =
     status != 0 && aRun->mFacts.mAttemptId != item->mItem->mId;
+  if (aEnd != edge::call_end::Complete && aEnd != edge::call_end::NotSent &&
+      !aRun->mIsStale) {
+    CheckServer(*item);
+  }
   const bool isFailure = !aRun->mFacts.mIsNotExecuted && !aRun->mIsStale &&
                          (aEnd != edge::call_end::Complete || status >= 500);
   RecordRunEnd(*item, isFailure);
@@ -258,6 +264,14 @@
   Dispatch();
 }
 
+void
+batch_runner::CheckServer(const item_progress& aItem)
+{
+  mDependencies.mChecks.Check({ aItem.mServer, aItem.mServerStartedAt },
+                              aItem.mServerAddress,
+                              [](site::server_fate) {});
+}
+
 void
 batch_runner::LogRunEnd(const item_progress& aItem,
                         const running_batch& aBatch,
@@ -269,6 +283,7 @@
     .With("request", aItem.mItem->mId)
     .With("batch", aBatch.mMetadata.mId)
     .With("server", aItem.mServer)
+    .With("started_at", aItem.mServerStartedAt)
     .With("outcome", aOutcome)
     .With("end", edge::ToString(aEnd))
     .With("status", static_cast<std::int64_t>(aStatus))
--- /dev/null
+++ b/Duties/Site/ServerFate.cpp
@@ -0,0 +1,72 @@
+#include "Duties/Site/ServerFate.h"
+
+namespace lavender::site {
+
+namespace {
+
+constexpr milliseconds kFirstCheckDelay{ 250 };
+constexpr int kMaximumDoublings = 3;
+
+/** Whether two known start times differ. */
+bool
+IsOtherStart(const server_start& aStart, std::int64_t aStartedAt)
+{
+  return aStart.mStartedAt != 0 && aStartedAt != 0 &&
+         aStart.mStartedAt != aStartedAt;
+}
+
+} // namespace
+
+server_start
+StartOf(const backend_server& aServer)
+{
+  return { aServer.mId, aServer.mStartedAt };
+}
+
+const char*
+ToString(server_fate aFate)
+{
+  switch (aFate) {
+    case server_fate::Unknown:
+      return "unknown";
+    case server_fate::Running:
+      return "running";
+    case server_fate::Ended:
+      return "ended";
+  }
+  return "unknown";
+}
+
+server_fate
+FateByReply(const server_start& aStart,
+            const std::optional<server_start>& aReply)
+{
+  if (!aReply || aReply->mId.empty()) {
+    return server_fate::Unknown;
+  }
+  const bool isSame =
+    aReply->mId == aStart.mId && !IsOtherStart(aStart, aReply->mStartedAt);
+  return isSame ? server_fate::Running : server_fate::Ended;
+}
+
+server_fate
+FateByDirectory(const server_start& aStart, const server_directory& aDirectory)
+{
+  // An empty directory hasn't been filled yet.
+  if (aDirectory.mRows.empty()) {
+    return server_fate::Unknown;
+  }
+  const auto row = aDirectory.mRows.find(aStart.mId);
+  const bool isGone = row == aDirectory.mRows.end() ||
+                      IsOtherStart(aStart, row->second.mServer.mStartedAt);
+  return isGone ? server_fate::Ended : server_fate::Unknown;
+}
+
+milliseconds
+CheckDelay(int aChecks)
+{
+  return kFirstCheckDelay *
+         (1 << std::clamp(aChecks - 1, 0, kMaximumDoublings));
+}
+
+} // namespace lavender::site
--- /dev/null
+++ b/Duties/Site/ServerFate.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "Duties/Site/ServerDirectory.h"
+
+#include <tuple>
+
+/** Decides whether a server whose connection broke has ended. No I/O.
+ *
+ * A reset, a cut path and a server that ended look the same to the sender of a
+ * request. Only an answer of the same start of the server shows that it lives.
+ */
+namespace lavender::site {
+
+/** One start of a backend server; a server that starts again may keep its id.
+ */
+struct server_start
+{
+  std::string mId;
+  /** As in backend_server; 0 if unknown. */
+  std::int64_t mStartedAt = 0;
+
+  bool operator<(const server_start& aOther) const
+  {
+    return std::tie(mId, mStartedAt) < std::tie(aOther.mId, aOther.mStartedAt);
+  }
+  bool operator==(const server_start& aOther) const
+  {
+    return mId == aOther.mId && mStartedAt == aOther.mStartedAt;
+  }
+};
+
+server_start
+StartOf(const backend_server& aServer);
+
+enum class server_fate
+{
+  /** Neither its end nor its life is shown yet. */
+  Unknown,
+  Running,
+  Ended
+};
+
+const char*
+ToString(server_fate aFate);
+
+/** What a server says of itself.
+ * @param aReply none if no answer came or it names no server */
+server_fate
+FateByReply(const server_start& aStart,
+            const std::optional<server_start>& aReply);
+
+/** What the directory shows. Never Running: a record outlives its server, and
+ * longer while the store is away. */
+server_fate
+FateByDirectory(const server_start& aStart, const server_directory& aDirectory);
+
+/** Time until a server is asked again.
+ * @param aChecks number of times that it has been asked; at least 1 */
+milliseconds
+CheckDelay(int aChecks);
+
+} // namespace lavender::site
--- a/Duties/Site/ServerProtocol.h
+++ b/Duties/Site/ServerProtocol.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Duties/Site/ServerDirectory.h"
+#include "Duties/Site/ServerFate.h"
 #include "Libraries/Edge/Message.h"
 
 #include <functional>
@@ -70,6 +70,11 @@
   /** Returns the version of the weights in a line of an event, if there is
    * one. */
   std::function<std::optional<std::int64_t>(std::string_view)> mReadVersionLine;
+  /** Returns the request that asks a server which start it is. */
+  std::function<edge::request()> mIdentityRequest;
+  /** Returns which start of a server answered; none if it doesn't say. */
+  std::function<std::optional<server_start>(const edge::response&)>
+    mReadIdentity;
 };
 
 } // namespace lavender::site
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -114,6 +114,7 @@
                    mUsage.CountStart(aCustomer);
                  } })
   , mRewards({ mLoop, *mClients, mProtocol, mConfiguration, mRouter, mMetrics })
+  , mServerChecks(mLoop, *mClients, mProtocol, mDirectory, mMetrics)
   , mRunner(
       { mLoop,
         *mClients,
@@ -124,6 +125,7 @@
         mLoads,
         mMetrics,
         mRewards,
+        mServerChecks,
         [this](const std::string& aBatchId, batches::item_result aResult) {
           mBatches.AddResult(aBatchId, std::move(aResult));
         },
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -110,6 +110,7 @@
   forwarding::pool_router mRouter;
   forwarding::forwarder mForwarder;
   rewards::reward_client mRewards;
+  site::server_checks mServerChecks;
   batches::batch_runner mRunner;
   batches::batch_service mBatches;
   versions::claim_table mClaims;
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -95,6 +95,11 @@
       aSite.mDirectory,
       aSite.mMetrics,
       [this](const std::string& aServer) { return mRunner.RunsOn(aServer); })
+  , mChecks(aSite.mLoop.mLoop,
+            *aSite.mClients,
+            aSite.mProtocol,
+            aSite.mDirectory,
+            aSite.mMetrics)
   , mRunner({ aSite.mLoop.mLoop,
               *aSite.mClients,
               aSite.mProtocol,
@@ -104,6 +109,7 @@
               mLoads,
               aSite.mMetrics,
               mRewards,
+              mChecks,
               [this](const auto& aBatchId, auto aResult) {
                 mService.AddResult(aBatchId, std::move(aResult));
               },
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -80,6 +80,7 @@
   objects::object_store mStore;
   rewards::reward_client mRewards;
   site::server_loads mLoads;
+  site::server_checks mChecks;
   batches::batch_runner mRunner;
   batches::batch_service mService;
   std::shared_ptr<objects::mirror> mMetadataMirror;
