--- a/Tests/Site/Support/ModelServer.cpp
+++ b/Tests/Site/Support/ModelServer.cpp
@@ -2,6 +2,8 @@
 
 #include "Libraries/Json/Value.h"
 
+#include <utility>
+
 namespace lavender::tests {
 
 struct model_server::run
@@ -34,7 +36,8 @@
   entry.mPool = "pool";
   entry.mAddress = { "127.0.0.1", mListener.Port() };
   entry.mAvailabilityZone = "zone";
-  entry.mSlots = 64;
+  entry.mSlots = mSlots;
+  entry.mStartedAt = mStartedAt;
   entry.mVersions["model"] = mVersion;
   return entry;
 }
@@ -43,7 +46,8 @@
 model_server::ServeReport(const edge::exchange_ptr& aExchange)
 {
   json::value report =
-    json::object{ { "models",
+    json::object{ { "born", mStartedAt },
+                  { "models",
                     json::array{ json::object{ { "name", "model" },
                                                { "version", mVersion } } } },
                   { "busy", mIsLoading },
@@ -86,6 +90,10 @@
 model_server::Serve(const edge::exchange_ptr& aExchange)
 {
   const auto& request = aExchange->mRequest;
+  if (mHasEnded) {
+    aExchange->Abort();
+    return;
+  }
   if (request.mTarget == "/report") {
     ServeReport(aExchange);
     return;
@@ -136,6 +144,7 @@
     }
   });
   aExchange->Begin(200, headers);
+  mStarted.push_back(started);
   WriteNext(started);
 }
 
@@ -148,14 +157,40 @@
   }
 }
 
+void
+model_server::End()
+{
+  mHasEnded = true;
+  mListener.StopAccepting();
+  for (const auto& weak : std::exchange(mStarted, {})) {
+    const auto open = weak.lock();
+    if (open && open->mIsOpen) {
+      mItemsAtEnd.push_back(open->mItem);
+      open->mIsOpen = false;
+      --mOpenRuns;
+      open->mExchange->Abort();
+      open->mExchange->OnCallerLeft(nullptr);
+    }
+  }
+  if (mOnEnd) {
+    mOnEnd();
+  }
+}
+
 void
 model_server::WriteNext(const std::shared_ptr<run>& aRun)
 {
   if (!aRun->mIsOpen) {
     return;
   }
+  const auto sent = aRun->mNext - 1 - mAfterEvents[aRun->mItem].back();
+  if (mEndsUnder.count(aRun->mItem) > 0 && sent >= mEndsAfter) {
+    End();
+    return;
+  }
   const bool resetsConnection =
-    mBreakAfter > 0 && aRun->mNext > mBreakAfter && mRuns[aRun->mItem] == 1;
+    (mBreakAfter > 0 && aRun->mNext > mBreakAfter && mRuns[aRun->mItem] == 1) ||
+    (sent >= 1 && mRuns[aRun->mItem] <= mResets);
   const int events = mEventsOf ? mEventsOf(aRun->mItem) : mEvents;
   if (resetsConnection || aRun->mNext > events) {
     aRun->mIsOpen = false;
--- a/Tests/Site/Support/ModelServer.h
+++ b/Tests/Site/Support/ModelServer.h
@@ -6,6 +6,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
+#include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +36,16 @@
   /** The first run of each item resets its connection after this many events;
    * 0 for never. */
   int mBreakAfter = 0;
+  /** Items under which the server ends: it breaks all runs off and refuses new
+   * connections. */
+  std::set<std::string> mEndsUnder;
+  /** Number of events that a run of such an item sends before. */
+  int mEndsAfter = 1;
+  /** Called when the server has ended. */
+  std::function<void()> mOnEnd;
+  /** Number of first runs of each item whose connection is reset after one
+   * event. */
+  int mResets = 0;
   /** Items are run if this is 200, and refused with this status otherwise. */
   unsigned mStatus = 200;
   std::int64_t mVersion = 1;
@@ -52,6 +64,14 @@
   int mTurnedAway = 0;
   /** Load that the response to a run tells; empty if it tells none. */
   std::string mLoad;
+  int mSlots = 64;
+  std::int64_t mStartedAt = 0;
+
+  /** Ends the server as a crash does. */
+  void End();
+  bool HasEnded() const { return mHasEnded; }
+  /** Items whose runs broke off when the server ended. */
+  const std::vector<std::string>& ItemsAtEnd() const { return mItemsAtEnd; }
 
 private:
   struct run;
@@ -68,6 +88,9 @@
   boost::asio::steady_timer mLoadTimer;
   bool mIsLoading = false;
   std::int64_t mAcceptedOrders = 0;
+  std::vector<std::weak_ptr<run>> mStarted;
+  std::vector<std::string> mItemsAtEnd;
+  bool mHasEnded = false;
 };
 
 } // namespace lavender::tests
--- /dev/null
+++ b/Tests/Site/TestEndedServers.cpp
@@ -0,0 +1,132 @@
+#include "Tests/Site/Support/EndingPool.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lavender;
+using namespace lavender::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr int kMaximumEnds = 3;
+/** Longer than any item of these tests needs once its servers stay up. */
+constexpr milliseconds kWatchTime = 1500ms;
+
+const std::string kMarked = "b1i5";
+
+/** Servers that end under the marked item; the others are sound. */
+void
+MarkOne(model_server& aServer)
+{
+  aServer.mEvents = 40;
+  aServer.mEventPause = 5ms;
+  aServer.mEndsUnder = { kMarked };
+}
+
+/** Stops an entry as a kill does: its runs break off, and nothing of it is
+ * stored or answered any more. */
+void
+Kill(batch_entry& aEntry, const std::string& aBatchId)
+{
+  aEntry.mIsReachable = false;
+  aEntry.mCanReachStore = false;
+  aEntry.StopListening();
+  aEntry.mRunner.Remove(aBatchId);
+}
+
+void
+Watch(batch_site& aSite, milliseconds aTime)
+{
+  aSite.mLoop.RunUntil([] { return false; }, aTime);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestEndedServers)
+
+// Guards against a request that ends one server after the other: it is sent to
+// three at most, and the items beside it are served.
+BOOST_AUTO_TEST_CASE(AnItemIsntSentAgainAfterThreeServersEndedUnderIt)
+{
+  batch_site site;
+  ending_pool servers(site, 9, MarkOne);
+  batch_entry entry(site, "a");
+  constexpr int kItems = 60;
+  entry.Submit("b1", kItems);
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return entry.ListedIds("b1").size() == kItems - 1; }));
+  Watch(site, kWatchTime);
+  BOOST_TEST(servers.Ended() == kMaximumEnds);
+  BOOST_TEST(servers.RunsOf(kMarked) == kMaximumEnds);
+  BOOST_TEST(entry.ListedIds("b1").size() == kItems - 1u);
+}
+
+// Guards against a count of ended servers that begins anew with each owner: the
+// entries are killed one after the other, each after it lost a server.
+BOOST_AUTO_TEST_CASE(TheNextOwnerKnowsWhichServersEndedUnderAnItem)
+{
+  batch_site site;
+  ending_pool servers(site, 9, MarkOne);
+  const std::vector<std::string> names{ "a", "b", "c", "d", "e" };
+  std::vector<std::unique_ptr<batch_entry>> entries;
+  for (const auto& name : names) {
+    entries.push_back(std::make_unique<batch_entry>(site, name));
+    site.mWeights[name] = 0;
+  }
+  site.mWeights["a"] = 1;
+  constexpr int kItems = 8;
+  entries[0]->Submit("b1", kItems);
+  for (std::size_t i = 0; i + 1 < entries.size(); ++i) {
+    const int ends = servers.EndsUnder(kMarked);
+    site.mLoop.RunUntil([&] { return servers.EndsUnder(kMarked) > ends; },
+                        kWatchTime);
+    Watch(site, 30ms);
+    Kill(*entries[i], "b1");
+    site.mPeers.erase(names[i]);
+    site.mWeights[names[i + 1]] = 1;
+    entries[i + 1]->ListedIds("b1");
+  }
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return entries.back()->ListedIds("b1").size() == kItems - 1; }));
+  Watch(site, kWatchTime);
+  BOOST_TEST(servers.EndsUnder(kMarked) == kMaximumEnds);
+}
+
+// Guards against repeats without limit when servers end in series for another
+// reason than the items that they run.
+BOOST_AUTO_TEST_CASE(NoItemMeetsMoreThanThreeEndsInASeries)
+{
+  batch_site site;
+  ending_pool servers(site, 4, [](model_server& aServer) {
+    aServer.mEvents = 200;
+    aServer.mEventPause = 10ms;
+  });
+  batch_entry entry(site, "a");
+  entry.Submit("b1", 24);
+  for (int i = 0; i < 16; ++i) {
+    Watch(site, 150ms);
+    servers.EndOne();
+    servers.EndOne();
+  }
+  Watch(site, kWatchTime);
+  BOOST_TEST(servers.MostEnds() <= kMaximumEnds);
+}
+
+// Guards against a limit that takes a reset connection for the end of its
+// server: sound items would be lost.
+BOOST_AUTO_TEST_CASE(ResetConnectionsCountAsNoEnd)
+{
+  batch_site site;
+  ending_pool servers(site, 2, [](model_server& aServer) {
+    aServer.mEvents = 40;
+    aServer.mResets = 4;
+  });
+  batch_entry entry(site, "a");
+  constexpr int kItems = 6;
+  entry.Submit("b1", kItems);
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return entry.ListedIds("b1").size() == kItems; }));
+  BOOST_TEST(servers.RunsOf("b1i0") > kMaximumEnds);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
