--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/Batches/RunLedger.h"
 #include "Duties/Rewards/RewardCall.h"
 #include "Duties/Scheduling/ServerSpeed.h"
 #include "Libraries/Core/Clock.h"
@@ -103,6 +104,8 @@
   /** Name of the entry that runs the batch. */
   std::string mOwner;
   bool mIsEnded = false;
+  /** Set at the end of the batch, for later batches with the same items. */
+  std::vector<item_run> mCountedRuns;
   objects::revision_number mRevision = 0;
 };
 
--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -216,7 +216,9 @@
     kBatchMetadataKind,
     aBatch->mMetadata.mId,
     aBatch->mMetadata.mRevision,
-    EncodeMetadataStatus(mDependencies.mName, aBatch->mMetadata.mIsEnded),
+    EncodeMetadataStatus(mDependencies.mName,
+                         aBatch->mMetadata.mIsEnded,
+                         aBatch->mMetadata.mCountedRuns),
     [this, aBatch, done = std::move(aDone)](
       const objects::object_reply& aResponse) {
       if (aResponse.mOutcome == store_outcome::Done ||
@@ -310,6 +312,11 @@
                    const batch_ptr& aBatch,
                    int aTriesLeft)
 {
+  const auto counted = mDependencies.mRunner.CountedRuns(aBatch->mMetadata.mId);
+  if (!counted.empty()) {
+    aBatch->mMetadata.mCountedRuns = counted;
+    ApplyCountedRuns(aBatch->mMetadata);
+  }
   // The runs are cancelled before the store has recorded the end: the trainer
   // needs no more results, even if this request fails.
   mDependencies.mRunner.Remove(aBatch->mMetadata.mId);
@@ -321,7 +328,8 @@
     kBatchMetadataKind,
     aBatch->mMetadata.mId,
     aBatch->mMetadata.mRevision,
-    EncodeMetadataStatus(mDependencies.mName, true),
+    EncodeMetadataStatus(
+      mDependencies.mName, true, aBatch->mMetadata.mCountedRuns),
     [this, aExchange, aBatch, aTriesLeft](
       const objects::object_reply& aResponse) {
       if (aResponse.mOutcome == store_outcome::Done ||
--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -53,6 +53,7 @@
   const auto median = UsualEventTime();
   for (const auto& [id, row] : mDependencies.mDirectory.mRows) {
     if (!site::AcceptsWork(mDependencies.mDirectory, row.mServer) ||
+        mDependencies.mChecks.IsSilent(site::StartOf(row.mServer)) ||
         (IsOn(mechanism::RunBreakers) &&
          !IsUsable(mHealths, id, mDependencies.mDirectory.mRows.size(), now))) {
       continue;
@@ -143,6 +144,7 @@
   ForgetOldSpeeds();
   auto engines = Engines();
   AddRunMemory(engines);
+  const auto suspects = AddSuspects(engines);
   struct candidate
   {
     item_priority mRank;
@@ -158,7 +160,7 @@
     const auto submitted = std::chrono::duration_cast<milliseconds>(
       batch.mMetadata.mSubmittedAt.time_since_epoch());
     for (std::size_t i = 0; i < batch.mItems.size(); ++i) {
-      if (batch.mItems[i].mPhase == item_phase::Waiting) {
+      if (MayBeSent(batch.mItems[i])) {
         waiting.push_back({ { ranks.at(id)[batch.mGroupOf[i]],
                               submitted.count(),
                               IsOn(mechanism::LongestFirst)
@@ -184,14 +186,19 @@
     if (!route) {
       continue;
     }
-    const auto need = RequirementsOf(*next.mBatch, item, *route);
+    auto need = RequirementsOf(*next.mBatch, item, *route);
+    need.mSuspicion = SuspicionOf(item.mLedger);
+    if (need.mSuspicion != suspicion::None) {
+      need.mSuspectLimits = LimitsOf(suspects, CountSuitable(engines, need));
+      need.mLostServers = ServersCounted(item.mLedger);
+    }
     const auto chosen = ChooseEngine(engines, need, mAffinities, now);
     if (chosen) {
       ++engines[*chosen].mOwnRuns;
       --engines[*chosen].mIdleConnections;
       --engines[*chosen].mRunsLeft;
       engines[*chosen].mRunMemory.push_back(need.mMemory);
-      StartRun(*next.mBatch, next.mIndex, engines[*chosen], *route);
+      SendItem(*next.mBatch, next.mIndex, engines[*chosen], *route);
     }
   }
   if (!waiting.empty()) {
@@ -200,6 +207,22 @@
   ScheduleDispatch();
 }
 
+void
+batch_runner::SendItem(running_batch& aBatch,
+                       std::size_t aIndex,
+                       engine_view& aEngine,
+                       const site::route& aRoute)
+{
+  auto& item = aBatch.mItems[aIndex];
+  item.mSuspicion = SuspicionOf(item.mLedger);
+  if (item.mSuspicion == suspicion::None) {
+    StartRun(aBatch, aIndex, aEngine, aRoute);
+    return;
+  }
+  CountSuspect(aEngine, item.mSuspicion);
+  ReserveRun(aBatch, aIndex, aEngine, aRoute);
+}
+
 void
 batch_runner::ScheduleDispatch()
 {
--- /dev/null
+++ b/Duties/Batches/BatchLedgers.cpp
@@ -0,0 +1,313 @@
+#include "Duties/Batches/BatchRunner.h"
+
+#include "Libraries/EventLog/EventLog.h"
+
+#include <algorithm>
+
+namespace lavender::batches {
+
+namespace {
+
+bool
+IsAtServer(const item_progress& aItem)
+{
+  return aItem.mPhase == item_phase::Running ||
+         aItem.mPhase == item_phase::Reserved;
+}
+
+int
+ServersEnded(const run_ledger& aLedger)
+{
+  return static_cast<int>(
+    std::count_if(aLedger.begin(), aLedger.end(), [](const auto& aRun) {
+      return aRun.second.mFate == run_fate::Ended;
+    }));
+}
+
+} // namespace
+
+site::server_start
+ServerOf(const item_progress& aItem)
+{
+  return { aItem.mServer, aItem.mServerStartedAt };
+}
+
+bool
+batch_runner::MayBeSent(const item_progress& aItem)
+{
+  return aItem.mPhase == item_phase::Waiting && aItem.mAwaited.empty() &&
+         SuspicionOf(aItem.mLedger) != suspicion::Barred &&
+         IsCountStored(aItem.mLedger);
+}
+
+suspicion
+batch_runner::CurrentSuspicion(const item_progress& aItem)
+{
+  return IsAtServer(aItem) ? aItem.mSuspicion : SuspicionOf(aItem.mLedger);
+}
+
+suspect_counts
+batch_runner::AddSuspects(std::vector<engine_view>& aEngines) const
+{
+  std::map<std::string, engine_view*> byId;
+  for (auto& engine : aEngines) {
+    byId[engine.mId] = &engine;
+  }
+  suspect_counts counts;
+  for (const auto& [id, batch] : mBatches) {
+    for (const auto& item : batch.mItems) {
+      const auto level = CurrentSuspicion(item);
+      if (item.mPhase == item_phase::Ended || level == suspicion::None ||
+          level == suspicion::Barred) {
+        continue;
+      }
+      ++(level == suspicion::LastRun ? counts.mLastRuns : counts.mSuspects);
+      const auto engine = byId.find(item.mServer);
+      if (!IsAtServer(item) || engine == byId.end()) {
+        continue;
+      }
+      CountSuspect(*engine->second, level);
+      engine->second->mOwnRuns += item.mPhase == item_phase::Reserved ? 1 : 0;
+    }
+  }
+  return counts;
+}
+
+void
+batch_runner::ReserveRun(running_batch& aBatch,
+                         std::size_t aIndex,
+                         const engine_view& aEngine,
+                         const site::route& aRoute)
+{
+  auto& item = aBatch.mItems[aIndex];
+  const auto row = mDependencies.mDirectory.mRows.find(aEngine.mId);
+  if (row == mDependencies.mDirectory.mRows.end()) {
+    return;
+  }
+  item.mServer = aEngine.mId;
+  item.mServerStartedAt = row->second.mServer.mStartedAt;
+  RecordFate(item.mLedger, ServerOf(item), run_fate::Open);
+  if (IsCountStored(item.mLedger)) {
+    StartRun(aBatch, aIndex, aEngine, aRoute);
+    return;
+  }
+  item.mPhase = item_phase::Reserved;
+  mDependencies.mStoreRuns(aBatch.mMetadata.mId);
+}
+
+void
+batch_runner::StartReservedRuns(running_batch& aBatch)
+{
+  const auto now = boot_clock::now();
+  std::optional<std::vector<engine_view>> engines;
+  for (std::size_t i = 0; i < aBatch.mItems.size(); ++i) {
+    auto& item = aBatch.mItems[i];
+    if (item.mPhase != item_phase::Reserved || !IsCountStored(item.mLedger)) {
+      continue;
+    }
+    if (!engines) {
+      engines = Engines();
+    }
+    const auto route = RouteOf(aBatch, *item.mItem);
+    const auto engine =
+      std::find_if(engines->begin(), engines->end(), [&](const auto& aEngine) {
+        return aEngine.mId == item.mServer && HasRoom(aEngine, now);
+      });
+    const auto row = mDependencies.mDirectory.mRows.find(item.mServer);
+    if (!route || engine == engines->end() ||
+        row->second.mServer.mStartedAt != item.mServerStartedAt) {
+      StopRun(item);
+      continue;
+    }
+    StartRun(aBatch, i, *engine, *route);
+    ++engine->mOwnRuns;
+    --engine->mRunsLeft;
+  }
+}
+
+void
+batch_runner::CountBrokenRun(running_batch& aBatch, std::size_t aIndex)
+{
+  auto& item = aBatch.mItems[aIndex];
+  RecordFate(item.mLedger, ServerOf(item), run_fate::Open);
+  CheckServer(aBatch, aIndex, ServerOf(item), item.mServerAddress);
+}
+
+void
+batch_runner::CheckServer(running_batch& aBatch,
+                          std::size_t aIndex,
+                          const site::server_start& aServer,
+                          const std::optional<edge::endpoint>& aAddress)
+{
+  aBatch.mItems[aIndex].mAwaited.insert(aServer);
+  aBatch.mItems[aIndex].mChecked.insert(aServer);
+  mDependencies.mChecks.Check(
+    aServer,
+    aAddress,
+    [this, batchId = aBatch.mMetadata.mId, aIndex, aServer](
+      site::server_fate aFate) {
+      HandleFate(batchId, aIndex, aServer, aFate);
+    });
+}
+
+void
+batch_runner::CheckUnreachable(const item_progress& aItem)
+{
+  mDependencies.mChecks.Check(
+    ServerOf(aItem), aItem.mServerAddress, [this](site::server_fate aFate) {
+      if (aFate == site::server_fate::Running) {
+        Dispatch();
+      }
+    });
+}
+
+void
+batch_runner::CheckOpenRuns(running_batch& aBatch)
+{
+  for (std::size_t i = 0; i < aBatch.mItems.size(); ++i) {
+    const auto& item = aBatch.mItems[i];
+    if (item.mPhase == item_phase::Ended) {
+      continue;
+    }
+    for (const auto& server : OpenRuns(item.mLedger)) {
+      const bool isOwn = IsAtServer(item) && ServerOf(item) == server;
+      if (isOwn || item.mChecked.count(server) > 0) {
+        continue;
+      }
+      const auto row = mDependencies.mDirectory.mRows.find(server.mId);
+      CheckServer(aBatch,
+                  i,
+                  server,
+                  row == mDependencies.mDirectory.mRows.end()
+                    ? std::nullopt
+                    : std::optional(row->second.mServer.mAddress));
+    }
+  }
+}
+
+void
+batch_runner::HandleFate(const std::string& aBatchId,
+                         std::size_t aIndex,
+                         const site::server_start& aServer,
+                         site::server_fate aFate)
+{
+  const auto found = mBatches.find(aBatchId);
+  if (found == mBatches.end() || aIndex >= found->second.mItems.size()) {
+    return;
+  }
+  auto& item = found->second.mItems[aIndex];
+  item.mAwaited.erase(aServer);
+  if (aFate != site::server_fate::Unknown) {
+    item.mChecked.erase(aServer);
+  }
+  const bool isThereAgain = IsAtServer(item) && ServerOf(item) == aServer;
+  if (item.mPhase == item_phase::Ended || isThereAgain ||
+      item.mLedger.count(aServer) == 0) {
+    return;
+  }
+  if (aFate == site::server_fate::Running) {
+    RecordFate(item.mLedger, aServer, run_fate::Survived);
+  } else {
+    if (aFate == site::server_fate::Ended) {
+      RecordFate(item.mLedger, aServer, run_fate::Ended);
+    }
+    LogCountedRun(found->second, item, aServer, aFate);
+  }
+  if (!IsCountStored(item.mLedger)) {
+    mDependencies.mStoreRuns(aBatchId);
+  }
+  Dispatch();
+}
+
+void
+batch_runner::LogCountedRun(const running_batch& aBatch,
+                            item_progress& aItem,
+                            const site::server_start& aServer,
+                            site::server_fate aFate)
+{
+  events::line("run_counted")
+    .With("request", aItem.mItem->mId)
+    .With("batch", aBatch.mMetadata.mId)
+    .With("server", aServer.mId)
+    .With("started_at", aServer.mStartedAt)
+    .With("fate", site::ToString(aFate))
+    .With("servers_lost",
+          static_cast<std::int64_t>(ServersLost(aItem.mLedger)));
+  if (aItem.mIsBarred || ServersEnded(aItem.mLedger) < kMaximumServersLost) {
+    return;
+  }
+  aItem.mIsBarred = true;
+  events::line("item_barred")
+    .With("request", aItem.mItem->mId)
+    .With("batch", aBatch.mMetadata.mId)
+    .With("host", aBatch.mMetadata.mHost)
+    .With("path", aItem.mItem->mPath)
+    .With("reason", "servers ended under it as often as an item may run");
+  mDependencies.mMetrics.Count("lavender_batch_items_barred_total", {});
+}
+
+std::vector<run_record>
+batch_runner::UnstoredRuns(const std::string& aBatchId) const
+{
+  std::vector<run_record> records;
+  const auto batch = mBatches.find(aBatchId);
+  if (batch == mBatches.end()) {
+    return records;
+  }
+  for (std::size_t i = 0; i < batch->second.mItems.size(); ++i) {
+    const auto& item = batch->second.mItems[i];
+    if (item.mPhase != item_phase::Ended && item.mAwaited.empty()) {
+      AddUnstored(item.mLedger, i, records);
+    }
+  }
+  return records;
+}
+
+std::vector<item_run>
+batch_runner::CountedRuns(const std::string& aBatchId) const
+{
+  std::vector<item_run> runs;
+  const auto batch = mBatches.find(aBatchId);
+  if (batch == mBatches.end()) {
+    return runs;
+  }
+  for (const auto& item : batch->second.mItems) {
+    auto ledger = item.mLedger;
+    if (IsAtServer(item)) {
+      ledger.erase(ServerOf(item));
+    }
+    AddCounted(ledger, item.mItem->mId, runs);
+  }
+  return runs;
+}
+
+bool
+batch_runner::HasRunsToStore(const std::string& aBatchId) const
+{
+  const auto records = UnstoredRuns(aBatchId);
+  return std::any_of(records.begin(), records.end(), [](const auto& aRecord) {
+    return aRecord.mFate != run_fate::Survived;
+  });
+}
+
+void
+batch_runner::ApplyStoredRuns(const std::string& aBatchId,
+                              const std::vector<run_record>& aRecords)
+{
+  const auto found = mBatches.find(aBatchId);
+  if (found == mBatches.end() || aRecords.empty()) {
+    return;
+  }
+  auto& batch = found->second;
+  for (const auto& record : aRecords) {
+    if (record.mItem < batch.mItems.size() &&
+        batch.mItems[record.mItem].mPhase != item_phase::Ended) {
+      ApplyStored(batch.mItems[record.mItem].mLedger, record);
+    }
+  }
+  StartReservedRuns(batch);
+  CheckOpenRuns(batch);
+  Dispatch();
+}
+
+} // namespace lavender::batches
--- a/Duties/Batches/BatchListing.cpp
+++ b/Duties/Batches/BatchListing.cpp
@@ -67,6 +67,14 @@
                              PendingCounts(*batch)));
 }
 
+void
+batch_service::StoreRuns(const std::string& aBatchId)
+{
+  if (const auto found = mBatches.find(aBatchId); found != mBatches.end()) {
+    ScheduleCommit(found->second, milliseconds(0));
+  }
+}
+
 void
 batch_service::ScheduleCommit(const batch_ptr& aBatch, milliseconds aDelay)
 {
@@ -112,10 +120,13 @@
     aBatch->mMetadata.mId,
     aMinimumUnsavedTime,
     kMaximumBlockBytes - std::min(bytes, kMaximumBlockBytes));
-  if (block->mItemIds.empty() && block->mParts.empty()) {
+  const bool hasRuns =
+    mDependencies.mRunner.HasRunsToStore(aBatch->mMetadata.mId);
+  if (block->mItemIds.empty() && block->mParts.empty() && !hasRuns) {
     aDone();
     return;
   }
+  block->mRuns = mDependencies.mRunner.UnstoredRuns(aBatch->mMetadata.mId);
   aBatch->mIsCommitting = true;
   const auto number = BeginWrite(aBatch->mWrite);
   After(kSilentWriteAge, [this, aBatch, number] {
@@ -255,12 +266,15 @@
 void
 batch_service::ScheduleNextCommit(const batch_ptr& aBatch)
 {
+  const auto& id = aBatch->mMetadata.mId;
   ScheduleCommit(aBatch,
-                 CommitDelay(aBatch->mGroups,
-                             aBatch->mMetadata.mTargetGroups,
-                             mDependencies.mRunner.DueIn(aBatch->mMetadata.mId),
-                             true,
-                             PendingCounts(*aBatch)));
+                 mDependencies.mRunner.HasRunsToStore(id)
+                   ? milliseconds(0)
+                   : CommitDelay(aBatch->mGroups,
+                                 aBatch->mMetadata.mTargetGroups,
+                                 mDependencies.mRunner.DueIn(id),
+                                 true,
+                                 PendingCounts(*aBatch)));
 }
 
 void
@@ -281,6 +295,7 @@
   if (!newIds.empty()) {
     mDependencies.mRunner.MarkListed(aBatch->mMetadata.mId, newIds);
   }
+  mDependencies.mRunner.ApplyStoredRuns(aBatch->mMetadata.mId, aBlock.mRuns);
   const auto waiters = std::move(aBatch->mResultWaiters);
   aBatch->mResultWaiters.clear();
   for (const auto& waiter : waiters) {
--- a/Duties/Batches/BatchLoading.cpp
+++ b/Duties/Batches/BatchLoading.cpp
@@ -40,7 +40,7 @@
   aBatch->mIsLoading = true;
   EndWrite(aBatch->mWrite);
   aBatch->mLog = {};
-  aBatch->mStored.clear();
+  aBatch->mStored = {};
   ++aBatch->mGeneration;
   auto loaded = std::make_shared<submission>();
   loaded->mId = aBatch->mMetadata.mId;
@@ -95,9 +95,11 @@
     ApplyBlock(aBatch->mLog, *block);
     for (const auto& part : block->mParts) {
       if (part.mItem < aBatch->mSubmission->mItems.size()) {
-        ApplyPart(aBatch->mStored, block->mWriter, part);
+        ApplyPart(aBatch->mStored.mTexts, block->mWriter, part);
       }
     }
+    auto& runs = aBatch->mStored.mRuns;
+    runs.insert(runs.end(), block->mRuns.begin(), block->mRuns.end());
     LoadResults(aBatch);
   };
   mDependencies.mStore.mGet(
@@ -146,6 +148,8 @@
   if (aBatch->mMetadata.mIsEnded) {
     return;
   }
+  const auto carried = CarriedRunsOf(*aBatch);
+  stored.mRuns.insert(stored.mRuns.end(), carried.begin(), carried.end());
   aBatch->mGroups = {};
   for (const auto& item : aBatch->mSubmission->mItems) {
     RecordOpenItem(aBatch->mGroups, item.mGroup);
--- a/Duties/Batches/BatchMoves.cpp
+++ b/Duties/Batches/BatchMoves.cpp
@@ -222,7 +222,9 @@
     for (std::size_t i = 0; i < batch.mItems.size(); ++i) {
       auto& item = batch.mItems[i];
       const auto server = byId.find(item.mServer);
-      if (item.mPhase != item_phase::Running || server == byId.end()) {
+      // A suspect stays where the store knows it.
+      if (item.mPhase != item_phase::Running || server == byId.end() ||
+          item.mSuspicion != suspicion::None) {
         continue;
       }
       const auto route = RouteOf(batch, *item.mItem);
--- a/Duties/Batches/BatchOwners.cpp
+++ b/Duties/Batches/BatchOwners.cpp
@@ -237,7 +237,8 @@
     kBatchMetadataKind,
     aBatch->mMetadata.mId,
     aBatch->mMetadata.mRevision,
-    EncodeMetadataStatus(aOwner, aBatch->mMetadata.mIsEnded),
+    EncodeMetadataStatus(
+      aOwner, aBatch->mMetadata.mIsEnded, aBatch->mMetadata.mCountedRuns),
     [this](const objects::object_reply& aResponse) {
       if (const auto metadata = DecodeMetadata(aResponse.mObject)) {
         ApplyMetadata(*metadata);
--- a/Duties/Batches/BatchRanks.cpp
+++ b/Duties/Batches/BatchRanks.cpp
@@ -11,7 +11,8 @@
 
 using seconds = std::chrono::duration<double>;
 
-/** Stands for the time of an item that no route of the configuration takes. */
+/** Stands for the time of an item that no route of the configuration takes, or
+ * that isn't sent any more. */
 constexpr seconds kNever = std::chrono::hours(24);
 
 const char*
@@ -78,7 +79,9 @@
                          scheduling::event_time aFastest)
 {
   const auto route = RouteOf(aBatch, *aItem.mItem);
-  if (!route) {
+  const bool isBarred = aItem.mPhase == item_phase::Waiting &&
+                        SuspicionOf(aItem.mLedger) == suspicion::Barred;
+  if (!route || isBarred) {
     return { seconds(0), kNever };
   }
   auto eventTime = aUsual;
@@ -104,6 +107,7 @@
   for (std::size_t i = 0; i < aBatch.mItems.size(); ++i) {
     auto& item = aBatch.mItems[i];
     if (item.mPhase != item_phase::Waiting &&
+        item.mPhase != item_phase::Reserved &&
         item.mPhase != item_phase::Running) {
       continue;
     }
--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -14,7 +14,7 @@
 batch_runner::Add(const batch_metadata& aMetadata,
                   std::shared_ptr<const submission> aSubmission,
                   const std::function<bool(const std::string&)>& aHasResult,
-                  stored_texts aStored)
+                  stored_progress aStored)
 {
   running_batch batch;
   batch.mMetadata = aMetadata;
@@ -37,7 +37,8 @@
   batch.mWasDeferred.resize(groups.size());
   Remove(aMetadata.mId);
   mBatches[aMetadata.mId] = std::move(batch);
-  RestoreTexts(mBatches[aMetadata.mId], std::move(aStored));
+  RestoreTexts(mBatches[aMetadata.mId], std::move(aStored.mTexts));
+  ApplyStoredRuns(aMetadata.mId, aStored.mRuns);
   Dispatch();
 }
 
@@ -152,6 +153,11 @@
     aItem.mPhase = item_phase::Waiting;
     return;
   }
+  if (aItem.mPhase == item_phase::Reserved) {
+    RecordFate(aItem.mLedger, ServerOf(aItem), run_fate::Survived);
+    aItem.mPhase = item_phase::Waiting;
+    return;
+  }
   if (aItem.mPhase != item_phase::Running) {
     return;
   }
@@ -182,6 +188,7 @@
 {
   if (aItem.mPhase != item_phase::Ended) {
     aItem.mPhase = item_phase::Ended;
+    aItem.mLedger.clear();
     RecordResult(aBatch.mGroups, aItem.mItem->mGroup);
   }
 }
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -5,6 +5,7 @@
 #include "Duties/Batches/EventStream.h"
 #include "Duties/Batches/GeneratedText.h"
 #include "Duties/Batches/GroupProgress.h"
+#include "Duties/Batches/RunLedger.h"
 #include "Duties/Batches/RunMoves.h"
 #include "Duties/Batches/Schedule.h"
 #include "Duties/Rewards/RewardCaller.h"
@@ -19,6 +20,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <set>
 
 namespace lavender::batches {
 
@@ -28,6 +30,8 @@
 enum class item_phase
 {
   Waiting,
+  /** A server is chosen; the run starts once the store holds that. */
+  Reserved,
   Running,
   /** The text is complete and the reward call is in progress. */
   Scoring,
@@ -56,6 +60,14 @@
   /** Start time of that server when the run was sent. */
   std::int64_t mServerStartedAt = 0;
   edge::endpoint mServerAddress;
+  run_ledger mLedger;
+  /** How suspect the item was when its current run was sent. */
+  suspicion mSuspicion = suspicion::None;
+  /** Servers whose first answer to a check is awaited. */
+  std::set<site::server_start> mAwaited;
+  /** Servers whose fate will be told. */
+  std::set<site::server_start> mChecked;
+  bool mIsBarred = false;
   std::string mAvoidedServer;
   edge::call_handle mCall;
   /** Number of the reward call in progress; 0 if there is none. */
@@ -74,6 +86,10 @@
   std::uint64_t mRunNumber = 0;
 };
 
+/** Server of the item's current or most recent run. */
+site::server_start
+ServerOf(const item_progress& aItem);
+
 /** A batch that this entry is running. */
 struct running_batch
 {
@@ -103,10 +119,19 @@
   rewards::reward_client& mRewards;
   site::server_checks& mChecks;
   std::function<void(const std::string& aBatchId, item_result)> mOnResult;
+  /** Asks that the unstored runs of a batch be stored without delay. */
+  std::function<void(const std::string& aBatchId)> mStoreRuns;
   /** Name of this entry. */
   std::string mName;
 };
 
+/** What earlier owners stored of the items of a batch. */
+struct stored_progress
+{
+  stored_texts mTexts;
+  std::vector<run_record> mRuns;
+};
+
 /** Schedules and runs the items of the batches that this entry owns. */
 class batch_runner
 {
@@ -115,12 +140,12 @@
 
   /** Adds a batch and starts its items.
    * @param aHasResult items for which it returns true aren't run
-   * @param aStored text that earlier runs generated; each item resumes after
-   * its stored text */
+   * @param aStored each item resumes after its stored text, and the servers
+   * that ended under it count on */
   void Add(const batch_metadata& aMetadata,
            std::shared_ptr<const submission> aSubmission,
            const std::function<bool(const std::string&)>& aHasResult,
-           stored_texts aStored);
+           stored_progress aStored);
   /** Returns the parts of the texts that have been unsaved for longer than the
    * given time.
    * @param aMostBytes limit on the total size of the returned text, in bytes */
@@ -133,6 +158,17 @@
   /** Called when it is unknown which parts the store holds. The next parts
    * start from the beginning of each text. */
   void MarkAllUnsaved(const std::string& aBatchId);
+  /** Runs whose servers ended or may have ended and that the store doesn't
+   * hold. */
+  std::vector<run_record> UnstoredRuns(const std::string& aBatchId) const;
+  /** Runs that count for later batches with the same items. */
+  std::vector<item_run> CountedRuns(const std::string& aBatchId) const;
+  /** Whether an item waits for its runs to be stored. */
+  bool HasRunsToStore(const std::string& aBatchId) const;
+  /** Applies runs that the store holds, written by this entry or by another
+   * one. */
+  void ApplyStoredRuns(const std::string& aBatchId,
+                       const std::vector<run_record>& aRecords);
   /** Cancels all runs of a batch that has ended or that another entry owns now.
    */
   void Remove(const std::string& aBatchId);
@@ -178,6 +214,11 @@
                                    item_progress& aItem,
                                    const site::route& aRoute);
   void DispatchNow();
+  /** Sends an item, or reserves its run first if it is a suspect. */
+  void SendItem(running_batch& aBatch,
+                std::size_t aIndex,
+                engine_view& aEngine,
+                const site::route& aRoute);
   /** Ranks of a batch's groups, by batch. */
   using group_ranks = std::map<std::string, std::vector<std::size_t>>;
   /** Ranks the groups of all batches. Batches of a model compete with one
@@ -276,8 +317,36 @@
                   item_end aEnd,
                   std::optional<std::string> aScore = std::nullopt);
   void BlockServer(const std::string& aServer, milliseconds aDelay);
-  /** Finds out whether the server of a run that broke off has ended. */
-  void CheckServer(const item_progress& aItem);
+  /** Whether nothing that is known or being found out keeps the item from a
+   * run. */
+  static bool MayBeSent(const item_progress& aItem);
+  static suspicion CurrentSuspicion(const item_progress& aItem);
+  /** Fills in the suspects that run on the servers. */
+  suspect_counts AddSuspects(std::vector<engine_view>& aEngines) const;
+  /** Stores that a suspect goes to a server, before it is sent there. */
+  void ReserveRun(running_batch& aBatch,
+                  std::size_t aIndex,
+                  const engine_view& aEngine,
+                  const site::route& aRoute);
+  void StartReservedRuns(running_batch& aBatch);
+  /** Counts the server of a run that broke off until it is known to live. */
+  void CountBrokenRun(running_batch& aBatch, std::size_t aIndex);
+  void CheckServer(running_batch& aBatch,
+                   std::size_t aIndex,
+                   const site::server_start& aServer,
+                   const std::optional<edge::endpoint>& aAddress);
+  /** Keeps runs from a server that took no connection, until it answers. */
+  void CheckUnreachable(const item_progress& aItem);
+  /** Checks the servers of runs that another owner left open. */
+  void CheckOpenRuns(running_batch& aBatch);
+  void HandleFate(const std::string& aBatchId,
+                  std::size_t aIndex,
+                  const site::server_start& aServer,
+                  site::server_fate aFate);
+  void LogCountedRun(const running_batch& aBatch,
+                     item_progress& aItem,
+                     const site::server_start& aServer,
+                     site::server_fate aFate);
   void LogRunEnd(const item_progress& aItem,
                  const running_batch& aBatch,
                  const char* aOutcome,
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -206,9 +206,15 @@
   const auto status = aRun->mHead.mStatus;
   const bool isForeign =
     status != 0 && aRun->mFacts.mAttemptId != item->mItem->mId;
-  if (aEnd != edge::call_end::Complete && aEnd != edge::call_end::NotSent &&
-      !aRun->mIsStale) {
-    CheckServer(*item);
+  const bool isCutOff = aEnd != edge::call_end::Complete &&
+                        aEnd != edge::call_end::NotSent && !aRun->mIsStale;
+  if (isCutOff) {
+    CountBrokenRun(batch, aRef.mIndex);
+  } else if (aEnd == edge::call_end::NotSent) {
+    CheckUnreachable(*item);
+  }
+  if (!isCutOff && item->mLedger.count(ServerOf(*item)) > 0) {
+    RecordFate(item->mLedger, ServerOf(*item), run_fate::Survived);
   }
   const bool isFailure = !aRun->mFacts.mIsNotExecuted && !aRun->mIsStale &&
                          (aEnd != edge::call_end::Complete || status >= 500);
@@ -264,14 +270,6 @@
   Dispatch();
 }
 
-void
-batch_runner::CheckServer(const item_progress& aItem)
-{
-  mDependencies.mChecks.Check({ aItem.mServer, aItem.mServerStartedAt },
-                              aItem.mServerAddress,
-                              [](site::server_fate) {});
-}
-
 void
 batch_runner::LogRunEnd(const item_progress& aItem,
                         const running_batch& aBatch,
--- a/Duties/Batches/BatchService.cpp
+++ b/Duties/Batches/BatchService.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Batches/BatchService.h"
 
+#include "Duties/Batches/CarriedRuns.h"
 #include "Libraries/Edge/RunAfter.h"
 #include "Libraries/EventLog/EventLog.h"
 
@@ -93,6 +94,34 @@
   return aBatch->mMetadata.mOwner == mDependencies.mName;
 }
 
+void
+batch_service::ApplyCountedRuns(const batch_metadata& aEnded)
+{
+  for (const auto& [id, batch] : mBatches) {
+    if (id != aEnded.mId && batch->mIsLoaded && !batch->mMetadata.mIsEnded &&
+        batch->mMetadata.mCustomer == aEnded.mCustomer) {
+      mDependencies.mRunner.ApplyStoredRuns(
+        id, CarriedRuns(*batch->mSubmission, aEnded.mCountedRuns));
+    }
+  }
+}
+
+std::vector<run_record>
+batch_service::CarriedRunsOf(const batch_record& aBatch) const
+{
+  std::vector<run_record> records;
+  for (const auto& [id, other] : mBatches) {
+    const auto& earlier = other->mMetadata;
+    if (id == aBatch.mMetadata.mId ||
+        earlier.mCustomer != aBatch.mMetadata.mCustomer) {
+      continue;
+    }
+    const auto carried = CarriedRuns(*aBatch.mSubmission, earlier.mCountedRuns);
+    records.insert(records.end(), carried.begin(), carried.end());
+  }
+  return records;
+}
+
 void
 batch_service::ApplyMetadata(const batch_metadata& aMetadata)
 {
@@ -117,6 +146,9 @@
       .With("before", batch->mMetadata.mOwner);
   }
   batch->mMetadata = aMetadata;
+  if (!aMetadata.mCountedRuns.empty()) {
+    ApplyCountedRuns(aMetadata);
+  }
   if (wasOwnedHere && !IsOwnedHere(batch)) {
     Unload(batch);
   } else if (aMetadata.mIsEnded) {
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -64,8 +64,8 @@
   std::shared_ptr<const submission> mSubmission;
   result_log mLog;
   group_progress mGroups;
-  /** Stored texts of items without a result, found while loading. */
-  stored_texts mStored;
+  /** What is stored of items without a result, found while loading. */
+  stored_progress mStored;
   /** Writer id under which this load of the batch stores parts of texts. */
   std::string mWriter;
   /** Incremented whenever the log is discarded. Store responses that arrive
@@ -151,6 +151,8 @@
   /** Handles a call that another entry forwarded. */
   void ServePeer(const edge::exchange_ptr& aExchange);
   void AddResult(const std::string& aBatchId, item_result aResult);
+  /** Stores the runs that the runner counts, without delay. */
+  void StoreRuns(const std::string& aBatchId);
   /** Refuses new batches from now on; running batches continue. */
   void StopAccepting() { mIsShuttingDown = true; }
   /** Number of batches of this entry that have items without a listed result.
@@ -217,6 +219,11 @@
              prior_attempt aPriorAttempt);
 
   void ApplyMetadata(const batch_metadata& aMetadata);
+  /** Counts the runs of an ended batch in the running batches that hold the
+   * same items. */
+  void ApplyCountedRuns(const batch_metadata& aEnded);
+  /** Runs of the batch's items that count from earlier batches. */
+  std::vector<run_record> CarriedRunsOf(const batch_record& aBatch) const;
   void RemoveBatch(const std::string& aBatchId);
   void LoadOwnedBatches();
   bool IsOwnedHere(const batch_ptr& aBatch) const;
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -104,6 +104,65 @@
   return part;
 }
 
+constexpr char kOpenRun[] = "open";
+constexpr char kSurvivedRun[] = "survived";
+constexpr char kEndedRun[] = "ended";
+
+const char*
+ToString(run_fate aFate)
+{
+  switch (aFate) {
+    case run_fate::Open:
+      return kOpenRun;
+    case run_fate::Survived:
+      return kSurvivedRun;
+    case run_fate::Ended:
+      return kEndedRun;
+  }
+  return kOpenRun;
+}
+
+run_fate
+FateOf(const json::value& aValue)
+{
+  const auto fate = json::StringAt(aValue, "fate", kOpenRun);
+  return fate == kSurvivedRun ? run_fate::Survived
+         : fate == kEndedRun  ? run_fate::Ended
+                              : run_fate::Open;
+}
+
+site::server_start
+ServerAt(const json::value& aValue)
+{
+  return { json::StringAt(aValue, "server", ""),
+           json::IntegerAt(aValue, "startedAt", 0) };
+}
+
+json::value
+EncodeRun(json::value aItem, const site::server_start& aServer, run_fate aFate)
+{
+  return json::object{ { "item", std::move(aItem) },
+                       { "server", aServer.mId },
+                       { "startedAt", aServer.mStartedAt },
+                       { "fate", ToString(aFate) } };
+}
+
+run_record
+DecodeRun(const json::value& aValue)
+{
+  return { static_cast<std::size_t>(json::IntegerAt(aValue, "item", 0)),
+           ServerAt(aValue),
+           FateOf(aValue) };
+}
+
+item_run
+DecodeItemRun(const json::value& aValue)
+{
+  return { json::StringAt(aValue, "item", ""),
+           ServerAt(aValue),
+           FateOf(aValue) };
+}
+
 json::value
 EncodeSpeeds(const std::vector<scheduling::told_speed>& aSpeeds)
 {
@@ -201,10 +260,20 @@
 }
 
 std::string
-EncodeMetadataStatus(const std::string& aOwner, bool aIsEnded)
+EncodeMetadataStatus(const std::string& aOwner,
+                     bool aIsEnded,
+                     const std::vector<item_run>& aCountedRuns)
 {
-  return json::Write(
-    json::object{ { "owner", aOwner }, { "ended", aIsEnded } });
+  json::value status =
+    json::object{ { "owner", aOwner }, { "ended", aIsEnded } };
+  if (!aCountedRuns.empty()) {
+    json::array runs;
+    for (const auto& run : aCountedRuns) {
+      runs.push_back(EncodeRun(run.mItemId, run.mServer, run.mFate));
+    }
+    status.Set("countedRuns", std::move(runs));
+  }
+  return json::Write(status);
 }
 
 std::optional<batch_metadata>
@@ -237,6 +306,11 @@
   metadata.mOwner =
     json::StringAt(aObject.mStatus, "owner", json::StringAt(spec, "owner", ""));
   metadata.mIsEnded = json::BooleanAt(aObject.mStatus, "ended", false);
+  if (const auto* runs = aObject.mStatus.Find("countedRuns")) {
+    for (const auto& run : runs->Elements()) {
+      metadata.mCountedRuns.push_back(DecodeItemRun(run));
+    }
+  }
   return metadata;
 }
 
@@ -300,6 +374,14 @@
     text += ",\"writer\":" + json::Write(json::value(aBlock.mWriter)) +
             ",\"parts\":" + json::Write(std::move(parts));
   }
+  if (!aBlock.mRuns.empty()) {
+    json::array runs;
+    for (const auto& run : aBlock.mRuns) {
+      runs.push_back(EncodeRun(
+        static_cast<std::int64_t>(run.mItem), run.mServer, run.mFate));
+    }
+    text += ",\"runs\":" + json::Write(std::move(runs));
+  }
   return text + "}";
 }
 
@@ -325,6 +407,11 @@
       block.mParts.push_back(DecodePart(part));
     }
   }
+  if (const auto* runs = aObject.mSpec.Find("runs")) {
+    for (const auto& run : runs->Elements()) {
+      block.mRuns.push_back(DecodeRun(run));
+    }
+  }
   return block;
 }
 
--- a/Duties/Batches/Records.h
+++ b/Duties/Batches/Records.h
@@ -2,6 +2,7 @@
 
 #include "Duties/Batches/Batch.h"
 #include "Duties/Batches/GeneratedText.h"
+#include "Duties/Batches/RunLedger.h"
 
 #include <optional>
 
@@ -14,7 +15,9 @@
 /** Encodes the part of the metadata that changes after the batch was accepted.
  */
 std::string
-EncodeMetadataStatus(const std::string& aOwner, bool aIsEnded);
+EncodeMetadataStatus(const std::string& aOwner,
+                     bool aIsEnded,
+                     const std::vector<item_run>& aCountedRuns);
 
 std::optional<batch_metadata>
 DecodeMetadata(const objects::stored_object& aObject);
@@ -46,6 +49,8 @@
   /** Parts of texts of items without a result, and the id of their writer. */
   std::vector<text_part> mParts;
   std::string mWriter;
+  /** Runs of items without a result whose servers ended or may have ended. */
+  std::vector<run_record> mRuns;
 };
 
 std::string
--- /dev/null
+++ b/Duties/Batches/RunLedger.cpp
@@ -0,0 +1,154 @@
+#include "Duties/Batches/RunLedger.h"
+
+#include <algorithm>
+
+namespace lavender::batches {
+
+namespace {
+
+/** Items on their last run wait at most for so many others before them. */
+constexpr int kLastRunRounds = 3;
+
+bool
+Counts(const counted_run& aRun)
+{
+  return aRun.mFate != run_fate::Survived;
+}
+
+int
+ShareOf(int aItems, std::size_t aServers)
+{
+  const auto servers = std::max<std::size_t>(aServers, 1);
+  return static_cast<int>(
+    (static_cast<std::size_t>(std::max(aItems, 1)) + servers - 1) / servers);
+}
+
+} // namespace
+
+void
+RecordFate(run_ledger& aLedger,
+           const site::server_start& aServer,
+           run_fate aFate)
+{
+  auto& run = aLedger[aServer];
+  if (run.mFate == run_fate::Ended) {
+    return;
+  }
+  if (aFate == run_fate::Survived && !run.mWasStored) {
+    aLedger.erase(aServer);
+    return;
+  }
+  run.mIsStored = run.mIsStored && run.mFate == aFate;
+  run.mFate = aFate;
+}
+
+void
+ApplyStored(run_ledger& aLedger, const run_record& aRecord)
+{
+  const auto [run, isNew] = aLedger.try_emplace(
+    aRecord.mServer, counted_run{ aRecord.mFate, true, true });
+  if (isNew) {
+    return;
+  }
+  run->second.mWasStored = true;
+  const bool isFinal =
+    run->second.mFate == run_fate::Ended || aRecord.mFate == run_fate::Ended;
+  if (isFinal) {
+    run->second.mFate = run_fate::Ended;
+    run->second.mIsStored =
+      run->second.mIsStored || aRecord.mFate == run_fate::Ended;
+    return;
+  }
+  // An own fate that isn't stored yet is newer than the record.
+  if (run->second.mIsStored) {
+    run->second.mFate = aRecord.mFate;
+  }
+  run->second.mIsStored = run->second.mFate == aRecord.mFate;
+}
+
+int
+ServersLost(const run_ledger& aLedger)
+{
+  return static_cast<int>(
+    std::count_if(aLedger.begin(), aLedger.end(), [](const auto& aRun) {
+      return Counts(aRun.second);
+    }));
+}
+
+suspicion
+SuspicionOf(const run_ledger& aLedger)
+{
+  const int lost = ServersLost(aLedger);
+  if (lost >= kMaximumServersLost) {
+    return suspicion::Barred;
+  }
+  if (lost == kMaximumServersLost - 1) {
+    return suspicion::LastRun;
+  }
+  return lost > 0 ? suspicion::Suspect : suspicion::None;
+}
+
+bool
+IsCountStored(const run_ledger& aLedger)
+{
+  return std::all_of(aLedger.begin(), aLedger.end(), [](const auto& aRun) {
+    return aRun.second.mIsStored || !Counts(aRun.second);
+  });
+}
+
+void
+AddUnstored(const run_ledger& aLedger,
+            std::size_t aItem,
+            std::vector<run_record>& aRecords)
+{
+  for (const auto& [server, run] : aLedger) {
+    if (!run.mIsStored) {
+      aRecords.push_back({ aItem, server, run.mFate });
+    }
+  }
+}
+
+void
+AddCounted(const run_ledger& aLedger,
+           const std::string& aItemId,
+           std::vector<item_run>& aRuns)
+{
+  for (const auto& [server, run] : aLedger) {
+    if (Counts(run)) {
+      aRuns.push_back({ aItemId, server, run.mFate });
+    }
+  }
+}
+
+std::vector<site::server_start>
+OpenRuns(const run_ledger& aLedger)
+{
+  std::vector<site::server_start> open;
+  for (const auto& [server, run] : aLedger) {
+    if (run.mFate == run_fate::Open) {
+      open.push_back(server);
+    }
+  }
+  return open;
+}
+
+std::vector<std::string>
+ServersCounted(const run_ledger& aLedger)
+{
+  std::vector<std::string> servers;
+  for (const auto& [server, run] : aLedger) {
+    if (Counts(run)) {
+      servers.push_back(server.mId);
+    }
+  }
+  return servers;
+}
+
+suspect_limits
+LimitsOf(const suspect_counts& aCounts, std::size_t aServers)
+{
+  return { ShareOf(aCounts.mSuspects, aServers),
+           ShareOf(aCounts.mLastRuns, aServers * kLastRunRounds) };
+}
+
+} // namespace lavender::batches
--- a/Duties/Batches/RunMoves.cpp
+++ b/Duties/Batches/RunMoves.cpp
@@ -23,13 +23,6 @@
  * equal server that is idle. */
 constexpr double kClearlyFaster = 1.2;
 
-bool
-HasRoom(const engine_view& aEngine, time_point aNow)
-{
-  return aEngine.mOwnRuns + aEngine.mOtherRuns < aEngine.mSlots &&
-         aEngine.mRunsLeft > 0 && aNow >= aEngine.mBlockedUntil;
-}
-
 /** Whether the server is a better place for a run that goes on elsewhere. */
 bool
 MayMoveTo(const engine_view& aEngine, const item_requirements& aNeed)
--- a/Duties/Batches/Schedule.cpp
+++ b/Duties/Batches/Schedule.cpp
@@ -23,6 +23,31 @@
   return aEngine.mOwnRuns + aEngine.mOtherRuns;
 }
 
+/** Whether the run would end together with an item that may end its server, or
+ * take suspects with it. */
+bool
+MeetsSuspect(const engine_view& aEngine, const item_requirements& aNeed)
+{
+  return aNeed.mSuspicion == suspicion::LastRun ? aEngine.mSuspects > 0
+                                                : aEngine.mLastRuns > 0;
+}
+
+bool
+IsWithinLimits(const engine_view& aEngine, const item_requirements& aNeed)
+{
+  switch (aNeed.mSuspicion) {
+    case suspicion::None:
+      return true;
+    case suspicion::Suspect:
+      return aEngine.mSuspects < aNeed.mSuspectLimits.mSuspects;
+    case suspicion::LastRun:
+      return aEngine.mLastRuns < aNeed.mSuspectLimits.mLastRuns;
+    case suspicion::Barred:
+      return false;
+  }
+  return false;
+}
+
 /** Servers of the same rank differ only in speed and load; lower ranks are
  * better. */
 int
@@ -31,28 +56,64 @@
   const bool fits = !IsOn(mechanism::MemoryFit) ||
                     scheduling::FitsInMemory(
                       aEngine.mRunMemory, aNeed.mMemory, aEngine.mMemoryTokens);
-  return (aEngine.mIsWarming ? 2 : 0) + (fits ? 0 : 1);
+  return (MeetsSuspect(aEngine, aNeed) ? 4 : 0) + (aEngine.mIsWarming ? 2 : 0) +
+         (fits ? 0 : 1);
 }
 
 bool
-MayRun(const engine_view& aEngine,
-       const item_requirements& aNeed,
-       time_point aNow)
+Contains(const std::vector<std::string>& aNames, const std::string& aName)
+{
+  return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
+}
+
+/** Whether the item may run on the server at some time. */
+bool
+IsSuitable(const engine_view& aEngine, const item_requirements& aNeed)
 {
   const auto version = aEngine.mVersions.find(aNeed.mModel);
   const bool hasModel =
     aNeed.mModel.empty() || (version != aEngine.mVersions.end() &&
                              version->second >= aNeed.mMinimumVersion);
-  return hasModel && aEngine.mRunsLeft > 0 && Runs(aEngine) < aEngine.mSlots &&
-         aNow >= aEngine.mBlockedUntil &&
+  return hasModel && Contains(aNeed.mPools, aEngine.mPool) &&
+         !Contains(aNeed.mLostServers, aEngine.mId) &&
          (!aNeed.mIsZoneAllowed ||
-          aNeed.mIsZoneAllowed(aEngine.mAvailabilityZone)) &&
-         std::find(aNeed.mPools.begin(), aNeed.mPools.end(), aEngine.mPool) !=
-           aNeed.mPools.end();
+          aNeed.mIsZoneAllowed(aEngine.mAvailabilityZone));
+}
+
+bool
+MayRun(const engine_view& aEngine,
+       const item_requirements& aNeed,
+       time_point aNow)
+{
+  return HasRoom(aEngine, aNow) && IsWithinLimits(aEngine, aNeed) &&
+         IsSuitable(aEngine, aNeed);
 }
 
 } // namespace
 
+void
+CountSuspect(engine_view& aEngine, suspicion aSuspicion)
+{
+  ++(aSuspicion == suspicion::LastRun ? aEngine.mLastRuns : aEngine.mSuspects);
+}
+
+std::size_t
+CountSuitable(const std::vector<engine_view>& aEngines,
+              const item_requirements& aNeed)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aEngines.begin(), aEngines.end(), [&](const auto& aEngine) {
+      return IsSuitable(aEngine, aNeed);
+    }));
+}
+
+bool
+HasRoom(const engine_view& aEngine, time_point aNow)
+{
+  return aEngine.mRunsLeft > 0 && Runs(aEngine) < aEngine.mSlots &&
+         aNow >= aEngine.mBlockedUntil;
+}
+
 double
 RelativeEventTime(const engine_view& aEngine)
 {
@@ -75,13 +136,16 @@
              const group_affinities& aAffinities,
              time_point aNow)
 {
+  // A server that ends takes the runs beside a suspect with it.
+  const bool isSuspect = aNeed.mSuspicion != suspicion::None;
   const auto key = [&](const engine_view& aEngine) {
     return std::tuple(Rank(aEngine, aNeed),
+                      isSuspect ? Runs(aEngine) : 0,
                       RelativeEventTime(aEngine),
                       aEngine.mIdleConnections > 0 ? 0 : 1,
                       aEngine.mTieBreak);
   };
-  std::tuple<int, double, int, std::uint64_t> bestKey;
+  std::tuple<int, int, double, int, std::uint64_t> bestKey;
   std::optional<std::size_t> best;
   std::optional<std::size_t> preferred;
   std::optional<std::size_t> avoided;
@@ -105,7 +169,7 @@
       best = i;
     }
   }
-  if (preferred && IsOn(mechanism::GroupHomes) &&
+  if (preferred && !isSuspect && IsOn(mechanism::GroupHomes) &&
       Rank(aEngines[*preferred], aNeed) == Rank(aEngines[*best], aNeed) &&
       RelativeEventTime(aEngines[*preferred]) <
         RelativeEventTime(aEngines[*best]) + (kAffinitySlack + 0.5) *
--- a/Duties/Batches/Schedule.h
+++ b/Duties/Batches/Schedule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/Batches/RunLedger.h"
 #include "Duties/Scheduling/MemoryFit.h"
 #include "Libraries/Core/Clock.h"
 
@@ -46,8 +47,19 @@
   std::int64_t mMemoryTokens = 0;
   /** Memory of the runs of this entry on the server. */
   std::vector<scheduling::run_memory> mRunMemory;
+  /** Runs of suspects of this entry on the server, without last runs. */
+  int mSuspects = 0;
+  int mLastRuns = 0;
 };
 
+/** Counts a suspect that is sent to the server. */
+void
+CountSuspect(engine_view& aEngine, suspicion aSuspicion);
+
+/** Whether the server takes one more run now. */
+bool
+HasRoom(const engine_view& aEngine, time_point aNow);
+
 /** What an item requires of a server. */
 struct item_requirements
 {
@@ -62,8 +74,17 @@
    */
   std::function<bool(const std::string& aZone)> mIsZoneAllowed;
   scheduling::run_memory mMemory;
+  suspicion mSuspicion = suspicion::None;
+  suspect_limits mSuspectLimits;
+  /** Servers that ended or may have ended under the item. */
+  std::vector<std::string> mLostServers;
 };
 
+/** Number of servers that may run the item, full ones included. */
+std::size_t
+CountSuitable(const std::vector<engine_view>& aEngines,
+              const item_requirements& aNeed);
+
 /** Maximum difference between the wall clocks of the entry that accepted a
  * batch and the entry that runs it: each may be off by two seconds, and a
  * batch's age is computed from both. Giving an item up early breaks the time
@@ -131,8 +152,8 @@
  * of the item's group if that is about as good. Of equal servers, one to which
  * a connection is open is chosen, since the run needn't wait for a new one,
  * then the first in this entry's own order. Servers whose memory the run would
- * exhaust are chosen only if no other has room. None if all servers are full.
- */
+ * exhaust are chosen only if no other has room, and so are servers where the
+ * run would meet an item that may end them. None if all servers are full. */
 std::optional<std::size_t>
 ChooseEngine(const std::vector<engine_view>& aEngines,
              const item_requirements& aNeed,
--- a/Duties/Site/ServerChecks.cpp
+++ b/Duties/Site/ServerChecks.cpp
@@ -25,6 +25,7 @@
   /** Those who know that the first answer was missing. */
   std::vector<fate_handler> mTold;
   int mRequests = 0;
+  bool mIsSilent = false;
   bool mIsAsking = false;
 };
 
@@ -61,6 +62,13 @@
   }
 }
 
+bool
+server_checks::IsSilent(const server_start& aStart) const
+{
+  const auto found = mChecks.find(aStart);
+  return found != mChecks.end() && found->second->mIsSilent;
+}
+
 void
 server_checks::Ask(const std::shared_ptr<check>& aCheck)
 {
@@ -78,7 +86,7 @@
   edge::FetchWhole(mClients,
                    mLoop,
                    *aCheck->mAddress,
-                   mProtocol.mIdentityRequest(),
+                   mProtocol.mIdentityRequest(aCheck->mStart),
                    options,
                    kAnswerTimeout,
                    kMaximumAnswerBytes,
@@ -95,7 +103,7 @@
 void
 server_checks::HandleReply(const std::shared_ptr<check>& aCheck,
                            std::vector<fate_handler> aAsked,
-                           const std::optional<server_start>& aReply)
+                           const std::optional<server_identity>& aReply)
 {
   auto fate = FateByReply(aCheck->mStart, aReply);
   if (fate == server_fate::Unknown) {
@@ -105,12 +113,13 @@
     .With("server", aCheck->mStart.mId)
     .With("started_at", aCheck->mStart.mStartedAt)
     .With("fate", ToString(fate))
-    .With("answered_as", aReply ? aReply->mId : "")
+    .With("answered_start", aReply ? aReply->mStartedAt : 0)
     .With("requests", static_cast<std::int64_t>(aCheck->mRequests))
     .With("runs",
           static_cast<std::int64_t>(aAsked.size() + aCheck->mTold.size()));
   mMetrics.Count("lavender_server_checks_total",
                  { { "fate", ToString(fate) } });
+  aCheck->mIsSilent = fate == server_fate::Unknown;
   auto told = std::move(aCheck->mTold);
   aCheck->mTold.clear();
   if (fate == server_fate::Unknown) {
--- a/Duties/Site/ServerChecks.h
+++ b/Duties/Site/ServerChecks.h
@@ -31,13 +31,17 @@
              const std::optional<edge::endpoint>& aAddress,
              fate_handler aDone);
 
+  /** Whether the server didn't answer the last check, so that nothing should be
+   * sent there before it answers. */
+  bool IsSilent(const server_start& aStart) const;
+
 private:
   struct check;
 
   void Ask(const std::shared_ptr<check>& aCheck);
   void HandleReply(const std::shared_ptr<check>& aCheck,
                    std::vector<fate_handler> aAsked,
-                   const std::optional<server_start>& aReply);
+                   const std::optional<server_identity>& aReply);
   void AskLater(const std::shared_ptr<check>& aCheck);
 
   boost::asio::io_context& mLoop;
--- a/Duties/Site/ServerFate.cpp
+++ b/Duties/Site/ServerFate.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 constexpr milliseconds kFirstCheckDelay{ 250 };
-constexpr int kMaximumDoublings = 3;
+constexpr int kMaximumDoublings = 2;
 
 /** Whether two known start times differ. */
 bool
@@ -39,14 +39,15 @@
 
 server_fate
 FateByReply(const server_start& aStart,
-            const std::optional<server_start>& aReply)
+            const std::optional<server_identity>& aReply)
 {
-  if (!aReply || aReply->mId.empty()) {
+  if (!aReply) {
     return server_fate::Unknown;
   }
-  const bool isSame =
-    aReply->mId == aStart.mId && !IsOtherStart(aStart, aReply->mStartedAt);
-  return isSame ? server_fate::Running : server_fate::Ended;
+  const bool isOther = aReply->mIsOther ||
+                       (!aReply->mId.empty() && aReply->mId != aStart.mId) ||
+                       IsOtherStart(aStart, aReply->mStartedAt);
+  return isOther ? server_fate::Ended : server_fate::Running;
 }
 
 server_fate
--- a/Duties/Site/ServerFate.h
+++ b/Duties/Site/ServerFate.h
@@ -43,11 +43,21 @@
 const char*
 ToString(server_fate aFate);
 
-/** What a server says of itself.
- * @param aReply none if no answer came or it names no server */
+/** What a server says of itself when it is asked for one of its starts. */
+struct server_identity
+{
+  /** It says that it isn't the server that was asked for. */
+  bool mIsOther = false;
+  /** Empty if it doesn't say. */
+  std::string mId;
+  /** 0 if it doesn't say. */
+  std::int64_t mStartedAt = 0;
+};
+
+/** @param aReply none if no answer came */
 server_fate
 FateByReply(const server_start& aStart,
-            const std::optional<server_start>& aReply);
+            const std::optional<server_identity>& aReply);
 
 /** What the directory shows. Never Running: a record outlives its server, and
  * longer while the store is away. */
--- a/Duties/Site/ServerProtocol.h
+++ b/Duties/Site/ServerProtocol.h
@@ -70,10 +70,10 @@
   /** Returns the version of the weights in a line of an event, if there is
    * one. */
   std::function<std::optional<std::int64_t>(std::string_view)> mReadVersionLine;
-  /** Returns the request that asks a server which start it is. */
-  std::function<edge::request()> mIdentityRequest;
-  /** Returns which start of a server answered; none if it doesn't say. */
-  std::function<std::optional<server_start>(const edge::response&)>
+  /** Returns the request that asks whether a server is this start. */
+  std::function<edge::request(const server_start&)> mIdentityRequest;
+  /** None if the response isn't a server's answer to that request. */
+  std::function<std::optional<server_identity>(const edge::response&)>
     mReadIdentity;
 };
 
--- a/Duties/Site/TestServerFate.cpp
+++ b/Duties/Site/TestServerFate.cpp
@@ -27,19 +27,34 @@
 // whose connection broke answers as the same start.
 BOOST_AUTO_TEST_CASE(AServerThatAnswersAsBeforeHasNotEnded)
 {
-  BOOST_TEST((FateByReply(kStart, kStart) == server_fate::Running));
-  BOOST_TEST(
-    (FateByReply(kStart, server_start{ "s1", 0 }) == server_fate::Running));
+  BOOST_TEST((FateByReply(kStart, server_identity{ false, "s1", 100 }) ==
+              server_fate::Running));
+  BOOST_TEST((FateByReply(kStart, server_identity{ false, "s1", 0 }) ==
+              server_fate::Running));
+  BOOST_TEST((FateByReply(kStart, server_identity{ false, "", 100 }) ==
+              server_fate::Running));
+}
+
+// Guards against runs that count for ever because a server tells neither its id
+// nor its start: it was asked for by its id, and doesn't say that it is
+// another.
+BOOST_AUTO_TEST_CASE(AServerThatTellsNothingOfItselfLives)
+{
+  BOOST_TEST((FateByReply(kStart, server_identity{}) == server_fate::Running));
+  BOOST_TEST((FateByReply(kStart, server_identity{ true, "", 0 }) ==
+              server_fate::Ended));
 }
 
 // Guards against an end that is missed because the server is back at once, with
 // its old id or another one.
 BOOST_AUTO_TEST_CASE(AServerThatStartedAgainHasEnded)
 {
-  BOOST_TEST(
-    (FateByReply(kStart, server_start{ "s1", 101 }) == server_fate::Ended));
-  BOOST_TEST(
-    (FateByReply(kStart, server_start{ "s2", 100 }) == server_fate::Ended));
+  BOOST_TEST((FateByReply(kStart, server_identity{ false, "s1", 101 }) ==
+              server_fate::Ended));
+  BOOST_TEST((FateByReply(kStart, server_identity{ false, "s2", 100 }) ==
+              server_fate::Ended));
+  BOOST_TEST((FateByReply(kStart, server_identity{ false, "", 101 }) ==
+              server_fate::Ended));
   BOOST_TEST((FateByDirectory(kStart, DirectoryWith({ "s1", 101 })) ==
               server_fate::Ended));
 }
@@ -49,7 +64,6 @@
 BOOST_AUTO_TEST_CASE(SilenceAndAnOldRecordShowNothing)
 {
   BOOST_TEST((FateByReply(kStart, std::nullopt) == server_fate::Unknown));
-  BOOST_TEST((FateByReply(kStart, server_start{}) == server_fate::Unknown));
   BOOST_TEST(
     (FateByDirectory(kStart, DirectoryWith(kStart)) == server_fate::Unknown));
   BOOST_TEST((FateByDirectory(kStart, {}) == server_fate::Unknown));
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -129,6 +129,7 @@
         [this](const std::string& aBatchId, batches::item_result aResult) {
           mBatches.AddResult(aBatchId, std::move(aResult));
         },
+        [this](const std::string& aBatchId) { mBatches.StoreRuns(aBatchId); },
         mSettings.mName })
   , mBatches({ mLoop,
                mStore,
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -113,6 +113,7 @@
               [this](const auto& aBatchId, auto aResult) {
                 mService.AddResult(aBatchId, std::move(aResult));
               },
+              [this](const auto& aBatchId) { mService.StoreRuns(aBatchId); },
               aName })
   , mService(
       { aSite.mLoop.mLoop,
@@ -250,10 +251,18 @@
 
 call_result
 batch_entry::Submit(const std::string& aBatchId, int aItems)
+{
+  return SubmitItems(aBatchId, aBatchId, aItems);
+}
+
+call_result
+batch_entry::SubmitItems(const std::string& aBatchId,
+                         const std::string& aItemsOf,
+                         int aItems)
 {
   json::array items;
   for (int i = 0; i < aItems; ++i) {
-    const auto id = aBatchId + "i" + std::to_string(i);
+    const auto id = aItemsOf + "i" + std::to_string(i);
     json::value item = json::object{ { "id", id },
                                      { "path", "/r/x" },
                                      { "headers", json::object{} },
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -67,6 +67,10 @@
 
   unsigned short Port() const { return mListener.Port(); }
   call_result Submit(const std::string& aBatchId, int aItems);
+  /** Submits a batch whose items are named after another one. */
+  call_result SubmitItems(const std::string& aBatchId,
+                          const std::string& aItemsOf,
+                          int aItems);
   /** Returns the page of results that follow a position. */
   json::value Read(const std::string& aBatchId, std::size_t aAfter);
   /** Starts a read and ignores its response. */
--- a/Tests/Site/Support/ModelServer.cpp
+++ b/Tests/Site/Support/ModelServer.cpp
@@ -54,9 +54,7 @@
                   { "seq", mAcceptedOrders },
                   { "running", mOpenRuns },
                   { "waiting", 0 } };
-  edge::response answer{ 200, {}, json::Write(report) };
-  answer.mHeaders.Add("X-Instance-Id", mId);
-  aExchange->Answer(std::move(answer));
+  aExchange->Answer({ 200, {}, json::Write(report) });
 }
 
 void
@@ -94,6 +92,10 @@
     aExchange->Abort();
     return;
   }
+  if (request.mHeaders.ValueOr("X-Expect-Instance", mId) != mId) {
+    aExchange->Answer({ 421, {}, {} });
+    return;
+  }
   if (request.mTarget == "/report") {
     ServeReport(aExchange);
     return;
--- a/Tests/Site/TestBatchPositions.cpp
+++ b/Tests/Site/TestBatchPositions.cpp
@@ -118,6 +118,7 @@
                                          { R"({"id":")" + aItem +
                                            R"(","state":"completed"})" },
                                          {},
+                                         {},
                                          {} };
       standin::PutDirectly(site.mState,
                            batches::kBatchResultsKind,
--- a/Tests/Site/TestEndedServers.cpp
+++ b/Tests/Site/TestEndedServers.cpp
@@ -92,6 +92,29 @@
   BOOST_TEST(servers.EndsUnder(kMarked) == kMaximumEnds);
 }
 
+// Guards against a count that ends with its batch: a trainer submits the items
+// of an incomplete group again, under the same ids.
+BOOST_AUTO_TEST_CASE(AnItemThatIsSubmittedAgainKeepsItsCount)
+{
+  batch_site site;
+  ending_pool servers(site, 9, MarkOne);
+  batch_entry entry(site, "a");
+  batch_entry other(site, "b");
+  constexpr int kItems = 8;
+  entry.SubmitItems("b1", "b1", kItems);
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return entry.ListedIds("b1").size() == kItems - 1; }));
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return servers.Ended() == kMaximumEnds; }));
+  Watch(site, kWatchTime);
+  BOOST_TEST(entry.End("b1") == 200u);
+  other.SubmitItems("b2", "b1", kItems);
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return other.ListedIds("b2").size() == kItems - 1; }));
+  Watch(site, kWatchTime);
+  BOOST_TEST(servers.Ended() == kMaximumEnds);
+}
+
 // Guards against repeats without limit when servers end in series for another
 // reason than the items that they run.
 BOOST_AUTO_TEST_CASE(NoItemMeetsMoreThanThreeEndsInASeries)
