Rewards: servers that ended under a reward call count against its item

A reward call whose connection broke was sent again without limit, and the tried servers were forgotten once all had been tried: a call that ends its servers ended all of them. The servers of its attempts now count like those of the item's runs: checked, stored before the next attempt, three at most. A call under which a server may have ended gets no second copy. An attempt of a suspect call isn't stored before it is sent, unlike a run: an owner killed while such a call ends a server loses that one count.

--- a/Duties/Batches/BatchLedgers.cpp
+++ b/Duties/Batches/BatchLedgers.cpp
@@ -35,7 +35,13 @@
 bool
 batch_runner::MayBeSent(const item_progress& aItem)
 {
-  return aItem.mPhase == item_phase::Waiting && aItem.mAwaited.empty() &&
+  return aItem.mPhase == item_phase::Waiting && IsCountSettled(aItem);
+}
+
+bool
+batch_runner::IsCountSettled(const item_progress& aItem)
+{
+  return aItem.mAwaited.empty() &&
          SuspicionOf(aItem.mLedger) != suspicion::Barred &&
          IsCountStored(aItem.mLedger);
 }
@@ -126,11 +132,13 @@
 }
 
 void
-batch_runner::CountBrokenRun(running_batch& aBatch, std::size_t aIndex)
+batch_runner::CountCutOff(running_batch& aBatch,
+                          std::size_t aIndex,
+                          const site::server_start& aServer,
+                          const edge::endpoint& aAddress)
 {
-  auto& item = aBatch.mItems[aIndex];
-  RecordFate(item.mLedger, ServerOf(item), run_fate::Open);
-  CheckServer(aBatch, aIndex, ServerOf(item), item.mServerAddress);
+  RecordFate(aBatch.mItems[aIndex].mLedger, aServer, run_fate::Open);
+  CheckServer(aBatch, aIndex, aServer, aAddress);
 }
 
 void
@@ -217,6 +225,7 @@
     mDependencies.mStoreRuns(aBatchId);
   }
   Dispatch();
+  mDependencies.mRewards.Retry();
 }
 
 void
@@ -308,6 +317,7 @@
   StartReservedRuns(batch);
   CheckOpenRuns(batch);
   Dispatch();
+  mDependencies.mRewards.Retry();
 }
 
 } // namespace lavender::batches
--- a/Duties/Batches/BatchRewards.cpp
+++ b/Duties/Batches/BatchRewards.cpp
@@ -29,6 +29,22 @@
   request.mPriority = [this, ref, dueAt = now - age + limits.mResultsDueAfter] {
     return rewards::reward_priority{ dueAt, OpenItemsInGroup(ref) };
   };
+  request.mMaySend = [this, ref] {
+    const auto* scored = Find(ref);
+    return scored && IsCountSettled(*scored);
+  };
+  request.mMayHedge = [this, ref] {
+    const auto* scored = Find(ref);
+    return scored && scored->mLedger.empty();
+  };
+  request.mOnCutOff = [this, ref](const site::backend_server& aServer) {
+    if (Find(ref)) {
+      CountCutOff(mBatches.at(ref.mBatchId),
+                  ref.mIndex,
+                  site::StartOf(aServer),
+                  aServer.mAddress);
+    }
+  };
   request.mOnEnd = [this, ref](std::optional<std::string> aScore) {
     HandleScore(ref, std::move(aScore));
   };
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -60,6 +60,7 @@
   /** Start time of that server when the run was sent. */
   std::int64_t mServerStartedAt = 0;
   edge::endpoint mServerAddress;
+  /** Servers that ended or may have ended under its runs and reward calls. */
   run_ledger mLedger;
   /** How suspect the item was when its current run was sent. */
   suspicion mSuspicion = suspicion::None;
@@ -320,6 +321,9 @@
   /** Whether nothing that is known or being found out keeps the item from a
    * run. */
   static bool MayBeSent(const item_progress& aItem);
+  /** Whether it is known and stored how many servers ended under the item, and
+   * one more may run it. */
+  static bool IsCountSettled(const item_progress& aItem);
   static suspicion CurrentSuspicion(const item_progress& aItem);
   /** Fills in the suspects that run on the servers. */
   suspect_counts AddSuspects(std::vector<engine_view>& aEngines) const;
@@ -329,8 +333,12 @@
                   const engine_view& aEngine,
                   const site::route& aRoute);
   void StartReservedRuns(running_batch& aBatch);
-  /** Counts the server of a run that broke off until it is known to live. */
-  void CountBrokenRun(running_batch& aBatch, std::size_t aIndex);
+  /** Counts the server of a run or reward call that was cut off until it is
+   * known to live. */
+  void CountCutOff(running_batch& aBatch,
+                   std::size_t aIndex,
+                   const site::server_start& aServer,
+                   const edge::endpoint& aAddress);
   void CheckServer(running_batch& aBatch,
                    std::size_t aIndex,
                    const site::server_start& aServer,
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -209,7 +209,7 @@
   const bool isCutOff = aEnd != edge::call_end::Complete &&
                         aEnd != edge::call_end::NotSent && !aRun->mIsStale;
   if (isCutOff) {
-    CountBrokenRun(batch, aRef.mIndex);
+    CountCutOff(batch, aRef.mIndex, ServerOf(*item), item->mServerAddress);
   } else if (aEnd == edge::call_end::NotSent) {
     CheckUnreachable(*item);
   }
--- a/Duties/Rewards/RewardCall.h
+++ b/Duties/Rewards/RewardCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/Site/ServerDirectory.h"
 #include "Libraries/Core/Clock.h"
 
 #include <functional>
@@ -50,6 +51,13 @@
   /** Time from which on the item may be given up. */
   time_point mGiveUpAt;
   std::function<reward_priority()> mPriority;
+  /** Whether an attempt may be sent now; false while it isn't known whether
+   * earlier servers ended under the call, or if too many have. */
+  std::function<bool()> mMaySend;
+  /** Whether two servers may process the call at a time. */
+  std::function<bool()> mMayHedge;
+  /** Called when the connection to a server broke or the server was silent. */
+  std::function<void(const site::backend_server&)> mOnCutOff;
   /** Called once with the score, or with none if the service has failed the
    * call as often as its route allows. Not called after a cancellation. */
   std::function<void(std::optional<std::string>)> mOnEnd;
--- a/Duties/Rewards/RewardCaller.cpp
+++ b/Duties/Rewards/RewardCaller.cpp
@@ -119,7 +119,7 @@
   const auto now = boot_clock::now();
   std::vector<std::pair<reward_priority, call_ptr>> waiting;
   for (const auto& [number, held] : mCalls) {
-    if (!held->mOpenAttempts.empty()) {
+    if (!held->mOpenAttempts.empty() || !held->mRequest.mMaySend()) {
       continue;
     }
     if (held->mNotBefore > now) {
@@ -312,6 +312,9 @@
                : kind == response_kind::Rejected ? routing::evidence::Neutral
                                                  : routing::evidence::Failure);
   LogResponse(*aCall, *aAttempt, kind, aEnd);
+  if (aEnd != edge::call_end::Complete && aEnd != edge::call_end::NotSent) {
+    aCall->mRequest.mOnCutOff(aAttempt->mPick.mServer);
+  }
   if (kind == response_kind::Rejected) {
     RecordRejection(mBudget);
   }
@@ -401,7 +404,7 @@
   }
   if (now >= aCall->mHedgeAt) {
     aCall->mHedgeAt = time_point::max();
-    if (ConsumeHedge(mBudget) && Send(aCall)) {
+    if (aCall->mRequest.mMayHedge() && ConsumeHedge(mBudget) && Send(aCall)) {
       mDependencies.mMetrics.Count("lavender_reward_hedges_total", {});
       return;
     }
--- a/Duties/Rewards/RewardCaller.h
+++ b/Duties/Rewards/RewardCaller.h
@@ -39,6 +39,8 @@
   /** Cancels the call, including its requests to servers. Does nothing if the
    * call has ended. */
   void Cancel(std::uint64_t aNumber);
+  /** Sends the calls that may be sent again. */
+  void Retry() { ScheduleDispatch(milliseconds(0)); }
   /** Number of calls that haven't ended, including those not sent yet. */
   std::size_t Open() const { return mCalls.size(); }
 
--- a/Tests/Site/Support/PlainServer.h
+++ b/Tests/Site/Support/PlainServer.h
@@ -13,6 +13,10 @@
     : mListener(aLoop.mLoop,
                 std::make_shared<edge::listener_limits>(),
                 [this](const edge::exchange_ptr& aExchange) {
+                  if (aExchange->mRequest.mTarget == "/report") {
+                    aExchange->Answer(TurnAway(aExchange));
+                    return;
+                  }
                   ++mRequests;
                   mLast = aExchange;
                   aExchange->OnCallerLeft([this] { ++mCallersLeft; });
--- a/Tests/Site/TestRewards.cpp
+++ b/Tests/Site/TestRewards.cpp
@@ -1,6 +1,7 @@
 #include "Tests/Site/Support/BatchEntry.h"
 
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <set>
 
 using namespace lavender;
@@ -295,4 +296,46 @@
   BOOST_TEST(CountScored(site.Results(entry, "b1", 1)) == 1);
 }
 
+// Guards against a reward call that ends one server after the other: it is sent
+// to three at most, and the other items are scored.
+BOOST_AUTO_TEST_CASE(ARewardCallThatEndsItsServersIsSentToThree)
+{
+  reward_site site;
+  std::vector<std::unique_ptr<plain_server>> servers;
+  const auto addServer = [&] {
+    const auto id = "r" + std::to_string(servers.size() + 1);
+    servers.push_back(std::make_unique<plain_server>(site.mLoop));
+    site.Add(*servers.back(), id);
+  };
+  int ended = 0;
+  const auto prepare = [&](std::size_t aIndex) {
+    auto& server = *servers[aIndex];
+    server.mServe = [&, aIndex](const edge::exchange_ptr& aExchange) {
+      const auto call =
+        aExchange->mRequest.mHeaders.ValueOr("X-Attempt-Id", "");
+      if (call != "rb1i1") {
+        aExchange->Answer(plain_server::Answer(aExchange, 200));
+        return;
+      }
+      ++ended;
+      servers[aIndex]->mListener.StopAccepting();
+      site::ApplyRemoval(
+        site.mDirectory, "r" + std::to_string(aIndex + 1), boot_clock::now());
+      site.mRouter.SyncServers(boot_clock::now());
+      aExchange->Abort();
+    };
+  };
+  constexpr std::size_t kServers = 6;
+  for (std::size_t i = 0; i < kServers; ++i) {
+    addServer();
+    prepare(i);
+  }
+  batch_entry entry(site, "a");
+  entry.Submit("b1", 4);
+  BOOST_TEST(CountScored(site.Results(entry, "b1", 3)) == 3);
+  site.mLoop.RunUntil([] { return false; }, 2s);
+  BOOST_TEST(ended == 3);
+  BOOST_TEST(entry.ListedIds("b1").size() == 3u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
