Moves: a run whose server is silent counts before it goes elsewhere

A run that moved to a faster server was cancelled without asking whether its own server still lives: a marked item ended a server behind a silent link and was moved on uncounted. Such a run is now cut off like one that timed out, if its server sent nothing for half a second; other moves ask nothing.

--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -212,13 +212,13 @@
 void
 batch_service::Claim(const batch_ptr& aBatch, std::function<void(bool)> aDone)
 {
+  auto claimed = aBatch->mMetadata;
+  claimed.mOwner = mDependencies.mName;
   mDependencies.mStore.mReplaceStatus(
     kBatchMetadataKind,
     aBatch->mMetadata.mId,
     aBatch->mMetadata.mRevision,
-    EncodeMetadataStatus(mDependencies.mName,
-                         aBatch->mMetadata.mIsEnded,
-                         aBatch->mMetadata.mCountedRuns),
+    EncodeMetadataStatus(claimed),
     [this, aBatch, done = std::move(aDone)](
       const objects::object_reply& aResponse) {
       if (aResponse.mOutcome == store_outcome::Done ||
@@ -324,12 +324,14 @@
     aExchange->Answer({ 200, {}, {} });
     return;
   }
+  auto ended = aBatch->mMetadata;
+  ended.mOwner = mDependencies.mName;
+  ended.mIsEnded = true;
   mDependencies.mStore.mReplaceStatus(
     kBatchMetadataKind,
     aBatch->mMetadata.mId,
     aBatch->mMetadata.mRevision,
-    EncodeMetadataStatus(
-      mDependencies.mName, true, aBatch->mMetadata.mCountedRuns),
+    EncodeMetadataStatus(ended),
     [this, aExchange, aBatch, aTriesLeft](
       const objects::object_reply& aResponse) {
       if (aResponse.mOutcome == store_outcome::Done ||
--- a/Duties/Batches/BatchMoves.cpp
+++ b/Duties/Batches/BatchMoves.cpp
@@ -14,6 +14,8 @@
 /** An estimate is renewed when the item has grown by this many events, or by an
  * eighth. */
 constexpr int kEstimateStep = 4;
+/** Servers that live send an event, or the first one, within this time. */
+constexpr milliseconds kUsualSilence{ 500 };
 /** Time of an event while no server's speed is known. */
 constexpr scheduling::event_time kAssumedEventTime{ 50 };
 
@@ -255,6 +257,13 @@
        ChooseMoves(aEngines, runs, UsualEventTime(), aMinimumEvents, aNow)) {
     auto& [batch, index] = items[move.mRun];
     auto& item = batch->mItems[index];
+    if (aNow - item.mLastEventAt > kUsualSilence) {
+      // The server may have ended without a word; the item is sent elsewhere
+      // once that is counted.
+      StopRun(item);
+      CountCutOff(*batch, index, ServerOf(item), item.mServerAddress);
+      continue;
+    }
     events::line("item_moved")
       .With("request", item.mItem->mId)
       .With("batch", batch->mMetadata.mId)
--- a/Duties/Batches/BatchOwners.cpp
+++ b/Duties/Batches/BatchOwners.cpp
@@ -233,12 +233,13 @@
 void
 batch_service::AssignOwner(const batch_ptr& aBatch, const std::string& aOwner)
 {
+  auto given = aBatch->mMetadata;
+  given.mOwner = aOwner;
   mDependencies.mStore.mReplaceStatus(
     kBatchMetadataKind,
     aBatch->mMetadata.mId,
     aBatch->mMetadata.mRevision,
-    EncodeMetadataStatus(
-      aOwner, aBatch->mMetadata.mIsEnded, aBatch->mMetadata.mCountedRuns),
+    EncodeMetadataStatus(given),
     [this](const objects::object_reply& aResponse) {
       if (const auto metadata = DecodeMetadata(aResponse.mObject)) {
         ApplyMetadata(*metadata);
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -260,15 +260,13 @@
 }
 
 std::string
-EncodeMetadataStatus(const std::string& aOwner,
-                     bool aIsEnded,
-                     const std::vector<item_run>& aCountedRuns)
+EncodeMetadataStatus(const batch_metadata& aMetadata)
 {
-  json::value status =
-    json::object{ { "owner", aOwner }, { "ended", aIsEnded } };
-  if (!aCountedRuns.empty()) {
+  json::value status = json::object{ { "owner", aMetadata.mOwner },
+                                     { "ended", aMetadata.mIsEnded } };
+  if (!aMetadata.mCountedRuns.empty()) {
     json::array runs;
-    for (const auto& run : aCountedRuns) {
+    for (const auto& run : aMetadata.mCountedRuns) {
       runs.push_back(EncodeRun(run.mItemId, run.mServer, run.mFate));
     }
     status.Set("countedRuns", std::move(runs));
--- a/Duties/Batches/Records.h
+++ b/Duties/Batches/Records.h
@@ -15,9 +15,7 @@
 /** Encodes the part of the metadata that changes after the batch was accepted.
  */
 std::string
-EncodeMetadataStatus(const std::string& aOwner,
-                     bool aIsEnded,
-                     const std::vector<item_run>& aCountedRuns);
+EncodeMetadataStatus(const batch_metadata& aMetadata);
 
 std::optional<batch_metadata>
 DecodeMetadata(const objects::stored_object& aObject);
--- a/Tests/Site/Support/ModelServer.cpp
+++ b/Tests/Site/Support/ModelServer.cpp
@@ -1,5 +1,6 @@
 #include "Tests/Site/Support/ModelServer.h"
 
+#include "Libraries/Edge/RunAfter.h"
 #include "Libraries/Json/Value.h"
 
 #include <utility>
@@ -163,7 +164,11 @@
 model_server::End()
 {
   mHasEnded = true;
-  mListener.StopAccepting();
+  if (mRestartsAfter > milliseconds(0)) {
+    edge::RunAfter(mLoop, mRestartsAfter, [this] { StartAgain(); });
+  } else {
+    mListener.StopAccepting();
+  }
   for (const auto& weak : std::exchange(mStarted, {})) {
     const auto open = weak.lock();
     if (open && open->mIsOpen) {
@@ -179,6 +184,16 @@
   }
 }
 
+void
+model_server::StartAgain()
+{
+  mHasEnded = false;
+  ++mStartedAt;
+  mAcceptedOrders = 0;
+  mIsLoading = false;
+  mLoadTimer.cancel();
+}
+
 void
 model_server::WriteNext(const std::shared_ptr<run>& aRun)
 {
@@ -186,7 +201,7 @@
     return;
   }
   const auto sent = aRun->mNext - 1 - mAfterEvents[aRun->mItem].back();
-  if (mEndsUnder.count(aRun->mItem) > 0 && sent >= mEndsAfter) {
+  if (mEndsUnder && sent >= mEndsAfter && mEndsUnder(aRun->mItem)) {
     End();
     return;
   }
--- a/Tests/Site/Support/ModelServer.h
+++ b/Tests/Site/Support/ModelServer.h
@@ -36,13 +36,15 @@
   /** The first run of each item resets its connection after this many events;
    * 0 for never. */
   int mBreakAfter = 0;
-  /** Items under which the server ends: it breaks all runs off and refuses new
-   * connections. */
-  std::set<std::string> mEndsUnder;
+  /** Whether the server ends under an item; null for none. */
+  std::function<bool(const std::string&)> mEndsUnder;
   /** Number of events that a run of such an item sends before. */
   int mEndsAfter = 1;
   /** Called when the server has ended. */
   std::function<void()> mOnEnd;
+  /** Time after which the server starts again, under the id that it had; 0 for
+   * never. */
+  milliseconds mRestartsAfter{ 0 };
   /** Number of first runs of each item whose connection is reset after one
    * event. */
   int mResets = 0;
@@ -67,10 +69,10 @@
   int mSlots = 64;
   std::int64_t mStartedAt = 0;
 
-  /** Ends the server as a crash does. */
+  /** Ends the server as a crash does: all its connections break. */
   void End();
   bool HasEnded() const { return mHasEnded; }
-  /** Items whose runs broke off when the server ended. */
+  /** Items whose runs broke off when the server ended, of all its ends. */
   const std::vector<std::string>& ItemsAtEnd() const { return mItemsAtEnd; }
 
 private:
@@ -81,6 +83,7 @@
   void ServeOrder(const edge::exchange_ptr& aExchange);
   void AddLoad(edge::header_list& aHeaders) const;
   void WriteNext(const std::shared_ptr<run>& aRun);
+  void StartAgain();
 
   boost::asio::io_context& mLoop;
   const std::string mId;
--- a/Tests/Site/TestEndedServers.cpp
+++ b/Tests/Site/TestEndedServers.cpp
@@ -20,7 +20,7 @@
 {
   aServer.mEvents = 40;
   aServer.mEventPause = 5ms;
-  aServer.mEndsUnder = { kMarked };
+  aServer.mEndsUnder = [](const auto& aItem) { return aItem == kMarked; };
 }
 
 /** Stops an entry as a kill does: its runs break off, and nothing of it is
@@ -92,6 +92,29 @@
   BOOST_TEST(servers.EndsUnder(kMarked) == kMaximumEnds);
 }
 
+// Guards against an end that is forgotten because its owner can't store it: the
+// owner is cut off from the store, loses a server and is killed.
+BOOST_AUTO_TEST_CASE(AnEndThatItsOwnerCouldNotStoreCounts)
+{
+  batch_site site;
+  ending_pool servers(site, 9, MarkOne);
+  batch_entry first(site, "a");
+  batch_entry second(site, "b");
+  site.mWeights["b"] = 0;
+  constexpr int kItems = 8;
+  first.Submit("b1", kItems);
+  first.mCanReachStore = false;
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return servers.EndsUnder(kMarked) == 1; }));
+  Kill(first, "b1");
+  site.mPeers.erase("a");
+  site.mWeights["b"] = 1;
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return second.ListedIds("b1").size() == kItems - 1; }));
+  Watch(site, kWatchTime);
+  BOOST_TEST(servers.EndsUnder(kMarked) == kMaximumEnds);
+}
+
 // Guards against a count that ends with its batch: a trainer submits the items
 // of an incomplete group again, under the same ids.
 BOOST_AUTO_TEST_CASE(AnItemThatIsSubmittedAgainKeepsItsCount)
