Soak: servers that end, also under a marked request

A request ends each server that runs it, and servers end for no reason of theirs, in a series with seeds of its own. The soak checks that no item was sent on after three servers had ended under it, one more for each owner that its batch lost; results of such items aren't awaited. The model server of the tests can start again under its id.

--- a/Tests/Soak/Clients.cpp
+++ b/Tests/Soak/Clients.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/** An item isn't sent again after so many servers have ended under it. */
+constexpr int kMaximumEnds = 3;
+
 constexpr milliseconds kTimeout{ 2500 };
 constexpr int kMaximumTries = 8;
 /** Maximum number of batches that aren't ended at a time, by trainer. */
@@ -314,8 +317,37 @@
     }
     ++position;
   }
-  aBatch->mIsEnded =
-    static_cast<int>(aBatch->mResults.size()) == aBatch->mItems;
+  aBatch->mIsEnded = static_cast<int>(aBatch->mResults.size()) >=
+                     aBatch->mItems - BarredItems(*aBatch);
+}
+
+int
+soak_clients::BarredItems(const submitted_batch& aBatch) const
+{
+  int barred = 0;
+  for (int i = 0; i < aBatch.mItems; ++i) {
+    const auto id = aBatch.mId + "i" + std::to_string(i);
+    barred += mSite.EndsUnder(id) >= kMaximumEnds ? 1 : 0;
+  }
+  return barred;
+}
+
+void
+soak_clients::CheckEndedServers()
+{
+  std::set<std::string> items;
+  for (const auto& agent : mSite.mAgents) {
+    items.insert(agent->mServer->ItemsAtEnd().begin(),
+                 agent->mServer->ItemsAtEnd().end());
+  }
+  for (const auto& item : items) {
+    const int ends = mSite.EndsUnder(item);
+    const auto batch = item.substr(0, item.rfind('i'));
+    // An owner that is lost before it could store an end takes it along.
+    if (ends > kMaximumEnds + mSite.mLostOwners[batch]) {
+      AddFinding(std::to_string(ends) + " servers ended under item " + item);
+    }
+  }
 }
 
 void
--- a/Tests/Soak/Clients.h
+++ b/Tests/Soak/Clients.h
@@ -40,6 +40,9 @@
   void Step(bool aMaySubmit);
   /** Whether every accepted batch has been read completely. */
   bool AreBatchesComplete() const;
+  /** Checks that no item was sent on after too many servers had ended under it.
+   */
+  void CheckEndedServers();
   /** Requests the newest route from each entry that hasn't served it yet. */
   void RequestNewestRoute();
   /** Entries that haven't served the newest route. */
@@ -49,6 +52,10 @@
   std::string Summary() const;
 
 private:
+  /** Number of items of which no result is owed, since servers ended under
+   * them.
+   */
+  int BarredItems(const submitted_batch& aBatch) const;
   /** Generator of what the trainer draws. */
   std::mt19937_64& RandomOf(int aTrainer);
   entry_instance& AnyEntry(std::mt19937_64& aRandom);
--- a/Tests/Soak/Site.cpp
+++ b/Tests/Soak/Site.cpp
@@ -1,5 +1,8 @@
 #include "Tests/Soak/Site.h"
 
+#include "Duties/Batches/Records.h"
+
+#include <algorithm>
 #include <csignal>
 #include <unistd.h>
 
@@ -9,6 +12,9 @@
 
 namespace {
 
+/** Time until a model server that ended is back. */
+constexpr milliseconds kRestartTime{ 400 };
+
 /** Returns a free port outside the system's ephemeral range: a port of that
  * range could be given to another program before the entry that is to listen on
  * it has started. Each soak process starts its search at another port. */
@@ -130,6 +136,15 @@
     agent->mServer->mEventsOf = EventsOf;
     agent->mServer->mEventPause = EventPauseOf(i);
     agent->mServer->mToldSlowdown = kUsualSpeed;
+    agent->mServer->mStartedAt = 1;
+    agent->mServer->mRestartsAfter = kRestartTime;
+    agent->mServer->mEndsUnder = [this](const std::string& aItem) {
+      if (mMarksNext) {
+        mMarksNext = false;
+        mMarkedItems.insert(aItem);
+      }
+      return mMarkedItems.count(aItem) > 0;
+    };
     agent->mServerLink =
       std::make_unique<fault_proxy>(aLoop, agent->mServer->Port());
     mAgents.push_back(std::move(agent));
@@ -138,6 +153,39 @@
   WriteServers();
 }
 
+void
+soak_site::NoteOwners()
+{
+  for (const auto& [id, object] : mState.mKinds[batches::kBatchMetadataKind]) {
+    const auto metadata = batches::DecodeMetadata(object);
+    if (!metadata) {
+      continue;
+    }
+    auto& owner = mOwners[id];
+    mLostOwners[id] += !owner.empty() && owner != metadata->mOwner ? 1 : 0;
+    owner = metadata->mOwner;
+  }
+}
+
+void
+soak_site::NoteLostEntry(const std::string& aName)
+{
+  for (const auto& [id, owner] : mOwners) {
+    mLostOwners[id] += owner == aName ? 1 : 0;
+  }
+}
+
+int
+soak_site::EndsUnder(const std::string& aItem) const
+{
+  int ends = 0;
+  for (const auto& agent : mAgents) {
+    const auto& items = agent->mServer->ItemsAtEnd();
+    ends += static_cast<int>(std::count(items.begin(), items.end(), aItem));
+  }
+  return ends;
+}
+
 std::string
 soak_site::NewestPath() const
 {
@@ -188,7 +236,8 @@
       "servers",
       agent->mServer->Id(),
       R"({"service":"models","address":")" + Local(agent->mServerLink->Port()) +
-        R"(","zone":"zone","slots":8,"state":"ready","models":[)" +
+        R"(","zone":"zone","slots":8,"state":"ready","born":)" +
+        std::to_string(agent->mServer->mStartedAt) + R"(,"models":[)" +
         R"({"name":"model","version":)" + version + "}]}");
   }
   const auto putPlain = [this](const std::string& aId,
@@ -281,6 +330,7 @@
 soak_site::RestartEnded()
 {
   WriteServers();
+  NoteOwners();
   for (auto& entry : mEntries) {
     if (entry->mProcess.HasEnded()) {
       const int ending = entry->mProcess.ExitStatus();
@@ -288,6 +338,7 @@
         mFindings.push_back(entry->mName + " ended unexpectedly with status " +
                             std::to_string(ending));
       }
+      NoteLostEntry(entry->mName);
       StartEntry(*entry);
     }
   }
@@ -326,6 +377,7 @@
   mState.mFault = standin::store_fault::None;
   mPlain.mLostResponseShare = 0;
   mRewards.mFaultShare = 0;
+  mMarksNext = false;
   for (auto& entry : mEntries) {
     entry->mStoreLink->SetFault(link_fault::None);
     entry->mProcess.Signal(SIGCONT);
--- a/Tests/Soak/Site.h
+++ b/Tests/Soak/Site.h
@@ -84,6 +84,13 @@
   return ~aSeed;
 }
 
+/** Seed of a third generator. */
+constexpr std::uint64_t
+ThirdSeed(std::uint64_t aSeed)
+{
+  return aSeed ^ 0x9e3779b97f4a7c15U;
+}
+
 struct site_options
 {
   int mEntries = 3;
@@ -105,6 +112,10 @@
   void RestartEnded();
   void PublishVersion();
   void ChangeConfiguration();
+  /** Looks for batches that changed their owner. */
+  void NoteOwners();
+  /** Number of times that a model server ended while it ran the item. */
+  int EndsUnder(const std::string& aItem) const;
   /** Path of a route that only the newest configuration has. */
   std::string NewestPath() const;
   /** Clears every fault. */
@@ -123,12 +134,22 @@
   /** Reports by window; each distinct content once. */
   std::map<std::int64_t, std::set<std::string>> mReports;
   std::vector<std::string> mFindings;
+  /** Items that end each server that runs them. */
+  std::set<std::string> mMarkedItems;
+  /** Times that a batch lost its owner, who may have known of an end that
+   * wasn't stored yet. */
+  std::map<std::string, int> mLostOwners;
+  /** Whether the next item that runs is marked. */
+  bool mMarksNext = false;
 
 private:
   void ServeReports(const edge::exchange_ptr& aExchange);
   void WriteConfiguration();
   void WriteServers();
+  /** Notes that the entry has lost what it knew of its batches. */
+  void NoteLostEntry(const std::string& aName);
 
+  std::map<std::string, std::string> mOwners;
   edge::listener mReportListener;
 };
 
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -116,6 +116,27 @@
   };
 }
 
+/** Servers that end. The marked request is sent to one server after the other
+ * unless its owners count. */
+std::vector<fault_action>
+EndFaults()
+{
+  const auto nothing = [](soak_site&) {};
+  return {
+    { "a request ends its servers",
+      [](soak_site& aSite, std::mt19937_64&) { aSite.mMarksNext = true; },
+      nothing },
+    { "model server ends",
+      [](soak_site& aSite, std::mt19937_64& aRandom) {
+        auto& server = *Pick(aSite.mAgents, aRandom).mServer;
+        if (!server.HasEnded()) {
+          server.End();
+        }
+      },
+      nothing },
+  };
+}
+
 /** Faults of which the choice by a seed is to remain; a fault of another kind
  * gets a list of its own. */
 std::vector<fault_action>
@@ -255,6 +276,9 @@
   fault_series speeds{
     SpeedFaults(), std::mt19937_64(SecondSeed(aSeed)), 1000ms, 4000ms
   };
+  fault_series ends{
+    EndFaults(), std::mt19937_64(ThirdSeed(aSeed)), 2000ms, 5000ms
+  };
   const auto end = boot_clock::now() + aTime;
   while (boot_clock::now() < end && !gIsInterrupted) {
     RunLoop(aSite.mLoop, 60ms);
@@ -262,6 +286,7 @@
     aClients.Step(true);
     Advance(others, aSite);
     Advance(speeds, aSite);
+    Advance(ends, aSite);
   }
 }
 
@@ -320,6 +345,7 @@
       "an accepted batch isn't complete after the faults");
   }
   clients.CheckRuns();
+  clients.CheckEndedServers();
   std::cout << clients.Summary() << "\n";
   for (const auto& finding : site.mFindings) {
     std::cout << "FINDING seed " << aSeed << ": " << finding << "\n";
