Batches: a whole text doesn't clear the servers that ended under an item

An item with a whole text comes again when its group was incomplete. A request that ends some of its servers only would evade the count in the same way. The count stays with the item until its servers are known to live; the end of the batch hands it on.

--- a/Duties/Batches/BatchLedgers.cpp
+++ b/Duties/Batches/BatchLedgers.cpp
@@ -209,8 +209,7 @@
     item.mChecked.erase(aServer);
   }
   const bool isThereAgain = IsAtServer(item) && ServerOf(item) == aServer;
-  if (item.mPhase == item_phase::Ended || isThereAgain ||
-      item.mLedger.count(aServer) == 0) {
+  if (isThereAgain || item.mLedger.count(aServer) == 0) {
     return;
   }
   if (aFate == site::server_fate::Running) {
@@ -221,6 +220,9 @@
     }
     LogCountedRun(found->second, item, aServer, aFate);
   }
+  if (item.mPhase == item_phase::Ended) {
+    return;
+  }
   if (!IsCountStored(item.mLedger)) {
     mDependencies.mStoreRuns(aBatchId);
   }
@@ -309,8 +311,7 @@
   }
   auto& batch = found->second;
   for (const auto& record : aRecords) {
-    if (record.mItem < batch.mItems.size() &&
-        batch.mItems[record.mItem].mPhase != item_phase::Ended) {
+    if (record.mItem < batch.mItems.size()) {
       ApplyStored(batch.mItems[record.mItem].mLedger, record);
     }
   }
--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -188,7 +188,6 @@
 {
   if (aItem.mPhase != item_phase::Ended) {
     aItem.mPhase = item_phase::Ended;
-    aItem.mLedger.clear();
     RecordResult(aBatch.mGroups, aItem.mItem->mGroup);
   }
 }
--- a/Tests/Site/TestEndedServers.cpp
+++ b/Tests/Site/TestEndedServers.cpp
@@ -138,6 +138,32 @@
   BOOST_TEST(servers.Ended() == kMaximumEnds);
 }
 
+// Guards against a request that ends some of its servers: its whole text from
+// one of them doesn't make it harmless in a later batch.
+BOOST_AUTO_TEST_CASE(AWholeTextDoesntForgetTheServersThatEnded)
+{
+  batch_site site;
+  int endsLeft = kMaximumEnds - 1;
+  ending_pool servers(site, 9, [&](model_server& aServer) {
+    MarkOne(aServer);
+    aServer.mEndsUnder = [&](const auto& aItem) {
+      return aItem == kMarked && endsLeft-- > 0;
+    };
+  });
+  batch_entry entry(site, "a");
+  constexpr int kItems = 8;
+  entry.SubmitItems("b1", "b1", kItems);
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return entry.ListedIds("b1").size() == kItems; }));
+  BOOST_TEST(entry.End("b1") == 200u);
+  endsLeft = kMaximumEnds;
+  entry.SubmitItems("b2", "b1", kItems);
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return entry.ListedIds("b2").size() == kItems - 1; }));
+  Watch(site, kWatchTime);
+  BOOST_TEST(servers.EndsUnder(kMarked) == kMaximumEnds);
+}
+
 // Guards against repeats without limit when servers end in series for another
 // reason than the items that they run.
 BOOST_AUTO_TEST_CASE(NoItemMeetsMoreThanThreeEndsInASeries)
