--- a/Tests/Soak/Clients.cpp
+++ b/Tests/Soak/Clients.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/Names.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace lavender::soak {
@@ -324,12 +325,11 @@
 int
 soak_clients::BarredItems(const submitted_batch& aBatch) const
 {
-  int barred = 0;
-  for (int i = 0; i < aBatch.mItems; ++i) {
-    const auto id = aBatch.mId + "i" + std::to_string(i);
-    barred += mSite.EndsUnder(id) >= kMaximumEnds ? 1 : 0;
-  }
-  return barred;
+  const auto ledgers = mSite.StoredLedgers(aBatch.mId);
+  return static_cast<int>(
+    std::count_if(ledgers.begin(), ledgers.end(), [](const auto& aLedger) {
+      return SuspicionOf(aLedger.second) == batches::suspicion::Barred;
+    }));
 }
 
 void
@@ -348,6 +348,16 @@
       AddFinding(std::to_string(ends) + " servers ended under item " + item);
     }
   }
+  for (const auto& batch : mBatches) {
+    for (const auto& [item, ledger] : mSite.StoredLedgers(batch->mId)) {
+      for (const auto& [server, run] : ledger) {
+        if (run.mFate == batches::run_fate::Ended && !mSite.HasEnded(server)) {
+          AddFinding("batch " + batch->mId + " counts an end of " + server.mId +
+                     ", which lives");
+        }
+      }
+    }
+  }
 }
 
 void
--- a/Tests/Soak/Site.cpp
+++ b/Tests/Soak/Site.cpp
@@ -175,6 +175,40 @@
   }
 }
 
+std::map<std::size_t, batches::run_ledger>
+soak_site::StoredLedgers(const std::string& aBatchId) const
+{
+  std::map<std::size_t, batches::run_ledger> ledgers;
+  const auto blocks = mState.mKinds.find(batches::kBatchResultsKind);
+  if (blocks == mState.mKinds.end()) {
+    return ledgers;
+  }
+  const auto prefix = aBatchId + ".";
+  for (auto block = blocks->second.lower_bound(prefix);
+       block != blocks->second.end() &&
+       block->first.compare(0, prefix.size(), prefix) == 0;
+       ++block) {
+    if (const auto decoded = batches::DecodeBlock(block->second)) {
+      for (const auto& run : decoded->mRuns) {
+        ApplyStored(ledgers[run.mItem], run);
+      }
+    }
+  }
+  return ledgers;
+}
+
+bool
+soak_site::HasEnded(const site::server_start& aServer) const
+{
+  for (const auto& agent : mAgents) {
+    const auto& server = *agent->mServer;
+    if (server.Id() == aServer.mId) {
+      return server.HasEnded() || server.mStartedAt > aServer.mStartedAt;
+    }
+  }
+  return false;
+}
+
 int
 soak_site::EndsUnder(const std::string& aItem) const
 {
--- a/Tests/Soak/Site.h
+++ b/Tests/Soak/Site.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Duties/Batches/Records.h"
 #include "Libraries/Edge/Caller.h"
 #include "StandIns/ObjectStore/StoreListener.h"
 #include "Tests/Site/Support/ModelServer.h"
@@ -114,6 +115,11 @@
   void ChangeConfiguration();
   /** Looks for batches that changed their owner. */
   void NoteOwners();
+  /** Runs that the store holds for the items of a batch, by their index. */
+  std::map<std::size_t, batches::run_ledger> StoredLedgers(
+    const std::string& aBatchId) const;
+  /** Whether that start of a model server is over. */
+  bool HasEnded(const site::server_start& aServer) const;
   /** Number of times that a model server ended while it ran the item. */
   int EndsUnder(const std::string& aItem) const;
   /** Path of a route that only the newest configuration has. */
