--- a/Duties/Batches/TestRecords.cpp
+++ b/Duties/Batches/TestRecords.cpp
@@ -132,4 +132,34 @@
   BOOST_TEST(read.mItems.back().mPromptTokens == 0);
 }
 
+// Guards against a count of ended servers that the next owner, or a later
+// batch, can't read back.
+BOOST_AUTO_TEST_CASE(CountedRunsAreReadBack)
+{
+  result_block block;
+  block.mRuns = { { 3, { "s1", 77 }, run_fate::Open },
+                  { 4, { "s2", 78 }, run_fate::Survived },
+                  { 5, { "s3", 79 }, run_fate::Ended } };
+  objects::stored_object stored;
+  stored.mSpec = *json::Parse(EncodeBlock(block));
+  const auto decoded = DecodeBlock(stored);
+  BOOST_REQUIRE(decoded);
+  BOOST_REQUIRE_EQUAL(decoded->mRuns.size(), block.mRuns.size());
+  for (std::size_t i = 0; i < block.mRuns.size(); ++i) {
+    BOOST_TEST(decoded->mRuns[i].mItem == block.mRuns[i].mItem);
+    BOOST_TEST((decoded->mRuns[i].mServer == block.mRuns[i].mServer));
+    BOOST_TEST((decoded->mRuns[i].mFate == block.mRuns[i].mFate));
+  }
+  batch_metadata ended;
+  ended.mIsEnded = true;
+  ended.mCountedRuns = { { "item", { "s1", 77 }, run_fate::Ended } };
+  stored.mSpec = *json::Parse(EncodeMetadata(ended));
+  stored.mStatus = *json::Parse(EncodeMetadataStatus(ended));
+  const auto metadata = DecodeMetadata(stored);
+  BOOST_REQUIRE(metadata);
+  BOOST_REQUIRE_EQUAL(metadata->mCountedRuns.size(), 1u);
+  BOOST_TEST(metadata->mCountedRuns.front().mItemId == "item");
+  BOOST_TEST((metadata->mCountedRuns.front().mFate == run_fate::Ended));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Duties/Batches/TestSchedule.cpp
+++ b/Duties/Batches/TestSchedule.cpp
@@ -176,4 +176,45 @@
   BOOST_TEST(!ChooseEngine({ far }, need, {}, kNow));
 }
 
+// Guards against suspects that end together with the one that is to blame: they
+// are kept from a server with its share of them, and go where fewest run.
+BOOST_AUTO_TEST_CASE(SuspectsAreSpread)
+{
+  auto full = Engine("full", 0);
+  full.mSuspects = 2;
+  item_requirements need;
+  need.mPools = { "pool" };
+  need.mSuspicion = suspicion::Suspect;
+  need.mSuspectLimits = { 2, 1 };
+  const auto choose = [&](const std::vector<engine_view>& aEngines) {
+    const auto chosen = ChooseEngine(aEngines, need, {}, kNow);
+    return chosen ? aEngines[*chosen].mId : "none";
+  };
+  auto fast = Engine("fast", 2);
+  fast.mRelativeTime = 0.5;
+  BOOST_TEST(choose({ full }) == "none");
+  BOOST_TEST(choose({ full, fast, Engine("idle", 1) }) == "idle");
+  need.mSuspicion = suspicion::LastRun;
+  BOOST_TEST(choose({ full, Engine("other", 5) }) == "other");
+  BOOST_TEST(choose({ full }) == "full");
+}
+
+// Guards against sound items that end with one on its last run, and against a
+// second run on a server that may have ended under the item.
+BOOST_AUTO_TEST_CASE(ALastRunIsLeftAloneWhileOthersHaveRoom)
+{
+  auto suspected = Engine("suspected", 0);
+  suspected.mLastRuns = 1;
+  BOOST_TEST(Choose({ suspected, Engine("busy", 7) }) == "busy");
+  BOOST_TEST(Choose({ suspected, Engine("full", 8) }) == "suspected");
+  item_requirements need;
+  need.mPools = { "pool" };
+  need.mSuspicion = suspicion::LastRun;
+  need.mSuspectLimits = { 1, 1 };
+  BOOST_TEST(!ChooseEngine({ suspected }, need, {}, kNow));
+  need.mLostServers = { "lost" };
+  BOOST_TEST(!ChooseEngine({ Engine("lost", 0) }, need, {}, kNow));
+  BOOST_TEST(CountSuitable({ Engine("lost", 0), suspected }, need) == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
