Batches: a repeated end keeps the servers that ended under its items

Found by reading: when the first write of a batch's end met a conflict, the stored metadata replaced the counts that were to go with it, and the runner had already forgotten the batch, so the repeated write lost them and a later batch with the same items began at zero. The counts go into the repeat now. TestEndedServers and TestBatchOwners pass but for the known red case; no test makes the conflict happen.

--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -332,7 +332,7 @@
     aBatch->mMetadata.mId,
     aBatch->mMetadata.mRevision,
     EncodeMetadataStatus(ended),
-    [this, aExchange, aBatch, aTriesLeft](
+    [this, aExchange, aBatch, aTriesLeft, runs = ended.mCountedRuns](
       const objects::object_reply& aResponse) {
       if (aResponse.mOutcome == store_outcome::Done ||
           aResponse.mOutcome == store_outcome::Conflict) {
@@ -340,6 +340,11 @@
           ApplyMetadata(*metadata);
         }
       }
+      if (aBatch->mMetadata.mCountedRuns.empty()) {
+        // After a conflict the metadata lacks them, and the runner has
+        // forgotten the batch.
+        aBatch->mMetadata.mCountedRuns = runs;
+      }
       if (aBatch->mMetadata.mIsEnded) {
         events::line("batch_ended").With("batch", aBatch->mMetadata.mId);
         aExchange->Answer({ 200, {}, {} });
