--- a/review/scene/Scene.cpp
+++ b/review/scene/Scene.cpp
@@ -53,13 +53,16 @@
 }
 
 edge::request
-TenantRequest(const char* aMethod, const std::string& aTarget)
+TenantRequest(const char* aMethod,
+              const std::string& aTarget,
+              const char* aTenant)
 {
   edge::request request;
   request.mMethod = aMethod;
   request.mTarget = aTarget;
   request.mHeaders.Add("Host", kHost);
-  request.mHeaders.Add("Authorization", std::string("Token ") + kKey);
+  request.mHeaders.Add("Authorization",
+                       "Token " + std::string(aTenant) + "-key");
   return request;
 }
 
@@ -497,6 +500,11 @@
 void
 scene::WriteConfiguration()
 {
+  std::string tenants;
+  for (const std::string name : kTenants) {
+    tenants += (tenants.empty() ? "" : ",") + (R"({"name":")" + name) +
+               R"(","apiKeys":[")" + name + R"(-key"]})";
+  }
   standin::PutDirectly(mStoreState,
                        "config",
                        "main",
@@ -520,7 +528,8 @@
        "protocol":"h1","tls":false}],
      "limits":{"maxHeaderBytes":16384,"maxBodyBytes":33554432,
       "headerTimeoutMs":3000,"idleTimeoutMs":15000},
-     "tenants":[{"name":"kaje80","apiKeys":["i9n73hh2b9wu3fexd9dn"]}]})");
+     "tenants":[)" + tenants +
+                         "]}");
 }
 
 /** Writes each server's entry, as the servers do at each heartbeat. */
@@ -692,7 +701,8 @@
 scene::Submit(const entry_program& aEntry,
               const std::string& aBatch,
               int aTargetGroups,
-              const std::vector<submitted_item>& aItems)
+              const std::vector<submitted_item>& aItems,
+              const char* aTenant)
 {
   json::array items;
   for (const auto& item : aItems) {
@@ -707,7 +717,7 @@
       { "tokens", 940 },
       { "group", item.mGroup } });
   }
-  auto request = TenantRequest("POST", kBatchPath + aBatch);
+  auto request = TenantRequest("POST", kBatchPath + aBatch, aTenant);
   request.mHeaders.Add("X-Attempt-Id", aBatch);
   request.mHeaders.Add("Content-Type", "application/json");
   request.mBody = json::Write(json::object{ { "step", 0 },
@@ -724,19 +734,22 @@
 answer
 scene::Read(const entry_program& aEntry,
             const std::string& aBatch,
-            std::size_t aAfter)
+            std::size_t aAfter,
+            const char* aTenant)
 {
   auto request = TenantRequest(
-    "GET", "/lots/" + aBatch + "?after=" + std::to_string(aAfter));
+    "GET", "/lots/" + aBatch + "?after=" + std::to_string(aAfter), aTenant);
   request.mHeaders.Add("X-Wait-Ms", "500");
   return Send(aEntry.mCallers, request, milliseconds(2500));
 }
 
 answer
-scene::End(const entry_program& aEntry, const std::string& aBatch)
+scene::End(const entry_program& aEntry,
+           const std::string& aBatch,
+           const char* aTenant)
 {
   const auto result = Send(aEntry.mCallers,
-                           TenantRequest("DELETE", "/lots/" + aBatch),
+                           TenantRequest("DELETE", "/lots/" + aBatch, aTenant),
                            milliseconds(6000));
   mRecord.Line("end of batch " + aBatch + " sent to " + aEntry.mName + ": " +
                ToString(result));
@@ -746,7 +759,8 @@
 answer
 scene::SendSafe(const entry_program& aEntry, const std::string& aId)
 {
-  auto request = TenantRequest("POST", std::string(kSafePath) + "2f");
+  auto request =
+    TenantRequest("POST", std::string(kSafePath) + "2f", kTenants[0]);
   request.mHeaders.Add("X-Attempt-Id", aId);
   request.mBody = "minutes to summarise";
   return Send(aEntry.mCallers, request, milliseconds(800));
--- a/review/scene/Scene.h
+++ b/review/scene/Scene.h
@@ -24,7 +24,9 @@
 constexpr milliseconds kHeartbeat{ 1200 };
 
 constexpr char kHost[] = "train.example";
-constexpr char kKey[] = "i9n73hh2b9wu3fexd9dn";
+/** Tenants; the key of each is its name and "-key". */
+constexpr const char* kTenants[] = { "kaje80", "vopu11", "ruso42", "tilo07",
+                                     "mena55", "fiba93", "wodu18", "zeki64" };
 constexpr char kModel[] = "minutes";
 
 /** Writes what was sent, answered and run, with the seconds since the start. */
@@ -194,12 +196,16 @@
   answer Submit(const entry_program& aEntry,
                 const std::string& aBatch,
                 int aTargetGroups,
-                const std::vector<submitted_item>& aItems);
+                const std::vector<submitted_item>& aItems,
+                const char* aTenant = kTenants[0]);
   /** Reads results from a position, as trainers do. */
   answer Read(const entry_program& aEntry,
               const std::string& aBatch,
-              std::size_t aAfter);
-  answer End(const entry_program& aEntry, const std::string& aBatch);
+              std::size_t aAfter,
+              const char* aTenant = kTenants[0]);
+  answer End(const entry_program& aEntry,
+             const std::string& aBatch,
+             const char* aTenant = kTenants[0]);
   answer SendSafe(const entry_program& aEntry, const std::string& aId);
 
   /** Name of the entry that the store holds as a batch's owner. */
