Review: the stand-ins without what no case uses

Cause: the model server kept what the case on answers of 500 needed. Change: that part goes; a header without a value no longer ends the stand-in.

--- a/review/scene/Scene.cpp
+++ b/review/scene/Scene.cpp
@@ -3,6 +3,7 @@
 #include "Libraries/Edge/RunAfter.h"
 #include "Libraries/Json/Value.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <cstdlib>
@@ -185,11 +186,11 @@
   std::getline(head, line);
   std::istringstream(line) >> request.mMethod >> request.mTarget;
   while (std::getline(head, line)) {
+    line.erase(line.find_last_not_of('\r') + 1);
     const auto colon = line.find(':');
-    const auto end = line.find_last_not_of('\r') + 1;
-    const auto start = line.find_first_not_of(' ', colon + 1);
-    request.mHeaders.Add(line.substr(0, colon),
-                         line.substr(start, end - start));
+    const auto start =
+      std::min(line.find_first_not_of(' ', colon + 1), line.size());
+    request.mHeaders.Add(line.substr(0, colon), line.substr(start));
   }
   const auto bodyBytes = static_cast<std::size_t>(
     request.mHeaders.Integer("Content-Length").value_or(0));
@@ -282,17 +283,12 @@
   mRecord.Line(mId + " begins item " + item + " after event " +
                std::to_string(after));
   ++mRunning;
-  auto& history = mItems[item];
-  history.mRuns.push_back({ boot_clock::now(), history.mFailures });
+  mItems[item].mRuns.push_back(boot_clock::now());
   const auto started = std::make_shared<run>();
   started->mChannel = aChannel;
   started->mItem = item;
   started->mNext = static_cast<int>(after) + 1;
   aChannel->mRun = started;
-  if (mFailingItems.count(item) > 0) {
-    edge::RunAfter(mLoop, mFailureTime, [this, started] { Fail(started); });
-    return;
-  }
   started->mResponse =
     "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + item + "\r\nX-Instance-Id: " + mId +
     "\r\nContent-Type: text/event-stream" +
@@ -328,7 +324,6 @@
 model_server::Finish(const std::shared_ptr<run>& aRun)
 {
   const std::string end = "0\r\n\r\n";
-  mItems[aRun->mItem].mIsFinished = true;
   ++mAnswers;
   if (mExtraInterval > 0 && mAnswers % mExtraInterval == 0) {
     aRun->mChannel->mExtra = aRun->mResponse + end;
@@ -337,19 +332,6 @@
   EndRun(aRun, "finished");
 }
 
-void
-model_server::Fail(const std::shared_ptr<run>& aRun)
-{
-  if (!aRun->mIsOpen) {
-    return;
-  }
-  ++mItems[aRun->mItem].mFailures;
-  edge::response failure{ 500, {}, {} };
-  failure.mHeaders.Add("X-Attempt-Id", aRun->mItem);
-  Respond(aRun->mChannel, failure);
-  EndRun(aRun, "answered 500");
-}
-
 void
 model_server::EndRun(const std::shared_ptr<run>& aRun, const char* aOutcome)
 {
--- a/review/scene/Scene.h
+++ b/review/scene/Scene.h
@@ -9,7 +9,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdio>
 #include <optional>
-#include <set>
 
 /** A small deployment on loopback addresses: the project's own programs as
  * separate processes, and stand-ins of the platform, the servers and the
@@ -45,20 +44,11 @@
   const time_point mStart = boot_clock::now();
 };
 
-/** One arrival of an item at a server that began to work on it. */
-struct item_run
-{
-  time_point mAt;
-  /** Answers of 500 that the item had got by then, from all servers. */
-  int mFailuresBefore = 0;
-};
-
 /** What the servers saw of one item. */
 struct item_history
 {
-  std::vector<item_run> mRuns;
-  int mFailures = 0;
-  bool mIsFinished = false;
+  /** Arrivals at a server that began to work on it. */
+  std::vector<time_point> mRuns;
 };
 
 /** A model server, as the pages describe it: streams an item's events, answers
@@ -80,10 +70,6 @@
   /** Number of events of an item. */
   std::function<int(const std::string&)> mEventsOf;
   milliseconds mEventTime{ 50 };
-  /** Items that this server answers with 500. */
-  std::set<std::string> mFailingItems;
-  /** How long it works on such an item. */
-  milliseconds mFailureTime{ 300 };
   /** Each so many answers to items one is sent once more, late: on its channel,
    * before the answer to the next request. 0 for never. */
   int mExtraInterval = 0;
@@ -101,7 +87,6 @@
   void StartRun(const channel_ptr& aChannel, const edge::request& aRequest);
   void WriteNext(const std::shared_ptr<run>& aRun);
   void Finish(const std::shared_ptr<run>& aRun);
-  void Fail(const std::shared_ptr<run>& aRun);
   void EndRun(const std::shared_ptr<run>& aRun, const char* aOutcome);
   /** Sends a whole response; the channel is then free for the next request. */
   void Respond(const channel_ptr& aChannel, const edge::response& aResponse);
