Review: no folder but those of the cases

Cause: review/ held two more folders, one with the code that the cases share and one with the built programs; a case is review/1, review/2 or review/3.

Change: the shared code stands in review/1, and each program is built beside its case's script. The code is the same but for the path of an include.

--- a/review/1/Scenario.cpp
+++ b/review/1/Scenario.cpp
@@ -1,5 +1,5 @@
 #include "Libraries/Edge/RunAfter.h"
-#include "review/scene/Scene.h"
+#include "review/1/Scene.h"
 
 #include <csignal>
 
--- a/review/scene/Scene.cpp
+++ b/review/1/Scene.cpp
@@ -1,4 +1,4 @@
-#include "review/scene/Scene.h"
+#include "review/1/Scene.h"
 
 #include "Libraries/Edge/RunAfter.h"
 #include "Libraries/Json/Value.h"
