Batches: a run whose response bears another id is logged with what it added

Callers saw results that hold another item's text. Three hypotheses: the events of a foreign response are added before its id is compared; a text read back from the store is another item's; a channel is kept with bytes of an earlier answer unread. The line names the response's id and the number of events the run added.

One item's own answer, left unread behind an extra one, became the text of the next item on that channel.

--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -41,6 +41,8 @@
   event_stream mStream;
   std::int64_t mVersion = 0;
   bool mHasEvents = false;
+  /** Number of events that the run added to its item's text. */
+  std::int64_t mAddedEvents = 0;
   bool mIsStale = false;
   bool mIsBroken = false;
 };
@@ -180,6 +182,7 @@
   aRun->mHasEvents = true;
   item->mLastEventAt = now;
   AddEvent(item->mGenerated, *aEvent.mId, aEvent.mData, aRun->mVersion);
+  ++aRun->mAddedEvents;
   if (!item->mUnsavedSince) {
     item->mUnsavedSince = now;
   }
@@ -219,6 +222,15 @@
   const bool isFailure = !aRun->mFacts.mIsNotExecuted && !aRun->mIsStale &&
                          (aEnd != edge::call_end::Complete || status >= 500);
   RecordRunEnd(*item, isFailure);
+  if (isForeign) {
+    events::line("item_response_foreign")
+      .With("request", item->mItem->mId)
+      .With("server", item->mServer)
+      .With("response_id", aRun->mFacts.mAttemptId)
+      .With("status", static_cast<std::int64_t>(status))
+      .With("events_added", aRun->mAddedEvents)
+      .With("after_event", item->mGenerated.mLastEvent.value_or(-1));
+  }
   const char* outcome = "again";
   if (aEnd == edge::call_end::Complete && status == 200 && !isForeign &&
       !aRun->mIsStale && !aRun->mIsBroken && item->mGenerated.mLastEvent) {
