Servers' responses: whose a response is is decided before anything of it is used

Callers saw results that hold another item's text, a part of it or all, also another tenant's: a server sends an answer a second time, late, where the answer to the next request on that channel is expected.

Cause: each path compared the response's id by itself and at another moment. The runner of batches did so at the end of the run alone: by then the events of the foreign response stood in the item's text, its load, slowdown, version and times between events were recorded, and its 422, 500 or 'not executed' counted for the item, whatever the id. A channel was kept after a foreign answer, so that the own answer, unread, became that of the next item. Reward calls recorded the foreign load; forwarded requests accepted a response without an id, though servers echo it in each.

Change: one module without network decides from both ids (ResponseOwner), one function sends requests that bear an id (CallServer), and the connection asks before it reports a head. A foreign response is logged and counted, ends the call as Foreign, and closes the channel; no byte of it goes further. The checks of each path are gone; two tests that set them say Foreign in their place. The model server of the tests echoes the id in its 421 too.

--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Batches/BatchRunner.h"
 
+#include "Duties/Site/ServerCall.h"
 #include "Libraries/Core/Base64.h"
 #include "Libraries/Core/Mechanisms.h"
 #include "Libraries/EventLog/EventLog.h"
@@ -36,13 +37,11 @@
 /** State of the response to one run. */
 struct batch_runner::run_state
 {
-  edge::response mHead;
+  unsigned mStatus = 0;
   site::response_metadata mFacts;
   event_stream mStream;
   std::int64_t mVersion = 0;
   bool mHasEvents = false;
-  /** Number of events that the run added to its item's text. */
-  std::int64_t mAddedEvents = 0;
   bool mIsStale = false;
   bool mIsBroken = false;
 };
@@ -103,10 +102,10 @@
   edge::call_options options;
   options.mConnectTimeout = kConnectTimeout;
   options.mSilenceTimeout = kRunIdleTimeout;
-  edge::call_events events;
-  events.mOnHead = [this, ref, run](const edge::response& aHead) {
-    run->mHead = aHead;
-    run->mFacts = mDependencies.mProtocol.mReadResponseMetadata(aHead);
+  site::server_call_events events;
+  events.mOnHead = [this, ref, run](const auto& aHead, const auto& aMetadata) {
+    run->mStatus = aHead.mStatus;
+    run->mFacts = aMetadata;
     run->mVersion = run->mFacts.mVersion.value_or(0);
     if (const auto* item = Find(ref); item && run->mFacts.mLoad) {
       const auto now = boot_clock::now();
@@ -117,7 +116,7 @@
     }
   };
   events.mOnBody = [this, ref, run](std::string_view aChunk) {
-    if (run->mHead.mStatus != 200 || run->mIsStale || run->mIsBroken) {
+    if (run->mStatus != 200 || run->mIsStale || run->mIsBroken) {
       return;
     }
     ParseChunk(
@@ -139,9 +138,11 @@
     .With("events_left", static_cast<std::int64_t>(left.mMean))
     .With("expected_ms", static_cast<std::int64_t>(expected.count()))
     .With("after_event", item.mGenerated.mLastEvent.value_or(-1));
-  item.mCall = mDependencies.mClients.Start(
+  item.mCall = site::CallServer(
+    { mDependencies.mClients, mDependencies.mProtocol, mDependencies.mMetrics },
     server->second.mServer.mAddress,
-    mDependencies.mProtocol.mAddress(request, attempt),
+    request,
+    attempt,
     options,
     std::move(events));
 }
@@ -182,7 +183,6 @@
   aRun->mHasEvents = true;
   item->mLastEventAt = now;
   AddEvent(item->mGenerated, *aEvent.mId, aEvent.mData, aRun->mVersion);
-  ++aRun->mAddedEvents;
   if (!item->mUnsavedSince) {
     item->mUnsavedSince = now;
   }
@@ -206,9 +206,7 @@
   EndProbe(item->mServer, item->mRunNumber);
   item->mRunNumber = 0;
   --mRunsByServer[item->mServer];
-  const auto status = aRun->mHead.mStatus;
-  const bool isForeign =
-    status != 0 && aRun->mFacts.mAttemptId != item->mItem->mId;
+  const auto status = aRun->mStatus;
   const bool isCutOff = aEnd != edge::call_end::Complete &&
                         aEnd != edge::call_end::NotSent && !aRun->mIsStale;
   if (isCutOff) {
@@ -222,18 +220,9 @@
   const bool isFailure = !aRun->mFacts.mIsNotExecuted && !aRun->mIsStale &&
                          (aEnd != edge::call_end::Complete || status >= 500);
   RecordRunEnd(*item, isFailure);
-  if (isForeign) {
-    events::line("item_response_foreign")
-      .With("request", item->mItem->mId)
-      .With("server", item->mServer)
-      .With("response_id", aRun->mFacts.mAttemptId)
-      .With("status", static_cast<std::int64_t>(status))
-      .With("events_added", aRun->mAddedEvents)
-      .With("after_event", item->mGenerated.mLastEvent.value_or(-1));
-  }
   const char* outcome = "again";
-  if (aEnd == edge::call_end::Complete && status == 200 && !isForeign &&
-      !aRun->mIsStale && !aRun->mIsBroken && item->mGenerated.mLastEvent) {
+  if (aEnd == edge::call_end::Complete && status == 200 && !aRun->mIsStale &&
+      !aRun->mIsBroken && item->mGenerated.mLastEvent) {
     if (route && route->mIsSingleVersion &&
         item->mGenerated.mVersions.size() > 1) {
       Restart(item->mGenerated);
@@ -274,7 +263,8 @@
     }
   } else {
     item->mAvoidedServer = item->mServer;
-    if (aEnd != edge::call_end::Complete) {
+    // A server that answers another request still answers.
+    if (aEnd != edge::call_end::Complete && aEnd != edge::call_end::Foreign) {
       BlockServer(item->mServer, kFailureDelay);
     }
   }
--- a/Duties/Forwarding/AttemptOutcome.cpp
+++ b/Duties/Forwarding/AttemptOutcome.cpp
@@ -23,7 +23,7 @@
   if (aEnd.mEnd == edge::call_end::NotSent) {
     return execution::NotRun;
   }
-  if (aEnd.mEnd != edge::call_end::Complete || aEnd.mIsMismatched) {
+  if (aEnd.mEnd != edge::call_end::Complete) {
     return execution::Unknown;
   }
   return aEnd.mIsNotExecuted ? execution::NotRun : execution::Ran;
--- a/Duties/Forwarding/AttemptOutcome.h
+++ b/Duties/Forwarding/AttemptOutcome.h
@@ -34,8 +34,6 @@
   edge::call_end mEnd = edge::call_end::Complete;
   unsigned mStatus = 0;
   bool mIsNotExecuted = false;
-  /** The response carries the id of another attempt. */
-  bool mIsMismatched = false;
 };
 
 /** What a request has left after an attempt. */
--- a/Duties/Forwarding/ForwardedRequest.cpp
+++ b/Duties/Forwarding/ForwardedRequest.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Forwarding/ForwardedRequest.h"
 
+#include "Duties/Site/ServerCall.h"
 #include "Libraries/EventLog/EventLog.h"
 
 namespace lavender::forwarding {
@@ -127,7 +128,6 @@
   mTriedServers.push_back(aSelected.mServer.mId);
   mResponse.reset();
   mFacts = {};
-  mIsMismatched = false;
   mSentAt = boot_clock::now();
   mIsAttemptOpen = true;
   auto& parts = mForwarder.mDependencies;
@@ -142,8 +142,10 @@
   options.mSilenceTimeout = TimeLeft() + 1s;
   options.mMayReuse = mRoute->mRetryPolicy == site::retry_policy::Idempotent;
   const auto self = shared_from_this();
-  edge::call_events events;
-  events.mOnHead = [self](const auto& aHead) { self->HandleHead(aHead); };
+  site::server_call_events events;
+  events.mOnHead = [self](const auto& aHead, const auto& aMetadata) {
+    self->HandleHead(aHead, aMetadata);
+  };
   events.mOnBody = [self](auto aPiece) { self->HandleBody(aPiece); };
   events.mOnEnd = [self](auto aEnd) { self->HandleEnd(aEnd); };
   events::line("sent")
@@ -153,11 +155,12 @@
     .With("attempt", static_cast<std::int64_t>(mTriedServers.size()))
     .With("time_left_ms", attempt.mTimeLeft);
   ArmAttemptTimer();
-  mCall =
-    parts.mClients.Start(aSelected.mServer.mAddress,
-                         parts.mProtocol.mAddress(mExchange->mRequest, attempt),
-                         options,
-                         std::move(events));
+  mCall = site::CallServer({ parts.mClients, parts.mProtocol, parts.mMetrics },
+                           aSelected.mServer.mAddress,
+                           mExchange->mRequest,
+                           attempt,
+                           options,
+                           std::move(events));
 }
 
 void
@@ -182,17 +185,11 @@
 }
 
 void
-forwarded_request::HandleHead(const edge::response& aHead)
+forwarded_request::HandleHead(const edge::response& aHead,
+                              const site::response_metadata& aMetadata)
 {
-  mFacts = mForwarder.mDependencies.mProtocol.mReadResponseMetadata(aHead);
+  mFacts = aMetadata;
   mResponse = aHead;
-  mIsMismatched = !mFacts.mAttemptId.empty() && !mCaller.mAttemptId.empty() &&
-                  mFacts.mAttemptId != mCaller.mAttemptId;
-  if (mIsMismatched) {
-    mCall.Cancel();
-    HandleEnd(edge::call_end::Malformed);
-    return;
-  }
   if (mFacts.mLoad) {
     mForwarder.mDependencies.mRouter.RecordLoad(
       mSelected, *mFacts.mLoad, boot_clock::now());
@@ -241,7 +238,6 @@
   end.mEnd = aEnd;
   end.mStatus = mResponse ? mResponse->mStatus : 0;
   end.mIsNotExecuted = mResponse && mFacts.mIsNotExecuted;
-  end.mIsMismatched = mIsMismatched;
   const auto execution = ExecutionOf(end);
   EndAttempt(aEnd != edge::call_end::Complete || end.mStatus >= 500
                ? (end.mIsNotExecuted ? routing::evidence::Neutral
--- a/Duties/Forwarding/ForwardedRequest.h
+++ b/Duties/Forwarding/ForwardedRequest.h
@@ -24,7 +24,8 @@
   attempt_budget CurrentBudget() const;
   void TryNext();
   void Send(const selected_server& aSelected);
-  void HandleHead(const edge::response& aHead);
+  void HandleHead(const edge::response& aHead,
+                  const site::response_metadata& aMetadata);
   void HandleBody(std::string_view aPiece);
   void HandleEnd(edge::call_end aEnd);
   void Release();
@@ -52,7 +53,6 @@
   std::optional<edge::response> mResponse;
   site::response_metadata mFacts;
   bool mIsAttemptOpen = false;
-  bool mIsMismatched = false;
   bool mMayHaveRun = false;
   bool mIsStartReported = false;
   bool mIsStreaming = false;
--- a/Duties/Rewards/RewardCaller.cpp
+++ b/Duties/Rewards/RewardCaller.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Rewards/RewardCaller.h"
 
+#include "Duties/Site/ServerCall.h"
 #include "Libraries/Core/Base64.h"
 #include "Libraries/Core/Mechanisms.h"
 #include "Libraries/EventLog/EventLog.h"
@@ -252,27 +253,30 @@
   edge::call_options options;
   options.mConnectTimeout = kConnectTimeout;
   options.mSilenceTimeout = aTimeLeft + 1s;
-  edge::call_events events;
-  events.mOnHead = [this, aAttempt](const edge::response& aHead) {
-    HandleHead(aAttempt, aHead);
+  site::server_call_events events;
+  events.mOnHead = [this, aAttempt](const auto& aHead, const auto& aMetadata) {
+    HandleHead(aAttempt, aHead.mStatus, aMetadata);
   };
   events.mOnBody = [](std::string_view) {};
   events.mOnEnd = [this, aCall, aAttempt](edge::call_end aEnd) {
     HandleEnd(aCall, aAttempt, aEnd);
   };
-  aAttempt->mHandle = mDependencies.mClients.Start(
+  aAttempt->mHandle = site::CallServer(
+    { mDependencies.mClients, mDependencies.mProtocol, mDependencies.mMetrics },
     server.mAddress,
-    mDependencies.mProtocol.mAddress(request, attempt),
+    request,
+    attempt,
     options,
     std::move(events));
 }
 
 void
 reward_client::HandleHead(const std::shared_ptr<send_attempt>& aAttempt,
-                          const edge::response& aHead)
+                          unsigned aStatus,
+                          const site::response_metadata& aMetadata)
 {
-  aAttempt->mStatus = aHead.mStatus;
-  aAttempt->mFacts = mDependencies.mProtocol.mReadResponseMetadata(aHead);
+  aAttempt->mStatus = aStatus;
+  aAttempt->mFacts = aMetadata;
   if (aAttempt->mFacts.mLoad) {
     mDependencies.mRouter.RecordLoad(
       aAttempt->mPick, *aAttempt->mFacts.mLoad, boot_clock::now());
@@ -280,15 +284,12 @@
 }
 
 response_kind
-reward_client::Classify(const call& aCall,
-                        const send_attempt& aAttempt,
-                        edge::call_end aEnd)
+reward_client::Classify(const send_attempt& aAttempt, edge::call_end aEnd)
 {
   response_summary view;
   view.mEnd = aEnd;
   view.mStatus = aAttempt.mStatus;
   view.mIsNotExecuted = aAttempt.mFacts.mIsNotExecuted;
-  view.mIsMismatched = aAttempt.mFacts.mAttemptId != aCall.mRequest.mCall.mId;
   view.mHasSignature = !aAttempt.mFacts.mSignature.empty();
   return ClassifyResponse(view);
 }
@@ -301,7 +302,7 @@
   if (aCall->mIsFinished || !aAttempt->mIsOpen) {
     return;
   }
-  const auto kind = Classify(*aCall, *aAttempt, aEnd);
+  const auto kind = Classify(*aAttempt, aEnd);
   aCall->mErrors += kind == response_kind::ServerError ? 1 : 0;
   aCall->mOpenAttempts.erase(std::remove(aCall->mOpenAttempts.begin(),
                                          aCall->mOpenAttempts.end(),
--- a/Duties/Rewards/RewardCaller.h
+++ b/Duties/Rewards/RewardCaller.h
@@ -64,9 +64,9 @@
     const call_ptr& aCall,
     const site::route& aRoute);
   void HandleHead(const std::shared_ptr<send_attempt>& aAttempt,
-                  const edge::response& aHead);
-  static response_kind Classify(const call& aCall,
-                                const send_attempt& aAttempt,
+                  unsigned aStatus,
+                  const site::response_metadata& aMetadata);
+  static response_kind Classify(const send_attempt& aAttempt,
                                 edge::call_end aEnd);
   void HandleEnd(const call_ptr& aCall,
                  const std::shared_ptr<send_attempt>& aAttempt,
--- a/Duties/Rewards/RewardDecision.cpp
+++ b/Duties/Rewards/RewardDecision.cpp
@@ -43,7 +43,7 @@
 response_kind
 ClassifyResponse(const response_summary& aResponse)
 {
-  if (aResponse.mEnd != edge::call_end::Complete || aResponse.mIsMismatched) {
+  if (aResponse.mEnd != edge::call_end::Complete) {
     return response_kind::Unusable;
   }
   if (aResponse.mIsNotExecuted) {
--- a/Duties/Rewards/RewardDecision.h
+++ b/Duties/Rewards/RewardDecision.h
@@ -30,8 +30,6 @@
   edge::call_end mEnd = edge::call_end::Complete;
   unsigned mStatus = 0;
   bool mIsNotExecuted = false;
-  /** The response doesn't carry the call's id. */
-  bool mIsMismatched = false;
   bool mHasSignature = false;
 };
 
--- a/Duties/Rewards/TestRewardDecision.cpp
+++ b/Duties/Rewards/TestRewardDecision.cpp
@@ -29,7 +29,7 @@
   unsignedResponse.mHasSignature = false;
   BOOST_TEST((ClassifyResponse(unsignedResponse) == response_kind::Unusable));
   auto foreign = Whole(200);
-  foreign.mIsMismatched = true;
+  foreign.mEnd = edge::call_end::Foreign;
   BOOST_TEST((ClassifyResponse(foreign) == response_kind::Unusable));
   for (const auto end : { edge::call_end::Broken,
                           edge::call_end::Malformed,
@@ -57,7 +57,7 @@
   broken.mEnd = edge::call_end::Broken;
   BOOST_TEST((ClassifyResponse(broken) == response_kind::Unusable));
   auto foreign = Whole(500);
-  foreign.mIsMismatched = true;
+  foreign.mEnd = edge::call_end::Foreign;
   BOOST_TEST((ClassifyResponse(foreign) == response_kind::Unusable));
 }
 
--- a/Libraries/Edge/Caller.cpp
+++ b/Libraries/Edge/Caller.cpp
@@ -23,6 +23,8 @@
       return "broken";
     case call_end::Malformed:
       return "malformed";
+    case call_end::Foreign:
+      return "foreign";
     case call_end::TimedOut:
       return "timed_out";
   }
--- a/Libraries/Edge/Caller.h
+++ b/Libraries/Edge/Caller.h
@@ -24,6 +24,9 @@
   /** The server sent bytes that are not an HTTP response, or bytes after the
    * response. */
   Malformed,
+  /** The response belongs to another request; whether the server handled this
+   * one isn't known. */
+  Foreign,
   /** The server sent nothing for longer than allowed. */
   TimedOut
 };
@@ -49,6 +52,9 @@
 /** Callbacks of a call, invoked on the loop's thread. */
 struct call_events
 {
+  /** Whether a response belongs to the request; null if each one does. A
+   * response that doesn't is reported as the end Foreign alone. */
+  std::function<bool(const response&)> mIsOwn;
   std::function<void(const response&)> mOnHead;
   std::function<void(std::string_view)> mOnBody;
   /** Called exactly once, after the other callbacks; never after Cancel. */
@@ -86,9 +92,8 @@
 public:
   explicit client_pool(boost::asio::io_context& aLoop);
 
-  /** Sends a request. The pool matches responses to requests only by their
-   * order on a connection; a caller that needs more checks the response's
-   * fields in mOnHead. */
+  /** Sends a request. The pool matches responses to requests by their order on
+   * a connection and by mIsOwn. */
   call_handle Start(const endpoint& aServer,
                     const request& aRequest,
                     call_options aOptions,
--- a/Libraries/Edge/ClientConnection.cpp
+++ b/Libraries/Edge/ClientConnection.cpp
@@ -271,6 +271,11 @@
     head.mHeaders.Add(std::string(field.name_string()),
                       std::string(field.value()));
   }
+  if (mEvents.mIsOwn && !mEvents.mIsOwn(head)) {
+    // The own response may still follow, so the connection can't be kept.
+    End(call_end::Foreign);
+    return;
+  }
   mKeepAliveTimeout = ReadKeepAlive(head.mHeaders).value_or(kDefaultKeepAlive);
   if (mEvents.mOnHead) {
     mEvents.mOnHead(head);
--- a/Tests/Site/Support/ModelServer.cpp
+++ b/Tests/Site/Support/ModelServer.cpp
@@ -94,7 +94,9 @@
     return;
   }
   if (request.mHeaders.ValueOr("X-Expect-Instance", mId) != mId) {
-    aExchange->Answer({ 421, {}, {} });
+    edge::header_list headers;
+    headers.Add("X-Attempt-Id", request.mHeaders.ValueOr("X-Attempt-Id", ""));
+    aExchange->Answer({ 421, headers, {} });
     return;
   }
   if (request.mTarget == "/report") {
--- a/Tests/Site/TestDecisions.cpp
+++ b/Tests/Site/TestDecisions.cpp
@@ -23,10 +23,10 @@
                                edge::call_end::NotSent,
                                edge::call_end::Broken,
                                edge::call_end::Malformed,
+                               edge::call_end::Foreign,
                                edge::call_end::TimedOut);
   end.mStatus = *rc::gen::element(200u, 404u, 421u, 429u, 500u, 503u, 504u);
   end.mIsNotExecuted = *rc::gen::arbitrary<bool>();
-  end.mIsMismatched = *rc::gen::arbitrary<bool>();
   return end;
 }
 
@@ -97,9 +97,9 @@
     }
     if (step == forwarding::next_step::Deliver) {
       RC_ASSERT(known == forwarding::execution::Ran);
-      RC_ASSERT(!end.mIsMismatched);
+      RC_ASSERT(end.mEnd != edge::call_end::Foreign);
     }
-    if (end.mIsMismatched && end.mEnd != edge::call_end::NotSent) {
+    if (end.mEnd == edge::call_end::Foreign) {
       RC_ASSERT(known == forwarding::execution::Unknown);
     }
   }));
--- a/Tests/Site/TestForwarding.cpp
+++ b/Tests/Site/TestForwarding.cpp
@@ -169,6 +169,28 @@
   BOOST_TEST(result.mAnswer.mBody.empty());
 }
 
+// Guards against a caller that gets a response of which nobody knows whose it
+// is, or a load that is taken from it.
+BOOST_AUTO_TEST_CASE(NothingOfAResponseWithoutAnIdIsUsed)
+{
+  for (const std::string field : { "X-Server-Seal", "X-Not-Executed" }) {
+    forwarding_site site(site::retry_policy::AtMostOnce);
+    plain_server server(site.mLoop);
+    server.mServe = [&](const auto& aExchange) {
+      edge::response answer{ 200, {}, "not yours" };
+      answer.mHeaders.Add(field, "1");
+      answer.mHeaders.Add("X-Server-Load", "3,0,4");
+      aExchange->Answer(std::move(answer));
+    };
+    site.Add("s1", server);
+    const auto result = site.Send();
+    BOOST_TEST(result.mAnswer.mStatus == 502u);
+    BOOST_TEST(result.mAnswer.mBody.empty());
+    BOOST_TEST(!site.mLoads.Find("s1", boot_clock::now()));
+    BOOST_TEST(site.mStarts["customer"] == 1);
+  }
+}
+
 // Servers would go on working for callers that have left. The server's
 // connection must be closed when the caller's connection is.
 BOOST_AUTO_TEST_CASE(TheServerConnectionIsClosedWithTheCallers)
