Answers without end: a bound on each part, on progress and on the whole time

Callers waited for items as long as a server went on sending bytes that are no answer, since each byte renewed the time of silence; memory grew with a line, an event, a chunk's extension or a trailer without an end, with the body of a response that says that nothing ran, and with a stream whose caller reads slowly.

Change: the connection bounds the head, the line of a chunk and the trailer (ResponseBounds). A run of an item makes progress with its head and with each event, not with bytes, ends after the deadline that was sent to the server, and is abandoned past 1 MB without an event, past 64 kB of a body that isn't read, and with a text that no page of results can hold. A refusal's body has the bound of other buffered bodies. A forwarded stream is read no further while 256 kB wait for the caller.

--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -297,6 +297,12 @@
   void HandleEvent(const run_ref& aRef,
                    const std::shared_ptr<run_state>& aRun,
                    stream_event&& aEvent);
+  /** Adds what a response's body holds to the item's text. */
+  void HandleBody(const run_ref& aRef,
+                  const std::shared_ptr<run_state>& aRun,
+                  std::string_view aPiece);
+  /** Closes the connection of a run whose response is of no use. */
+  void AbandonRun(const run_ref& aRef, const std::shared_ptr<run_state>& aRun);
   void HandleRunEnd(const run_ref& aRef,
                     const std::shared_ptr<run_state>& aRun,
                     edge::call_end aEnd);
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -19,8 +19,8 @@
 /** Time for which a server gets no run after one that ended without a complete
  * response: the server is probably down. */
 constexpr milliseconds kFailureDelay = 500ms;
-/** Maximum time without data within a run. Pauses between events are some tens
- * of ms, and a change of weights delays a run by a second or two. */
+/** Maximum time without an event within a run. Pauses between events are some
+ * tens of ms, and a change of weights delays a run by a second or two. */
 constexpr milliseconds kRunIdleTimeout = 2500ms;
 constexpr milliseconds kConnectTimeout = 300ms;
 /** Upper bound of the deadline sent to a server; the time left of an item never
@@ -31,6 +31,11 @@
  * each error. */
 constexpr int kMaximumErrorsPerAttempt = 2;
 constexpr unsigned kUnprocessable = 422;
+/** A server stops at the deadline that was sent to it, and its response to that
+ * arrives within this time. */
+constexpr milliseconds kDeadlineMargin = 1s;
+/** Maximum size of a body that isn't read, in bytes. */
+constexpr std::size_t kMaximumIgnoredBytes = 64 << 10;
 
 } // namespace
 
@@ -40,10 +45,13 @@
   unsigned mStatus = 0;
   site::response_metadata mFacts;
   event_stream mStream;
+  std::size_t mIgnoredBytes = 0;
   std::int64_t mVersion = 0;
   bool mHasEvents = false;
   bool mIsStale = false;
   bool mIsBroken = false;
+  /** The text is larger than a result can be. */
+  bool mIsTooLong = false;
 };
 
 void
@@ -102,6 +110,8 @@
   edge::call_options options;
   options.mConnectTimeout = kConnectTimeout;
   options.mSilenceTimeout = kRunIdleTimeout;
+  options.mBytesAreProgress = false;
+  options.mTotalTimeout = attempt.mTimeLeft + kDeadlineMargin;
   site::server_call_events events;
   events.mOnHead = [this, ref, run](const auto& aHead, const auto& aMetadata) {
     run->mStatus = aHead.mStatus;
@@ -115,15 +125,8 @@
       mDependencies.mLoads.Record(item->mServer, *run->mFacts.mLoad, now);
     }
   };
-  events.mOnBody = [this, ref, run](std::string_view aChunk) {
-    if (run->mStatus != 200 || run->mIsStale || run->mIsBroken) {
-      return;
-    }
-    ParseChunk(
-      run->mStream,
-      aChunk,
-      mDependencies.mProtocol.mReadVersionLine,
-      [&](stream_event&& aEvent) { HandleEvent(ref, run, std::move(aEvent)); });
+  events.mOnBody = [this, ref, run](std::string_view aPiece) {
+    HandleBody(ref, run, aPiece);
   };
   events.mOnEnd = [this, ref, run](edge::call_end aEnd) {
     HandleRunEnd(ref, run, aEnd);
@@ -147,6 +150,41 @@
     std::move(events));
 }
 
+void
+batch_runner::HandleBody(const run_ref& aRef,
+                         const std::shared_ptr<run_state>& aRun,
+                         std::string_view aPiece)
+{
+  if (aRun->mStatus != 200) {
+    aRun->mIgnoredBytes += aPiece.size();
+    if (aRun->mIgnoredBytes > kMaximumIgnoredBytes) {
+      AbandonRun(aRef, aRun);
+    }
+    return;
+  }
+  if (aRun->mIsStale || aRun->mIsBroken) {
+    return;
+  }
+  const bool isBounded = ParseChunk(
+    aRun->mStream,
+    aPiece,
+    mDependencies.mProtocol.mReadVersionLine,
+    [&](stream_event&& aEvent) { HandleEvent(aRef, aRun, std::move(aEvent)); });
+  if (!isBounded) {
+    AbandonRun(aRef, aRun);
+  }
+}
+
+void
+batch_runner::AbandonRun(const run_ref& aRef,
+                         const std::shared_ptr<run_state>& aRun)
+{
+  if (auto* item = Find(aRef)) {
+    item->mCall.Cancel();
+    HandleRunEnd(aRef, aRun, edge::call_end::Malformed);
+  }
+}
+
 void
 batch_runner::HandleEvent(const run_ref& aRef,
                           const std::shared_ptr<run_state>& aRun,
@@ -161,18 +199,23 @@
   aRun->mVersion = aEvent.mVersion.value_or(aRun->mVersion);
   if (aRun->mVersion < batch.mMetadata.mMinimumVersion) {
     aRun->mIsStale = true;
-    item->mCall.Cancel();
-    HandleRunEnd(aRef, aRun, edge::call_end::Malformed);
+    AbandonRun(aRef, aRun);
     return;
   }
   if (!aEvent.mId || (item->mGenerated.mLastEvent &&
                       *aEvent.mId != *item->mGenerated.mLastEvent + 1)) {
     // An event is missing or duplicated, so no later event can be used.
     aRun->mIsBroken = true;
-    item->mCall.Cancel();
-    HandleRunEnd(aRef, aRun, edge::call_end::Malformed);
+    AbandonRun(aRef, aRun);
+    return;
+  }
+  if (item->mGenerated.mData.size() + aEvent.mData.size() > kMaximumTextBytes) {
+    aRun->mIsBroken = true;
+    aRun->mIsTooLong = true;
+    AbandonRun(aRef, aRun);
     return;
   }
+  item->mCall.RecordProgress();
   const auto now = boot_clock::now();
   if (aRun->mHasEvents) {
     scheduling::RecordEventTime(mSpeeds[item->mServer],
@@ -251,8 +294,13 @@
     LogRunEnd(*item, batch, "cannot_be_done", aEnd, status);
     FinishItem(batch, *item, item_end::GivenUp);
     return;
-  } else if (aEnd == edge::call_end::Complete && status >= 500) {
-    outcome = "server_error";
+  } else if (aRun->mIsTooLong ||
+             (aEnd == edge::call_end::Complete && status >= 500)) {
+    outcome = aRun->mIsTooLong ? "text_too_long" : "server_error";
+    if (aRun->mIsTooLong) {
+      Restart(item->mGenerated);
+      item->mSaved = {};
+    }
     ++item->mErrors;
     item->mAvoidedServer = item->mServer;
     if (route &&
--- a/Duties/Batches/EventStream.cpp
+++ b/Duties/Batches/EventStream.cpp
@@ -43,13 +43,14 @@
 
 } // namespace
 
-void
+bool
 ParseChunk(event_stream& aStream,
            std::string_view aChunk,
            const version_parser& aParseVersion,
            const std::function<void(stream_event&&)>& aOnEvent)
 {
   aStream.mBuffer.append(aChunk);
+  aStream.mBytesSinceEvent += aChunk.size();
   std::size_t start = 0;
   for (auto end = aStream.mBuffer.find('\n'); end != std::string::npos;
        end = aStream.mBuffer.find('\n', start)) {
@@ -63,11 +64,13 @@
       continue;
     }
     if (aStream.mCurrent.mHasData || aStream.mCurrent.mId) {
+      aStream.mBytesSinceEvent = aStream.mBuffer.size() - start;
       aOnEvent(std::move(aStream.mCurrent));
     }
     aStream.mCurrent = {};
   }
   aStream.mBuffer.erase(0, start);
+  return aStream.mBytesSinceEvent <= kMaximumEventBytes;
 }
 
 } // namespace lavender::batches
--- a/Duties/Batches/EventStream.h
+++ b/Duties/Batches/EventStream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -19,18 +20,26 @@
   std::optional<std::int64_t> mVersion;
 };
 
+/** Maximum size of an event, in bytes, with all that comes before it since the
+ * last one. A page of results holds one text at least, so no event can be as
+ * large. */
+constexpr std::size_t kMaximumEventBytes = 1 << 20;
+
 /** Incremental parser for an event stream. An incomplete event at the end of a
  * broken stream is never reported. */
 struct event_stream
 {
   std::string mBuffer;
   stream_event mCurrent;
+  std::size_t mBytesSinceEvent = 0;
 };
 
 using version_parser =
   std::function<std::optional<std::int64_t>(std::string_view)>;
 
-void
+/** @return false if the stream goes on for too long without an event; it is of
+ * no use then */
+bool
 ParseChunk(event_stream& aStream,
            std::string_view aChunk,
            const version_parser& aParseVersion,
--- a/Duties/Batches/GeneratedText.h
+++ b/Duties/Batches/GeneratedText.h
@@ -11,6 +11,9 @@
  * parts of it, from which the batch's next owner resumes. No I/O. */
 namespace lavender::batches {
 
+/** Maximum size of a text, in bytes: a page of results holds one at least. */
+constexpr std::size_t kMaximumTextBytes = 900 << 10;
+
 struct generated_text
 {
   /** Data of the complete events, joined by line feeds. */
--- a/Duties/Forwarding/ForwardedRequest.cpp
+++ b/Duties/Forwarding/ForwardedRequest.cpp
@@ -24,6 +24,9 @@
  * request can be sent to another server if the connection breaks; a larger one
  * is forwarded as it arrives. */
 constexpr std::size_t kMaximumBufferedBytes = 256 << 10;
+/** Maximum size of what waits to be written to the caller, in bytes, apart from
+ * what one read adds. */
+constexpr std::size_t kMaximumUnsentBytes = 256 << 10;
 
 /** Copies the header fields except hop-by-hop ones. */
 edge::header_list
@@ -207,17 +210,46 @@
 forwarded_request::HandleBody(std::string_view aPiece)
 {
   if (mIsStreaming) {
-    mExchange->Write(aPiece);
+    WriteToCaller(aPiece);
     return;
   }
   mResponse->mBody.append(aPiece);
-  if (mResponse->mBody.size() > kMaximumBufferedBytes &&
-      !mFacts.mIsNotExecuted) {
-    mIsStreaming = true;
-    mExchange->Begin(mResponse->mStatus,
-                     CopyEndToEndHeaders(mResponse->mHeaders));
-    mExchange->Write(mResponse->mBody);
-    mResponse->mBody.clear();
+  if (mResponse->mBody.size() <= kMaximumBufferedBytes) {
+    return;
+  }
+  if (mFacts.mIsNotExecuted) {
+    // Nothing of such a response is forwarded.
+    mCall.Cancel();
+    HandleEnd(edge::call_end::Malformed);
+    return;
+  }
+  mIsStreaming = true;
+  mExchange->Begin(mResponse->mStatus,
+                   CopyEndToEndHeaders(mResponse->mHeaders));
+  WriteToCaller(std::exchange(mResponse->mBody, {}));
+}
+
+void
+forwarded_request::WriteToCaller(std::string_view aPiece)
+{
+  mExchange->Write(aPiece);
+  if (mExchange->Unsent() <= kMaximumUnsentBytes) {
+    return;
+  }
+  mCall.Pause();
+  mExchange->OnWritten([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->ResumeReading();
+    }
+  });
+}
+
+void
+forwarded_request::ResumeReading()
+{
+  if (!mIsEnded && mExchange->Unsent() <= kMaximumUnsentBytes) {
+    mExchange->OnWritten(nullptr);
+    mCall.Resume();
   }
 }
 
--- a/Duties/Forwarding/ForwardedRequest.h
+++ b/Duties/Forwarding/ForwardedRequest.h
@@ -27,6 +27,10 @@
   void HandleHead(const edge::response& aHead,
                   const site::response_metadata& aMetadata);
   void HandleBody(std::string_view aPiece);
+  /** Writes a part of the body to the caller. Reading stops while too much of
+   * it waits to be written. */
+  void WriteToCaller(std::string_view aPiece);
+  void ResumeReading();
   void HandleEnd(edge::call_end aEnd);
   void Release();
   void ReportStarted();
--- a/Libraries/Edge/Caller.cpp
+++ b/Libraries/Edge/Caller.cpp
@@ -47,6 +47,30 @@
   }
 }
 
+void
+call_handle::RecordProgress()
+{
+  if (const auto connection = mConnection.lock()) {
+    connection->RecordProgress(mCall);
+  }
+}
+
+void
+call_handle::Pause()
+{
+  if (const auto connection = mConnection.lock()) {
+    connection->Pause(mCall);
+  }
+}
+
+void
+call_handle::Resume()
+{
+  if (const auto connection = mConnection.lock()) {
+    connection->Resume(mCall);
+  }
+}
+
 client_pool::client_pool(boost::asio::io_context& aLoop)
   : mLoop(aLoop)
 {
--- a/Libraries/Edge/Caller.h
+++ b/Libraries/Edge/Caller.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace lavender::edge {
@@ -21,13 +22,13 @@
   /** The connection broke after part of the request may have been sent and
    * before the response was complete. */
   Broken,
-  /** The server sent bytes that are not an HTTP response, or bytes after the
-   * response. */
+  /** The server sent bytes that are not an HTTP response, a part of one that is
+   * larger than allowed, or bytes after the response. */
   Malformed,
   /** The response belongs to another request; whether the server handled this
    * one isn't known. */
   Foreign,
-  /** The server sent nothing for longer than allowed. */
+  /** The call made no progress, or went on, for longer than allowed. */
   TimedOut
 };
 
@@ -38,8 +39,14 @@
 {
   /** Maximum time for the connection to be established. */
   milliseconds mConnectTimeout{ 300 };
-  /** Maximum time without bytes from the server, from the start of sending. */
+  /** Maximum time without progress, from the start of sending. */
   milliseconds mSilenceTimeout{ 30000 };
+  /** Whether every byte from the server is progress. Otherwise the head of the
+   * own response and RecordProgress are: a server may go on sending bytes that
+   * are no response. */
+  bool mBytesAreProgress = true;
+  /** Maximum time of the whole call, whatever arrives. */
+  std::optional<milliseconds> mTotalTimeout = std::nullopt;
   /** Whether the call may use an idle connection. Such a connection can be
    * broken without notice, so a call that must not be repeated opens its own.
    */
@@ -73,6 +80,11 @@
   call_handle(std::weak_ptr<client_connection> aConnection,
               std::uint64_t aCall);
   void Cancel();
+  /** Tells that the call has made progress; see call_options. */
+  void RecordProgress();
+  /** Stops reading the response until Resume, which slows the server down. */
+  void Pause();
+  void Resume();
 
 private:
   std::weak_ptr<client_connection> mConnection;
--- a/Libraries/Edge/ClientConnection.cpp
+++ b/Libraries/Edge/ClientConnection.cpp
@@ -1,8 +1,12 @@
 #include "Libraries/Edge/ClientConnection.h"
 
+#include "Libraries/Edge/ResponseBounds.h"
+
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <netinet/tcp.h>
+#include <utility>
 
 namespace lavender::edge {
 
@@ -96,10 +100,13 @@
   mIsSent = false;
   mHasReportedHead = false;
   mOptions = aOptions;
+  mEndsAt = aOptions.mTotalTimeout ? boot_clock::now() + *aOptions.mTotalTimeout
+                                   : time_point::max();
   mEvents = std::move(aEvents);
   mOutgoing = WriteRequest(aRequest, mServer);
   mParser.emplace();
   mParser->eager(true);
+  mParser->header_limit(kMaximumHeadBytes);
   mParser->body_limit(boost::none);
   if (mIsConnected) {
     Send();
@@ -180,7 +187,7 @@
 void
 client_connection::Read()
 {
-  if (mIsReading || mIsClosed) {
+  if (mIsReading || mIsClosed || mPaused) {
     return;
   }
   mIsReading = true;
@@ -213,7 +220,9 @@
   }
   mBuffer.commit(aSize);
   mReadSize = NextReadSize(mReadSize, aSize);
-  SetTimer(mOptions.mSilenceTimeout);
+  if (mOptions.mBytesAreProgress) {
+    SetTimer(mOptions.mSilenceTimeout);
+  }
   Parse();
   if (!mIsClosed) {
     Read();
@@ -246,7 +255,8 @@
       break;
     }
   }
-  if (error && error != http::error::need_more) {
+  const bool isTooLong = mBuffer.size() > kMaximumUnparsedBytes;
+  if (isTooLong || (error && error != http::error::need_more)) {
     End(call_end::Malformed);
     return;
   }
@@ -276,6 +286,9 @@
     End(call_end::Foreign);
     return;
   }
+  if (!mOptions.mBytesAreProgress) {
+    SetTimer(mOptions.mSilenceTimeout);
+  }
   mKeepAliveTimeout = ReadKeepAlive(head.mHeaders).value_or(kDefaultKeepAlive);
   if (mEvents.mOnHead) {
     mEvents.mOnHead(head);
@@ -350,6 +363,31 @@
   Close();
 }
 
+void
+client_connection::RecordProgress(std::uint64_t aCall)
+{
+  if (mIsBusy && aCall == mCalls) {
+    SetTimer(mOptions.mSilenceTimeout);
+  }
+}
+
+void
+client_connection::Pause(std::uint64_t aCall)
+{
+  if (mIsBusy && aCall == mCalls) {
+    mPaused = shared_from_this();
+  }
+}
+
+void
+client_connection::Resume(std::uint64_t aCall)
+{
+  if (mIsBusy && aCall == mCalls && mPaused) {
+    const auto self = std::exchange(mPaused, nullptr);
+    Read();
+  }
+}
+
 void
 client_connection::Close()
 {
@@ -357,6 +395,7 @@
     return;
   }
   mIsClosed = true;
+  const auto self = std::exchange(mPaused, nullptr);
   mTimer.cancel();
   error_code ignored;
   mSocket.close(ignored);
@@ -368,7 +407,12 @@
 void
 client_connection::SetTimer(milliseconds aTimeout)
 {
-  mTimer.expires_after(aTimeout);
+  const auto left = mEndsAt == time_point::max()
+                      ? aTimeout
+                      : std::max(milliseconds(0),
+                                 std::chrono::duration_cast<milliseconds>(
+                                   mEndsAt - boot_clock::now()));
+  mTimer.expires_after(std::min(aTimeout, left));
   mTimer.async_wait([self = weak_from_this()](error_code aError) {
     const auto connection = self.lock();
     // A wait that ended just before the timer was set again still calls its
--- a/Libraries/Edge/ClientConnection.h
+++ b/Libraries/Edge/ClientConnection.h
@@ -33,6 +33,11 @@
                       call_events aEvents);
   /** Cancels the call with that number, unless it has ended. */
   void Cancel(std::uint64_t aCall);
+  /** Starts the call's silence anew, unless the call has ended. */
+  void RecordProgress(std::uint64_t aCall);
+  /** Stops reading, unless the call has ended. */
+  void Pause(std::uint64_t aCall);
+  void Resume(std::uint64_t aCall);
   void Close();
 
 private:
@@ -49,6 +54,8 @@
   void ReportBody();
   void CompleteWhenDone();
   void End(call_end aEnd);
+  /** Sets the timer to this time, or to the end of the whole call if that is
+   * sooner. */
   void SetTimer(milliseconds aTimeout);
   void SetSocketOptions();
 
@@ -65,6 +72,11 @@
   /** How long the server keeps an idle connection open, according to its last
    * response. */
   milliseconds mKeepAliveTimeout{ 0 };
+  /** Set while reading is paused: no operation in progress keeps the connection
+   * alive then. */
+  std::shared_ptr<client_connection> mPaused;
+  /** When the current call ends at the latest. */
+  time_point mEndsAt = time_point::max();
   /** Time from which the idle connection isn't used any more, shortly before
    * the server closes it. */
   time_point mUsableUntil;
--- a/Libraries/Edge/Listener.h
+++ b/Libraries/Edge/Listener.h
@@ -62,11 +62,15 @@
   /** Sets a handler that is called once when the caller closes its connection
    * before the response is complete. */
   void OnCallerLeft(std::function<void()> aHandler);
+  /** Sets a handler that is called each time after bytes of the response were
+   * written to the socket, until the response ends. */
+  void OnWritten(std::function<void()> aHandler);
 
 private:
   friend class server_connection;
   std::weak_ptr<server_connection> mConnection;
   std::function<void()> mCallerLeft;
+  std::function<void()> mWritten;
   bool mHasBegun = false;
   bool mIsEnded = false;
 };
--- a/Libraries/Edge/ServerConnection.cpp
+++ b/Libraries/Edge/ServerConnection.cpp
@@ -142,6 +142,12 @@
   mCallerLeft = std::move(aHandler);
 }
 
+void
+exchange::OnWritten(std::function<void()> aHandler)
+{
+  mWritten = std::move(aHandler);
+}
+
 server_connection::server_connection(boost::asio::ip::tcp::socket aSocket,
                                      std::shared_ptr<listener_state> aShared)
   : mSocket(std::move(aSocket))
@@ -421,6 +427,10 @@
   mUnsent -= mWriting.size() + (mWritingShared ? mWritingShared->size() : 0);
   std::string().swap(mWriting);
   mWritingShared.reset();
+  ReportWritten();
+  if (mIsWriting || mIsClosed) {
+    return;
+  }
   if (!mQueued.empty()) {
     Flush();
   } else if (mIsLastQueued) {
@@ -429,6 +439,17 @@
   }
 }
 
+void
+server_connection::ReportWritten()
+{
+  const auto current = mExchange.lock();
+  if (current && !current->mIsEnded && current->mWritten) {
+    // The handler may be replaced while it runs.
+    const auto handler = current->mWritten;
+    handler();
+  }
+}
+
 void
 server_connection::EndRequest()
 {
--- a/Libraries/Edge/ServerConnection.h
+++ b/Libraries/Edge/ServerConnection.h
@@ -64,6 +64,7 @@
   std::size_t BodyBytes() const;
   void Flush();
   void HandleWritten(const boost::system::error_code& aError);
+  void ReportWritten();
   void EndRequest();
   void ReportCallerLeft();
   void Linger();
--- a/Tests/Site/TestClientPool.cpp
+++ b/Tests/Site/TestClientPool.cpp
@@ -1,9 +1,10 @@
-#include "Tests/Site/Support/Loop.h"
+#include "Tests/Site/Support/ByteServer.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace lavender;
 using namespace lavender::tests;
+using namespace std::chrono_literals;
 
 BOOST_AUTO_TEST_SUITE(TestClientPool)
 
@@ -101,4 +102,35 @@
   BOOST_TEST(clients->Counts().mReused == 1u);
 }
 
+// Guards against a call that lasts for as long as the server sends something,
+// whether its bytes count as progress or not.
+BOOST_AUTO_TEST_CASE(BytesWithoutEndDontKeepACallOpen)
+{
+  for (const bool isProgress : { true, false }) {
+    test_loop loop;
+    auto clients = std::make_shared<edge::client_pool>(loop.mLoop);
+    byte_server server(loop, [](const auto& aChannel, const auto&) {
+      aChannel->Write(ChunkedHead("a1"));
+      aChannel->WriteWithoutEnd(ChunkBytes("a"), 10ms);
+    });
+    edge::request request;
+    request.mMethod = "GET";
+    request.mTarget = "/";
+    edge::call_options options;
+    options.mBytesAreProgress = isProgress;
+    if (isProgress) {
+      options.mTotalTimeout = 200ms;
+    } else {
+      options.mSilenceTimeout = 200ms;
+    }
+    std::optional<edge::call_end> end;
+    edge::call_events events;
+    events.mOnEnd = [&](edge::call_end aEnd) { end = aEnd; };
+    clients->Start(
+      server.Entry("s1").mAddress, request, options, std::move(events));
+    BOOST_TEST(loop.RunUntil([&] { return end.has_value(); }));
+    BOOST_TEST((end == edge::call_end::TimedOut));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Site/TestForwarding.cpp
+++ b/Tests/Site/TestForwarding.cpp
@@ -1,7 +1,10 @@
 #include "Duties/Forwarding/Forwarder.h"
+#include "Tests/Site/Support/ByteServer.h"
 #include "Tests/Site/Support/PlainServer.h"
 #include "platform/ExchangeProtocol.h"
 
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace lavender;
@@ -51,6 +54,12 @@
     return request;
   }
 
+  void Add(const std::string& aId, const byte_server& aServer)
+  {
+    site::ApplyServer(mDirectory, aServer.Entry(aId), boot_clock::now());
+    mRouter.SyncServers(boot_clock::now());
+  }
+
   call_result Send()
   {
     return Call(mLoop, *mClients, mListener.Port(), Request());
@@ -191,6 +200,74 @@
   }
 }
 
+// Guards against memory that grows with a response that says that nothing ran
+// and whose body has no end.
+BOOST_AUTO_TEST_CASE(ABodyWithoutEndOfARefusalIsNeitherKeptNorAwaited)
+{
+  for (const auto retryPolicy :
+       { site::retry_policy::AtMostOnce, site::retry_policy::Idempotent }) {
+    forwarding_site site(retryPolicy);
+    byte_server faulty(
+      site.mLoop, [](const auto& aChannel, const auto& aRequest) {
+        aChannel->Write("HTTP/1.1 503 x\r\nX-Attempt-Id: " + IdOf(aRequest) +
+                        "\r\nX-Not-Executed: 1\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n");
+        aChannel->WriteWithoutEnd(ChunkBytes(std::string(1000, 'a')));
+      });
+    site.Add("s1", faulty);
+    const auto result = site.Send();
+    const bool isOnce = retryPolicy == site::retry_policy::AtMostOnce;
+    BOOST_TEST(result.mAnswer.mStatus == 502u);
+    BOOST_TEST(faulty.mRequests == 1);
+    BOOST_TEST(faulty.mBytesTaken < 64u << 20);
+    BOOST_TEST(site.mStarts["customer"] == 1);
+    plain_server sound(site.mLoop);
+    site.Add("s2", sound);
+    BOOST_TEST((isOnce || site.Send().mAnswer.mStatus == 200u));
+  }
+}
+
+// Guards against memory that grows with a stream whose caller reads slowly or
+// not at all, and against a stream that stops for ever once it was slowed down.
+BOOST_AUTO_TEST_CASE(AStreamWaitsForItsCallerAndIsWhole)
+{
+  forwarding_site site(site::retry_policy::AtMostOnce);
+  site.mRoute->mIsStream = true;
+  const std::string body(32 << 20, 'a');
+  byte_server server(
+    site.mLoop, [&](const auto& aChannel, const auto& aRequest) {
+      aChannel->Write(ResponseBytes(200, IdOf(aRequest), "", body));
+    });
+  site.Add("s1", server);
+  boost::asio::ip::tcp::socket caller(site.mLoop.mLoop);
+  caller.open(boost::asio::ip::tcp::v4());
+  caller.connect(
+    { boost::asio::ip::make_address_v4("127.0.0.1"), site.mListener.Port() });
+  boost::asio::write(caller,
+                     boost::asio::buffer(std::string(
+                       "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\n"
+                       "X-Deadline-Ms: 20000\r\nConnection: close\r\n"
+                       "Content-Length: 0\r\n\r\n")));
+  std::size_t mostHeld = 0;
+  site.mLoop.RunUntil(
+    [&] {
+      mostHeld = std::max(mostHeld, site.mListener.HeldBytes());
+      return false;
+    },
+    400ms);
+  BOOST_TEST(server.mRequests == 1);
+  BOOST_TEST(mostHeld < 2u << 20);
+  std::string received;
+  bool isOver = false;
+  boost::asio::async_read(caller,
+                          boost::asio::dynamic_buffer(received),
+                          [&](auto, auto) { isOver = true; });
+  BOOST_TEST(site.mLoop.RunUntil([&] { return isOver; }));
+  BOOST_TEST(std::count(received.begin(), received.end(), 'a') >=
+             static_cast<std::ptrdiff_t>(body.size()));
+  BOOST_TEST((received.substr(received.size() - 7) == "\r\n0\r\n\r\n"));
+}
+
 // Servers would go on working for callers that have left. The server's
 // connection must be closed when the caller's connection is.
 BOOST_AUTO_TEST_CASE(TheServerConnectionIsClosedWithTheCallers)
