Client connections: no second request in a row with the same id

An extra response to an item's run bears the item's id, so it passes for the response to a later run of the same item on that channel, whatever is compared: an item that a trainer submits again would get the events that an earlier run was asked for, of an older version or without their beginning; an extra 500 counts a second time. Runs of one item on one channel were possible since a whole response keeps it.

Change: a call names its request's id, and an idle channel whose last request had the same id is passed over. Only the next response on a channel can be an extra one, so the last id is enough; it is kept as a hash.

--- a/Duties/Site/ServerCall.cpp
+++ b/Duties/Site/ServerCall.cpp
@@ -58,8 +58,10 @@
                      const edge::response& aHead) { onHead(aHead, *metadata); };
   events.mOnBody = std::move(aEvents.mOnBody);
   events.mOnEnd = std::move(aEvents.mOnEnd);
+  auto options = aOptions;
+  options.mRequestId = id;
   return aDependencies.mClients.Start(
-    aAddress, request, aOptions, std::move(events));
+    aAddress, request, std::move(options), std::move(events));
 }
 
 } // namespace lavender::site
--- a/Libraries/Edge/Caller.cpp
+++ b/Libraries/Edge/Caller.cpp
@@ -82,7 +82,7 @@
                    call_options aOptions,
                    call_events aEvents)
 {
-  auto connection = aOptions.mMayReuse ? PopIdle(aServer)
+  auto connection = aOptions.mMayReuse ? PopIdle(aServer, aOptions.mRequestId)
                                        : std::shared_ptr<client_connection>();
   if (connection) {
     ++mCounts.mReused;
@@ -96,7 +96,7 @@
 }
 
 std::shared_ptr<client_connection>
-client_pool::PopIdle(const endpoint& aServer)
+client_pool::PopIdle(const endpoint& aServer, const std::string& aRequestId)
 {
   const auto found = mIdle.find(aServer);
   if (found == mIdle.end()) {
@@ -105,15 +105,19 @@
   auto& idle = found->second;
   std::shared_ptr<client_connection> usable;
   std::vector<std::shared_ptr<client_connection>> expired;
+  std::vector<std::shared_ptr<client_connection>> passedOver;
   while (!idle.empty() && !usable) {
     auto connection = std::move(idle.back());
     idle.pop_back();
-    if (connection->IsUsable(boot_clock::now())) {
-      usable = std::move(connection);
-    } else {
+    if (!connection->IsUsable(boot_clock::now())) {
       expired.push_back(std::move(connection));
+    } else if (connection->HasJustServed(aRequestId)) {
+      passedOver.push_back(std::move(connection));
+    } else {
+      usable = std::move(connection);
     }
   }
+  idle.insert(idle.end(), passedOver.rbegin(), passedOver.rend());
   if (idle.empty()) {
     mIdle.erase(found);
   }
--- a/Libraries/Edge/Caller.h
+++ b/Libraries/Edge/Caller.h
@@ -51,6 +51,10 @@
    * broken without notice, so a call that must not be repeated opens its own.
    */
   bool mMayReuse = true;
+  /** Id that the request bears; empty if it bears none. An idle connection
+   * whose last request had the same id isn't used: an extra response to that
+   * one would pass for the response to this one. */
+  std::string mRequestId = {};
   /** Whether TCP keep-alive probes are sent. They detect a connection that was
    * lost in the network during a long call; each one costs a packet. */
   bool mProbesConnection = false;
@@ -120,7 +124,8 @@
 
 private:
   friend class client_connection;
-  std::shared_ptr<client_connection> PopIdle(const endpoint& aServer);
+  std::shared_ptr<client_connection> PopIdle(const endpoint& aServer,
+                                             const std::string& aRequestId);
   void Keep(const std::shared_ptr<client_connection>& aConnection);
   void Drop(const client_connection* aConnection);
 
--- a/Libraries/Edge/ClientConnection.cpp
+++ b/Libraries/Edge/ClientConnection.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <functional>
 #include <netinet/tcp.h>
 #include <utility>
 
@@ -72,6 +73,13 @@
                  : std::nullopt;
 }
 
+/** 0 for an empty id. */
+std::size_t
+HashOf(const std::string& aRequestId)
+{
+  return aRequestId.empty() ? 0 : std::hash<std::string>()(aRequestId);
+}
+
 } // namespace
 
 client_connection::client_connection(boost::asio::io_context& aLoop,
@@ -90,6 +98,12 @@
   return !mIsClosed && mIsConnected && !mIsBusy && aNow < mUsableUntil;
 }
 
+bool
+client_connection::HasJustServed(const std::string& aRequestId) const
+{
+  return mLastRequest != 0 && mLastRequest == HashOf(aRequestId);
+}
+
 std::uint64_t
 client_connection::Start(const request& aRequest,
                          const call_options& aOptions,
@@ -98,6 +112,7 @@
   const auto number = ++mCalls;
   mIsBusy = true;
   mIsSent = false;
+  mLastRequest = HashOf(aOptions.mRequestId);
   mHasReportedHead = false;
   mOptions = aOptions;
   mEndsAt = aOptions.mTotalTimeout ? boot_clock::now() + *aOptions.mTotalTimeout
--- a/Libraries/Edge/ClientConnection.h
+++ b/Libraries/Edge/ClientConnection.h
@@ -22,6 +22,8 @@
 
   const endpoint& Server() const { return mServer; }
   bool IsUsable(time_point aNow) const;
+  /** Whether the last request bore that id; false for an empty one. */
+  bool HasJustServed(const std::string& aRequestId) const;
   /** Memory of the connection's buffers, in bytes. */
   std::size_t HeldBytes() const
   {
@@ -81,6 +83,9 @@
    * the server closes it. */
   time_point mUsableUntil;
   std::uint64_t mCalls = 0;
+  /** Hash of the last request's id, which takes less memory than the id: there
+   * are many idle connections. 0 if it bore none. */
+  std::size_t mLastRequest = 0;
   bool mIsConnected = false;
   bool mIsBusy = false;
   bool mIsReading = false;
--- a/Tests/Site/TestForeignResponses.cpp
+++ b/Tests/Site/TestForeignResponses.cpp
@@ -163,4 +163,32 @@
   }
 }
 
+// Guards against an extra response to an earlier run of an item that is taken
+// for the response to a later one: both runs bear the item's id.
+BOOST_AUTO_TEST_CASE(ALaterRunOfAnItemDoesntFollowAnEarlierOneOnItsChannel)
+{
+  batch_site site;
+  std::map<byte_channel*, std::string> lastOn;
+  int repeated = 0;
+  byte_server server(site.mLoop,
+                     [&](const auto& aChannel, const auto& aRequest) {
+                       const auto id = IdOf(aRequest);
+                       repeated += lastOn[aChannel.get()] == id ? 1 : 0;
+                       lastOn[aChannel.get()] = id;
+                       aChannel->Write(OwnResponse(aRequest));
+                     });
+  site::ApplyServer(site.mDirectory, server.Entry("s1"), boot_clock::now());
+  batch_entry entry(site, "a");
+  for (int i = 1; i <= 6; ++i) {
+    // A trainer submits items of an earlier step again.
+    const auto batch = "b" + std::to_string(i);
+    entry.SubmitItems(batch, "b1", 1);
+    BOOST_TEST(
+      site.mLoop.RunUntil([&] { return entry.ListedIds(batch).size() == 1; }));
+    entry.End(batch);
+  }
+  BOOST_TEST(server.mRequests == 6);
+  BOOST_TEST(repeated == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
