Requests and responses: no text of others ends a line of a head

An item's header value, name or path could hold a line break and reached a server as fields of its own, before the true tenant: a tenant could act as another one.

Change: one module without network says what HTTP allows in a head (HeadSyntax). A submission with an item whose id, path or headers it doesn't allow is refused whole with 400 and a body that names item and field. The functions that write a request or a response refuse such a head whoever calls them: a request ends as Unsendable, a response becomes a 500, both are logged. An item that was accepted before is given up and never sent.

--- a/Duties/Batches/BatchOwners.cpp
+++ b/Duties/Batches/BatchOwners.cpp
@@ -203,7 +203,7 @@
       // The other entry may have accepted the batch although it didn't
       // respond. The store accepts the metadata only once, but a refusal
       // may no longer claim that the batch doesn't run.
-      if (!hasResponse && aEnd != edge::call_end::NotSent) {
+      if (!hasResponse && edge::MayHaveBeenSent(aEnd)) {
         Admit(aPending->mExchange,
               aPending->mOrigin,
               std::move(aPending->mSubmission),
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -251,7 +251,7 @@
   --mRunsByServer[item->mServer];
   const auto status = aRun->mStatus;
   const bool isCutOff = aEnd != edge::call_end::Complete &&
-                        aEnd != edge::call_end::NotSent && !aRun->mIsStale;
+                        edge::MayHaveBeenSent(aEnd) && !aRun->mIsStale;
   if (isCutOff) {
     CountCutOff(batch, aRef.mIndex, ServerOf(*item), item->mServerAddress);
   } else if (aEnd == edge::call_end::NotSent) {
@@ -260,9 +260,16 @@
   if (!isCutOff && item->mLedger.count(ServerOf(*item)) > 0) {
     RecordFate(item->mLedger, ServerOf(*item), run_fate::Survived);
   }
-  const bool isFailure = !aRun->mFacts.mIsNotExecuted && !aRun->mIsStale &&
+  const bool isUnsendable = aEnd == edge::call_end::Unsendable;
+  const bool isFailure = !isUnsendable && !aRun->mFacts.mIsNotExecuted &&
+                         !aRun->mIsStale &&
                          (aEnd != edge::call_end::Complete || status >= 500);
   RecordRunEnd(*item, isFailure);
+  if (isUnsendable) {
+    LogRunEnd(*item, batch, "cannot_be_sent", aEnd, status);
+    FinishItem(batch, *item, item_end::GivenUp);
+    return;
+  }
   const char* outcome = "again";
   if (aEnd == edge::call_end::Complete && status == 200 && !aRun->mIsStale &&
       !aRun->mIsBroken && item->mGenerated.mLastEvent) {
--- a/Duties/Forwarding/AttemptOutcome.cpp
+++ b/Duties/Forwarding/AttemptOutcome.cpp
@@ -20,7 +20,7 @@
 execution
 ExecutionOf(const attempt_end& aEnd)
 {
-  if (aEnd.mEnd == edge::call_end::NotSent) {
+  if (!edge::MayHaveBeenSent(aEnd.mEnd)) {
     return execution::NotRun;
   }
   if (aEnd.mEnd != edge::call_end::Complete) {
--- a/Duties/Rewards/RewardCaller.cpp
+++ b/Duties/Rewards/RewardCaller.cpp
@@ -313,7 +313,7 @@
                : kind == response_kind::Rejected ? routing::evidence::Neutral
                                                  : routing::evidence::Failure);
   LogResponse(*aCall, *aAttempt, kind, aEnd);
-  if (aEnd != edge::call_end::Complete && aEnd != edge::call_end::NotSent) {
+  if (aEnd != edge::call_end::Complete && edge::MayHaveBeenSent(aEnd)) {
     aCall->mRequest.mOnCutOff(aAttempt->mPick.mServer);
   }
   if (kind == response_kind::Rejected) {
--- a/Duties/StoreAccess/StoreAccess.cpp
+++ b/Duties/StoreAccess/StoreAccess.cpp
@@ -62,7 +62,7 @@
 bool
 MayHaveExecuted(edge::call_end aEnd)
 {
-  return aEnd != edge::call_end::Complete && aEnd != edge::call_end::NotSent;
+  return aEnd != edge::call_end::Complete && edge::MayHaveBeenSent(aEnd);
 }
 
 } // namespace
@@ -318,7 +318,7 @@
                                     edge::response aResponse) {
       --mHelped;
       RecordDirectResult(mDependencies.mIsUnavailable(aEnd, aResponse.mStatus));
-      if (aEnd == edge::call_end::NotSent) {
+      if (!edge::MayHaveBeenSent(aEnd)) {
         done({ kCannotHelp, {}, {} });
       } else if (aEnd != edge::call_end::Complete) {
         done({ kNoStoreResponse, {}, {} });
--- a/Libraries/Edge/Caller.cpp
+++ b/Libraries/Edge/Caller.cpp
@@ -19,6 +19,8 @@
       return "complete";
     case call_end::NotSent:
       return "not_sent";
+    case call_end::Unsendable:
+      return "unsendable";
     case call_end::Broken:
       return "broken";
     case call_end::Malformed:
@@ -31,6 +33,12 @@
   return "unknown";
 }
 
+bool
+MayHaveBeenSent(call_end aEnd)
+{
+  return aEnd != call_end::NotSent && aEnd != call_end::Unsendable;
+}
+
 call_handle::call_handle(std::weak_ptr<client_connection> aConnection,
                          std::uint64_t aCall)
   : mConnection(std::move(aConnection))
--- a/Libraries/Edge/Caller.h
+++ b/Libraries/Edge/Caller.h
@@ -19,6 +19,9 @@
   Complete,
   /** No connection was established, so nothing was sent. */
   NotSent,
+  /** HTTP doesn't allow the request's head, so nothing was sent, and the same
+   * request never will be. */
+  Unsendable,
   /** The connection broke after part of the request may have been sent and
    * before the response was complete. */
   Broken,
@@ -35,6 +38,10 @@
 const char*
 ToString(call_end aEnd);
 
+/** Whether the server may have received a part of the request. */
+bool
+MayHaveBeenSent(call_end aEnd);
+
 struct call_options
 {
   /** Maximum time for the connection to be established. */
--- a/Libraries/Edge/ClientConnection.cpp
+++ b/Libraries/Edge/ClientConnection.cpp
@@ -1,6 +1,7 @@
 #include "Libraries/Edge/ClientConnection.h"
 
 #include "Libraries/Edge/ResponseBounds.h"
+#include "Libraries/EventLog/EventLog.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -8,6 +9,7 @@
 #include <functional>
 #include <netinet/tcp.h>
 #include <utility>
+#include <variant>
 
 namespace lavender::edge {
 
@@ -33,9 +35,13 @@
 constexpr int kProbeIntervalSeconds = 1;
 constexpr int kMaximumProbes = 2;
 
-std::string
+/** The bytes of a request, or why there are none. */
+std::variant<std::string, head_fault>
 WriteRequest(const request& aRequest, const endpoint& aServer)
 {
+  if (const auto fault = FindFault(aRequest)) {
+    return *fault;
+  }
   std::string bytes =
     aRequest.mMethod + " " + aRequest.mTarget + " HTTP/1.1\r\n";
   if (!aRequest.mHeaders.Find("Host")) {
@@ -118,11 +124,16 @@
   mEndsAt = aOptions.mTotalTimeout ? boot_clock::now() + *aOptions.mTotalTimeout
                                    : time_point::max();
   mEvents = std::move(aEvents);
-  mOutgoing = WriteRequest(aRequest, mServer);
   mParser.emplace();
   mParser->eager(true);
   mParser->header_limit(kMaximumHeadBytes);
   mParser->body_limit(boost::none);
+  auto written = WriteRequest(aRequest, mServer);
+  if (const auto* fault = std::get_if<head_fault>(&written)) {
+    RefuseToSend(*fault);
+    return number;
+  }
+  mOutgoing = std::move(std::get<std::string>(written));
   if (mIsConnected) {
     Send();
   } else {
@@ -131,6 +142,17 @@
   return number;
 }
 
+void
+client_connection::RefuseToSend(const head_fault& aFault)
+{
+  events::line("request_unsendable")
+    .With("server", mServer.Text())
+    .With("reason", Describe(aFault));
+  boost::asio::post(mSocket.get_executor(), [self = shared_from_this()] {
+    self->End(call_end::Unsendable);
+  });
+}
+
 void
 client_connection::Connect()
 {
--- a/Libraries/Edge/ClientConnection.h
+++ b/Libraries/Edge/ClientConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Libraries/Edge/Caller.h"
+#include "Libraries/Edge/HeadSyntax.h"
 #include "Libraries/Edge/ReadSize.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -46,6 +47,8 @@
   using parser =
     boost::beast::http::response_parser<boost::beast::http::string_body>;
 
+  /** Ends a call whose request can't be written, after Start has returned. */
+  void RefuseToSend(const head_fault& aFault);
   void Connect();
   void Send();
   void Read();
--- /dev/null
+++ b/Libraries/Edge/HeadSyntax.cpp
@@ -0,0 +1,92 @@
+#include "Libraries/Edge/HeadSyntax.h"
+
+#include <algorithm>
+
+namespace lavender::edge {
+
+namespace {
+
+bool
+IsVisible(unsigned char aCharacter)
+{
+  return aCharacter > ' ' && aCharacter < 0x7f;
+}
+
+bool
+IsTokenCharacter(unsigned char aCharacter)
+{
+  constexpr std::string_view kSeparators = "\"(),/:;<=>?@[\\]{}";
+  return IsVisible(aCharacter) &&
+         kSeparators.find(static_cast<char>(aCharacter)) ==
+           std::string_view::npos;
+}
+
+} // namespace
+
+std::string
+Describe(const head_fault& aFault)
+{
+  switch (aFault.mPart) {
+    case head_part::Method:
+      return "HTTP doesn't allow the method";
+    case head_part::Target:
+      return "HTTP doesn't allow the path";
+    case head_part::FieldName:
+      return "HTTP doesn't allow the name of a field";
+    case head_part::FieldValue:
+      return "HTTP doesn't allow the value of the field " + aFault.mField;
+  }
+  return "HTTP doesn't allow the head";
+}
+
+bool
+IsToken(std::string_view aText)
+{
+  return !aText.empty() &&
+         std::all_of(aText.begin(), aText.end(), IsTokenCharacter);
+}
+
+bool
+IsFieldValue(std::string_view aText)
+{
+  return std::all_of(aText.begin(), aText.end(), [](unsigned char aCharacter) {
+    return aCharacter == '\t' || (aCharacter >= ' ' && aCharacter != 0x7f);
+  });
+}
+
+bool
+IsTarget(std::string_view aText)
+{
+  return !aText.empty() &&
+         std::all_of(aText.begin(), aText.end(), [](unsigned char aCharacter) {
+           return aCharacter >= 0x80 || IsVisible(aCharacter);
+         });
+}
+
+std::optional<head_fault>
+FindFault(const header_list& aHeaders)
+{
+  for (const auto& [name, value] : aHeaders.mFields) {
+    if (!IsToken(name)) {
+      return head_fault{ head_part::FieldName, name };
+    }
+    if (!IsFieldValue(value)) {
+      return head_fault{ head_part::FieldValue, name };
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<head_fault>
+FindFault(const request& aRequest)
+{
+  if (!IsToken(aRequest.mMethod)) {
+    return head_fault{ head_part::Method, {} };
+  }
+  if (!IsTarget(aRequest.mTarget)) {
+    return head_fault{ head_part::Target, {} };
+  }
+  return FindFault(aRequest.mHeaders);
+}
+
+} // namespace lavender::edge
--- a/Libraries/Edge/ServerConnection.cpp
+++ b/Libraries/Edge/ServerConnection.cpp
@@ -1,5 +1,8 @@
 #include "Libraries/Edge/ServerConnection.h"
 
+#include "Libraries/Edge/HeadSyntax.h"
+#include "Libraries/EventLog/EventLog.h"
+
 #include <array>
 #include <boost/asio/write.hpp>
 #include <utility>
@@ -26,12 +29,21 @@
  * of buffered bytes is reached: space is likely to be free by then. */
 constexpr char kRetryAfterSeconds[] = "0.5";
 
-std::string
+constexpr unsigned kInternalError = 500;
+
+/** @return none if HTTP doesn't allow a field; the fault is logged */
+std::optional<std::string>
 WriteHead(unsigned aStatus,
           const header_list& aHeaders,
           std::optional<std::size_t> aLength,
           bool aIsClosing)
 {
+  if (const auto fault = FindFault(aHeaders)) {
+    events::line("response_unsendable")
+      .With("status", static_cast<std::int64_t>(aStatus))
+      .With("reason", Describe(*fault));
+    return std::nullopt;
+  }
   std::string head = "HTTP/1.1 " + std::to_string(aStatus) + " " +
                      std::string(ReasonPhrase(aStatus)) + "\r\n";
   for (const auto& [name, value] : aHeaders.mFields) {
@@ -79,14 +91,18 @@
   if (mIsEnded || mHasBegun || !connection) {
     return;
   }
-  mHasBegun = mIsEnded = true;
   const auto& shared = aResponse.mSharedBody;
-  auto bytes = WriteHead(aResponse.mStatus,
-                         aResponse.mHeaders,
-                         aResponse.mBody.size() + (shared ? shared->size() : 0),
-                         connection->IsClosing());
-  bytes += aResponse.mBody;
-  connection->SendLast(std::move(bytes), shared);
+  auto head = WriteHead(aResponse.mStatus,
+                        aResponse.mHeaders,
+                        aResponse.mBody.size() + (shared ? shared->size() : 0),
+                        connection->IsClosing());
+  if (!head) {
+    Answer({ kInternalError, {}, {} });
+    return;
+  }
+  mHasBegun = mIsEnded = true;
+  *head += aResponse.mBody;
+  connection->SendLast(std::move(*head), shared);
 }
 
 void
@@ -96,9 +112,14 @@
   if (mIsEnded || mHasBegun || !connection) {
     return;
   }
+  auto head =
+    WriteHead(aStatus, aHeaders, std::nullopt, connection->IsClosing());
+  if (!head) {
+    Answer({ kInternalError, {}, {} });
+    return;
+  }
   mHasBegun = true;
-  connection->Send(
-    WriteHead(aStatus, aHeaders, std::nullopt, connection->IsClosing()), false);
+  connection->Send(std::move(*head), false);
 }
 
 void
@@ -361,7 +382,7 @@
     headers.Add("Retry-After", kRetryAfterSeconds);
   }
   CountBody(0);
-  Send(WriteHead(aStatus, headers, std::size_t{ 0 }, true), true);
+  Send(*WriteHead(aStatus, headers, std::size_t{ 0 }, true), true);
 }
 
 void
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -496,25 +496,24 @@
 {
   edge::call_options options;
   options.mMayReuse = false;
-  edge::FetchWhole(*mClients,
-                   mLoop,
-                   mSettings.mReports,
-                   platform::EncodeUsage(aReport),
-                   options,
-                   kReportTimeout,
-                   64 << 10,
-                   [done = std::move(aDone)](edge::call_end aEnd,
-                                             const edge::response& aResponse) {
-                     if (aEnd != edge::call_end::Complete) {
-                       done(aEnd == edge::call_end::NotSent
-                              ? billing::report_outcome::Refused
-                              : billing::report_outcome::Unknown);
-                       return;
-                     }
-                     done(aResponse.mStatus == 200
-                            ? billing::report_outcome::Accepted
-                            : billing::report_outcome::Refused);
-                   });
+  edge::FetchWhole(
+    *mClients,
+    mLoop,
+    mSettings.mReports,
+    platform::EncodeUsage(aReport),
+    options,
+    kReportTimeout,
+    64 << 10,
+    [done = std::move(aDone)](edge::call_end aEnd,
+                              const edge::response& aResponse) {
+      if (aEnd != edge::call_end::Complete) {
+        done(!edge::MayHaveBeenSent(aEnd) ? billing::report_outcome::Refused
+                                          : billing::report_outcome::Unknown);
+        return;
+      }
+      done(aResponse.mStatus == 200 ? billing::report_outcome::Accepted
+                                    : billing::report_outcome::Refused);
+    });
 }
 
 void
--- a/Services/Entry/SiteEntryServing.cpp
+++ b/Services/Entry/SiteEntryServing.cpp
@@ -100,8 +100,11 @@
     platform::DecodeSubmission(platform::SubmittedId(request), request.mBody);
   if (!submission) {
     events::line("submission_unreadable")
+      .With("request", platform::SubmittedId(request))
       .With("reason", submission.mLastReason);
-    Deny(aExchange, 400, "unreadable submission");
+    mMetrics.Count("lavender_refusals_total",
+                   { { "reason", "unreadable submission" } });
+    aExchange->Answer(platform::EncodeRefusal(400, submission.mLastReason));
     return;
   }
   mBatches.Submit(aExchange,
--- a/Tests/Site/TestClientPool.cpp
+++ b/Tests/Site/TestClientPool.cpp
@@ -102,6 +102,78 @@
   BOOST_TEST(clients->Counts().mReused == 1u);
 }
 
+// Guards against a request whose text from others ends a line: a part of it
+// would be a field, or a request, that nobody sent.
+BOOST_AUTO_TEST_CASE(ARequestThatHttpDoesntAllowSendsNothing)
+{
+  test_loop loop;
+  auto clients = std::make_shared<edge::client_pool>(loop.mLoop);
+  byte_server server(loop, [](const auto& aChannel, const auto&) {
+    aChannel->Write(ResponseBytes(200, "", "", "x"));
+  });
+  const auto end = [&](const edge::request& aRequest) {
+    std::optional<edge::call_end> ended;
+    edge::call_events events;
+    events.mOnEnd = [&](edge::call_end aEnd) { ended = aEnd; };
+    clients->Start(
+      server.Entry("s1").mAddress, aRequest, {}, std::move(events));
+    BOOST_TEST(loop.RunUntil([&] { return ended.has_value(); }));
+    return ended.value_or(edge::call_end::TimedOut);
+  };
+  edge::request sound;
+  sound.mMethod = "GET";
+  sound.mTarget = "/a?b=\xc3\xa4";
+  sound.mHeaders.Add("X-Counts", "5, 5\t\xc3\xa4");
+  BOOST_TEST((end(sound) == edge::call_end::Complete));
+  const std::string lineBreak = "x\r\nX-Tenant: other";
+  for (int i = 0; i < 4; ++i) {
+    auto bad = sound;
+    if (i == 0) {
+      bad.mTarget += lineBreak;
+    } else if (i == 1) {
+      bad.mMethod += lineBreak;
+    } else if (i == 2) {
+      bad.mHeaders.Add(lineBreak, "5");
+    } else {
+      bad.mHeaders.Add("X-Counts", lineBreak);
+    }
+    BOOST_TEST((end(bad) == edge::call_end::Unsendable));
+  }
+  BOOST_TEST(server.mRequests == 1);
+}
+
+// Guards against a response of the entry's own that holds a field, or a whole
+// response, that another party wrote.
+BOOST_AUTO_TEST_CASE(AResponseThatHttpDoesntAllowIsAFailureInstead)
+{
+  test_loop loop;
+  auto clients = std::make_shared<edge::client_pool>(loop.mLoop);
+  bool isStream = false;
+  edge::listener listener(loop.mLoop,
+                          std::make_shared<edge::listener_limits>(),
+                          [&](const auto& aExchange) {
+                            edge::header_list headers;
+                            headers.Add("X-Reason", "x\r\n\r\nHTTP/1.1 200 OK");
+                            if (isStream) {
+                              aExchange->Begin(200, headers);
+                              aExchange->Finish();
+                            } else {
+                              aExchange->Answer({ 200, headers, "x" });
+                            }
+                          });
+  listener.Open({ "127.0.0.1", 0 });
+  edge::request request;
+  request.mMethod = "GET";
+  request.mTarget = "/";
+  for (const bool isStreamNow : { false, true }) {
+    isStream = isStreamNow;
+    const auto result = Call(loop, *clients, listener.Port(), request);
+    BOOST_TEST((result.mEnd == edge::call_end::Complete));
+    BOOST_TEST(result.mAnswer.mStatus == 500u);
+    BOOST_TEST(result.mAnswer.mBody.empty());
+  }
+}
+
 // Guards against a call that lasts for as long as the server sends something,
 // whether its bytes count as progress or not.
 BOOST_AUTO_TEST_CASE(BytesWithoutEndDontKeepACallOpen)
--- a/Tests/Site/TestForeignResponses.cpp
+++ b/Tests/Site/TestForeignResponses.cpp
@@ -191,4 +191,32 @@
   BOOST_TEST(repeated == 0);
 }
 
+// Guards against an item of an earlier build's, accepted with a line break in a
+// header, that reaches a server or waits for ever.
+BOOST_AUTO_TEST_CASE(AnItemThatCantBeSentIsGivenUp)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  site.Add(server);
+  batch_entry entry(site, "a");
+  batches::submission submission;
+  submission.mId = "b1";
+  submission.mModel = "model";
+  submission.mItems.resize(1);
+  submission.mItems[0].mId = "b1i0";
+  submission.mItems[0].mPath = "/r/x";
+  submission.mItems[0].mHeaders.Add("X-Counts", "5\r\nX-Tenant: other");
+  entry.mService.SubmitLocally(
+    std::make_shared<edge::exchange>(nullptr, edge::request()),
+    { "", "train.example" },
+    submission);
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return entry.ListedIds("b1").size() == 1; }));
+  const auto page = entry.Read("b1", 0);
+  BOOST_REQUIRE(page.Find("results"));
+  BOOST_TEST(json::StringAt(page.Find("results")->Elements()[0], "state", "") ==
+             "dead_letter");
+  BOOST_TEST(server.mRuns.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Site/TestSubmissions.cpp
+++ b/Tests/Site/TestSubmissions.cpp
@@ -40,6 +40,48 @@
   }
 }
 
+// Guards against an item that acts as another tenant's: a line break in a value
+// reaches a server as a field of its own. The refusal names item and field.
+BOOST_AUTO_TEST_CASE(AFieldOrPathThatHttpDoesntAllowIsRefusedAtOnce)
+{
+  const auto with = [](const std::string& aId,
+                       const std::string& aPath,
+                       const std::string& aName,
+                       const std::string& aValue) {
+    return R"({"id":")" + aId + R"(","path":")" + aPath +
+           R"(","body":"","headers":{")" + aName + R"(":")" + aValue + R"("}})";
+  };
+  BOOST_TEST(ProblemWith(with("i1", "/r/x", "X-Counts", "5,\\t5 \u00e4")) ==
+             "");
+  for (const auto* bad : { "5\\r\\nX-Tenant: other",
+                           "5\\nX-Tenant: other",
+                           "5\\r",
+                           "5\\u0000",
+                           "5\\u007f",
+                           "5\\r\\n\\r\\nPOST / HTTP/1.1" }) {
+    const auto problem = ProblemWith(with("i1", "/r/x", "X-Counts", bad));
+    BOOST_TEST(problem.find("i1") != std::string::npos, bad);
+    BOOST_TEST(problem.find("X-Counts") != std::string::npos, bad);
+  }
+  for (const auto* bad : { "", "X\u00e4" }) {
+    BOOST_TEST(!ProblemWith(with("i1", "/r/x", bad, "5")).empty(), bad);
+  }
+  for (const auto* bad : { "X Counts", "X-Counts:", "X\\r\\n" }) {
+    BOOST_TEST(ProblemWith(with("i1", "/r/x", bad, "5")).find("i1") !=
+                 std::string::npos,
+               bad);
+  }
+  for (const auto* bad :
+       { "/r/x HTTP/1.1\\r\\nX: y", "/r x", "r/x", "/r\\n", "/r\\t" }) {
+    BOOST_TEST(ProblemWith(with("i1", bad, "X-Counts", "5")).find("i1") !=
+                 std::string::npos,
+               bad);
+    BOOST_TEST(!ProblemWith(with(bad, "/r/x", "X-Counts", "5")).empty() ==
+                 (std::string(bad) != "r/x"),
+               bad);
+  }
+}
+
 // Guards against a step that never ends because two items have the same id: a
 // result is listed once for each id.
 BOOST_AUTO_TEST_CASE(AnIdThatStandsTwiceIsRefusedAtOnce)
