--- a/Libraries/Json/TestValue.cpp
+++ b/Libraries/Json/TestValue.cpp
@@ -29,7 +29,9 @@
                             "{",
                             "\"\xff\"",
                             "{\"\":1}",
-                            "{\"\xc3\xa5r\":1}",
+                            "{\"\xc3r\":1}",
+                            "{\"\xff\":1}",
+                            "{\"\xc3\xa5r\":1,\"\xc3\xa5r\":2}",
                             "tru",
                             "{\"a\":tru}",
                             "{a:1}",
@@ -53,6 +55,16 @@
   BOOST_TEST(!json::Parse(std::string(1000000, '[')));
 }
 
+// Guards against a model or tenant whose name isn't ASCII and whose orders and
+// usage can't be read: names stand as members in these messages.
+BOOST_AUTO_TEST_CASE(MemberNamesMayBeBeyondAscii)
+{
+  const auto parsed = json::Parse("{\"\xc3\xa5r\":1}");
+  BOOST_REQUIRE(parsed);
+  BOOST_TEST(json::IntegerAt(*parsed, "\xc3\xa5r", 0) == 1);
+  BOOST_TEST(json::Write(*parsed) == "{\"\xc3\xa5r\":1}");
+}
+
 // RapidJSON writes large reals as integers that its own parser doesn't accept:
 // 1e70 for max_tokens was forwarded to a backend server as an integer of 71
 // digits and refused there, after the request counted as sent. TestFuzzParse
--- a/Libraries/Json/Value.cpp
+++ b/Libraries/Json/Value.cpp
@@ -1,6 +1,5 @@
 #include "Libraries/Json/Value.h"
 
-#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <rapidjson/encodedstream.h>
@@ -17,15 +16,6 @@
  * they would be parsed as other numbers. */
 constexpr double kLargestReal = 9.2e18;
 
-bool
-IsUsableName(std::string_view aName)
-{
-  return !aName.empty() &&
-         std::all_of(aName.begin(), aName.end(), [](char aCharacter) {
-           return static_cast<unsigned char>(aCharacter) < 0x80;
-         });
-}
-
 /** Builds the document from the events of RapidJSON's reader. A handler returns
  * false to stop parsing, with the reason in mProblem. */
 class builder
@@ -61,8 +51,8 @@
   bool Key(const char* aText, rapidjson::SizeType aSize, bool)
   {
     std::string name(aText, aSize);
-    if (!IsUsableName(name)) {
-      return Refuse("member name empty or not ASCII");
+    if (name.empty()) {
+      return Refuse("member name empty");
     }
     if (mOpen.back()->Find(name)) {
       return Refuse("member given twice: " + name);
--- a/Libraries/Json/Value.h
+++ b/Libraries/Json/Value.h
@@ -108,9 +108,8 @@
 constexpr int kMaximumNesting = 64;
 
 /** Parses one document. Fails for malformed JSON, trailing bytes, duplicate
- * members, member names that are empty or not ASCII, numbers out of range,
- * nesting over kMaximumNesting and invalid UTF-8, with a reason that has the
- * byte offset. */
+ * members, empty member names, numbers out of range, nesting over
+ * kMaximumNesting and invalid UTF-8, with a reason that has the byte offset. */
 result<value>
 Parse(std::string_view aText);
 
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -467,6 +467,11 @@
                         { "outcome", call.mOutcome } },
                       static_cast<double>(calls));
   }
+  for (const auto& [kind, objects] : mStoreCounts.mUnreadable) {
+    mMetrics.SetGauge("lavender_store_objects_unreadable",
+                      { { "kind", kind } },
+                      static_cast<double>(objects));
+  }
   return mMetrics.Write();
 }
 
