Batches: an end that the store doesn't take is kept until it does

A trainer ends its batch while the store is down: both calls fail, the runs are cancelled, and ten seconds after the outage a planned stop of the owner hands the batch over as an open one, whose items the next owner sends to servers.

Cause: the end was tried four times within a second and then forgotten; the entry that was asked heard nothing for 0.6 s, and claimed the batch in vain.

Change: the batch's record keeps that its end was asked for, at the owner and at the entry that was asked. Each tries again every second until the store holds the end, a hand-over writes it with the new owner, and a batch that is loaded again doesn't run. A call that ends a batch waits 1.5 s for its owner, which answers after a second when the store refuses.

--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -19,6 +19,12 @@
 /** Time beyond the requested wait after which an owner that doesn't respond
  * loses its batch to another entry. */
 constexpr milliseconds kOwnerResponseTimeout = 600ms;
+/** The same for the end of a batch: an owner that the store refuses tries for
+ * about a second before it answers, and keeps the end. */
+constexpr milliseconds kEndResponseTimeout = 1500ms;
+/** Time between two attempts to end a batch whose end the store doesn't hold.
+ */
+constexpr milliseconds kEndRetryDelay = 1000ms;
 /** Maximum time for the transfer of a page after the owner has started its
  * response. A megabyte takes 0.14 s on a 60 Mbit/s link, which several readers
  * may share. With a shorter limit an owner lost its batch in the middle of a
@@ -132,7 +138,9 @@
 {
   edge::call_options options;
   options.mConnectTimeout = kOwnerResponseTimeout;
-  options.mSilenceTimeout = aCall.mWait + kOwnerResponseTimeout;
+  options.mSilenceTimeout = aCall.mKind == batch_call::kind::End
+                              ? kEndResponseTimeout
+                              : aCall.mWait + kOwnerResponseTimeout;
   edge::FetchWhole(
     mDependencies.mClients,
     mDependencies.mLoop,
@@ -188,6 +196,10 @@
                         const batch_call& aCall,
                         const batch_ptr& aBatch)
 {
+  if (aCall.mKind == batch_call::kind::End) {
+    aBatch->mIsEndAsked = true;
+    ScheduleEnd(aBatch);
+  }
   if (boot_clock::now() - aBatch->mOwnerChangedAt < kMinimumClaimInterval ||
       mIsShuttingDown) {
     edge::AnswerOwn(aExchange, 503, kLoadingRetryAfter);
@@ -312,14 +324,10 @@
                    const batch_ptr& aBatch,
                    int aTriesLeft)
 {
-  const auto counted = mDependencies.mRunner.CountedRuns(aBatch->mMetadata.mId);
-  if (!counted.empty()) {
-    aBatch->mMetadata.mCountedRuns = counted;
-    ApplyCountedRuns(aBatch->mMetadata);
-  }
   // The runs are cancelled before the store has recorded the end: the trainer
   // needs no more results, even if this request fails.
-  mDependencies.mRunner.Remove(aBatch->mMetadata.mId);
+  aBatch->mIsEndAsked = true;
+  StopRuns(aBatch);
   if (aBatch->mMetadata.mIsEnded) {
     aExchange->Answer({ 200, {}, {} });
     return;
@@ -354,8 +362,54 @@
         });
       } else {
         aExchange->Answer({ 504, {}, {} });
+        ScheduleEnd(aBatch);
       }
     });
 }
 
+void
+batch_service::StopRuns(const batch_ptr& aBatch)
+{
+  const auto counted = mDependencies.mRunner.CountedRuns(aBatch->mMetadata.mId);
+  if (!counted.empty()) {
+    aBatch->mMetadata.mCountedRuns = counted;
+    ApplyCountedRuns(aBatch->mMetadata);
+  }
+  mDependencies.mRunner.Remove(aBatch->mMetadata.mId);
+}
+
+void
+batch_service::ScheduleEnd(const batch_ptr& aBatch)
+{
+  if (aBatch->mIsEndScheduled || aBatch->mMetadata.mIsEnded) {
+    return;
+  }
+  aBatch->mIsEndScheduled = true;
+  events::line("batch_end_pending")
+    .With("batch", aBatch->mMetadata.mId)
+    .With("owner", aBatch->mMetadata.mOwner);
+  After(kEndRetryDelay, [this, aBatch] {
+    aBatch->mIsEndScheduled = false;
+    ContinueEnd(aBatch);
+  });
+}
+
+void
+batch_service::ContinueEnd(const batch_ptr& aBatch)
+{
+  const auto& metadata = aBatch->mMetadata;
+  if (metadata.mIsEnded || mBatches.count(metadata.mId) == 0) {
+    return;
+  }
+  batch_call call;
+  call.mKind = batch_call::kind::End;
+  call.mBatchId = metadata.mId;
+  call.mCustomer = metadata.mCustomer;
+  // The trainer has its answer; this exchange discards further ones.
+  const auto nobody =
+    std::make_shared<edge::exchange>(nullptr, edge::request());
+  ServeBatch(nobody, call, aBatch);
+  ScheduleEnd(aBatch);
+}
+
 } // namespace lavender::batches
--- a/Duties/Batches/BatchLoading.cpp
+++ b/Duties/Batches/BatchLoading.cpp
@@ -167,6 +167,10 @@
       return HasResult(aBatch->mLog, aItemId);
     },
     std::move(stored));
+  if (aBatch->mIsEndAsked) {
+    StopRuns(aBatch);
+    return;
+  }
   ScheduleSave(aBatch);
 }
 
--- a/Duties/Batches/BatchOwners.cpp
+++ b/Duties/Batches/BatchOwners.cpp
@@ -219,6 +219,10 @@
 {
   mIsShuttingDown = true;
   for (const auto& [id, batch] : mBatches) {
+    if (batch->mIsEndAsked && !IsOwnedHere(batch)) {
+      ContinueEnd(batch);
+      continue;
+    }
     const auto successor = DesignatedOwner(AffiliationOf(batch->mMetadata));
     if (!IsOwnedHere(batch) || batch->mMetadata.mIsEnded || !successor) {
       continue;
@@ -235,6 +239,7 @@
 {
   auto given = aBatch->mMetadata;
   given.mOwner = aOwner;
+  given.mIsEnded = aBatch->mIsEndAsked;
   mDependencies.mStore.mReplaceStatus(
     kBatchMetadataKind,
     aBatch->mMetadata.mId,
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -78,6 +78,12 @@
   /** True while a request to another entry to take over the batch is pending.
    */
   bool mIsOffered = false;
+  /** A trainer has ended the batch. Its items don't run here any more, whether
+   * the store holds the end or not. */
+  bool mIsEndAsked = false;
+  /** True while an end that the store doesn't hold waits for its next attempt.
+   */
+  bool mIsEndScheduled = false;
   /** Time at which the log was loaded from the store; none if this entry has
    * listed all of it. */
   std::optional<time_point> mLoadedAt;
@@ -273,6 +279,12 @@
   void End(const edge::exchange_ptr& aExchange,
            const batch_ptr& aBatch,
            int aTriesLeft);
+  /** Cancels the runs of a batch that a trainer has ended, and keeps which of
+   * them count for later batches. */
+  void StopRuns(const batch_ptr& aBatch);
+  /** Tries again later to end a batch whose end the store doesn't hold. */
+  void ScheduleEnd(const batch_ptr& aBatch);
+  void ContinueEnd(const batch_ptr& aBatch);
 
   void Load(const batch_ptr& aBatch, std::function<void(bool)> aDone);
   void StartLoad(const batch_ptr& aBatch);
