--- a/Duties/Site/ServerCall.cpp
+++ b/Duties/Site/ServerCall.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Site/ServerCall.h"
 
 #include "Duties/Site/ResponseOwner.h"
+#include "Libraries/Edge/HeadSyntax.h"
 #include "Libraries/EventLog/EventLog.h"
 
 namespace lavender::site {
@@ -37,6 +38,12 @@
 {
   const auto& protocol = aDependencies.mProtocol;
   const auto request = protocol.mAddress(aRequest, aAttempt);
+  if (const auto fault = edge::FindFault(request)) {
+    // The connection refuses to send it; this tells why.
+    events::line("request_unsendable")
+      .With("server", aAttempt.mServerId)
+      .With("reason", edge::Describe(*fault));
+  }
   const auto id = protocol.mReadCallerMetadata(request).mAttemptId;
   const auto metadata = std::make_shared<response_metadata>();
   edge::call_events events;
--- a/Libraries/Edge/ClientConnection.cpp
+++ b/Libraries/Edge/ClientConnection.cpp
@@ -1,7 +1,6 @@
 #include "Libraries/Edge/ClientConnection.h"
 
 #include "Libraries/Edge/ResponseBounds.h"
-#include "Libraries/EventLog/EventLog.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -129,8 +128,8 @@
   mParser->header_limit(kMaximumHeadBytes);
   mParser->body_limit(boost::none);
   auto written = WriteRequest(aRequest, mServer);
-  if (const auto* fault = std::get_if<head_fault>(&written)) {
-    RefuseToSend(*fault);
+  if (std::holds_alternative<head_fault>(written)) {
+    RefuseToSend();
     return number;
   }
   mOutgoing = std::move(std::get<std::string>(written));
@@ -143,11 +142,8 @@
 }
 
 void
-client_connection::RefuseToSend(const head_fault& aFault)
+client_connection::RefuseToSend()
 {
-  events::line("request_unsendable")
-    .With("server", mServer.Text())
-    .With("reason", Describe(aFault));
   boost::asio::post(mSocket.get_executor(), [self = shared_from_this()] {
     self->End(call_end::Unsendable);
   });
--- a/Libraries/Edge/ClientConnection.h
+++ b/Libraries/Edge/ClientConnection.h
@@ -48,7 +48,7 @@
     boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   /** Ends a call whose request can't be written, after Start has returned. */
-  void RefuseToSend(const head_fault& aFault);
+  void RefuseToSend();
   void Connect();
   void Send();
   void Read();
--- a/Libraries/Edge/ServerConnection.cpp
+++ b/Libraries/Edge/ServerConnection.cpp
@@ -1,7 +1,6 @@
 #include "Libraries/Edge/ServerConnection.h"
 
 #include "Libraries/Edge/HeadSyntax.h"
-#include "Libraries/EventLog/EventLog.h"
 
 #include <array>
 #include <boost/asio/write.hpp>
@@ -31,19 +30,12 @@
 
 constexpr unsigned kInternalError = 500;
 
-/** @return none if HTTP doesn't allow a field; the fault is logged */
-std::optional<std::string>
+std::string
 WriteHead(unsigned aStatus,
           const header_list& aHeaders,
           std::optional<std::size_t> aLength,
           bool aIsClosing)
 {
-  if (const auto fault = FindFault(aHeaders)) {
-    events::line("response_unsendable")
-      .With("status", static_cast<std::int64_t>(aStatus))
-      .With("reason", Describe(*fault));
-    return std::nullopt;
-  }
   std::string head = "HTTP/1.1 " + std::to_string(aStatus) + " " +
                      std::string(ReasonPhrase(aStatus)) + "\r\n";
   for (const auto& [name, value] : aHeaders.mFields) {
@@ -57,6 +49,13 @@
   return head + "\r\n";
 }
 
+/** What is sent in place of a response whose head HTTP doesn't allow. */
+response
+RefusalOf(const head_fault& aFault)
+{
+  return { kInternalError, {}, Describe(aFault) };
+}
+
 std::string
 WriteChunk(std::string_view aPiece)
 {
@@ -91,18 +90,18 @@
   if (mIsEnded || mHasBegun || !connection) {
     return;
   }
-  const auto& shared = aResponse.mSharedBody;
-  auto head = WriteHead(aResponse.mStatus,
-                        aResponse.mHeaders,
-                        aResponse.mBody.size() + (shared ? shared->size() : 0),
-                        connection->IsClosing());
-  if (!head) {
-    Answer({ kInternalError, {}, {} });
+  if (const auto fault = FindFault(aResponse.mHeaders)) {
+    Answer(RefusalOf(*fault));
     return;
   }
   mHasBegun = mIsEnded = true;
-  *head += aResponse.mBody;
-  connection->SendLast(std::move(*head), shared);
+  const auto& shared = aResponse.mSharedBody;
+  auto bytes = WriteHead(aResponse.mStatus,
+                         aResponse.mHeaders,
+                         aResponse.mBody.size() + (shared ? shared->size() : 0),
+                         connection->IsClosing());
+  bytes += aResponse.mBody;
+  connection->SendLast(std::move(bytes), shared);
 }
 
 void
@@ -112,14 +111,13 @@
   if (mIsEnded || mHasBegun || !connection) {
     return;
   }
-  auto head =
-    WriteHead(aStatus, aHeaders, std::nullopt, connection->IsClosing());
-  if (!head) {
-    Answer({ kInternalError, {}, {} });
+  if (const auto fault = FindFault(aHeaders)) {
+    Answer(RefusalOf(*fault));
     return;
   }
   mHasBegun = true;
-  connection->Send(std::move(*head), false);
+  connection->Send(
+    WriteHead(aStatus, aHeaders, std::nullopt, connection->IsClosing()), false);
 }
 
 void
@@ -382,7 +380,7 @@
     headers.Add("Retry-After", kRetryAfterSeconds);
   }
   CountBody(0);
-  Send(*WriteHead(aStatus, headers, std::size_t{ 0 }, true), true);
+  Send(WriteHead(aStatus, headers, std::size_t{ 0 }, true), true);
 }
 
 void
--- a/Tests/Site/TestClientPool.cpp
+++ b/Tests/Site/TestClientPool.cpp
@@ -170,7 +170,8 @@
     const auto result = Call(loop, *clients, listener.Port(), request);
     BOOST_TEST((result.mEnd == edge::call_end::Complete));
     BOOST_TEST(result.mAnswer.mStatus == 500u);
-    BOOST_TEST(result.mAnswer.mBody.empty());
+    BOOST_TEST(result.mAnswer.mBody ==
+               "HTTP doesn't allow the value of the field X-Reason");
   }
 }
 
