Batches: a hand-over never opens a batch that another entry has ended

A hand-over first stores texts. If another entry ends the batch meanwhile, the hand-over wrote it with the newest revision as open, since this owner's own record had no end asked for. Found by reading the change; TestBatchEnds and TestBatchOwners pass, a test of this order of events isn't written.

--- a/Duties/Batches/BatchOwners.cpp
+++ b/Duties/Batches/BatchOwners.cpp
@@ -239,7 +239,7 @@
 {
   auto given = aBatch->mMetadata;
   given.mOwner = aOwner;
-  given.mIsEnded = aBatch->mIsEndAsked;
+  given.mIsEnded = given.mIsEnded || aBatch->mIsEndAsked;
   mDependencies.mStore.mReplaceStatus(
     kBatchMetadataKind,
     aBatch->mMetadata.mId,
