Batches: calls that end a batch share one series of writes

An end that the store doesn't take is tried again each second, and each attempt began a series of four writes: while the store is silent, several overlapped for one batch. Calls now wait for the series under way. Found by reading; the new case of TestBatchEnds passes, it wasn't run on the code before.

--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -120,7 +120,7 @@
         ReadItem(aExchange, aCall, aBatch);
         return;
       case batch_call::kind::End:
-        End(aExchange, aBatch, kMaximumTries);
+        End(aExchange, aBatch);
         return;
       case batch_call::kind::TakeOver:
         // Handled before the batch is loaded, in HandleOffer.
@@ -320,9 +320,7 @@
 }
 
 void
-batch_service::End(const edge::exchange_ptr& aExchange,
-                   const batch_ptr& aBatch,
-                   int aTriesLeft)
+batch_service::End(const edge::exchange_ptr& aExchange, const batch_ptr& aBatch)
 {
   // The runs are cancelled before the store has recorded the end: the trainer
   // needs no more results, even if this request fails.
@@ -332,6 +330,19 @@
     aExchange->Answer({ 200, {}, {} });
     return;
   }
+  aBatch->mEndWaiters.push_back(aExchange);
+  if (aBatch->mEndWaiters.size() == 1) {
+    WriteEnd(aBatch, kMaximumTries);
+  }
+}
+
+void
+batch_service::WriteEnd(const batch_ptr& aBatch, int aTriesLeft)
+{
+  if (aBatch->mMetadata.mIsEnded) {
+    AnswerEndWaiters(aBatch, 200);
+    return;
+  }
   auto ended = aBatch->mMetadata;
   ended.mOwner = mDependencies.mName;
   ended.mIsEnded = true;
@@ -340,7 +351,7 @@
     aBatch->mMetadata.mId,
     aBatch->mMetadata.mRevision,
     EncodeMetadataStatus(ended),
-    [this, aExchange, aBatch, aTriesLeft, runs = ended.mCountedRuns](
+    [this, aBatch, aTriesLeft, runs = ended.mCountedRuns](
       const objects::object_reply& aResponse) {
       if (aResponse.mOutcome == store_outcome::Done ||
           aResponse.mOutcome == store_outcome::Conflict) {
@@ -355,18 +366,25 @@
       }
       if (aBatch->mMetadata.mIsEnded) {
         events::line("batch_ended").With("batch", aBatch->mMetadata.mId);
-        aExchange->Answer({ 200, {}, {} });
+        AnswerEndWaiters(aBatch, 200);
       } else if (aTriesLeft > 0) {
-        After(kRetryDelay, [this, aExchange, aBatch, aTriesLeft] {
-          End(aExchange, aBatch, aTriesLeft - 1);
-        });
+        After(kRetryDelay,
+              [this, aBatch, aTriesLeft] { WriteEnd(aBatch, aTriesLeft - 1); });
       } else {
-        aExchange->Answer({ 504, {}, {} });
+        AnswerEndWaiters(aBatch, 504);
         ScheduleEnd(aBatch);
       }
     });
 }
 
+void
+batch_service::AnswerEndWaiters(const batch_ptr& aBatch, unsigned aStatus)
+{
+  for (const auto& waiter : std::exchange(aBatch->mEndWaiters, {})) {
+    waiter->Answer({ aStatus, {}, {} });
+  }
+}
+
 void
 batch_service::StopRuns(const batch_ptr& aBatch)
 {
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -95,6 +95,9 @@
   time_point mOwnerChangedAt;
   std::vector<std::function<void(bool)>> mLoadWaiters;
   std::vector<std::function<void()>> mResultWaiters;
+  /** Calls that wait for the end to be stored. While there are any, the end is
+   * being written. */
+  std::vector<edge::exchange_ptr> mEndWaiters;
 };
 
 using batch_ptr = std::shared_ptr<batch_record>;
@@ -276,9 +279,9 @@
   void ReadItem(const edge::exchange_ptr& aExchange,
                 const batch_call& aCall,
                 const batch_ptr& aBatch);
-  void End(const edge::exchange_ptr& aExchange,
-           const batch_ptr& aBatch,
-           int aTriesLeft);
+  void End(const edge::exchange_ptr& aExchange, const batch_ptr& aBatch);
+  void WriteEnd(const batch_ptr& aBatch, int aTriesLeft);
+  void AnswerEndWaiters(const batch_ptr& aBatch, unsigned aStatus);
   /** Cancels the runs of a batch that a trainer has ended, and keeps which of
    * them count for later batches. */
   void StopRuns(const batch_ptr& aBatch);
--- a/Tests/Site/TestBatchEnds.cpp
+++ b/Tests/Site/TestBatchEnds.cpp
@@ -140,4 +140,29 @@
   BOOST_TEST(site.Runs() == 4);
 }
 
+// Guards against writes that pile up for one end while the store is silent:
+// each call, and each attempt of the entry's own, began a series of them.
+BOOST_AUTO_TEST_CASE(CallsThatEndABatchShareOneSeriesOfWrites)
+{
+  slow_site site;
+  batch_entry entry(site, "a");
+  entry.Submit("b1", 4);
+  BOOST_TEST(site.WaitForRuns(4));
+  int writes = 0;
+  entry.mStore.mReplaceStatus = [&](const auto&,
+                                    const auto&,
+                                    objects::revision_number,
+                                    const auto&,
+                                    const objects::object_done&) { ++writes; };
+  edge::request request;
+  request.mMethod = "DELETE";
+  request.mTarget = "/lots/b1";
+  for (int i = 0; i < 3; ++i) {
+    site.mClients->Start({ "127.0.0.1", entry.Port() }, request, {}, {});
+  }
+  BOOST_TEST(site.WaitForRuns(0));
+  site.Watch(300ms);
+  BOOST_TEST(writes == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
