--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Duties/Batches/RunLedger.h"
+#include "Duties/Batches/OwnerTerm.h"
 #include "Duties/Rewards/RewardCall.h"
 #include "Duties/Scheduling/ServerSpeed.h"
 #include "Libraries/Core/Clock.h"
@@ -46,6 +46,9 @@
   /** Number of complete groups that the trainer waits for. */
   int mTargetGroups = 0;
   std::vector<batch_item> mItems;
+  /** Servers that the entry that accepts the batch may use, stored with the
+   * items. */
+  server_list mServers;
 };
 
 /** Returns the group of the item with the given id, or null if there is no such
--- a/Duties/Batches/BatchAdmission.cpp
+++ b/Duties/Batches/BatchAdmission.cpp
@@ -46,6 +46,8 @@
   auto admitted = std::make_shared<admission>();
   admitted->mExchange = aExchange;
   admitted->mMayExist = aPriorAttempt == prior_attempt::MayHaveBeenAccepted;
+  aSubmission.mServers =
+    mDependencies.mRunner.UsableServers(aOrigin.mHost, aSubmission);
   admitted->mItems = EncodeItems(aSubmission);
   auto& metadata = admitted->mMetadata;
   metadata.mId = aSubmission.mId;
@@ -86,6 +88,10 @@
       // same items.
       if (aResponse.mOutcome == store_outcome::Done ||
           aResponse.mOutcome == store_outcome::Conflict) {
+        if (aResponse.mOutcome == store_outcome::Conflict) {
+          // They may list other servers.
+          aAdmission->mSubmission->mServers.clear();
+        }
         WriteItems(aAdmission, aPart + 1);
       } else if (aResponse.mOutcome == store_outcome::NotFound) {
         WriteItems(aAdmission, aPart);
@@ -101,6 +107,7 @@
       const objects::object_reply& aResponse) {
       if (aResponse.mOutcome == store_outcome::Unknown &&
           aAdmission->mTriesLeft-- > 0) {
+        aAdmission->mSubmission->mServers.clear();
         mDependencies.mStore.mGet(kBatchItemsKind,
                                   name,
                                   objects::freshness::Linearizable,
@@ -207,6 +214,9 @@
   batch->mIsLoading = false;
   batch->mIsLoaded = true;
   batch->mLoadedAt.reset();
+  batch->mStored = {};
+  batch->mStored.mIsFirstOwner = true;
+  batch->mStored.mServers = batch->mSubmission->mServers;
   events::line("batch_accepted")
     .With("batch", batch->mMetadata.mId)
     .With("customer", batch->mMetadata.mCustomer)
--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -25,6 +25,10 @@
 /** Time between two attempts to end a batch whose end the store doesn't hold.
  */
 constexpr milliseconds kEndRetryDelay = 1000ms;
+/** Interval at which the end of a batch looks whether the servers of earlier
+ * owners are checked; a check takes some ms, or 300 ms if a server is silent.
+ */
+constexpr milliseconds kCheckPollInterval = 120ms;
 /** Maximum time for the transfer of a page after the owner has started its
  * response. A megabyte takes 0.14 s on a 60 Mbit/s link, which several readers
  * may share. With a shorter limit an owner lost its batch in the middle of a
@@ -224,7 +228,7 @@
 void
 batch_service::Claim(const batch_ptr& aBatch, std::function<void(bool)> aDone)
 {
-  auto claimed = aBatch->mMetadata;
+  auto claimed = WithCountedRuns(*aBatch);
   claimed.mOwner = mDependencies.mName;
   mDependencies.mStore.mReplaceStatus(
     kBatchMetadataKind,
@@ -325,14 +329,16 @@
   // The runs are cancelled before the store has recorded the end: the trainer
   // needs no more results, even if this request fails.
   aBatch->mIsEndAsked = true;
-  StopRuns(aBatch);
   if (aBatch->mMetadata.mIsEnded) {
+    StopRuns(aBatch);
     aExchange->Answer({ 200, {}, {} });
     return;
   }
   aBatch->mEndWaiters.push_back(aExchange);
   if (aBatch->mEndWaiters.size() == 1) {
-    WriteEnd(aBatch, kMaximumTries);
+    StopRunsOnceChecked(aBatch, kMaximumTries, [this, aBatch] {
+      WriteEnd(aBatch, kMaximumTries);
+    });
   }
 }
 
@@ -343,7 +349,7 @@
     AnswerEndWaiters(aBatch, 200);
     return;
   }
-  auto ended = aBatch->mMetadata;
+  auto ended = WithCountedRuns(*aBatch);
   ended.mOwner = mDependencies.mName;
   ended.mIsEnded = true;
   mDependencies.mStore.mReplaceStatus(
@@ -351,22 +357,20 @@
     aBatch->mMetadata.mId,
     aBatch->mMetadata.mRevision,
     EncodeMetadataStatus(ended),
-    [this, aBatch, aTriesLeft, runs = ended.mCountedRuns](
-      const objects::object_reply& aResponse) {
+    [this, aBatch, aTriesLeft](const objects::object_reply& aResponse) {
       if (aResponse.mOutcome == store_outcome::Done ||
           aResponse.mOutcome == store_outcome::Conflict) {
         if (auto metadata = DecodeMetadata(aResponse.mObject)) {
           ApplyMetadata(*metadata);
         }
       }
-      if (aBatch->mMetadata.mCountedRuns.empty()) {
-        // After a conflict the metadata lacks them, and the runner has
-        // forgotten the batch.
-        aBatch->mMetadata.mCountedRuns = runs;
-      }
       if (aBatch->mMetadata.mIsEnded) {
         events::line("batch_ended").With("batch", aBatch->mMetadata.mId);
         AnswerEndWaiters(aBatch, 200);
+      } else if (!IsOwnedHere(aBatch)) {
+        // The new owner ends it, with the runs that it counts.
+        AnswerEndWaiters(aBatch, 504);
+        ScheduleEnd(aBatch);
       } else if (aTriesLeft > 0) {
         After(kRetryDelay,
               [this, aBatch, aTriesLeft] { WriteEnd(aBatch, aTriesLeft - 1); });
@@ -390,12 +394,39 @@
 {
   const auto counted = mDependencies.mRunner.CountedRuns(aBatch->mMetadata.mId);
   if (!counted.empty()) {
-    aBatch->mMetadata.mCountedRuns = counted;
-    ApplyCountedRuns(aBatch->mMetadata);
+    aBatch->mCountedRuns = counted;
+    ApplyCountedRuns(WithCountedRuns(*aBatch));
   }
   mDependencies.mRunner.Remove(aBatch->mMetadata.mId);
 }
 
+void
+batch_service::StopRunsOnceChecked(const batch_ptr& aBatch,
+                                   int aTriesLeft,
+                                   std::function<void()> aDone)
+{
+  if (aTriesLeft > 0 &&
+      mDependencies.mRunner.IsChecking(aBatch->mMetadata.mId)) {
+    After(kCheckPollInterval,
+          [this, aBatch, aTriesLeft, done = std::move(aDone)]() mutable {
+            StopRunsOnceChecked(aBatch, aTriesLeft - 1, std::move(done));
+          });
+    return;
+  }
+  StopRuns(aBatch);
+  aDone();
+}
+
+batch_metadata
+batch_service::WithCountedRuns(const batch_record& aBatch)
+{
+  auto metadata = aBatch.mMetadata;
+  if (!aBatch.mCountedRuns.empty()) {
+    metadata.mCountedRuns = aBatch.mCountedRuns;
+  }
+  return metadata;
+}
+
 void
 batch_service::ScheduleEnd(const batch_ptr& aBatch)
 {
--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -54,6 +54,7 @@
   for (const auto& [id, row] : mDependencies.mDirectory.mRows) {
     if (!site::AcceptsWork(mDependencies.mDirectory, row.mServer) ||
         mDependencies.mChecks.IsSilent(site::StartOf(row.mServer)) ||
+        mGone.count(site::StartOf(row.mServer)) > 0 ||
         (IsOn(mechanism::RunBreakers) &&
          !IsUsable(mHealths, id, mDependencies.mDirectory.mRows.size(), now))) {
       continue;
@@ -145,6 +146,16 @@
   auto engines = Engines();
   AddRunMemory(engines);
   const auto suspects = AddSuspects(engines);
+  ForgetOldEnds(mRecentEnds, now);
+  const auto youngServers =
+    CountYoungServers(mDependencies.mDirectory,
+                      std::chrono::duration_cast<milliseconds>(
+                        std::chrono::system_clock::now().time_since_epoch()));
+  for (auto& [id, batch] : mBatches) {
+    CheckListedServers(batch);
+    CountEarlierRuns(batch);
+    batch.mListedEngines = ListedEngines(batch, engines);
+  }
   struct candidate
   {
     item_priority mRank;
@@ -160,7 +171,8 @@
     const auto submitted = std::chrono::duration_cast<milliseconds>(
       batch.mMetadata.mSubmittedAt.time_since_epoch());
     for (std::size_t i = 0; i < batch.mItems.size(); ++i) {
-      if (MayBeSent(batch.mItems[i])) {
+      if (batch.mTerm.mPhase == term_phase::Begun && !batch.mIsEndAsked &&
+          MayBeSent(batch.mItems[i])) {
         waiting.push_back({ { ranks.at(id)[batch.mGroupOf[i]],
                               submitted.count(),
                               IsOn(mechanism::LongestFirst)
@@ -188,6 +200,14 @@
     }
     auto need = RequirementsOf(*next.mBatch, item, *route);
     need.mSuspicion = SuspicionOf(item.mLedger);
+    if (need.mSuspicion == suspicion::LastRun &&
+        MustLastRunWait(mRecentEnds,
+                        item.mLedger,
+                        mDependencies.mDirectory.mRows.size(),
+                        youngServers,
+                        now)) {
+      continue;
+    }
     if (need.mSuspicion != suspicion::None) {
       need.mSuspectLimits = LimitsOf(suspects, CountSuitable(engines, need));
       need.mLostServers = ServersCounted(item.mLedger);
@@ -215,11 +235,14 @@
 {
   auto& item = aBatch.mItems[aIndex];
   item.mSuspicion = SuspicionOf(item.mLedger);
-  if (item.mSuspicion == suspicion::None) {
+  item.mIsRunStored = !MayRunUnstored(item.mLedger);
+  if (!item.mIsRunStored) {
     StartRun(aBatch, aIndex, aEngine, aRoute);
     return;
   }
-  CountSuspect(aEngine, item.mSuspicion);
+  if (item.mSuspicion != suspicion::None) {
+    CountSuspect(aEngine, item.mSuspicion);
+  }
   ReserveRun(aBatch, aIndex, aEngine, aRoute);
 }
 
@@ -256,6 +279,7 @@
   need.mModel = aBatch.mMetadata.mModel;
   need.mMinimumVersion = aBatch.mMetadata.mMinimumVersion;
   need.mGroup = aItem.mItem->mGroup;
+  need.mListedEngines = &aBatch.mListedEngines;
   need.mAvoidedServer = aItem.mAvoidedServer;
   need.mMemory = MemoryOf(aBatch, aItem, aRoute);
   const auto* customer = site::FindCustomer(*mDependencies.mConfiguration,
--- a/Duties/Batches/BatchLedgers.cpp
+++ b/Duties/Batches/BatchLedgers.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/** Time within which an owner that can't reach the store learns that another
+ * entry has its batch, or its runs end. */
+constexpr milliseconds kUnnoticedLossTime{ 10000 };
+
 bool
 IsAtServer(const item_progress& aItem)
 {
@@ -15,6 +19,16 @@
          aItem.mPhase == item_phase::Reserved;
 }
 
+/** Number of servers that count, without that of a run in progress. */
+int
+CountOf(const item_progress& aItem)
+{
+  const auto run = aItem.mLedger.find(ServerOf(aItem));
+  const bool isInProgress = IsAtServer(aItem) && run != aItem.mLedger.end() &&
+                            run->second.mFate == run_fate::Open;
+  return ServersLost(aItem.mLedger) - (isInProgress ? 1 : 0);
+}
+
 int
 ServersEnded(const run_ledger& aLedger)
 {
@@ -182,6 +196,8 @@
       if (isOwn || item.mChecked.count(server) > 0) {
         continue;
       }
+      aBatch.mItems[i].mEarlierRuns[server] =
+        boot_clock::now() + kUnnoticedLossTime;
       const auto row = mDependencies.mDirectory.mRows.find(server.mId);
       CheckServer(aBatch,
                   i,
@@ -193,6 +209,31 @@
   }
 }
 
+void
+batch_runner::CountEarlierRuns(running_batch& aBatch)
+{
+  const auto now = boot_clock::now();
+  bool hasCounted = false;
+  for (auto& item : aBatch.mItems) {
+    auto& runs = item.mEarlierRuns;
+    for (auto run = runs.begin(); run != runs.end();) {
+      const bool hasEnded = mRecentEnds.count(run->first) > 0;
+      if (!hasEnded && now < run->second) {
+        ++run;
+        continue;
+      }
+      if (hasEnded && item.mPhase != item_phase::Ended) {
+        RecordFate(item.mLedger, run->first, run_fate::Open);
+        hasCounted = true;
+      }
+      run = runs.erase(run);
+    }
+  }
+  if (hasCounted) {
+    CheckOpenRuns(aBatch);
+  }
+}
+
 void
 batch_runner::HandleFate(const std::string& aBatchId,
                          std::size_t aIndex,
@@ -214,10 +255,13 @@
   }
   if (aFate == site::server_fate::Running) {
     RecordFate(item.mLedger, aServer, run_fate::Survived);
+    mRecentEnds.erase(aServer);
+    LogRunThatSurvived(found->second, item, aServer);
   } else {
     if (aFate == site::server_fate::Ended) {
       RecordFate(item.mLedger, aServer, run_fate::Ended);
     }
+    RecordEnd(mRecentEnds, aServer, boot_clock::now());
     LogCountedRun(found->second, item, aServer, aFate);
   }
   if (item.mPhase == item_phase::Ended) {
@@ -230,6 +274,19 @@
   mDependencies.mRewards.Retry();
 }
 
+void
+batch_runner::LogRunThatSurvived(const running_batch& aBatch,
+                                 const item_progress& aItem,
+                                 const site::server_start& aServer)
+{
+  events::line("run_uncounted")
+    .With("request", aItem.mItem->mId)
+    .With("batch", aBatch.mMetadata.mId)
+    .With("server", aServer.mId)
+    .With("started_at", aServer.mStartedAt)
+    .With("servers_lost", static_cast<std::int64_t>(CountOf(aItem)));
+}
+
 void
 batch_runner::LogCountedRun(const running_batch& aBatch,
                             item_progress& aItem,
@@ -242,8 +299,7 @@
     .With("server", aServer.mId)
     .With("started_at", aServer.mStartedAt)
     .With("fate", site::ToString(aFate))
-    .With("servers_lost",
-          static_cast<std::int64_t>(ServersLost(aItem.mLedger)));
+    .With("servers_lost", static_cast<std::int64_t>(CountOf(aItem)));
   if (aItem.mIsBarred || ServersEnded(aItem.mLedger) < kMaximumServersLost) {
     return;
   }
@@ -287,11 +343,23 @@
     if (IsAtServer(item)) {
       ledger.erase(ServerOf(item));
     }
+    if (batch->second.mTerm.mPhase == term_phase::Checking &&
+        item.mPhase != item_phase::Ended && item.mMayHaveRunUnstored) {
+      AssumeUnstoredEnd(ledger);
+    }
     AddCounted(ledger, item.mItem->mId, runs);
   }
   return runs;
 }
 
+bool
+batch_runner::IsChecking(const std::string& aBatchId) const
+{
+  const auto batch = mBatches.find(aBatchId);
+  return batch != mBatches.end() &&
+         batch->second.mTerm.mPhase == term_phase::Checking;
+}
+
 bool
 batch_runner::HasRunsToStore(const std::string& aBatchId) const
 {
@@ -313,6 +381,7 @@
   for (const auto& record : aRecords) {
     if (record.mItem < batch.mItems.size()) {
       ApplyStored(batch.mItems[record.mItem].mLedger, record);
+      RecordUnstoredRun(batch.mItems[record.mItem]);
     }
   }
   StartReservedRuns(batch);
--- a/Duties/Batches/BatchListing.cpp
+++ b/Duties/Batches/BatchListing.cpp
@@ -120,13 +120,15 @@
     aBatch->mMetadata.mId,
     aMinimumUnsavedTime,
     kMaximumBlockBytes - std::min(bytes, kMaximumBlockBytes));
-  const bool hasRuns =
-    mDependencies.mRunner.HasRunsToStore(aBatch->mMetadata.mId);
+  const auto& id = aBatch->mMetadata.mId;
+  const bool hasRuns = mDependencies.mRunner.HasRunsToStore(id) ||
+                       mDependencies.mRunner.HasServersToStore(id);
   if (block->mItemIds.empty() && block->mParts.empty() && !hasRuns) {
     aDone();
     return;
   }
-  block->mRuns = mDependencies.mRunner.UnstoredRuns(aBatch->mMetadata.mId);
+  block->mRuns = mDependencies.mRunner.UnstoredRuns(id);
+  block->mServers = mDependencies.mRunner.UnstoredServers(id);
   aBatch->mIsCommitting = true;
   const auto number = BeginWrite(aBatch->mWrite);
   After(kSilentWriteAge, [this, aBatch, number] {
@@ -268,7 +270,8 @@
 {
   const auto& id = aBatch->mMetadata.mId;
   ScheduleCommit(aBatch,
-                 mDependencies.mRunner.HasRunsToStore(id)
+                 mDependencies.mRunner.HasRunsToStore(id) ||
+                     mDependencies.mRunner.HasServersToStore(id)
                    ? milliseconds(0)
                    : CommitDelay(aBatch->mGroups,
                                  aBatch->mMetadata.mTargetGroups,
@@ -296,6 +299,8 @@
     mDependencies.mRunner.MarkListed(aBatch->mMetadata.mId, newIds);
   }
   mDependencies.mRunner.ApplyStoredRuns(aBatch->mMetadata.mId, aBlock.mRuns);
+  mDependencies.mRunner.ApplyStoredServers(
+    aBatch->mMetadata.mId, aBlock.mServers, aBlock.mWriter == aBatch->mWriter);
   const auto waiters = std::move(aBatch->mResultWaiters);
   aBatch->mResultWaiters.clear();
   for (const auto& waiter : waiters) {
--- a/Duties/Batches/BatchLoading.cpp
+++ b/Duties/Batches/BatchLoading.cpp
@@ -57,6 +57,7 @@
 {
   if (aPart == aBatch->mMetadata.mParts) {
     aBatch->mSubmission = aLoaded;
+    aBatch->mStored.mServers = aLoaded->mServers;
     LoadResults(aBatch);
     return;
   }
@@ -100,6 +101,7 @@
     }
     auto& runs = aBatch->mStored.mRuns;
     runs.insert(runs.end(), block->mRuns.begin(), block->mRuns.end());
+    ApplyChange(aBatch->mStored.mServers, block->mServers);
     LoadResults(aBatch);
   };
   mDependencies.mStore.mGet(
@@ -144,12 +146,16 @@
 void
 batch_service::Run(const batch_ptr& aBatch)
 {
+  // Counts of earlier batches with the same items aren't known before.
+  if (!mHasListing) {
+    return;
+  }
   auto stored = std::exchange(aBatch->mStored, {});
   if (aBatch->mMetadata.mIsEnded) {
     return;
   }
-  const auto carried = CarriedRunsOf(*aBatch);
-  stored.mRuns.insert(stored.mRuns.end(), carried.begin(), carried.end());
+  stored.mCarriedRuns = CarriedRunsOf(*aBatch);
+  stored.mIsEndAsked = aBatch->mIsEndAsked;
   aBatch->mGroups = {};
   for (const auto& item : aBatch->mSubmission->mItems) {
     RecordOpenItem(aBatch->mGroups, item.mGroup);
@@ -168,7 +174,7 @@
     },
     std::move(stored));
   if (aBatch->mIsEndAsked) {
-    StopRuns(aBatch);
+    StopRunsOnceChecked(aBatch, kMaximumTries, [] {});
     return;
   }
   ScheduleSave(aBatch);
--- a/Duties/Batches/BatchMoves.cpp
+++ b/Duties/Batches/BatchMoves.cpp
@@ -34,14 +34,18 @@
   for (auto start = mStartTimes.begin(); start != mStartTimes.end();) {
     const auto row = rows.find(start->first);
     if (row != rows.end() && row->second.mServer.mStartedAt == start->second) {
-      ++start;
+      start = row->second.mServer.mIsLeaving ? mStartTimes.erase(start)
+                                             : std::next(start);
       continue;
     }
+    RecordEnd(mRecentEnds, { start->first, start->second }, boot_clock::now());
     mSpeeds.erase(start->first);
     start = mStartTimes.erase(start);
   }
   for (const auto& [id, row] : rows) {
-    mStartTimes.emplace(id, row.mServer.mStartedAt);
+    if (!row.mServer.mIsLeaving) {
+      mStartTimes.emplace(id, row.mServer.mStartedAt);
+    }
   }
 }
 
@@ -226,7 +230,7 @@
       const auto server = byId.find(item.mServer);
       // A suspect stays where the store knows it.
       if (item.mPhase != item_phase::Running || server == byId.end() ||
-          item.mSuspicion != suspicion::None) {
+          item.mIsRunStored || !MayRunUnstored(item.mLedger)) {
         continue;
       }
       const auto route = RouteOf(batch, *item.mItem);
--- a/Duties/Batches/BatchOwners.cpp
+++ b/Duties/Batches/BatchOwners.cpp
@@ -237,7 +237,7 @@
 void
 batch_service::AssignOwner(const batch_ptr& aBatch, const std::string& aOwner)
 {
-  auto given = aBatch->mMetadata;
+  auto given = WithCountedRuns(*aBatch);
   given.mOwner = aOwner;
   given.mIsEnded = given.mIsEnded || aBatch->mIsEndAsked;
   mDependencies.mStore.mReplaceStatus(
--- a/Duties/Batches/BatchRewards.cpp
+++ b/Duties/Batches/BatchRewards.cpp
@@ -31,7 +31,11 @@
   };
   request.mMaySend = [this, ref] {
     const auto* scored = Find(ref);
-    return scored && IsCountSettled(*scored);
+    return scored && IsCountSettled(*scored) &&
+           mBatches.at(ref.mBatchId).mTerm.mPhase == term_phase::Begun;
+  };
+  request.mMayUse = [this, ref](const site::server_start& aServer) {
+    return Find(ref) && MayUse(mBatches.at(ref.mBatchId).mTerm, aServer);
   };
   request.mMayHedge = [this, ref] {
     const auto* scored = Find(ref);
--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -32,13 +32,23 @@
     }
     batch.mItems.push_back(std::move(progress));
   }
+  batch.mIsEndAsked = aStored.mIsEndAsked;
   batch.mGroupCount = groups.size();
   batch.mStandings.resize(groups.size(), scheduling::group_standing::Complete);
   batch.mWasDeferred.resize(groups.size());
   Remove(aMetadata.mId);
-  mBatches[aMetadata.mId] = std::move(batch);
-  RestoreTexts(mBatches[aMetadata.mId], std::move(aStored.mTexts));
+  auto& added = mBatches[aMetadata.mId] = std::move(batch);
+  RestoreTexts(added, std::move(aStored.mTexts));
   ApplyStoredRuns(aMetadata.mId, aStored.mRuns);
+  if (aStored.mIsFirstOwner) {
+    added.mTerm = FirstTerm(std::move(aStored.mServers));
+  } else {
+    for (auto& item : added.mItems) {
+      item.mMayHaveRunUnstored = MayRunUnstored(item.mLedger);
+    }
+    BeginLaterTerm(added, std::move(aStored.mServers));
+  }
+  ApplyCarriedRuns(aMetadata.mId, aStored.mCarriedRuns);
   Dispatch();
 }
 
@@ -75,6 +85,12 @@
   forget(mHealths, always);
   forget(mSpeeds, always);
   forget(mStartTimes, always);
+  for (auto server = mGone.begin(); server != mGone.end();) {
+    const auto row = mDependencies.mDirectory.mRows.find(server->mId);
+    const bool isListed = row != mDependencies.mDirectory.mRows.end() &&
+                          site::StartOf(row->second.mServer) == *server;
+    server = isListed ? std::next(server) : mGone.erase(server);
+  }
 }
 
 milliseconds
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -5,6 +5,8 @@
 #include "Duties/Batches/EventStream.h"
 #include "Duties/Batches/GeneratedText.h"
 #include "Duties/Batches/GroupProgress.h"
+#include "Duties/Batches/OwnerTerm.h"
+#include "Duties/Batches/RecentEnds.h"
 #include "Duties/Batches/RunLedger.h"
 #include "Duties/Batches/RunMoves.h"
 #include "Duties/Batches/Schedule.h"
@@ -64,10 +66,17 @@
   run_ledger mLedger;
   /** How suspect the item was when its current run was sent. */
   suspicion mSuspicion = suspicion::None;
+  /** Whether the current run was stored before it was sent. */
+  bool mIsRunStored = false;
+  /** Whether an earlier owner may have sent a run that it didn't store. */
+  bool mMayHaveRunUnstored = false;
   /** Servers whose first answer to a check is awaited. */
   std::set<site::server_start> mAwaited;
   /** Servers whose fate will be told. */
   std::set<site::server_start> mChecked;
+  /** Servers with runs of an earlier owner, and until when such a run may still
+   * be there: an owner that lives may learn late that it lost the batch. */
+  std::map<site::server_start, time_point> mEarlierRuns;
   bool mIsBarred = false;
   std::string mAvoidedServer;
   edge::call_handle mCall;
@@ -105,6 +114,18 @@
   /** Groups that were deferred once; only the first time is logged. */
   std::vector<bool> mWasDeferred;
   group_progress mGroups;
+  owner_term mTerm;
+  /** Answers to the checks of an earlier term carry another number. */
+  std::uint64_t mTermNumber = 0;
+  bool mHasAskedServers = false;
+  bool mIsEndAsked = false;
+  /** Whether a server waits for being listed. */
+  bool mLacksServers = false;
+  /** Whether the batch may use each server of the dispatch in progress. */
+  std::vector<bool> mListedEngines;
+  /** Pools of the items' and reward calls' routes, by mPoolsFrom. */
+  std::set<std::string> mPools;
+  std::shared_ptr<const site::site_configuration> mPoolsFrom;
 };
 
 struct runner_dependencies
@@ -131,6 +152,15 @@
 {
   stored_texts mTexts;
   std::vector<run_record> mRuns;
+  /** Runs that count from earlier batches with the same items. */
+  std::vector<run_record> mCarriedRuns;
+  /** Servers that earlier owners may have used, or that the first one may use.
+   */
+  server_list mServers;
+  /** Whether no other owner had the batch. */
+  bool mIsFirstOwner = false;
+  /** Whether a trainer has ended the batch, so that no item is sent. */
+  bool mIsEndAsked = false;
 };
 
 /** Schedules and runs the items of the batches that this entry owns. */
@@ -164,12 +194,29 @@
   std::vector<run_record> UnstoredRuns(const std::string& aBatchId) const;
   /** Runs that count for later batches with the same items. */
   std::vector<item_run> CountedRuns(const std::string& aBatchId) const;
+  /** Whether it isn't known yet which runs of earlier owners count. */
+  bool IsChecking(const std::string& aBatchId) const;
   /** Whether an item waits for its runs to be stored. */
   bool HasRunsToStore(const std::string& aBatchId) const;
   /** Applies runs that the store holds, written by this entry or by another
    * one. */
   void ApplyStoredRuns(const std::string& aBatchId,
                        const std::vector<run_record>& aRecords);
+  /** Counts runs of an earlier batch with the same items. */
+  void ApplyCarriedRuns(const std::string& aBatchId,
+                        const std::vector<run_record>& aRecords);
+  /** Servers that the items and reward calls of a submission may use now. */
+  server_list UsableServers(const std::string& aHost,
+                            const submission& aSubmission) const;
+  /** What the store lacks of the batch's list of servers. */
+  server_list_change UnstoredServers(const std::string& aBatchId) const;
+  /** Whether items wait for the list to be stored. */
+  bool HasServersToStore(const std::string& aBatchId) const;
+  /** @param aIsOwn whether this entry wrote the change since it loaded the
+   * batch */
+  void ApplyStoredServers(const std::string& aBatchId,
+                          const server_list_change& aChange,
+                          bool aIsOwn);
   /** Cancels all runs of a batch that has ended or that another entry owns now.
    */
   void Remove(const std::string& aBatchId);
@@ -353,10 +400,35 @@
   void CheckUnreachable(const item_progress& aItem);
   /** Checks the servers of runs that another owner left open. */
   void CheckOpenRuns(running_batch& aBatch);
+  std::set<std::string> PoolsOf(const std::string& aHost,
+                                const submission& aSubmission) const;
+  void BeginLaterTerm(running_batch& aBatch, server_list aListed);
+  /** Finds out whether the servers that earlier owners used still run. */
+  void CheckListedServers(running_batch& aBatch);
+  void HandleListedServer(const std::string& aBatchId,
+                          std::uint64_t aTermNumber,
+                          const site::server_start& aServer,
+                          site::server_fate aFate);
+  /** Whether no run is at the server and no end there waits to be counted. */
+  static bool AreEndsStored(const running_batch& aBatch,
+                            const site::server_start& aServer);
+  /** Counts the run of an item that became a suspect after it was sent. */
+  static void RecordUnstoredRun(item_progress& aItem);
+  /** Whether the batch may use each of the servers; asks for those that it may
+   * not use yet to be listed. */
+  std::vector<bool> ListedEngines(running_batch& aBatch,
+                                  const std::vector<engine_view>& aEngines);
+  /** Counts servers that ended while an earlier owner's run may have been
+   * there.
+   */
+  void CountEarlierRuns(running_batch& aBatch);
   void HandleFate(const std::string& aBatchId,
                   std::size_t aIndex,
                   const site::server_start& aServer,
                   site::server_fate aFate);
+  static void LogRunThatSurvived(const running_batch& aBatch,
+                                 const item_progress& aItem,
+                                 const site::server_start& aServer);
   void LogCountedRun(const running_batch& aBatch,
                      item_progress& aItem,
                      const site::server_start& aServer,
@@ -385,6 +457,9 @@
   std::map<std::string, scheduling::event_time> mToldMedians;
   scheduling::length_statistics_by_model mLengths;
   group_affinities mAffinities;
+  recent_ends mRecentEnds;
+  /** Listed servers at whose address another one answers. */
+  std::set<site::server_start> mGone;
   boost::asio::steady_timer mTimer;
   std::uint64_t mLastRunNumber = 0;
   bool mIsDispatchPosted = false;
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -292,9 +292,11 @@
       return;
     }
   } else if (aRun->mFacts.mIsNotExecuted) {
-    outcome = "not_executed";
+    outcome = aRun->mFacts.mIsOtherServer ? "other_server" : "not_executed";
     BlockServer(item->mServer, kBusyDelay);
-    if (IsOn(mechanism::TrialOfOneRun)) {
+    if (aRun->mFacts.mIsOtherServer) {
+      mGone.insert(ServerOf(*item));
+    } else if (IsOn(mechanism::TrialOfOneRun)) {
       mProbes.emplace(item->mServer, 0);
     }
   } else if (aEnd == edge::call_end::Complete && status == kUnprocessable) {
--- a/Duties/Batches/BatchService.cpp
+++ b/Duties/Batches/BatchService.cpp
@@ -34,6 +34,13 @@
       RemoveBatch(metadata.mId);
     }
   }
+  if (!std::exchange(mHasListing, true)) {
+    for (const auto& [id, batch] : mBatches) {
+      if (IsOwnedHere(batch) && batch->mIsLoaded) {
+        Run(batch);
+      }
+    }
+  }
   LoadOwnedBatches();
 }
 
@@ -100,7 +107,7 @@
   for (const auto& [id, batch] : mBatches) {
     if (id != aEnded.mId && batch->mIsLoaded && !batch->mMetadata.mIsEnded &&
         batch->mMetadata.mCustomer == aEnded.mCustomer) {
-      mDependencies.mRunner.ApplyStoredRuns(
+      mDependencies.mRunner.ApplyCarriedRuns(
         id, CarriedRuns(*batch->mSubmission, aEnded.mCountedRuns));
     }
   }
@@ -132,6 +139,7 @@
     batch->mOwnerChangedAt = boot_clock::now();
     mDependencies.mRunner.LearnSpeeds(aMetadata);
     mDependencies.mOnAccepted(aMetadata);
+    ApplyCountedRuns(aMetadata);
     return;
   }
   if (aMetadata.mRevision <= batch->mMetadata.mRevision) {
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -81,6 +81,9 @@
   /** A trainer has ended the batch. Its items don't run here any more, whether
    * the store holds the end or not. */
   bool mIsEndAsked = false;
+  /** Runs that counted when the items stopped running here, until the store
+   * holds the end. */
+  std::vector<item_run> mCountedRuns;
   /** True while an end that the store doesn't hold waits for its next attempt.
    */
   bool mIsEndScheduled = false;
@@ -285,6 +288,12 @@
   /** Cancels the runs of a batch that a trainer has ended, and keeps which of
    * them count for later batches. */
   void StopRuns(const batch_ptr& aBatch);
+  /** The same once it is known which runs of earlier owners count. */
+  void StopRunsOnceChecked(const batch_ptr& aBatch,
+                           int aTriesLeft,
+                           std::function<void()> aDone);
+  /** The metadata, with the runs that counted here. */
+  static batch_metadata WithCountedRuns(const batch_record& aBatch);
   /** Tries again later to end a batch whose end the store doesn't hold. */
   void ScheduleEnd(const batch_ptr& aBatch);
   void ContinueEnd(const batch_ptr& aBatch);
@@ -336,6 +345,8 @@
    * avoided. */
   std::map<std::string, time_point> mAvoidedUntil;
   bool mIsShuttingDown = false;
+  /** Whether all stored batches are known. */
+  bool mHasListing = false;
 };
 
 } // namespace lavender::batches
--- /dev/null
+++ b/Duties/Batches/BatchTerms.cpp
@@ -0,0 +1,250 @@
+#include "Duties/Batches/BatchRunner.h"
+
+#include "Libraries/EventLog/EventLog.h"
+
+#include <algorithm>
+
+namespace lavender::batches {
+
+namespace {
+
+void
+AddPools(std::set<std::string>& aPools, const site::route* aRoute)
+{
+  if (aRoute) {
+    for (const auto& pool : aRoute->mPools) {
+      aPools.insert(pool.mPool);
+    }
+  }
+}
+
+} // namespace
+
+std::set<std::string>
+batch_runner::PoolsOf(const std::string& aHost,
+                      const submission& aSubmission) const
+{
+  std::set<std::string> pools;
+  if (!mDependencies.mConfiguration) {
+    return pools;
+  }
+  const auto& configuration = *mDependencies.mConfiguration;
+  for (const auto& item : aSubmission.mItems) {
+    AddPools(pools, site::FindRoute(configuration, aHost, item.mPath).get());
+    if (const auto& reward = item.mReward) {
+      AddPools(
+        pools,
+        site::FindRoute(configuration, reward->mHost, reward->mPath).get());
+    }
+  }
+  return pools;
+}
+
+server_list
+batch_runner::UsableServers(const std::string& aHost,
+                            const submission& aSubmission) const
+{
+  const auto pools = PoolsOf(aHost, aSubmission);
+  server_list servers;
+  for (const auto& [id, row] : mDependencies.mDirectory.mRows) {
+    if (pools.count(row.mServer.mPool) > 0) {
+      servers.insert(site::StartOf(row.mServer));
+    }
+  }
+  return servers;
+}
+
+void
+batch_runner::BeginLaterTerm(running_batch& aBatch, server_list aListed)
+{
+  aBatch.mTerm = LaterTerm(std::move(aListed));
+  aBatch.mTermNumber = ++mLastRunNumber;
+  aBatch.mHasAskedServers = false;
+  if (aBatch.mTerm.mPhase == term_phase::Beginning) {
+    mDependencies.mStoreRuns(aBatch.mMetadata.mId);
+  }
+}
+
+void
+batch_runner::CheckListedServers(running_batch& aBatch)
+{
+  const auto& rows = mDependencies.mDirectory.mRows;
+  // An empty directory hasn't been filled yet.
+  if (aBatch.mTerm.mPhase != term_phase::Checking || aBatch.mHasAskedServers ||
+      rows.empty()) {
+    return;
+  }
+  aBatch.mHasAskedServers = true;
+  for (const auto& server : server_list(aBatch.mTerm.mListed)) {
+    if (site::FateByDirectory(server, mDependencies.mDirectory) ==
+        site::server_fate::Ended) {
+      HandleListedServer(aBatch.mMetadata.mId,
+                         aBatch.mTermNumber,
+                         server,
+                         site::server_fate::Ended);
+      continue;
+    }
+    mDependencies.mChecks.Check(
+      server,
+      rows.at(server.mId).mServer.mAddress,
+      [this, batchId = aBatch.mMetadata.mId, term = aBatch.mTermNumber, server](
+        site::server_fate aFate) {
+        HandleListedServer(batchId, term, server, aFate);
+      });
+  }
+}
+
+void
+batch_runner::HandleListedServer(const std::string& aBatchId,
+                                 std::uint64_t aTermNumber,
+                                 const site::server_start& aServer,
+                                 site::server_fate aFate)
+{
+  if (aFate != site::server_fate::Running) {
+    RecordEnd(mRecentEnds, aServer, boot_clock::now());
+  }
+  const auto found = mBatches.find(aBatchId);
+  if (found == mBatches.end() || found->second.mTermNumber != aTermNumber ||
+      found->second.mTerm.mPhase != term_phase::Checking) {
+    return;
+  }
+  auto& batch = found->second;
+  RecordCheck(batch.mTerm, aServer, aFate);
+  if (batch.mTerm.mPhase != term_phase::Beginning) {
+    return;
+  }
+  std::int64_t assumed = 0;
+  for (auto& item : batch.mItems) {
+    if (batch.mTerm.mHasLostServer && item.mPhase != item_phase::Ended &&
+        item.mMayHaveRunUnstored) {
+      AssumeUnstoredEnd(item.mLedger);
+      ++assumed;
+    }
+  }
+  events::line("batch_term_checked")
+    .With("batch", aBatchId)
+    .With("servers", static_cast<std::int64_t>(batch.mTerm.mListed.size()))
+    .With("lost_server", batch.mTerm.mHasLostServer ? aServer.mId : "")
+    .With("assumed_ends", assumed);
+  mDependencies.mMetrics.Count("lavender_batch_ends_assumed_total",
+                               {},
+                               static_cast<std::uint64_t>(assumed));
+  mDependencies.mStoreRuns(aBatchId);
+}
+
+bool
+batch_runner::AreEndsStored(const running_batch& aBatch,
+                            const site::server_start& aServer)
+{
+  return std::none_of(
+    aBatch.mItems.begin(), aBatch.mItems.end(), [&](const auto& aItem) {
+      const bool isThere = aItem.mPhase == item_phase::Running ||
+                           aItem.mPhase == item_phase::Reserved;
+      return (isThere && ServerOf(aItem) == aServer) ||
+             aItem.mPhase == item_phase::Scoring || !aItem.mAwaited.empty();
+    });
+}
+
+server_list_change
+batch_runner::UnstoredServers(const std::string& aBatchId) const
+{
+  const auto found = mBatches.find(aBatchId);
+  if (found == mBatches.end()) {
+    return {};
+  }
+  const auto& batch = found->second;
+  return ChangeOf(
+    batch.mTerm,
+    UsableServers(batch.mMetadata.mHost, *batch.mSubmission),
+    [&](const auto& aServer) { return AreEndsStored(batch, aServer); });
+}
+
+bool
+batch_runner::HasServersToStore(const std::string& aBatchId) const
+{
+  const auto found = mBatches.find(aBatchId);
+  return found != mBatches.end() &&
+         (found->second.mTerm.mPhase == term_phase::Beginning ||
+          found->second.mLacksServers);
+}
+
+void
+batch_runner::ApplyStoredServers(const std::string& aBatchId,
+                                 const server_list_change& aChange,
+                                 bool aIsOwn)
+{
+  const auto found = mBatches.find(aBatchId);
+  if (found == mBatches.end() || aChange.IsEmpty()) {
+    return;
+  }
+  auto& batch = found->second;
+  batch.mLacksServers = false;
+  if (!ApplyChange(batch.mTerm, aChange, aIsOwn)) {
+    for (auto& item : batch.mItems) {
+      item.mMayHaveRunUnstored = MayRunUnstored(item.mLedger);
+    }
+    BeginLaterTerm(batch, batch.mTerm.mListed);
+  }
+  Dispatch();
+  mDependencies.mRewards.Retry();
+}
+
+void
+batch_runner::ApplyCarriedRuns(const std::string& aBatchId,
+                               const std::vector<run_record>& aRecords)
+{
+  const auto found = mBatches.find(aBatchId);
+  if (found == mBatches.end() || aRecords.empty()) {
+    return;
+  }
+  auto& batch = found->second;
+  for (const auto& record : aRecords) {
+    if (record.mItem < batch.mItems.size() &&
+        batch.mItems[record.mItem].mPhase != item_phase::Ended) {
+      ApplyCarried(batch.mItems[record.mItem].mLedger, record);
+      RecordUnstoredRun(batch.mItems[record.mItem]);
+    }
+  }
+  CheckOpenRuns(batch);
+  if (HasRunsToStore(aBatchId)) {
+    mDependencies.mStoreRuns(aBatchId);
+  }
+  Dispatch();
+  mDependencies.mRewards.Retry();
+}
+
+void
+batch_runner::RecordUnstoredRun(item_progress& aItem)
+{
+  const bool isUnstored =
+    aItem.mPhase == item_phase::Running && !aItem.mIsRunStored;
+  if (isUnstored && !MayRunUnstored(aItem.mLedger)) {
+    RecordFate(aItem.mLedger, ServerOf(aItem), run_fate::Open);
+  }
+}
+
+std::vector<bool>
+batch_runner::ListedEngines(running_batch& aBatch,
+                            const std::vector<engine_view>& aEngines)
+{
+  if (aBatch.mPoolsFrom != mDependencies.mConfiguration) {
+    aBatch.mPoolsFrom = mDependencies.mConfiguration;
+    aBatch.mPools = PoolsOf(aBatch.mMetadata.mHost, *aBatch.mSubmission);
+  }
+  const auto& pools = aBatch.mPools;
+  std::vector<bool> listed;
+  bool lacksServers = false;
+  for (const auto& engine : aEngines) {
+    const auto& row = mDependencies.mDirectory.mRows.at(engine.mId);
+    listed.push_back(MayUse(aBatch.mTerm, site::StartOf(row.mServer)));
+    lacksServers |= !listed.back() && pools.count(engine.mPool) > 0;
+  }
+  if (lacksServers && aBatch.mTerm.mPhase == term_phase::Begun &&
+      !aBatch.mLacksServers) {
+    aBatch.mLacksServers = true;
+    mDependencies.mStoreRuns(aBatch.mMetadata.mId);
+  }
+  return listed;
+}
+
+} // namespace lavender::batches
--- /dev/null
+++ b/Duties/Batches/OwnerTerm.cpp
@@ -0,0 +1,123 @@
+#include "Duties/Batches/OwnerTerm.h"
+
+#include <algorithm>
+
+namespace lavender::batches {
+
+namespace {
+
+/** Stands in the ledger for the server that an earlier owner may have lost. No
+ * server has this id. */
+const site::server_start kUnstoredServer{ "(unstored)", 0 };
+
+} // namespace
+
+owner_term
+FirstTerm(server_list aListed)
+{
+  owner_term term;
+  term.mPhase = term_phase::Begun;
+  term.mListed = std::move(aListed);
+  return term;
+}
+
+owner_term
+LaterTerm(server_list aListed)
+{
+  owner_term term;
+  term.mUnchecked = aListed;
+  term.mListed = std::move(aListed);
+  term.mPhase =
+    term.mListed.empty() ? term_phase::Beginning : term_phase::Checking;
+  return term;
+}
+
+void
+RecordCheck(owner_term& aTerm,
+            const site::server_start& aServer,
+            site::server_fate aFate)
+{
+  if (aTerm.mPhase != term_phase::Checking ||
+      aTerm.mUnchecked.erase(aServer) == 0) {
+    return;
+  }
+  if (aFate != site::server_fate::Running) {
+    aTerm.mHasLostServer = true;
+  }
+  if (aTerm.mUnchecked.empty() || aTerm.mHasLostServer) {
+    aTerm.mPhase = term_phase::Beginning;
+  }
+}
+
+bool
+MayUse(const owner_term& aTerm, const site::server_start& aServer)
+{
+  return aTerm.mPhase == term_phase::Begun && aTerm.mListed.count(aServer) > 0;
+}
+
+server_list_change
+ChangeOf(const owner_term& aTerm,
+         const server_list& aUsable,
+         const std::function<bool(const site::server_start&)>& aMayRemove)
+{
+  server_list_change change;
+  if (aTerm.mPhase == term_phase::Checking) {
+    return change;
+  }
+  change.mBeginsTerm = aTerm.mPhase == term_phase::Beginning;
+  std::set_difference(aUsable.begin(),
+                      aUsable.end(),
+                      aTerm.mListed.begin(),
+                      aTerm.mListed.end(),
+                      std::back_inserter(change.mAdded));
+  for (const auto& server : aTerm.mListed) {
+    if (aUsable.count(server) == 0 && aMayRemove(server)) {
+      change.mRemoved.push_back(server);
+    }
+  }
+  return change;
+}
+
+void
+ApplyChange(server_list& aListed, const server_list_change& aChange)
+{
+  aListed.insert(aChange.mAdded.begin(), aChange.mAdded.end());
+  for (const auto& server : aChange.mRemoved) {
+    aListed.erase(server);
+  }
+}
+
+bool
+ApplyChange(owner_term& aTerm, const server_list_change& aChange, bool aIsOwn)
+{
+  ApplyChange(aTerm.mListed, aChange);
+  if (!aChange.mBeginsTerm) {
+    return true;
+  }
+  if (aIsOwn && aTerm.mPhase == term_phase::Beginning) {
+    aTerm.mPhase = term_phase::Begun;
+  }
+  return aIsOwn;
+}
+
+bool
+MayRunUnstored(const run_ledger& aLedger)
+{
+  return std::all_of(aLedger.begin(), aLedger.end(), [](const auto& aRun) {
+    return aRun.second.mFate == run_fate::Survived && aRun.second.mIsStored;
+  });
+}
+
+void
+AssumeUnstoredEnd(run_ledger& aLedger)
+{
+  RecordFate(aLedger, kUnstoredServer, run_fate::Ended);
+}
+
+bool
+HasAssumedEnd(const run_ledger& aLedger)
+{
+  return aLedger.count(kUnstoredServer) > 0;
+}
+
+} // namespace lavender::batches
--- /dev/null
+++ b/Duties/Batches/OwnerTerm.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "Duties/Batches/RunLedger.h"
+
+#include <functional>
+#include <set>
+#include <vector>
+
+/** Decides what a new owner of a batch assumes of runs that the owner before it
+ * sent and didn't store. No I/O.
+ *
+ * An owner sends the first run of an item without storing it, since a write for
+ * each run would be dear. It stores the end of the run's server before it sends
+ * the item again. So at most one end of each item can be lost with its owner,
+ * and only if a server has ended that the owner might use. The store lists
+ * these servers, and a server gets no unstored run before it is listed. A new
+ * owner checks whether each listed server still runs. If one doesn't, a server
+ * counts for each item that had no stored run. */
+namespace lavender::batches {
+
+/** Servers that the owners of a batch may send unstored runs to. */
+using server_list = std::set<site::server_start>;
+
+/** A change of the list, as stored in a block of results. */
+struct server_list_change
+{
+  /** The block begins the term of a new owner and holds what this owner assumes
+   * of earlier terms. */
+  bool mBeginsTerm = false;
+  std::vector<site::server_start> mAdded;
+  std::vector<site::server_start> mRemoved;
+
+  bool IsEmpty() const
+  {
+    return !mBeginsTerm && mAdded.empty() && mRemoved.empty();
+  }
+};
+
+enum class term_phase
+{
+  /** It isn't known yet which listed servers still run. */
+  Checking,
+  /** The begin of the term isn't stored yet. */
+  Beginning,
+  /** Items may be sent. */
+  Begun
+};
+
+/** The time during which an entry owns a batch. */
+struct owner_term
+{
+  term_phase mPhase = term_phase::Checking;
+  /** The list as stored. */
+  server_list mListed;
+  /** Listed servers of which it isn't known whether they still run. */
+  server_list mUnchecked;
+  /** Whether a listed server ended or may have ended. */
+  bool mHasLostServer = false;
+};
+
+/** The term of the entry that accepted the batch. */
+owner_term
+FirstTerm(server_list aListed);
+
+/** The term of a later owner. */
+owner_term
+LaterTerm(server_list aListed);
+
+/** Records whether a listed server still runs. The check is complete when all
+ * do or one doesn't. */
+void
+RecordCheck(owner_term& aTerm,
+            const site::server_start& aServer,
+            site::server_fate aFate);
+
+/** Whether an unstored run may be sent to the server. */
+bool
+MayUse(const owner_term& aTerm, const site::server_start& aServer);
+
+/** Returns the change that makes the stored list equal to the servers that the
+ * batch may use now.
+ * @param aMayRemove whether all ends of runs at a server are stored */
+server_list_change
+ChangeOf(const owner_term& aTerm,
+         const server_list& aUsable,
+         const std::function<bool(const site::server_start&)>& aMayRemove);
+
+/** Applies a change that the store holds. */
+void
+ApplyChange(server_list& aListed, const server_list_change& aChange);
+
+/** The same for an owner's term.
+ * @param aIsOwn whether this entry wrote it in its current term
+ * @return false if another owner's term has begun, so that this one has to
+ * begin again */
+bool
+ApplyChange(owner_term& aTerm, const server_list_change& aChange, bool aIsOwn);
+
+/** Whether the next run of the item may be sent before it is stored: the store
+ * holds no run of it that counts. */
+bool
+MayRunUnstored(const run_ledger& aLedger);
+
+/** Counts one server that an earlier owner may have lost under the item without
+ * storing it. */
+void
+AssumeUnstoredEnd(run_ledger& aLedger);
+
+/** Whether such a server is counted. */
+bool
+HasAssumedEnd(const run_ledger& aLedger);
+
+} // namespace lavender::batches
--- /dev/null
+++ b/Duties/Batches/RecentEnds.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "Duties/Batches/OwnerTerm.h"
+#include "Libraries/Core/Clock.h"
+
+#include <map>
+
+/** Decides whether an item's last run has to wait because servers end for other
+ * reasons. No I/O.
+ *
+ * Where servers end in series, most items that lost two of them are sound, and
+ * a third end bars them for good. Their last run waits until the servers are
+ * calm. An item under which all of these servers ended is likely the cause and
+ * doesn't wait. */
+namespace lavender::batches {
+
+/** An end is recent for this time. Longer than the pauses of ends in series. */
+constexpr milliseconds kRecentEndTime{ 3000 };
+/** An end is remembered for this time, since the directory shows it seconds
+ * after the connections broke. */
+constexpr milliseconds kEndMemory{ 15000 };
+/** Share of the servers of which so many recent ends don't make a run wait. */
+constexpr double kCalmShare = 1.0 / 20;
+
+/** Servers that ended or may have ended, and when that was seen first. */
+using recent_ends = std::map<site::server_start, time_point>;
+
+/** Records that a server ended or may have ended. The first record of a server
+ * gives the time. */
+void
+RecordEnd(recent_ends& aEnds,
+          const site::server_start& aServer,
+          time_point aNow);
+
+/** Removes old ends. */
+void
+ForgetOldEnds(recent_ends& aEnds, time_point aNow);
+
+/** Number of servers that started a short time ago. Most replace one that
+ * ended, also one that ended before this process started.
+ * @param aWallClock time since 1970 */
+std::size_t
+CountYoungServers(const site::server_directory& aDirectory,
+                  milliseconds aWallClock);
+
+/** Whether the item's last run waits.
+ * @param aServers number of servers in the directory
+ * @param aYoungServers how many of them started a short time ago */
+bool
+MustLastRunWait(const recent_ends& aEnds,
+                const run_ledger& aLedger,
+                std::size_t aServers,
+                std::size_t aYoungServers,
+                time_point aNow);
+
+} // namespace lavender::batches
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -147,6 +147,51 @@
                        { "fate", ToString(aFate) } };
 }
 
+template<typename Servers>
+json::value
+EncodeServers(const Servers& aServers)
+{
+  json::array servers;
+  for (const auto& server : aServers) {
+    servers.push_back(json::object{ { "server", server.mId },
+                                    { "startedAt", server.mStartedAt } });
+  }
+  return servers;
+}
+
+std::vector<site::server_start>
+DecodeServers(const json::value* aServers)
+{
+  std::vector<site::server_start> servers;
+  if (aServers) {
+    for (const auto& server : aServers->Elements()) {
+      servers.push_back(ServerAt(server));
+    }
+  }
+  return servers;
+}
+
+json::value
+EncodeChange(const server_list_change& aChange)
+{
+  json::value change = json::object{ { "begins", aChange.mBeginsTerm } };
+  if (!aChange.mAdded.empty()) {
+    change.Set("added", EncodeServers(aChange.mAdded));
+  }
+  if (!aChange.mRemoved.empty()) {
+    change.Set("removed", EncodeServers(aChange.mRemoved));
+  }
+  return change;
+}
+
+server_list_change
+DecodeChange(const json::value& aValue)
+{
+  return { json::BooleanAt(aValue, "begins", false),
+           DecodeServers(aValue.Find("added")),
+           DecodeServers(aValue.Find("removed")) };
+}
+
 run_record
 DecodeRun(const json::value& aValue)
 {
@@ -317,15 +362,24 @@
 {
   std::vector<std::string> parts;
   std::string part;
+  std::string servers;
+  if (!aSubmission.mServers.empty()) {
+    servers =
+      "\"servers\":" + json::Write(EncodeServers(aSubmission.mServers)) + ",";
+  }
+  const auto finishPart = [&] {
+    parts.push_back("{" + servers + "\"items\":[" + part + "]}");
+    servers.clear();
+    part.clear();
+  };
   for (const auto& item : aSubmission.mItems) {
     const auto text = json::Write(EncodeItem(item));
     if (!part.empty() && part.size() + text.size() > kMaximumItemsObjectBytes) {
-      parts.push_back("{\"items\":[" + part + "]}");
-      part.clear();
+      finishPart();
     }
     part += part.empty() ? text : "," + text;
   }
-  parts.push_back("{\"items\":[" + part + "]}");
+  finishPart();
   return parts;
 }
 
@@ -339,6 +393,8 @@
   for (const auto& item : items->Elements()) {
     aSubmission.mItems.push_back(DecodeItem(item));
   }
+  const auto servers = DecodeServers(aObject.mSpec.Find("servers"));
+  aSubmission.mServers.insert(servers.begin(), servers.end());
   return true;
 }
 
@@ -369,8 +425,13 @@
     for (const auto& part : aBlock.mParts) {
       parts.push_back(EncodePart(part));
     }
-    text += ",\"writer\":" + json::Write(json::value(aBlock.mWriter)) +
-            ",\"parts\":" + json::Write(std::move(parts));
+    text += ",\"parts\":" + json::Write(std::move(parts));
+  }
+  if (!aBlock.mServers.IsEmpty()) {
+    text += ",\"servers\":" + json::Write(EncodeChange(aBlock.mServers));
+  }
+  if (!aBlock.mParts.empty() || !aBlock.mServers.IsEmpty()) {
+    text += ",\"writer\":" + json::Write(json::value(aBlock.mWriter));
   }
   if (!aBlock.mRuns.empty()) {
     json::array runs;
@@ -410,6 +471,9 @@
       block.mRuns.push_back(DecodeRun(run));
     }
   }
+  if (const auto* servers = aObject.mSpec.Find("servers")) {
+    block.mServers = DecodeChange(*servers);
+  }
   return block;
 }
 
--- a/Duties/Batches/Records.h
+++ b/Duties/Batches/Records.h
@@ -21,7 +21,7 @@
 DecodeMetadata(const objects::stored_object& aObject);
 
 /** Encodes the items as the content of one or more objects, each smaller than
- * the store's limit of 1 MB. */
+ * the store's limit of 1 MB. The first one lists the submission's servers. */
 std::vector<std::string>
 EncodeItems(const submission& aSubmission);
 
@@ -44,11 +44,14 @@
   std::vector<std::string> mItemIds;
   /** JSON text of each result, as trainers read it. */
   std::vector<std::string> mEntries;
-  /** Parts of texts of items without a result, and the id of their writer. */
+  /** Parts of texts of items without a result. */
   std::vector<text_part> mParts;
+  /** Id of the owner's term in which the block was written. */
   std::string mWriter;
   /** Runs of items without a result whose servers ended or may have ended. */
   std::vector<run_record> mRuns;
+  /** Servers that may get unstored runs from now on. */
+  server_list_change mServers{};
 };
 
 std::string
--- a/Duties/Batches/RunLedger.cpp
+++ b/Duties/Batches/RunLedger.cpp
@@ -66,6 +66,18 @@
   run->second.mIsStored = run->second.mFate == aRecord.mFate;
 }
 
+void
+ApplyCarried(run_ledger& aLedger, const run_record& aRecord)
+{
+  const bool isNew =
+    aLedger
+      .try_emplace(aRecord.mServer, counted_run{ aRecord.mFate, false, true })
+      .second;
+  if (!isNew && aRecord.mFate == run_fate::Ended) {
+    RecordFate(aLedger, aRecord.mServer, run_fate::Ended);
+  }
+}
+
 int
 ServersLost(const run_ledger& aLedger)
 {
--- a/Duties/Batches/RunLedger.h
+++ b/Duties/Batches/RunLedger.h
@@ -80,6 +80,12 @@
 void
 ApplyStored(run_ledger& aLedger, const run_record& aRecord);
 
+/** Applies a record of an earlier batch with the same item. It is to be stored
+ * with this batch too, so that a later owner knows that the item's runs are
+ * stored before they are sent. */
+void
+ApplyCarried(run_ledger& aLedger, const run_record& aRecord);
+
 /** Number of servers that ended or may have ended under the item. */
 int
 ServersLost(const run_ledger& aLedger);
--- a/Duties/Batches/Schedule.cpp
+++ b/Duties/Batches/Schedule.cpp
@@ -152,7 +152,8 @@
   const auto affinity = aAffinities.find(aNeed.mGroup);
   for (std::size_t i = 0; i < aEngines.size(); ++i) {
     const auto& engine = aEngines[i];
-    if (!MayRun(engine, aNeed, aNow)) {
+    if ((aNeed.mListedEngines && !aNeed.mListedEngines->at(i)) ||
+        !MayRun(engine, aNeed, aNow)) {
       continue;
     }
     if (engine.mId == aNeed.mAvoidedServer) {
--- a/Duties/Batches/Schedule.h
+++ b/Duties/Batches/Schedule.h
@@ -78,6 +78,8 @@
   suspect_limits mSuspectLimits;
   /** Servers that ended or may have ended under the item. */
   std::vector<std::string> mLostServers;
+  /** Whether the item's batch may use each of the servers; null if all. */
+  const std::vector<bool>* mListedEngines = nullptr;
 };
 
 /** Number of servers that may run the item, full ones included. */
--- /dev/null
+++ b/Duties/Batches/TestOwnerTerm.cpp
@@ -0,0 +1,315 @@
+#include "Duties/Batches/OwnerTerm.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace lavender;
+using namespace lavender::batches;
+
+namespace {
+
+const site::server_start kFirst{ "s1", 1 };
+const site::server_start kSecond{ "s2", 1 };
+
+bool
+AlwaysMayRemove(const site::server_start&)
+{
+  return true;
+}
+
+/** A batch with one item, its owners, the store and the servers. Each step of
+ * an owner is one call, and the owner may die between any two of them. The
+ * store may be away at any step. */
+class batch_model
+{
+public:
+  batch_model()
+  {
+    for (int i = 0; i < kServers; ++i) {
+      StartServer();
+    }
+    mStoredServers = mRunning;
+    mTerm = FirstTerm(mStoredServers);
+  }
+
+  void Step(unsigned aChoice)
+  {
+    const unsigned which = aChoice / kSteps;
+    switch (aChoice % kSteps) {
+      case 0:
+        OwnerDies();
+        return;
+      case 1:
+        EndServer(which);
+        return;
+      case 2:
+        mIsStoreAway = which % 4 == 0;
+        return;
+      case 3:
+        StartOneMore(which);
+        return;
+      case 4:
+      case 5:
+        Store(which % 4 != 0);
+        return;
+      case 6:
+      case 7:
+        CheckServers();
+        return;
+      case 8:
+        ResetConnection();
+        return;
+      default:
+        Send(which);
+    }
+  }
+
+  int EndsUnderItem() const { return mEnds; }
+
+  static constexpr unsigned kSteps = 11;
+
+private:
+  static constexpr int kServers = 3;
+
+  void StartServer()
+  {
+    mRunning.insert({ "s" + std::to_string(++mLastServer), 1 });
+  }
+
+  void StartOneMore(unsigned aWhich)
+  {
+    constexpr std::size_t kMostServers = 6;
+    if (aWhich == 0 && mRunning.size() < kMostServers) {
+      StartServer();
+    }
+  }
+
+  /** Ends the server that runs the item, seldom another one: the fewer others
+   * end, the less a new owner suspects. */
+  void EndServer(unsigned aWhich)
+  {
+    constexpr unsigned kOthers = 15;
+    if (!mAt && aWhich != kOthers) {
+      return;
+    }
+    const auto server =
+      mAt && aWhich != kOthers
+        ? *mAt
+        : *std::next(mRunning.begin(), mLastServer % kServers);
+    mRunning.erase(server);
+    StartServer();
+    if (mAt == server) {
+      ++mEnds;
+      mAt.reset();
+      if (mIsOwned) {
+        RecordFate(mLedger, server, run_fate::Ended);
+      }
+    }
+  }
+
+  /** The run breaks off while its server lives. */
+  void ResetConnection()
+  {
+    if (mAt) {
+      RecordFate(mLedger, *mAt, run_fate::Open);
+      mAt.reset();
+    }
+  }
+
+  /** The next owner loads what the store holds. The run ends with its sender.
+   */
+  void OwnerDies()
+  {
+    mAt.reset();
+    mReserved.reset();
+    mIsOwned = false;
+  }
+
+  bool TakeOver()
+  {
+    if (mIsOwned || mIsStoreAway) {
+      return mIsOwned;
+    }
+    mIsOwned = true;
+    mLedger.clear();
+    for (const auto& record : mStoredRuns) {
+      ApplyStored(mLedger, record);
+    }
+    mMayHaveRunUnstored = MayRunUnstored(mLedger);
+    mTerm = LaterTerm(mStoredServers);
+    return true;
+  }
+
+  void CheckServers()
+  {
+    if (!TakeOver()) {
+      return;
+    }
+    for (const auto& server : OpenRuns(mLedger)) {
+      const bool isOwn = mAt == server || mReserved == server;
+      if (!isOwn) {
+        RecordFate(mLedger,
+                   server,
+                   mRunning.count(server) > 0 ? run_fate::Survived
+                                              : run_fate::Ended);
+      }
+    }
+    if (mTerm.mPhase != term_phase::Checking) {
+      return;
+    }
+    for (const auto& server : server_list(mTerm.mListed)) {
+      RecordCheck(mTerm,
+                  server,
+                  mRunning.count(server) > 0 ? site::server_fate::Running
+                                             : site::server_fate::Ended);
+    }
+    if (mTerm.mHasLostServer && mMayHaveRunUnstored) {
+      AssumeUnstoredEnd(mLedger);
+    }
+  }
+
+  /** @param aIsAnswered whether the owner learns that its write was taken */
+  void Store(bool aIsAnswered)
+  {
+    if (!TakeOver() || mIsStoreAway) {
+      return;
+    }
+    std::vector<run_record> runs;
+    AddUnstored(mLedger, 0, runs);
+    const auto change = ChangeOf(mTerm, mRunning, [&](const auto& aServer) {
+      return !(mAt == aServer) && !(mReserved == aServer);
+    });
+    mStoredRuns.insert(mStoredRuns.end(), runs.begin(), runs.end());
+    ApplyChange(mStoredServers, change);
+    if (!aIsAnswered) {
+      return;
+    }
+    for (const auto& record : runs) {
+      ApplyStored(mLedger, record);
+    }
+    ApplyChange(mTerm, change, true);
+  }
+
+  void Send(unsigned aWhich)
+  {
+    if (!TakeOver() || mTerm.mPhase != term_phase::Begun || mAt) {
+      return;
+    }
+    if (mReserved) {
+      if (IsCountStored(mLedger)) {
+        mAt = mReserved;
+        mReserved.reset();
+      }
+      return;
+    }
+    const auto server = *std::next(mRunning.begin(), aWhich % mRunning.size());
+    if (!IsCountStored(mLedger) || !MayUse(mTerm, server) ||
+        SuspicionOf(mLedger) == suspicion::Barred) {
+      return;
+    }
+    if (MayRunUnstored(mLedger)) {
+      mAt = server;
+      return;
+    }
+    RecordFate(mLedger, server, run_fate::Open);
+    mReserved = server;
+  }
+
+  server_list mRunning;
+  int mLastServer = 0;
+  bool mIsStoreAway = false;
+  std::vector<run_record> mStoredRuns;
+  server_list mStoredServers;
+  bool mIsOwned = true;
+  bool mMayHaveRunUnstored = false;
+  owner_term mTerm;
+  run_ledger mLedger;
+  std::optional<site::server_start> mReserved;
+  std::optional<site::server_start> mAt;
+  int mEnds = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestOwnerTerm)
+
+// Guards against a write for each takeover's items where no server ended.
+BOOST_AUTO_TEST_CASE(WhereAllServersRunNothingIsAssumed)
+{
+  auto term = LaterTerm({ kFirst, kSecond });
+  RecordCheck(term, kFirst, site::server_fate::Running);
+  BOOST_TEST((term.mPhase == term_phase::Checking));
+  RecordCheck(term, kSecond, site::server_fate::Running);
+  BOOST_TEST((term.mPhase == term_phase::Beginning));
+  BOOST_TEST(!term.mHasLostServer);
+}
+
+// Guards against an end that is forgotten because its server is only silent.
+BOOST_AUTO_TEST_CASE(AServerThatDoesntAnswerMayHaveEnded)
+{
+  auto term = LaterTerm({ kFirst, kSecond });
+  RecordCheck(term, kSecond, site::server_fate::Unknown);
+  BOOST_TEST((term.mPhase == term_phase::Beginning));
+  BOOST_TEST(term.mHasLostServer);
+}
+
+// Guards against a run at a server of whose end no later owner would know.
+BOOST_AUTO_TEST_CASE(AServerIsUsedOnceItIsListed)
+{
+  auto term = FirstTerm({ kFirst });
+  BOOST_TEST(MayUse(term, kFirst));
+  BOOST_TEST(!MayUse(term, kSecond));
+  const auto change = ChangeOf(term, { kFirst, kSecond }, AlwaysMayRemove);
+  BOOST_TEST(ApplyChange(term, change, true));
+  BOOST_TEST(MayUse(term, kSecond));
+}
+
+// Guards against items that are sent while their assumed ends live in memory
+// only.
+BOOST_AUTO_TEST_CASE(ALaterOwnerSendsNothingBeforeItsTermIsStored)
+{
+  auto term = LaterTerm({});
+  BOOST_TEST(!MayUse(term, kFirst));
+  const auto change = ChangeOf(term, { kFirst }, AlwaysMayRemove);
+  BOOST_TEST(change.mBeginsTerm);
+  BOOST_TEST(ApplyChange(term, change, true));
+  BOOST_TEST(MayUse(term, kFirst));
+}
+
+// Guards against an owner that goes on after another one has assumed what it
+// didn't store.
+BOOST_AUTO_TEST_CASE(AnotherOwnersTermEndsThisOne)
+{
+  auto term = FirstTerm({ kFirst });
+  BOOST_TEST(!ApplyChange(term, { true, { kSecond }, {} }, false));
+}
+
+// Guards against a server that is taken off the list while its end isn't
+// stored.
+BOOST_AUTO_TEST_CASE(AServerStaysListedUntilItsEndsAreStored)
+{
+  const auto term = FirstTerm({ kFirst });
+  const auto never = [](const auto&) { return false; };
+  BOOST_TEST(ChangeOf(term, {}, never).IsEmpty());
+  BOOST_TEST(ChangeOf(term, {}, AlwaysMayRemove).mRemoved.size() == 1u);
+}
+
+// Guards against a fourth ended server, whichever of owner, store and servers
+// stops between any two steps.
+BOOST_AUTO_TEST_CASE(NoOrderOfStepsEndsAFourthServer)
+{
+  BOOST_TEST(rc::check("ends", [] {
+    batch_model model;
+    const auto choices = *rc::gen::container<std::vector<unsigned>>(
+      300, rc::gen::inRange(0u, batch_model::kSteps * 16));
+    for (const auto choice : choices) {
+      model.Step(choice);
+      RC_ASSERT(model.EndsUnderItem() <= kMaximumServersLost);
+    }
+  }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Duties/Batches/TestRecentEnds.cpp
@@ -0,0 +1,83 @@
+#include "Duties/Batches/RecentEnds.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace lavender;
+using namespace lavender::batches;
+
+namespace {
+
+constexpr std::size_t kServers = 9;
+const time_point kStart{};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TestRecentEnds)
+
+// Guards against sound items that are barred where servers end in series.
+BOOST_AUTO_TEST_CASE(ALastRunWaitsWhileServersEndWithoutTheItem)
+{
+  recent_ends ends;
+  BOOST_TEST(!MustLastRunWait(ends, {}, kServers, 0, kStart));
+  RecordEnd(ends, { "s1", 1 }, kStart);
+  BOOST_TEST(MustLastRunWait(ends, {}, kServers, 0, kStart));
+  BOOST_TEST(!MustLastRunWait(ends, {}, kServers, 0, kStart + kRecentEndTime));
+}
+
+// Guards against an item that waits for calm because the directory shows late
+// that its own servers ended.
+BOOST_AUTO_TEST_CASE(AnEndThatIsSeenTwiceIsOneEnd)
+{
+  recent_ends ends;
+  RecordEnd(ends, { "s1", 1 }, kStart);
+  const auto later = kStart + 2 * kRecentEndTime;
+  ForgetOldEnds(ends, later);
+  RecordEnd(ends, { "s1", 1 }, later);
+  BOOST_TEST(!MustLastRunWait(ends, {}, kServers, 0, later));
+  ForgetOldEnds(ends, kStart + kEndMemory);
+  BOOST_TEST(ends.empty());
+}
+
+// Guards against a wait for calm by the item that ends the servers itself.
+BOOST_AUTO_TEST_CASE(TheItemUnderAllEndedServersDoesntWait)
+{
+  recent_ends ends;
+  run_ledger ledger;
+  for (const auto* server : { "s1", "s2" }) {
+    RecordFate(ledger, { server, 1 }, run_fate::Ended);
+    RecordEnd(ends, { server, 1 }, kStart);
+  }
+  BOOST_TEST(!MustLastRunWait(ends, ledger, kServers, 0, kStart));
+}
+
+// Guards against items that wait for ever in a large pool, where some server
+// ends at any time.
+BOOST_AUTO_TEST_CASE(AFewEndsAmongManyServersAreCalm)
+{
+  recent_ends ends;
+  constexpr std::size_t kManyServers = 400;
+  for (int i = 0; i < 20; ++i) {
+    RecordEnd(ends, { "s" + std::to_string(i), 1 }, kStart);
+  }
+  BOOST_TEST(!MustLastRunWait(ends, {}, kManyServers, 0, kStart));
+  RecordEnd(ends, { "s20", 1 }, kStart);
+  BOOST_TEST(MustLastRunWait(ends, {}, kManyServers, 0, kStart));
+}
+
+// Guards against a last run that an entry sends because it has just started and
+// saw no server end.
+BOOST_AUTO_TEST_CASE(ServersThatJustStartedShowRecentEnds)
+{
+  constexpr milliseconds kWallClock{ 1000000 };
+  site::server_directory directory;
+  site::backend_server server;
+  server.mId = "s1";
+  server.mStartedAt = (kWallClock - kRecentEndTime).count();
+  directory.mRows["s1"] = { server, std::nullopt, {}, {} };
+  BOOST_TEST(CountYoungServers(directory, kWallClock) == 0u);
+  ++directory.mRows["s1"].mServer.mStartedAt;
+  BOOST_TEST(CountYoungServers(directory, kWallClock) == 1u);
+  BOOST_TEST(MustLastRunWait({}, {}, kServers, 1, kStart));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Duties/Rewards/RewardCall.h
+++ b/Duties/Rewards/RewardCall.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Duties/Site/ServerDirectory.h"
+#include "Duties/Site/ServerFate.h"
 #include "Libraries/Core/Clock.h"
 
 #include <functional>
@@ -54,6 +54,8 @@
   /** Whether an attempt may be sent now; false while it isn't known whether
    * earlier servers ended under the call, or if too many have. */
   std::function<bool()> mMaySend;
+  /** Whether an attempt may be sent to the server. */
+  std::function<bool(const site::server_start&)> mMayUse;
   /** Whether two servers may process the call at a time. */
   std::function<bool()> mMayHedge;
   /** Called when the connection to a server broke or the server was silent. */
--- a/Duties/Rewards/RewardCaller.cpp
+++ b/Duties/Rewards/RewardCaller.cpp
@@ -148,8 +148,18 @@
 {
   const auto* customer = site::FindCustomer(*mDependencies.mConfiguration,
                                             aCall->mRequest.mCustomer);
-  auto pick =
-    mDependencies.mRouter.SelectServer(aRoute, customer, aCall->mTriedServers);
+  const auto select = [&]() -> std::optional<forwarding::selected_server> {
+    auto excluded = aCall->mTriedServers;
+    while (auto found =
+             mDependencies.mRouter.SelectServer(aRoute, customer, excluded)) {
+      if (aCall->mRequest.mMayUse(site::StartOf(found->mServer))) {
+        return found;
+      }
+      excluded.push_back(found->mServer.mId);
+    }
+    return std::nullopt;
+  };
+  auto pick = select();
   if (!pick) {
     // All servers have been tried. They may be tried again, except for those
     // that are processing the call.
@@ -157,8 +167,7 @@
     for (const auto& open : aCall->mOpenAttempts) {
       aCall->mTriedServers.push_back(open->mPick.mServer.mId);
     }
-    pick = mDependencies.mRouter.SelectServer(
-      aRoute, customer, aCall->mTriedServers);
+    pick = select();
   }
   return pick;
 }
--- a/Duties/Site/ServerProtocol.h
+++ b/Duties/Site/ServerProtocol.h
@@ -50,6 +50,8 @@
   std::string mServerId;
   /** The server states that it did not run the request. */
   bool mIsNotExecuted = false;
+  /** Another server answered: the one that was asked for has ended. */
+  bool mIsOtherServer = false;
   std::optional<server_load> mLoad;
   /** Proves that the server created the response; empty if there is none. */
   std::string mSignature;
--- a/Tests/Site/TestBatchPositions.cpp
+++ b/Tests/Site/TestBatchPositions.cpp
@@ -125,8 +125,10 @@
                            batches::ResultsObjectName("b1", aBlock),
                            batches::EncodeBlock(block));
     };
-    list(0, "b1i0");
-    list(1, "b1i2");
+    const auto next =
+      static_cast<int>(site.mState.mKinds[batches::kBatchResultsKind].size());
+    list(next, "b1i0");
+    list(next + 1, "b1i2");
     const std::vector<std::string> listed = { "b1i0", "b1i2" };
     BOOST_TEST(
       site.mLoop.RunUntil([&] { return owner.ListedIds("b1") == listed; }, 3s));
--- a/Tests/Site/TestEndedServers.cpp
+++ b/Tests/Site/TestEndedServers.cpp
@@ -115,6 +115,74 @@
   BOOST_TEST(servers.EndsUnder(kMarked) == kMaximumEnds);
 }
 
+// Guards against a bound that each owner's death widens by a server: the owner
+// is killed so soon after an end that it can't have stored it.
+BOOST_AUTO_TEST_CASE(OwnersThatDieAfterEachEndDontAddServers)
+{
+  for (const auto delay : { 0ms, 5ms, 30ms, 150ms }) {
+    for (const int eventsBefore : { 0, 12 }) {
+      batch_site site;
+      ending_pool servers(site, 9, [&](model_server& aServer) {
+        MarkOne(aServer);
+        aServer.mEndsAfter = eventsBefore;
+      });
+      const std::vector<std::string> names{ "a", "b", "c", "d", "e", "f" };
+      std::vector<std::unique_ptr<batch_entry>> entries;
+      for (const auto& name : names) {
+        entries.push_back(std::make_unique<batch_entry>(site, name));
+        site.mWeights[name] = 0;
+      }
+      site.mWeights["a"] = 1;
+      constexpr int kItems = 8;
+      entries[0]->Submit("b1", kItems);
+      for (std::size_t i = 0; i + 1 < entries.size(); ++i) {
+        const int ends = servers.EndsUnder(kMarked);
+        site.mLoop.RunUntil([&] { return servers.EndsUnder(kMarked) > ends; },
+                            kWatchTime);
+        if (delay > 0ms) {
+          Watch(site, delay);
+        }
+        Kill(*entries[i], "b1");
+        site.mPeers.erase(names[i]);
+        site.mWeights[names[i + 1]] = 1;
+        entries[i + 1]->ListedIds("b1");
+      }
+      BOOST_TEST(site.mLoop.RunUntil(
+        [&] { return entries.back()->ListedIds("b1").size() == kItems - 1; }));
+      Watch(site, kWatchTime);
+      BOOST_TEST(servers.EndsUnder(kMarked) <= kMaximumEnds,
+                 "killed after " << delay.count() << " ms, " << eventsBefore
+                                 << " events before the end: "
+                                 << servers.EndsUnder(kMarked) << " ended");
+    }
+  }
+}
+
+// Guards against a count that reaches the next batch too late: its owner has
+// just started and doesn't know the earlier batch yet.
+BOOST_AUTO_TEST_CASE(AnEntryThatJustStartedKnowsTheCountsOfEndedBatches)
+{
+  batch_site site;
+  ending_pool servers(site, 9, MarkOne);
+  auto entry = std::make_unique<batch_entry>(site, "a");
+  constexpr int kItems = 8;
+  entry->SubmitItems("b1", "b1", kItems);
+  BOOST_TEST(
+    site.mLoop.RunUntil([&] { return servers.Ended() == kMaximumEnds; }));
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return entry->ListedIds("b1").size() == kItems - 1; }));
+  Watch(site, kWatchTime);
+  BOOST_TEST(entry->End("b1") == 200u);
+  site.mPeers.erase("a");
+  site.mState.mLatency = 30ms;
+  batch_entry started(site, "b");
+  started.SubmitItems("b2", "b1", kItems);
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return started.ListedIds("b2").size() == kItems - 1; }));
+  Watch(site, kWatchTime);
+  BOOST_TEST(servers.Ended() == kMaximumEnds);
+}
+
 // Guards against a count that ends with its batch: a trainer submits the items
 // of an incomplete group again, under the same ids.
 BOOST_AUTO_TEST_CASE(AnItemThatIsSubmittedAgainKeepsItsCount)
