Batches: a suspect's server is asked whether it runs before its run is stored

A suspect's run is now stored only for a server that answered within the last second. Other runs ask nothing.

--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -213,7 +213,8 @@
       need.mLostServers = ServersCounted(item.mLedger);
     }
     const auto chosen = ChooseEngine(engines, need, mAffinities, now);
-    if (chosen) {
+    if (chosen && (need.mSuspicion == suspicion::None ||
+                   IsKnownToRun(engines[*chosen].mId, now))) {
       ++engines[*chosen].mOwnRuns;
       --engines[*chosen].mIdleConnections;
       --engines[*chosen].mRunsLeft;
--- a/Duties/Batches/BatchLedgers.cpp
+++ b/Duties/Batches/BatchLedgers.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/** A server that answered is taken to run for this time. */
+constexpr milliseconds kKnownToRunTime{ 1000 };
 /** Time within which an owner that can't reach the store learns that another
  * entry has its batch, or its runs end. */
 constexpr milliseconds kUnnoticedLossTime{ 10000 };
@@ -93,6 +95,32 @@
   return counts;
 }
 
+bool
+batch_runner::IsKnownToRun(const std::string& aServer, time_point aNow)
+{
+  const auto& server = mDependencies.mDirectory.mRows.at(aServer).mServer;
+  const auto start = site::StartOf(server);
+  const auto [asked, isNew] = mAskedServers.try_emplace(start, std::nullopt);
+  if (!isNew && !asked->second) {
+    return false;
+  }
+  if (!isNew && aNow - *asked->second < kKnownToRunTime) {
+    return true;
+  }
+  asked->second.reset();
+  mDependencies.mChecks.Check(
+    start, server.mAddress, [this, start](site::server_fate aFate) {
+      if (aFate == site::server_fate::Running) {
+        mAskedServers[start] = boot_clock::now();
+      } else if (aFate == site::server_fate::Ended) {
+        mAskedServers.erase(start);
+        mGone.insert(start);
+      }
+      Dispatch();
+    });
+  return false;
+}
+
 void
 batch_runner::ReserveRun(running_batch& aBatch,
                          std::size_t aIndex,
--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -85,11 +85,17 @@
   forget(mHealths, always);
   forget(mSpeeds, always);
   forget(mStartTimes, always);
+  const auto isListed = [this](const site::server_start& aStart) {
+    const auto row = mDependencies.mDirectory.mRows.find(aStart.mId);
+    return row != mDependencies.mDirectory.mRows.end() &&
+           site::StartOf(row->second.mServer) == aStart;
+  };
   for (auto server = mGone.begin(); server != mGone.end();) {
-    const auto row = mDependencies.mDirectory.mRows.find(server->mId);
-    const bool isListed = row != mDependencies.mDirectory.mRows.end() &&
-                          site::StartOf(row->second.mServer) == *server;
-    server = isListed ? std::next(server) : mGone.erase(server);
+    server = isListed(*server) ? std::next(server) : mGone.erase(server);
+  }
+  for (auto asked = mAskedServers.begin(); asked != mAskedServers.end();) {
+    asked =
+      isListed(asked->first) ? std::next(asked) : mAskedServers.erase(asked);
   }
 }
 
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -380,6 +380,10 @@
   static suspicion CurrentSuspicion(const item_progress& aItem);
   /** Fills in the suspects that run on the servers. */
   suspect_counts AddSuspects(std::vector<engine_view>& aEngines) const;
+  /** Whether the server answered a short time ago; asks it otherwise. A run
+   * that is stored for a server that has ended would count though it never
+   * began. */
+  bool IsKnownToRun(const std::string& aServer, time_point aNow);
   /** Stores that a suspect goes to a server, before it is sent there. */
   void ReserveRun(running_batch& aBatch,
                   std::size_t aIndex,
@@ -460,6 +464,9 @@
   recent_ends mRecentEnds;
   /** Listed servers at whose address another one answers. */
   std::set<site::server_start> mGone;
+  /** Servers that were asked for a suspect whether they run, and when they
+   * answered that they do; none while the answer is awaited. */
+  std::map<site::server_start, std::optional<time_point>> mAskedServers;
   boost::asio::steady_timer mTimer;
   std::uint64_t mLastRunNumber = 0;
   bool mIsDispatchPosted = false;
--- a/Tests/Site/Support/ByteServer.cpp
+++ b/Tests/Site/Support/ByteServer.cpp
@@ -116,6 +116,13 @@
   Flush();
 }
 
+void
+byte_channel::WriteAndClose(const std::string& aBytes)
+{
+  mClosesOnceWritten = true;
+  Write(aBytes);
+}
+
 void
 byte_channel::WriteWithoutEnd(std::string aBytes)
 {
@@ -161,9 +168,28 @@
         return;
       }
       self->Flush();
+      if (self->mClosesOnceWritten && self->mWriting.empty()) {
+        self->mIsClosed = true;
+        error_code ignored;
+        self->mSocket.shutdown(boost::asio::socket_base::shutdown_both,
+                               ignored);
+        self->mSocket.close(ignored);
+      }
     });
 }
 
+std::vector<std::string>
+CutHeads(const std::string& aId)
+{
+  const std::string line = "HTTP/1.1 200 OK\r\n";
+  const std::string fields = "X-Attempt-Id: " + aId +
+                             "\r\nX-Server-Seal: seal-" + aId +
+                             "\r\nX-Weight-Versions: 1\r\n";
+  return { line,
+           line + fields + "Content-Len",
+           line + fields + "Content-Length: 4\r\n" };
+}
+
 std::string
 ResponseBytes(unsigned aStatus,
               const std::string& aId,
--- a/Tests/Site/Support/ByteServer.h
+++ b/Tests/Site/Support/ByteServer.h
@@ -49,6 +49,8 @@
   void Read();
   /** Bytes are written in the order of the calls. */
   void Write(const std::string& aBytes);
+  /** Writes the bytes and closes the connection, without an error. */
+  void WriteAndClose(const std::string& aBytes);
   /** Writes the bytes again and again until the caller closes. */
   void WriteWithoutEnd(std::string aBytes);
   /** Writes the bytes again and again, with a pause before each time. */
@@ -66,6 +68,7 @@
   std::string mRepeated;
   char mPiece[4096];
   bool mIsClosed = false;
+  bool mClosesOnceWritten = false;
 };
 
 /** A response with a length; further fields each end with a line break. */
@@ -75,6 +78,11 @@
               const std::string& aFields,
               const std::string& aBody);
 
+/** Responses that stop in the middle of their head: after the status line, in
+ * a field and before the empty line. */
+std::vector<std::string>
+CutHeads(const std::string& aId);
+
 /** The head of a response in chunks. */
 std::string
 ChunkedHead(const std::string& aId);
--- a/Tests/Site/TestForwarding.cpp
+++ b/Tests/Site/TestForwarding.cpp
@@ -227,6 +227,33 @@
   }
 }
 
+// Guards against a success with an empty body, framed as whole, from a server
+// that stopped in the middle of its answer's head.
+BOOST_AUTO_TEST_CASE(ACutHeadIsNoAnswer)
+{
+  for (const std::size_t cut : { 0, 1, 2 }) {
+    for (const bool isStream : { false, true }) {
+      for (const auto retryPolicy :
+           { site::retry_policy::AtMostOnce, site::retry_policy::Idempotent }) {
+        forwarding_site site(retryPolicy);
+        site.mRoute->mIsStream = isStream;
+        const auto cutOff = [&](const auto& aChannel, const auto& aRequest) {
+          aChannel->WriteAndClose(CutHeads(IdOf(aRequest))[cut]);
+        };
+        byte_server first(site.mLoop, cutOff);
+        byte_server second(site.mLoop, cutOff);
+        site.Add("s1", first);
+        site.Add("s2", second);
+        const auto result = site.Send();
+        BOOST_TEST(result.mAnswer.mStatus == 502u);
+        BOOST_TEST(!result.mAnswer.mHeaders.Find("X-Server-Seal"));
+        const bool isOnce = retryPolicy == site::retry_policy::AtMostOnce;
+        BOOST_TEST(first.mRequests + second.mRequests == (isOnce ? 1 : 2));
+      }
+    }
+  }
+}
+
 // Guards against memory that grows with a stream whose caller reads slowly or
 // not at all, and against a stream that stops for ever once it was slowed down.
 BOOST_AUTO_TEST_CASE(AStreamWaitsForItsCallerAndIsWhole)
