Batches: three gaps found by reading what changed

- A server that was found gone while the directory lists it got no runs of the entry for ever, also if it was only cut off and came back: for five seconds now.
- An entry that had just started could end a batch before it knew which runs count, and the later batch would begin without them.
It answers 503 until it knows all batches, and keeps the end.
- An item whose earlier owner's run turned out to have ended its server, and that ran unstored elsewhere by then, has that run stored.

--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -334,6 +334,12 @@
     aExchange->Answer({ 200, {}, {} });
     return;
   }
+  if (!mHasListing) {
+    // The runs that count aren't known before.
+    ScheduleEnd(aBatch);
+    edge::AnswerOwn(aExchange, 503, kLoadingRetryAfter);
+    return;
+  }
   aBatch->mEndWaiters.push_back(aExchange);
   if (aBatch->mEndWaiters.size() == 1) {
     StopRunsOnceChecked(aBatch, kMaximumTries, [this, aBatch] {
--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -54,7 +54,7 @@
   for (const auto& [id, row] : mDependencies.mDirectory.mRows) {
     if (!site::AcceptsWork(mDependencies.mDirectory, row.mServer) ||
         mDependencies.mChecks.IsSilent(site::StartOf(row.mServer)) ||
-        mGone.count(site::StartOf(row.mServer)) > 0 ||
+        IsGone(site::StartOf(row.mServer), now) ||
         (IsOn(mechanism::RunBreakers) &&
          !IsUsable(mHealths, id, mDependencies.mDirectory.mRows.size(), now))) {
       continue;
--- a/Duties/Batches/BatchLedgers.cpp
+++ b/Duties/Batches/BatchLedgers.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+/** A server that has ended is mostly listed for this time at most. */
+constexpr milliseconds kGoneTime{ 5000 };
 /** A server that answered is taken to run for this time. */
 constexpr milliseconds kKnownToRunTime{ 1000 };
 /** Time within which an owner that can't reach the store learns that another
@@ -95,6 +97,19 @@
   return counts;
 }
 
+void
+batch_runner::RecordGone(const site::server_start& aServer)
+{
+  mGone[aServer] = boot_clock::now() + kGoneTime;
+}
+
+bool
+batch_runner::IsGone(const site::server_start& aServer, time_point aNow) const
+{
+  const auto gone = mGone.find(aServer);
+  return gone != mGone.end() && aNow < gone->second;
+}
+
 bool
 batch_runner::IsKnownToRun(const std::string& aServer, time_point aNow)
 {
@@ -114,7 +129,7 @@
         mAskedServers[start] = boot_clock::now();
       } else if (aFate == site::server_fate::Ended) {
         mAskedServers.erase(start);
-        mGone.insert(start);
+        RecordGone(start);
       }
       Dispatch();
     });
@@ -252,6 +267,7 @@
       }
       if (hasEnded && item.mPhase != item_phase::Ended) {
         RecordFate(item.mLedger, run->first, run_fate::Open);
+        RecordUnstoredRun(item);
         hasCounted = true;
       }
       run = runs.erase(run);
--- a/Duties/Batches/BatchRunner.cpp
+++ b/Duties/Batches/BatchRunner.cpp
@@ -91,7 +91,7 @@
            site::StartOf(row->second.mServer) == aStart;
   };
   for (auto server = mGone.begin(); server != mGone.end();) {
-    server = isListed(*server) ? std::next(server) : mGone.erase(server);
+    server = isListed(server->first) ? std::next(server) : mGone.erase(server);
   }
   for (auto asked = mAskedServers.begin(); asked != mAskedServers.end();) {
     asked =
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -378,6 +378,9 @@
    * one more may run it. */
   static bool IsCountSettled(const item_progress& aItem);
   static suspicion CurrentSuspicion(const item_progress& aItem);
+  /** Keeps runs from a server that has ended and is still listed. */
+  void RecordGone(const site::server_start& aServer);
+  bool IsGone(const site::server_start& aServer, time_point aNow) const;
   /** Fills in the suspects that run on the servers. */
   suspect_counts AddSuspects(std::vector<engine_view>& aEngines) const;
   /** Whether the server answered a short time ago; asks it otherwise. A run
@@ -462,8 +465,10 @@
   scheduling::length_statistics_by_model mLengths;
   group_affinities mAffinities;
   recent_ends mRecentEnds;
-  /** Listed servers at whose address another one answers. */
-  std::set<site::server_start> mGone;
+  /** Servers that have ended though the directory lists them, and until when
+   * they get no runs. The directory may be right about a server that was only
+   * cut off. */
+  std::map<site::server_start, time_point> mGone;
   /** Servers that were asked for a suspect whether they run, and when they
    * answered that they do; none while the answer is awaited. */
   std::map<site::server_start, std::optional<time_point>> mAskedServers;
--- a/Duties/Batches/BatchRuns.cpp
+++ b/Duties/Batches/BatchRuns.cpp
@@ -295,7 +295,7 @@
     outcome = aRun->mFacts.mIsOtherServer ? "other_server" : "not_executed";
     BlockServer(item->mServer, kBusyDelay);
     if (aRun->mFacts.mIsOtherServer) {
-      mGone.insert(ServerOf(*item));
+      RecordGone(ServerOf(*item));
     } else if (IsOn(mechanism::TrialOfOneRun)) {
       mProbes.emplace(item->mServer, 0);
     }
