--- a/Duties/Batches/OwnerTerm.cpp
+++ b/Duties/Batches/OwnerTerm.cpp
@@ -114,6 +114,12 @@
   RecordFate(aLedger, kUnstoredServer, run_fate::Ended);
 }
 
+bool
+IsAssumed(const site::server_start& aServer)
+{
+  return aServer == kUnstoredServer;
+}
+
 bool
 HasAssumedEnd(const run_ledger& aLedger)
 {
--- a/Duties/Batches/OwnerTerm.h
+++ b/Duties/Batches/OwnerTerm.h
@@ -106,6 +106,10 @@
 void
 AssumeUnstoredEnd(run_ledger& aLedger);
 
+/** Whether the server stands for one that an earlier owner may have lost. */
+bool
+IsAssumed(const site::server_start& aServer);
+
 /** Whether such a server is counted. */
 bool
 HasAssumedEnd(const run_ledger& aLedger);
--- a/Tests/Soak/Clients.cpp
+++ b/Tests/Soak/Clients.cpp
@@ -351,7 +351,17 @@
   for (const auto& batch : mBatches) {
     for (const auto& [item, ledger] : mSite.StoredLedgers(batch->mId)) {
       for (const auto& [server, run] : ledger) {
-        if (run.mFate == batches::run_fate::Ended && !mSite.HasEnded(server)) {
+        if (run.mFate != batches::run_fate::Ended) {
+          continue;
+        }
+        if (batches::IsAssumed(server)) {
+          if (mSite.mLostOwners[batch->mId] == 0) {
+            AddFinding("batch " + batch->mId +
+                       " assumes an end though it kept its owner");
+          }
+          continue;
+        }
+        if (!mSite.HasEnded(server)) {
           AddFinding("batch " + batch->mId + " counts an end of " + server.mId +
                      ", which lives");
         }
