Batches: a server that ended before a run was moved away counts

A server from which a run was moved now counts if it is seen to have ended within five seconds. The check and its bound stay.

--- a/Duties/Batches/BatchMoves.cpp
+++ b/Duties/Batches/BatchMoves.cpp
@@ -16,6 +16,9 @@
 constexpr int kEstimateStep = 4;
 /** Servers that live send an event, or the first one, within this time. */
 constexpr milliseconds kUsualSilence{ 500 };
+/** A server that ended before a run was moved away is known to have ended
+ * within this time. */
+constexpr milliseconds kMovedRunTime{ 5000 };
 /** Time of an event while no server's speed is known. */
 constexpr scheduling::event_time kAssumedEventTime{ 50 };
 
@@ -279,6 +282,7 @@
     mDependencies.mMetrics.Count("lavender_batch_moves_total", {});
     const auto route = RouteOf(*batch, *item.mItem);
     StopRun(item);
+    item.mEarlierRuns[ServerOf(item)] = aNow + kMovedRunTime;
     ++item.mMoves;
     StartRun(*batch, index, aEngines[move.mServer], *route);
   }
