Batches: faults and unclear comments found by reading the change

- A server that waited for being listed and left meanwhile made the owner write empty blocks without a pause.
A block is written only if it lists a server.
- A server whose clock is ahead counted as young for ever, so last runs of a small pool waited for ever.
A start in the future counts only within the recent time.

--- a/Duties/Batches/BatchAdmission.cpp
+++ b/Duties/Batches/BatchAdmission.cpp
@@ -89,7 +89,7 @@
       if (aResponse.mOutcome == store_outcome::Done ||
           aResponse.mOutcome == store_outcome::Conflict) {
         if (aResponse.mOutcome == store_outcome::Conflict) {
-          // They may list other servers.
+          // The items that are stored already may list other servers.
           aAdmission->mSubmission->mServers.clear();
         }
         WriteItems(aAdmission, aPart + 1);
@@ -107,6 +107,8 @@
       const objects::object_reply& aResponse) {
       if (aResponse.mOutcome == store_outcome::Unknown &&
           aAdmission->mTriesLeft-- > 0) {
+        // The write's outcome is unknown, so items that an earlier submission
+        // stored may be there, with other servers.
         aAdmission->mSubmission->mServers.clear();
         mDependencies.mStore.mGet(kBatchItemsKind,
                                   name,
--- a/Duties/Batches/BatchCalls.cpp
+++ b/Duties/Batches/BatchCalls.cpp
@@ -335,7 +335,8 @@
     return;
   }
   if (!mHasListing) {
-    // The runs that count aren't known before.
+    // The batch's runs aren't loaded before all batches are known. An end
+    // without the runs that count would let a later batch begin without them.
     ScheduleEnd(aBatch);
     edge::AnswerOwn(aExchange, 503, kLoadingRetryAfter);
     return;
--- a/Duties/Batches/BatchLedgers.cpp
+++ b/Duties/Batches/BatchLedgers.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/** A server that has ended is mostly listed for this time at most. */
+/** A server that has ended gets no runs for this time. The directory drops its
+ * record within it, unless the store is away. */
 constexpr milliseconds kGoneTime{ 5000 };
 /** A server that answered is taken to run for this time. */
 constexpr milliseconds kKnownToRunTime{ 1000 };
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -82,7 +82,8 @@
    * the store holds the end or not. */
   bool mIsEndAsked = false;
   /** Runs that counted when the items stopped running here, until the store
-   * holds the end. */
+   * holds the end. The runner has forgotten the batch by then, and a conflict
+   * replaces the metadata by one that lacks them. */
   std::vector<item_run> mCountedRuns;
   /** True while an end that the store doesn't hold waits for its next attempt.
    */
--- a/Duties/Batches/BatchTerms.cpp
+++ b/Duties/Batches/BatchTerms.cpp
@@ -163,9 +163,14 @@
 batch_runner::HasServersToStore(const std::string& aBatchId) const
 {
   const auto found = mBatches.find(aBatchId);
-  return found != mBatches.end() &&
-         (found->second.mTerm.mPhase == term_phase::Beginning ||
-          found->second.mLacksServers);
+  if (found == mBatches.end()) {
+    return false;
+  }
+  const auto& batch = found->second;
+  // A server that waited may have left meanwhile, and a block without a change
+  // would be written again and again.
+  return batch.mTerm.mPhase == term_phase::Beginning ||
+         (batch.mLacksServers && !UnstoredServers(aBatchId).mAdded.empty());
 }
 
 void
@@ -239,9 +244,10 @@
     listed.push_back(MayUse(aBatch.mTerm, site::StartOf(row.mServer)));
     lacksServers |= !listed.back() && pools.count(engine.mPool) > 0;
   }
-  if (lacksServers && aBatch.mTerm.mPhase == term_phase::Begun &&
-      !aBatch.mLacksServers) {
-    aBatch.mLacksServers = true;
+  lacksServers &= aBatch.mTerm.mPhase == term_phase::Begun;
+  const bool isNew = lacksServers && !aBatch.mLacksServers;
+  aBatch.mLacksServers = lacksServers;
+  if (isNew) {
     mDependencies.mStoreRuns(aBatch.mMetadata.mId);
   }
   return listed;
--- a/Duties/Batches/RecentEnds.cpp
+++ b/Duties/Batches/RecentEnds.cpp
@@ -27,7 +27,8 @@
   return static_cast<std::size_t>(std::count_if(
     aDirectory.mRows.begin(), aDirectory.mRows.end(), [&](const auto& aRow) {
       const milliseconds startedAt(aRow.second.mServer.mStartedAt);
-      return aWallClock - startedAt < kRecentEndTime;
+      return startedAt > aWallClock - kRecentEndTime &&
+             startedAt < aWallClock + kRecentEndTime;
     }));
 }
 
--- a/Duties/Batches/RecentEnds.h
+++ b/Duties/Batches/RecentEnds.h
@@ -14,7 +14,7 @@
  * doesn't wait. */
 namespace lavender::batches {
 
-/** An end is recent for this time. Longer than the pauses of ends in series. */
+/** An end is recent for this time: other servers may follow it. */
 constexpr milliseconds kRecentEndTime{ 3000 };
 /** An end is remembered for this time, since the directory shows it seconds
  * after the connections broke. */
@@ -37,7 +37,8 @@
 ForgetOldEnds(recent_ends& aEnds, time_point aNow);
 
 /** Number of servers that started a short time ago. Most replace one that
- * ended, also one that ended before this process started.
+ * ended, also one that ended before this process started. A start that lies
+ * far in the future is one of a server with a wrong clock and doesn't count.
  * @param aWallClock time since 1970 */
 std::size_t
 CountYoungServers(const site::server_directory& aDirectory,
--- a/Duties/Batches/TestRecentEnds.cpp
+++ b/Duties/Batches/TestRecentEnds.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Batches/RecentEnds.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace lavender;
 using namespace lavender::batches;
@@ -80,4 +81,20 @@
   BOOST_TEST(MustLastRunWait({}, {}, kServers, 1, kStart));
 }
 
+// Guards against last runs that wait for ever because of one server whose clock
+// is ahead.
+BOOST_AUTO_TEST_CASE(AServerWhoseClockIsAheadIsNotYoung)
+{
+  constexpr milliseconds kWallClock{ 1000000 };
+  site::server_directory directory;
+  site::backend_server server;
+  server.mId = "s1";
+  for (const auto startedAt : { (kWallClock + kRecentEndTime).count(),
+                                std::numeric_limits<std::int64_t>::max() }) {
+    server.mStartedAt = startedAt;
+    directory.mRows["s1"] = { server, std::nullopt, {}, {} };
+    BOOST_TEST(CountYoungServers(directory, kWallClock) == 0u);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
