--- a/StandIns/ObjectStore/MemoryStore.cpp
+++ b/StandIns/ObjectStore/MemoryStore.cpp
@@ -253,4 +253,12 @@
           aSpecJson });
 }
 
+void
+RemoveDirectly(memory_store_state& aState,
+               const std::string& aKind,
+               const std::string& aName)
+{
+  Apply(aState, { write_operation::Delete, aKind, aName, 0, "" });
+}
+
 } // namespace lavender::standin
--- a/StandIns/ObjectStore/MemoryStore.h
+++ b/StandIns/ObjectStore/MemoryStore.h
@@ -36,6 +36,9 @@
   /** Watches from earlier revisions fail with HistoryGone. */
   objects::revision_number mForgottenBefore = 0;
   objects::revision_number mRevision = 100;
+  /** Specs that no JSON value holds, by the string that stands for them as an
+   * object's spec. The store's listener sends them as they are. */
+  std::map<std::string, std::string> mRawSpecs;
   store_fault mFault = store_fault::None;
   /** Delay of a response. */
   milliseconds mLatency{ 1 };
@@ -64,4 +67,10 @@
             const std::string& aName,
             const std::string& aSpecJson);
 
+/** Removes an object directly, unaffected by the current fault. */
+void
+RemoveDirectly(memory_store_state& aState,
+               const std::string& aKind,
+               const std::string& aName);
+
 } // namespace lavender::standin
--- a/StandIns/ObjectStore/StoreListener.cpp
+++ b/StandIns/ObjectStore/StoreListener.cpp
@@ -95,8 +95,23 @@
   }
 }
 
+std::string
+WriteWithRawSpecs(const memory_store_state& aState, const json::value& aBody)
+{
+  auto text = json::Write(aBody);
+  for (const auto& [name, raw] : aState.mRawSpecs) {
+    const auto spec = json::Write(name);
+    for (auto at = text.find(spec); at != std::string::npos;
+         at = text.find(spec, at + raw.size())) {
+      text.replace(at, spec.size(), raw);
+    }
+  }
+  return text;
+}
+
 void
-Respond(const edge::exchange_ptr& aExchange,
+Respond(const memory_store_state& aState,
+        const edge::exchange_ptr& aExchange,
         store_outcome aOutcome,
         const json::value& aBody)
 {
@@ -104,28 +119,33 @@
     aExchange->Abort();
     return;
   }
-  edge::response response{ StatusOf(aOutcome), {}, json::Write(aBody) };
+  edge::response response{ StatusOf(aOutcome),
+                           {},
+                           WriteWithRawSpecs(aState, aBody) };
   response.mHeaders.Add("Content-Type", "application/json");
   aExchange->Answer(std::move(response));
 }
 
 objects::object_done
-RespondWithObject(const edge::exchange_ptr& aExchange)
+RespondWithObject(const memory_store_state& aState,
+                  const edge::exchange_ptr& aExchange)
 {
-  return [aExchange](const objects::object_reply& aReply) {
-    Respond(aExchange, aReply.mOutcome, Encode(aReply.mObject));
+  return [&aState, aExchange](const objects::object_reply& aReply) {
+    Respond(aState, aExchange, aReply.mOutcome, Encode(aReply.mObject));
   };
 }
 
 objects::list_done
-RespondWithList(const edge::exchange_ptr& aExchange)
+RespondWithList(const memory_store_state& aState,
+                const edge::exchange_ptr& aExchange)
 {
-  return [aExchange](const objects::list_reply& aReply) {
+  return [&aState, aExchange](const objects::list_reply& aReply) {
     json::array items;
     for (const auto& object : aReply.mObjects) {
       items.push_back(Encode(object));
     }
-    Respond(aExchange,
+    Respond(aState,
+            aExchange,
             aReply.mOutcome,
             json::object{ { "items", std::move(items) },
                           { "hasMore", aReply.mHasMore },
@@ -134,15 +154,17 @@
 }
 
 objects::watch_done
-RespondWithEvents(const edge::exchange_ptr& aExchange)
+RespondWithEvents(const memory_store_state& aState,
+                  const edge::exchange_ptr& aExchange)
 {
-  return [aExchange](const objects::watch_reply& aReply) {
+  return [&aState, aExchange](const objects::watch_reply& aReply) {
     json::array events;
     for (const auto& event : aReply.mEvents) {
       events.push_back(json::object{ { "object", Encode(event.mObject) },
                                      { "deleted", event.mIsDeleted } });
     }
-    Respond(aExchange,
+    Respond(aState,
+            aExchange,
             aReply.mOutcome,
             json::object{ { "events", std::move(events) },
                           { "storeRevision", aReply.mStoreRevision } });
@@ -160,7 +182,8 @@
 
 store_listener::store_listener(boost::asio::io_context& aLoop,
                                memory_store_state& aState)
-  : mStore(MakeMemoryStore(edge::LoopScheduler(aLoop), aState))
+  : mState(aState)
+  , mStore(MakeMemoryStore(edge::LoopScheduler(aLoop), aState))
   , mListener(aLoop,
               std::make_shared<edge::listener_limits>(),
               [this](const auto& aExchange) { Serve(aExchange); })
@@ -184,23 +207,24 @@
       mStore.mGet(call.mKind,
                   call.mName,
                   objects::freshness::Linearizable,
-                  RespondWithObject(aExchange));
+                  RespondWithObject(mState, aExchange));
     } else if (call.mQuery.count("watch") > 0) {
       mStore.mWatch(call.mKind,
                     IntegerInQuery(call, "watch", 0),
                     milliseconds(IntegerInQuery(call, "waitMs", 0)),
-                    RespondWithEvents(aExchange));
+                    RespondWithEvents(mState, aExchange));
     } else {
       const auto after = call.mQuery.find("after");
       mStore.mList(call.mKind,
                    after == call.mQuery.end() ? "" : after->second,
                    objects::freshness::Linearizable,
-                   RespondWithList(aExchange));
+                   RespondWithList(mState, aExchange));
     }
     return;
   }
   if (request.mMethod == "DELETE") {
-    mStore.mDelete(call.mKind, call.mName, RespondWithObject(aExchange));
+    mStore.mDelete(
+      call.mKind, call.mName, RespondWithObject(mState, aExchange));
     return;
   }
   const auto body = json::Parse(request.mBody);
@@ -214,19 +238,19 @@
     mStore.mCreate(call.mKind,
                    json::StringAt(*metadata, "name", ""),
                    Member(*body, "spec"),
-                   RespondWithObject(aExchange));
+                   RespondWithObject(mState, aExchange));
   } else if (call.mIsStatus) {
     mStore.mReplaceStatus(call.mKind,
                           call.mName,
                           expected,
                           Member(*body, "status"),
-                          RespondWithObject(aExchange));
+                          RespondWithObject(mState, aExchange));
   } else {
     mStore.mReplace(call.mKind,
                     call.mName,
                     expected,
                     Member(*body, "spec"),
-                    RespondWithObject(aExchange));
+                    RespondWithObject(mState, aExchange));
   }
 }
 
--- a/StandIns/ObjectStore/StoreListener.h
+++ b/StandIns/ObjectStore/StoreListener.h
@@ -16,6 +16,7 @@
 private:
   void Serve(const edge::exchange_ptr& aExchange);
 
+  const memory_store_state& mState;
   objects::object_store mStore;
   edge::listener mListener;
 };
--- a/Tests/Soak/Site.cpp
+++ b/Tests/Soak/Site.cpp
@@ -59,6 +59,42 @@
   return milliseconds(aServer % 2 == 0 ? 25 : 12);
 }
 
+std::string
+OddName(std::size_t aIndex)
+{
+  return "odd-" + std::to_string(aIndex);
+}
+
+/** Specs that another writer leaves among the servers and the versions. Each
+ * bears the fields of a server, so that only what is odd keeps it from use. */
+std::vector<std::string>
+OddSpecs()
+{
+  constexpr std::size_t kDeep = 100'000;
+  const auto odd = [](const std::string& aAddress,
+                      const std::string& aSlots,
+                      const std::string& aMore = "") {
+    return R"({"service":"models","zone":"zone","state":"ready","address":")" +
+           aAddress + R"(","slots":)" + aSlots + aMore + "}";
+  };
+  const std::string address = "127.0.0.1:9";
+  const auto nested = std::string(kDeep, '[') + std::string(kDeep, ']');
+  return { nested,
+           odd(address, "8", ",\"x\":" + nested),
+           odd(address, "1e999"),
+           odd(address, "99999999999999999999"),
+           odd(address, "4294967304"),
+           odd(address, "2147483648"),
+           odd(address, "\"8\""),
+           odd(address, "8", R"(,"coldRemainingMs":9223372036854775807)"),
+           odd(address, "8", ",\"x\":\"\xff\xfe\""),
+           odd("127.0.0.1:0", "8"),
+           odd("127.0.0.1:70000", "8"),
+           odd("127.0.0.1:-1", "8"),
+           odd("127.0.0.1:99999999999999999999", "8"),
+           odd("::::", "8") };
+}
+
 } // namespace
 
 int
@@ -149,10 +185,33 @@
       std::make_unique<fault_proxy>(aLoop, agent->mServer->Port());
     mAgents.push_back(std::move(agent));
   }
+  mOddSpecs = OddSpecs();
+  for (std::size_t i = 0; i < mOddSpecs.size(); ++i) {
+    mState.mRawSpecs[OddName(i)] = mOddSpecs[i];
+  }
   WriteConfiguration();
   WriteServers();
 }
 
+void
+soak_site::WriteOddObject(std::size_t aIndex)
+{
+  for (const auto* kind : { "servers", "versions" }) {
+    standin::PutDirectly(
+      mState, kind, OddName(aIndex), json::Write(OddName(aIndex)));
+  }
+}
+
+void
+soak_site::RemoveOddObjects()
+{
+  for (std::size_t i = 0; i < mOddSpecs.size(); ++i) {
+    for (const auto* kind : { "servers", "versions" }) {
+      standin::RemoveDirectly(mState, kind, OddName(i));
+    }
+  }
+}
+
 void
 soak_site::NoteOwners()
 {
--- a/Tests/Soak/Site.h
+++ b/Tests/Soak/Site.h
@@ -92,6 +92,13 @@
   return aSeed ^ 0x9e3779b97f4a7c15U;
 }
 
+/** Seed of a fourth generator. */
+constexpr std::uint64_t
+FourthSeed(std::uint64_t aSeed)
+{
+  return ~ThirdSeed(aSeed);
+}
+
 struct site_options
 {
   int mEntries = 3;
@@ -113,6 +120,11 @@
   void RestartEnded();
   void PublishVersion();
   void ChangeConfiguration();
+  /** Number of kinds of objects that another writer leaves. */
+  std::size_t OddObjects() const { return mOddSpecs.size(); }
+  /** Writes such an object among those that all programs read. */
+  void WriteOddObject(std::size_t aIndex);
+  void RemoveOddObjects();
   /** Looks for batches that changed their owner. */
   void NoteOwners();
   /** Runs that the store holds for the items of a batch, by their index. */
@@ -155,6 +167,8 @@
   /** Notes that the entry has lost what it knew of its batches. */
   void NoteLostEntry(const std::string& aName);
 
+  /** Specs that no server and no trainer writes. */
+  std::vector<std::string> mOddSpecs;
   std::map<std::string, std::string> mOwners;
   edge::listener mReportListener;
 };
--- a/Tests/Soak/main.cpp
+++ b/Tests/Soak/main.cpp
@@ -137,6 +137,18 @@
   };
 }
 
+/** Another writer leaves an object that no program can use. */
+std::vector<fault_action>
+OtherWriterFaults()
+{
+  return { { "odd object",
+             [](soak_site& aSite, std::mt19937_64& aRandom) {
+               aSite.WriteOddObject(std::uniform_int_distribution<std::size_t>(
+                 0, aSite.OddObjects() - 1)(aRandom));
+             },
+             [](soak_site& aSite) { aSite.RemoveOddObjects(); } } };
+}
+
 /** Faults of which the choice by a seed is to remain; a fault of another kind
  * gets a list of its own. */
 std::vector<fault_action>
@@ -279,6 +291,9 @@
   fault_series ends{
     EndFaults(), std::mt19937_64(ThirdSeed(aSeed)), 2000ms, 5000ms
   };
+  fault_series writers{
+    OtherWriterFaults(), std::mt19937_64(FourthSeed(aSeed)), 400ms, 1500ms
+  };
   const auto end = boot_clock::now() + aTime;
   while (boot_clock::now() < end && !gIsInterrupted) {
     RunLoop(aSite.mLoop, 60ms);
@@ -287,6 +302,7 @@
     Advance(others, aSite);
     Advance(speeds, aSite);
     Advance(ends, aSite);
+    Advance(writers, aSite);
   }
 }
 
