Tests: an entry that learned late of a relay passed it by

Cause: PutRelaysBeforeAgents waited until any entry had used the relays. Each entry now has to reach each desk through its relay first, which the relay tells by the request's text. The test's checks are as they were.

--- a/Tests/Support/DeskSite.cpp
+++ b/Tests/Support/DeskSite.cpp
@@ -95,20 +95,24 @@
 }
 
 bool
-desk_site::WaitUntilServing()
+desk_site::WaitUntilServing(const relays_by_desk& aRelays)
 {
   // Bookings spread over the desks; each entry must reach every one of them.
   return WaitFor([&] {
     for (const auto& [name, entry] : mFleet.Entries()) {
       std::map<std::string, bool> reached;
       for (int i = 0; i < 40 && reached.size() < mDesks.size(); ++i) {
-        const auto booked =
-          Book(name, "probe " + std::to_string(mNextProbe++), "", 2000ms);
+        const auto probe = "probe " + std::to_string(mNextProbe++) + ".";
+        const auto booked = Book(name, probe, "", 2000ms);
         if (booked.mStatus != 200) {
           return false;
         }
-        reached[http::HeaderOr(booked.mHeaders, "X-Lavender-Server", "")] =
-          true;
+        const auto desk =
+          http::HeaderOr(booked.mHeaders, "X-Lavender-Server", "");
+        const auto passed = aRelays.find(desk);
+        if (passed == aRelays.end() || passed->second->HasForwarded(probe)) {
+          reached[desk] = true;
+        }
       }
       if (reached.size() < mDesks.size()) {
         return false;
@@ -125,32 +129,26 @@
   mFleet.PublishInstances();
 }
 
-std::map<std::string, std::unique_ptr<relay>>
+desk_site::relays_by_desk
 desk_site::PutRelaysBeforeAgents()
 {
-  std::map<std::string, std::unique_ptr<relay>> relays;
+  relays_by_desk relays;
   for (const auto& name : mDesks) {
     auto& desk = Desk(name);
     relays[name] = std::make_unique<relay>(desk.mAgent->Port("wire"));
     desk.mAgentRelay = relays[name]->Port();
   }
   mFleet.PublishInstances();
-  WaitFor([&] {
-    for (const auto& [name, made] : relays) {
-      if (made->ForwardedBytes() == 0) {
-        return false;
-      }
-    }
-    return true;
-  });
-  WaitUntilServing();
+  if (!WaitUntilServing(relays)) {
+    throw std::runtime_error("an entry reaches a desk past its relay");
+  }
   return relays;
 }
 
-std::map<std::string, std::unique_ptr<relay>>
+desk_site::relays_by_desk
 desk_site::PutRelaysBeforeDesks()
 {
-  std::map<std::string, std::unique_ptr<relay>> relays;
+  relays_by_desk relays;
   for (const auto& name : mDesks) {
     auto& desk = Desk(name);
     relays[name] = std::make_unique<relay>(desk.mServer->Port("http"));
--- a/Tests/Support/DeskSite.h
+++ b/Tests/Support/DeskSite.h
@@ -44,14 +44,17 @@
   std::int64_t RunsEnded();
   /** Sets how long a booking runs on each desk. */
   void SetRunTime(std::chrono::milliseconds aTime);
-  /** Waits until both entries have booked on each desk. */
-  bool WaitUntilServing();
+  using relays_by_desk = std::map<std::string, std::unique_ptr<relay>>;
+
+  /** Waits until both entries have booked on each desk, through its relay where
+   * there is one. */
+  bool WaitUntilServing(const relays_by_desk& aRelays = {});
   /** Restarts an agent as after a crash, and updates the instance list. */
   void RestartAgent(const std::string& aDesk);
   /** Puts a relay in front of each agent, or of each desk, and restarts the
    * agents with it. */
-  std::map<std::string, std::unique_ptr<relay>> PutRelaysBeforeAgents();
-  std::map<std::string, std::unique_ptr<relay>> PutRelaysBeforeDesks();
+  relays_by_desk PutRelaysBeforeAgents();
+  relays_by_desk PutRelaysBeforeDesks();
 
 private:
   fleet mFleet;
--- a/Tests/Support/Relay.cpp
+++ b/Tests/Support/Relay.cpp
@@ -160,6 +160,7 @@
       return true;
     }
     held.swap(aLink.mHeld);
+    mRequests += held;
   }
   if (aLink.mServer < 0 && !held.empty()) {
     aLink.mServer = Connect(mTarget);
@@ -232,6 +233,13 @@
   }
 }
 
+bool
+relay::HasForwarded(const std::string& aText) const
+{
+  std::lock_guard lock(mMutex);
+  return mRequests.find(aText) != std::string::npos;
+}
+
 std::size_t
 relay::HeldBytes() const
 {
--- a/Tests/Support/Relay.h
+++ b/Tests/Support/Relay.h
@@ -37,6 +37,8 @@
   int Cuts() const { return mCuts; }
   /** Bytes of responses that were forwarded. */
   std::size_t ForwardedBytes() const { return mForwarded; }
+  /** Whether a request with that text was forwarded. */
+  bool HasForwarded(const std::string& aText) const;
   /** Bytes that clients sent on frozen connections and that weren't forwarded.
    */
   std::size_t HeldBytes() const;
@@ -61,6 +63,8 @@
   std::atomic<std::size_t> mForwarded{ 0 };
   mutable std::mutex mMutex;
   std::list<link> mLinks;
+  /** Requests that were forwarded, of all connections. */
+  std::string mRequests;
   std::thread mAcceptor;
 };
 
