Rewards: an attempt of a suspect is stored before it is sent

Callers could see a reward call that ends its servers reach one server more for each owner of its batch that dies. Cause: only an item's runs were stored before they were sent; an attempt of its reward call was not, so an end that its owner couldn't store was gone with the owner, and the next one assumed nothing, since the item had a stored run. Such an attempt is now reserved like a run: the server is stored, then the attempt is sent to it, and the reservation falls when the server responds or leaves. Items without an ended server pay nothing.

OwnersThatDieUnderARewardCallDontAddServers failed before: 6 servers ended where the owner is killed at once; 3 at most now. A second copy still makes two unstored attempts of an item without ended servers at a time.

With it: a reserved run of an item that is no suspect counts among its server's runs, so that the server doesn't get one run too many (found by reading).

--- a/Duties/Batches/BatchLedgers.cpp
+++ b/Duties/Batches/BatchLedgers.cpp
@@ -24,14 +24,27 @@
          aItem.mPhase == item_phase::Reserved;
 }
 
-/** Number of servers that count, without that of a run in progress. */
-int
-CountOf(const item_progress& aItem)
+/** The server of the run or reward call in progress, or of the next one if it
+ * is being stored. */
+std::optional<site::server_start>
+CurrentServer(const item_progress& aItem)
+{
+  return IsAtServer(aItem) ? std::optional(ServerOf(aItem))
+                           : aItem.mRewardServer;
+}
+
+/** The item's ledger without the run or reward call in progress. */
+run_ledger
+WithoutCurrentRun(const item_progress& aItem)
 {
-  const auto run = aItem.mLedger.find(ServerOf(aItem));
-  const bool isInProgress = IsAtServer(aItem) && run != aItem.mLedger.end() &&
-                            run->second.mFate == run_fate::Open;
-  return ServersLost(aItem.mLedger) - (isInProgress ? 1 : 0);
+  auto ledger = aItem.mLedger;
+  if (const auto current = CurrentServer(aItem)) {
+    const auto run = ledger.find(*current);
+    if (run != ledger.end() && run->second.mFate == run_fate::Open) {
+      ledger.erase(run);
+    }
+  }
+  return ledger;
 }
 
 int
@@ -61,7 +74,7 @@
 batch_runner::IsCountSettled(const item_progress& aItem)
 {
   return aItem.mAwaited.empty() &&
-         SuspicionOf(aItem.mLedger) != suspicion::Barred &&
+         SuspicionOf(WithoutCurrentRun(aItem)) != suspicion::Barred &&
          IsCountStored(aItem.mLedger);
 }
 
@@ -81,18 +94,21 @@
   suspect_counts counts;
   for (const auto& [id, batch] : mBatches) {
     for (const auto& item : batch.mItems) {
+      const auto engine = byId.find(item.mServer);
+      const bool isThere = IsAtServer(item) && engine != byId.end();
+      if (isThere && item.mPhase == item_phase::Reserved) {
+        ++engine->second->mOwnRuns;
+        --engine->second->mRunsLeft;
+      }
       const auto level = CurrentSuspicion(item);
       if (item.mPhase == item_phase::Ended || level == suspicion::None ||
           level == suspicion::Barred) {
         continue;
       }
       ++(level == suspicion::LastRun ? counts.mLastRuns : counts.mSuspects);
-      const auto engine = byId.find(item.mServer);
-      if (!IsAtServer(item) || engine == byId.end()) {
-        continue;
+      if (isThere) {
+        CountSuspect(*engine->second, level);
       }
-      CountSuspect(*engine->second, level);
-      engine->second->mOwnRuns += item.mPhase == item_phase::Reserved ? 1 : 0;
     }
   }
   return counts;
@@ -236,8 +252,7 @@
       continue;
     }
     for (const auto& server : OpenRuns(item.mLedger)) {
-      const bool isOwn = IsAtServer(item) && ServerOf(item) == server;
-      if (isOwn || item.mChecked.count(server) > 0) {
+      if (CurrentServer(item) == server || item.mChecked.count(server) > 0) {
         continue;
       }
       aBatch.mItems[i].mEarlierRuns[server] =
@@ -294,8 +309,7 @@
   if (aFate != site::server_fate::Unknown) {
     item.mChecked.erase(aServer);
   }
-  const bool isThereAgain = IsAtServer(item) && ServerOf(item) == aServer;
-  if (isThereAgain || item.mLedger.count(aServer) == 0) {
+  if (CurrentServer(item) == aServer || item.mLedger.count(aServer) == 0) {
     return;
   }
   if (aFate == site::server_fate::Running) {
@@ -329,7 +343,8 @@
     .With("batch", aBatch.mMetadata.mId)
     .With("server", aServer.mId)
     .With("started_at", aServer.mStartedAt)
-    .With("servers_lost", static_cast<std::int64_t>(CountOf(aItem)));
+    .With("servers_lost",
+          static_cast<std::int64_t>(ServersLost(WithoutCurrentRun(aItem))));
 }
 
 void
@@ -344,7 +359,8 @@
     .With("server", aServer.mId)
     .With("started_at", aServer.mStartedAt)
     .With("fate", site::ToString(aFate))
-    .With("servers_lost", static_cast<std::int64_t>(CountOf(aItem)));
+    .With("servers_lost",
+          static_cast<std::int64_t>(ServersLost(WithoutCurrentRun(aItem))));
   if (aItem.mIsBarred || ServersEnded(aItem.mLedger) < kMaximumServersLost) {
     return;
   }
@@ -384,10 +400,7 @@
     return runs;
   }
   for (const auto& item : batch->second.mItems) {
-    auto ledger = item.mLedger;
-    if (IsAtServer(item)) {
-      ledger.erase(ServerOf(item));
-    }
+    auto ledger = WithoutCurrentRun(item);
     if (batch->second.mTerm.mPhase == term_phase::Checking &&
         item.mPhase != item_phase::Ended && item.mMayHaveRunUnstored) {
       AssumeUnstoredEnd(ledger);
--- a/Duties/Batches/BatchRewards.cpp
+++ b/Duties/Batches/BatchRewards.cpp
@@ -30,19 +30,30 @@
     return rewards::reward_priority{ dueAt, OpenItemsInGroup(ref) };
   };
   request.mMaySend = [this, ref] {
-    const auto* scored = Find(ref);
-    return scored && IsCountSettled(*scored) &&
-           mBatches.at(ref.mBatchId).mTerm.mPhase == term_phase::Begun;
+    auto* scored = Find(ref);
+    return scored && MaySendReward(mBatches.at(ref.mBatchId), *scored);
   };
   request.mMayUse = [this, ref](const site::server_start& aServer) {
-    return Find(ref) && MayUse(mBatches.at(ref.mBatchId).mTerm, aServer);
+    const auto* scored = Find(ref);
+    return scored && MayUse(mBatches.at(ref.mBatchId).mTerm, aServer) &&
+           (!scored->mRewardServer || *scored->mRewardServer == aServer);
+  };
+  request.mReserve = [this, ref](const site::server_start& aServer) {
+    auto* scored = Find(ref);
+    return scored && ReserveReward(ref.mBatchId, *scored, aServer);
   };
   request.mMayHedge = [this, ref] {
     const auto* scored = Find(ref);
     return scored && scored->mLedger.empty();
   };
+  request.mOnSurvived = [this, ref](const site::server_start& aServer) {
+    if (auto* scored = Find(ref)) {
+      ReleaseReward(*scored, aServer);
+    }
+  };
   request.mOnCutOff = [this, ref](const site::backend_server& aServer) {
-    if (Find(ref)) {
+    if (auto* scored = Find(ref)) {
+      scored->mRewardServer.reset();
       CountCutOff(mBatches.at(ref.mBatchId),
                   ref.mIndex,
                   site::StartOf(aServer),
@@ -55,6 +66,46 @@
   item.mRewardCall = mDependencies.mRewards.Start(std::move(request));
 }
 
+bool
+batch_runner::MaySendReward(const running_batch& aBatch, item_progress& aItem)
+{
+  const auto& rows = mDependencies.mDirectory.mRows;
+  if (const auto server = aItem.mRewardServer) {
+    const auto row = rows.find(server->mId);
+    if (row == rows.end() || !(site::StartOf(row->second.mServer) == *server)) {
+      ReleaseReward(aItem, *server);
+    }
+  }
+  return aBatch.mTerm.mPhase == term_phase::Begun && IsCountSettled(aItem);
+}
+
+bool
+batch_runner::ReserveReward(const std::string& aBatchId,
+                            item_progress& aItem,
+                            const site::server_start& aServer)
+{
+  if (MayRunUnstored(aItem.mLedger)) {
+    return true;
+  }
+  if (!aItem.mRewardServer) {
+    aItem.mRewardServer = aServer;
+    RecordFate(aItem.mLedger, aServer, run_fate::Open);
+    mDependencies.mStoreRuns(aBatchId);
+  }
+  return IsCountStored(aItem.mLedger);
+}
+
+void
+batch_runner::ReleaseReward(item_progress& aItem,
+                            const site::server_start& aServer)
+{
+  if (!(aItem.mRewardServer == aServer)) {
+    return;
+  }
+  aItem.mRewardServer.reset();
+  RecordFate(aItem.mLedger, aServer, run_fate::Survived);
+}
+
 int
 batch_runner::OpenItemsInGroup(const run_ref& aRef) const
 {
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -82,6 +82,9 @@
   edge::call_handle mCall;
   /** Number of the reward call in progress; 0 if there is none. */
   std::uint64_t mRewardCall = 0;
+  /** Server for which an attempt of the reward call is stored, or is being
+   * stored, before it is sent. */
+  std::optional<site::server_start> mRewardServer;
   /** Time of the last event, or of the start of the run. */
   time_point mLastEventAt;
   int mMoves = 0;
@@ -363,6 +366,17 @@
   void ScoreOrFinishItem(running_batch& aBatch, std::size_t aIndex);
   /** Number of items without a result in the item's group. */
   int OpenItemsInGroup(const run_ref& aRef) const;
+  /** Whether an attempt of the item's reward call may be sent now. Releases a
+   * server that has left. */
+  bool MaySendReward(const running_batch& aBatch, item_progress& aItem);
+  /** Stores the attempt if a server has ended under the item. Returns whether
+   * it may be sent now. */
+  bool ReserveReward(const std::string& aBatchId,
+                     item_progress& aItem,
+                     const site::server_start& aServer);
+  /** The attempt at the server is over or wasn't sent, and the server lives. */
+  static void ReleaseReward(item_progress& aItem,
+                            const site::server_start& aServer);
   void RestoreTexts(running_batch& aBatch, stored_texts aStored);
   void HandleScore(const run_ref& aRef, std::optional<std::string> aScore);
   void MarkEnded(running_batch& aBatch, item_progress& aItem);
@@ -381,7 +395,8 @@
   /** Keeps runs from a server that has ended and is still listed. */
   void RecordGone(const site::server_start& aServer);
   bool IsGone(const site::server_start& aServer, time_point aNow) const;
-  /** Fills in the suspects that run on the servers. */
+  /** Fills in the suspects that run on the servers and the runs that are
+   * reserved there. */
   suspect_counts AddSuspects(std::vector<engine_view>& aEngines) const;
   /** Whether the server answered a short time ago; asks it otherwise. A run
    * that is stored for a server that has ended would count though it never
--- a/Duties/Rewards/RewardCall.h
+++ b/Duties/Rewards/RewardCall.h
@@ -56,10 +56,15 @@
   std::function<bool()> mMaySend;
   /** Whether an attempt may be sent to the server. */
   std::function<bool(const site::server_start&)> mMayUse;
+  /** Called when an attempt is to be sent to the server. Returns false if it
+   * has to be stored first; the client sends it when it is told to retry. */
+  std::function<bool(const site::server_start&)> mReserve;
   /** Whether two servers may process the call at a time. */
   std::function<bool()> mMayHedge;
   /** Called when the connection to a server broke or the server was silent. */
   std::function<void(const site::backend_server&)> mOnCutOff;
+  /** Called when the server responded to an attempt or never got it. */
+  std::function<void(const site::server_start&)> mOnSurvived;
   /** Called once with the score, or with none if the service has failed the
    * call as often as its route allows. Not called after a cancellation. */
   std::function<void(std::optional<std::string>)> mOnEnd;
--- a/Duties/Rewards/RewardCaller.cpp
+++ b/Duties/Rewards/RewardCaller.cpp
@@ -200,6 +200,9 @@
                  MaximumInFlight(mDependencies.mRouter.SlotsOf(pick->mPool))) {
     return false;
   }
+  if (!aCall->mRequest.mReserve(site::StartOf(pick->mServer))) {
+    return true;
+  }
   SendTo(aCall, *route, *pick);
   return true;
 }
@@ -324,6 +327,8 @@
   LogResponse(*aCall, *aAttempt, kind, aEnd);
   if (aEnd != edge::call_end::Complete && edge::MayHaveBeenSent(aEnd)) {
     aCall->mRequest.mOnCutOff(aAttempt->mPick.mServer);
+  } else {
+    aCall->mRequest.mOnSurvived(site::StartOf(aAttempt->mPick.mServer));
   }
   if (kind == response_kind::Rejected) {
     RecordRejection(mBudget);
--- a/Tests/Site/Support/BatchEntry.cpp
+++ b/Tests/Site/Support/BatchEntry.cpp
@@ -337,4 +337,13 @@
   return Call(mSite.mLoop, *mSite.mClients, Port(), request).mAnswer.mStatus;
 }
 
+void
+Kill(batch_entry& aEntry, const std::string& aBatchId)
+{
+  aEntry.mIsReachable = false;
+  aEntry.mCanReachStore = false;
+  aEntry.StopListening();
+  aEntry.mRunner.Remove(aBatchId);
+}
+
 } // namespace lavender::tests
--- a/Tests/Site/Support/BatchEntry.h
+++ b/Tests/Site/Support/BatchEntry.h
@@ -108,4 +108,9 @@
   edge::listener mListener;
 };
 
+/** Stops an entry as a kill does: its runs break off, and nothing of it is
+ * stored or answered any more. */
+void
+Kill(batch_entry& aEntry, const std::string& aBatchId);
+
 } // namespace lavender::tests
--- a/Tests/Site/TestEndedServers.cpp
+++ b/Tests/Site/TestEndedServers.cpp
@@ -23,17 +23,6 @@
   aServer.mEndsUnder = [](const auto& aItem) { return aItem == kMarked; };
 }
 
-/** Stops an entry as a kill does: its runs break off, and nothing of it is
- * stored or answered any more. */
-void
-Kill(batch_entry& aEntry, const std::string& aBatchId)
-{
-  aEntry.mIsReachable = false;
-  aEntry.mCanReachStore = false;
-  aEntry.StopListening();
-  aEntry.mRunner.Remove(aBatchId);
-}
-
 void
 Watch(batch_site& aSite, milliseconds aTime)
 {
--- a/Tests/Site/TestRewards.cpp
+++ b/Tests/Site/TestRewards.cpp
@@ -54,6 +54,44 @@
     std::count_if(aResults.begin(), aResults.end(), IsScored));
 }
 
+/** Servers of the plain service that end when they get the call rb1i1. */
+struct ending_services
+{
+  ending_services(reward_site& aSite, int aCount)
+    : mSite(aSite)
+  {
+    for (int i = 1; i <= aCount; ++i) {
+      const auto id = "r" + std::to_string(i);
+      auto& server =
+        *mServers.emplace_back(std::make_unique<plain_server>(aSite.mLoop));
+      aSite.Add(server, id);
+      server.mServe = [this, id, &server](const auto& aExchange) {
+        Serve(aExchange, id, server);
+      };
+    }
+  }
+
+  void Serve(const edge::exchange_ptr& aExchange,
+             const std::string& aId,
+             plain_server& aServer)
+  {
+    const auto call = aExchange->mRequest.mHeaders.ValueOr("X-Attempt-Id", "");
+    if (call != "rb1i1") {
+      aExchange->Answer(plain_server::Answer(aExchange, 200));
+      return;
+    }
+    ++mEnded;
+    aServer.mListener.StopAccepting();
+    site::ApplyRemoval(mSite.mDirectory, aId, boot_clock::now());
+    mSite.mRouter.SyncServers(boot_clock::now());
+    aExchange->Abort();
+  }
+
+  reward_site& mSite;
+  std::vector<std::unique_ptr<plain_server>> mServers;
+  int mEnded = 0;
+};
+
 const auto kNeverRespond = [](const edge::exchange_ptr&) {};
 
 } // namespace
@@ -301,41 +339,48 @@
 BOOST_AUTO_TEST_CASE(ARewardCallThatEndsItsServersIsSentToThree)
 {
   reward_site site;
-  std::vector<std::unique_ptr<plain_server>> servers;
-  const auto addServer = [&] {
-    const auto id = "r" + std::to_string(servers.size() + 1);
-    servers.push_back(std::make_unique<plain_server>(site.mLoop));
-    site.Add(*servers.back(), id);
-  };
-  int ended = 0;
-  const auto prepare = [&](std::size_t aIndex) {
-    auto& server = *servers[aIndex];
-    server.mServe = [&, aIndex](const edge::exchange_ptr& aExchange) {
-      const auto call =
-        aExchange->mRequest.mHeaders.ValueOr("X-Attempt-Id", "");
-      if (call != "rb1i1") {
-        aExchange->Answer(plain_server::Answer(aExchange, 200));
-        return;
-      }
-      ++ended;
-      servers[aIndex]->mListener.StopAccepting();
-      site::ApplyRemoval(
-        site.mDirectory, "r" + std::to_string(aIndex + 1), boot_clock::now());
-      site.mRouter.SyncServers(boot_clock::now());
-      aExchange->Abort();
-    };
-  };
-  constexpr std::size_t kServers = 6;
-  for (std::size_t i = 0; i < kServers; ++i) {
-    addServer();
-    prepare(i);
-  }
+  ending_services servers(site, 6);
   batch_entry entry(site, "a");
   entry.Submit("b1", 4);
   BOOST_TEST(CountScored(site.Results(entry, "b1", 3)) == 3);
   site.mLoop.RunUntil([] { return false; }, 2s);
-  BOOST_TEST(ended == 3);
+  BOOST_TEST(servers.mEnded == 3);
   BOOST_TEST(entry.ListedIds("b1").size() == 3u);
 }
 
+// Guards against a reward call that ends one server more for each owner of its
+// batch that dies.
+BOOST_AUTO_TEST_CASE(OwnersThatDieUnderARewardCallDontAddServers)
+{
+  for (const auto delay : { 0ms, 30ms, 150ms }) {
+    reward_site site;
+    ending_services servers(site, 9);
+    const std::vector<std::string> names{ "a", "b", "c", "d", "e" };
+    std::vector<std::unique_ptr<batch_entry>> entries;
+    for (const auto& name : names) {
+      entries.push_back(std::make_unique<batch_entry>(site, name));
+      site.mWeights[name] = 0;
+    }
+    site.mWeights["a"] = 1;
+    entries[0]->Submit("b1", 4);
+    for (std::size_t i = 0; i + 1 < entries.size(); ++i) {
+      const int ended = servers.mEnded;
+      site.mLoop.RunUntil([&] { return servers.mEnded > ended; }, 2s);
+      if (delay > 0ms) {
+        site.mLoop.RunUntil([] { return false; }, delay);
+      }
+      Kill(*entries[i], "b1");
+      site.mPeers.erase(names[i]);
+      site.mWeights[names[i + 1]] = 1;
+      entries[i + 1]->ListedIds("b1");
+    }
+    BOOST_TEST(site.mLoop.RunUntil(
+      [&] { return entries.back()->ListedIds("b1").size() == 3; }));
+    site.mLoop.RunUntil([] { return false; }, 2s);
+    BOOST_TEST(servers.mEnded <= 3,
+               "killed after " << delay.count() << " ms: " << servers.mEnded
+                               << " ended");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
