Batches: a last run doesn't wait until its result is late

A last run is now sent if it can be in time but might not if it waited. An item with an end that was only assumed waits as before.

--- a/Duties/Batches/BatchDispatch.cpp
+++ b/Duties/Batches/BatchDispatch.cpp
@@ -203,6 +203,7 @@
     if (need.mSuspicion == suspicion::LastRun &&
         MustLastRunWait(mRecentEnds,
                         item.mLedger,
+                        LastRunTimes(*next.mBatch, item, *route),
                         mDependencies.mDirectory.mRows.size(),
                         youngServers,
                         now)) {
@@ -228,6 +229,18 @@
   ScheduleDispatch();
 }
 
+last_run_times
+batch_runner::LastRunTimes(const running_batch& aBatch,
+                           item_progress& aItem,
+                           const site::route& aRoute)
+{
+  const auto left = EventsLeft(aBatch, aItem, aRoute);
+  const auto eventTime = UsualEventTime();
+  return { DueIn(aBatch.mMetadata.mId) - kListingTime,
+           left.mMean * eventTime,
+           left.mUpper * eventTime };
+}
+
 void
 batch_runner::SendItem(running_batch& aBatch,
                        std::size_t aIndex,
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -265,6 +265,9 @@
                                    item_progress& aItem,
                                    const site::route& aRoute);
   void DispatchNow();
+  last_run_times LastRunTimes(const running_batch& aBatch,
+                              item_progress& aItem,
+                              const site::route& aRoute);
   /** Sends an item, or reserves its run first if it is a suspect. */
   void SendItem(running_batch& aBatch,
                 std::size_t aIndex,
--- a/Duties/Batches/RecentEnds.cpp
+++ b/Duties/Batches/RecentEnds.cpp
@@ -32,13 +32,24 @@
     }));
 }
 
+bool
+IsLastChance(const last_run_times& aTimes)
+{
+  return aTimes.mDueIn > aTimes.mExpected &&
+         aTimes.mDueIn < kSlowServerFactor * aTimes.mLong + kStoringTime;
+}
+
 bool
 MustLastRunWait(const recent_ends& aEnds,
                 const run_ledger& aLedger,
+                const last_run_times& aTimes,
                 std::size_t aServers,
                 std::size_t aYoungServers,
                 time_point aNow)
 {
+  if (!HasAssumedEnd(aLedger) && IsLastChance(aTimes)) {
+    return false;
+  }
   auto others = static_cast<std::size_t>(
     std::count_if(aEnds.begin(), aEnds.end(), [&](const auto& aEnd) {
       return aNow - aEnd.second < kRecentEndTime &&
--- a/Duties/Batches/RecentEnds.h
+++ b/Duties/Batches/RecentEnds.h
@@ -10,8 +10,8 @@
  *
  * Where servers end in series, most items that lost two of them are sound, and
  * a third end bars them for good. Their last run waits until the servers are
- * calm. An item under which all of these servers ended is likely the cause and
- * doesn't wait. */
+ * calm or the result may be late. An item under which all of these servers
+ * ended is likely the cause and doesn't wait. */
 namespace lavender::batches {
 
 /** An end is recent for this time: other servers may follow it. */
@@ -22,6 +22,11 @@
 /** Share of the servers of which so many recent ends don't make a run wait. */
 constexpr double kCalmShare = 1.0 / 20;
 
+/** A server that is slow takes at most so many times as long as others. */
+constexpr double kSlowServerFactor = 2;
+/** Time for storing a run before it is sent. */
+constexpr milliseconds kStoringTime{ 500 };
+
 /** Servers that ended or may have ended, and when that was seen first. */
 using recent_ends = std::map<site::server_start, time_point>;
 
@@ -44,12 +49,31 @@
 CountYoungServers(const site::server_directory& aDirectory,
                   milliseconds aWallClock);
 
-/** Whether the item's last run waits.
+/** Times of an item's last run, if it is sent now. */
+struct last_run_times
+{
+  using seconds = std::chrono::duration<double>;
+
+  /** Until the text must be complete. */
+  seconds mDueIn{ 0 };
+  seconds mExpected{ 0 };
+  /** Nine runs in ten take less on a usual server. */
+  seconds mLong{ 0 };
+};
+
+/** Whether the result can be in time if the run is sent now, and may be late if
+ * the run waits. */
+bool
+IsLastChance(const last_run_times& aTimes);
+
+/** Whether the item's last run waits. It doesn't if that may make the result
+ * late, unless one of the item's ends is only assumed.
  * @param aServers number of servers in the directory
  * @param aYoungServers how many of them started a short time ago */
 bool
 MustLastRunWait(const recent_ends& aEnds,
                 const run_ledger& aLedger,
+                const last_run_times& aTimes,
                 std::size_t aServers,
                 std::size_t aYoungServers,
                 time_point aNow);
