Batches: a batch that no process has run yet has no end to assume

A server that was listed with it had ended meanwhile, and each of 19 items that nobody had run began with one server counted. Such sound items are barred after two ends.

The metadata now names the process that accepted the batch, until its owner changes. That process is the first owner as long as it hasn't run the batch.

ABatchWhoseAcceptanceGotNoAnswerAssumesNoEnd fails without the change.

--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -106,6 +106,9 @@
   std::chrono::system_clock::time_point mSubmittedAt;
   /** Name of the entry that runs the batch. */
   std::string mOwner;
+  /** Random name of the process that accepted the batch; empty once the owner
+   * has changed. */
+  std::string mAcceptedBy;
   bool mIsEnded = false;
   /** Set at the end of the batch, for later batches with the same items. */
   std::vector<item_run> mCountedRuns;
--- a/Duties/Batches/BatchAdmission.cpp
+++ b/Duties/Batches/BatchAdmission.cpp
@@ -68,6 +68,7 @@
   metadata.mParts = static_cast<int>(admitted->mItems.size());
   metadata.mSubmittedAt = std::chrono::system_clock::now();
   metadata.mOwner = mDependencies.mName;
+  metadata.mAcceptedBy = mProcessName;
   admitted->mSubmission = std::make_shared<submission>(std::move(aSubmission));
   WriteItems(admitted, 0);
 }
--- a/Duties/Batches/BatchLoading.cpp
+++ b/Duties/Batches/BatchLoading.cpp
@@ -58,6 +58,7 @@
   if (aPart == aBatch->mMetadata.mParts) {
     aBatch->mSubmission = aLoaded;
     aBatch->mStored.mServers = aLoaded->mServers;
+    aBatch->mStored.mIsFirstOwner = IsFirstOwner(*aBatch);
     LoadResults(aBatch);
     return;
   }
@@ -173,6 +174,7 @@
       return HasResult(aBatch->mLog, aItemId);
     },
     std::move(stored));
+  aBatch->mHasRun = true;
   if (aBatch->mIsEndAsked) {
     StopRunsOnceChecked(aBatch, kMaximumTries, [] {});
     return;
@@ -180,6 +182,13 @@
   ScheduleSave(aBatch);
 }
 
+bool
+batch_service::IsFirstOwner(const batch_record& aBatch) const
+{
+  return !aBatch.mHasRun && aBatch.mMetadata.mOwner == mDependencies.mName &&
+         aBatch.mMetadata.mAcceptedBy == mProcessName;
+}
+
 void
 batch_service::Unload(const batch_ptr& aBatch)
 {
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -3,6 +3,7 @@
 #include "Duties/Batches/BatchRunner.h"
 #include "Duties/Batches/BlockWrite.h"
 #include "Duties/Batches/ResultLog.h"
+#include "Libraries/Core/Identity.h"
 #include "Libraries/Core/Rendezvous.h"
 #include "Libraries/Edge/Listener.h"
 #include "Libraries/ObjectStore/ObjectStore.h"
@@ -61,6 +62,8 @@
   /** True if the items and results are in memory. Only the owner loads them. */
   bool mIsLoaded = false;
   bool mIsLoading = false;
+  /** Whether this process has run the batch. */
+  bool mHasRun = false;
   std::shared_ptr<const submission> mSubmission;
   result_log mLog;
   group_progress mGroups;
@@ -312,6 +315,9 @@
   objects::object_done IfSameGeneration(const batch_ptr& aBatch,
                                         objects::object_done aDone);
   void Run(const batch_ptr& aBatch);
+  /** Whether no process has run the batch yet: this one accepted it and learned
+   * so only when it read the metadata back. */
+  bool IsFirstOwner(const batch_record& aBatch) const;
   void Unload(const batch_ptr& aBatch);
 
   /** Stores the texts of long runs periodically while the batch runs. */
@@ -346,6 +352,8 @@
    * avoided. */
   std::map<std::string, time_point> mAvoidedUntil;
   bool mIsShuttingDown = false;
+  /** Tells this process from earlier ones of the same entry. */
+  std::string mProcessName = MakeRandomName();
   /** Whether all stored batches are known. */
   bool mHasListing = false;
 };
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -291,7 +291,8 @@
                   { "expected", aMetadata.mExpectedTokens },
                   { "parts", aMetadata.mParts },
                   { "submittedMs", std::int64_t{ submitted.count() } },
-                  { "owner", aMetadata.mOwner } };
+                  { "owner", aMetadata.mOwner },
+                  { "acceptedBy", aMetadata.mAcceptedBy } };
   if (aMetadata.mLongItemTokens > 0) {
     spec.Set("longTokens", aMetadata.mLongItemTokens);
   }
@@ -348,6 +349,9 @@
     milliseconds(json::IntegerAt(spec, "submittedMs", 0)));
   metadata.mOwner =
     json::StringAt(aObject.mStatus, "owner", json::StringAt(spec, "owner", ""));
+  if (!aObject.mStatus.Find("owner")) {
+    metadata.mAcceptedBy = json::StringAt(spec, "acceptedBy", "");
+  }
   metadata.mIsEnded = json::BooleanAt(aObject.mStatus, "ended", false);
   if (const auto* runs = aObject.mStatus.Find("countedRuns")) {
     for (const auto& run : runs->Elements()) {
--- a/Tests/Site/TestEndedServers.cpp
+++ b/Tests/Site/TestEndedServers.cpp
@@ -147,6 +147,36 @@
   }
 }
 
+// Guards against sound items of which an end is assumed although no process has
+// run them: the answer to their batch's acceptance was lost, and a server that
+// was listed with it has left since.
+BOOST_AUTO_TEST_CASE(ABatchWhoseAcceptanceGotNoAnswerAssumesNoEnd)
+{
+  batch_site site;
+  model_server server(site.mLoop.mLoop, "s1");
+  site.Add(server);
+  model_server leaving(site.mLoop.mLoop, "s2");
+  site.Add(leaving);
+  batch_entry entry(site, "a");
+  site.mState.mFault = standin::store_fault::LoseAnswers;
+  boost::asio::steady_timer timer(site.mLoop.mLoop);
+  timer.expires_after(site.mState.mTimeoutDelay + 10ms);
+  timer.async_wait([&](const auto&) {
+    site::ApplyRemoval(site.mDirectory, "s2", boot_clock::now());
+  });
+  constexpr int kItems = 4;
+  BOOST_TEST(entry.Submit("b1", kItems).mAnswer.mStatus == 202u);
+  BOOST_TEST(site.mDirectory.mRows.count("s2") == 0u);
+  site.mState.mFault = standin::store_fault::None;
+  BOOST_TEST(site.mLoop.RunUntil(
+    [&] { return entry.ListedIds("b1").size() == kItems; }));
+  for (const auto& [name, block] : site.mState.mKinds["batchresults"]) {
+    const auto decoded = batches::DecodeBlock(block);
+    BOOST_REQUIRE(decoded);
+    BOOST_TEST(decoded->mRuns.empty());
+  }
+}
+
 // Guards against a count that reaches the next batch too late: its owner has
 // just started and doesn't know the earlier batch yet.
 BOOST_AUTO_TEST_CASE(AnEntryThatJustStartedKnowsTheCountsOfEndedBatches)
