Batches: a block of another owner tells that the batch has been run

Found by reading the change again. A process that accepted a batch without the store's answer was taken for the first owner by the metadata that it knew. If another entry had taken the batch over meanwhile, the metadata were old, and the end of a server under that entry's unstored run wasn't assumed. That entry writes a block before it sends an item, so a log that isn't empty now makes the process a later owner.

ABatchWithABlockOfAnotherOwnerHasBeenRun failed before: 0 of 4 items had an assumed end. Comments on runs that an owner doesn't see, on last runs and on reward attempts say what was missing.

--- a/Duties/Batches/BatchLoading.cpp
+++ b/Duties/Batches/BatchLoading.cpp
@@ -58,7 +58,6 @@
   if (aPart == aBatch->mMetadata.mParts) {
     aBatch->mSubmission = aLoaded;
     aBatch->mStored.mServers = aLoaded->mServers;
-    aBatch->mStored.mIsFirstOwner = IsFirstOwner(*aBatch);
     LoadResults(aBatch);
     return;
   }
@@ -84,6 +83,7 @@
   const auto handleResponse = [this,
                                aBatch](const objects::object_reply& aResponse) {
     if (aResponse.mOutcome == store_outcome::NotFound) {
+      aBatch->mStored.mIsFirstOwner = IsFirstOwner(*aBatch);
       FinishLoad(aBatch, true);
       return;
     }
@@ -185,7 +185,10 @@
 bool
 batch_service::IsFirstOwner(const batch_record& aBatch) const
 {
-  return !aBatch.mHasRun && aBatch.mMetadata.mOwner == mDependencies.mName &&
+  // The metadata may be known here as they were before another entry took the
+  // batch over. That entry has written a block before it sent an item.
+  return !aBatch.mHasRun && aBatch.mLog.mNextBlock == 0 &&
+         aBatch.mMetadata.mOwner == mDependencies.mName &&
          aBatch.mMetadata.mAcceptedBy == mProcessName;
 }
 
--- a/Duties/Batches/BatchRunner.h
+++ b/Duties/Batches/BatchRunner.h
@@ -74,8 +74,9 @@
   std::set<site::server_start> mAwaited;
   /** Servers whose fate will be told. */
   std::set<site::server_start> mChecked;
-  /** Servers with runs of an earlier owner, and until when such a run may still
-   * be there: an owner that lives may learn late that it lost the batch. */
+  /** Servers with runs that this owner doesn't see, and until when they may
+   * have ended under such a run: runs that were moved away, and runs of an
+   * earlier owner, who may live and learn late that it lost the batch. */
   std::map<site::server_start, time_point> mEarlierRuns;
   bool mIsBarred = false;
   std::string mAvoidedServer;
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -315,8 +315,8 @@
   objects::object_done IfSameGeneration(const batch_ptr& aBatch,
                                         objects::object_done aDone);
   void Run(const batch_ptr& aBatch);
-  /** Whether no process has run the batch yet: this one accepted it and learned
-   * so only when it read the metadata back. */
+  /** Whether no process has run the batch, whose log is loaded: this process
+   * accepted it without the store's answer. */
   bool IsFirstOwner(const batch_record& aBatch) const;
   void Unload(const batch_ptr& aBatch);
 
--- a/Duties/Batches/RecentEnds.h
+++ b/Duties/Batches/RecentEnds.h
@@ -22,9 +22,10 @@
 /** Share of the servers of which so many recent ends don't make a run wait. */
 constexpr double kCalmShare = 1.0 / 20;
 
-/** A server that is slow takes at most so many times as long as others. */
+/** A run on a slow server is expected to take so many times as long as on a
+ * usual one. */
 constexpr double kSlowServerFactor = 2;
-/** Time for storing a run before it is sent. */
+/** Time that a slow store takes to store a run before it is sent. */
 constexpr milliseconds kStoringTime{ 500 };
 
 /** Servers that ended or may have ended, and when that was seen first. */
@@ -66,8 +67,9 @@
 bool
 IsLastChance(const last_run_times& aTimes);
 
-/** Whether the item's last run waits. It doesn't if that may make the result
- * late, unless one of the item's ends is only assumed.
+/** Whether the item's last run waits. A run that may be late if it waits is
+ * sent, unless an end of its item is only assumed: such an item is most likely
+ * sound, and one more end bars it for good.
  * @param aServers number of servers in the directory
  * @param aYoungServers how many of them started a short time ago */
 bool
--- a/Duties/Rewards/RewardCall.h
+++ b/Duties/Rewards/RewardCall.h
@@ -56,8 +56,9 @@
   std::function<bool()> mMaySend;
   /** Whether an attempt may be sent to the server. */
   std::function<bool(const site::server_start&)> mMayUse;
-  /** Called when an attempt is to be sent to the server. Returns false if it
-   * has to be stored first; the client sends it when it is told to retry. */
+  /** Called when an attempt is to be sent to the server. Returns false if the
+   * attempt has to be stored first; the client sends an attempt then once it is
+   * told to retry. */
   std::function<bool(const site::server_start&)> mReserve;
   /** Whether two servers may process the call at a time. */
   std::function<bool()> mMayHedge;
--- a/Tests/Site/TestEndedServers.cpp
+++ b/Tests/Site/TestEndedServers.cpp
@@ -29,6 +29,56 @@
   aSite.mLoop.RunUntil([] { return false; }, aTime);
 }
 
+/** A batch of which the store loses the answer to its acceptance. Of the two
+ * servers that are listed with it, one leaves before the batch is loaded. */
+struct unanswered_acceptance
+{
+  static constexpr std::size_t kItems = 4;
+
+  unanswered_acceptance()
+  {
+    mSite.Add(mStaying);
+    mSite.Add(mLeaving);
+  }
+
+  /** @param aMeanwhile called after the items are stored, before the batch is
+   * loaded */
+  void Submit(const std::function<void()>& aMeanwhile)
+  {
+    mSite.mState.mFault = standin::store_fault::LoseAnswers;
+    boost::asio::steady_timer timer(mSite.mLoop.mLoop);
+    timer.expires_after(mSite.mState.mTimeoutDelay + 10ms);
+    timer.async_wait([&](const auto&) {
+      site::ApplyRemoval(mSite.mDirectory, "s2", boot_clock::now());
+      aMeanwhile();
+    });
+    BOOST_TEST(mEntry.Submit("b1", static_cast<int>(kItems)).mAnswer.mStatus ==
+               202u);
+    BOOST_TEST(mSite.mDirectory.mRows.count("s2") == 0u);
+    mSite.mState.mFault = standin::store_fault::None;
+    BOOST_TEST(mSite.mLoop.RunUntil(
+      [&] { return mEntry.ListedIds("b1").size() == kItems; }));
+  }
+
+  /** Runs that the store holds. */
+  std::vector<batches::run_record> StoredRuns()
+  {
+    std::vector<batches::run_record> runs;
+    for (const auto& [name, block] :
+         mSite.mState.mKinds[batches::kBatchResultsKind]) {
+      const auto decoded = batches::DecodeBlock(block);
+      BOOST_REQUIRE(decoded);
+      runs.insert(runs.end(), decoded->mRuns.begin(), decoded->mRuns.end());
+    }
+    return runs;
+  }
+
+  batch_site mSite;
+  model_server mStaying{ mSite.mLoop.mLoop, "s1" };
+  model_server mLeaving{ mSite.mLoop.mLoop, "s2" };
+  batch_entry mEntry{ mSite, "a" };
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(TestEndedServers)
@@ -152,29 +202,33 @@
 // was listed with it has left since.
 BOOST_AUTO_TEST_CASE(ABatchWhoseAcceptanceGotNoAnswerAssumesNoEnd)
 {
-  batch_site site;
-  model_server server(site.mLoop.mLoop, "s1");
-  site.Add(server);
-  model_server leaving(site.mLoop.mLoop, "s2");
-  site.Add(leaving);
-  batch_entry entry(site, "a");
-  site.mState.mFault = standin::store_fault::LoseAnswers;
-  boost::asio::steady_timer timer(site.mLoop.mLoop);
-  timer.expires_after(site.mState.mTimeoutDelay + 10ms);
-  timer.async_wait([&](const auto&) {
-    site::ApplyRemoval(site.mDirectory, "s2", boot_clock::now());
+  unanswered_acceptance scene;
+  scene.Submit([] {});
+  BOOST_TEST(scene.StoredRuns().empty());
+}
+
+// Guards against an end that isn't assumed because the process that accepted
+// the batch believes that nobody has run it: another entry took it over before
+// the answer to its acceptance came.
+BOOST_AUTO_TEST_CASE(ABatchWithABlockOfAnotherOwnerHasBeenRun)
+{
+  unanswered_acceptance scene;
+  scene.Submit([&] {
+    batches::result_block block;
+    block.mWriter = "other";
+    block.mServers.mBeginsTerm = true;
+    standin::PutDirectly(scene.mSite.mState,
+                         batches::kBatchResultsKind,
+                         batches::ResultsObjectName("b1", 0),
+                         batches::EncodeBlock(block));
   });
-  constexpr int kItems = 4;
-  BOOST_TEST(entry.Submit("b1", kItems).mAnswer.mStatus == 202u);
-  BOOST_TEST(site.mDirectory.mRows.count("s2") == 0u);
-  site.mState.mFault = standin::store_fault::None;
-  BOOST_TEST(site.mLoop.RunUntil(
-    [&] { return entry.ListedIds("b1").size() == kItems; }));
-  for (const auto& [name, block] : site.mState.mKinds["batchresults"]) {
-    const auto decoded = batches::DecodeBlock(block);
-    BOOST_REQUIRE(decoded);
-    BOOST_TEST(decoded->mRuns.empty());
+  std::set<std::size_t> assumed;
+  for (const auto& run : scene.StoredRuns()) {
+    if (batches::IsAssumed(run.mServer)) {
+      assumed.insert(run.mItem);
+    }
   }
+  BOOST_TEST(assumed.size() == unanswered_acceptance::kItems);
 }
 
 // Guards against a count that reaches the next batch too late: its owner has
