Edge: a response is read by a module without network

The connection parsed, checked and reported in one function, so that what is no response could be tested only with sockets. response_reader takes bytes and says what they are: head, parts of the body, whole, or why they are no response.

--- a/Libraries/Edge/ClientConnection.cpp
+++ b/Libraries/Edge/ClientConnection.cpp
@@ -1,5 +1,6 @@
 #include "Libraries/Edge/ClientConnection.h"
 
+#include "Libraries/Edge/HeadSyntax.h"
 #include "Libraries/Edge/ResponseBounds.h"
 #include "Libraries/EventLog/EventLog.h"
 
@@ -13,7 +14,6 @@
 
 namespace lavender::edge {
 
-namespace http = boost::beast::http;
 using boost::system::error_code;
 
 namespace {
@@ -79,17 +79,6 @@
                  : std::nullopt;
 }
 
-/** Whether the head is made of those of two responses. */
-bool
-IsMadeOfTwo(const header_list& aHeaders, std::string_view aReason)
-{
-  const auto& fields = aHeaders.mFields;
-  return HoldsStatusLine(aReason) ||
-         std::any_of(fields.begin(), fields.end(), [](const auto& aField) {
-           return HoldsStatusLine(aField.second);
-         });
-}
-
 /** 0 for an empty id. */
 std::size_t
 HashOf(const std::string& aRequestId)
@@ -140,10 +129,7 @@
               ? std::chrono::steady_clock::now() + *aOptions.mTotalTimeout
               : steady_time::max();
   mEvents = std::move(aEvents);
-  mParser.emplace();
-  mParser->eager(true);
-  mParser->header_limit(kMaximumHeadBytes);
-  mParser->body_limit(boost::none);
+  mReader.emplace();
   auto written = WriteRequest(aRequest, mServer);
   if (std::holds_alternative<head_fault>(written)) {
     RefuseToSend();
@@ -295,38 +281,23 @@
 void
 client_connection::HandleEndOfFile()
 {
-  error_code error;
-  if (mParser->is_header_done() && !mParser->is_done()) {
-    mParser->put_eof(error);
-    if (!error && mParser->is_done()) {
-      End(call_end::Complete);
-      return;
-    }
-  }
-  End(call_end::Broken);
+  End(mReader->EndsWithConnection() ? call_end::Complete : call_end::Broken);
 }
 
 void
 client_connection::Parse()
 {
   const auto self = shared_from_this();
-  error_code error;
-  while (mBuffer.size() > 0 && !mParser->is_done()) {
-    const auto used = mParser->put(mBuffer.data(), error);
-    mBuffer.consume(used);
-    if (error) {
-      break;
-    }
-  }
+  mBuffer.consume(mReader->Read(mBuffer.data()));
   const bool isTooLong = mBuffer.size() > kMaximumUnparsedBytes;
-  if (isTooLong || (error && error != http::error::need_more)) {
+  if (isTooLong || !mReader->Fault().empty()) {
     events::line("answer_malformed")
       .With("server", mServer.Text())
-      .With("reason", isTooLong ? "a part is too long" : error.message());
+      .With("reason", isTooLong ? "a part is too long" : mReader->Fault());
     End(call_end::Malformed);
     return;
   }
-  if (mParser->is_header_done()) {
+  if (mReader->HasHead()) {
     ReportHead();
     ReportBody();
     CompleteWhenDone();
@@ -340,21 +311,7 @@
     return;
   }
   mHasReportedHead = true;
-  const auto& message = mParser->get();
-  response head;
-  head.mStatus = message.result_int();
-  for (const auto& field : message) {
-    head.mHeaders.Add(std::string(field.name_string()),
-                      std::string(field.value()));
-  }
-  const auto reason = message.reason();
-  if (IsMadeOfTwo(head.mHeaders, { reason.data(), reason.size() })) {
-    events::line("answer_malformed")
-      .With("server", mServer.Text())
-      .With("reason", "a head within a head");
-    End(call_end::Malformed);
-    return;
-  }
+  const auto& head = mReader->Head();
   if (mEvents.mIsOwn && !mEvents.mIsOwn(head)) {
     // The own response may still follow, so the connection can't be kept.
     End(call_end::Foreign);
@@ -375,8 +332,7 @@
   if (!mIsBusy) {
     return;
   }
-  std::string piece;
-  piece.swap(mParser->get().body());
+  const auto piece = mReader->TakeBody();
   if (!piece.empty() && mEvents.mOnBody) {
     mEvents.mOnBody(piece);
   }
@@ -387,7 +343,7 @@
 {
   // A server may respond before it has read the whole request body. The rest of
   // the body must be sent before the connection is used again.
-  if (!mIsBusy || !mParser->is_done() || mIsWriting) {
+  if (!mIsBusy || !mReader->IsWhole() || mIsWriting) {
     return;
   }
   End(mBuffer.size() > 0 ? call_end::Malformed : call_end::Complete);
@@ -406,13 +362,13 @@
   const auto events = std::move(mEvents);
   mEvents = {};
   const bool isReusable =
-    aEnd == call_end::Complete && mParser->keep_alive() && !mParser->need_eof();
+    aEnd == call_end::Complete && mReader->KeepsConnection();
   const auto pool = mPool.lock();
   if (isReusable && pool) {
     // The server's idle time begins at the end of its response, which may be a
     // long stream.
     mUsableUntil = boot_clock::now() + mKeepAliveTimeout - kKeepAliveMargin;
-    mParser.reset();
+    mReader.reset();
     mReadSize = kIdleReadBytes;
     pool->Keep(self);
     Read();
--- a/Libraries/Edge/ClientConnection.h
+++ b/Libraries/Edge/ClientConnection.h
@@ -1,15 +1,13 @@
 #pragma once
 
 #include "Libraries/Edge/Caller.h"
-#include "Libraries/Edge/HeadSyntax.h"
-#include "Libraries/Edge/PieceBody.h"
 #include "Libraries/Edge/ReadPause.h"
 #include "Libraries/Edge/ReadSize.h"
+#include "Libraries/Edge/ResponseReader.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <optional>
 
 namespace lavender::edge {
@@ -55,7 +53,6 @@
 
 private:
   using steady_time = std::chrono::steady_clock::time_point;
-  using parser = boost::beast::http::response_parser<piece_body>;
 
   /** Ends a call whose request can't be written, after Start has returned. */
   void RefuseToSend();
@@ -86,7 +83,7 @@
   const answer_number mNumber;
   boost::beast::flat_buffer mBuffer;
   std::size_t mReadSize = kIdleReadBytes;
-  std::optional<parser> mParser;
+  std::optional<response_reader> mReader;
   call_options mOptions;
   call_events mEvents;
   std::string mOutgoing;
--- /dev/null
+++ b/Libraries/Edge/ResponseReader.cpp
@@ -0,0 +1,73 @@
+#include "Libraries/Edge/ResponseReader.h"
+
+#include "Libraries/Edge/HeadSyntax.h"
+#include "Libraries/Edge/ResponseBounds.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lavender::edge {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+/** Whether the head is made of those of two responses. */
+bool
+IsMadeOfTwo(const header_list& aHeaders, std::string_view aReason)
+{
+  const auto& fields = aHeaders.mFields;
+  return HoldsStatusLine(aReason) ||
+         std::any_of(fields.begin(), fields.end(), [](const auto& aField) {
+           return HoldsStatusLine(aField.second);
+         });
+}
+
+} // namespace
+
+response_reader::response_reader()
+{
+  mParser.eager(true);
+  mParser.header_limit(kMaximumHeadBytes);
+  mParser.body_limit(boost::none);
+}
+
+std::size_t
+response_reader::Read(boost::asio::const_buffer aBytes)
+{
+  boost::system::error_code error;
+  const bool hadHead = HasHead();
+  std::size_t used = 0;
+  while (!error && used < aBytes.size() && !IsWhole()) {
+    used += mParser.put(aBytes + used, error);
+  }
+  if (error && error != http::error::need_more) {
+    mFault = error.message();
+  } else if (!hadHead && HasHead()) {
+    TakeHead();
+  }
+  return used;
+}
+
+void
+response_reader::TakeHead()
+{
+  const auto& message = mParser.get();
+  mHead.mStatus = message.result_int();
+  for (const auto& field : message) {
+    mHead.mHeaders.Add(std::string(field.name_string()),
+                       std::string(field.value()));
+  }
+  const auto reason = message.reason();
+  if (IsMadeOfTwo(mHead.mHeaders, { reason.data(), reason.size() })) {
+    mFault = "a head within a head";
+  }
+}
+
+std::string
+response_reader::TakeBody()
+{
+  return std::exchange(mParser.get().body(), {});
+}
+
+} // namespace lavender::edge
