Edge: an answer whose head arrives alone is read

What callers saw: 502, or another server's answer, where a sound server sent its head and its body with a length in two pieces; found while the tests of broken answers cut sound ones at every byte.

Cause: the parser was told that bodies have no limit. It then takes each length for one beyond the limit, but forgets that error when a byte of the body follows in the same read.

Evidence: TestResponseReader/EachSoundWayToEndABodyIsRead failed in 15 checks (each answer with a length, cut after its head), TestClientPool/ ABodyMayArriveAfterItsHead in 2 (no answer, ended as malformed).

Fix: the limit is the largest number; what a body may hold is bounded where it is kept, as before. Both tests pass.

--- a/Libraries/Edge/ResponseReader.cpp
+++ b/Libraries/Edge/ResponseReader.cpp
@@ -4,6 +4,8 @@
 #include "Libraries/Edge/ResponseBounds.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace lavender::edge {
@@ -29,7 +31,8 @@
 {
   mParser.eager(true);
   mParser.header_limit(kMaximumHeadBytes);
-  mParser.body_limit(boost::none);
+  // Without a limit the parser refuses a length in a head that comes alone.
+  mParser.body_limit(std::numeric_limits<std::uint64_t>::max());
 }
 
 std::size_t
--- a/Tests/Site/TestClientPool.cpp
+++ b/Tests/Site/TestClientPool.cpp
@@ -103,6 +103,32 @@
   BOOST_TEST(clients->Counts().mReused == 1u);
 }
 
+// Guards against a sound answer with a length that is refused because its head
+// arrived by itself.
+BOOST_AUTO_TEST_CASE(ABodyMayArriveAfterItsHead)
+{
+  test_loop loop;
+  auto clients = std::make_shared<edge::client_pool>(loop.mLoop);
+  byte_channel_ptr channel;
+  byte_server server(loop, [&](const auto& aChannel, const auto&) {
+    channel = aChannel;
+    channel->Write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
+  });
+  std::string body;
+  std::optional<edge::call_end> ended;
+  edge::call_events events;
+  events.mOnHead = [&](const auto&) { channel->Write("body"); };
+  events.mOnBody = [&](auto aPiece) { body += aPiece; };
+  events.mOnEnd = [&](edge::call_end aEnd) { ended = aEnd; };
+  edge::request request;
+  request.mMethod = "GET";
+  request.mTarget = "/";
+  clients->Start(server.Entry("s1").mAddress, request, {}, std::move(events));
+  BOOST_TEST(loop.RunUntil([&] { return ended.has_value(); }));
+  BOOST_TEST((ended == edge::call_end::Complete));
+  BOOST_TEST(body == "body");
+}
+
 // Guards against a request whose text from others ends a line: a part of it
 // would be a field, or a request, that nobody sent.
 BOOST_AUTO_TEST_CASE(ARequestThatHttpDoesntAllowSendsNothing)
