Edge: a status that HTTP doesn't know is no answer

What callers saw: a server in trouble sent a response with status 000, and the caller got it as an answer, sealed and with its body, below a status line that is itself no HTTP. The same with 001, 099, 600, 700 and 999. With X-Not-Executed beside it, a request that may run once was sent again, and its caller was told that nothing had run.

Cause: the parser asks for three digits only, and what read the head took them as they were.

--- a/Libraries/Edge/HeadSyntax.cpp
+++ b/Libraries/Edge/HeadSyntax.cpp
@@ -81,6 +81,12 @@
   });
 }
 
+bool
+IsStatus(unsigned aStatus)
+{
+  return aStatus >= 100 && aStatus <= 599;
+}
+
 bool
 IsTarget(std::string_view aText)
 {
--- a/Libraries/Edge/HeadSyntax.h
+++ b/Libraries/Edge/HeadSyntax.h
@@ -33,6 +33,10 @@
 bool
 IsFieldValue(std::string_view aText);
 
+/** Whether HTTP knows the class of a status (RFC 9110, section 15). */
+bool
+IsStatus(unsigned aStatus);
+
 /** Whether the text may stand in a request line as a path with a query. Bytes
  * beyond ASCII may, though HTTP has them escaped: callers send them, and they
  * end no line. */
--- a/Libraries/Edge/TestResponseReader.cpp
+++ b/Libraries/Edge/TestResponseReader.cpp
@@ -16,10 +16,58 @@
     aReader.Read(boost::asio::buffer(aBytes) + used);
   }
 }
+
+bool
+IsFaulty(const std::string& aBytes)
+{
+  response_reader reader;
+  reader.Read(boost::asio::buffer(aBytes));
+  return !reader.Fault().empty();
+}
+
+std::string
+WithStatus(const std::string& aStatus)
+{
+  return "HTTP/1.1 " + aStatus + " x\r\nContent-Length: 1\r\n\r\nx";
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(TestResponseReader)
 
+// Guards against an answer whose status is none that HTTP knows.
+BOOST_AUTO_TEST_CASE(AStatusOutsideOfHttpIsAFault)
+{
+  for (const auto* status :
+       { "000", "001", "099", "600", "601", "700", "999" }) {
+    BOOST_TEST(IsFaulty(WithStatus(status)), status);
+  }
+}
+
+// Guards against a sound answer that is refused for its status.
+BOOST_AUTO_TEST_CASE(EveryFinalStatusOfHttpIsRead)
+{
+  for (unsigned status = 200; status <= 599; ++status) {
+    if (status == 204 || status == 304) {
+      continue;
+    }
+    response_reader reader;
+    const auto bytes = WithStatus(std::to_string(status));
+    reader.Read(boost::asio::buffer(bytes));
+    BOOST_TEST(reader.Fault().empty(), status);
+    BOOST_TEST(reader.IsWhole(), status);
+    BOOST_TEST(reader.Head().mStatus == status);
+    BOOST_TEST(reader.TakeBody() == "x", status);
+  }
+  for (const auto* status : { "204", "304" }) {
+    response_reader reader;
+    const auto bytes = "HTTP/1.1 " + std::string(status) + " x\r\n\r\n";
+    reader.Read(boost::asio::buffer(bytes));
+    BOOST_TEST(reader.Fault().empty(), status);
+    BOOST_TEST(reader.IsWhole(), status);
+  }
+}
+
 // Guards against a sound answer that is refused for its framing.
 BOOST_AUTO_TEST_CASE(EachSoundWayToEndABodyIsRead)
 {
--- a/Tests/Site/Support/HostileServer.cpp
+++ b/Tests/Site/Support/HostileServer.cpp
@@ -16,6 +16,7 @@
 
 const std::vector<std::pair<answer_shape, const char*>> kShapes{
   { answer_shape::Whole, "whole" },
+  { answer_shape::InvalidStatus, "invalid status" },
   { answer_shape::CutHead, "cut in the head" },
   { answer_shape::CutBody, "cut in the body" },
   { answer_shape::Missing, "no answer" },
@@ -126,6 +127,9 @@
     case answer_shape::Whole:
       aChannel.Write(whole);
       return;
+    case answer_shape::InvalidStatus:
+      aChannel.Write("HTTP/1.1 000" + whole.substr(whole.find(" x\r\n")));
+      return;
     case answer_shape::CutHead:
       aChannel.WriteAndClose(head + "Content-Len");
       return;
--- a/Tests/Site/Support/HostileServer.h
+++ b/Tests/Site/Support/HostileServer.h
@@ -17,6 +17,8 @@
 enum class answer_shape
 {
   Whole,
+  /** Whole, with a status that HTTP doesn't know. */
+  InvalidStatus,
   /** The connection is closed in the head. */
   CutHead,
   /** The connection is closed in the body. */
