Edge: an interim response is no answer

What callers saw: a server sent the head of an interim response (100 to 199) and nothing behind it in the same read. The caller got that head as the answer, with a length of 0, and went on waiting for the final one, which never came: the entry had ended the request. With a body behind it, it was 502 before, and is.

Cause: the parser ends a response of class 1xx at its head, and what read it took each ended response for the final one.

Fix: only a status that ends a request is an answer's. No request of an entry or agent asks for an interim response (Expect and Upgrade aren't passed on), so one is a fault like any other, as it was together with the final response.

--- a/Libraries/Edge/HeadSyntax.cpp
+++ b/Libraries/Edge/HeadSyntax.cpp
@@ -82,9 +82,9 @@
 }
 
 bool
-IsStatus(unsigned aStatus)
+IsFinalStatus(unsigned aStatus)
 {
-  return aStatus >= 100 && aStatus <= 599;
+  return aStatus >= 200 && aStatus <= 599;
 }
 
 bool
--- a/Libraries/Edge/HeadSyntax.h
+++ b/Libraries/Edge/HeadSyntax.h
@@ -33,9 +33,10 @@
 bool
 IsFieldValue(std::string_view aText);
 
-/** Whether HTTP knows the class of a status (RFC 9110, section 15). */
+/** Whether HTTP knows the class of a status, and a response with it ends the
+ * request (RFC 9110, section 15). One of class 1xx is an interim response. */
 bool
-IsStatus(unsigned aStatus);
+IsFinalStatus(unsigned aStatus);
 
 /** Whether the text may stand in a request line as a path with a query. Bytes
  * beyond ASCII may, though HTTP has them escaped: callers send them, and they
--- a/Libraries/Edge/ResponseReader.cpp
+++ b/Libraries/Edge/ResponseReader.cpp
@@ -64,8 +64,8 @@
   const auto reason = message.reason();
   if (IsMadeOfTwo(mHead.mHeaders, { reason.data(), reason.size() })) {
     mFault = "a head within a head";
-  } else if (!IsStatus(mHead.mStatus)) {
-    mFault = "a status that HTTP doesn't know";
+  } else if (!IsFinalStatus(mHead.mStatus)) {
+    mFault = "no final status of HTTP";
   }
 }
 
--- a/Libraries/Edge/TestResponseReader.cpp
+++ b/Libraries/Edge/TestResponseReader.cpp
@@ -68,6 +68,15 @@
   }
 }
 
+// Guards against an interim response that passes for the answer.
+BOOST_AUTO_TEST_CASE(AnInterimResponseIsAFault)
+{
+  for (const auto* status : { "100", "101", "102", "103", "199" }) {
+    BOOST_TEST(IsFaulty("HTTP/1.1 " + std::string(status) + " x\r\n\r\n"),
+               status);
+  }
+}
+
 // Guards against a sound answer that is refused for its framing.
 BOOST_AUTO_TEST_CASE(EachSoundWayToEndABodyIsRead)
 {
--- a/Tests/Site/TestBrokenAnswers.cpp
+++ b/Tests/Site/TestBrokenAnswers.cpp
@@ -141,4 +141,20 @@
   }
 }
 
+// Guards against a caller that gets an interim response for the answer, and
+// then waits for the answer.
+BOOST_AUTO_TEST_CASE(AnInterimResponseIsNoAnswer)
+{
+  for (const std::string status : { "100", "102", "103", "199" }) {
+    BOOST_TEST_CONTEXT(status)
+    {
+      CheckIsNoAnswer([&](const auto& aId) {
+        return "HTTP/1.1 " + status + " x\r\nX-Attempt-Id: " + aId +
+               "\r\nX-Server-Seal: seal\r\n\r\n";
+      });
+      CheckIsNoAnswer([&](const auto& aId) { return WithStatus(status, aId); });
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
