Edge: a field of a trailer is none of the head

What callers saw: a response in chunks that ended with the field X-Server-Seal in its trailer reached them with that field in its head, but only if all of it arrived in one read; a second field of that name came behind the head's own.

Cause: the parser read all it could at once and added the trailer's fields to those of the head before anything had looked at the head.

Fix: the parser reads one part at a time, and the head is taken as soon as it is complete. A trailer is read and dropped (RFC 9110, section 6.5.1), as it was whenever it came in a later read.

--- a/Libraries/Edge/ResponseReader.cpp
+++ b/Libraries/Edge/ResponseReader.cpp
@@ -29,7 +29,9 @@
 
 response_reader::response_reader()
 {
-  mParser.eager(true);
+  // One part at a time: the parser would add the fields of a trailer to those
+  // of the head.
+  mParser.eager(false);
   mParser.header_limit(kMaximumHeadBytes);
   // Without a limit the parser refuses a length in a head that comes alone.
   mParser.body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -39,15 +41,15 @@
 response_reader::Read(boost::asio::const_buffer aBytes)
 {
   boost::system::error_code error;
-  const bool hadHead = HasHead();
   std::size_t used = 0;
-  while (!error && used < aBytes.size() && !IsWhole()) {
+  while (!error && mFault.empty() && used < aBytes.size() && !IsWhole()) {
+    const bool hadHead = HasHead();
     used += mParser.put(aBytes + used, error);
-  }
-  if (error && error != http::error::need_more) {
-    mFault = error.message();
-  } else if (!hadHead && HasHead()) {
-    TakeHead();
+    if (error && error != http::error::need_more) {
+      mFault = error.message();
+    } else if (!hadHead && HasHead()) {
+      TakeHead();
+    }
   }
   return used;
 }
--- a/Libraries/Edge/TestResponseReader.cpp
+++ b/Libraries/Edge/TestResponseReader.cpp
@@ -77,6 +77,22 @@
   }
 }
 
+// Guards against a line of a trailer that passes for a field of the head when
+// both arrive at once.
+BOOST_AUTO_TEST_CASE(ATrailerIsNoPartOfTheHead)
+{
+  const std::string bytes =
+    "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "1\r\nx\r\n0\r\nX-Server-Seal: a\r\n b\r\n\r\n";
+  for (std::size_t cut = 1; cut <= bytes.size(); ++cut) {
+    response_reader reader;
+    ReadInTwo(reader, bytes, cut);
+    BOOST_TEST(reader.Fault() == "");
+    BOOST_TEST(reader.IsWhole());
+    BOOST_TEST(!reader.Head().mHeaders.Find("X-Server-Seal"));
+  }
+}
+
 // Guards against a sound answer that is refused for its framing.
 BOOST_AUTO_TEST_CASE(EachSoundWayToEndABodyIsRead)
 {
--- a/Tests/Site/TestBrokenAnswers.cpp
+++ b/Tests/Site/TestBrokenAnswers.cpp
@@ -157,4 +157,21 @@
   }
 }
 
+// Guards against a caller that gets a field of the trailer as one of the head,
+// whenever both arrive in one read.
+BOOST_AUTO_TEST_CASE(AFieldOfTheTrailerIsntPassedOn)
+{
+  forwarding_site site(site::retry_policy::AtMostOnce);
+  byte_server server(
+    site.mLoop, [](const auto& aChannel, const auto& aRequest) {
+      aChannel->Write(ChunkedHead(IdOf(aRequest)) + ChunkBytes("whole answer") +
+                      "0\r\nX-Server-Seal: seal-other\r\n\r\n");
+    });
+  site.Add("s1", server);
+  const auto answer = site.Send().mAnswer;
+  BOOST_TEST(answer.mStatus == 200u);
+  BOOST_TEST(answer.mBody == "whole answer");
+  BOOST_TEST(!answer.mHeaders.Find("X-Server-Seal"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
