Edge: a head with a folded line is no answer

What callers saw: in the head of a server in trouble a line began with a blank, so the name of its field held one. The caller got the response as an answer, and the line appended to the value of the field before it: behind X-Server-Seal, a changed seal with a 2xx.

Cause: the parser takes a line that begins with a blank or tab for the rest of the field before it (an old form of HTTP) and joins both without a word.

Fix: the lines that the parser uses of a head are looked at themselves; one that begins with a blank is a fault. A gateway may discard such a response (RFC 9112, section 5.2); replacing the fold, the other way it allows, is what changed the seal.

--- a/Libraries/Edge/HeadSyntax.cpp
+++ b/Libraries/Edge/HeadSyntax.cpp
@@ -108,6 +108,20 @@
   return false;
 }
 
+bool
+HoldsFoldedLine(std::string_view aLines)
+{
+  while (!aLines.empty()) {
+    if (aLines.front() == ' ' || aLines.front() == '\t') {
+      return true;
+    }
+    const auto end = aLines.find('\n');
+    aLines.remove_prefix(end == std::string_view::npos ? aLines.size()
+                                                       : end + 1);
+  }
+  return false;
+}
+
 std::optional<head_fault>
 FindFault(const header_list& aHeaders)
 {
--- a/Libraries/Edge/HeadSyntax.h
+++ b/Libraries/Edge/HeadSyntax.h
@@ -51,6 +51,12 @@
 bool
 HoldsStatusLine(std::string_view aText);
 
+/** Whether a line of a head begins with a blank, which makes it a part of the
+ * field before it (RFC 9112, section 5.2).
+ * @param aLines whole lines */
+bool
+HoldsFoldedLine(std::string_view aLines);
+
 /** The first fault; none if the fields can be written. */
 std::optional<head_fault>
 FindFault(const header_list& aHeaders);
--- a/Libraries/Edge/ResponseReader.cpp
+++ b/Libraries/Edge/ResponseReader.cpp
@@ -43,17 +43,30 @@
   boost::system::error_code error;
   std::size_t used = 0;
   while (!error && mFault.empty() && used < aBytes.size() && !IsWhole()) {
-    const bool hadHead = HasHead();
-    used += mParser.put(aBytes + used, error);
+    const bool isHead = !HasHead();
+    const auto bytes = aBytes + used;
+    const auto size = mParser.put(bytes, error);
+    used += size;
     if (error && error != http::error::need_more) {
       mFault = error.message();
-    } else if (!hadHead && HasHead()) {
-      TakeHead();
+    } else if (isHead) {
+      // The parser uses whole lines of a head.
+      CheckLines({ static_cast<const char*>(bytes.data()), size });
     }
   }
   return used;
 }
 
+void
+response_reader::CheckLines(std::string_view aLines)
+{
+  if (HoldsFoldedLine(aLines)) {
+    mFault = "a folded line";
+  } else if (HasHead()) {
+    TakeHead();
+  }
+}
+
 void
 response_reader::TakeHead()
 {
--- a/Libraries/Edge/ResponseReader.h
+++ b/Libraries/Edge/ResponseReader.h
@@ -7,6 +7,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <cstddef>
 #include <string>
+#include <string_view>
 
 namespace lavender::edge {
 
@@ -42,6 +43,8 @@
   }
 
 private:
+  /** Takes the lines of the head that the parser has used. */
+  void CheckLines(std::string_view aLines);
   void TakeHead();
 
   boost::beast::http::response_parser<piece_body> mParser;
--- a/Libraries/Edge/TestHeadSyntax.cpp
+++ b/Libraries/Edge/TestHeadSyntax.cpp
@@ -36,4 +36,17 @@
   }
 }
 
+// Guards against a folded line that is missed, and a sound line that is taken
+// for one.
+BOOST_AUTO_TEST_CASE(AFoldedLineBeginsWithABlank)
+{
+  for (const auto* lines :
+       { " a\r\n", "\ta\r\n", "A: 1\r\n a\r\n", "A:\r\n\t\r\nB: 1\r\n" }) {
+    BOOST_TEST(HoldsFoldedLine(lines), lines);
+  }
+  for (const auto* lines : { "", "\r\n", "A:  1 \r\nB: 1\r\n\r\n", "A:\t1" }) {
+    BOOST_TEST(!HoldsFoldedLine(lines), lines);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Libraries/Edge/TestResponseReader.cpp
+++ b/Libraries/Edge/TestResponseReader.cpp
@@ -77,6 +77,28 @@
   }
 }
 
+// Guards against a field that a folded line changes, however the bytes arrive.
+BOOST_AUTO_TEST_CASE(AFoldedLineIsAFault)
+{
+  const std::string first = "HTTP/1.1 200 x\r\nX-Server-Seal:";
+  const std::string last = "\r\nContent-Length: 1\r\n\r\nx";
+  for (const std::string folded : { " a\r\n b",
+                                    " a\r\n\tb",
+                                    " a\r\n ",
+                                    " a\r\n \t \r\n b",
+                                    "\r\n b",
+                                    " a\r\n b: c",
+                                    " a\r\nX-Other: 1\r\n b" }) {
+    const auto bytes = first + folded + last;
+    for (std::size_t cut = 1; cut <= bytes.size(); ++cut) {
+      BOOST_TEST_INFO(bytes << " in pieces of " << cut << " and the rest");
+      response_reader reader;
+      ReadInTwo(reader, bytes, cut);
+      BOOST_TEST(!reader.Fault().empty());
+    }
+  }
+}
+
 // Guards against a line of a trailer that passes for a field of the head when
 // both arrive at once.
 BOOST_AUTO_TEST_CASE(ATrailerIsNoPartOfTheHead)
--- a/Tests/Site/Support/HostileServer.cpp
+++ b/Tests/Site/Support/HostileServer.cpp
@@ -17,6 +17,7 @@
 const std::vector<std::pair<answer_shape, const char*>> kShapes{
   { answer_shape::Whole, "whole" },
   { answer_shape::InvalidStatus, "invalid status" },
+  { answer_shape::FoldedLine, "folded line" },
   { answer_shape::CutHead, "cut in the head" },
   { answer_shape::CutBody, "cut in the body" },
   { answer_shape::Missing, "no answer" },
@@ -130,6 +131,13 @@
     case answer_shape::InvalidStatus:
       aChannel.Write("HTTP/1.1 000" + whole.substr(whole.find(" x\r\n")));
       return;
+    case answer_shape::FoldedLine: {
+      auto parts = aParts;
+      parts.mFields += (parts.mFields.empty() ? "X-Padding: a\r\n" : "") +
+                       std::string(" folded\r\n");
+      aChannel.Write(RightBytes(parts));
+      return;
+    }
     case answer_shape::CutHead:
       aChannel.WriteAndClose(head + "Content-Len");
       return;
--- a/Tests/Site/Support/HostileServer.h
+++ b/Tests/Site/Support/HostileServer.h
@@ -19,6 +19,8 @@
   Whole,
   /** Whole, with a status that HTTP doesn't know. */
   InvalidStatus,
+  /** Whole, with a line in the head that begins with a blank. */
+  FoldedLine,
   /** The connection is closed in the head. */
   CutHead,
   /** The connection is closed in the body. */
--- a/Tests/Site/TestBrokenAnswers.cpp
+++ b/Tests/Site/TestBrokenAnswers.cpp
@@ -103,6 +103,16 @@
   return "HTTP/1.1 " + aStatus + " x\r\nX-Attempt-Id: " + aId + "\r\n" +
          aFields + "X-Server-Seal: seal\r\nContent-Length: 2\r\n\r\n{}";
 }
+
+/** An answer that is whole but for a line of its head. */
+std::string
+WithLine(const std::string& aLine, const std::string& aId)
+{
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + aId +
+         "\r\nX-Server-Seal: seal\r\n" + aLine +
+         "\r\nContent-Length: 2\r\n\r\n{}";
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(TestBrokenAnswers)
@@ -174,4 +184,23 @@
   BOOST_TEST(!answer.mHeaders.Find("X-Server-Seal"));
 }
 
+// Guards against a caller that gets a seal to which the line after it was
+// added.
+BOOST_AUTO_TEST_CASE(ALineThatBeginsWithABlankIsNoAnswer)
+{
+  for (const std::string line : { " folded", "\tfolded", " X-Note: 1", " " }) {
+    BOOST_TEST_CONTEXT("'" << line << "'")
+    {
+      CheckIsNoAnswer([&](const auto& aId) { return WithLine(line, aId); });
+    }
+  }
+}
+
+// Guards against a report, a page or a question that is taken as answered by
+// such a head.
+BOOST_AUTO_TEST_CASE(NoReaderTakesALineThatBeginsWithABlank)
+{
+  CheckNoReaderTakes([](const auto& aId) { return WithLine(" folded", aId); });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Site/TestHostileCalls.cpp
+++ b/Tests/Site/TestHostileCalls.cpp
@@ -292,6 +292,7 @@
     aWay.mPlace == answer_place::ExtraAtOnce ||
     (aWay.mPlace == answer_place::Instead && aWay.mId == answer_id::Own &&
      aWay.mShape != answer_shape::InvalidStatus &&
+     aWay.mShape != answer_shape::FoldedLine &&
      aWay.mShape != answer_shape::CutHead &&
      aWay.mShape != answer_shape::Missing &&
      aWay.mShape != answer_shape::DrippingHead &&
