Edge: the end of a broken connection doesn't end a body without a length

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer. The same with HTTP/1.0, with Connection: close, with a failure's status and with a stream; a head alone became an empty answer. With X-Not-Executed beside it, a request that may run once was sent again and answered with 503.

Cause: a socket keeps one pending error, and the call that sees it first takes it away. The event loop serves the write before the read, so the write took the reset and the read then found a plain end, which ends such a body. The comment that a failed write also fails the read didn't hold.

Evidence, with all but the decision in place: TestAnswersToUploads/ ABodyWithoutALengthThatIsResetIsNoAnswer failed in 80 checks, AHeadWithoutALengthBeforeAResetIsNoAnswer in 5, ARefusalThatIsResetNeverSaysThatNothingRan in 3 and AStreamThatIsResetDuringAnUploadIsCut in 1. The cases of sound answers passed.

Fix: DecideUnboundedEnd. After a failed write the end is a broken one; while the request is being written nothing is decided until the write has ended: a server that closes its side in order and reads on is served as before, one that closes and resets isn't. All cases pass.

--- a/Libraries/Edge/ClientConnection.cpp
+++ b/Libraries/Edge/ClientConnection.cpp
@@ -203,23 +203,34 @@
 client_connection::Send()
 {
   mIsSent = true;
-  mIsWriting = true;
+  mRequest = request_progress::Writing;
   SetTimer(mOptions.mSilenceTimeout);
   boost::asio::async_write(
     mSocket,
     boost::asio::buffer(mOutgoing),
     [self = shared_from_this()](error_code aError, std::size_t) {
-      self->mIsWriting = false;
-      std::string().swap(self->mOutgoing);
-      // A failed write also fails the read, which first delivers a response
-      // that the server may have sent before it stopped reading.
-      if (!aError && self->mIsBusy) {
-        self->CompleteWhenDone();
-      }
+      self->HandleWritten(aError);
     });
   Read();
 }
 
+void
+client_connection::HandleWritten(const error_code& aError)
+{
+  mRequest = aError ? request_progress::Failed : request_progress::Written;
+  std::string().swap(mOutgoing);
+  if (!mIsBusy) {
+    return;
+  }
+  // After a failed write the connection is read to its end: the server may have
+  // sent its response before.
+  if (mHasInputEnded) {
+    HandleEndOfInput();
+  } else if (!aError) {
+    CompleteWhenDone();
+  }
+}
+
 void
 client_connection::Read()
 {
@@ -247,7 +258,7 @@
     return;
   }
   if (aError == boost::asio::error::eof) {
-    HandleEndOfFile();
+    HandleEndOfInput();
     return;
   }
   if (aError) {
@@ -279,9 +290,14 @@
 }
 
 void
-client_connection::HandleEndOfFile()
+client_connection::HandleEndOfInput()
 {
-  End(mReader->EndsWithConnection() ? call_end::Complete : call_end::Broken);
+  mHasInputEnded = true;
+  const auto end = mReader->EndsWithConnection() ? DecideUnboundedEnd(mRequest)
+                                                 : call_end::Broken;
+  if (end) {
+    End(*end);
+  }
 }
 
 void
@@ -343,7 +359,8 @@
 {
   // A server may respond before it has read the whole request body. The rest of
   // the body must be sent before the connection is used again.
-  if (!mIsBusy || !mReader->IsWhole() || mIsWriting) {
+  if (!mIsBusy || !mReader->IsWhole() ||
+      mRequest == request_progress::Writing) {
     return;
   }
   End(mBuffer.size() > 0 ? call_end::Malformed : call_end::Complete);
--- a/Libraries/Edge/ClientConnection.h
+++ b/Libraries/Edge/ClientConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Libraries/Edge/Caller.h"
+#include "Libraries/Edge/EndOfInput.h"
 #include "Libraries/Edge/ReadPause.h"
 #include "Libraries/Edge/ReadSize.h"
 #include "Libraries/Edge/ResponseReader.h"
@@ -58,9 +59,12 @@
   void RefuseToSend();
   void Connect();
   void Send();
+  void HandleWritten(const boost::system::error_code& aError);
   void Read();
   void HandleBytes(const boost::system::error_code& aError, std::size_t aSize);
-  void HandleEndOfFile();
+  /** Ends the call, or waits until it is known whether the request can be
+   * written. */
+  void HandleEndOfInput();
   void Parse();
   /** Tells the pool what is held of the current response. */
   void ReportHeld();
@@ -101,6 +105,7 @@
   /** Time from which the idle connection isn't used any more, shortly before
    * the server closes it. */
   time_point mUsableUntil;
+  request_progress mRequest = request_progress::Written;
   std::uint64_t mCalls = 0;
   std::size_t mHeldByReader = 0;
   /** Hash of the last request's id, which takes less memory than the id: there
@@ -110,7 +115,8 @@
   bool mIsBusy = false;
   bool mIsReading = false;
   bool mIsSent = false;
-  bool mIsWriting = false;
+  /** The server sends nothing more. */
+  bool mHasInputEnded = false;
   bool mHasReportedHead = false;
   bool mIsClosed = false;
 };
