Edge: a whole answer is delivered though its connection ended

What callers saw: 502, or another server with the whole upload again, where a server had sent its whole answer, with a length or in chunks, before the upload was written, and then closed its side or reset the connection. Nothing broken reached them; a ready answer was thrown away.

Cause: an end of the connection counted as broken whatever had been read before.

Evidence, before the fix: TestAnswersToUploads/ AWholeAnswerIsDeliveredThoughItsConnectionEnded failed in 9 checks, three for each answer whose server closed its side and read on (the resets, which came in one turn with the answer, passed); ALaterResetEndsWhatHasArrivedAsItIs failed in 1, a reset once the answer had been read.

Fix: DecideEnd takes what was read, whether the read failed and how far the request was written. A whole response is complete; its connection isn't used again.

--- a/Libraries/Edge/ClientConnection.cpp
+++ b/Libraries/Edge/ClientConnection.cpp
@@ -225,8 +225,8 @@
   // After a failed write the connection is read to its end: the server may have
   // sent its response before.
   if (mHasInputEnded) {
-    HandleEndOfInput();
-  } else if (!aError) {
+    HandleEndOfInput(false);
+  } else {
     CompleteWhenDone();
   }
 }
@@ -257,12 +257,8 @@
     Close();
     return;
   }
-  if (aError == boost::asio::error::eof) {
-    HandleEndOfInput();
-    return;
-  }
   if (aError) {
-    End(call_end::Broken);
+    HandleEndOfInput(aError != boost::asio::error::eof);
     return;
   }
   mBuffer.commit(aSize);
@@ -290,14 +286,22 @@
 }
 
 void
-client_connection::HandleEndOfInput()
+client_connection::HandleEndOfInput(bool aIsError)
 {
   mHasInputEnded = true;
-  const auto end = mReader->EndsWithConnection() ? DecideUnboundedEnd(mRequest)
-                                                 : call_end::Broken;
-  if (end) {
-    End(*end);
+  if (const auto end = DecideEnd({ aIsError, ResponseProgress(), mRequest })) {
+    End(*end == call_end::Complete ? EndOfWhole() : *end);
+  }
+}
+
+response_progress
+client_connection::ResponseProgress() const
+{
+  if (mReader->IsWhole()) {
+    return response_progress::Whole;
   }
+  return mReader->EndsWithConnection() ? response_progress::EndsWithConnection
+                                       : response_progress::Partial;
 }
 
 void
@@ -363,7 +367,13 @@
       mRequest == request_progress::Writing) {
     return;
   }
-  End(mBuffer.size() > 0 ? call_end::Malformed : call_end::Complete);
+  End(EndOfWhole());
+}
+
+call_end
+client_connection::EndOfWhole() const
+{
+  return mBuffer.size() > 0 ? call_end::Malformed : call_end::Complete;
 }
 
 void
@@ -378,8 +388,9 @@
   StopWait();
   const auto events = std::move(mEvents);
   mEvents = {};
-  const bool isReusable =
-    aEnd == call_end::Complete && mReader->KeepsConnection();
+  const bool isReusable = aEnd == call_end::Complete && !mHasInputEnded &&
+                          mRequest == request_progress::Written &&
+                          mReader->KeepsConnection();
   const auto pool = mPool.lock();
   if (isReusable && pool) {
     // The server's idle time begins at the end of its response, which may be a
--- a/Libraries/Edge/ClientConnection.h
+++ b/Libraries/Edge/ClientConnection.h
@@ -63,14 +63,18 @@
   void Read();
   void HandleBytes(const boost::system::error_code& aError, std::size_t aSize);
   /** Ends the call, or waits until it is known whether the request can be
-   * written. */
-  void HandleEndOfInput();
+   * written.
+   * @param aIsError the read failed; otherwise the server closed its side */
+  void HandleEndOfInput(bool aIsError);
+  response_progress ResponseProgress() const;
   void Parse();
   /** Tells the pool what is held of the current response. */
   void ReportHeld();
   void ReportHead();
   void ReportBody();
   void CompleteWhenDone();
+  /** How the call with a whole response ends: no bytes may follow it. */
+  call_end EndOfWhole() const;
   void End(call_end aEnd);
   /** The call times out after this time, or at the end of the whole call if
    * that is sooner. Replaces an earlier time. */
--- a/Libraries/Edge/EndOfInput.cpp
+++ b/Libraries/Edge/EndOfInput.cpp
@@ -3,17 +3,20 @@
 namespace lavender::edge {
 
 std::optional<call_end>
-DecideUnboundedEnd(request_progress aRequest)
+DecideEnd(const input_end& aInput)
 {
-  switch (aRequest) {
-    case request_progress::Writing:
-      return std::nullopt;
-    case request_progress::Written:
-      return call_end::Complete;
-    case request_progress::Failed:
-      return call_end::Broken;
+  if (aInput.mResponse == response_progress::Whole) {
+    return call_end::Complete;
   }
-  return call_end::Broken;
+  const bool isBroken = aInput.mIsError ||
+                        aInput.mResponse == response_progress::Partial ||
+                        aInput.mRequest == request_progress::Failed;
+  if (isBroken) {
+    return call_end::Broken;
+  }
+  return aInput.mRequest == request_progress::Written
+           ? std::optional(call_end::Complete)
+           : std::nullopt;
 }
 
 } // namespace lavender::edge
--- a/Libraries/Edge/EndOfInput.h
+++ b/Libraries/Edge/EndOfInput.h
@@ -17,11 +17,28 @@
   Failed
 };
 
-/** How a response without a length ends a call; none until it is known whether
- * the request can be written. The end of the connection is the end of such a
- * response, but a connection that breaks ends too: the write may take the error
- * and leave a plain end to the read. */
+/** How much of the response has been read. */
+enum class response_progress
+{
+  Partial,
+  /** All that has arrived of a body which ends with its connection. */
+  EndsWithConnection,
+  Whole
+};
+
+/** The end of what a server sends on a connection. */
+struct input_end
+{
+  /** The read failed; otherwise the server closed its side. */
+  bool mIsError = false;
+  response_progress mResponse = response_progress::Partial;
+  request_progress mRequest = request_progress::Written;
+};
+
+/** How the call ends; none until it is known whether the request can be
+ * written. A connection that breaks while the request is being written may look
+ * closed to the read, because the write takes the error. */
 std::optional<call_end>
-DecideUnboundedEnd(request_progress aRequest);
+DecideEnd(const input_end& aInput);
 
 } // namespace lavender::edge
--- a/Tests/Site/Support/EarlyServer.cpp
+++ b/Tests/Site/Support/EarlyServer.cpp
@@ -20,6 +20,18 @@
   std::array<char, 1024> mPiece{};
 };
 
+namespace {
+
+void
+ResetConnection(tcp::socket& aSocket)
+{
+  error_code ignored;
+  aSocket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  aSocket.close(ignored);
+}
+
+} // namespace
+
 early_server::early_server(test_loop& aLoop,
                            after_answer aAfter,
                            answer_maker aMakeAnswer)
@@ -64,7 +76,6 @@
       if (aError) {
         return;
       }
-      mBytesRead += aSize;
       aChannel->mHead.append(aChannel->mPiece.data(), aSize);
       if (aChannel->mHead.find("\r\n\r\n") == std::string::npos) {
         ReadHead(aChannel);
@@ -87,8 +98,7 @@
   boost::asio::write(socket, boost::asio::buffer(mMakeAnswer(id)), ignored);
   switch (mAfter) {
     case after_answer::Reset:
-      socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-      socket.close(ignored);
+      ResetConnection(socket);
       return;
     case after_answer::CloseAndReadOn:
       socket.shutdown(boost::asio::socket_base::shutdown_send, ignored);
@@ -97,17 +107,28 @@
     case after_answer::ReadOn:
       ReadRest(aChannel);
       return;
+    case after_answer::Wait:
+      mWaiting.push_back(aChannel);
+      return;
   }
 }
 
+void
+early_server::Reset()
+{
+  for (const auto& waiting : mWaiting) {
+    ResetConnection(waiting->mSocket);
+  }
+  mWaiting.clear();
+}
+
 void
 early_server::ReadRest(const std::shared_ptr<channel>& aChannel)
 {
   aChannel->mSocket.async_read_some(
     boost::asio::buffer(aChannel->mPiece),
-    [this, aChannel](error_code aError, std::size_t aSize) {
+    [this, aChannel](error_code aError, std::size_t) {
       if (!aError) {
-        mBytesRead += aSize;
         ReadRest(aChannel);
       }
     });
--- a/Tests/Site/Support/EarlyServer.h
+++ b/Tests/Site/Support/EarlyServer.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace lavender::tests {
 
@@ -18,7 +19,9 @@
   /** The sending side is closed, and the rest of the request is read. */
   CloseAndReadOn,
   /** The rest of the request is read. */
-  ReadOn
+  ReadOn,
+  /** Nothing, until the test calls Reset. */
+  Wait
 };
 
 /** A server that answers as soon as it has the head of a request, while the
@@ -33,9 +36,10 @@
 
   site::backend_server Entry(const std::string& aId) const;
 
+  /** Resets the connections that wait. */
+  void Reset();
+
   int mRequests = 0;
-  /** Bytes that were read of all connections. */
-  std::size_t mBytesRead = 0;
 
 private:
   struct channel;
@@ -48,6 +52,7 @@
   const after_answer mAfter;
   const answer_maker mMakeAnswer;
   boost::asio::ip::tcp::acceptor mAcceptor;
+  std::vector<std::shared_ptr<channel>> mWaiting;
 };
 
 } // namespace lavender::tests
--- a/Tests/Site/TestAnswersToUploads.cpp
+++ b/Tests/Site/TestAnswersToUploads.cpp
@@ -96,6 +96,37 @@
   BOOST_TEST(site.Requests() == 1);
 }
 
+/** How a call ends whose server resets the connection once what it sent has
+ * been read, while the upload is still being written.
+ * @param aBodyBytes size of the body that the server sends */
+edge::call_end
+EndOfResetUpload(const early_server::answer_maker& aMakeAnswer,
+                 std::size_t aBodyBytes)
+{
+  test_loop loop;
+  const auto clients = std::make_shared<edge::client_pool>(loop.mLoop);
+  early_server server(loop, after_answer::Wait, aMakeAnswer);
+  std::size_t read = 0;
+  std::optional<edge::call_end> ended;
+  edge::call_events events;
+  events.mOnBody = [&](auto aPiece) {
+    read += aPiece.size();
+    if (read == aBodyBytes) {
+      server.Reset();
+    }
+  };
+  events.mOnEnd = [&](edge::call_end aEnd) { ended = aEnd; };
+  edge::request request;
+  request.mMethod = "POST";
+  request.mTarget = "/";
+  request.mHeaders.Add("X-Attempt-Id", "a1");
+  request.mBody.assign(kUploadBytes, 'u');
+  clients->Start(server.Entry("s1").mAddress, request, {}, std::move(events));
+  BOOST_TEST(loop.RunUntil([&] { return ended.has_value(); }));
+  BOOST_TEST(read == aBodyBytes);
+  return ended.value_or(edge::call_end::TimedOut);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(TestAnswersToUploads)
@@ -187,4 +218,39 @@
   });
 }
 
+// Guards against a whole answer that is thrown away because its server didn't
+// read the upload to its end.
+BOOST_AUTO_TEST_CASE(AWholeAnswerIsDeliveredThoughItsConnectionEnded)
+{
+  for (const auto after :
+       { after_answer::Reset, after_answer::CloseAndReadOn }) {
+    for (const std::string fields : { "", "Connection: close\r\n" }) {
+      CheckIsAnswer(413, after, [&](const auto& aId) {
+        return HeadOf("HTTP/1.1", "413", aId, LengthOf(kBody) + fields) + kBody;
+      });
+    }
+    CheckIsAnswer(413, after, [](const auto& aId) {
+      return HeadOf("HTTP/1.1", "413", aId, "Transfer-Encoding: chunked\r\n") +
+             ChunkBytes(kBody) + "0\r\n\r\n";
+    });
+  }
+}
+
+// As above, and against the opposite, where the reset comes once all that the
+// server sent has been read.
+BOOST_AUTO_TEST_CASE(ALaterResetEndsWhatHasArrivedAsItIs)
+{
+  BOOST_TEST((EndOfResetUpload(
+                [](const auto& aId) {
+                  return HeadOf("HTTP/1.1", "413", aId, LengthOf(kBody)) +
+                         kBody;
+                },
+                kBody.size()) == edge::call_end::Complete));
+  BOOST_TEST((EndOfResetUpload(
+                [](const auto& aId) {
+                  return HeadOf("HTTP/1.1", "200", aId, "") + kHalf;
+                },
+                kHalf.size()) == edge::call_end::Broken));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
