Leases: the guarded post reads answers as all others do

What the operator would see: the platform's interface in trouble answered an order with a status like 000, and the order was settled as refused though it may have been carried out; a usage report counted as accepted by a head with a folded or faulty line, or by a body with two lengths.

Cause: the guarded post, which keeps its socket to itself, had a reader of its own: the first number behind a blank was the status, the first Content-Length the length, whatever stood beside them.

The stand-in reads the request now before it answers, as its answers may end.

Fix: it uses response_reader. A broken answer leaves the outcome unknown, and the order or report is sent again with its id, as after no answer. An answer in chunks, or with 204, is read now too; bytes behind an answer make it a broken one, as elsewhere.

--- a/Duties/Leases/GuardedPost.cpp
+++ b/Duties/Leases/GuardedPost.cpp
@@ -1,13 +1,15 @@
 #include "Duties/Leases/GuardedPost.h"
 
-#include <algorithm>
-#include <cstdlib>
+#include "Libraries/Core/Result.h"
+#include "Libraries/Edge/ResponseReader.h"
+
+#include <utility>
 
 namespace lavender::leases {
 namespace {
 
+/** In bytes. */
 constexpr std::size_t kMaximumResponse = 64 * 1024;
-constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
 std::string
 WriteRequest(const platform::client& aClient,
@@ -22,49 +24,32 @@
          "Connection: close\r\n\r\n" + aBody;
 }
 
-/** Value of Content-Length; none when the header is missing. */
-std::optional<std::size_t>
-ContentLength(std::string aHead)
-{
-  std::transform(aHead.begin(), aHead.end(), aHead.begin(), [](char aLetter) {
-    return static_cast<char>(std::tolower(aLetter));
-  });
-  constexpr std::string_view kName = "\r\ncontent-length:";
-  const auto found = aHead.find(kName);
-  if (found == std::string::npos) {
-    return std::nullopt;
-  }
-  return std::strtoull(aHead.c_str() + found + kName.size(), nullptr, 10);
-}
-
-/** Reads the response; none when it is truncated, too large or malformed. */
-std::optional<http::response>
+/** Reads the response. The end of the connection ends none: it may have broken.
+ */
+result<http::response>
 ReadResponse(guarded_connection& aConnection)
 {
+  edge::response_reader reader;
+  http::response received;
   std::string bytes;
-  std::size_t headEnd = std::string::npos;
-  while (headEnd == std::string::npos) {
-    if (bytes.size() > kMaximumResponse || !aConnection.Receive(bytes)) {
-      return std::nullopt;
-    }
-    headEnd = bytes.find(kHeadEnd);
-  }
-  const auto head = bytes.substr(0, headEnd);
-  const auto length = ContentLength(head);
-  if (!length || *length > kMaximumResponse || head.rfind("HTTP/1.", 0) != 0) {
-    return std::nullopt;
-  }
-  const auto bodyStart = headEnd + kHeadEnd.size();
-  while (bytes.size() < bodyStart + *length) {
+  while (!reader.IsWhole()) {
     if (!aConnection.Receive(bytes)) {
-      return std::nullopt;
+      return Fail<http::response>("no complete response");
+    }
+    bytes.erase(0, reader.Read(boost::asio::buffer(bytes)));
+    received.mBody += reader.TakeBody();
+    if (!reader.Fault().empty()) {
+      return Fail<http::response>("no response: " + reader.Fault());
+    }
+    if (bytes.size() + received.mBody.size() > kMaximumResponse) {
+      return Fail<http::response>("a response of more than 64 KB");
     }
   }
-  http::response received;
-  const auto space = head.find(' ');
-  received.mStatus = std::atoi(head.c_str() + space + 1);
-  received.mBody = bytes.substr(bodyStart, *length);
-  return received;
+  if (!bytes.empty()) {
+    return Fail<http::response>("bytes after the response");
+  }
+  received.mStatus = static_cast<int>(reader.Head().mStatus);
+  return Succeed(std::move(received));
 }
 
 } // namespace
@@ -89,8 +74,7 @@
   }
   auto received = ReadResponse(**connection);
   if (!received) {
-    outcome.mLastReason =
-      "no complete response with a Content-Length up to 64 KB";
+    outcome.mLastReason = received.mLastReason;
     return outcome;
   }
   outcome.mState = http::call_state::Answered;
--- a/Duties/Leases/GuardedPost.h
+++ b/Duties/Leases/GuardedPost.h
@@ -12,9 +12,10 @@
  *
  * This doesn't use the HTTP library's client, because it doesn't expose the
  * socket that guarded_connection has to abort. It writes a minimal HTTP/1.1
- * POST on a connection of its own and accepts no redirect, no chunked response
- * and no response over 64 KB. As with http::Call, the state of the result says
- * whether the document may have arrived. */
+ * POST on a connection of its own and follows no redirect. A response over
+ * 64 KB, or one that only the end of its connection ends, counts as none. As
+ * with http::Call, the state of the result says whether the document may have
+ * arrived. */
 http::call_result
 PostUnderLease(const platform::client& aClient,
                const std::string& aPath,
--- a/Duties/Leases/TestGuardedPost.cpp
+++ b/Duties/Leases/TestGuardedPost.cpp
@@ -17,13 +17,15 @@
 /** Bytes that wait in the buffers of both ends. */
 constexpr std::size_t kKernelBytes = 12 << 20;
 
-/** Answers one request with bytes that don't end until the caller closes. */
-class endless_platform
+/** Answers one request with bytes of the test's own. */
+class byte_platform
 {
 public:
-  endless_platform(std::string aFirst,
-                   std::string aRepeated,
-                   milliseconds aPause)
+  /** @param aRepeated sent again and again until the caller closes; empty to
+   * close after aFirst */
+  explicit byte_platform(std::string aFirst,
+                         std::string aRepeated = {},
+                         milliseconds aPause = 0ms)
     : mFirst(std::move(aFirst))
     , mRepeated(std::move(aRepeated))
     , mPause(aPause)
@@ -39,13 +41,13 @@
     mEndpoint.mPort = ntohs(address.sin_port);
     mThread = std::thread([this] { Serve(); });
   }
-  ~endless_platform()
+  ~byte_platform()
   {
     mThread.join();
     close(mSocket);
   }
-  endless_platform(const endless_platform&) = delete;
-  endless_platform& operator=(const endless_platform&) = delete;
+  byte_platform(const byte_platform&) = delete;
+  byte_platform& operator=(const byte_platform&) = delete;
 
   http::endpoint mEndpoint{ "127.0.0.1", 0 };
   std::atomic<std::size_t> mTaken{ 0 };
@@ -54,6 +56,8 @@
   void Serve()
   {
     const int peer = accept(mSocket, nullptr, nullptr);
+    char request[4096];
+    recv(peer, request, sizeof request, 0);
     send(peer, mFirst.data(), mFirst.size(), MSG_NOSIGNAL);
     for (ssize_t sent = 1; sent > 0 && mTaken < 2 * kKernelBytes;) {
       sent = send(peer, mRepeated.data(), mRepeated.size(), MSG_NOSIGNAL);
@@ -71,7 +75,7 @@
 };
 
 http::call_result
-PostTo(const endless_platform& aPlatform)
+PostTo(const byte_platform& aPlatform)
 {
   platform::client client;
   client.mEndpoint = aPlatform.mEndpoint;
@@ -109,7 +113,7 @@
   for (const auto& [name, answer] : answers) {
     BOOST_TEST_CONTEXT(name)
     {
-      endless_platform platform(answer.mFirst, answer.mRepeated, answer.mPause);
+      byte_platform platform(answer.mFirst, answer.mRepeated, answer.mPause);
       const auto outcome = PostTo(platform);
       BOOST_TEST((outcome.mState == http::call_state::Unknown));
       BOOST_TEST(!outcome.mLastReason.empty());
@@ -118,4 +122,49 @@
   }
 }
 
+// Guards against an order, or a report, that counts as answered by bytes which
+// are no answer.
+BOOST_AUTO_TEST_CASE(ABrokenAnswerLeavesTheOutcomeUnknown)
+{
+  const std::string line = "HTTP/1.1 200 OK\r\n";
+  const std::string length = "Content-Length: 2\r\n";
+  const std::string body = "\r\n{}";
+  for (const std::string status :
+       { "000", "099", "100", "600", "700", "999", "20", "2000", "+20", "x" }) {
+    const byte_platform platform("HTTP/1.1 " + status + " OK\r\n" + length +
+                                 body);
+    BOOST_TEST((PostTo(platform).mState == http::call_state::Unknown), status);
+  }
+  for (const auto& head : { length + " folded\r\n",
+                            "X Note: 1\r\n" + length,
+                            "X\x01Note: 1\r\n" + length,
+                            length + "Content-Length: 1\r\n",
+                            length + "Transfer-Encoding: chunked\r\n",
+                            std::string("Content-Length : 2\r\n"),
+                            std::string("Content-Length: +2\r\n"),
+                            std::string("Content-Length: 2x\r\n"),
+                            std::string("Content-Length: x\r\n"),
+                            std::string("Content-Length: 3\r\n"),
+                            std::string("Content-Length: 1\r\n"),
+                            std::string() }) {
+    const byte_platform platform(line + head + body);
+    BOOST_TEST((PostTo(platform).mState == http::call_state::Unknown), head);
+  }
+}
+
+// Guards against a sound answer that is taken for a broken one.
+BOOST_AUTO_TEST_CASE(ASoundAnswerIsRead)
+{
+  for (const std::string head :
+       { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n",
+         "HTTP/1.1 409 Conflict\r\nX-Empty:\r\ncontent-length: 2\r\n",
+         "HTTP/1.0 503 x\r\nContent-Length: 2\r\nContent-Length: 2\r\n" }) {
+    const byte_platform platform(head + "\r\n{}");
+    const auto outcome = PostTo(platform);
+    BOOST_TEST((outcome.mState == http::call_state::Answered), head);
+    BOOST_TEST(outcome.mResponse.mStatus == std::stoi(head.substr(9)));
+    BOOST_TEST(outcome.mResponse.mBody == "{}");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
