Tests: broken answers that were handled already

A status that is no number of three digits, names of fields with a blank or a control byte (Content-Length and Transfer-Encoding among them), two lengths or two framings: each was 502, or another server's answer, before this work and is now.

--- a/Libraries/Edge/TestResponseReader.cpp
+++ b/Libraries/Edge/TestResponseReader.cpp
@@ -44,6 +44,15 @@
   }
 }
 
+// Guards against an answer whose status isn't a number of three digits.
+BOOST_AUTO_TEST_CASE(AStatusThatIsNoNumberOfThreeDigitsIsAFault)
+{
+  for (const auto* status :
+       { "", "2", "20", "2000", "+20", "-20", "2x0", "0x1", " 200" }) {
+    BOOST_TEST(IsFaulty(WithStatus(status)), status);
+  }
+}
+
 // Guards against a sound answer that is refused for its status.
 BOOST_AUTO_TEST_CASE(EveryFinalStatusOfHttpIsRead)
 {
@@ -115,6 +124,49 @@
   }
 }
 
+// Guards against an answer in whose head the name of a field isn't a token.
+BOOST_AUTO_TEST_CASE(ANameOfAFieldThatHttpDoesntAllowIsAFault)
+{
+  const std::string last = ": 1\r\nContent-Length: 1\r\n\r\nx";
+  for (const auto& name : { std::string("X Name"),
+                            std::string("X-Name "),
+                            std::string("X-Name\t"),
+                            std::string("X\tName"),
+                            std::string(" X-Name"),
+                            std::string("X\x01Name"),
+                            std::string("X\0Name", 6),
+                            std::string("X\x7fName"),
+                            std::string("X\rName"),
+                            std::string("X\nName"),
+                            std::string("X\x80Name"),
+                            std::string("X(Name"),
+                            std::string() }) {
+    BOOST_TEST_INFO(name);
+    BOOST_TEST(IsFaulty("HTTP/1.1 200 x\r\n" + name + last));
+  }
+}
+
+// Guards against a body that isn't the server's because it isn't known where it
+// ends.
+BOOST_AUTO_TEST_CASE(ALengthThatIsntCertainIsAFault)
+{
+  for (const auto* fields :
+       { "Content-Length : 1\r\n",
+         "Content Length: 1\r\nContent-Length : 1\r\n",
+         "Transfer-Encoding : chunked\r\n",
+         "Content-Length: 1\r\nContent-Length: 2\r\n",
+         "Content-Length: 1, 2\r\n",
+         "Content-Length: +1\r\n",
+         "Content-Length: -1\r\n",
+         "Content-Length: 0x1\r\n",
+         "Content-Length:\r\n",
+         "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n",
+         "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n" }) {
+    BOOST_TEST(IsFaulty("HTTP/1.1 200 x\r\n" + std::string(fields) + "\r\nx"),
+               fields);
+  }
+}
+
 // Guards against a sound answer that is refused for its framing.
 BOOST_AUTO_TEST_CASE(EachSoundWayToEndABodyIsRead)
 {
--- a/Tests/Site/TestBrokenAnswers.cpp
+++ b/Tests/Site/TestBrokenAnswers.cpp
@@ -167,6 +167,18 @@
   }
 }
 
+// Guards against a caller that gets a status line which is no number of three
+// digits.
+BOOST_AUTO_TEST_CASE(AStatusThatIsNoNumberOfThreeDigitsIsNoAnswer)
+{
+  for (const std::string status : { "20", "2000", "+20", "2x0", "" }) {
+    BOOST_TEST_CONTEXT(status)
+    {
+      CheckIsNoAnswer([&](const auto& aId) { return WithStatus(status, aId); });
+    }
+  }
+}
+
 // Guards against a caller that gets a field of the trailer as one of the head,
 // whenever both arrive in one read.
 BOOST_AUTO_TEST_CASE(AFieldOfTheTrailerIsntPassedOn)
@@ -203,4 +215,42 @@
   CheckNoReaderTakes([](const auto& aId) { return WithLine(" folded", aId); });
 }
 
+// Guards against a caller that gets a field whose name HTTP doesn't allow, or a
+// body that ends where such a field says.
+BOOST_AUTO_TEST_CASE(ANameOfAFieldThatHttpDoesntAllowIsNoAnswer)
+{
+  for (const auto& line : { std::string("X Note: 1"),
+                            std::string("X-Note : 1"),
+                            std::string("X-Note\t: 1"),
+                            std::string("X\x01Note: 1"),
+                            std::string("X\0Note: 1", 9),
+                            std::string("X\x7fNote: 1"),
+                            std::string("X\rNote: 1"),
+                            std::string("X\nNote: 1"),
+                            std::string("X\x80Note: 1"),
+                            std::string(": 1"),
+                            std::string("Content-Length : 1"),
+                            std::string("Transfer-Encoding : chunked"),
+                            std::string("Content Length: 1") }) {
+    BOOST_TEST_CONTEXT(line)
+    {
+      CheckIsNoAnswer([&](const auto& aId) { return WithLine(line, aId); });
+    }
+  }
+}
+
+// Guards against a caller that gets a body of which two lengths are known.
+BOOST_AUTO_TEST_CASE(TwoWaysToEndABodyAreNoAnswer)
+{
+  for (const std::string line : { "Transfer-Encoding: chunked",
+                                  "Content-Length: 1",
+                                  "Content-Length: +2",
+                                  "Content-Length: 0x2" }) {
+    BOOST_TEST_CONTEXT(line)
+    {
+      CheckIsNoAnswer([&](const auto& aId) { return WithLine(line, aId); });
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
