Tests: a folded line of a request stays part of its field

Looked at because responses were changed by such lines. A request's folded lines are joined with single blanks before anything reads them, which HTTP allows (RFC 9112, section 5.2), and what reaches a server is one field on one line.

--- a/Tests/Site/TestForwarding.cpp
+++ b/Tests/Site/TestForwarding.cpp
@@ -1,3 +1,4 @@
+#include "Tests/Site/Support/ByteCaller.h"
 #include "Tests/Site/Support/ForwardingSite.h"
 
 #include <boost/asio/read.hpp>
@@ -115,6 +116,32 @@
   }
 }
 
+// Guards against a folded line of a request that reaches a server as a field of
+// its own, or in more than one line.
+BOOST_AUTO_TEST_CASE(AFoldedLineOfARequestStaysPartOfItsField)
+{
+  forwarding_site site(site::retry_policy::AtMostOnce);
+  plain_server server(site.mLoop);
+  edge::header_list fields;
+  server.mServe = [&](const auto& aExchange) {
+    fields = aExchange->mRequest.mHeaders;
+    aExchange->Answer(plain_server::Answer(aExchange, 200));
+  };
+  site.Add("s1", server);
+  const auto caller = byte_caller::Start(
+    site.mLoop,
+    site.mListener.Port(),
+    "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a1\r\n"
+    "X-Deadline-Ms: 3000\r\nX-Note: a\r\n X-Tenant: other\r\n"
+    "\tb\r\nContent-Length: 0\r\n\r\n",
+    "");
+  BOOST_TEST(site.mLoop.RunUntil([&] {
+    return caller->mReceived.find("whole answer") != std::string::npos;
+  }));
+  BOOST_TEST(fields.ValueOr("X-Note", "") == "a X-Tenant: other b");
+  BOOST_TEST(fields.ValueOr("X-Tenant", "") == "customer");
+}
+
 // Guards against memory that grows with a response that says that nothing ran
 // and whose body has no end.
 BOOST_AUTO_TEST_CASE(ABodyWithoutEndOfARefusalIsNeitherKeptNorAwaited)
