--- a/Libraries/Edge/ResponseReader.h
+++ b/Libraries/Edge/ResponseReader.h
@@ -21,6 +21,7 @@
   response_reader& operator=(const response_reader&) = delete;
 
   /** Reads as much as is complete in itself: a field, a part of the body.
+   * Nothing is used behind a fault or a whole response.
    * @return the number of bytes that were used; the others are passed again
    * with those that follow them */
   std::size_t Read(boost::asio::const_buffer aBytes);
@@ -43,7 +44,8 @@
   }
 
 private:
-  /** Takes the lines of the head that the parser has used. */
+  /** Checks lines of the head that the parser has used, and takes the head once
+   * it is complete. */
   void CheckLines(std::string_view aLines);
   void TakeHead();
 
