--- a/Duties/Leases/GuardedPost.cpp
+++ b/Duties/Leases/GuardedPost.cpp
@@ -24,8 +24,8 @@
          "Connection: close\r\n\r\n" + aBody;
 }
 
-/** Reads the response. The end of the connection ends none: it may have broken.
- */
+/** Reads the response. The end of the connection doesn't complete one: the
+ * connection may have broken. */
 result<http::response>
 ReadResponse(guarded_connection& aConnection)
 {
--- a/Tests/Site/TestAnswersToUploads.cpp
+++ b/Tests/Site/TestAnswersToUploads.cpp
@@ -50,11 +50,11 @@
     mRouter.SyncServers(boot_clock::now());
   }
 
-  call_result Upload()
+  call_result Upload(std::size_t aBytes = kUploadBytes)
   {
     auto request = Request();
     request.mHeaders.Set("X-Deadline-Ms", "10000");
-    request.mBody.assign(kUploadBytes, 'u');
+    request.mBody.assign(aBytes, 'u');
     return Call(mLoop, *mClients, mListener.Port(), request);
   }
 
@@ -150,6 +150,20 @@
   }
 }
 
+// Guards against a part of an answer without a length that passes for the whole
+// where the reset comes after the request was written.
+BOOST_AUTO_TEST_CASE(ABodyThatIsResetAfterASmallRequestIsNoAnswer)
+{
+  for (const std::size_t bytes : { 0, 100 }) {
+    upload_site site(
+      site::retry_policy::AtMostOnce, after_answer::Reset, [](const auto& aId) {
+        return HeadOf("HTTP/1.1", "200", aId, "") + kHalf;
+      });
+    BOOST_TEST(site.Upload(bytes).mAnswer.mStatus == 502u);
+    BOOST_TEST(site.Requests() == 1);
+  }
+}
+
 // Guards against the same where nothing of the body has arrived: a caller would
 // get an empty answer.
 BOOST_AUTO_TEST_CASE(AHeadWithoutALengthBeforeAResetIsNoAnswer)
@@ -236,8 +250,8 @@
   }
 }
 
-// As above, and against the opposite, where the reset comes once all that the
-// server sent has been read.
+// Guards against the same, and against a part that passes for the whole, where
+// the reset comes once all that the server sent has been read.
 BOOST_AUTO_TEST_CASE(ALaterResetEndsWhatHasArrivedAsItIs)
 {
   BOOST_TEST((EndOfResetUpload(
--- a/Tests/Site/TestBrokenAnswers.cpp
+++ b/Tests/Site/TestBrokenAnswers.cpp
@@ -3,11 +3,9 @@
 #include "Tests/Site/Support/ForwardingSite.h"
 
 #include <boost/test/unit_test.hpp>
-#include <map>
 
 using namespace lavender;
 using namespace lavender::tests;
-using namespace std::chrono_literals;
 
 namespace {
 
