Stand-in: the store takes escapes apart and ends pages

The store's stand-in took names and queries as they stood and never ended a page, so a client that encoded nothing agreed with it. It now drops a fragment, decodes the segments of a path, takes dot segments out of it, decodes a query, where a plus is a space, and ends a page at the names that a test sets.

No behaviour of the product changes.

--- a/Duties/Orders/OrderChannel.cpp
+++ b/Duties/Orders/OrderChannel.cpp
@@ -1,6 +1,7 @@
 #include "Duties/Orders/OrderChannel.h"
 
 #include "Libraries/Core/Log.h"
+#include "Libraries/Core/UrlEncoding.h"
 
 namespace lavender::orders {
 namespace {
@@ -137,7 +138,7 @@
   auto body = ToJson(mRecord);
   body.Set("holder", mPlatform.mCaller);
   const auto response = leases::PostUnderLease(
-    mPlatform, "/v1/zones/" + http::EncodeUrl(mZone) + "/orders", body, aLease);
+    mPlatform, "/v1/zones/" + EncodeUrl(mZone) + "/orders", body, aLease);
   const int status = response.mResponse.mStatus;
   if (response.mState != http::call_state::Answered || status >= 500) {
     // The platform may have executed the order; it is resent with the same id.
--- a/Libraries/Http/Message.h
+++ b/Libraries/Http/Message.h
@@ -42,12 +42,4 @@
         const std::string& aName,
         std::string aFallback);
 
-/** Decodes %XX and '+'. */
-std::string
-DecodeUrl(const std::string& aText);
-
-/** Percent-encodes all but unreserved characters. */
-std::string
-EncodeUrl(const std::string& aText);
-
 } // namespace lavender::http
--- a/Libraries/Http/Router.cpp
+++ b/Libraries/Http/Router.cpp
@@ -1,5 +1,7 @@
 #include "Libraries/Http/Router.h"
 
+#include "Libraries/Core/UrlEncoding.h"
+
 #include <optional>
 
 namespace lavender::http {
@@ -42,7 +44,7 @@
       if (path[i].empty()) {
         return std::nullopt;
       }
-      captured.push_back(DecodeUrl(path[i]));
+      captured.push_back(DecodeUrlQuery(path[i]));
     } else if (pattern[i] != path[i]) {
       return std::nullopt;
     }
--- a/Libraries/Http/TestRouter.cpp
+++ b/Libraries/Http/TestRouter.cpp
@@ -46,13 +46,6 @@
   BOOST_TEST(Route("PUT", "/v1/things/a").mStatus == 405);
 }
 
-BOOST_AUTO_TEST_CASE(EncodingAndDecodingAreInverse)
-{
-  BOOST_TEST(rc::check("any text survives a URL", [](std::string aText) {
-    RC_ASSERT(http::DecodeUrl(http::EncodeUrl(aText)) == aText);
-  }));
-}
-
 BOOST_AUTO_TEST_CASE(AnyPathGetsAResponse)
 {
   BOOST_TEST(rc::check("routing never fails", [](std::string aPath) {
--- a/Libraries/Platform/PlatformClient.cpp
+++ b/Libraries/Platform/PlatformClient.cpp
@@ -1,5 +1,7 @@
 #include "Libraries/Platform/PlatformClient.h"
 
+#include "Libraries/Core/UrlEncoding.h"
+
 namespace lavender::platform {
 namespace {
 
@@ -50,7 +52,7 @@
 std::string
 ObjectPath(const std::string& aKind, const std::string& aName)
 {
-  return "/v1/objects/" + http::EncodeUrl(aKind) + "/" + http::EncodeUrl(aName);
+  return "/v1/objects/" + EncodeUrl(aKind) + "/" + EncodeUrl(aName);
 }
 
 stored_object
@@ -148,8 +150,7 @@
 result<object_list>
 List(const client& aClient, const std::string& aKind)
 {
-  const std::string query =
-    aKind.empty() ? "" : "kind=" + http::EncodeUrl(aKind);
+  const std::string query = aKind.empty() ? "" : "kind=" + EncodeUrl(aKind);
   const auto body = BodyOf(Send(aClient,
                                 "list",
                                 { "GET", "/v1/objects", query, {}, "" },
--- a/StandIns/ObjectStore/MemoryStore.cpp
+++ b/StandIns/ObjectStore/MemoryStore.cpp
@@ -184,14 +184,18 @@
                                       objects::freshness aFreshness,
                                       auto aDone) {
     ++aState.mCalls;
+    ++aState.mListCalls;
     aState.mStaleReads += aFreshness == objects::freshness::MayBeStale;
     objects::list_reply reply;
     reply.mOutcome = ReadFault(aState).value_or(store_outcome::Done);
     reply.mStoreRevision = aState.mRevision;
-    for (const auto& [name, object] : aState.mKinds[aKind]) {
-      if (name > aAfter) {
-        reply.mObjects.push_back(object);
-      }
+    const auto& objects = aState.mKinds[aKind];
+    for (auto at = objects.upper_bound(aAfter);
+         at != objects.end() && !reply.mHasMore;
+         ++at) {
+      reply.mObjects.push_back(at->second);
+      reply.mHasMore =
+        aState.mPageEnds.count(at->first) > 0 && std::next(at) != objects.end();
     }
     RunAfter(aScheduler, aState.mLatency, [aDone, reply] { aDone(reply); });
   };
--- a/StandIns/ObjectStore/MemoryStore.h
+++ b/StandIns/ObjectStore/MemoryStore.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 /** Simulates the platform's object store in memory on the test's event loop,
@@ -39,6 +40,8 @@
   /** Specs that no JSON value holds, by the string that stands for them as an
    * object's spec. The store's listener sends them as they are. */
   std::map<std::string, std::string> mRawSpecs;
+  /** Names at which a page of a listing ends if an object follows. */
+  std::set<std::string> mPageEnds;
   store_fault mFault = store_fault::None;
   /** Delay of a response. */
   milliseconds mLatency{ 1 };
@@ -50,6 +53,8 @@
   /** Watches get no events and don't end. */
   bool mAreWatchesDeaf = false;
   int mCalls = 0;
+  /** Listings' pages among mCalls. */
+  int mListCalls = 0;
   /** Reads among mCalls that may be stale; the platform charges a tenth for
    * them. */
   int mStaleReads = 0;
--- a/StandIns/ObjectStore/StoreListener.cpp
+++ b/StandIns/ObjectStore/StoreListener.cpp
@@ -1,5 +1,6 @@
 #include "StandIns/ObjectStore/StoreListener.h"
 
+#include "Libraries/Core/UrlEncoding.h"
 #include "Libraries/Edge/LoopScheduler.h"
 
 #include <map>
@@ -19,28 +20,57 @@
   std::map<std::string, std::string> mQuery;
 };
 
+/** The parts of a text between separators; one empty part for no text. */
+std::vector<std::string_view>
+Split(std::string_view aText, char aSeparator)
+{
+  std::vector<std::string_view> parts;
+  for (;;) {
+    const auto end = aText.find(aSeparator);
+    parts.push_back(aText.substr(0, end));
+    if (end == std::string_view::npos) {
+      return parts;
+    }
+    aText.remove_prefix(end + 1);
+  }
+}
+
+/** The decoded segments of a path, without dot segments (RFC 3986,
+ * section 5.2.4). */
+std::vector<std::string>
+SegmentsOf(std::string_view aPath)
+{
+  std::vector<std::string> segments;
+  for (const auto part : Split(aPath, '/')) {
+    auto segment = DecodeUrlPath(part);
+    if (segment == ".." && !segments.empty()) {
+      segments.pop_back();
+    } else if (segment != "." && segment != ".." && !segment.empty()) {
+      segments.push_back(std::move(segment));
+    }
+  }
+  return segments;
+}
+
 store_call
-ParseCall(const std::string& aTarget)
+ParseCall(std::string_view aTarget)
 {
+  // A fragment isn't a part of what is asked for.
+  const auto target = aTarget.substr(0, aTarget.find('#'));
+  const auto queryStart = target.find('?');
+  const auto segments = SegmentsOf(target.substr(0, queryStart));
   store_call call;
-  const auto queryStart = aTarget.find('?');
-  std::vector<std::string> parts;
-  const auto path = aTarget.substr(0, queryStart);
-  for (std::size_t start = 0; start < path.size();) {
-    const auto end = path.find('/', start + 1);
-    parts.push_back(path.substr(start + 1, end - start - 1));
-    start = end;
-  }
-  call.mKind = parts.size() > 1 ? parts[1] : "";
-  call.mName = parts.size() > 2 ? parts[2] : "";
-  call.mIsStatus = parts.size() > 3 && parts[3] == "status";
-  for (auto start = queryStart; start != std::string::npos;) {
-    const auto end = aTarget.find('&', start + 1);
-    const auto part = aTarget.substr(start + 1, end - start - 1);
-    const auto equals = part.find('=');
-    call.mQuery[part.substr(0, equals)] =
-      equals == std::string::npos ? "" : part.substr(equals + 1);
-    start = end;
+  call.mKind = segments.size() > 1 ? segments[1] : "";
+  call.mName = segments.size() > 2 ? segments[2] : "";
+  call.mIsStatus = segments.size() > 3 && segments[3] == "status";
+  if (queryStart != std::string_view::npos) {
+    for (const auto part : Split(target.substr(queryStart + 1), '&')) {
+      const auto equals = part.find('=');
+      call.mQuery[DecodeUrlQuery(part.substr(0, equals))] =
+        equals == std::string_view::npos
+          ? ""
+          : DecodeUrlQuery(part.substr(equals + 1));
+    }
   }
   return call;
 }
