Object store: one way to list a kind

Mirror and ListAll each followed the pages of a listing in their own way. ListAll now takes what the mirror needs, the revision of the first page and a question before each further page, and the mirror uses it. An object map is one type.

No behaviour changes.

--- a/Duties/Feed/FeedState.h
+++ b/Duties/Feed/FeedState.h
@@ -13,7 +13,7 @@
 namespace lavender::feed {
 
 using feed_sequence = std::int64_t;
-using object_map = std::map<std::string, objects::stored_object>;
+using objects::object_map;
 
 /** A change, encoded once for all requesters. */
 struct feed_change
--- a/Duties/Registration/Announcer.cpp
+++ b/Duties/Registration/Announcer.cpp
@@ -190,20 +190,14 @@
 {
   objects::ListAll(
     mDependencies.mStore,
-    mDependencies.mKind,
-    aFreshness,
-    [this, done = std::move(aDone)](
-      bool aIsComplete, std::vector<objects::stored_object> aObjects) {
-      announcements listed;
-      for (auto& object : aObjects) {
-        auto name = object.mName;
-        listed[std::move(name)] = std::move(object);
-      }
+    { mDependencies.mKind, aFreshness },
+    [this, done = std::move(aDone)](const objects::listing& aListing) {
+      const auto& listed = aListing.mObjects;
       const auto& self = mDependencies.mSelf.mName;
       if (const auto own = listed.find(self); own != listed.end()) {
         mDependencies.mOnOwnObject(own->second);
       }
-      done(aIsComplete, listed);
+      done(aListing.mIsComplete, listed);
     });
 }
 
--- a/Libraries/ObjectStore/ListAll.cpp
+++ b/Libraries/ObjectStore/ListAll.cpp
@@ -1,50 +1,71 @@
 #include "Libraries/ObjectStore/ListAll.h"
 
 #include <memory>
+#include <utility>
 
 namespace lavender::objects {
 
 namespace {
 
-struct listing
+/** A listing under way. */
+struct page_reader
 {
   const object_store& mStore;
-  std::string mKind;
-  freshness mFreshness;
+  listing_call mCall;
   listing_done mDone;
-  std::vector<stored_object> mObjects;
+  listing mListing;
+  bool mIsFirstPage = true;
 };
 
+using reader_ptr = std::shared_ptr<page_reader>;
+
+void
+ApplyPage(const reader_ptr& aReader, list_reply aReply);
+
+void
+ReadPage(const reader_ptr& aReader, const std::string& aAfter)
+{
+  const auto& [kind, freshness, mayGoOn] = aReader->mCall;
+  if (!aReader->mIsFirstPage && mayGoOn && !mayGoOn()) {
+    aReader->mDone(std::move(aReader->mListing));
+    return;
+  }
+  aReader->mStore.mList(kind, aAfter, freshness, [aReader](list_reply aReply) {
+    ApplyPage(aReader, std::move(aReply));
+  });
+}
+
 void
-ListPage(const std::shared_ptr<listing>& aListing, const std::string& aAfter)
+ApplyPage(const reader_ptr& aReader, list_reply aReply)
 {
-  aListing->mStore.mList(
-    aListing->mKind,
-    aAfter,
-    aListing->mFreshness,
-    [aListing](const list_reply& aReply) {
-      auto& objects = aListing->mObjects;
-      objects.insert(
-        objects.end(), aReply.mObjects.begin(), aReply.mObjects.end());
-      if (aReply.mHasMore && !aReply.mObjects.empty()) {
-        ListPage(aListing, objects.back().mName);
-        return;
-      }
-      aListing->mDone(aReply.mOutcome == store_outcome::Done,
-                      std::move(objects));
-    });
+  auto& listing = aReader->mListing;
+  if (aReply.mOutcome != store_outcome::Done) {
+    aReader->mDone(std::move(listing));
+    return;
+  }
+  if (std::exchange(aReader->mIsFirstPage, false)) {
+    listing.mStoreRevision = aReply.mStoreRevision;
+  }
+  std::string last;
+  for (auto& object : aReply.mObjects) {
+    last = object.mName;
+    listing.mObjects[last] = std::move(object);
+  }
+  if (aReply.mHasMore && !last.empty()) {
+    ReadPage(aReader, last);
+    return;
+  }
+  listing.mIsComplete = true;
+  aReader->mDone(std::move(listing));
 }
 
 } // namespace
 
 void
-ListAll(const object_store& aStore,
-        const std::string& aKind,
-        freshness aFreshness,
-        listing_done aDone)
+ListAll(const object_store& aStore, listing_call aCall, listing_done aDone)
 {
-  ListPage(std::make_shared<listing>(
-             listing{ aStore, aKind, aFreshness, std::move(aDone), {} }),
+  ReadPage(std::make_shared<page_reader>(
+             page_reader{ aStore, std::move(aCall), std::move(aDone), {} }),
            {});
 }
 
--- a/Libraries/ObjectStore/Mirror.cpp
+++ b/Libraries/ObjectStore/Mirror.cpp
@@ -20,7 +20,7 @@
     return;
   }
   mIsStarted = true;
-  List({}, {});
+  List();
 }
 
 void
@@ -36,7 +36,7 @@
   if (mIsStarted && !mIsStopped) {
     mTimer.reset();
     RecordLoss();
-    List({}, {});
+    List();
   }
 }
 
@@ -59,47 +59,37 @@
 }
 
 void
-mirror::List(const std::string& aAfter, object_map aCollected)
+mirror::List()
 {
   if (!MayCall()) {
     Schedule(mOptions.mRetryDelay, &mirror::ListAgain);
     return;
   }
-  if (aCollected.empty()) {
-    mListStartedAt = mScheduler.mNow();
-  }
-  auto handle = [self = shared_from_this(),
-                 collected = std::move(aCollected),
-                 call = ++mCall](list_reply aReply) mutable {
-    if (!self->mIsStopped && self->mCall == call) {
-      self->ApplyList(std::move(aReply), std::move(collected));
-    }
+  mListStartedAt = mScheduler.mNow();
+  const auto isAwaited = [self = shared_from_this(), call = ++mCall] {
+    return !self->mIsStopped && self->mCall == call;
   };
-  mStore.mList(
-    mOptions.mKind, aAfter, freshness::Linearizable, std::move(handle));
+  ListAll(mStore,
+          { mOptions.mKind,
+            freshness::Linearizable,
+            [this, isAwaited] { return isAwaited() && MayCall(); } },
+          [this, isAwaited](listing aListing) {
+            if (isAwaited()) {
+              ApplyList(std::move(aListing));
+            }
+          });
 }
 
 void
-mirror::ApplyList(list_reply aReply, object_map aCollected)
+mirror::ApplyList(listing aListing)
 {
-  if (aReply.mOutcome != store_outcome::Done) {
+  if (!aListing.mIsComplete) {
     Schedule(mOptions.mRetryDelay, &mirror::ListAgain);
     return;
   }
-  if (aCollected.empty()) {
-    mListedRevision = aReply.mStoreRevision;
-  }
-  std::string last;
-  for (auto& object : aReply.mObjects) {
-    last = object.mName;
-    aCollected[object.mName] = std::move(object);
-  }
-  if (aReply.mHasMore && !last.empty()) {
-    List(last, std::move(aCollected));
-    return;
-  }
-  mObjects = std::move(aCollected);
-  mRevision = mListedRevision;
+  mObjects = std::move(aListing.mObjects);
+  // The watch also returns the changes made during the listing.
+  mRevision = aListing.mStoreRevision;
   mLastListedAt = mScheduler.mNow();
   mHasListed = true;
   mLostSince.reset();
@@ -180,7 +170,7 @@
     Schedule(std::chrono::ceil<milliseconds>(earliest - now),
              &mirror::ListAgain);
   } else {
-    List({}, {});
+    List();
   }
 }
 
--- a/Libraries/ObjectStore/Mirror.h
+++ b/Libraries/ObjectStore/Mirror.h
@@ -1,9 +1,8 @@
 #pragma once
 
 #include "Libraries/Core/Scheduler.h"
-#include "Libraries/ObjectStore/ObjectStore.h"
+#include "Libraries/ObjectStore/ListAll.h"
 
-#include <map>
 #include <optional>
 
 namespace lavender::objects {
@@ -33,7 +32,7 @@
 struct mirror_events
 {
   /** Called with all objects after a listing. */
-  std::function<void(const std::map<std::string, stored_object>&)> mOnListed;
+  std::function<void(const object_map&)> mOnListed;
   std::function<void(const object_event&)> mOnEvent;
   /** Called after a successful response to a watch and after the calls for its
    * events. */
@@ -71,10 +70,8 @@
   revision_number Revision() const { return mRevision; }
 
 private:
-  using object_map = std::map<std::string, stored_object>;
-
-  void List(const std::string& aAfter, object_map aCollected);
-  void ApplyList(list_reply aReply, object_map aCollected);
+  void List();
+  void ApplyList(listing aListing);
   void Watch();
   void HandleWatchResponse(watch_reply aReply);
   void ApplyEvents(const std::vector<object_event>& aEvents);
@@ -94,9 +91,6 @@
   planned_action mTimer;
   object_map mObjects;
   revision_number mRevision = 0;
-  /** Store revision of the first page of a listing. The watch begins there, so
-   * that it also returns the changes made during the listing. */
-  revision_number mListedRevision = 0;
   time_point mWatchStartedAt;
   time_point mListStartedAt;
   time_point mVerifiedAt;
--- a/Libraries/ObjectStore/ObjectStore.h
+++ b/Libraries/ObjectStore/ObjectStore.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,9 @@
   json::value mStatus;
 };
 
+/** Objects by their name. */
+using object_map = std::map<std::string, stored_object>;
+
 enum class store_outcome
 {
   Done,
@@ -99,7 +103,8 @@
                      freshness,
                      object_done)>
     mGet;
-  /** Lists a page of the objects whose names sort after aAfter. */
+  /** Lists a page of the objects whose names sort after aAfter; from the first
+   * one if it is empty. */
   std::function<void(const std::string& aKind,
                      const std::string& aAfter,
                      freshness,
--- a/Services/Agent/SiteAgent.cpp
+++ b/Services/Agent/SiteAgent.cpp
@@ -4,7 +4,6 @@
 #include "Duties/Site/EntryKind.h"
 #include "Duties/Site/EntryOrder.h"
 #include "Libraries/EventLog/EventLog.h"
-#include "Libraries/ObjectStore/ListAll.h"
 #include "platform/Names.h"
 #include "platform/Orders.h"
 
@@ -33,27 +32,6 @@
   return declared;
 }
 
-/** Addresses of the entries in their order, so that all agents ask the same
- * one. */
-std::vector<edge::endpoint>
-AddressesInOrder(const std::vector<objects::stored_object>& aObjects)
-{
-  registration::announcements objects;
-  for (const auto& object : aObjects) {
-    objects[object.mName] = object;
-  }
-  const auto announced = registration::CollectEntries(objects);
-  std::vector<site::listed_entry> entries;
-  for (const auto& [name, entry] : announced) {
-    entries.push_back({ name, entry.mProcessorShare });
-  }
-  std::vector<edge::endpoint> ordered;
-  for (const auto& name : site::OrderEntries(std::move(entries))) {
-    ordered.push_back(announced.at(name).mAddress);
-  }
-  return ordered;
-}
-
 } // namespace
 
 std::vector<settings::setting>
@@ -92,6 +70,21 @@
   return read;
 }
 
+std::vector<edge::endpoint>
+AddressesInOrder(const objects::listing& aEntries)
+{
+  const auto announced = registration::CollectEntries(aEntries.mObjects);
+  std::vector<site::listed_entry> entries;
+  for (const auto& [name, entry] : announced) {
+    entries.push_back({ name, entry.mProcessorShare });
+  }
+  std::vector<edge::endpoint> ordered;
+  for (const auto& name : site::OrderEntries(std::move(entries))) {
+    ordered.push_back(announced.at(name).mAddress);
+  }
+  return ordered;
+}
+
 site_agent::site_agent(site_settings aSettings)
   : mSettings(std::move(aSettings))
   , mClients(std::make_shared<edge::client_pool>(mLoop))
@@ -158,10 +151,9 @@
 site_agent::ListEntries(std::function<void(std::vector<edge::endpoint>)> aDone)
 {
   objects::ListAll(mStore,
-                   site::kEntryKind,
-                   objects::freshness::MayBeStale,
-                   [done = std::move(aDone)](bool, const auto& aEntries) {
-                     done(AddressesInOrder(aEntries));
+                   { site::kEntryKind, objects::freshness::MayBeStale },
+                   [done = std::move(aDone)](const auto& aListing) {
+                     done(AddressesInOrder(aListing));
                    });
 }
 
--- a/Services/Agent/SiteAgent.h
+++ b/Services/Agent/SiteAgent.h
@@ -3,6 +3,7 @@
 #include "Duties/Retirement/RetirementDuty.h"
 #include "Duties/Versions/OrderDuty.h"
 #include "Libraries/Edge/Message.h"
+#include "Libraries/ObjectStore/ListAll.h"
 #include "Libraries/Settings/Settings.h"
 #include "platform/StoreClient.h"
 
@@ -28,6 +29,11 @@
 site_settings
 ReadSiteSettings(const settings::values& aValues, findings& aFindings);
 
+/** Addresses of the listed entries in their order, so that all agents ask the
+ * same one. */
+std::vector<edge::endpoint>
+AddressesInOrder(const objects::listing& aEntries);
+
 /** An agent on the users' platform. On the instance of a model server it sends
  * the server its load orders. On an instance with a disk it handles retirements
  * and writes nothing to the disk. */
