--- a/Tests/Site/TestFeed.cpp
+++ b/Tests/Site/TestFeed.cpp
@@ -2,6 +2,7 @@
 #include "Libraries/Edge/LoopScheduler.h"
 #include "StandIns/ObjectStore/MemoryStore.h"
 #include "Tests/Site/Support/Loop.h"
+#include "Tests/Site/Support/OddNames.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
@@ -170,6 +171,41 @@
   BOOST_TEST(site.mState.mCalls - before <= 3);
 }
 
+// Guards against an object that one entry knows and the others don't, because
+// its name changes on the way from one to the next.
+BOOST_AUTO_TEST_CASE(OddNamesReachEachEntry)
+{
+  feed_site site;
+  site.Put(1);
+  auto names = OddNames();
+  const auto late = names.back();
+  names.pop_back();
+  for (const auto& name : names) {
+    standin::PutDirectly(site.mState, "things", name, R"({"value":3})");
+  }
+  follower first(site.mLoop, site.mClients, site.mState, "a", site.mPeers);
+  follower second(site.mLoop, site.mClients, site.mState, "b", site.mPeers);
+  for (auto* entry : { &first, &second }) {
+    entry->mFeed.Start();
+  }
+  const auto knows = [&](const follower& aEntry, const std::string& aName) {
+    return aEntry.Value(aName) == 3;
+  };
+  BOOST_TEST(site.mLoop.RunUntil([&] {
+    return std::all_of(names.begin(), names.end(), [&](const auto& aName) {
+      return knows(first, aName) && knows(second, aName);
+    });
+  }));
+  BOOST_TEST(second.mFeed.SourceName() == "a");
+  standin::PutDirectly(site.mState, "things", late, R"({"value":3})");
+  BOOST_TEST(site.mLoop.RunUntil([&] { return knows(second, late); }));
+  for (const auto& name : names) {
+    standin::RemoveDirectly(site.mState, "things", name);
+  }
+  // The late one and the plain one are left.
+  BOOST_TEST(site.mLoop.RunUntil([&] { return second.mThings.size() == 2u; }));
+}
+
 /** With 360 entries each one has at most 16 followers and a depth of at most 3
  * in the tree. There are no cycles, because an entry follows only entries whose
  * names sort before its own. */
