Store: no call is sent for a name that no path holds

An object may be called . or .., or have no name. A path can't hold such a segment, encoded or not: it is taken out, and the call is for the kind, or for all kinds. A read of .. was answered with a page of a listing and passed for an object that was read; a removal addressed the kind.

--- a/Tests/Site/TestOddNames.cpp
+++ b/Tests/Site/TestOddNames.cpp
@@ -209,4 +209,32 @@
   mirror->Stop();
 }
 
+// Guards against a call that is made for a whole kind, or for another one,
+// because its path can't hold the name.
+BOOST_AUTO_TEST_CASE(NoCallIsSentForANameThatNoPathHolds)
+{
+  for (const std::string name : { "", ".", ".." }) {
+    BOOST_TEST_CONTEXT(name)
+    {
+      store_site site;
+      const auto refused = Text({ objects::store_outcome::Refused, {} });
+      BOOST_TEST(Text(site.Get(name, objects::freshness::Linearizable)) ==
+                 refused);
+      BOOST_TEST(Text(site.Get(name, objects::freshness::MayBeStale)) ==
+                 refused);
+      BOOST_TEST(Text(site.Replace(name, "{}")) == refused);
+      BOOST_TEST(Text(site.Run([&](auto aDone) {
+                   site.mClient.mReplaceStatus(
+                     kKind, name, 0, "{}", std::move(aDone));
+                 })) == refused);
+      BOOST_TEST(Text(site.Run([&](auto aDone) {
+                   site.mClient.mDelete(kKind, name, std::move(aDone));
+                 })) == refused);
+      BOOST_TEST(site.mState.mCalls == 0);
+      const platform::counted_call removal{ "delete", kKind, "refused" };
+      BOOST_TEST(site.mCounts.mCalls[removal] == 1u);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
