Listing: a page that leads back ends the listing

Each page has to end at a name that no earlier page had; else the listing ends incomplete. No order of names is assumed (AnyOrderOfNamesIsListed); the last name on the page that isn't empty is the one to go on from.

--- a/Libraries/ObjectStore/ListAll.cpp
+++ b/Libraries/ObjectStore/ListAll.cpp
@@ -1,6 +1,8 @@
 #include "Libraries/ObjectStore/ListAll.h"
 
+#include <algorithm>
 #include <memory>
+#include <set>
 #include <utility>
 
 namespace lavender::objects {
@@ -14,13 +16,29 @@
   listing_call mCall;
   listing_done mDone;
   listing mListing;
+  /** Last names of the pages that were read. */
+  std::set<std::string> mLastNames;
   bool mIsFirstPage = true;
 };
 
 using reader_ptr = std::shared_ptr<page_reader>;
 
+/** Name of the last object on the page that has one; empty if none has. */
+std::string
+LastName(const list_reply& aReply)
+{
+  const auto& objects = aReply.mObjects;
+  const auto last =
+    std::find_if(objects.rbegin(), objects.rend(), [](const auto& aObject) {
+      return !aObject.mName.empty();
+    });
+  return last == objects.rend() ? std::string() : last->mName;
+}
+
 void
-ApplyPage(const reader_ptr& aReader, list_reply aReply);
+ApplyPage(const reader_ptr& aReader,
+          const std::string& aAfter,
+          list_reply aReply);
 
 void
 ReadPage(const reader_ptr& aReader, const std::string& aAfter)
@@ -30,13 +48,26 @@
     aReader->mDone(std::move(aReader->mListing));
     return;
   }
-  aReader->mStore.mList(kind, aAfter, freshness, [aReader](list_reply aReply) {
-    ApplyPage(aReader, std::move(aReply));
-  });
+  aReader->mStore.mList(
+    kind, aAfter, freshness, [aReader, aAfter](list_reply aReply) {
+      ApplyPage(aReader, aAfter, std::move(aReply));
+    });
+}
+
+/** Ends a listing that some page doesn't lead on. */
+void
+Fail(const reader_ptr& aReader, const std::string& aAfter, listing_fault aFault)
+{
+  if (const auto& report = aReader->mStore.mOnListingFault) {
+    report(aReader->mCall.mKind, aAfter, aFault);
+  }
+  aReader->mDone(std::move(aReader->mListing));
 }
 
 void
-ApplyPage(const reader_ptr& aReader, list_reply aReply)
+ApplyPage(const reader_ptr& aReader,
+          const std::string& aAfter,
+          list_reply aReply)
 {
   auto& listing = aReader->mListing;
   if (aReply.mOutcome != store_outcome::Done) {
@@ -46,17 +77,21 @@
   if (std::exchange(aReader->mIsFirstPage, false)) {
     listing.mStoreRevision = aReply.mStoreRevision;
   }
-  std::string last;
+  const auto last = LastName(aReply);
+  const bool isForward = listing.mObjects.count(last) == 0 &&
+                         aReader->mLastNames.insert(last).second;
   for (auto& object : aReply.mObjects) {
-    last = object.mName;
-    listing.mObjects[last] = std::move(object);
+    auto name = object.mName;
+    listing.mObjects[std::move(name)] = std::move(object);
   }
-  if (aReply.mHasMore && !last.empty()) {
+  if (!aReply.mHasMore || last.empty()) {
+    listing.mIsComplete = true;
+    aReader->mDone(std::move(listing));
+  } else if (!isForward) {
+    Fail(aReader, aAfter, listing_fault::NotForward);
+  } else {
     ReadPage(aReader, last);
-    return;
   }
-  listing.mIsComplete = true;
-  aReader->mDone(std::move(listing));
 }
 
 } // namespace
@@ -65,7 +100,7 @@
 ListAll(const object_store& aStore, listing_call aCall, listing_done aDone)
 {
   ReadPage(std::make_shared<page_reader>(
-             page_reader{ aStore, std::move(aCall), std::move(aDone), {} }),
+             page_reader{ aStore, std::move(aCall), std::move(aDone), {}, {} }),
            {});
 }
 
--- a/Libraries/ObjectStore/ListAll.h
+++ b/Libraries/ObjectStore/ListAll.h
@@ -16,8 +16,8 @@
 
 struct listing
 {
-  /** False if some page couldn't be read. The objects of the pages before
-   * are there, but none may pass for gone. */
+  /** False if some page couldn't be read or led no further. The objects of the
+   * pages before are there, but none may pass for gone. */
   bool mIsComplete = false;
   /** Store revision of the first page: changes made during the listing come
    * after it. */
@@ -27,7 +27,8 @@
 
 using listing_done = std::function<void(listing)>;
 
-/** Lists all objects of a kind, page by page.
+/** Lists all objects of a kind, page by page. Each page has to end at another
+ * name than those before it: whatever the store answers, the listing ends.
  * @param aStore outlives the call */
 void
 ListAll(const object_store& aStore, listing_call aCall, listing_done aDone);
--- a/Libraries/ObjectStore/ObjectStore.cpp
+++ b/Libraries/ObjectStore/ObjectStore.cpp
@@ -22,4 +22,14 @@
   return "unknown";
 }
 
+const char*
+ToString(listing_fault aFault)
+{
+  switch (aFault) {
+    case listing_fault::NotForward:
+      return "a page ends at a name that an earlier one had";
+  }
+  return "unknown";
+}
+
 } // namespace lavender::objects
--- a/Libraries/ObjectStore/ObjectStore.h
+++ b/Libraries/ObjectStore/ObjectStore.h
@@ -49,6 +49,16 @@
 const char*
 ToString(store_outcome aOutcome);
 
+/** Why no page can be asked for behind one that isn't the last. */
+enum class listing_fault
+{
+  /** It ends at a name that an earlier page had. */
+  NotForward
+};
+
+const char*
+ToString(listing_fault aFault);
+
 struct object_reply
 {
   store_outcome mOutcome = store_outcome::Unknown;
@@ -138,6 +148,11 @@
   std::function<
     void(const std::string& aKind, const std::string& aName, object_done)>
     mDelete;
+  /** Told of a listing that ends incomplete behind a page that was read. Null
+   * if nobody is told. */
+  std::function<
+    void(const std::string& aKind, const std::string& aAfter, listing_fault)>
+    mOnListingFault{};
 };
 
 } // namespace lavender::objects
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -464,6 +464,11 @@
                       { { "kind", kind } },
                       static_cast<double>(objects));
   }
+  for (const auto& [kind, listings] : mStoreCounts.mListingFaults) {
+    mMetrics.SetGauge("lavender_store_listing_faults",
+                      { { "kind", kind } },
+                      static_cast<double>(listings));
+  }
   return mMetrics.Write();
 }
 
