Listing: a page without a name isn't the last one

A page that isn't the last one but names no object, because it is empty or because none of its objects can be read, passed for the end of a whole listing: all servers behind it passed for gone.

--- a/Libraries/ObjectStore/ListAll.cpp
+++ b/Libraries/ObjectStore/ListAll.cpp
@@ -84,9 +84,11 @@
     auto name = object.mName;
     listing.mObjects[std::move(name)] = std::move(object);
   }
-  if (!aReply.mHasMore || last.empty()) {
+  if (!aReply.mHasMore) {
     listing.mIsComplete = true;
     aReader->mDone(std::move(listing));
+  } else if (last.empty()) {
+    Fail(aReader, aAfter, listing_fault::NoName);
   } else if (!isForward) {
     Fail(aReader, aAfter, listing_fault::NotForward);
   } else {
--- a/Libraries/ObjectStore/ObjectStore.cpp
+++ b/Libraries/ObjectStore/ObjectStore.cpp
@@ -26,6 +26,8 @@
 ToString(listing_fault aFault)
 {
   switch (aFault) {
+    case listing_fault::NoName:
+      return "a page that isn't the last one names no object";
     case listing_fault::NotForward:
       return "a page ends at a name that an earlier one had";
   }
--- a/Libraries/ObjectStore/ObjectStore.h
+++ b/Libraries/ObjectStore/ObjectStore.h
@@ -52,6 +52,8 @@
 /** Why no page can be asked for behind one that isn't the last. */
 enum class listing_fault
 {
+  /** It names no object. */
+  NoName,
   /** It ends at a name that an earlier page had. */
   NotForward
 };
--- a/Libraries/ObjectStore/TestListAll.cpp
+++ b/Libraries/ObjectStore/TestListAll.cpp
@@ -62,6 +62,12 @@
   return std::string(ToString(listing_fault::NotForward)) + ", after " + aAfter;
 }
 
+std::string
+NoName(const std::string& aAfter)
+{
+  return std::string(ToString(listing_fault::NoName)) + ", after " + aAfter;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(TestListAll)
@@ -93,6 +99,29 @@
   BOOST_TEST(earlier.mCalls == 2);
 }
 
+// Guards against servers that pass for gone, because a page that isn't the last
+// one names no object from which the next one could be asked.
+BOOST_AUTO_TEST_CASE(APageWithoutANameIsNotTheLastOne)
+{
+  for (const auto& names :
+       std::vector<std::vector<std::string>>{ {}, { "" }, { "", "" } }) {
+    const listing_run first([&](const auto&) { return Page(names, true); });
+    BOOST_TEST(first.mEnds == 1);
+    BOOST_TEST(!first.mListing.mIsComplete);
+    BOOST_TEST(first.mCalls == 1);
+    BOOST_TEST(first.mFaults == std::vector{ NoName("") },
+               boost::test_tools::per_element());
+
+    const listing_run second([&](const auto& aAfter) {
+      return aAfter.empty() ? Page({ "a" }, true) : Page(names, true);
+    });
+    BOOST_TEST(!second.mListing.mIsComplete);
+    BOOST_TEST(second.mListing.mObjects.count("a") == 1u);
+    BOOST_TEST(second.mFaults == std::vector{ NoName("a") },
+               boost::test_tools::per_element());
+  }
+}
+
 // Guards against a listing that begins again, or ends, at an object without a
 // name at the end of a page.
 BOOST_AUTO_TEST_CASE(AListingGoesOnFromTheLastNameOfAPage)
@@ -139,4 +168,26 @@
   }));
 }
 
+// Guards against a listing without end, whatever a store answers.
+BOOST_AUTO_TEST_CASE(EachListingEnds)
+{
+  BOOST_TEST(rc::check("a listing of any pages", [](unsigned aSeed) {
+    constexpr int kNames = 20;
+    std::mt19937 random(aSeed);
+    bool isLast = false;
+    const listing_run run([&](const auto&) {
+      std::vector<std::string> names(random() % 4);
+      for (auto& name : names) {
+        name = "n" + std::to_string(random() % kNames);
+      }
+      isLast = random() % 16 == 0;
+      return Page(names, !isLast);
+    });
+    RC_ASSERT(run.mEnds == 1);
+    RC_ASSERT(run.mCalls <= kNames + 1);
+    RC_ASSERT(run.mListing.mIsComplete == isLast);
+    RC_ASSERT(run.mFaults.size() == (isLast ? 0u : 1u));
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Site/TestListings.cpp
+++ b/Tests/Site/TestListings.cpp
@@ -24,7 +24,7 @@
     }
     return reply;
   };
-  for (const auto& faulty : { page({ "a" }, true) }) {
+  for (const auto& faulty : { page({ "a" }, true), page({}, true) }) {
     simulated_clock clock;
     objects::list_reply answer = page({ "a", "b" }, false);
     int calls = 0;
