Listing: it goes on behind a name that isn't text

An object whose name isn't UTF-8 is left out, as nothing here could hold the name.

The page tells the bytes of its last name, and the next page is asked from them, encoded. Bytes that the store sends escaped (a lone surrogate) aren't known; if such an object stands alone on a page, the listing fails as before. TestAnnouncer's stand-in names one more member of its reply.

--- a/Libraries/ObjectStore/ListAll.cpp
+++ b/Libraries/ObjectStore/ListAll.cpp
@@ -27,6 +27,9 @@
 std::string
 LastName(const list_reply& aReply)
 {
+  if (!aReply.mLastName.empty()) {
+    return aReply.mLastName;
+  }
   const auto& objects = aReply.mObjects;
   const auto last =
     std::find_if(objects.rbegin(), objects.rend(), [](const auto& aObject) {
--- a/Libraries/ObjectStore/ObjectStore.h
+++ b/Libraries/ObjectStore/ObjectStore.h
@@ -75,6 +75,9 @@
   store_outcome mOutcome = store_outcome::Unknown;
   std::vector<stored_object> mObjects;
   bool mHasMore = false;
+  /** Name of the page's last object if that one was left out because its name
+   * isn't text; else empty. */
+  std::string mLastName;
   /** Revision of the store that the listing shows; a watch continues from it.
    */
   revision_number mStoreRevision = 0;
--- a/Tests/Site/TestAnnouncer.cpp
+++ b/Tests/Site/TestAnnouncer.cpp
@@ -145,7 +145,7 @@
                            objects::freshness aFreshness,
                            objects::list_done aDone) {
     if (aFreshness == objects::freshness::MayBeStale) {
-      aDone({ objects::store_outcome::Done, {}, false, 1 });
+      aDone({ objects::store_outcome::Done, {}, false, {}, 1 });
     } else {
       list(aKind, aAfter, aFreshness, std::move(aDone));
     }
--- a/Tests/Site/TestOddNames.cpp
+++ b/Tests/Site/TestOddNames.cpp
@@ -237,4 +237,24 @@
   }
 }
 
+// Guards against a kind that can't be listed because a page ends at a name that
+// isn't text.
+BOOST_AUTO_TEST_CASE(AListingGoesOnBehindANameThatIsntText)
+{
+  for (const std::string name : { "\xff", "m\xc3", "\xed\xa0\x80" }) {
+    store_site site;
+    for (const auto& written : { std::string("a"), name, name + "\xff" }) {
+      standin::PutDirectly(site.mState, kKind, written, "{}");
+      site.mState.mPageEnds.insert(written);
+    }
+    standin::PutDirectly(site.mState, kKind, "\xff\xff\xff", R"({"a":1})");
+    const auto listed = site.List(objects::freshness::Linearizable);
+    BOOST_REQUIRE(listed.has_value());
+    BOOST_TEST(listed->count("a") == 1u);
+    BOOST_TEST(listed->size() == 1u);
+    BOOST_TEST(site.mState.mListCalls == 4);
+    BOOST_TEST(site.mCounts.mUnreadable[kKind] > 0u);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
