Own interface: a plus in a path is a plus

The own interface read /v1/…/a+b as the name "a b": a plus is a space in a query alone. Our own client encodes it, so only other clients were hit. TestRouter / APlusInAPathIsAPlus failed one check before.

--- a/Libraries/Http/Router.cpp
+++ b/Libraries/Http/Router.cpp
@@ -44,7 +44,7 @@
       if (path[i].empty()) {
         return std::nullopt;
       }
-      captured.push_back(DecodeUrlQuery(path[i]));
+      captured.push_back(DecodeUrlPath(path[i]));
     } else if (pattern[i] != path[i]) {
       return std::nullopt;
     }
--- a/Libraries/Http/TestRouter.cpp
+++ b/Libraries/Http/TestRouter.cpp
@@ -38,6 +38,18 @@
   BOOST_TEST(Route("POST", "/v1/services/desk").mBody == "desk|");
 }
 
+// Guards against a plus in a name that is read as a space: it is one in a query
+// alone.
+BOOST_AUTO_TEST_CASE(APlusInAPathIsAPlus)
+{
+  BOOST_TEST(Route("GET", "/v1/things/a+b").mBody == "a+b");
+  BOOST_TEST(Route("GET", "/v1/things/a%2Bb").mBody == "a+b");
+  http::request request;
+  request.mQuery = "name=a+b&other=c%2Bd";
+  BOOST_TEST(http::QueryOr(request, "name", "") == "a b");
+  BOOST_TEST(http::QueryOr(request, "other", "") == "c+d");
+}
+
 BOOST_AUTO_TEST_CASE(DistinguishesUnknownPathFromOtherMethod)
 {
   BOOST_TEST(Route("GET", "/v1/things").mStatus == 404);
