Agents: no entry is chosen from an incomplete listing

An agent asks the first entry in an order that is the same for all agents. After a listing of which a later page failed it took the first entry of the pages before, so it asked another one than the rest, which then counted its servers without the others.

An incomplete listing gives none: the agent keeps the list that it has, as it does when the first page fails, or tries again after its pause. TestSiteAgent / NoEntryIsTakenFromAnIncompleteListing failed before.

--- a/Services/Agent/SiteAgent.cpp
+++ b/Services/Agent/SiteAgent.cpp
@@ -73,6 +73,9 @@
 std::vector<edge::endpoint>
 AddressesInOrder(const objects::listing& aEntries)
 {
+  if (!aEntries.mIsComplete) {
+    return {};
+  }
   const auto announced = registration::CollectEntries(aEntries.mObjects);
   std::vector<site::listed_entry> entries;
   for (const auto& [name, entry] : announced) {
--- a/Services/Agent/SiteAgent.h
+++ b/Services/Agent/SiteAgent.h
@@ -30,7 +30,8 @@
 ReadSiteSettings(const settings::values& aValues, findings& aFindings);
 
 /** Addresses of the listed entries in their order, so that all agents ask the
- * same one. */
+ * same one. None if the listing isn't complete: its first entry may not be the
+ * one that the other agents ask. */
 std::vector<edge::endpoint>
 AddressesInOrder(const objects::listing& aEntries);
 
