Soak: odd objects bear odd names, and pages end at them

The soak's odd objects had plain names. What stood for their specs in the stand-in was the name itself, so the listener replaced the name as well, and the programs met objects without a name. They now have odd names, a page ends at each, and their specs have placeholders of their own.

--- a/Tests/Soak/Site.cpp
+++ b/Tests/Soak/Site.cpp
@@ -1,6 +1,7 @@
 #include "Tests/Soak/Site.h"
 
 #include "Duties/Batches/Records.h"
+#include "Tests/Site/Support/OddNames.h"
 
 #include <algorithm>
 #include <csignal>
@@ -62,11 +63,20 @@
 std::string
 OddName(std::size_t aIndex)
 {
-  return "odd-" + std::to_string(aIndex);
+  static const auto names = tests::OddNames();
+  return names.at(aIndex);
 }
 
-/** Specs that another writer leaves among the servers and the versions. Each
- * bears the fields of a server, so that only what is odd keeps it from use. */
+/** What stands for an odd spec until the store's listener sends it. */
+std::string
+PlaceholderOf(std::size_t aIndex)
+{
+  return "odd spec " + std::to_string(aIndex);
+}
+
+/** Specs that another writer leaves, under odd names, among the servers and the
+ * versions. Each bears the fields of a server, so that only what is odd keeps
+ * it from use. */
 std::vector<std::string>
 OddSpecs()
 {
@@ -197,7 +207,8 @@
   }
   mOddSpecs = OddSpecs();
   for (std::size_t i = 0; i < mOddSpecs.size(); ++i) {
-    mState.mRawSpecs[OddName(i)] = mOddSpecs[i];
+    mState.mRawSpecs[PlaceholderOf(i)] = mOddSpecs[i];
+    mState.mPageEnds.insert(OddName(i));
   }
   WriteConfiguration();
   WriteServers();
@@ -208,7 +219,7 @@
 {
   for (const auto* kind : { "servers", "versions" }) {
     standin::PutDirectly(
-      mState, kind, OddName(aIndex), json::Write(OddName(aIndex)));
+      mState, kind, OddName(aIndex), json::Write(PlaceholderOf(aIndex)));
   }
 }
 
