Batches: an object whose name no batch can have is no batch

Any object of the kind with the fields of a batch passed for one. Its owner offered it to other entries in calls whose path held its name: with a blank or a line break such a call can't be sent, and the entry that it was meant for was avoided as owner of all batches for a while, again and again.

That a sound entry is avoided was read, not run. TestRecords / CountedRunsAreReadBack reads a batch without a name, which no store holds; it has one now.

--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -326,7 +326,7 @@
 DecodeMetadata(const objects::stored_object& aObject)
 {
   const auto& spec = aObject.mSpec;
-  if (!spec.IsObject() || !spec.Find("total")) {
+  if (!IsValidId(aObject.mName) || !spec.IsObject() || !spec.Find("total")) {
     return std::nullopt;
   }
   batch_metadata metadata;
--- a/Duties/Batches/TestRecords.cpp
+++ b/Duties/Batches/TestRecords.cpp
@@ -153,6 +153,7 @@
   batch_metadata ended;
   ended.mIsEnded = true;
   ended.mCountedRuns = { { "item", { "s1", 77 }, run_fate::Ended } };
+  stored.mName = "b1";
   stored.mSpec = *json::Parse(EncodeMetadata(ended));
   stored.mStatus = *json::Parse(EncodeMetadataStatus(ended));
   const auto metadata = DecodeMetadata(stored);
--- a/Tests/Site/TestOddNames.cpp
+++ b/Tests/Site/TestOddNames.cpp
@@ -1,3 +1,4 @@
+#include "Duties/Batches/Records.h"
 #include "Libraries/Edge/LoopScheduler.h"
 #include "Libraries/ObjectStore/ListAll.h"
 #include "Libraries/ObjectStore/Mirror.h"
@@ -209,6 +210,20 @@
   mirror->Stop();
 }
 
+// Guards against entries that are avoided as owners of all batches, because a
+// batch with such a name is offered to them by calls that can't be sent.
+BOOST_AUTO_TEST_CASE(AnOddNameIsNoBatchs)
+{
+  objects::stored_object object;
+  object.mSpec = json::object{ { "total", 1 }, { "owner", "a" } };
+  object.mName = "b-1_X";
+  BOOST_TEST(batches::DecodeMetadata(object).has_value());
+  for (const auto& name : OddNames()) {
+    object.mName = name;
+    BOOST_TEST(!batches::DecodeMetadata(object), name.substr(0, 40));
+  }
+}
+
 // Guards against a call that is made for a whole kind, or for another one,
 // because its path can't hold the name.
 BOOST_AUTO_TEST_CASE(NoCallIsSentForANameThatNoPathHolds)
