--- a/Tests/TestOddEntries.cpp
+++ b/Tests/TestOddEntries.cpp
@@ -20,9 +20,9 @@
   "batchitems", "evacuations", "retirements", "ordergivers"
 };
 constexpr int kPrograms = 6;
-/** A program lists a kind at its start, and may do so again until it has found
- * the others. */
-constexpr int kListingsAtStart = 4;
+/** Listings of one kind by one program at its start: an entry lists the entries
+ * four times at most to announce itself and once to watch them. */
+constexpr int kListingsAtStart = 5;
 constexpr int kRequests = 60;
 
 std::string
@@ -40,8 +40,16 @@
 {
   odd_site()
     : mSite(mLoop.mLoop, Options())
+    , mBehind(mLoop.mLoop)
     , mClients(std::make_shared<edge::client_pool>(mLoop.mLoop))
   {
+    standin::PutDirectly(
+      mSite.mState,
+      "servers",
+      "~desk",
+      R"({"service":"desk","zone":"zone","slots":8,"state":"ready",)"
+      R"("address":"127.0.0.1:)" +
+        std::to_string(mBehind.Port()) + "\"}");
   }
 
   ~odd_site()
@@ -126,6 +134,23 @@
     return serving;
   }
 
+  /** Waits until each entry has sent a request to the server on the last page.
+   * @return how many have */
+  int WaitUntilLastServerIsUsed()
+  {
+    constexpr auto kLimit = 15s;
+    const auto end = boot_clock::now() + kLimit;
+    int used = 0;
+    for (const auto& entry : mSite.mEntries) {
+      const auto before = mBehind.mRuns.size();
+      while (mBehind.mRuns.size() == before && boot_clock::now() < end) {
+        SendRequest(*entry);
+      }
+      used += mBehind.mRuns.size() > before ? 1 : 0;
+    }
+    return used;
+  }
+
   /** Sends requests to all entries; returns how many are served. */
   int Serve()
   {
@@ -139,6 +164,9 @@
 
   test_loop mLoop;
   soak::soak_site mSite;
+  /** A server whose name sorts behind all odd ones, so that it stands on the
+   * last page. */
+  soak::plain_server mBehind;
   std::shared_ptr<edge::client_pool> mClients;
   int mNext = 0;
 };
@@ -175,6 +203,8 @@
   const auto kinds = static_cast<int>(std::size(kKinds));
   BOOST_TEST(site.mSite.mState.mListCalls <=
              kPrograms * kinds * kListingsAtStart * pages);
+  standin::RemoveDirectly(site.mSite.mState, "servers", "desk-1");
+  BOOST_TEST(site.WaitUntilLastServerIsUsed() == 3);
   BOOST_TEST(site.mSite.mFindings.empty());
   site.KillAll();
   for (const auto& entry : site.mSite.mEntries) {
