Requests: a head is held as its bytes, and a trailer not at all

What callers saw: an entry ended for lack of memory while clients sent heads, or trailers behind a chunked body, of very many short lines; ordinary callers lost their connections.

Cause: each line of four bytes became a field of Boost.Beast's (an allocation of some 80 bytes), then one of the request (64 bytes), and the parser limits only what it is given at once, so a trailer had no limit and a head whose lines come alone had none either. Fields of a trailer were added to those of the head, where they passed for a key or a host. Of two Host fields the first one was taken.

Change: request_reader takes the fields from the parser into one text and makes the request's fields once the request is whole. It counts the lines of the head and of the trailer, and drops the latter (RFC 9110, section 6.5.1). A second Host is status 400 (RFC 9112, section 3.2). A body grows in blocks, so that it isn't held twice while it moves, and blocks of 128 KB and more go back to the system when they are freed.

Why this works: what a request that isn't whole holds is no more than twice its bytes, whatever lines they make.

--- a/Libraries/Edge/ServerConnection.cpp
+++ b/Libraries/Edge/ServerConnection.cpp
@@ -1,10 +1,10 @@
 #include "Libraries/Edge/ServerConnection.h"
 
-#include "Libraries/Edge/ResponseBounds.h"
 #include "Libraries/Edge/ResponseText.h"
 
 #include <array>
 #include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
 #include <utility>
 
 namespace lavender::edge {
@@ -31,8 +31,6 @@
  * of buffered bytes is reached: space is likely to be free by then. */
 constexpr char kRetryAfterSeconds[] = "0.5";
 
-/** HTTP/1.1 as Boost.Beast writes it. */
-constexpr unsigned kVersion11 = 11;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotImplemented = 501;
 /** Status of a request that didn't run. */
@@ -88,10 +86,8 @@
 server_connection::PrepareRequest()
 {
   const auto& limits = *mShared->mLimits;
-  mParser.emplace();
-  mParser->header_limit(static_cast<std::uint32_t>(limits.mMaximumHeaderBytes));
-  mParser->body_limit(limits.mMaximumBodyBytes);
-  mParser->eager(true);
+  mReader.emplace(
+    request_bounds{ limits.mMaximumHeaderBytes, limits.mMaximumBodyBytes });
   mHasRequestBegun = false;
   mBodyEndsAt.reset();
   SetTimer(mShared->mClosesIdle
@@ -203,18 +199,23 @@
 unsigned
 server_connection::RefusalOfHead() const
 {
-  if (!mShared->mOptions.mNeedsOneLength || !mParser->is_header_done()) {
+  if (!mReader->HasHead()) {
     return 0;
   }
-  const auto& fields = mParser->get();
-  if (fields.count(http::field::transfer_encoding) > 0) {
+  // Which host is meant would be a matter of opinion (RFC 9112, section 3.2).
+  if (mReader->Hosts() > 1) {
+    return kBadRequest;
+  }
+  if (!mShared->mOptions.mNeedsOneLength) {
+    return 0;
+  }
+  if (mReader->HasTransferEncoding()) {
     return kNotImplemented;
   }
-  const auto lengths = fields.count(http::field::content_length);
-  const auto length = fields[http::field::content_length];
-  const bool isNumber =
-    ParseInteger({ length.data(), length.size() }).has_value();
-  return lengths > 1 || (lengths == 1 && !isNumber) ? kBadRequest : 0;
+  const auto lengths = mReader->Lengths();
+  return lengths > 1 || (lengths == 1 && !mReader->IsLengthNumber())
+           ? kBadRequest
+           : 0;
 }
 
 void
@@ -226,23 +227,14 @@
              &server_connection::TimeOutHeader);
   }
   error_code error;
-  while (mBuffer.size() > 0 && !mParser->is_done()) {
-    const auto used = mParser->put(mBuffer.data(), error);
-    mBuffer.consume(used);
-    if (error) {
-      break;
-    }
-  }
-  if (error == http::error::need_more) {
-    error = {};
-  }
-  CountBody(BodyBytes() + UnparsedBytes());
+  mBuffer.consume(mReader->Read(mBuffer.data(), error));
+  CountBody(std::max(mReader->AnnouncedBytes(), mReader->BodyBytes()) +
+            UnparsedBytes());
   const auto& limits = *mShared->mLimits;
+  // What is left is a part of a line, or of a trailer.
   const bool isTooLong =
-    mBuffer.size() > std::max(kMaximumUnparsedBytes,
-                              limits.mMaximumHeaderBytes + kMaximumReadBytes);
-  if (error == http::error::header_limit ||
-      (!error && !mParser->is_done() && isTooLong)) {
+    !mReader->IsWhole() && mBuffer.size() > limits.mMaximumHeaderBytes;
+  if (error == http::error::header_limit || (!error && isTooLong)) {
     Refuse(431);
   } else if (const auto status = RefusalOfHead()) {
     Refuse(status);
@@ -252,9 +244,9 @@
     Refuse(400);
   } else if (mShared->mBodyBytes > limits.mMaximumBufferedBytes) {
     Refuse(503);
-  } else if (mParser->is_done()) {
+  } else if (mReader->IsWhole()) {
     HandleRequest();
-  } else if (mParser->is_header_done()) {
+  } else if (mReader->HasHead()) {
     LimitBodyTime();
   }
 }
@@ -292,34 +284,15 @@
   return mBuffer.capacity() + mQueued.capacity() + mWriting.capacity();
 }
 
-std::size_t
-server_connection::BodyBytes() const
-{
-  if (!mParser->is_header_done()) {
-    return 0;
-  }
-  const auto announced = mParser->content_length();
-  return std::max<std::size_t>(announced ? *announced : 0,
-                               mParser->get().body().size());
-}
-
 void
 server_connection::HandleRequest()
 {
   mTimer.cancel();
   mReadSize = kIdleReadBytes;
-  auto message = mParser->release();
-  request received;
-  received.mMethod = std::string(message.method_string());
-  received.mTarget = std::string(message.target());
-  received.mKeepsConnection = message.keep_alive();
-  for (const auto& field : message) {
-    received.mHeaders.Add(std::string(field.name_string()),
-                          std::string(field.value()));
-  }
-  received.mBody = std::move(message.body());
+  auto received = mReader->Take();
   mKeepsConnection = received.mKeepsConnection;
-  mIsOldVersion = message.version() < kVersion11;
+  mIsOldVersion = mReader->IsOldVersion();
+  mReader.reset();
   ++mShared->mRequests;
   mHasRequest = true;
   mStatus = 0;
--- a/Libraries/Edge/ServerConnection.h
+++ b/Libraries/Edge/ServerConnection.h
@@ -3,12 +3,11 @@
 #include "Libraries/Edge/ListenerState.h"
 #include "Libraries/Edge/ReadPause.h"
 #include "Libraries/Edge/ReadSize.h"
+#include "Libraries/Edge/RequestReader.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <optional>
 #include <string_view>
 
@@ -47,9 +46,6 @@
   std::shared_ptr<exchange> Unanswered() const;
 
 private:
-  using parser =
-    boost::beast::http::request_parser<boost::beast::http::string_body>;
-
   void PrepareRequest();
   void Read();
   void HandleBytes(const boost::system::error_code& aError, std::size_t aSize);
@@ -60,7 +56,6 @@
   void HandleRequest();
   void Refuse(unsigned aStatus);
   void CountBody(std::size_t aBytes);
-  std::size_t BodyBytes() const;
   /** What is received beyond the first read and can't be parsed yet. */
   std::size_t UnparsedBytes() const;
   void LimitBodyTime();
@@ -82,7 +77,7 @@
   std::shared_ptr<listener_state> mShared;
   boost::beast::flat_buffer mBuffer;
   std::size_t mReadSize = kIdleReadBytes;
-  std::optional<parser> mParser;
+  std::optional<request_reader> mReader;
   /** Owned by the handler. An exchange destroyed without a response resets the
    * connection, so that the caller doesn't wait in vain. */
   std::weak_ptr<exchange> mExchange;
--- a/Services/Agent/main.cpp
+++ b/Services/Agent/main.cpp
@@ -1,5 +1,6 @@
 #include "Libraries/Core/Identity.h"
 #include "Libraries/Core/Log.h"
+#include "Libraries/Core/Memory.h"
 #include "Libraries/Core/TerminationSignal.h"
 #include "Libraries/EventLog/EventLog.h"
 #include "Libraries/Http/Router.h"
@@ -172,6 +173,7 @@
 int
 main(int aCount, char** aArguments)
 {
+  ReturnLargeBlocks();
   if (aCount > 1 && std::string(aArguments[1]) == "site") {
     return RunOnSite(aCount - 1, aArguments + 1);
   }
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -1,5 +1,6 @@
 #include "Duties/Configuration/ResourceApi.h"
 #include "Libraries/Core/Log.h"
+#include "Libraries/Core/Memory.h"
 #include "Libraries/Core/TerminationSignal.h"
 #include "Libraries/EventLog/EventLog.h"
 #include "Libraries/Http/Server.h"
@@ -192,6 +193,7 @@
 int
 main(int aCount, char** aArguments)
 {
+  ReturnLargeBlocks();
   if (aCount > 1 && std::string(aArguments[1]) == "trace") {
     return entry::RunTrace({ aArguments + 2, aArguments + aCount }, std::cout);
   }
--- a/Tests/Soak/Process.h
+++ b/Tests/Soak/Process.h
@@ -22,6 +22,7 @@
   /** Whether the process has ended; if so, reaps it. */
   bool HasEnded();
   bool IsStarted() const { return mId > 0; }
+  pid_t Id() const { return mId; }
   /** Exit status, or the negative signal number if a signal ended the process.
    */
   int ExitStatus() const { return mExitStatus; }
--- a/Tests/Soak/Site.cpp
+++ b/Tests/Soak/Site.cpp
@@ -143,9 +143,10 @@
   }
   auto timer = std::make_shared<boost::asio::steady_timer>(mLoop);
   timer->expires_after(milliseconds(5));
-  timer->async_wait([aExchange, id, timer](const auto& aError) {
+  timer->async_wait([this, aExchange, id, timer](const auto& aError) {
     if (!aError) {
       edge::response answer{ 200, {}, "answer to " + id };
+      answer.mBody.resize(std::max(answer.mBody.size(), mAnswerBytes), '.');
       answer.mHeaders.Add("X-Attempt-Id", id);
       answer.mHeaders.Add("X-Server-Seal", "seal-" + id);
       aExchange->Answer(std::move(answer));
@@ -171,6 +172,7 @@
     entry->mCallers = FreePort(aLoop);
     entry->mReadiness = FreePort(aLoop);
     entry->mPeers = FreePort(aLoop);
+    entry->mMetrics = FreePort(aLoop);
     entry->mStoreLink = std::make_unique<fault_proxy>(aLoop, storePort);
     mEntries.push_back(std::move(entry));
   }
@@ -455,28 +457,33 @@
 {
   aEntry.mIsEndExpected = false;
   aEntry.mIsPaused = false;
+  std::vector<std::string> command{ Program("Entry/lavender-entry"),
+                                    "site",
+                                    "--name",
+                                    aEntry.mName,
+                                    "--zone",
+                                    "zone",
+                                    "--caller-listen",
+                                    Local(aEntry.mCallers),
+                                    "--ready-listen",
+                                    Local(aEntry.mReadiness),
+                                    "--peer-listen",
+                                    Local(aEntry.mPeers),
+                                    "--metrics-listen",
+                                    Local(aEntry.mMetrics),
+                                    "--store",
+                                    Local(aEntry.mStoreLink->Port()),
+                                    "--reports",
+                                    Local(mReportListener.Port()),
+                                    "--usage-window",
+                                    "2",
+                                    "--grace",
+                                    "5" };
+  command.insert(command.end(),
+                 mOptions.mEntryArguments.begin(),
+                 mOptions.mEntryArguments.end());
   const bool isStarted =
-    aEntry.mProcess.Start({ Program("Entry/lavender-entry"),
-                            "site",
-                            "--name",
-                            aEntry.mName,
-                            "--zone",
-                            "zone",
-                            "--caller-listen",
-                            Local(aEntry.mCallers),
-                            "--ready-listen",
-                            Local(aEntry.mReadiness),
-                            "--peer-listen",
-                            Local(aEntry.mPeers),
-                            "--store",
-                            Local(aEntry.mStoreLink->Port()),
-                            "--reports",
-                            Local(mReportListener.Port()),
-                            "--usage-window",
-                            "2",
-                            "--grace",
-                            "5" },
-                          LogPath(mOptions, aEntry.mName));
+    aEntry.mProcess.Start(command, LogPath(mOptions, aEntry.mName));
   if (!isStarted) {
     mFindings.push_back(aEntry.mName + " can't be started");
   }
--- a/Tests/Soak/Site.h
+++ b/Tests/Soak/Site.h
@@ -25,6 +25,8 @@
   std::map<std::string, int> mRuns;
   /** Share of the requests that run without a response. */
   double mLostResponseShare = 0;
+  /** Size of each body, in bytes; 0 for the request's id alone. */
+  std::size_t mAnswerBytes = 0;
 
 private:
   void Serve(const edge::exchange_ptr& aExchange);
@@ -41,6 +43,7 @@
   unsigned short mCallers = 0;
   unsigned short mReadiness = 0;
   unsigned short mPeers = 0;
+  unsigned short mMetrics = 0;
   std::unique_ptr<fault_proxy> mStoreLink;
   process mProcess;
   bool mIsPaused = false;
@@ -104,6 +107,8 @@
   int mEntries = 3;
   int mAgents = 3;
   std::string mLogFolder;
+  /** Added to the arguments of each entry. */
+  std::vector<std::string> mEntryArguments;
   /** Slots of each model server. */
   int mSlots = 8;
   /** Whether model servers refuse runs beyond their slots. */
