Connections: a silent one ends for a new caller

What callers saw: connections that were idle, or had stopped within a head, took all that an entry accepts; every new caller was closed unanswered until one of them timed out, for a minute and more.

Cause: the listener compared with its limit alone and closed the newcomer.

Change: at the limit, the connection without a request under way that has been silent for the longest time is closed. If all have requests under way, the new one is closed as before.

TestServerConnections/SilentConnectionsEndForNewOnes is new.

Check changed: ConnectionsAreBounded filled the limit with idle connections and expected the ninth to be closed, which is the fault. It fills it with requests under way now, and checks the same.

--- a/Libraries/Edge/Listener.cpp
+++ b/Libraries/Edge/Listener.cpp
@@ -60,7 +60,7 @@
       });
       return;
     }
-    if (mShared->mConnections.size() < mShared->mLimits->mMaximumConnections) {
+    if (MakeRoomForConnection(*mShared)) {
       std::make_shared<server_connection>(std::move(aSocket), mShared)->Start();
     }
     Accept();
--- a/Libraries/Http/TestServerConnections.cpp
+++ b/Libraries/Http/TestServerConnections.cpp
@@ -358,16 +358,30 @@
 // Guards against connections that take all file descriptors.
 BOOST_AUTO_TEST_CASE(ConnectionsAreBounded)
 {
+  constexpr int kConnections = 8;
   http::server_options options;
-  options.mMaximumConnections = 8;
-  http::server server(options, Echo);
+  options.mMaximumConnections = kConnections;
+  std::promise<void> end;
+  const auto ended = end.get_future().share();
+  std::atomic<int> waiting{ 0 };
+  http::server server(options, [&](const http::request& aRequest) {
+    ++waiting;
+    ended.wait();
+    return Echo(aRequest);
+  });
   std::vector<std::unique_ptr<raw_caller>> callers;
-  for (int i = 0; i < 8; ++i) {
+  for (int i = 0; i < kConnections; ++i) {
     callers.push_back(std::make_unique<raw_caller>(server.Port()));
     callers.back()->Send(Post("/a", "x"));
-    BOOST_REQUIRE(callers.back()->ReadUntilText("</a x>"));
+  }
+  while (waiting < kConnections) {
+    std::this_thread::sleep_for(1ms);
   }
   BOOST_TEST(raw_caller(server.Port()).IsClosedWithin(kLongest));
+  end.set_value();
+  for (auto& caller : callers) {
+    BOOST_TEST(caller->ReadUntilText("</a x>"));
+  }
   callers.pop_back();
   bool isServed = false;
   for (int i = 0; i < 100 && !isServed; ++i) {
@@ -378,6 +392,33 @@
   BOOST_TEST(isServed);
 }
 
+// Guards against callers that find no connection because idle ones, or those
+// that stop within a head, hold them all.
+BOOST_AUTO_TEST_CASE(SilentConnectionsEndForNewOnes)
+{
+  http::server_options options;
+  options.mMaximumConnections = 4;
+  for (const std::string part : { "", "POST /a HTTP/1.1\r\nHo" }) {
+    http::server server(options, Echo);
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (int i = 0; i < 4; ++i) {
+      callers.push_back(std::make_unique<raw_caller>(server.Port()));
+      callers.back()->Send(Post("/a", "x"));
+      BOOST_REQUIRE(callers.back()->ReadUntilText("</a x>"));
+      callers.back()->Send(part);
+      std::this_thread::sleep_for(20ms);
+    }
+    raw_caller next(server.Port());
+    next.Send(Post("/b", "x"));
+    BOOST_TEST(next.ReadUntilText("</b x>"));
+    BOOST_TEST(callers.front()->IsClosedWithin(kLongest));
+    callers.back()->Send(part.empty() ? Post("/c", "x")
+                                      : "st: h\r\nContent-Length: 0\r\n\r\n");
+    BOOST_TEST(
+      callers.back()->ReadUntilText(part.empty() ? "</c x>" : "</a >"));
+  }
+}
+
 // Guards against memory for many bodies, each of which is within its bound, and
 // against those who come later being refused for those who have stopped.
 BOOST_AUTO_TEST_CASE(AllBodiesTogetherAreBounded)
--- a/Tests/TestCrowds.cpp
+++ b/Tests/TestCrowds.cpp
@@ -316,6 +316,17 @@
   }
 }
 
+// Guards against callers that can't connect because idle connections, or those
+// that stop within a head, take all there are.
+BOOST_AUTO_TEST_CASE(MoreConnectionsThanAreAccepted)
+{
+  for (const auto* bytes : { "", "POST /safe/x HTTP/1.1\r\nHost: de" }) {
+    crowd_site site({ 64, 700 });
+    BOOST_REQUIRE(site.Start());
+    CheckCrowd(site, site.Callers(), Open(bytes));
+  }
+}
+
 // Guards against limits that refuse a single request inside them.
 BOOST_AUTO_TEST_CASE(TheLargestRequestIsServedInCalm)
 {
