Forwarding: fields that Connection names, and these alone, stay behind

What callers saw: with `Connection: keep-alive` a server didn't get the fields `a`, `live` and `k`; a field that Connection names in other letters reached it.

Cause: the text of Connection was searched for each name, as it stands. With a long Connection and many fields the work grew with the square of the head.

Change: the names are taken from all Connection fields once, in lower case and sorted, and each field is looked up among them.

--- a/Libraries/Edge/Message.cpp
+++ b/Libraries/Edge/Message.cpp
@@ -9,6 +9,22 @@
 
 namespace lavender::edge {
 
+namespace {
+
+std::string
+InLowerCase(std::string_view aText)
+{
+  std::string lower(aText);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](char aLetter) {
+    return aLetter >= 'A' && aLetter <= 'Z'
+             ? static_cast<char>(aLetter - 'A' + 'a')
+             : aLetter;
+  });
+  return lower;
+}
+
+} // namespace
+
 bool
 IsSameName(std::string_view aLeft, std::string_view aRight)
 {
@@ -105,6 +121,36 @@
   });
 }
 
+std::vector<std::string>
+NamesInConnection(const header_list& aHeaders)
+{
+  constexpr std::string_view kBlanks = " \t";
+  std::vector<std::string> names;
+  for (const auto& [field, value] : aHeaders.mFields) {
+    std::string_view rest = IsSameName(field, "Connection") ? value : "";
+    while (!rest.empty()) {
+      const auto end = std::min(rest.find(','), rest.size());
+      auto name = rest.substr(0, end);
+      rest.remove_prefix(std::min(end + 1, rest.size()));
+      name.remove_prefix(
+        std::min(name.find_first_not_of(kBlanks), name.size()));
+      name = name.substr(0, name.find_last_not_of(kBlanks) + 1);
+      if (!name.empty()) {
+        names.push_back(InLowerCase(name));
+      }
+    }
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+bool
+Holds(const std::vector<std::string>& aNames, std::string_view aName)
+{
+  return !aNames.empty() &&
+         std::binary_search(aNames.begin(), aNames.end(), InLowerCase(aName));
+}
+
 std::string
 endpoint::Text() const
 {
--- a/Libraries/Edge/Message.h
+++ b/Libraries/Edge/Message.h
@@ -71,6 +71,15 @@
 bool
 IsConnectionField(std::string_view aName);
 
+/** Names in the Connection fields, in lower case and sorted. These fields too
+ * apply to one connection only (RFC 9110, section 7.6.1). */
+std::vector<std::string>
+NamesInConnection(const header_list& aHeaders);
+
+/** Whether such a list has the name; its case doesn't matter. */
+bool
+Holds(const std::vector<std::string>& aNames, std::string_view aName);
+
 struct endpoint
 {
   std::string mAddress;
