Submissions: the memory of batches' items is bounded

What callers saw: an entry with 64 MB took 267 MB for submissions of 20 items with 2,000 headers each, inside all limits, and would have ended.

Cause: a submission counted as its body, until it was answered. Decoded, each header takes 64 bytes beside its text, the items are written to the store as text, and they stay for as long as the batch does; nothing bounded that.

Change: the items of a batch count until no copy is left, an eighth of the memory at most for new batches, a quarter of it left to batches of 1 MB or less. Before a submission is decoded there has to be room for that beside what callers hold. Beyond that the answer is 503 with Retry-After, before anything is stored. Counters, a log line and a gauge say so.

--- a/Duties/Batches/Batch.h
+++ b/Duties/Batches/Batch.h
@@ -4,6 +4,7 @@
 #include "Duties/Rewards/RewardCall.h"
 #include "Duties/Scheduling/ServerSpeed.h"
 #include "Libraries/Core/Clock.h"
+#include "Libraries/Edge/HeldBytes.h"
 #include "Libraries/Edge/Message.h"
 #include "Libraries/ObjectStore/ObjectStore.h"
 
@@ -49,8 +50,16 @@
   /** Servers that the entry that accepts the batch may use, stored with the
    * items. */
   server_list mServers;
+  /** The memory of the items, which counts until no copy is left; may be null.
+   */
+  std::shared_ptr<edge::held_bytes> mHeld = nullptr;
 };
 
+/** Memory of the items, and of the items as they are written to the store, in
+ * bytes. */
+std::size_t
+MemoryOf(const submission& aSubmission);
+
 /** Returns the group of the item with the given id, or null if there is no such
  * item. */
 const std::string*
--- a/Duties/Batches/BatchLoading.cpp
+++ b/Duties/Batches/BatchLoading.cpp
@@ -56,6 +56,7 @@
                          int aPart)
 {
   if (aPart == aBatch->mMetadata.mParts) {
+    CountItems(*aLoaded);
     aBatch->mSubmission = aLoaded;
     aBatch->mStored.mServers = aLoaded->mServers;
     LoadResults(aBatch);
--- a/Duties/Batches/BatchOwners.cpp
+++ b/Duties/Batches/BatchOwners.cpp
@@ -29,6 +29,13 @@
 constexpr milliseconds kOfferTimeout = 1500ms;
 
 constexpr char kRetryAfterField[] = "Retry-After";
+/** Retry-After of a submission for which there is no memory; another entry may
+ * have some. */
+constexpr milliseconds kNoMemoryRetryAfter = 500ms;
+/** Part of the memory for items, as one in so many, that is left to batches
+ * whose items take no more than kSmallBatchBytes. */
+constexpr std::size_t kSmallBatchShare = 4;
+constexpr std::size_t kSmallBatchBytes = 1 << 20;
 
 } // namespace
 
@@ -111,7 +118,8 @@
                       const submission_origin& aOrigin,
                       submission aSubmission)
 {
-  if (RespondIfKnown(aExchange, aOrigin, aSubmission.mId)) {
+  if (RespondIfKnown(aExchange, aOrigin, aSubmission.mId) ||
+      !HasRoomFor(aExchange, aSubmission)) {
     return;
   }
   ForwardOrAdmit(std::make_shared<pending_submission>(
@@ -153,7 +161,40 @@
     aExchange->Answer({ kNotOwner, {}, {} });
     return;
   }
-  Admit(aExchange, aOrigin, std::move(aSubmission), prior_attempt::None);
+  if (HasRoomFor(aExchange, aSubmission)) {
+    Admit(aExchange, aOrigin, std::move(aSubmission), prior_attempt::None);
+  }
+}
+
+void
+batch_service::CountItems(submission& aSubmission) const
+{
+  aSubmission.mHeld = std::make_shared<edge::held_bytes>(mItemBytes);
+  aSubmission.mHeld->Set(MemoryOf(aSubmission));
+}
+
+bool
+batch_service::HasRoomFor(const edge::exchange_ptr& aExchange,
+                          submission& aSubmission)
+{
+  const auto limit = mDependencies.mMaximumItemBytes;
+  const auto bytes = MemoryOf(aSubmission);
+  const auto allowed =
+    bytes <= kSmallBatchBytes ? limit : limit - limit / kSmallBatchShare;
+  if (*mItemBytes + bytes <= allowed) {
+    CountItems(aSubmission);
+    return true;
+  }
+  constexpr auto kReason = "no memory for items";
+  events::line("submission_refused")
+    .With("batch", aSubmission.mId)
+    .With("reason", kReason)
+    .With("bytes", static_cast<std::int64_t>(bytes))
+    .With("held_bytes", static_cast<std::int64_t>(*mItemBytes));
+  mDependencies.mMetrics.Count("lavender_refusals_total",
+                               { { "reason", kReason } });
+  edge::AnswerOwn(aExchange, 503, kNoMemoryRetryAfter);
+  return false;
 }
 
 bool
--- a/Duties/Batches/BatchService.h
+++ b/Duties/Batches/BatchService.h
@@ -53,6 +53,9 @@
   std::function<bool()> mCanReachStore;
   /** Called once for each accepted batch, whichever entry accepted it. */
   std::function<void(const batch_metadata&)> mOnAccepted;
+  /** Most memory of the items of all batches in this entry; beyond it
+   * submissions are refused. */
+  std::size_t mMaximumItemBytes = 256 << 20;
 };
 
 /** State of one batch in this entry. */
@@ -181,6 +184,8 @@
   /** Number of batches of this entry that have items without a listed result.
    */
   std::size_t OpenBatches() const;
+  /** Memory of the items of all batches, in bytes. */
+  std::size_t ItemBytes() const { return *mItemBytes; }
   /** Makes another entry the owner of each open batch. The new owner continues
    * after the listed results and stored texts. */
   void HandOver();
@@ -238,6 +243,10 @@
                       const std::string& aBatchId);
   /** Forwards a submission to its designated owner, or admits it in this entry.
    */
+  /** Counts the memory of the items, or refuses the submission if there is none
+   * left for it. */
+  bool HasRoomFor(const edge::exchange_ptr& aExchange, submission& aSubmission);
+  void CountItems(submission& aSubmission) const;
   void ForwardOrAdmit(const std::shared_ptr<pending_submission>& aPending);
   void ForwardSubmission(const std::shared_ptr<pending_submission>& aPending,
                          const peer_entry& aOwner);
@@ -361,6 +370,8 @@
   void After(milliseconds aDelay, std::function<void()> aAction);
 
   service_dependencies mDependencies;
+  /** Outlives the batches, which count there. */
+  std::shared_ptr<std::size_t> mItemBytes = std::make_shared<std::size_t>(0);
   std::map<std::string, batch_ptr> mBatches;
   /** Entries that recently failed to accept a batch, and until when they are
    * avoided. */
--- a/Duties/Batches/Records.cpp
+++ b/Duties/Batches/Records.cpp
@@ -269,6 +269,27 @@
                                     : aSubmission.mItems.front().mPath;
 }
 
+std::size_t
+MemoryOf(const submission& aSubmission)
+{
+  std::size_t bytes = 0;
+  for (const auto& item : aSubmission.mItems) {
+    const auto& fields = item.mHeaders.mFields;
+    std::size_t text = item.mId.size() + item.mPath.size() +
+                       item.mBodyBase64.size() + item.mGroup.size();
+    for (const auto& [name, value] : fields) {
+      text += name.size() + value.size();
+    }
+    if (item.mReward) {
+      text += item.mReward->mBodyBase64.size();
+    }
+    constexpr std::size_t kCopies = 2;
+    bytes +=
+      sizeof item + fields.capacity() * sizeof fields.front() + kCopies * text;
+  }
+  return bytes;
+}
+
 batch_affiliation
 AffiliationOf(const batch_metadata& aMetadata)
 {
--- a/Services/Entry/MemoryShares.cpp
+++ b/Services/Entry/MemoryShares.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t kReservedShare = 40;
 constexpr std::size_t kPeerShare = 8;
 constexpr std::size_t kAnswerShare = 8;
+constexpr std::size_t kItemShare = 8;
 constexpr std::size_t kBodilessShare = 128;
 /** Of the share of a listener, what is left to small requests. */
 constexpr std::size_t kReservedOfListener = 16;
@@ -25,6 +26,7 @@
            aMemoryBytes / kReservedShare,
            aMemoryBytes / kPeerShare,
            aMemoryBytes / kAnswerShare,
+           aMemoryBytes / kItemShare,
            aMemoryBytes / kBodilessShare };
 }
 
--- a/Services/Entry/MemoryShares.h
+++ b/Services/Entry/MemoryShares.h
@@ -4,8 +4,8 @@
 
 #include <cstddef>
 
-/** What bytes of other processes may take of an entry's memory. The rest is
- * left for the results of batches and for the tables. No I/O. */
+/** What other processes may take of an entry's memory. A third is left for the
+ * program, items and results of batches, and the tables. No I/O. */
 namespace lavender::entry {
 
 struct memory_shares
@@ -19,6 +19,8 @@
   std::size_t mPeerBytes = 0;
   /** Of all responses that are being read. */
   std::size_t mAnswerBytes = 0;
+  /** Of the items of batches. */
+  std::size_t mItemBytes = 0;
   /** Of each listener whose requests have no body. */
   std::size_t mBodilessBytes = 0;
 };
--- a/Services/Entry/SiteEntry.cpp
+++ b/Services/Entry/SiteEntry.cpp
@@ -146,7 +146,8 @@
                      { aMetadata.mModel,
                        aMetadata.mServerSpeeds,
                        aMetadata.mMedianEventTime } });
-               } })
+               },
+               mSettings.mMemory.mItemBytes })
   , mAssignments({ mLoop, mDirectory, mConfiguration, mClaims, &mMetrics })
   , mUsage({ mLoop,
              mStore,
@@ -447,6 +448,7 @@
                                                    site::WarmAt(aRow.second);
                                           })));
   gauge("lavender_open_batches", static_cast<double>(mBatches.OpenBatches()));
+  gauge("lavender_batch_item_bytes", static_cast<double>(mBatches.ItemBytes()));
   gauge("lavender_rewards_open", static_cast<double>(mRewards.Open()));
   gauge("lavender_requests_under_way",
         static_cast<double>(mCallers.Requests()));
--- a/Services/Entry/SiteEntry.h
+++ b/Services/Entry/SiteEntry.h
@@ -59,6 +59,9 @@
                       const std::shared_ptr<const site::customer>& aCustomer);
   void ServeSubmission(const edge::exchange_ptr& aExchange,
                        const std::string& aCustomer);
+  /** Whether a submission of that size can be decoded beside what callers'
+   * requests hold. */
+  bool HasRoomToDecode(std::size_t aBodyBytes) const;
   void ServeForwardedSubmission(const edge::exchange_ptr& aExchange);
   void ServeAnnouncement(const edge::exchange_ptr& aExchange);
   void ServePeer(const edge::exchange_ptr& aExchange);
--- a/Services/Entry/SiteEntryServing.cpp
+++ b/Services/Entry/SiteEntryServing.cpp
@@ -12,6 +12,9 @@
 
 /** Retry delay for callers of an entry that has no configuration yet. */
 constexpr milliseconds kNoConfigurationRetryAfter = 300ms;
+/** While a submission is decoded it takes so many times the memory of its body,
+ * or a little more. */
+constexpr std::size_t kDecodingTimes = 4;
 
 } // namespace
 
@@ -35,6 +38,13 @@
                     : std::nullopt);
 }
 
+bool
+site_entry::HasRoomToDecode(std::size_t aBodyBytes) const
+{
+  return mCallers.HeldBytes() + kDecodingTimes * aBodyBytes <=
+         mLimits->mMaximumHeldBytes;
+}
+
 void
 site_entry::ServeCaller(const edge::exchange_ptr& aExchange)
 {
@@ -96,6 +106,10 @@
                             const std::string& aCustomer)
 {
   const auto& request = aExchange->mRequest;
+  if (!HasRoomToDecode(request.mBody.size())) {
+    Deny(aExchange, 503, "no memory to decode");
+    return;
+  }
   auto submission =
     platform::DecodeSubmission(platform::SubmittedId(request), request.mBody);
   if (!submission) {
@@ -115,6 +129,10 @@
 void
 site_entry::ServeForwardedSubmission(const edge::exchange_ptr& aExchange)
 {
+  if (!HasRoomToDecode(aExchange->mRequest.mBody.size())) {
+    Deny(aExchange, 503, "no memory to decode");
+    return;
+  }
   const auto forwarded = batches::DecodePeerSubmission(aExchange->mRequest);
   auto submission =
     platform::DecodeSubmission(forwarded->mBatchId, forwarded->mBody);
--- a/Tests/TestCrowds.cpp
+++ b/Tests/TestCrowds.cpp
@@ -327,6 +327,30 @@
   CheckCallers(manner);
 }
 
+// Guards against submissions whose items are larger in memory than in a body.
+BOOST_AUTO_TEST_CASE(SubmissionsOfManyHeaders)
+{
+  constexpr int kHeaders = 2000;
+  constexpr int kItems = 20;
+  std::string headers;
+  for (int i = 0; i < kHeaders; ++i) {
+    headers += (i > 0 ? ",\"f" : "\"f") + std::to_string(i) + "\":\"\"";
+  }
+  std::string items;
+  for (int i = 0; i < kItems; ++i) {
+    items += (i > 0 ? "," : "") + std::string(R"({"id":"i%%%-)") +
+             std::to_string(i) + R"(","path":"/r/x","headers":{)" + headers +
+             R"(},"body":"","tokens":1,"group":"g"})";
+  }
+  const auto body = R"({"step":0,"model":"model","minVersion":1,)"
+                    R"("targetGroups":1,"items":[)" +
+                    items + "]}";
+  CheckCallers(
+    Whole("POST /r/crowd-%%% HTTP/1.1\r\nHost: train.example\r\n"
+          "Authorization: Token trainer-0\r\nX-Attempt-Id: crowd-%%%\r\n" +
+          kChunked + "\r\n" + Chunk(body) + "0\r\n\r\n"));
+}
+
 // Guards against crowds at the doors that aren't for callers.
 BOOST_AUTO_TEST_CASE(OtherDoors)
 {
