Own interface: the memory of callers' requests can be set

What callers saw: 300 clients that stop within a head or a body took an entry of the own interface up to 533 MB, at each of its three addresses.

Cause: the listeners' limit was 256 MB each, fixed, and on bodies alone.

What ends is logged and counted.

--- a/Libraries/Edge/Listener.h
+++ b/Libraries/Edge/Listener.h
@@ -3,6 +3,7 @@
 #include "Libraries/Core/Clock.h"
 #include "Libraries/Edge/DrainCounts.h"
 #include "Libraries/Edge/Exchange.h"
+#include "Libraries/Edge/ListenerCounts.h"
 #include "Libraries/Edge/ListenerOptions.h"
 
 #include <boost/asio/io_context.hpp>
@@ -45,19 +46,6 @@
 
 using request_handler = std::function<void(const exchange_ptr&)>;
 
-/** Connections that a listener ended for others. */
-struct listener_counts
-{
-  /** For memory, with a request that wasn't passed on. */
-  std::uint64_t mRefused = 0;
-  /** For memory, with a response that its caller didn't take. */
-  std::uint64_t mReset = 0;
-  /** For memory or for a new connection, without a request. */
-  std::uint64_t mClosed = 0;
-  /** New ones, which weren't accepted as all others had requests under way. */
-  std::uint64_t mNotAccepted = 0;
-};
-
 /** Accepts connections on one address and serves their requests. */
 class listener
 {
--- a/Libraries/Edge/ListenerOptions.h
+++ b/Libraries/Edge/ListenerOptions.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Libraries/Edge/ListenerCounts.h"
 #include "Libraries/Edge/Message.h"
 
 #include <functional>
@@ -22,6 +23,10 @@
   std::function<response(unsigned aStatus)> mDescribeRefusal;
   /** What the listener is for, as the log names it. */
   std::string mName = "callers";
+  /** Told of connections that ended for others, instead of the event log; at
+   * most once a second. */
+  std::function<void(const char* aReason, const listener_counts& aCounts)>
+    mOnConnectionsEnded;
 };
 
 } // namespace lavender::edge
--- a/Libraries/Edge/ListenerRoom.cpp
+++ b/Libraries/Edge/ListenerRoom.cpp
@@ -41,6 +41,10 @@
   }
   aState.mToldAt = now;
   const auto& counts = aState.mCounts;
+  if (aState.mOptions.mOnConnectionsEnded) {
+    aState.mOptions.mOnConnectionsEnded(aReason, counts);
+    return;
+  }
   events::line("connections_ended")
     .With("listener", aState.mOptions.mName)
     .With("reason", aReason)
--- a/Libraries/Http/Server.cpp
+++ b/Libraries/Http/Server.cpp
@@ -72,10 +72,33 @@
   return std::make_shared<const edge::listener_limits>(limits);
 }
 
+void
+LogEnded(const std::string& aName,
+         const char* aReason,
+         const edge::listener_counts& aCounts)
+{
+  Log(log_level::Warning,
+      "http",
+      "Connections ended for others listener=" + aName + " reason=" + aReason +
+        " refused=" + std::to_string(aCounts.mRefused) +
+        " reset=" + std::to_string(aCounts.mReset) +
+        " closed=" + std::to_string(aCounts.mClosed) +
+        " not_accepted=" + std::to_string(aCounts.mNotAccepted));
+}
+
 edge::listener_options
-OptionsOfListener()
+OptionsOfListener(const server_options& aOptions)
 {
   edge::listener_options options;
+  options.mName = aOptions.mName;
+  options.mOnConnectionsEnded =
+    [name = aOptions.mName, tell = aOptions.mOnConnectionsEnded](
+      const char* aReason, const edge::listener_counts& aCounts) {
+      LogEnded(name, aReason, aCounts);
+      if (tell) {
+        tell(aCounts);
+      }
+    };
   options.mAnswersAfterEnd = true;
   options.mNeedsOneLength = true;
   options.mDescribeRefusal = DescribeRefusal;
@@ -177,7 +200,7 @@
         mLoop,
         LimitsOf(aOptions),
         [this](const auto& aExchange) { Take(aExchange); },
-        OptionsOfListener())
+        OptionsOfListener(aOptions))
   {
     const auto error =
       mListener.Open({ ResolveAddress(mLoop, aOptions), aOptions.mPort });
--- a/Libraries/Http/Server.h
+++ b/Libraries/Http/Server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Libraries/Edge/ListenerCounts.h"
 #include "Libraries/Http/Message.h"
 
 #include <chrono>
@@ -15,6 +16,8 @@
 /** Address of a server and its bounds on what callers send and take. */
 struct server_options
 {
+  /** What the server is for, as the log names it. */
+  std::string mName = "http";
   /** IP address or name of a host. */
   std::string mAddress = "127.0.0.1";
   /** 0 lets the system choose a port, which server::Port returns. */
@@ -41,6 +44,9 @@
   std::chrono::milliseconds mWriteTimeout{ 20000 };
   /** Time after which a connection without a request is closed. */
   std::chrono::milliseconds mKeepAlive{ 30000 };
+  /** Told of connections that ended for others, beside the log, at most once a
+   * second; may be null. */
+  std::function<void(const edge::listener_counts&)> mOnConnectionsEnded;
 };
 
 /** HTTP server with its own thread for the event loop and threads for the
--- a/Services/Agent/main.cpp
+++ b/Services/Agent/main.cpp
@@ -43,6 +43,9 @@
   return true;
 }
 
+/** Maximum memory of the connections and requests at the health address. */
+constexpr std::size_t kHealthBytes = 16 << 20;
+
 http::router
 MakeHealthRoutes(const metrics::registry& aMetrics,
                  const dispatch::agent_dispatch& aDispatch)
@@ -127,6 +130,8 @@
   healthOptions.mAddress = healthListen->mAddress;
   healthOptions.mPort = healthListen->mPort;
   healthOptions.mMaximumThreads = 16;
+  healthOptions.mName = "health";
+  healthOptions.mMaximumHeldBytes = kHealthBytes;
   http::server health(healthOptions, [&](const http::request& aRequest) {
     return http::Serve(healthRoutes, aRequest);
   });
--- a/Services/Entry/EntrySettings.cpp
+++ b/Services/Entry/EntrySettings.cpp
@@ -118,6 +118,14 @@
            1 << 20,
            1,
            1 << 26),
+    Number("request-memory",
+           "Maximum memory of callers' connections and requests until it is "
+           "freed; beyond it connections end. Operators and health checks have "
+           "an eighth of as much each.",
+           "MB",
+           256,
+           1,
+           1 << 20),
     Number("maximum-requests",
            "Maximum number of requests in flight; more are refused.",
            "requests",
--- a/Services/Entry/main.cpp
+++ b/Services/Entry/main.cpp
@@ -20,13 +20,39 @@
 
 namespace {
 
+/** Shows the connections of a listener that ended for others as metrics. */
+std::function<void(const edge::listener_counts&)>
+GaugesFor(const std::string& aListener, metrics::registry& aMetrics)
+{
+  return [aListener, &aMetrics](const edge::listener_counts& aCounts) {
+    const auto set = [&](const char* aHow, std::uint64_t aCount) {
+      aMetrics.SetGauge("lavender_connections_ended",
+                        { { "listener", aListener }, { "how", aHow } },
+                        static_cast<double>(aCount));
+    };
+    set("refused", aCounts.mRefused);
+    set("reset", aCounts.mReset);
+    set("closed", aCounts.mClosed);
+    set("not_accepted", aCounts.mNotAccepted);
+  };
+}
+
+/** @param aFlag of the address, NAME-listen
+ * @param aShare part of the memory for requests, as one in so many */
 http::server_options
 ListenerFor(const settings::values& aValues,
-            const char* aFlag,
-            unsigned aThreads)
+            const std::string& aFlag,
+            unsigned aThreads,
+            std::size_t aShare,
+            metrics::registry& aMetrics)
 {
   const auto listen = http::ParseEndpoint(aValues.Text(aFlag));
   http::server_options options;
+  options.mName = aFlag.substr(0, aFlag.find('-'));
+  options.mOnConnectionsEnded = GaugesFor(options.mName, aMetrics);
+  options.mMaximumHeldBytes =
+    (static_cast<std::size_t>(aValues.Integer("request-memory")) << 20) /
+    aShare;
   options.mAddress = listen->mAddress;
   options.mPort = listen->mPort;
   options.mMaximumThreads = aThreads;
@@ -105,6 +131,10 @@
   }
 }
 
+/** Part of the memory for requests that operators and health checks have each,
+ * as one in so many. */
+constexpr std::size_t kOtherShare = 8;
+
 int
 Run(const settings::values& aValues, termination_signal& aTermination)
 {
@@ -121,20 +151,21 @@
   const auto callerThreads =
     static_cast<unsigned>(aValues.Integer("maximum-requests")) + 64;
   http::server callerServer(
-    ListenerFor(aValues, "caller-listen", callerThreads),
+    ListenerFor(aValues, "caller-listen", callerThreads, 1, duties.mMetrics),
     [&](const http::request& aRequest) {
       return duties.mCallers.Serve(aRequest);
     });
   http::server operatorServer(
-    ListenerFor(aValues, "operator-listen", 64),
+    ListenerFor(aValues, "operator-listen", 64, kOtherShare, duties.mMetrics),
     [&](const http::request& aRequest) {
       return configuration::ServeOperatorRequest(
         operatorRoutes, aValues.Text("operator-key-hash"), aRequest);
     });
-  http::server healthServer(ListenerFor(aValues, "health-listen", 16),
-                            [&](const http::request& aRequest) {
-                              return http::Serve(healthRoutes, aRequest);
-                            });
+  http::server healthServer(
+    ListenerFor(aValues, "health-listen", 16, kOtherShare, duties.mMetrics),
+    [&](const http::request& aRequest) {
+      return http::Serve(healthRoutes, aRequest);
+    });
   const auto wireListen = http::ParseEndpoint(aValues.Text("wire-listen"));
   wire::wire_server wireServer(
     wireListen->mAddress,
--- a/Tests/TestCrowds.cpp
+++ b/Tests/TestCrowds.cpp
@@ -1,5 +1,6 @@
 #include "Tests/Crowd/Crowd.h"
 #include "Tests/Crowd/CrowdSite.h"
+#include "Tests/Support/Fleet.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -386,6 +387,47 @@
   }
 }
 
+// Guards against crowds at the doors of the project's own interface.
+BOOST_AUTO_TEST_CASE(OwnInterface)
+{
+  constexpr std::size_t kMaximumMemory = 64 << 20;
+  constexpr std::size_t kMaximumDescriptors = 2000;
+  constexpr std::size_t kMaximumBody = 1 << 20;
+  const std::vector<std::pair<std::string, std::string>> requests = {
+    { "head", LongHead("", "a:\r\n") },
+    { "length", LongHead(LengthLine(2), "a:\r\n") + "\r\na" },
+    { "body",
+      HeadOf("POST") + LengthLine(kMaximumBody) + "\r\n" +
+        std::string(kMaximumBody - 1, 'a') },
+    { "whole", LongHead(LengthLine(0), "a:\r\n") + "\r\n" },
+  };
+  test::fleet fleet;
+  const auto& entry =
+    fleet.AddEntry("entry", "zone", { "--request-memory", "8" });
+  test_loop loop;
+  const auto use = [&] { return UseOf(entry.mProcess->Id()); };
+  for (const auto port :
+       { entry.Callers(), entry.Operators(), entry.Health() }) {
+    for (const auto& [name, bytes] : requests) {
+      BOOST_TEST_CONTEXT(name << " at " << port)
+      {
+        auto manner = Open(bytes);
+        manner.mIsWhole = name == "whole";
+        crowd clients(loop, port, kClients, manner);
+        BOOST_TEST(clients.Settle());
+        BOOST_TEST(test::WaitFor(
+          [&] { return test::Send(port, "GET", "/healthz").mStatus > 0; }));
+        BOOST_TEST(entry.mProcess->IsRunning());
+        BOOST_TEST(use().mPeakBytes > 0u);
+        BOOST_TEST(use().mPeakBytes <= kMaximumMemory);
+        BOOST_TEST(use().mDescriptors <= kMaximumDescriptors);
+        BOOST_TEST_MESSAGE("peak " << use().mPeakBytes / 1'000'000 << " MB");
+      }
+    }
+  }
+  BOOST_TEST(test::Send(entry.Health(), "GET", "/healthz").mStatus == 200);
+}
+
 // Guards against limits that refuse a single request inside them.
 BOOST_AUTO_TEST_CASE(TheLargestRequestIsServedInCalm)
 {
