Connections: who ends for a new caller is reported as having left

Cause: at the limit of connections, one whose response isn't taken was closed without a word to its handler, so the server worked on, and a call that was held back waited for its deadline.

Change: it ends as one does whose memory is needed: the handler is told, the connection reset, and it counts as such.

--- a/Libraries/Edge/ListenerCounts.h
+++ b/Libraries/Edge/ListenerCounts.h
@@ -9,9 +9,9 @@
 {
   /** For memory, with a request that wasn't passed on. */
   std::uint64_t mRefused = 0;
-  /** For memory, with a response that its caller didn't take. */
+  /** With a response that its caller didn't take. */
   std::uint64_t mReset = 0;
-  /** For memory or for a new connection, without a request. */
+  /** Idle ones, and for a new connection ones within a request. */
   std::uint64_t mClosed = 0;
   /** New ones, which weren't accepted as all others had requests under way. */
   std::uint64_t mNotAccepted = 0;
--- a/Libraries/Edge/ListenerRoom.cpp
+++ b/Libraries/Edge/ListenerRoom.cpp
@@ -90,8 +90,7 @@
   const auto endable = FindEndable(aState);
   const auto chosen = ChooseBySilence(endable.mFacts);
   if (chosen) {
-    endable.mConnections[*chosen]->Close();
-    ++aState.mCounts.mClosed;
+    endable.mConnections[*chosen]->EndForConnection();
   } else {
     ++aState.mCounts.mNotAccepted;
   }
--- a/Libraries/Edge/ServerConnection.cpp
+++ b/Libraries/Edge/ServerConnection.cpp
@@ -329,15 +329,23 @@
 
 void
 server_connection::EndForMemory()
+{
+  if (!mHasRequest && mHasRequestBegun && !mIsRefused) {
+    ++mShared->mCounts.mRefused;
+    Refuse(kNotRun);
+  } else {
+    EndForConnection();
+  }
+}
+
+void
+server_connection::EndForConnection()
 {
   auto& counts = mShared->mCounts;
-  if (mHasRequest || mIsWriting) {
+  if (mIsWriting) {
     ++counts.mReset;
     ReportCallerLeft();
     Reset();
-  } else if (mHasRequestBegun && !mIsRefused) {
-    ++counts.mRefused;
-    Refuse(kNotRun);
   } else {
     ++counts.mClosed;
     Close();
--- a/Libraries/Edge/ServerConnection.h
+++ b/Libraries/Edge/ServerConnection.h
@@ -47,6 +47,8 @@
   /** Ends an endable connection because memory is short. A request that is
    * being read is refused. */
   void EndForMemory();
+  /** Ends an endable connection because there are too many. */
+  void EndForConnection();
   /** Notes the status of the current response and decides whether the
    * connection closes after it.
    * @return what the Connection field of the response says; empty for none */
--- a/Tests/Site/TestRequestsWithoutEnd.cpp
+++ b/Tests/Site/TestRequestsWithoutEnd.cpp
@@ -162,4 +162,30 @@
   }));
 }
 
+// Guards against a server that works on for a caller whose connection ended for
+// another one's.
+BOOST_AUTO_TEST_CASE(AResponseThatNoOneTakesEndsForANewCaller)
+{
+  listening_site site;
+  site.mLimits->mMaximumConnections = 1;
+  const auto stalled =
+    byte_caller::Start(site.mLoop,
+                       site.mListener.Port(),
+                       "GET /held HTTP/1.1\r\nHost: h\r\n\r\n",
+                       "");
+  BOOST_REQUIRE(site.mLoop.RunUntil([&] { return site.mHeld.size() == 1; }));
+  BOOST_TEST(!site.ServesOthers());
+  const auto& exchange = site.mHeld.front();
+  bool hasLeft = false;
+  exchange->OnCallerLeft([&] { hasLeft = true; });
+  exchange->Begin(200, {});
+  constexpr std::size_t kMoreThanIsBuffered = 64 << 20;
+  exchange->Write(std::string(kMoreThanIsBuffered, 'a'));
+  BOOST_TEST(site.ServesOthers());
+  BOOST_TEST(hasLeft);
+  BOOST_TEST(exchange->IsEnded());
+  BOOST_TEST(site.mListener.Counts().mNotAccepted == 1u);
+  BOOST_TEST(site.mListener.Counts().mReset == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
