Connection names: a text that ended is no longer read

Cause: a condition made a string of its own for each field that isn't Connection, and a view of it was read after its end.

Change: other fields are passed over.

--- a/Libraries/Edge/Message.cpp
+++ b/Libraries/Edge/Message.cpp
@@ -127,7 +127,10 @@
   constexpr std::string_view kBlanks = " \t";
   std::vector<std::string> names;
   for (const auto& [field, value] : aHeaders.mFields) {
-    std::string_view rest = IsSameName(field, "Connection") ? value : "";
+    if (!IsSameName(field, "Connection")) {
+      continue;
+    }
+    std::string_view rest = value;
     while (!rest.empty()) {
       const auto end = std::min(rest.find(','), rest.size());
       auto name = rest.substr(0, end);
