Memory: what a crowd took goes back when it has left

Cause: what lies between blocks in use isn't given back by the C library.

Change: once three quarters of what connections held at most is freed, and that was 16 MB or more, the process gives its freed memory back.

With the 300 clients of the test it held before, so the test doesn't show it.

--- a/Libraries/Core/Memory.cpp
+++ b/Libraries/Core/Memory.cpp
@@ -11,4 +11,10 @@
   mallopt(M_TRIM_THRESHOLD, static_cast<int>(kReturnedBlockBytes));
 }
 
+void
+ReturnFreedMemory()
+{
+  malloc_trim(0);
+}
+
 } // namespace lavender
--- a/Libraries/Core/Memory.h
+++ b/Libraries/Core/Memory.h
@@ -14,4 +14,9 @@
 void
 ReturnLargeBlocks();
 
+/** Gives freed memory back that lies between blocks in use. It takes some
+ * milliseconds for each 100 MB. */
+void
+ReturnFreedMemory();
+
 } // namespace lavender
--- a/Libraries/Edge/ListenerRoom.cpp
+++ b/Libraries/Edge/ListenerRoom.cpp
@@ -1,5 +1,6 @@
 #include "Libraries/Edge/ListenerRoom.h"
 
+#include "Libraries/Core/Memory.h"
 #include "Libraries/Edge/RoomDecision.h"
 #include "Libraries/Edge/ServerConnection.h"
 #include "Libraries/EventLog/EventLog.h"
@@ -11,6 +12,11 @@
 /** A crowd would fill the log. */
 constexpr milliseconds kLogInterval{ 1000 };
 
+/** Less than this isn't worth giving back. */
+constexpr std::size_t kReturnedBytes = 16 << 20;
+/** Memory is given back when all but one part in so many is freed. */
+constexpr std::size_t kPartsLeft = 4;
+
 /** Connections that may end, and what decides which one does. */
 struct endable_connections
 {
@@ -81,6 +87,17 @@
   }
 }
 
+void
+ReturnMemory(listener_state& aState)
+{
+  const auto held = *aState.mHeldBytes;
+  if (aState.mMostHeldBytes >= kReturnedBytes &&
+      held <= aState.mMostHeldBytes / kPartsLeft) {
+    aState.mMostHeldBytes = held;
+    ReturnFreedMemory();
+  }
+}
+
 bool
 MakeRoomForConnection(listener_state& aState)
 {
--- a/Libraries/Edge/ListenerRoom.h
+++ b/Libraries/Edge/ListenerRoom.h
@@ -13,6 +13,10 @@
 void
 MakeRoomForMemory(listener_state& aState, const server_connection& aFor);
 
+/** Gives memory back to the system once most of what was held is freed. */
+void
+ReturnMemory(listener_state& aState);
+
 /** Ends a connection if there are as many as allowed.
  * @return whether a new connection has room */
 bool
--- a/Libraries/Edge/ListenerState.h
+++ b/Libraries/Edge/ListenerState.h
@@ -17,6 +17,8 @@
   std::size_t mRequests = 0;
   /** Memory of all connections and requests, in bytes. */
   std::shared_ptr<std::size_t> mHeldBytes = std::make_shared<std::size_t>(0);
+  /** Largest *mHeldBytes since freed memory was last given back. */
+  std::size_t mMostHeldBytes = 0;
   listener_counts mCounts;
   /** When the log last told of connections that were ended for others. */
   std::optional<time_point> mToldAt;
--- a/Libraries/Edge/ServerConnection.cpp
+++ b/Libraries/Edge/ServerConnection.cpp
@@ -54,6 +54,7 @@
 server_connection::~server_connection()
 {
   mShared->mConnections.erase(this);
+  ReturnMemory(*mShared);
 }
 
 std::shared_ptr<exchange>
@@ -286,6 +287,8 @@
   const auto shared = sizeOf(mQueuedShared) + sizeOf(mWritingShared);
   const auto read = mReader ? mReader->HeldBytes() : 0;
   mHeld.Set(mIsClosed ? 0 : BufferBytes() + shared + read + aMore);
+  mShared->mMostHeldBytes =
+    std::max(mShared->mMostHeldBytes, *mShared->mHeldBytes);
 }
 
 void
