Review case 7: two ends under an item and one elsewhere bar it

Change: the entry is killed beside the crash of a server that doesn't run the item; two more servers crash under it. The store stand-in tells where a batch is kept.

--- a/review/7/Case.cpp
+++ b/review/7/Case.cpp
@@ -1,8 +1,9 @@
 #include "../standins-2/Site.h"
 
-/** Three servers crash one after the other, each while it runs the same sound
- * item. The trainer carries the item's group to its next steps, which have no
- * disturbance, and waits for it there. */
+/** The entry that runs a batch is killed while a server crashes that runs other
+ * items; later two servers crash, each while it runs the same sound item. The
+ * trainer carries the item's group to its next steps, which have no disruption,
+ * and waits for it there. */
 using namespace review;
 
 namespace {
@@ -14,28 +15,72 @@
 constexpr milliseconds kStepTime{ 12000 };
 constexpr milliseconds kDownTime{ 1000 };
 constexpr milliseconds kRunsBeforeCrash{ 1500 };
-constexpr int kCrashes = 3;
+/** Servers that crash under the item. */
+constexpr int kCrashes = 2;
+/** Before the entry writes a first block of results. */
+constexpr milliseconds kRunsBeforeKill{ 200 };
+constexpr milliseconds kEntryDownTime{ 600 };
 /** A step is lost if an item of it has been at no server for so long. */
 constexpr milliseconds kLongestAbsence{ 5000 };
 
-/** Ends a server that has run the item for some time, three times in all. */
-void
-CrashServers(site& aSite)
+model_server*
+ServerOfItem(site& aSite)
 {
-  for (int crashes = 0; crashes < kCrashes;) {
-    std::this_thread::sleep_for(milliseconds(20));
+  for (;;) {
     for (const auto& server : aSite.mServers) {
-      if (!server->IsRunning(kItem)) {
-        continue;
-      }
-      std::this_thread::sleep_for(kRunsBeforeCrash);
       if (server->IsRunning(kItem)) {
-        aSite.mRecord.Line("server " + server->Id() + " crashes under " +
-                           kItem);
-        ++crashes;
-        server->Crash(kDownTime);
+        return server.get();
       }
     }
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+}
+
+/** The entry that accepted the batch, as its object in the store says. */
+entry&
+OwnerOf(site& aSite, const std::string& aBatch)
+{
+  const auto spec = aSite.mStore.SpecOf("batches", aBatch);
+  for (auto& each : aSite.mEntries) {
+    if (spec.find("\"owner\":" + Quote(each.mName)) != std::string::npos) {
+      return each;
+    }
+  }
+  return aSite.mEntries.front();
+}
+
+/** Kills the batch's entry while a server crashes that doesn't run the item. */
+void
+KillOwnerBesideCrash(site& aSite)
+{
+  const auto* itsServer = ServerOfItem(aSite);
+  std::this_thread::sleep_for(kRunsBeforeKill);
+  auto& owner = OwnerOf(aSite, "batch-0");
+  auto& other = aSite.mServers.front().get() == itsServer
+                  ? *aSite.mServers.back()
+                  : *aSite.mServers.front();
+  aSite.mRecord.Line(kItem + std::string(" runs at server ") + itsServer->Id() +
+                     "; server " + other.Id() + " crashes, and entry " +
+                     owner.mName + " is killed");
+  std::thread crash([&other] { other.Crash(kDownTime); });
+  owner.mProcess->Kill();
+  std::this_thread::sleep_for(kEntryDownTime);
+  owner.mProcess->Start();
+  crash.join();
+}
+
+/** Ends two servers, each after it has run the item for some time. */
+void
+CrashServersOfItem(site& aSite)
+{
+  for (int crashes = 0; crashes < kCrashes;) {
+    auto* server = ServerOfItem(aSite);
+    std::this_thread::sleep_for(kRunsBeforeCrash);
+    if (server->IsRunning(kItem)) {
+      ++crashes;
+      aSite.mRecord.Line("server " + server->Id() + " crashes under " + kItem);
+      server->Crash(kDownTime);
+    }
   }
 }
 
@@ -104,13 +149,17 @@
     options.mEventsOf = { { kItem, kEventsOfItem } };
     site.AddServer(options);
   }
-  site.AddEntry();
-  site.AddEntry();
+  for (int i = 0; i < 3; ++i) {
+    site.AddEntry();
+  }
   if (!site.WaitUntilReady()) {
     Finish(site, verdict::CouldNotRun, "the entries are not ready");
   }
   if (HasTrouble()) {
-    std::thread([] { CrashServers(site); }).detach();
+    std::thread([] {
+      KillOwnerBesideCrash(site);
+      CrashServersOfItem(site);
+    }).detach();
   }
   int lostSteps = 0;
   bool isCarried = true;
@@ -138,6 +187,12 @@
                       " ms before the end");
     site.CallAsTrainer(1, "DELETE", "/lots/" + batch);
   }
+  for (const auto& arrival : site.mArrivals.All()) {
+    if (arrival.mId == kItem) {
+      site.mRecord.Line("server " + arrival.mServer + " ran " + kItem + " -> " +
+                        std::to_string(arrival.mStatus));
+    }
+  }
   Finish(site,
          lostSteps > 0 ? verdict::Broken : verdict::Held,
          std::to_string(lostSteps) + " of " + std::to_string(kSteps - 1) +
--- a/review/standins-2/Store.h
+++ b/review/standins-2/Store.h
@@ -65,6 +65,15 @@
     Change(aKind, object, false);
   }
 
+  /** The spec of an object; empty if there is none. */
+  std::string SpecOf(const std::string& aKind, const std::string& aName)
+  {
+    std::lock_guard lock(mMutex);
+    const auto& objects = mObjects[aKind];
+    const auto found = objects.find(aName);
+    return found == objects.end() ? std::string() : found->second.mSpec;
+  }
+
   /** Number of writes refused because they exceed the size of an object. */
   int Oversized() const { return mOversized; }
 
