Review cases 4 to 8: the shared deployment stands in a case's folder

Cause: a case is a folder review/4 to review/8; the headers that the five share stood in a sixth folder beside them.

--- a/review/5/Case.cpp
+++ b/review/5/Case.cpp
@@ -1,4 +1,4 @@
-#include "../standins-2/Site.h"
+#include "../4/Site.h"
 
 /** The operator adds a route with the shortest prefix to a host whose trainer
  * has an open batch. Calls for the batch are made before and after the change,
--- a/review/6/Case.cpp
+++ b/review/6/Case.cpp
@@ -1,4 +1,4 @@
-#include "../standins-2/Site.h"
+#include "../4/Site.h"
 
 /** A large batch of short items runs while the platform's store is down for
  * some seconds, and one server crashes meanwhile. The trainer reads until long
--- a/review/7/Case.cpp
+++ b/review/7/Case.cpp
@@ -1,4 +1,4 @@
-#include "../standins-2/Site.h"
+#include "../4/Site.h"
 
 /** The entry that runs a batch is killed while a server crashes that runs other
  * items; later two servers crash, each while it runs the same sound item. The
